Add caller keys and the daemon's checked settings

The daemon and its listeners need keys checked per request and settings whose faults name file, line and key.

A slow password hash was ruled out: the secret is uniformly random already.

settings: one table of fields drives reading, defaults and documentation. go-toml's strict decoding was ruled out, since it stops at the first wrong type; internal/tomlread decodes to plain values, collects all faults and takes lines from the parser's expressions.

--- /dev/null
+++ b/customer/keys/keys.go
@@ -0,0 +1,72 @@
+// Package keys issues callers' keys and checks them.
+//
+// A key reads KEYID.SECRET. The id is public and may be logged; the secret
+// holds 256 random bits and is stored only as a salted hash. Because the secret
+// is uniformly random, one round of SHA-256 is as hard to reverse as the secret
+// is to guess.
+package keys
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"io"
+	"regexp"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+)
+
+// Sizes of a key, in bytes.
+const (
+	SecretBytes       = 32  // random bits of a secret: 256
+	SaltBytes         = 16  // salt, per key
+	MaxIDBytes        = 64  // longest id
+	MaxPlaintextBytes = 128 // longest key that is looked at
+)
+
+// separator stands between a key's id and its secret.
+const separator = "."
+
+// ErrID reports an id that cannot be a key's.
+var ErrID = errors.New("keys: an id is 1 to 64 lower-case letters, digits, '-' and '_'")
+
+var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
+
+// ValidID reports whether id can name a key.
+func ValidID(id string) bool { return idPattern.MatchString(id) }
+
+// New draws a key called id from random. It returns the key as stored, and the
+// plaintext, which is shown to its holder once and kept nowhere.
+func New(random io.Reader, id string) (contract.Key, string, error) {
+	if !ValidID(id) {
+		return contract.Key{}, "", ErrID
+	}
+	raw := make([]byte, SecretBytes+SaltBytes)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return contract.Key{}, "", eris.Wrap(err, "keys: random source")
+	}
+	secret := base64.RawURLEncoding.EncodeToString(raw[:SecretBytes])
+	salt := raw[SecretBytes:]
+	key := contract.Key{ID: id, Salt: salt, Hash: hash(salt, secret)}
+	return key, id + separator + secret, nil
+}
+
+// hash returns the stored form of secret.
+func hash(salt []byte, secret string) []byte {
+	h := sha256.New()
+	h.Write(salt)
+	h.Write([]byte(secret))
+	return h.Sum(nil)
+}
+
+// split cuts a presented key into id and secret; ok is false for a text that
+// cannot be a key.
+func split(plaintext string) (id, secret string, ok bool) {
+	if len(plaintext) > MaxPlaintextBytes {
+		return "", "", false
+	}
+	return strings.Cut(plaintext, separator)
+}
--- /dev/null
+++ b/settings/fields.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/tomlread"
+)
+
+// Field describes one setting, for documentation.
+type Field struct {
+	Key     string // "section.name"
+	Unit    string // what the value counts or names
+	Default string // "" for none, "required" where one must be given
+	Range   string // what is allowed, in words
+	Doc     string
+}
+
+// required stands for the default of a setting that must be given.
+const required = "required"
+
+// field is one row of the table of settings: its description, and where its
+// value goes. Exactly one of the pointers is set.
+type field struct {
+	key  string
+	unit string
+	doc  string
+
+	text     func(*Host) *string
+	textDef  string
+	textRule tomlread.Text
+
+	list     func(*Host) *[]string
+	listRule tomlread.Text
+
+	number         func(*Host) *int
+	numDef, lo, hi int
+
+	float               func(*Host) *float64
+	floatDef, flo, fhi  float64
+	duration            func(*Host) *time.Duration
+	durDef, durLo, durH time.Duration
+
+	secret func(*Host) *Secret
+}
+
+// fields is the table of all settings, with their defaults.
+var fields = []field{
+	{key: "host.id", unit: "name", doc: "Name of this host in logs and status, unique in the fleet.",
+		text: func(h *Host) *string { return &h.Host.ID }, textDef: required, textRule: nameRule},
+	{key: "host.data_centre", unit: "name", doc: "Data centre that this host stands in.",
+		text: func(h *Host) *string { return &h.Host.DataCentre }, textDef: required, textRule: nameRule},
+
+	{key: "callers.listen", unit: "IP:port", doc: "Address for callers.",
+		text: func(h *Host) *string { return &h.Callers.Listen }, textDef: "127.0.0.1:6432", textRule: listenRule},
+	{key: "callers.tls_cert", unit: "PEM file", doc: "Certificate shown to callers. Without one, callers use plain TCP, which is allowed on loopback only.",
+		text: func(h *Host) *string { return &h.Callers.TLSCert }, textRule: fileRule},
+	{key: "callers.tls_key", unit: "PEM file", doc: "Private key of callers.tls_cert.",
+		text: func(h *Host) *string { return &h.Callers.TLSKey }, textRule: fileRule},
+	{key: "callers.max_connections", unit: "connections", doc: "Caller connections at once; more are refused.",
+		number: func(h *Host) *int { return &h.Callers.MaxConnections }, numDef: 4096, lo: 1, hi: 65536},
+	{key: "callers.startup_timeout", unit: "duration", doc: "Time for a caller to finish TLS and present its key.",
+		duration: func(h *Host) *time.Duration { return &h.Callers.StartupTimeout }, durDef: 5 * time.Second, durLo: 100 * time.Millisecond, durH: time.Minute},
+
+	{key: "peers.listen", unit: "IP:port", doc: "Address for other hosts.",
+		text: func(h *Host) *string { return &h.Peers.Listen }, textDef: "127.0.0.1:7432", textRule: listenRule},
+	{key: "peers.advertise", unit: "IP:port", doc: "Address that other hosts dial. Not set, it is peers.listen.",
+		text: func(h *Host) *string { return &h.Peers.Advertise }, textRule: dialRule},
+	{key: "peers.seeds", unit: "IP:port", doc: "Hosts to ask first, before the platform's list is read.",
+		list: func(h *Host) *[]string { return &h.Peers.Seeds }, listRule: dialRule},
+	{key: "peers.tls_cert", unit: "PEM file", doc: "Certificate shown to other hosts. Without one, hosts use plain TCP, which is allowed on loopback only.",
+		text: func(h *Host) *string { return &h.Peers.TLSCert }, textRule: fileRule},
+	{key: "peers.tls_key", unit: "PEM file", doc: "Private key of peers.tls_cert.",
+		text: func(h *Host) *string { return &h.Peers.TLSKey }, textRule: fileRule},
+	{key: "peers.tls_ca", unit: "PEM file", doc: "Authority that signs the certificate of every host.",
+		text: func(h *Host) *string { return &h.Peers.TLSCA }, textRule: fileRule},
+
+	{key: "platform.url", unit: "URL", doc: "Base URL of the platform's object API.",
+		text: func(h *Host) *string { return &h.Platform.URL }, textDef: required, textRule: urlRule},
+	{key: "platform.timeout", unit: "duration", doc: "Time for one call, waiting watches excepted.",
+		duration: func(h *Host) *time.Duration { return &h.Platform.Timeout }, durDef: 2 * time.Second, durLo: 10 * time.Millisecond, durH: time.Minute},
+	{key: "platform.calls_per_second", unit: "calls per second", doc: "Calls that this host may make, waiting watches included.",
+		float: func(h *Host) *float64 { return &h.Platform.CallsPerSecond }, floatDef: 20, flo: 0.1, fhi: 2000},
+
+	{key: "databases.user", unit: "name", doc: "Role that this host logs into databases with.",
+		text: func(h *Host) *string { return &h.Databases.User }, textDef: required, textRule: textRule},
+	{key: "databases.password", unit: "secret", doc: "Password of databases.user. It is never logged.",
+		secret: func(h *Host) *Secret { return &h.Databases.Password }},
+	{key: "databases.connect_timeout", unit: "duration", doc: "Time to open a connection and log in.",
+		duration: func(h *Host) *time.Duration { return &h.Databases.ConnectTimeout }, durDef: 2 * time.Second, durLo: 10 * time.Millisecond, durH: time.Minute},
+	{key: "databases.max_conns_per_database", unit: "connections", doc: "Connections that this host holds to one database at most, within its share of the fleet's limit.",
+		number: func(h *Host) *int { return &h.Databases.MaxConnsPerDatabase }, numDef: 16, lo: 1, hi: 10000},
+	{key: "databases.probe_interval", unit: "duration", doc: "Time between the reports asked of each database.",
+		duration: func(h *Host) *time.Duration { return &h.Databases.ProbeInterval }, durDef: 250 * time.Millisecond, durLo: 10 * time.Millisecond, durH: time.Minute},
+	{key: "databases.suspect_after", unit: "duration", doc: "Silence after which a database is suspected; longer than probe_interval.",
+		duration: func(h *Host) *time.Duration { return &h.Databases.SuspectAfter }, durDef: time.Second, durLo: 20 * time.Millisecond, durH: 5 * time.Minute},
+	{key: "databases.idle_probe_after", unit: "duration", doc: "Idle time after which a connection is tried before it is used.",
+		duration: func(h *Host) *time.Duration { return &h.Databases.IdleProbeAfter }, durDef: 5 * time.Second, durLo: 10 * time.Millisecond, durH: time.Hour},
+	{key: "databases.idle_timeout", unit: "duration", doc: "Idle time after which a connection is closed.",
+		duration: func(h *Host) *time.Duration { return &h.Databases.IdleTimeout }, durDef: 5 * time.Minute, durLo: time.Second, durH: 24 * time.Hour},
+
+	{key: "admin.listen", unit: "IP:port", doc: "Address of the operators' HTTP: status, drain, burn and metrics. It asks for no password: let only operators reach it.",
+		text: func(h *Host) *string { return &h.Admin.Listen }, textDef: "127.0.0.1:8432", textRule: listenRule},
+
+	{key: "log.level", unit: "word", doc: "Lowest level that is logged.",
+		text: func(h *Host) *string { return &h.Log.Level }, textDef: "info", textRule: tomlread.OneOf("debug", "info", "warn", "error")},
+	{key: "log.format", unit: "word", doc: "Form of a log line.",
+		text: func(h *Host) *string { return &h.Log.Format }, textDef: "text", textRule: tomlread.OneOf("text", "json")},
+
+	{key: "shutdown.grace", unit: "duration", doc: "Time that running requests and transactions get in a planned stop.",
+		duration: func(h *Host) *time.Duration { return &h.Shutdown.Grace }, durDef: 30 * time.Second, durLo: 0, durH: time.Hour},
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,153 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/internal/tomlread"
+	"github.com/bronzeloft/bronzeloft/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const least = `
+[host]
+id = "host-1"
+data_centre = "ro-centru-a"
+[platform]
+url = "http://127.0.0.1:7001"
+[databases]
+user = "bronzeloft"
+password = "tell-nobody"
+`
+
+// faults returns the faults of text as lines without the file's name.
+func faults(text string) []string {
+	_, err := settings.Parse("host.toml", []byte(text))
+	var fs tomlread.Faults
+	if !errors.As(err, &fs) {
+		return nil
+	}
+	var out []string
+	for _, f := range fs {
+		out = append(out, strings.TrimPrefix(f.Error(), "host.toml"))
+	}
+	return out
+}
+
+var _ = Describe("settings", func() {
+	It("fills defaults", func() {
+		h, err := settings.Parse("host.toml", []byte(least))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Host.DataCentre).To(Equal("ro-centru-a"))
+		Expect(h.Callers.Listen).To(Equal("127.0.0.1:6432"))
+		Expect(h.Peers.Advertise).To(Equal(h.Peers.Listen))
+		Expect(h.Databases.ProbeInterval).To(Equal(250 * time.Millisecond))
+		Expect(h.Shutdown.Grace).To(Equal(30 * time.Second))
+	})
+
+	It("prints no password", func() {
+		h, err := settings.Parse("host.toml", []byte(least))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Databases.Password.Reveal()).To(Equal("tell-nobody"))
+		asJSON, err := json.Marshal(h)
+		Expect(err).NotTo(HaveOccurred())
+		for _, s := range []string{fmt.Sprintf("%v %+v %#v", h, *h, *h), string(asJSON)} {
+			Expect(s).NotTo(ContainSubstring("tell-nobody"))
+		}
+		Expect(faults(strings.Replace(least, `"tell-nobody"`, "4711", 1))).To(ConsistOf(Not(ContainSubstring("4711"))))
+	})
+
+	It("reports every fault at once, with line, key, found and allowed", func() {
+		got := faults(`
+[host]
+id = "Host 1"
+[callers]
+listen = "localhost:6432"
+max_connections = 0
+startup_timeout = "5"
+speed = 3
+[platform]
+url = "ftp://x"
+[databases]
+user = "u"
+[nowhere]
+a = 1
+`)
+		Expect(got).To(Equal([]string{
+			`:2: host.data_centre: found nothing, allowed: 1 to 64 lower-case letters, digits and '-'`,
+			`:3: host.id: found "Host 1", allowed: 1 to 64 lower-case letters, digits and '-'`,
+			`:5: callers.listen: found "localhost:6432", allowed: IP:port`,
+			`:6: callers.max_connections: found 0, allowed: a whole number from 1 to 65536`,
+			`:7: callers.startup_timeout: found "5", allowed: a duration such as "250ms", from 100ms to 1m0s`,
+			`:8: callers.speed: found an unknown key, allowed: one of listen, max_connections, startup_timeout, tls_cert, tls_key`,
+			`:10: platform.url: found "ftp://x", allowed: http:// or https:// URL`,
+			`:13: nowhere: found an unknown key, allowed: one of admin, callers, databases, host, log, peers, platform, shutdown`,
+		}))
+	})
+
+	DescribeTable("checks fields against each other", func(text, want string) {
+		Expect(faults(least + text)).To(ConsistOf(ContainSubstring(want)))
+	},
+		Entry("plain callers off loopback", "[callers]\nlisten=\"10.0.0.1:6432\"", "plain TCP on loopback only"),
+		Entry("half a certificate", "[callers]\ntls_cert=\"c.pem\"", "callers.tls_key: found nothing"),
+		Entry("plain peers off loopback", "[peers]\nlisten=\"0.0.0.0:7432\"\nadvertise=\"10.0.0.1:7432\"", "plain TCP on loopback only"),
+		Entry("no authority for peers", "[peers]\ntls_cert=\"c\"\ntls_key=\"k\"", "peers.tls_ca"),
+		Entry("nothing to dial", "[peers]\nlisten=\"0.0.0.0:7432\"\ntls_cert=\"c\"\ntls_key=\"k\"\ntls_ca=\"a\"", "peers.advertise"),
+		Entry("suspicion before a probe", "suspect_after=\"250ms\"", "longer than probe_interval"),
+		Entry("a wrong type", "[peers]\nseeds=\"127.0.0.1:1\"", "an array of strings"),
+		Entry("a wrong element", "[peers]\nseeds=[\"127.0.0.1:1\", 3]", "peers.seeds[1]: found 3"),
+		Entry("a section that is no table", "[shutdown]\ngrace=\"99h\"", "from 0s to 1h0m0s"),
+	)
+
+	It("names the line of a syntax error", func() {
+		Expect(faults("[host]\nid = \n")).To(ConsistOf(HavePrefix(":2:")))
+	})
+
+	It("loads a file", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "host.toml")
+		Expect(os.WriteFile(path, []byte(least), 0o600)).To(Succeed())
+		_, err := settings.Load(path)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = settings.Load(path + ".not")
+		Expect(err).To(MatchError(os.ErrNotExist))
+	})
+
+	It("describes every setting once, with defaults that pass", func() {
+		seen := map[string]bool{}
+		for _, f := range settings.Describe() {
+			Expect(seen).NotTo(HaveKey(f.Key))
+			seen[f.Key] = true
+			Expect(f.Doc).To(HaveSuffix("."))
+			Expect(f.Unit).NotTo(BeEmpty())
+			Expect(f.Range).NotTo(BeEmpty())
+		}
+		Expect(len(seen)).To(BeNumerically(">", 25))
+	})
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(least))
+	f.Add([]byte("[host]\nid = 3\n[host.id]\n"))
+	f.Add([]byte("peers = [{seeds = [1]}]\n"))
+	f.Add([]byte("[[callers]]\nlisten = {a = 1}\n"))
+	f.Add([]byte("a.b.c = 1\na.b.d = [[1],[{x=2}]]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := settings.Parse("f.toml", data)
+		if (h == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", h, err)
+		}
+	})
+}
