--- a/contract/limits.go
+++ b/contract/limits.go
@@ -15,7 +15,6 @@
 	MaxSlots         = 10000 // statements at once on one database
 	MaxConnections   = 10000 // connections to one database
 	MaxRate          = 1e7   // requests per second of one customer
-	MaxNameBytes     = 64    // any name
 	MaxDeadline      = time.Hour
 	MinDeadline      = time.Millisecond
 	MaxAge           = 24 * time.Hour
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -9,10 +9,11 @@
 // hosts share one pointer. Version rises with every publish and a host only
 // takes a higher one.
 type Snapshot struct {
-	Version   uint64     `json:"version"`
-	Services  []Service  `json:"services"`
-	Customers []Customer `json:"customers"`
-	Roster    Roster     `json:"roster"`
+	Version     uint64     `json:"version"`
+	DataCentres []string   `json:"dataCentres,omitempty"` // every data centre that databases and hosts may stand in
+	Services    []Service  `json:"services"`
+	Customers   []Customer `json:"customers"`
+	Roster      Roster     `json:"roster"`
 }
 
 // Service is one team's database service: its database group and its requests.
@@ -71,10 +72,14 @@
 	Withdrawn bool   `json:"withdrawn,omitempty"`
 }
 
-// Objective is a customer's service-level objective.
+// Objective is a customer's service-level objective. Each share lies between 0
+// and 1; a share of 0 sets no objective.
 type Objective struct {
-	Availability float64       `json:"availability"` // share of requests answered, such as 0.999
-	Latency      time.Duration `json:"latency"`      // a slower answer counts as bad
+	Availability float64       `json:"availability"`           // share of requests answered, such as 0.999
+	Latency      time.Duration `json:"latency"`                // a slower answer counts as bad
+	LatencyShare float64       `json:"latencyShare,omitempty"` // share of answers that come within Latency
+	Freshness    float64       `json:"freshness,omitempty"`    // share of requests not refused as too stale
+	Admission    float64       `json:"admission,omitempty"`    // share of requests not refused for rate
 }
 
 // Roster lists the addresses that hold standing shares of every customer's
--- a/customer/keys/keys.go
+++ b/customer/keys/keys.go
@@ -11,7 +11,6 @@
 	"encoding/base64"
 	"errors"
 	"io"
-	"regexp"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -23,7 +22,6 @@
 const (
 	SecretBytes       = 32  // random bits of a secret: 256
 	SaltBytes         = 16  // salt, per key
-	MaxIDBytes        = 64  // longest id
 	MaxPlaintextBytes = 128 // longest key that is looked at
 )
 
@@ -33,15 +31,10 @@
 // ErrID reports an id that cannot be a key's.
 var ErrID = errors.New("keys: an id is 1 to 64 lower-case letters, digits, '-' and '_'")
 
-var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
-
-// ValidID reports whether id can name a key.
-func ValidID(id string) bool { return idPattern.MatchString(id) }
-
 // New draws a key called id from random. It returns the key as stored, and the
 // plaintext, which is shown to its holder once and kept nowhere.
 func New(random io.Reader, id string) (contract.Key, string, error) {
-	if !ValidID(id) {
+	if !contract.ValidKeyID(id) {
 		return contract.Key{}, "", ErrID
 	}
 	raw := make([]byte, SecretBytes+SaltBytes)
--- a/internal/tomlread/table.go
+++ b/internal/tomlread/table.go
@@ -184,3 +184,12 @@
 	}
 	return strings.ToValidUTF8(s[:MaxFoundBytes], "") + "..."
 }
+
+// CloseWith is Close for a table whose keys are read only where they stand:
+// more names the keys that are known all the same.
+func (t *Table) CloseWith(more ...string) {
+	for _, k := range more {
+		t.known[k] = true
+	}
+	t.Close()
+}
