--- /dev/null
+++ b/contract/fakeapi_test.go
@@ -0,0 +1,128 @@
+package contract_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+var errLost = errors.New("answer lost")
+
+// fakeAPI is the platform in memory. Its hooks bring about failures.
+type fakeAPI struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object // by kind and name
+	version uint64
+	calls   map[string]int // by operation and kind
+
+	// before is called ahead of each call, without the lock; an error of it is
+	// the call's and nothing takes effect.
+	before func(op, kind, name string) error
+	// after is called once a call took effect; an error of it is the call's.
+	after func(op, kind, name string) error
+}
+
+func newFakeAPI() *fakeAPI {
+	return &fakeAPI{objects: map[string]platform.Object{}, calls: map[string]int{}}
+}
+
+// do runs one call between the hooks.
+func (f *fakeAPI) do(ctx context.Context, op, kind, name string, body func() error) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if f.before != nil {
+		if err := f.before(op, kind, name); err != nil {
+			return err
+		}
+	}
+	f.mu.Lock()
+	f.calls[op+" "+kind]++
+	err := body()
+	f.mu.Unlock()
+	if err == nil && f.after != nil {
+		return f.after(op, kind, name)
+	}
+	return err
+}
+
+func (f *fakeAPI) put(kind, name string, value []byte) platform.Object {
+	f.version++
+	o := platform.Object{Kind: kind, Name: name, Version: f.version, Value: slices.Clone(value)}
+	f.objects[kind+"/"+name] = o
+	return o
+}
+
+func (f *fakeAPI) Get(ctx context.Context, kind, name string) (o platform.Object, err error) {
+	err = f.do(ctx, "get", kind, name, func() error {
+		var ok bool
+		if o, ok = f.objects[kind+"/"+name]; !ok {
+			return platform.ErrNotFound
+		}
+		return nil
+	})
+	return o, err
+}
+
+func (f *fakeAPI) List(ctx context.Context, kind string) (all []platform.Object, version uint64, err error) {
+	err = f.do(ctx, "list", kind, "", func() error {
+		for _, o := range f.objects {
+			if o.Kind == kind {
+				all = append(all, o)
+			}
+		}
+		version = f.version
+		return nil
+	})
+	return all, version, err
+}
+
+func (f *fakeAPI) Create(ctx context.Context, kind, name string, value []byte) (o platform.Object, err error) {
+	err = f.do(ctx, "create", kind, name, func() error {
+		if _, ok := f.objects[kind+"/"+name]; ok {
+			return platform.ErrExists
+		}
+		o = f.put(kind, name, value)
+		return nil
+	})
+	return o, err
+}
+
+func (f *fakeAPI) Update(ctx context.Context, kind, name string, version uint64, value []byte) (o platform.Object, err error) {
+	err = f.do(ctx, "update", kind, name, func() error {
+		old, ok := f.objects[kind+"/"+name]
+		if !ok {
+			return platform.ErrNotFound
+		}
+		if old.Version != version {
+			return platform.ErrConflict
+		}
+		o = f.put(kind, name, value)
+		return nil
+	})
+	return o, err
+}
+
+func (f *fakeAPI) Watch(context.Context, string, uint64) ([]platform.Event, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+func (f *fakeAPI) Hosts(context.Context) ([]platform.HostState, error) {
+	return nil, platform.ErrUnavailable
+}
+
+// once returns a hook that runs fn at the first call of op on kind. Calls that
+// fn makes itself pass.
+func once(op, kind string, fn func() error) func(string, string, string) error {
+	var begun atomic.Bool
+	return func(o, k, _ string) error {
+		if o == op && k == kind && begun.CompareAndSwap(false, true) {
+			return fn()
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/contract/publish.go
@@ -0,0 +1,329 @@
+package contract
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"github.com/bronzeloft/bronzeloft/internal/tomlread"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// DefaultAttempts is how often a publishing is tried before it gives up.
+const DefaultAttempts = 8
+
+// Pauses between attempts.
+const (
+	firstPause = 20 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// PublishOptions says who publishes and what they have seen.
+type PublishOptions struct {
+	Base     uint64 // version that the operator saw and edited; 0 for none
+	Operator string // shown to those who lose a race
+	Attempts int    // 0 means DefaultAttempts
+
+	// NewID returns a publish id that no other publishing has; nil means a
+	// random UUID.
+	NewID func() string
+	// Pause waits before another attempt; nil means an exponential backoff with
+	// jitter.
+	Pause func(context.Context) error
+}
+
+// Result is the outcome of a publishing.
+type Result struct {
+	Version   uint64   `json:"version"`   // in force now
+	Changes   []Change `json:"changes"`   // against the version before; none means that nothing was published
+	PublishID string   `json:"publishId"` // "" when nothing was published
+	Recovered bool     `json:"recovered"` // the platform's answer was lost and the head read back
+	Chunks    int      `json:"chunks"`    // chunks written
+}
+
+// ConflictError reports that somebody else published since the version that the
+// operator saw.
+type ConflictError struct {
+	Base     uint64   // what the operator saw
+	Current  uint64   // what is in force
+	Operator string   // who published it
+	Changes  []Change // from Base to Current; nil when Base is no longer remembered
+}
+
+// Error lists the other's changes, one a line.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "contract: version %d, published by %s, is in force instead of %d", e.Current, e.Operator, e.Base)
+	for _, c := range e.Changes {
+		b.WriteString("\n" + c.String())
+	}
+	return b.String()
+}
+
+// UnknownError reports that the platform's answer was lost and the head could
+// not be read back. The head's memory tells later whether PublishID took effect.
+type UnknownError struct {
+	PublishID string
+	Err       error
+}
+
+// Error names the publish id.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("contract: outcome of publishing %s is unknown: %v", e.PublishID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// Publish checks snap and puts it in force as the next version, by one
+// conditional update of the head object. Keys are carried over from the version
+// in force and those of snap are ignored, except in the very first version: keys
+// change through Edit alone, so a publishing cannot bring back a withdrawn one.
+//
+// It returns tomlread.Faults for a snapshot at fault; *ConflictError when what
+// is in force differs from Base in more than keys; *UnknownError; or the
+// platform's error, when nothing was published.
+func Publish(ctx context.Context, api platform.API, snap *Snapshot, opts PublishOptions) (Result, error) {
+	p := newPublisher(api, opts)
+	return p.run(ctx, func(ctx context.Context, cur *current) (*Snapshot, error) {
+		next := normalised(snap)
+		if cur.snap != nil {
+			carryKeys(cur.snap, next)
+		}
+		if err := p.checkBase(ctx, cur, next); err != nil {
+			return nil, err
+		}
+		return next, nil
+	})
+}
+
+// Edit changes the snapshot in force by a conditional update: change gets a
+// copy of it, and gets the newest copy again when somebody else was faster. An
+// error of change is returned as it is. Base is not used.
+func Edit(ctx context.Context, api platform.API, opts PublishOptions, change func(*Snapshot) error) (Result, error) {
+	p := newPublisher(api, opts)
+	return p.run(ctx, func(_ context.Context, cur *current) (*Snapshot, error) {
+		if cur.snap == nil {
+			return nil, ErrNotPublished
+		}
+		next := normalised(cur.snap)
+		return next, change(next)
+	})
+}
+
+// current is what is in force; all zero when nothing is published.
+type current struct {
+	snap          *Snapshot
+	head          *Head
+	objectVersion uint64
+}
+
+func (c *current) version() uint64 {
+	if c.head == nil {
+		return 0
+	}
+	return c.head.Version
+}
+
+// publisher is one run of Publish or Edit.
+type publisher struct {
+	api     platform.API
+	fetch   *Fetcher
+	opts    PublishOptions
+	id      string
+	unknown error // of a head update whose answer was lost
+}
+
+func newPublisher(api platform.API, opts PublishOptions) *publisher {
+	if opts.Attempts == 0 {
+		opts.Attempts = DefaultAttempts
+	}
+	if opts.NewID == nil {
+		opts.NewID = uuid.NewString
+	}
+	if opts.Pause == nil {
+		opts.Pause = newPause()
+	}
+	return &publisher{api: api, fetch: NewFetcher(api), opts: opts, id: opts.NewID()}
+}
+
+func newPause() func(context.Context) error {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstPause, maxPause
+	return func(ctx context.Context) error {
+		timer := time.NewTimer(b.NextBackOff())
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return nil
+		}
+	}
+}
+
+// makeNext returns the snapshot to publish on top of cur.
+type makeNext func(context.Context, *current) (*Snapshot, error)
+
+// run tries until an attempt has a definite outcome.
+func (p *publisher) run(ctx context.Context, next makeNext) (Result, error) {
+	var last error
+	for attempt := range p.opts.Attempts {
+		if attempt > 0 {
+			if err := p.opts.Pause(ctx); err != nil {
+				break
+			}
+		}
+		res, err := p.attempt(ctx, next)
+		if err == nil || isFinal(err) {
+			return res, err
+		}
+		last = err
+	}
+	if p.unknown != nil {
+		return Result{}, &UnknownError{PublishID: p.id, Err: last}
+	}
+	return Result{}, last
+}
+
+// retryable marks an error of the platform, after which the attempt is made
+// again.
+type retryable struct{ error }
+
+// Unwrap returns the platform's error.
+func (r retryable) Unwrap() error { return r.error }
+
+func isFinal(err error) bool {
+	var r retryable
+	return !errors.As(err, &r)
+}
+
+// attempt reads what is in force, makes the next snapshot and publishes it.
+func (p *publisher) attempt(ctx context.Context, next makeNext) (Result, error) {
+	cur, err := p.current(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if own := p.ownPublication(cur); own != nil {
+		return p.recovered(ctx, cur, own)
+	}
+	snap, err := next(ctx, cur)
+	if err != nil {
+		return Result{}, err
+	}
+	changes := Diff(cur.snap, snap)
+	if len(changes) == 0 {
+		return Result{Version: cur.version()}, nil
+	}
+	number(cur, snap, changes)
+	if err := tomlread.Faults(Check(snap)).Err(); err != nil {
+		return Result{}, err
+	}
+	written, err := p.write(ctx, cur, snap)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Version: snap.Version, Changes: changes, PublishID: p.id, Chunks: written}, nil
+}
+
+// number gives snap its versions.
+func number(cur *current, snap *Snapshot, changes []Change) {
+	snap.Version = cur.version() + 1
+	snap.Roster.Version = 1
+	if cur.snap == nil {
+		return
+	}
+	snap.Roster.Version = cur.snap.Roster.Version
+	if slices.ContainsFunc(changes, func(c Change) bool { return c.Item == ItemHost }) {
+		snap.Roster.Version++
+	}
+}
+
+func (p *publisher) current(ctx context.Context) (*current, error) {
+	head, objectVersion, err := ReadHead(ctx, p.api)
+	if errors.Is(err, ErrNotPublished) {
+		return &current{}, nil
+	}
+	if err != nil {
+		return nil, platformError(err)
+	}
+	snap, err := p.fetch.FetchHead(ctx, head)
+	if err != nil {
+		return nil, platformError(err)
+	}
+	return &current{snap: snap, head: head, objectVersion: objectVersion}, nil
+}
+
+// platformError marks err as retryable unless trying again cannot help.
+func platformError(err error) error {
+	if errors.Is(err, ErrCorrupt) || errors.Is(err, ErrChunkMissing) || errors.Is(err, ErrTooOld) {
+		return err
+	}
+	return retryable{err}
+}
+
+// ownPublication finds this run's publication after a lost answer, though
+// somebody may have published on top of it.
+func (p *publisher) ownPublication(cur *current) *Publication {
+	if cur.head == nil {
+		return nil
+	}
+	return cur.head.recent(func(pub Publication) bool { return pub.PublishID == p.id })
+}
+
+// recovered returns the result of a publication whose answer was lost.
+func (p *publisher) recovered(ctx context.Context, cur *current, own *Publication) (Result, error) {
+	res := Result{Version: own.Version, PublishID: p.id, Recovered: true}
+	mine, err := p.fetch.FetchVersion(ctx, cur.head, own.Version)
+	if err != nil {
+		return Result{}, platformError(err)
+	}
+	var before *Snapshot
+	if own.Version > 1 {
+		before, err = p.fetch.FetchVersion(ctx, cur.head, own.Version-1)
+		if err != nil && !errors.Is(err, ErrTooOld) {
+			return Result{}, platformError(err)
+		}
+	}
+	res.Changes = Diff(before, mine)
+	return res, nil
+}
+
+// checkBase returns a *ConflictError when what is in force differs from what
+// the operator saw in more than keys, unless it is what next asks for anyhow.
+func (p *publisher) checkBase(ctx context.Context, cur *current, next *Snapshot) error {
+	if cur.version() == p.opts.Base || len(Diff(cur.snap, next)) == 0 {
+		return nil
+	}
+	conflict := &ConflictError{Base: p.opts.Base, Current: cur.version()}
+	if cur.head == nil {
+		return conflict
+	}
+	conflict.Operator = cur.head.Operator
+	base, err := p.base(ctx, cur)
+	if errors.Is(err, ErrTooOld) {
+		return conflict
+	}
+	if err != nil {
+		return platformError(err)
+	}
+	conflict.Changes = Diff(base, cur.snap)
+	if OnlyKeys(conflict.Changes) {
+		return nil
+	}
+	return conflict
+}
+
+// base returns the snapshot that the operator saw, nil for none.
+func (p *publisher) base(ctx context.Context, cur *current) (*Snapshot, error) {
+	if p.opts.Base == 0 {
+		return nil, nil
+	}
+	return p.fetch.FetchVersion(ctx, cur.head, p.opts.Base)
+}
--- /dev/null
+++ b/contract/write.go
@@ -0,0 +1,118 @@
+package contract
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// write stores the chunks that are new, then the head, and returns the number
+// of chunks written.
+func (p *publisher) write(ctx context.Context, cur *current, snap *Snapshot) (int, error) {
+	blobs, err := split(snap)
+	if err != nil {
+		return 0, err
+	}
+	list, err := manifest(blobs)
+	if err != nil {
+		return 0, err
+	}
+	written := 0
+	for _, b := range append(blobs, list) {
+		if cur.has(b.part) {
+			continue
+		}
+		if err := p.writeChunk(ctx, b); err != nil {
+			return written, err
+		}
+		written++
+	}
+	head := p.head(cur, snap, blobs, list)
+	return written, p.writeHead(ctx, cur, head)
+}
+
+// has reports whether the chunk in force under the part's name is the same.
+func (c *current) has(part Part) bool {
+	return c.head != nil && slices.Contains(c.head.Parts, part)
+}
+
+// writeChunk creates a chunk. One that exists already has the same content, for
+// its name is its hash.
+func (p *publisher) writeChunk(ctx context.Context, b blob) error {
+	_, err := p.api.Create(ctx, platform.KindChunk, b.part.Hash, b.value)
+	if err == nil || errors.Is(err, platform.ErrExists) {
+		return nil
+	}
+	return retryable{eris.Wrapf(err, "contract: write chunk %s", b.part.Name)}
+}
+
+func (p *publisher) head(cur *current, snap *Snapshot, blobs []blob, list blob) *Head {
+	h := &Head{Version: snap.Version, PublishID: p.id, Operator: p.opts.Operator}
+	for _, b := range blobs {
+		h.Parts = append(h.Parts, b.part)
+	}
+	h.Recent = []Publication{{Version: h.Version, PublishID: p.id, Operator: h.Operator, Manifest: list.part.Hash}}
+	if cur.head != nil {
+		h.Recent = append(h.Recent, cur.head.Recent...)
+	}
+	h.Recent = h.Recent[:min(len(h.Recent), MaxRecent)]
+	return h
+}
+
+// writeHead replaces the head if it still is the one that was read. Any other
+// error than a definite refusal leaves the outcome unknown until the head is
+// read back.
+func (p *publisher) writeHead(ctx context.Context, cur *current, head *Head) error {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return eris.Wrap(err, "contract: encode head")
+	}
+	if len(value) > platform.MaxValueBytes {
+		return eris.Wrapf(ErrTooLarge, "head of %d bytes", len(value))
+	}
+	if cur.head == nil {
+		_, err = p.api.Create(ctx, platform.KindHead, platform.HeadName, value)
+	} else {
+		_, err = p.api.Update(ctx, platform.KindHead, platform.HeadName, cur.objectVersion, value)
+	}
+	if err == nil {
+		return nil
+	}
+	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrExists) {
+		p.unknown = err
+	}
+	return retryable{eris.Wrap(err, "contract: write head")}
+}
+
+// normalised returns a deep enough copy of s to change, in the order in which
+// it is published.
+func normalised(s *Snapshot) *Snapshot {
+	next := *s
+	next.Services = slices.Clone(s.Services)
+	next.Customers = slices.Clone(s.Customers)
+	for i := range next.Customers {
+		next.Customers[i].Keys = slices.Clone(next.Customers[i].Keys)
+	}
+	next.Roster.Hosts = slices.Clone(s.Roster.Hosts)
+	slices.SortFunc(next.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(next.Customers, func(a, b Customer) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(next.Roster.Hosts, func(a, b RosterHost) int { return cmp.Compare(a.Address, b.Address) })
+	return &next
+}
+
+// carryKeys gives the customers of next the keys that they hold in force.
+func carryKeys(inForce, next *Snapshot) {
+	held := make(map[string][]Key, len(inForce.Customers))
+	for _, c := range inForce.Customers {
+		held[c.ID] = c.Keys
+	}
+	for i := range next.Customers {
+		next.Customers[i].Keys = held[next.Customers[i].ID]
+	}
+}
