--- a/contract/check.go
+++ b/contract/check.go
@@ -13,6 +13,9 @@
 // MaxShare is the highest objective: one of 1 would leave no budget to spend.
 const MaxShare = 0.99999
 
+// MaxKeyIDBytes bounds a key's id.
+const MaxKeyIDBytes = 64
+
 // Patterns of names.
 var (
 	namePattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
--- /dev/null
+++ b/customer/keys/ops.go
@@ -0,0 +1,175 @@
+package keys
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// MaxValid is how many valid keys a rotation may leave: the old and the new.
+const MaxValid = 2
+
+// idSuffixBytes is the random part of an issued key's id.
+const idSuffixBytes = 6
+
+// Errors of key changes.
+var (
+	ErrNoCustomer = errors.New("keys: no such customer")
+	ErrNoKey      = errors.New("keys: no such key")
+	ErrTooMany    = errors.New("keys: customer holds as many valid keys as allowed")
+	ErrNoneValid  = errors.New("keys: customer holds no valid key to rotate")
+)
+
+// Issued is a new key. Plaintext is shown to its holder once.
+type Issued struct {
+	ID        string `json:"id"`
+	Customer  string `json:"customer"`
+	Plaintext string `json:"key"`
+	Version   uint64 `json:"version"` // snapshot that holds it
+}
+
+// Info is what can be shown of a key.
+type Info struct {
+	ID        string `json:"id"`
+	Customer  string `json:"customer"`
+	Withdrawn bool   `json:"withdrawn"`
+}
+
+// Ops changes the keys of the published snapshot, each by one conditional
+// update.
+type Ops struct {
+	API     platform.API
+	Random  io.Reader // source of secrets, such as crypto/rand.Reader
+	Options contract.PublishOptions
+}
+
+// Issue gives a customer another key. All the customer's keys stay valid.
+func (o *Ops) Issue(ctx context.Context, customer string) (Issued, error) {
+	return o.add(ctx, customer, func(c *contract.Customer) error {
+		if valid(c) >= contract.MaxKeys {
+			return ErrTooMany
+		}
+		return nil
+	})
+}
+
+// Rotate gives a customer a second valid key beside its only one, which stays
+// valid until it is withdrawn.
+func (o *Ops) Rotate(ctx context.Context, customer string) (Issued, error) {
+	return o.add(ctx, customer, func(c *contract.Customer) error {
+		switch n := valid(c); {
+		case n == 0:
+			return ErrNoneValid
+		case n >= MaxValid:
+			return ErrTooMany
+		}
+		return nil
+	})
+}
+
+// Withdraw stops a key. Withdrawing it again changes nothing. It returns the
+// version of the snapshot in which the key is withdrawn.
+func (o *Ops) Withdraw(ctx context.Context, keyID string) (uint64, error) {
+	res, err := contract.Edit(ctx, o.API, o.Options, func(s *contract.Snapshot) error {
+		k := find(s, keyID)
+		if k == nil {
+			return eris.Wrapf(ErrNoKey, "%q", keyID)
+		}
+		k.Withdrawn = true
+		return nil
+	})
+	return res.Version, err
+}
+
+// List returns the keys of a customer, of all customers when it is "".
+func List(s *contract.Snapshot, customer string) ([]Info, error) {
+	if customer != "" && s.Customer(customer) == nil {
+		return nil, eris.Wrapf(ErrNoCustomer, "%q", customer)
+	}
+	var out []Info
+	for _, c := range s.Customers {
+		if customer != "" && c.ID != customer {
+			continue
+		}
+		for _, k := range c.Keys {
+			out = append(out, Info{ID: k.ID, Customer: c.ID, Withdrawn: k.Withdrawn})
+		}
+	}
+	return out, nil
+}
+
+// add publishes one new key. The key is drawn once, so an attempt that is made
+// again stores the same one.
+func (o *Ops) add(ctx context.Context, customer string, allowed func(*contract.Customer) error) (Issued, error) {
+	key, plaintext, err := o.draw(customer)
+	if err != nil {
+		return Issued{}, err
+	}
+	res, err := contract.Edit(ctx, o.API, o.Options, func(s *contract.Snapshot) error {
+		c := s.Customer(customer)
+		if c == nil {
+			return eris.Wrapf(ErrNoCustomer, "%q", customer)
+		}
+		if err := allowed(c); err != nil {
+			return err
+		}
+		c.Keys = append(makeRoom(c.Keys), key)
+		return nil
+	})
+	if err != nil {
+		return Issued{}, err
+	}
+	return Issued{ID: key.ID, Customer: customer, Plaintext: plaintext, Version: res.Version}, nil
+}
+
+// draw makes a key whose id is the customer's, cut short if need be, and a
+// random suffix.
+func (o *Ops) draw(customer string) (contract.Key, string, error) {
+	suffix := make([]byte, idSuffixBytes)
+	if _, err := io.ReadFull(o.Random, suffix); err != nil {
+		return contract.Key{}, "", eris.Wrap(err, "keys: random source")
+	}
+	prefix := customer[:min(len(customer), contract.MaxKeyIDBytes-1-2*idSuffixBytes)]
+	return New(o.Random, prefix+"-"+hex.EncodeToString(suffix))
+}
+
+// makeRoom drops the oldest withdrawn key of a full list. A key that is not
+// listed is refused like an unknown one.
+func makeRoom(ks []contract.Key) []contract.Key {
+	if len(ks) < contract.MaxKeys {
+		return ks
+	}
+	i := slices.IndexFunc(ks, func(k contract.Key) bool { return k.Withdrawn })
+	if i < 0 {
+		return ks
+	}
+	return slices.Delete(ks, i, i+1)
+}
+
+func valid(c *contract.Customer) int {
+	n := 0
+	for _, k := range c.Keys {
+		if !k.Withdrawn {
+			n++
+		}
+	}
+	return n
+}
+
+func find(s *contract.Snapshot, keyID string) *contract.Key {
+	for i := range s.Customers {
+		for j := range s.Customers[i].Keys {
+			if s.Customers[i].Keys[j].ID == keyID {
+				return &s.Customers[i].Keys[j]
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/report/recorder.go
@@ -0,0 +1,190 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+)
+
+// Sizes of a recorder.
+const (
+	Resolution   = time.Minute      // width of a recent bucket
+	Retention    = 6 * time.Hour    // how far back a recorder looks
+	MaxCustomers = 2048             // customers counted apart; the rest count as Other
+	Other        = "(other)"        // stands for the customers beyond MaxCustomers
+	coarseAfter  = time.Hour        // older buckets are joined in Counts
+	coarse       = 10 * time.Minute // width of a joined bucket
+
+	slots = int(Retention / Resolution)
+)
+
+// Recorder counts outcomes per customer over the last Retention. It holds at
+// most MaxCustomers customers, of 12 KB each. It is safe for concurrent use.
+type Recorder struct {
+	address string
+	bootID  string
+	start   time.Time
+
+	mu        sync.Mutex // guards what follows
+	targets   map[string]time.Duration
+	customers map[string]*ring
+}
+
+// ring is the buckets of one customer, by minute modulo its length.
+type ring [slots]minute
+
+// minute is one bucket of a ring.
+type minute struct {
+	number int64 // minutes since the epoch; 0 for an unused bucket
+	tally  tally32
+}
+
+// tally32 counts what one minute can hold.
+type tally32 struct{ ok, slow, failed, stale, over uint32 }
+
+// NewRecorder returns an empty recorder of the host at address, which booted as
+// bootID and counts from start on.
+func NewRecorder(address, bootID string, start time.Time) *Recorder {
+	return &Recorder{
+		address:   address,
+		bootID:    bootID,
+		start:     start,
+		targets:   map[string]time.Duration{},
+		customers: map[string]*ring{},
+	}
+}
+
+// Apply takes the latency targets of a snapshot. Outcomes are judged by the
+// target in force when they are recorded.
+func (r *Recorder) Apply(s *contract.Snapshot) {
+	targets := make(map[string]time.Duration, len(s.Customers))
+	for i := range s.Customers {
+		targets[s.Customers[i].ID] = s.Customers[i].Objective.Latency
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targets = targets
+}
+
+// Record counts one request that ended at now. An outcome older than Retention,
+// by the latest one recorded in its bucket, is dropped.
+func (r *Recorder) Record(now time.Time, customer string, o Outcome, latency time.Duration) {
+	c := o.class()
+	if c == classIgnored {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	target := r.targets[customer]
+	t := r.bucket(now, customer)
+	if t != nil {
+		t.add(c, target > 0 && latency > target)
+	}
+}
+
+// bucket returns the tally for now, nil when it lies before what the ring
+// holds. The caller holds mu.
+func (r *Recorder) bucket(now time.Time, customer string) *tally32 {
+	rg := r.customers[customer]
+	if rg == nil {
+		if len(r.customers) >= MaxCustomers {
+			customer = Other
+		}
+		rg = r.customers[customer]
+	}
+	if rg == nil {
+		rg = &ring{}
+		r.customers[customer] = rg
+	}
+	number := now.Unix() / int64(Resolution/time.Second)
+	m := &rg[number%int64(slots)]
+	switch {
+	case m.number > number:
+		return nil
+	case m.number < number:
+		*m = minute{number: number}
+	}
+	return &m.tally
+}
+
+func (t *tally32) add(c class, slow bool) {
+	switch c {
+	case classOK:
+		t.ok++
+		if slow {
+			t.slow++
+		}
+	case classFailed:
+		t.failed++
+	case classStale:
+		t.stale++
+	case classOver:
+		t.over++
+	}
+}
+
+// Counts returns what was counted up to now.
+func (r *Recorder) Counts(now time.Time) Counts {
+	from := now.Add(-Retention)
+	if r.start.After(from) {
+		from = r.start
+	}
+	c := Counts{
+		Address:   r.address,
+		BootID:    r.bootID,
+		Covered:   []Interval{{From: from.UTC(), To: now.UTC()}},
+		Customers: map[string][]Bucket{},
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for customer, rg := range r.customers {
+		if buckets := rg.buckets(now); len(buckets) > 0 {
+			c.Customers[customer] = buckets
+		}
+	}
+	return c
+}
+
+// buckets returns the used buckets of the last Retention in order of time, the
+// older ones joined.
+func (rg *ring) buckets(now time.Time) []Bucket {
+	var out []Bucket
+	for i := range rg {
+		m := &rg[i]
+		start := m.number * int64(Resolution/time.Second)
+		age := now.Unix() - start
+		if m.number == 0 || age < 0 || age >= int64(Retention/time.Second) {
+			continue
+		}
+		width := int64(Resolution / time.Second)
+		if age > int64(coarseAfter/time.Second) {
+			width = int64(coarse / time.Second)
+			start -= start % width
+		}
+		out = append(out, Bucket{Start: start, Seconds: width, Tally: m.tally.wide()})
+	}
+	return joined(out)
+}
+
+func (t tally32) wide() Tally {
+	return Tally{OK: uint64(t.ok), Slow: uint64(t.slow), Failed: uint64(t.failed), Stale: uint64(t.stale), OverRate: uint64(t.over)}
+}
+
+// joined sorts buckets and adds up those of one start and width.
+func joined(buckets []Bucket) []Bucket {
+	slices.SortFunc(buckets, func(a, b Bucket) int {
+		return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Seconds, b.Seconds))
+	})
+	out := buckets[:0]
+	for _, b := range buckets {
+		if n := len(out); n > 0 && out[n-1].Start == b.Start && out[n-1].Seconds == b.Seconds {
+			out[n-1].add(b.Tally)
+			continue
+		}
+		out = append(out, b)
+	}
+	return out
+}
