Decide acknowledgement, confirmation and promotion of one group

Cause: hosts need one place that says where writes go, when a write is acknowledged, what a fresh read must reach and when a primary is replaced. Ruled out: the platform as authority for terms, which would stop promotions during its outages; the databases' fences are the authority instead. Change: package database/group, a table without IO, clock or goroutines.

--- /dev/null
+++ b/database/group/confirm.go
@@ -0,0 +1,243 @@
+package group
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// maxSamples bounds the samples kept for aged reads.
+const maxSamples = 512
+
+// round is the probing that confirmations and acknowledgements share: at most
+// one is in flight, and the next one serves all that came in the meantime.
+type round struct {
+	inFlight bool
+	start    time.Time
+	end      time.Time // when the last round ended
+	failed   bool      // it ended without a confirmation
+	wanted   time.Time // latest request for a confirmation
+	acks     time.Time // latest request for acknowledgements
+}
+
+// ackPatience bounds how long one WantAck keeps probes going back to back.
+const ackPatience = 20 * time.Millisecond
+
+// WantConfirm asks for a round of probes sent at or after now. One round is in
+// flight at a time; one that was sent before now does not serve this request.
+func (t *Table) WantConfirm(now time.Time) []Action {
+	t.round.wanted = later(t.round.wanted, now)
+	return t.pumpRound(now)
+}
+
+// WantAck keeps probes going back to back while writers wait. The host calls
+// it for each waiting writer, at the commit and at each Tick while it waits.
+func (t *Table) WantAck(now time.Time) []Action {
+	t.round.acks = later(t.round.acks, now)
+	return t.pumpRound(now)
+}
+
+// Confirmed returns a position at or past every write of the group that was
+// acknowledged before since, once a round of probes that were all sent at or
+// after since has shown it.
+func (t *Table) Confirmed(since time.Time) (position.Position, bool) {
+	if t.latest.start.IsZero() || t.latest.start.Before(since) {
+		return position.Position{}, false
+	}
+	return t.latest.pos, true
+}
+
+// AgeFloor returns the oldest confirmed position whose probes were sent at or
+// after now-age: data at or past floor is no older than now minus sampled.
+func (t *Table) AgeFloor(now time.Time, age time.Duration) (floor position.Position, sampled time.Time, ok bool) {
+	from := now.Add(-age)
+	i := sort.Search(len(t.samples), func(i int) bool { return !t.samples[i].start.Before(from) })
+	if i < len(t.samples) {
+		return t.samples[i].pos, t.samples[i].start, true
+	}
+	if !t.latest.start.IsZero() && !t.latest.start.Before(from) {
+		return t.latest.pos, t.latest.start, true
+	}
+	return position.Position{}, time.Time{}, false
+}
+
+// Acked says whether the write that was committed at p is acknowledged. Only
+// reports of databases that had promised no term above p.Term when they stored
+// p count: an entry that a later term copied can still be cut off.
+func (t *Table) Acked(p position.Position) AckState {
+	n := 0
+	for _, m := range t.members {
+		if m.held.Term == p.Term && m.held.Index >= p.Index {
+			n++
+		}
+	}
+	switch {
+	case n >= t.majority() && len(t.members) > 0:
+		return AckYes
+	case t.established && t.view.Term > p.Term, t.fencedAbove(p.Term) >= t.majority():
+		return AckNever
+	default:
+		return AckPending
+	}
+}
+
+// Durable returns the highest position that a majority holds in the
+// established term: nothing at or before it can be lost.
+func (t *Table) Durable() (position.Position, bool) {
+	if !t.established {
+		return position.Position{}, false
+	}
+	held := make([]uint64, 0, len(t.members))
+	for _, m := range t.members {
+		if m.held.Term == t.view.Term {
+			held = append(held, m.held.Index)
+		}
+	}
+	if len(held) < t.majority() {
+		return position.Position{}, false
+	}
+	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	return position.Position{Term: t.view.Term, Index: held[t.majority()-1]}, true
+}
+
+// confirm takes a sample when the latest answers show one: the primary of the
+// established term and a majority with it still had that term as their highest.
+// Its start is the send time of the oldest probe counted.
+func (t *Table) confirm(now time.Time) {
+	if !t.established {
+		return
+	}
+	p := t.member(t.view.Primary)
+	if !isPrimary(p, t.view.Term) {
+		return
+	}
+	start, ok := t.oldestCounted(p)
+	if !ok || !t.latest.start.Before(start) {
+		return
+	}
+	t.latest = sample{start: start, pos: p.report.Position}
+	t.keepSample()
+	t.noteLag(now)
+}
+
+// oldestCounted returns the send time of the oldest probe of the freshest
+// majority that includes p and agrees on p's term.
+func (t *Table) oldestCounted(p *member) (time.Time, bool) {
+	others := make([]time.Time, 0, len(t.members))
+	for _, m := range t.members {
+		if m != p && m.known && m.report.Accepted == p.report.Accepted {
+			others = append(others, m.sentAt)
+		}
+	}
+	need := t.majority() - 1
+	if len(others) < need {
+		return time.Time{}, false
+	}
+	start := p.sentAt
+	if need > 0 {
+		sort.Slice(others, func(i, j int) bool { return others[i].After(others[j]) })
+		if oldest := others[need-1]; oldest.Before(start) {
+			start = oldest
+		}
+	}
+	return start, true
+}
+
+// keepSample appends the latest sample to the ring if it is far enough from
+// the one before.
+func (t *Table) keepSample() {
+	n := len(t.samples)
+	if n > 0 && t.latest.start.Sub(t.samples[n-1].start) < t.t.SampleEvery {
+		return
+	}
+	if n == maxSamples {
+		t.samples = append(t.samples[:0], t.samples[1:]...)
+	}
+	t.samples = append(t.samples, t.latest)
+}
+
+// pumpRound ends the round in flight when it is served or hopeless, and starts
+// the next one when somebody waits for it.
+func (t *Table) pumpRound(now time.Time) []Action {
+	out := t.joinRound(now)
+	t.endRound(now)
+	if t.round.inFlight || !t.roundWanted(now) {
+		return out
+	}
+	if t.round.failed && now.Sub(t.round.end) < t.t.ConfirmRetry {
+		return out
+	}
+	t.round.inFlight, t.round.start = true, now
+	return append(out, t.probeAll(now)...)
+}
+
+// joinRound probes the members whose older probe was out when the round in
+// flight began and has been answered since.
+func (t *Table) joinRound(now time.Time) []Action {
+	if !t.round.inFlight {
+		return nil
+	}
+	var out []Action
+	for _, m := range t.members {
+		if !m.probing && m.probedAt.Before(t.round.start) {
+			out = append(out, t.probe(m, now)...)
+		}
+	}
+	return out
+}
+
+// roundWanted reports whether a confirmation or a writer waits for a round.
+func (t *Table) roundWanted(now time.Time) bool {
+	confirm := !t.round.wanted.IsZero() && t.latest.start.Before(t.round.wanted)
+	acks := !t.round.acks.IsZero() && now.Sub(t.round.acks) < ackPatience
+	return confirm || acks
+}
+
+// endRound ends the round in flight if it is confirmed, or if no member still
+// owes an answer to it.
+func (t *Table) endRound(now time.Time) {
+	if !t.round.inFlight {
+		return
+	}
+	confirmed := !t.latest.start.Before(t.round.start)
+	if !confirmed && t.owed(now) {
+		return
+	}
+	t.round.inFlight, t.round.end, t.round.failed = false, now, !confirmed
+}
+
+// owed reports whether some member may still answer the round in flight.
+func (t *Table) owed(now time.Time) bool {
+	if now.Sub(t.round.start) >= t.t.ProbeTimeout {
+		return false
+	}
+	for _, m := range t.members {
+		if m.probing && now.Sub(m.probedAt) < t.t.ProbeTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// probeAll probes each member that has no probe out.
+func (t *Table) probeAll(now time.Time) []Action {
+	var out []Action
+	for _, m := range t.members {
+		out = append(out, t.probe(m, now)...)
+	}
+	return out
+}
+
+// probe asks m for its position unless a probe is out and not overdue.
+func (t *Table) probe(m *member, now time.Time) []Action {
+	if m.probing && now.Sub(m.probedAt) < t.t.ProbeTimeout {
+		return nil
+	}
+	m.probing, m.probedAt = true, now
+	if m.unansweredAt.IsZero() {
+		m.unansweredAt = now
+	}
+	return []Action{Send{Database: m.ID, Op: groupsql.Op{Kind: groupsql.OpPosition}}}
+}
--- /dev/null
+++ b/database/group/group.go
@@ -0,0 +1,190 @@
+// Package group holds one host's decisions about one database group: which
+// database is the primary, when to replace it, when a write is acknowledged,
+// which position a fresh read must reach and which databases can serve a read.
+//
+// The package does no IO, reads no clock and starts no goroutine. The host
+// tells a Table what happened and when, and carries out the actions that it
+// returns. Nothing here rests on the word of the platform or of another host:
+// the databases' own promises of terms (fences) are the authority, and hints
+// only make a Table look sooner.
+//
+// Two assumptions about a database: what it has promised and stored survives
+// its restart, and a replica in term T stores only what the primary of T sent,
+// in order. The members of a group change by one database at a time.
+package group
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// MaxMembers bounds the databases of a group; SetMembers ignores the rest.
+const MaxMembers = 15
+
+// Member is one database of the group.
+type Member struct {
+	ID         string
+	Address    string // IP:port
+	DataCentre string
+	Leaving    bool // takes no new work; a leaving primary is replaced
+}
+
+// View is what a host holds for the established primary.
+type View struct {
+	Term    uint64
+	Primary string // database id
+	Marker  uint64 // lowest index known to lie in Term; 0 when unknown
+}
+
+// Config is what a Table is made of.
+type Config struct {
+	Group      string
+	Self       string // host address, part of a claimant id
+	DataCentre string
+	Rand       *rand.Rand
+	Timing     Timing
+}
+
+// Timing holds the durations of a Table. A zero field takes its default.
+type Timing struct {
+	ProbeInterval time.Duration // between probes of a member by a promoter
+	IdleInterval  time.Duration // between probes by a host of a later rank
+	Promoters     int           // ranks that probe at ProbeInterval
+	ProbeTimeout  time.Duration // after which an unanswered probe is sent again
+	SuspectAfter  time.Duration // silence that makes a primary suspect
+	AskWindow     time.Duration // time given to peers to say that they hear it
+	AloneDelay    time.Duration // extra wait when no peer answers
+	RankDelay     time.Duration // extra wait of each promoter rank
+	ClaimTimeout  time.Duration // bound of one step of a claim, own or foreign
+	FenceGrace    time.Duration // wait for the rest once a majority is fenced
+	RetryInterval time.Duration // between repeats within one step of a claim
+	BackoffMin    time.Duration // shortest wait after a lost claim
+	BackoffMax    time.Duration // longest wait after a lost claim
+	StallAfter    time.Duration // no replica progress while the primary is ahead
+	StrandedAfter time.Duration // a member fenced above the established term
+	SwitchRetry   time.Duration // between planned switchovers that did not succeed
+	FollowRetry   time.Duration // between follow orders to one member
+	ConfirmRetry  time.Duration // between confirmation rounds that failed
+	SampleEvery   time.Duration // spacing of the samples kept for aged reads
+	LagOut        time.Duration // replica lag that demotes a reader
+	LagIn         time.Duration // replica lag that restores it
+	SilentReader  time.Duration // silence that excludes a reader
+}
+
+// DefaultTiming suits data centres 0.5 to 1 ms apart.
+func DefaultTiming() Timing {
+	return Timing{
+		ProbeInterval: 50 * time.Millisecond,
+		IdleInterval:  500 * time.Millisecond,
+		Promoters:     3,
+		ProbeTimeout:  100 * time.Millisecond,
+		SuspectAfter:  300 * time.Millisecond,
+		AskWindow:     40 * time.Millisecond,
+		AloneDelay:    200 * time.Millisecond,
+		RankDelay:     100 * time.Millisecond,
+		ClaimTimeout:  150 * time.Millisecond,
+		FenceGrace:    5 * time.Millisecond,
+		RetryInterval: 5 * time.Millisecond,
+		BackoffMin:    20 * time.Millisecond,
+		BackoffMax:    200 * time.Millisecond,
+		StallAfter:    500 * time.Millisecond,
+		StrandedAfter: 3 * time.Second,
+		SwitchRetry:   2 * time.Second,
+		FollowRetry:   50 * time.Millisecond,
+		ConfirmRetry:  5 * time.Millisecond,
+		SampleEvery:   20 * time.Millisecond,
+		LagOut:        500 * time.Millisecond,
+		LagIn:         100 * time.Millisecond,
+		SilentReader:  250 * time.Millisecond,
+	}
+}
+
+// withDefaults fills the zero fields of t.
+func (t Timing) withDefaults() Timing {
+	d := DefaultTiming()
+	fill := func(v *time.Duration, def time.Duration) {
+		if *v <= 0 {
+			*v = def
+		}
+	}
+	fill(&t.ProbeInterval, d.ProbeInterval)
+	fill(&t.IdleInterval, d.IdleInterval)
+	fill(&t.ProbeTimeout, d.ProbeTimeout)
+	fill(&t.SuspectAfter, d.SuspectAfter)
+	fill(&t.AskWindow, d.AskWindow)
+	fill(&t.AloneDelay, d.AloneDelay)
+	fill(&t.RankDelay, d.RankDelay)
+	fill(&t.ClaimTimeout, d.ClaimTimeout)
+	fill(&t.FenceGrace, d.FenceGrace)
+	fill(&t.RetryInterval, d.RetryInterval)
+	fill(&t.BackoffMin, d.BackoffMin)
+	fill(&t.BackoffMax, d.BackoffMax)
+	fill(&t.StallAfter, d.StallAfter)
+	fill(&t.StrandedAfter, d.StrandedAfter)
+	fill(&t.SwitchRetry, d.SwitchRetry)
+	fill(&t.FollowRetry, d.FollowRetry)
+	fill(&t.ConfirmRetry, d.ConfirmRetry)
+	fill(&t.SampleEvery, d.SampleEvery)
+	fill(&t.LagOut, d.LagOut)
+	fill(&t.LagIn, d.LagIn)
+	fill(&t.SilentReader, d.SilentReader)
+	if t.Promoters <= 0 {
+		t.Promoters = d.Promoters
+	}
+	return t
+}
+
+// Action is what the host must do: one of Send, AskPeers and Publish.
+type Action interface{ action() }
+
+// Send runs Op on the control connection to Database. The host gives the
+// result to OpResult with the time just before it sent the operation.
+type Send struct {
+	Database string
+	Op       groupsql.Op
+}
+
+// AskPeers asks peers in this and in other data centres whether they hear
+// Database. The host gives each answer to PeerReply.
+type AskPeers struct{ Database string }
+
+// Publish records a promotion in the platform. The host retries it; a record
+// of a higher term wins.
+type Publish struct{ State platform.GroupState }
+
+func (Send) action()     {}
+func (AskPeers) action() {}
+func (Publish) action()  {}
+
+// AckState says whether a write is acknowledged.
+type AckState uint8
+
+// The acknowledgement states.
+const (
+	AckPending AckState = iota // no majority holds the write yet
+	AckYes                     // a majority of the group holds it in its own term
+	AckNever                   // its term was replaced first: outcome unknown
+)
+
+// String returns the state's name.
+func (a AckState) String() string {
+	switch a {
+	case AckYes:
+		return "acknowledged"
+	case AckNever:
+		return "never"
+	default:
+		return "pending"
+	}
+}
+
+// sample is a confirmed position: every write acknowledged before start lies
+// at or before pos.
+type sample struct {
+	start time.Time
+	pos   position.Position
+}
--- /dev/null
+++ b/database/group/table.go
@@ -0,0 +1,241 @@
+package group
+
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// member is what this host knows of one database.
+type member struct {
+	Member
+	known        bool
+	report       groupsql.Report   // the answer to the latest operation answered
+	sentAt       time.Time         // when that operation was sent
+	heardAt      time.Time         // last answer
+	unansweredAt time.Time         // first probe since then, zero when none
+	probing      bool              // a probe is out
+	probedAt     time.Time         // when it was asked for
+	held         position.Position // highest position stored in the term promised
+	progressAt   time.Time         // last advance of report.Position
+	followAt     time.Time         // last follow order
+	strayAt      time.Time         // since when it does not follow the established term
+	lagging      bool
+	load         float64
+}
+
+// Table is one host's state of one group. It is not safe for concurrent use:
+// the host holds one mutex per Table. It holds at most MaxMembers members and
+// maxSamples samples; the oldest sample is dropped when they are full.
+type Table struct {
+	cfg     Config
+	t       Timing
+	members []*member // in the order given
+	rank    int
+
+	highest     uint64 // highest term in any report
+	highestAt   time.Time
+	view        View // the established primary
+	established bool
+	viewAt      time.Time
+	hint        View
+	peersTerm   uint64 // highest term that peers or the platform hold
+
+	due       time.Time // when the next Tick is due
+	det       detection
+	claim     claim
+	round     round
+	latest    sample
+	samples   []sample  // oldest first
+	pending   []Action  // made while a result is taken, returned with it
+	durable   uint64    // index of the last durable position seen
+	stallFrom time.Time // last time that a majority was level or advanced
+	switchAt  time.Time // last planned switchover
+	lastClaim ClaimTimes
+}
+
+// New returns an empty table. It panics without Config.Rand.
+func New(cfg Config) *Table {
+	if cfg.Rand == nil {
+		panic("group: Config.Rand is nil")
+	}
+	return &Table{cfg: cfg, t: cfg.Timing.withDefaults()}
+}
+
+// SetMembers replaces the group's members; what is known of those that stay is
+// kept. Members change by one database at a time.
+func (t *Table) SetMembers(members []Member, now time.Time) {
+	if len(members) > MaxMembers {
+		members = members[:MaxMembers]
+	}
+	next := make([]*member, 0, len(members))
+	for _, m := range members {
+		old := t.member(m.ID)
+		if old == nil || old.Address != m.Address {
+			old = &member{progressAt: now}
+		}
+		old.Member = m
+		next = append(next, old)
+	}
+	t.members = next
+	if t.established && t.member(t.view.Primary) == nil {
+		t.established = false
+	}
+}
+
+// SetRank sets this host's promoter rank for the group, 0 first.
+func (t *Table) SetRank(rank int) { t.rank = max(rank, 0) }
+
+// SetLoad sets the load of a database as this host sees it, for Readers.
+func (t *Table) SetLoad(id string, load float64) {
+	if m := t.member(id); m != nil {
+		m.load = load
+	}
+}
+
+// Learn takes a hint from a peer or the platform. A hint of a newer term makes
+// the table probe at once; it is never authority.
+func (t *Table) Learn(view View, now time.Time) {
+	t.peersTerm = max(t.peersTerm, view.Term)
+	if view.Term <= t.hint.Term || view.Term <= t.view.Term {
+		return
+	}
+	t.hint = view
+	t.round.wanted = later(t.round.wanted, now)
+}
+
+// View returns the established primary: its marker is on a majority.
+func (t *Table) View() (View, bool) { return t.view, t.established }
+
+// Primary returns the database to which writes go now.
+func (t *Table) Primary() (id string, term uint64, ok bool) {
+	if !t.established || t.claim.active() || t.fencedAbove(t.view.Term) >= t.majority() {
+		return "", 0, false
+	}
+	p := t.member(t.view.Primary)
+	if !isPrimary(p, t.view.Term) {
+		return "", 0, false
+	}
+	return p.ID, t.view.Term, true
+}
+
+func (t *Table) member(id string) *member {
+	for _, m := range t.members {
+		if m.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (t *Table) majority() int { return len(t.members)/2 + 1 }
+
+// isPrimary reports whether m last reported to be the primary of term.
+func isPrimary(m *member, term uint64) bool {
+	return m != nil && m.known && m.report.Role == groupsql.Primary && m.report.Accepted == term
+}
+
+// fencedAbove counts the members that promised a term above term.
+func (t *Table) fencedAbove(term uint64) int {
+	n := 0
+	for _, m := range t.members {
+		if m.known && m.report.Accepted > term {
+			n++
+		}
+	}
+	return n
+}
+
+// OpResult takes the result of an operation on database id that was sent at
+// sentAt, or the error that ended it.
+func (t *Table) OpResult(id string, op groupsql.Op, sentAt time.Time, r groupsql.Report, err error, now time.Time) []Action {
+	m := t.member(id)
+	if m == nil {
+		return nil
+	}
+	if op.Kind == groupsql.OpPosition && !sentAt.Before(m.probedAt) {
+		m.probing = false
+	}
+	if err == nil {
+		t.learnReport(m, sentAt, r, now)
+	}
+	out := t.claimResult(m, op, r, err, now)
+	t.establish(now)
+	t.noteProgress(now)
+	t.confirm(now)
+	out = append(out, t.pumpRound(now)...)
+	return append(out, t.Tick(now)...)
+}
+
+// learnReport records what m said of itself.
+func (t *Table) learnReport(m *member, sentAt time.Time, r groupsql.Report, now time.Time) {
+	if seen := max(r.Accepted, r.Position.Term); seen > t.highest {
+		t.highest, t.highestAt = seen, now
+	}
+	if r.Accepted == r.Position.Term {
+		m.held = position.Max(m.held, r.Position)
+	}
+	if m.known && sentAt.Before(m.sentAt) {
+		return
+	}
+	if !m.known || m.report.Position.Before(r.Position) {
+		m.progressAt = now
+	}
+	m.known, m.unansweredAt = true, time.Time{}
+	m.report, m.sentAt, m.heardAt = r, sentAt, now
+}
+
+// Committed records that database id reported p as the position of a commit:
+// the primary of p.Term has stored it.
+func (t *Table) Committed(id string, p position.Position) {
+	if m := t.member(id); m != nil {
+		m.held = position.Max(m.held, p)
+	}
+}
+
+// establish adopts the highest term whose primary is known and whose marker is
+// on a majority. A position in a term lies at or past the term's marker, since
+// the marker is the term's first entry.
+func (t *Table) establish(now time.Time) {
+	for _, m := range t.members {
+		term := m.report.Accepted
+		newer := term > t.view.Term || term == t.view.Term && !t.established
+		if !newer || term == 0 || !isPrimary(m, term) || !t.markerHeld(term) {
+			continue
+		}
+		t.view = View{Term: term, Primary: m.ID, Marker: t.lowestIndex(term)}
+		t.established, t.viewAt = true, now
+		t.onEstablished(m, now)
+	}
+}
+
+// markerHeld reports whether a majority holds an entry of term, stored while
+// that was the highest term they had promised.
+func (t *Table) markerHeld(term uint64) bool {
+	n := 0
+	for _, m := range t.members {
+		if m.held.Term == term {
+			n++
+		}
+	}
+	return n >= t.majority()
+}
+
+func (t *Table) lowestIndex(term uint64) uint64 {
+	var low uint64
+	for _, m := range t.members {
+		if m.held.Term == term && (low == 0 || m.held.Index < low) {
+			low = m.held.Index
+		}
+	}
+	return low
+}
+
+// later returns the later of a and b.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
