Add the peer link: yamux and protobuf between hosts

Hosts need one connection per pair that carries small messages in order and large answers beside them, and that is replaced when it breaks or goes silent.

Answers are matched by id on the connection that carried the request, so that an answer from before a reset reaches no later request. The keepalive of yamux was ruled out: it pings every connection all the time, although digests already show most of them alive; only a silent one is pinged.

All are additive.

--- /dev/null
+++ b/link/peer/conn.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+const (
+	probeInterval  = 250 * time.Millisecond // between looks at a connection's silence
+	maxWriteBatch  = 16 << 10               // bytes of queued frames joined into one write
+	maxOwnStreams  = 4                      // requests with their own stream served at once per connection
+	ownStreamLimit = 10 * time.Second       // life of such a stream
+)
+
+// conn is one connection to a peer, after the handshake. A peer that connects
+// again gets another conn.
+type conn struct {
+	mesh   *Mesh
+	info   Info
+	dialed bool // this host opened it
+	since  time.Time
+
+	wire   *countingConn
+	sess   *yamux.Session
+	stream *yamux.Stream // small messages, both ways
+	frames *frameReader  // of stream
+
+	out   chan []byte // encoded frames
+	inbox *inbox
+	done  chan struct{}
+	once  sync.Once
+	cause atomic.Value // error
+
+	mu      sync.Mutex // guards pending
+	pending map[uint64]chan *peerpb.Envelope
+}
+
+func newConn(m *Mesh, dialed bool, l *link, hello *peerpb.Hello) *conn {
+	c := &conn{
+		mesh: m,
+		info: Info{
+			Address:    hello.GetAddress(),
+			DataCentre: hello.GetDataCentre(),
+			BootID:     hello.GetBootId(),
+		},
+		dialed:  dialed,
+		since:   time.Now(),
+		wire:    l.wire,
+		sess:    l.sess,
+		stream:  l.stream,
+		frames:  l.frames,
+		out:     make(chan []byte, m.cfg.QueueLen),
+		done:    make(chan struct{}),
+		pending: make(map[uint64]chan *peerpb.Envelope),
+	}
+	c.inbox = newInbox(c, m.cfg.QueueLen)
+	return c
+}
+
+// describe returns the peer as seen now.
+func (c *conn) describe() Info {
+	info := c.info
+	info.Connected = !c.ended()
+	info.LastHeard = c.wire.heardAt()
+	return info
+}
+
+func (c *conn) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// close ends the connection; only the first cause counts.
+func (c *conn) close(cause error) {
+	c.once.Do(func() {
+		c.cause.Store(&cause)
+		close(c.done)
+		_ = c.wire.Close()
+		_ = c.sess.Close()
+	})
+}
+
+// reason returns why the connection ended.
+func (c *conn) reason() error {
+	if cause, ok := c.cause.Load().(*error); ok {
+		return *cause
+	}
+	return nil
+}
+
+// run serves the connection until it ends.
+func (c *conn) run() {
+	var wg sync.WaitGroup
+	for _, loop := range []func() error{c.writeLoop, c.ownStreamLoop, c.probeLoop} {
+		wg.Go(func() { c.close(loop()) })
+	}
+	c.close(c.readLoop())
+	wg.Wait()
+	c.failPending()
+}
+
+func (c *conn) readLoop() error {
+	for {
+		env, err := c.frames.next()
+		if err != nil {
+			return err
+		}
+		if err := checkClaim(c.info.Address, env); err != nil {
+			return err
+		}
+		c.mesh.stats.receivedMessages.Add(1)
+		if env.GetReplyTo() != 0 {
+			c.answer(env)
+			continue
+		}
+		c.inbox.put(env)
+	}
+}
+
+// answer gives env to the request that waits for it on this connection.
+func (c *conn) answer(env *peerpb.Envelope) {
+	c.mu.Lock()
+	waiting := c.pending[env.GetReplyTo()]
+	delete(c.pending, env.GetReplyTo())
+	c.mu.Unlock()
+	if waiting != nil {
+		waiting <- env
+	}
+}
+
+// enqueue queues a frame without blocking.
+func (c *conn) enqueue(frame []byte) error {
+	select {
+	case <-c.done:
+		return ErrNotConnected
+	default:
+	}
+	select {
+	case c.out <- frame:
+		return nil
+	default:
+		c.mesh.meters.dropped.Inc()
+		return ErrQueueFull
+	}
+}
+
+func (c *conn) writeLoop() error {
+	batch := make([]byte, 0, maxWriteBatch)
+	for {
+		select {
+		case <-c.done:
+			return ErrClosed
+		case frame := <-c.out:
+			batch = c.fill(append(batch[:0], frame...))
+		}
+		if _, err := c.stream.Write(batch); err != nil {
+			return err
+		}
+		if cap(batch) > 2*maxWriteBatch {
+			batch = make([]byte, 0, maxWriteBatch)
+		}
+	}
+}
+
+// fill adds frames that already wait to the batch.
+func (c *conn) fill(batch []byte) []byte {
+	c.mesh.stats.sentMessages.Add(1)
+	for len(batch) < maxWriteBatch {
+		select {
+		case frame := <-c.out:
+			c.mesh.stats.sentMessages.Add(1)
+			batch = append(batch, frame...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// probeLoop pings a silent peer and ends the connection when no answer comes.
+func (c *conn) probeLoop() error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.done:
+			return ErrClosed
+		case <-ticker.C:
+		}
+		if time.Since(c.wire.heardAt()) < c.mesh.cfg.ProbeAfter {
+			continue
+		}
+		if _, err := c.sess.Ping(); err != nil {
+			return err
+		}
+	}
+}
+
+// request sends env on the shared stream and waits for the answer.
+func (c *conn) request(ctx context.Context, env *peerpb.Envelope) (*peerpb.Envelope, error) {
+	frame, err := encodeFrame(env)
+	if err != nil {
+		return nil, err
+	}
+	waiting := make(chan *peerpb.Envelope, 1)
+	c.mu.Lock()
+	c.pending[env.GetId()] = waiting
+	c.mu.Unlock()
+	defer c.forget(env.GetId())
+	if err := c.enqueue(frame); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-waiting:
+		if reply.GetBody() == nil {
+			return nil, ErrNoAnswer
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.done:
+		return nil, ErrConnectionLost
+	}
+}
+
+func (c *conn) forget(id uint64) {
+	c.mu.Lock()
+	delete(c.pending, id)
+	c.mu.Unlock()
+}
+
+func (c *conn) failPending() {
+	c.mu.Lock()
+	clear(c.pending)
+	c.mu.Unlock()
+	c.inbox.drop()
+}
--- /dev/null
+++ b/link/peer/frame_test.go
@@ -0,0 +1,60 @@
+package peer_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+var _ = Describe("frames", func() {
+	It("refuses a length beyond the limit before taking memory for it", func() {
+		_, err := peer.ReadFrames(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+		Expect(err).To(MatchError(peer.ErrTooLarge))
+	})
+
+	It("refuses to encode a message beyond the limit", func() {
+		_, err := peer.EncodeFrame(&peerpb.Envelope{Body: &peerpb.Envelope_SnapshotReply{
+			SnapshotReply: &peerpb.SnapshotReply{Snapshot: make([]byte, peer.MaxFrame)},
+		}})
+		Expect(err).To(MatchError(peer.ErrTooLarge))
+	})
+})
+
+// FuzzFrames feeds arbitrary bytes to the frame reader: what it accepts must
+// survive encoding again.
+func FuzzFrames(f *testing.F) {
+	good, err := peer.EncodeFrame(grant("customer"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte{})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0, 0x20, 0, 0, 1, 2, 3})
+	f.Add([]byte{0, 0, 0, 2, 0xff, 0xff})
+	f.Add(good)
+	f.Add(append(good, good...))
+	f.Add(good[:len(good)-1])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := peer.ReadFrames(bytes.NewReader(data))
+		if err == nil {
+			t.Fatal("no error at the end of the input")
+		}
+		for _, env := range got {
+			frame, err := peer.EncodeFrame(env)
+			if err != nil {
+				t.Fatalf("encode again: %v", err)
+			}
+			again, _ := peer.ReadFrames(bytes.NewReader(frame))
+			if len(again) != 1 {
+				t.Fatalf("%d frames after encoding again", len(again))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/link/peer/mesh.go
@@ -0,0 +1,252 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// tieWindow is the time in which two connections of one pair count as dialed
+// at once by both ends.
+const tieWindow = 2 * time.Second
+
+// Mesh holds this host's connections to its peers. All methods may be called
+// from several goroutines. Lock order: events before mu.
+type Mesh struct {
+	cfg       Config
+	serverTLS *tls.Config
+	pool      *pool
+	stats     counters
+	meters    meters
+	nextID    atomic.Uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	events sync.Mutex // keeps OnPeer calls in order
+
+	mu        sync.Mutex // guards the fields below
+	closed    bool
+	conns     map[string]*conn              // by address; at most MaxConns plus the dialed ones
+	dialers   map[string]context.CancelFunc // by address
+	accepting int                           // inbound connections, handshakes included
+	listeners []net.Listener
+}
+
+// New returns a Mesh that serves and dials nobody yet.
+func New(cfg Config) *Mesh {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mesh{
+		cfg:       cfg,
+		serverTLS: serverTLS(cfg.TLS),
+		pool:      newPool(2 * cfg.MaxConns),
+		ctx:       ctx,
+		cancel:    cancel,
+		conns:     make(map[string]*conn),
+		dialers:   make(map[string]context.CancelFunc),
+	}
+	m.meters = newMeters(cfg.Metrics, m)
+	for range cfg.Workers {
+		m.wg.Go(m.pool.work)
+	}
+	return m
+}
+
+// Serve takes connections of peers until the listener or the Mesh is closed.
+// It returns nil after Close.
+func (m *Mesh) Serve(listener net.Listener) error {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return ErrClosed
+	}
+	m.listeners = append(m.listeners, listener)
+	m.mu.Unlock()
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if m.ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		m.accept(raw)
+	}
+}
+
+// accept starts serving an inbound connection, or refuses it when there are
+// too many.
+func (m *Mesh) accept(raw net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed || m.accepting >= m.cfg.MaxConns {
+		m.meters.refused.Inc()
+		_ = raw.Close()
+		return
+	}
+	m.accepting++
+	m.wg.Go(func() {
+		m.serveConn(m.ctx, raw, "")
+		m.mu.Lock()
+		m.accepting--
+		m.mu.Unlock()
+	})
+}
+
+// serveConn runs one connection from the handshake to its end, which comes at
+// the latest with that of ctx. It reports whether the handshake was accepted.
+func (m *Mesh) serveConn(ctx context.Context, raw net.Conn, address string) bool {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	c, err := m.handshake(raw, address)
+	if err != nil {
+		m.meters.refused.Inc()
+		m.cfg.Logger.Warn("peer refused", "remote", raw.RemoteAddr().String(), "err", err)
+		return false
+	}
+	if !m.register(c) {
+		c.close(ErrClosed)
+		return false
+	}
+	m.cfg.Logger.Info("peer connected", "peer", c.info.Address, "boot", c.info.BootID)
+	c.run()
+	m.unregister(c)
+	m.cfg.Logger.Info("peer disconnected", "peer", c.info.Address, "err", c.reason())
+	return true
+}
+
+// register makes c the connection of its peer, unless a tie is decided for the
+// one that is there.
+func (m *Mesh) register(c *conn) bool {
+	m.events.Lock()
+	defer m.events.Unlock()
+	m.mu.Lock()
+	old := m.conns[c.info.Address]
+	if m.closed || m.keeps(old, c) {
+		m.mu.Unlock()
+		return false
+	}
+	m.conns[c.info.Address] = c
+	m.mu.Unlock()
+	if old != nil {
+		old.close(ErrClosed)
+	}
+	if m.cfg.OnPeer != nil {
+		m.cfg.OnPeer(c.describe(), true)
+	}
+	return true
+}
+
+// keeps reports whether old stays although c was opened. When both ends dialed
+// at once, both keep the connection that the lower address dialed. In all
+// other cases the end that dialed had found no connection, so the new one
+// counts.
+func (m *Mesh) keeps(old, c *conn) bool {
+	if old == nil || old.ended() || old.info.BootID != c.info.BootID {
+		return false
+	}
+	if old.dialed == c.dialed || c.since.Sub(old.since) > tieWindow {
+		return false
+	}
+	selfIsLower := strings.Compare(m.cfg.Self, c.info.Address) < 0
+	return old.dialed == selfIsLower
+}
+
+func (m *Mesh) unregister(c *conn) {
+	m.events.Lock()
+	defer m.events.Unlock()
+	m.mu.Lock()
+	current := m.conns[c.info.Address] == c
+	if current {
+		delete(m.conns, c.info.Address)
+	}
+	m.mu.Unlock()
+	if current && m.cfg.OnPeer != nil {
+		m.cfg.OnPeer(c.describe(), false)
+	}
+}
+
+// conn returns the connection to address, nil when there is none.
+func (m *Mesh) conn(address string) *conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.conns[address]
+}
+
+// Send queues a message without waiting. It fails when the peer is not
+// connected, the queue is full or the message is larger than MaxFrame. A
+// message sent may still be lost with its connection.
+func (m *Mesh) Send(address string, env *peerpb.Envelope) error {
+	c := m.conn(address)
+	if c == nil {
+		return ErrNotConnected
+	}
+	frame, err := encodeFrame(env)
+	if err != nil {
+		return err
+	}
+	return c.enqueue(frame)
+}
+
+// Request sends a message and waits for its answer until ctx ends. It sets the
+// id itself and leaves env as it is. After an error other than ErrNotConnected,
+// ErrQueueFull and ErrTooLarge the peer may or may not have handled it.
+func (m *Mesh) Request(ctx context.Context, address string, env *peerpb.Envelope) (*peerpb.Envelope, error) {
+	c := m.conn(address)
+	if c == nil {
+		return nil, ErrNotConnected
+	}
+	sent := &peerpb.Envelope{Id: m.nextID.Add(1), Body: env.GetBody()}
+	if hasOwnStream(sent) {
+		return c.requestOwnStream(ctx, sent)
+	}
+	return c.request(ctx, sent)
+}
+
+// Peers returns the peers that are connected, by address.
+func (m *Mesh) Peers() []Info {
+	m.mu.Lock()
+	list := make([]Info, 0, len(m.conns))
+	for _, c := range m.conns {
+		if !c.ended() {
+			list = append(list, c.describe())
+		}
+	}
+	m.mu.Unlock()
+	slices.SortFunc(list, func(a, b Info) int { return strings.Compare(a.Address, b.Address) })
+	return list
+}
+
+// Close ends all connections and waits for the workers. It returns after the
+// last call of Handler.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return
+	}
+	m.closed = true
+	m.cancel()
+	for _, listener := range m.listeners {
+		_ = listener.Close()
+	}
+	conns := make([]*conn, 0, len(m.conns))
+	for _, c := range m.conns {
+		conns = append(conns, c)
+	}
+	m.mu.Unlock()
+	close(m.pool.stop)
+	for _, c := range conns {
+		c.close(ErrClosed)
+	}
+	m.wg.Wait()
+}
--- /dev/null
+++ b/link/peer/ownstream.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// hasOwnStream reports whether a request gets a stream of its own, because its
+// answer can be large.
+func hasOwnStream(env *peerpb.Envelope) bool {
+	switch env.GetBody().(type) {
+	case *peerpb.Envelope_SnapshotRequest, *peerpb.Envelope_BurnRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// requestOwnStream sends env on a stream of its own and waits for the answer.
+func (c *conn) requestOwnStream(ctx context.Context, env *peerpb.Envelope) (*peerpb.Envelope, error) {
+	stream, err := c.sess.OpenStream()
+	if err != nil {
+		return nil, ErrNotConnected
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	reply, err := exchange(stream, env)
+	switch {
+	case err == nil && reply.GetReplyTo() == env.GetId() && reply.GetBody() != nil:
+		c.mesh.stats.sentMessages.Add(1)
+		c.mesh.stats.receivedMessages.Add(1)
+		return reply, checkClaim(c.info.Address, reply)
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case c.ended():
+		return nil, ErrConnectionLost
+	default:
+		return nil, ErrNoAnswer
+	}
+}
+
+func exchange(stream *yamux.Stream, env *peerpb.Envelope) (*peerpb.Envelope, error) {
+	frame, err := encodeFrame(env)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := stream.Write(frame); err != nil {
+		return nil, err
+	}
+	return (&frameReader{r: stream}).next()
+}
+
+// ownStreamLoop serves the requests that come with a stream of their own.
+func (c *conn) ownStreamLoop() error {
+	slots := make(chan struct{}, maxOwnStreams)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		stream, err := c.sess.AcceptStream()
+		if err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-c.done:
+			return ErrClosed
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			c.serveOwnStream(stream)
+		})
+	}
+}
+
+func (c *conn) serveOwnStream(stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(time.Now().Add(ownStreamLimit))
+	env, err := (&frameReader{r: stream}).next()
+	if err != nil || !hasOwnStream(env) {
+		return
+	}
+	c.mesh.stats.receivedMessages.Add(1)
+	reply := c.mesh.cfg.Handler.HandlePeer(c.describe(), env)
+	if reply == nil {
+		return
+	}
+	frame, err := encodeFrame(&peerpb.Envelope{ReplyTo: env.GetId(), Body: reply.GetBody()})
+	if err != nil {
+		c.mesh.cfg.Logger.Warn("answer not sent", "peer", c.info.Address, "err", err)
+		return
+	}
+	c.mesh.stats.sentMessages.Add(1)
+	_, _ = stream.Write(frame)
+}
