Admit by rate and burst over the fleet with standing shares and loans

Cause: a customer's rate and burst count over all hosts, and no host keeps state or may rely on the platform. Ruled out: shares of different size by burst, which would need a handshake on every change of a customer; shares are equal parts over the roster, and parts below one request are borrowed together.

--- /dev/null
+++ b/customer/rate/config.go
@@ -0,0 +1,69 @@
+package rate
+
+import "time"
+
+// Sizes of a Table.
+const (
+	// MaxCustomers bounds the customers of one Table. Further customers are
+	// refused.
+	MaxCustomers = 16384
+	// MaxWaiters bounds the waiting requests of one customer. Further requests
+	// are refused.
+	MaxWaiters = 512
+	// MaxLoans bounds the loans of one customer that a host has given and that
+	// are not yet forgotten. Further loan requests get nothing.
+	MaxLoans = 512
+	// MaxBorrowed bounds the loans of one customer that a host holds and asks
+	// for. At the bound it asks for no more.
+	MaxBorrowed = 128
+)
+
+// Default timing.
+const (
+	DefaultLoanTerm   = time.Second
+	DefaultAskTimeout = 25 * time.Millisecond
+	DefaultMaxWait    = 200 * time.Millisecond
+	DefaultIdleReturn = 50 * time.Millisecond
+	DefaultMinPause   = 5 * time.Millisecond
+	DefaultMaxPause   = 160 * time.Millisecond
+)
+
+// marginParts is the part of a loan's term, one over marginParts, that a lender
+// adds for clocks that run at different speeds.
+const marginParts = 16
+
+// Config names a host and sets its timing. Zero durations take the defaults.
+type Config struct {
+	Self       string // own peer address, as the roster names it
+	DataCentre string
+	BootID     string    // differs between runs of a process at one address
+	Started    time.Time // start of this process
+
+	LoanTerm   time.Duration // lifetime of a loan; the same on every host
+	AskTimeout time.Duration // a silent peer is passed over after this
+	MaxWait    time.Duration // a request waits at most this long for a token
+	IdleReturn time.Duration // a loan unused this long is returned
+	MinPause   time.Duration // between rounds of asking
+	MaxPause   time.Duration // between rounds while peers have nothing
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.LoanTerm, DefaultLoanTerm)
+	setDefault(&c.AskTimeout, DefaultAskTimeout)
+	setDefault(&c.MaxWait, DefaultMaxWait)
+	setDefault(&c.IdleReturn, DefaultIdleReturn)
+	setDefault(&c.MinPause, DefaultMinPause)
+	setDefault(&c.MaxPause, DefaultMaxPause)
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// hold is how long a lender counts a loan of the given term as out.
+func hold(term time.Duration) time.Duration {
+	return term + term/marginParts
+}
--- /dev/null
+++ b/customer/rate/loans.go
@@ -0,0 +1,273 @@
+package rate
+
+import (
+	"math"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// Policy of lending.
+const (
+	reserveTime = 20 * time.Millisecond  // of own demand, kept back in tokens
+	refillTime  = 200 * time.Millisecond // of lent rate, lent along as burst
+	leastTokens = 0.01                   // smaller amounts are not lent
+	leastTerm   = 0.05                   // tokens that lent rate must bring in its term
+	returnParts = 16                     // a loan is returned this part of its term before its end
+)
+
+// Handle takes a TokenRequest, TokenGrant or RosterAck that the host from sent.
+// Other messages are ignored.
+func (t *Table) Handle(from string, env *peerpb.Envelope, now time.Time) Output {
+	now = t.tick(now)
+	var out Output
+	switch m := env.GetBody().(type) {
+	case *peerpb.Envelope_TokenRequest:
+		t.handleRequest(from, m.TokenRequest, now, &out)
+	case *peerpb.Envelope_TokenGrant:
+		if m.TokenGrant.Returned {
+			t.handleReturn(from, m.TokenGrant, now, &out)
+			break
+		}
+		t.handleGrant(from, m.TokenGrant, now, &out)
+	case *peerpb.Envelope_RosterAck:
+		t.handleRoster(from, m.RosterAck, now, &out)
+	}
+	return out
+}
+
+// handleRequest lends what this host can spare. A request whose loan is known
+// is a duplicate and gets no second one.
+func (t *Table) handleRequest(from string, m *peerpb.TokenRequest, now time.Time, out *Output) {
+	grant := &peerpb.TokenGrant{
+		Customer:      m.Customer,
+		RequestId:     m.RequestId,
+		RosterVersion: t.keeper.Version(),
+	}
+	if a := t.accounts[m.Customer]; a != nil {
+		a.advance(now, t.accrueFrom)
+		if a.findLoan(from, m.RequestId) != nil {
+			return
+		}
+		t.returnTo(a, from, out)
+		t.lend(a, from, m, grant, now)
+	}
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_TokenGrant{TokenGrant: grant}}
+	out.Send = append(out.Send, Send{To: from, Msg: env})
+}
+
+// lend debits the account and fills in the grant.
+func (t *Table) lend(a *account, to string, m *peerpb.TokenRequest, grant *peerpb.TokenGrant, now time.Time) {
+	if len(a.loans) >= MaxLoans {
+		return
+	}
+	tokens, burst, rate := t.spare(a, to, m, now)
+	if burst <= 0 {
+		return
+	}
+	a.level -= tokens
+	a.lentBurst += burst
+	a.lentRate += rate
+	a.clip()
+	until := now.Add(hold(t.cfg.LoanTerm))
+	a.loans = append(a.loans, &loan{to: to, id: m.RequestId, burst: burst, rate: rate, until: until})
+	grant.Tokens = tokens
+	grant.Burst = burst
+	grant.Rate = rate
+	grant.LifetimeMs = uint64(t.cfg.LoanTerm.Milliseconds())
+}
+
+// spare returns what the account can lend for a request.
+func (t *Table) spare(a *account, to string, m *peerpb.TokenRequest, now time.Time) (tokens, burst, rate float64) {
+	if len(a.waiters) > 0 {
+		tokens = t.spareRest(a, to, m)
+		return tokens, tokens, 0
+	}
+	a.demand.decay(now)
+	demand := a.demand.perSecond
+	if t.leaving {
+		demand = 0
+	}
+	tokens = min(finite(m.Wanted), a.level-demand*reserveTime.Seconds())
+	if tokens < leastTokens {
+		tokens = 0
+	}
+	rate = min(finite(m.WantedRate), a.ownRate()-demand*rateAllowance)
+	if rate*t.cfg.LoanTerm.Seconds() < leastTerm {
+		return tokens, tokens, 0
+	}
+	own := a.ownBurst()
+	burst = min(own, max(tokens, 1, rate*refillTime.Seconds()))
+	tokens = max(tokens, burst-(own-a.level))
+	return tokens, burst, rate
+}
+
+// spareRest lends what is too little for a request that waits here, to hosts of
+// lower address only: else such remainders could be passed around for ever.
+func (t *Table) spareRest(a *account, to string, m *peerpb.TokenRequest) float64 {
+	rest := min(finite(m.Wanted), a.level)
+	if a.available() >= 1-epsilon || rest < leastTokens || to >= t.cfg.Self {
+		return 0
+	}
+	return rest
+}
+
+// finite returns an amount from a message, 0 for one that makes no sense.
+func finite(x float64) float64 {
+	if x > 0 && !math.IsInf(x, 1) {
+		return x
+	}
+	return 0
+}
+
+// handleGrant takes a loan that this host asked for, once.
+func (t *Table) handleGrant(from string, m *peerpb.TokenGrant, now time.Time, out *Output) {
+	delete(t.silent, from)
+	a := t.accounts[m.Customer]
+	if a == nil {
+		t.decline(from, m, out)
+		return
+	}
+	a.advance(now, t.accrueFrom)
+	k := a.takeAsk(from, m.RequestId)
+	if k == nil {
+		if !a.holds(from, m.RequestId) {
+			t.decline(from, m, out)
+		}
+		return
+	}
+	t.take(a, k, m, now)
+	t.serve(a, now, out)
+}
+
+// take credits a grant that answers an ask.
+func (t *Table) take(a *account, k *ask, m *peerpb.TokenGrant, now time.Time) {
+	if finite(m.Burst) <= 0 {
+		if !k.passed {
+			a.round.miss(len(a.holders), now, t.cfg)
+		}
+		return
+	}
+	a.round.hit()
+	lifetime := time.Duration(m.LifetimeMs) * time.Millisecond
+	a.held = append(a.held, &heldLoan{
+		from:  k.to,
+		id:    k.id,
+		burst: m.Burst,
+		rate:  finite(m.Rate),
+		level: min(finite(m.Tokens), m.Burst),
+		at:    now,
+		until: earlier(k.until, k.sent.Add(lifetime)),
+	})
+	t.activate(a)
+}
+
+// takeAsk removes and returns the ask that a grant answers, nil if none.
+func (a *account) takeAsk(from, id string) *ask {
+	for i, k := range a.asks {
+		if k.to == from && k.id == id {
+			a.asks = append(a.asks[:i], a.asks[i+1:]...)
+			return k
+		}
+	}
+	return nil
+}
+
+func (a *account) holds(from, id string) bool {
+	for _, h := range a.held {
+		if h.from == from && h.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// decline ends a loan that this host does not hold and will never take: its
+// ask is gone. Its tokens may have been spent, so none are returned.
+func (t *Table) decline(from string, m *peerpb.TokenGrant, out *Output) {
+	if m.Burst > 0 {
+		sendReturn(m.Customer, from, m.RequestId, 0, out)
+	}
+}
+
+// handleReturn ends a loan that this host gave. Tokens that no longer fit into
+// the bucket are lost.
+func (t *Table) handleReturn(from string, m *peerpb.TokenGrant, now time.Time, out *Output) {
+	a := t.accounts[m.Customer]
+	if a == nil {
+		return
+	}
+	a.advance(now, t.accrueFrom)
+	l := a.findLoan(from, m.RequestId)
+	if l == nil || l.ended {
+		return
+	}
+	a.endLoan(l)
+	a.level = min(a.ownBurst(), a.level+min(finite(m.Tokens), l.burst))
+	t.serve(a, now, out)
+}
+
+// returnSpent returns loans that have nothing left and bring nothing more.
+func (t *Table) returnSpent(a *account, out *Output) {
+	t.returnWhere(a, out, func(h *heldLoan) bool {
+		return h.rate == 0 && h.level < epsilon
+	})
+}
+
+// returnTo returns the loans that belong to a host which now asks for itself.
+func (t *Table) returnTo(a *account, lender string, out *Output) {
+	t.returnWhere(a, out, func(h *heldLoan) bool { return h.from == lender })
+}
+
+// returnAll returns every loan.
+func (t *Table) returnAll(a *account, out *Output) {
+	t.returnWhere(a, out, func(*heldLoan) bool { return true })
+}
+
+// returnDue returns loans that are idle or about to run out, and asks again for
+// those still in use.
+func (t *Table) returnDue(a *account, now time.Time, out *Output) {
+	var again []string
+	t.returnWhere(a, out, func(h *heldLoan) bool {
+		if now.Before(t.returnAt(a, h)) {
+			return false
+		}
+		if t.inUse(a, now) && h.rate > 0 {
+			again = append(again, h.from)
+		}
+		return true
+	})
+	for _, peer := range again {
+		t.ask(a, peer, 0, now, out)
+	}
+}
+
+// returnAt is when a held loan goes back.
+func (t *Table) returnAt(a *account, h *heldLoan) time.Time {
+	end := h.until.Add(-t.cfg.LoanTerm / returnParts)
+	return earlier(end, a.lastUsed.Add(t.cfg.IdleReturn))
+}
+
+func (t *Table) inUse(a *account, now time.Time) bool {
+	return !t.leaving && now.Sub(a.lastUsed) < t.cfg.IdleReturn
+}
+
+// returnWhere sends back the held loans that match, debiting them first.
+func (t *Table) returnWhere(a *account, out *Output, match func(*heldLoan) bool) {
+	kept := a.held[:0]
+	for _, h := range a.held {
+		if !match(h) {
+			kept = append(kept, h)
+			continue
+		}
+		sendReturn(a.id, h.from, h.id, h.level, out)
+	}
+	clear(a.held[len(kept):])
+	a.held = kept
+}
+
+func sendReturn(customer, to, id string, tokens float64, out *Output) {
+	m := &peerpb.TokenGrant{Customer: customer, RequestId: id, Tokens: tokens, Returned: true}
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_TokenGrant{TokenGrant: m}}
+	out.Send = append(out.Send, Send{To: to, Msg: env})
+}
--- /dev/null
+++ b/customer/rate/serve.go
@@ -0,0 +1,106 @@
+package rate
+
+import (
+	"time"
+)
+
+// worthWaiting reports whether a further waiter is likely to get a token
+// within wait. While other hosts may still have tokens, it is. After a whole
+// turn of them had none, as many may wait as tokens will accrue here or have
+// accrued elsewhere since.
+func (a *account) worthWaiting(wait time.Duration) bool {
+	if len(a.waiters) >= MaxWaiters {
+		return false
+	}
+	if !a.round.exhausted || len(a.waiters) == 0 {
+		return true
+	}
+	here := a.available() + a.totalRate()*wait.Seconds()
+	elsewhere := a.rate * a.at.Sub(a.round.emptyAt).Seconds()
+	return float64(len(a.waiters)) < here+elsewhere
+}
+
+// serve admits, refuses, returns and borrows for one advanced account.
+func (t *Table) serve(a *account, now time.Time, out *Output) {
+	t.admit(a, out)
+	t.expireWaiters(a, now, out)
+	t.passSilent(a, now)
+	t.returnDue(a, now, out)
+	t.borrow(a, now, out)
+}
+
+// admit gives tokens to waiting requests, first come first served.
+func (t *Table) admit(a *account, out *Output) {
+	n := 0
+	for n < len(a.waiters) && a.spend() {
+		id := a.waiters[n].id
+		delete(t.waiting, id)
+		out.Admitted = append(out.Admitted, id)
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	a.waiters = append(a.waiters[:0], a.waiters[n:]...)
+	a.lastUsed = a.at
+	t.returnSpent(a, out)
+}
+
+// expireWaiters refuses the requests that have waited long enough.
+func (t *Table) expireWaiters(a *account, now time.Time, out *Output) {
+	kept := a.waiters[:0]
+	for _, w := range a.waiters {
+		if now.Before(w.until) {
+			kept = append(kept, w)
+			continue
+		}
+		delete(t.waiting, w.id)
+		out.Refused = append(out.Refused, w.id)
+	}
+	a.waiters = kept
+}
+
+// due returns when an active account needs a tick.
+func (t *Table) due(a *account) time.Time {
+	var next time.Time
+	for _, w := range a.waiters {
+		next = soonest(next, w.until)
+	}
+	for _, h := range a.held {
+		next = soonest(next, t.returnAt(a, h))
+	}
+	for _, k := range a.asks {
+		if k.passed {
+			next = soonest(next, k.until)
+			continue
+		}
+		next = soonest(next, k.sent.Add(t.cfg.AskTimeout))
+	}
+	if len(a.waiters) > 0 {
+		next = soonest(next, a.tokenAt(t.accrueFrom))
+		if a.awaited() == 0 && !t.leaving && len(a.holders) > 0 {
+			next = soonest(next, later(a.round.next, a.at))
+		}
+	}
+	if a.removed {
+		for _, l := range a.loans {
+			next = soonest(next, l.until)
+		}
+	}
+	return next
+}
+
+// tokenAt returns when one token will be there if rates stay, the zero time if
+// never.
+func (a *account) tokenAt(from time.Time) time.Time {
+	rate := a.totalRate()
+	if rate <= 0 {
+		return time.Time{}
+	}
+	missing := max(0, 1-a.available())
+	wait := time.Duration(missing / rate * float64(time.Second))
+	return later(a.at, from).Add(max(wait, tokenGrain))
+}
+
+// tokenGrain is the shortest time between two looks at an accruing account.
+const tokenGrain = 100 * time.Microsecond
--- /dev/null
+++ b/customer/rate/table.go
@@ -0,0 +1,322 @@
+package rate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/standing"
+)
+
+// Verdict is the answer to Ask.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Refused  Verdict = iota // over rate, or the deadline leaves no time
+	Admitted                // may run now
+	Waiting                 // an Output admits or refuses it later
+)
+
+// Send is one message to another host.
+type Send = standing.Send
+
+// Output is what the caller has to do: messages to send, and waiting requests
+// that are now admitted or refused.
+type Output struct {
+	Send     []Send
+	Admitted []uint64
+	Refused  []uint64
+}
+
+// Table holds one host's part of every customer's bucket. It is not safe for
+// concurrent use: the host guards each Table by one mutex. At most
+// MaxCustomers customers are held; others are refused.
+type Table struct {
+	cfg        Config
+	keeper     *standing.Keeper
+	now        time.Time // latest time seen; time never goes back
+	accrueFrom time.Time // nothing accrues before
+	cleanAt    time.Time // no loan from before the newest roster is left
+	accounts   map[string]*account
+	active     []*account
+	waiting    map[uint64]*account
+	silent     map[string]time.Time // peers passed over until then
+	asked      uint64               // loan requests so far
+	leaving    bool
+}
+
+// New returns a table that holds nothing until Apply.
+func New(cfg Config) *Table {
+	cfg = cfg.withDefaults()
+	from := cfg.Started.Add(hold(cfg.LoanTerm))
+	return &Table{
+		cfg:        cfg,
+		keeper:     standing.NewKeeper(cfg.Self, resource, xxhash.Sum64String(cfg.BootID)),
+		accrueFrom: from,
+		cleanAt:    from,
+		accounts:   map[string]*account{},
+		waiting:    map[uint64]*account{},
+		silent:     map[string]time.Time{},
+	}
+}
+
+// resource names this package's shares in RosterAck messages.
+const resource = "rate"
+
+// tick moves the table's time forward, never back.
+func (t *Table) tick(now time.Time) time.Time {
+	t.now = later(t.now, now)
+	return t.now
+}
+
+// Apply takes the roster and customers of a snapshot. A customer that is not
+// listed is withdrawn: its waiting requests are refused.
+func (t *Table) Apply(roster contract.Roster, customers []contract.Customer, now time.Time) Output {
+	now = t.tick(now)
+	var out Output
+	for _, a := range t.accounts {
+		a.advance(now, t.accrueFrom)
+	}
+	if t.keeper.Apply(roster, now) {
+		t.cleanAt = later(t.cleanAt, now.Add(hold(t.cfg.LoanTerm)))
+		t.forgetSilent()
+	}
+	listed := make(map[string]bool, len(customers))
+	for _, c := range customers {
+		listed[c.ID] = t.put(c, now)
+	}
+	for id, a := range t.accounts {
+		if !listed[id] {
+			t.withdraw(a, now, &out)
+		}
+	}
+	t.reshare()
+	t.pollRoster(now, &out)
+	return out
+}
+
+// put adds or changes a customer and reports whether it is held.
+func (t *Table) put(c contract.Customer, now time.Time) bool {
+	a := t.accounts[c.ID]
+	if a == nil {
+		if len(t.accounts) >= MaxCustomers {
+			return false
+		}
+		a = newAccount(c, now)
+		t.accounts[c.ID] = a
+	}
+	a.removed = false
+	a.rate, a.burst = max(0, c.Rate), max(0, c.Burst)
+	return true
+}
+
+// withdraw empties an account and forgets it once its loans have run out.
+func (t *Table) withdraw(a *account, now time.Time, out *Output) {
+	a.removed = true
+	a.set(0, 0, 0)
+	t.refuseAll(a, out)
+	t.returnAll(a, out)
+	a.asks = nil
+	if len(a.loans) == 0 {
+		t.deactivate(a)
+		delete(t.accounts, a.id)
+		return
+	}
+	t.activate(a)
+}
+
+// reshare sets every account's standing share from the roster.
+func (t *Table) reshare() {
+	plan := t.keeper.Plan()
+	if plan == nil {
+		return
+	}
+	for _, a := range t.accounts {
+		if a.removed {
+			continue
+		}
+		a.holders = without(plan.Holders(a.id, t.cfg.DataCentre), t.cfg.Self)
+		a.set(a.rate, a.burst, t.keeper.Fraction(a.id))
+	}
+}
+
+func without(list []string, s string) []string {
+	out := list[:0]
+	for _, x := range list {
+		if x != s {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Ask admits one request of customer, refuses it, or lets it wait for a token
+// until the deadline, at most Config.MaxWait. id must differ from those of
+// other waiting requests.
+func (t *Table) Ask(id uint64, customer string, deadline, now time.Time) (Verdict, Output) {
+	now = t.tick(now)
+	var out Output
+	a := t.accounts[customer]
+	if a == nil || a.removed || !now.Before(deadline) {
+		return Refused, out
+	}
+	a.advance(now, t.accrueFrom)
+	a.demand.add(now)
+	a.lastUsed = now
+	if len(a.waiters) == 0 && a.spend() {
+		t.returnSpent(a, &out)
+		return Admitted, out
+	}
+	if !a.worthWaiting(t.cfg.MaxWait) {
+		return Refused, out
+	}
+	until := earlier(deadline, now.Add(t.cfg.MaxWait))
+	a.waiters = append(a.waiters, waiter{id, until})
+	t.waiting[id] = a
+	t.activate(a)
+	t.serve(a, now, &out)
+	if _, ok := t.waiting[id]; ok {
+		return Waiting, out
+	}
+	return t.settleAsk(id, &out), out
+}
+
+// settleAsk turns a waiter that was served within Ask into the verdict.
+func (t *Table) settleAsk(id uint64, out *Output) Verdict {
+	for i, got := range out.Admitted {
+		if got == id {
+			out.Admitted = append(out.Admitted[:i], out.Admitted[i+1:]...)
+			return Admitted
+		}
+	}
+	for i, got := range out.Refused {
+		if got == id {
+			out.Refused = append(out.Refused[:i], out.Refused[i+1:]...)
+			break
+		}
+	}
+	return Refused
+}
+
+// Cancel forgets a waiting request.
+func (t *Table) Cancel(id uint64) {
+	a := t.waiting[id]
+	if a == nil {
+		return
+	}
+	delete(t.waiting, id)
+	for i, w := range a.waiters {
+		if w.id == id {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Tick does what is due: admits and refuses waiting requests, asks for loans
+// and returns those that are idle or about to run out.
+func (t *Table) Tick(now time.Time) Output {
+	now = t.tick(now)
+	var out Output
+	t.pollRoster(now, &out)
+	for i := 0; i < len(t.active); {
+		a := t.active[i]
+		a.advance(now, t.accrueFrom)
+		t.serve(a, now, &out)
+		if t.idle(a) {
+			t.deactivate(a)
+			continue
+		}
+		i++
+	}
+	return out
+}
+
+// idle reports whether an account needs no further ticks, and forgets it if it
+// was withdrawn.
+func (t *Table) idle(a *account) bool {
+	if len(a.waiters) > 0 || len(a.held) > 0 || len(a.asks) > 0 {
+		return false
+	}
+	if !a.removed {
+		return true
+	}
+	if len(a.loans) > 0 {
+		return false
+	}
+	delete(t.accounts, a.id)
+	return true
+}
+
+func (t *Table) activate(a *account) {
+	if !a.active {
+		a.active = true
+		t.active = append(t.active, a)
+	}
+}
+
+func (t *Table) deactivate(a *account) {
+	if !a.active {
+		return
+	}
+	a.active = false
+	for i, x := range t.active {
+		if x == a {
+			t.active = append(t.active[:i], t.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// Next returns when the next Tick is useful, the zero time when none is.
+func (t *Table) Next() time.Time {
+	next := t.keeper.Next()
+	for _, a := range t.active {
+		next = soonest(next, t.due(a))
+	}
+	return next
+}
+
+// Leave refuses waiting requests and returns every loan that this host holds.
+// Afterwards the host borrows nothing and lends all it has to those who ask.
+func (t *Table) Leave(now time.Time) Output {
+	now = t.tick(now)
+	var out Output
+	t.leaving = true
+	for _, a := range t.accounts {
+		a.advance(now, t.accrueFrom)
+		t.refuseAll(a, &out)
+		t.returnAll(a, &out)
+		a.asks = nil
+	}
+	return out
+}
+
+// refuseAll refuses every waiting request of an account.
+func (t *Table) refuseAll(a *account, out *Output) {
+	for _, w := range a.waiters {
+		delete(t.waiting, w.id)
+		out.Refused = append(out.Refused, w.id)
+	}
+	a.waiters = nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// soonest returns the earlier of two times, of which a zero one is none.
+func soonest(a, b time.Time) time.Time {
+	if a.IsZero() {
+		return b
+	}
+	if b.IsZero() {
+		return a
+	}
+	return earlier(a, b)
+}
--- /dev/null
+++ b/internal/standing/keeper.go
@@ -0,0 +1,299 @@
+package standing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// Timing and sizes of the handshake.
+const (
+	firstPoll   = 20 * time.Millisecond // before an unanswered query is repeated
+	slowestPoll = 2 * time.Second
+	pollBatch   = 16 // queries per poll
+	rounds      = 2  // complete rounds of acknowledgements before a rise
+	// MaxLows bounds the plans that wait for one rise. When it is reached, the
+	// oldest low is merged away by keeping a share of zero until the rise.
+	MaxLows = 8
+	// MaxPending bounds the addresses that wait to acknowledge. When it is
+	// reached the host does not rise until the next settled answer.
+	MaxPending = 1024
+)
+
+// Send is one message to another host.
+type Send struct {
+	To  string
+	Msg *peerpb.Envelope
+}
+
+// Keeper follows the roster for one host. A host's fraction of a name is the
+// lowest of the plans it passed since its last rise; it rises to the newest
+// plan when every host of the old and the new plan has acknowledged that plan
+// twice, or when one host that has seen this says so. A host that started
+// afresh rises from nothing. A host that does not acknowledge keeps its share
+// and nobody rises on it.
+type Keeper struct {
+	self     string
+	resource string
+
+	plan    *Plan
+	base    *Plan   // plan of the last rise; nil before the first
+	lows    []*Plan // plans passed since
+	zero    bool    // lows overflowed: hold nothing until the rise
+	settled bool
+
+	need     map[string]int // address -> last round acknowledged
+	order    []string       // addresses of need, in polling order
+	overflow bool
+	round    int
+	roundID  uint64 // query id of the current round
+	nextID   uint64
+	poll     time.Duration
+	pollAt   time.Time
+	cursor   int
+}
+
+// NewKeeper returns a keeper with no plan. seed makes query ids differ between
+// runs of a process at one address.
+func NewKeeper(self, resource string, seed uint64) *Keeper {
+	return &Keeper{self: self, resource: resource, nextID: seed}
+}
+
+// Apply takes a roster with a higher version and reports whether it did. The
+// fall is in force when it returns.
+func (k *Keeper) Apply(r contract.Roster, now time.Time) bool {
+	if k.plan != nil && r.Version <= k.plan.Version {
+		return false
+	}
+	k.pass()
+	k.plan = NewPlan(r)
+	k.settled = false
+	k.expect()
+	k.round = 0
+	k.startRound(now)
+	return true
+}
+
+// pass keeps the plan that is being left as a low and its unresolved members
+// as hosts to hear from.
+func (k *Keeper) pass() {
+	if k.plan == nil || k.plan == k.base {
+		return
+	}
+	if len(k.lows) == MaxLows {
+		k.lows = k.lows[1:]
+		k.zero = true
+	}
+	k.lows = append(k.lows, k.plan)
+}
+
+// expect builds the set of hosts whose acknowledgement is needed.
+func (k *Keeper) expect() {
+	if k.need == nil {
+		k.need = map[string]int{}
+	}
+	for a := range k.need {
+		k.need[a] = 0
+	}
+	plans := append([]*Plan{k.plan}, k.lows...)
+	if k.base != nil {
+		plans = append(plans, k.base)
+	}
+	for _, p := range plans {
+		for _, a := range p.Members() {
+			k.await(a)
+		}
+	}
+}
+
+// await adds address to the hosts whose acknowledgement is needed.
+func (k *Keeper) await(address string) {
+	if _, ok := k.need[address]; ok || address == k.self {
+		return
+	}
+	if len(k.need) >= MaxPending {
+		k.overflow = true
+		return
+	}
+	k.need[address] = 0
+	k.order = append(k.order, address)
+}
+
+func (k *Keeper) startRound(now time.Time) {
+	k.round++
+	k.nextID++
+	k.roundID = k.nextID
+	k.poll = firstPoll
+	k.pollAt = now
+	k.cursor = 0
+}
+
+// Fraction returns the part of name's amount that this host may use now.
+func (k *Keeper) Fraction(name string) float64 {
+	if k.plan == nil {
+		return 0
+	}
+	f := k.plan.Fraction(name, k.self)
+	if k.settled {
+		return f
+	}
+	if k.base == nil || k.zero {
+		return 0
+	}
+	f = min(f, k.base.Fraction(name, k.self))
+	for _, low := range k.lows {
+		f = min(f, low.Fraction(name, k.self))
+	}
+	return f
+}
+
+// Plan returns the newest plan, nil before the first.
+func (k *Keeper) Plan() *Plan { return k.plan }
+
+// Version returns the roster version that the shares follow.
+func (k *Keeper) Version() uint64 {
+	if k.plan == nil {
+		return 0
+	}
+	return k.plan.Version
+}
+
+// Settled reports whether this host's share is that of the newest plan.
+func (k *Keeper) Settled() bool { return k.settled }
+
+// Handle takes a query or an answer. ready says that this host has nothing
+// lent or in use beyond its share of the newest plan. It reports whether the
+// share rose.
+func (k *Keeper) Handle(from string, m *peerpb.RosterAck, ready bool, now time.Time) ([]Send, bool) {
+	if m.Query {
+		return []Send{{from, k.answer(m, ready)}}, false
+	}
+	if k.plan == nil || k.settled || m.RosterVersion != k.plan.Version || m.QueryId != k.roundID {
+		return nil, false
+	}
+	if m.Settled {
+		k.rise()
+		return nil, true
+	}
+	for _, a := range m.Pending {
+		k.await(a)
+	}
+	if _, ok := k.need[from]; ok && m.Ready {
+		k.need[from] = k.round
+	}
+	return nil, k.complete(ready, now)
+}
+
+func (k *Keeper) answer(m *peerpb.RosterAck, ready bool) *peerpb.Envelope {
+	a := &peerpb.RosterAck{
+		RosterVersion: k.Version(),
+		Address:       k.self,
+		QueryId:       m.QueryId,
+		Resource:      k.resource,
+		Ready:         ready,
+		Settled:       k.settled,
+	}
+	if !k.settled {
+		a.Pending = k.former()
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_RosterAck{RosterAck: a}}
+}
+
+// former returns the awaited addresses that the newest plan does not name.
+func (k *Keeper) former() []string {
+	if k.plan == nil {
+		return nil
+	}
+	var out []string
+	for _, a := range k.order {
+		if k.plan.DataCentre(a) == "" && !slices.Contains(k.plan.Members(), a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// complete ends a round in which every awaited host has acknowledged.
+func (k *Keeper) complete(ready bool, now time.Time) bool {
+	if !ready || k.overflow {
+		return false
+	}
+	for _, r := range k.need {
+		if r < k.round {
+			return false
+		}
+	}
+	if k.round < rounds {
+		k.startRound(now)
+		return false
+	}
+	k.rise()
+	return true
+}
+
+func (k *Keeper) rise() {
+	k.settled = true
+	k.base = k.plan
+	k.lows = nil
+	k.zero = false
+	k.overflow = false
+	k.need = nil
+	k.order = nil
+}
+
+// Tick sends the queries that are due. It reports whether the share rose,
+// which happens without a message where this host is the only one.
+func (k *Keeper) Tick(ready bool, now time.Time) ([]Send, bool) {
+	if k.plan == nil || k.settled || now.Before(k.pollAt) {
+		return nil, false
+	}
+	for k.round <= rounds {
+		before := k.round
+		if k.complete(ready, now) {
+			return nil, true
+		}
+		if k.round == before {
+			break
+		}
+	}
+	out := k.queries()
+	if k.cursor == 0 {
+		k.poll = min(2*k.poll, slowestPoll)
+	}
+	k.pollAt = now.Add(k.poll)
+	return out, false
+}
+
+// queries asks the next few hosts that have not acknowledged in this round.
+func (k *Keeper) queries() []Send {
+	var out []Send
+	for ; k.cursor < len(k.order); k.cursor++ {
+		a := k.order[k.cursor]
+		if k.need[a] >= k.round {
+			continue
+		}
+		if len(out) == pollBatch {
+			return out
+		}
+		q := &peerpb.RosterAck{
+			RosterVersion: k.plan.Version,
+			Address:       k.self,
+			QueryId:       k.roundID,
+			Query:         true,
+			Resource:      k.resource,
+		}
+		out = append(out, Send{a, &peerpb.Envelope{Body: &peerpb.Envelope_RosterAck{RosterAck: q}}})
+	}
+	k.cursor = 0
+	return out
+}
+
+// Next returns when the next Tick is useful, the zero time when none is.
+func (k *Keeper) Next() time.Time {
+	if k.plan == nil || k.settled {
+		return time.Time{}
+	}
+	return k.pollAt
+}
