Add the data centre's decisions: members, peers, duties, configuration in force

A host has to know who is alive, whom to talk to, whether it watches the platform, and which configuration counts, without a coordination service and at a cost that does not grow with the fleet.

Hosts exchange digests twice a second with a bounded number of peers: all of a small fleet, else a ring of doubling distances within the data centre and a few hosts elsewhere. A higher version is fetched from whoever names it and announced at once. The age of the platform's last confirmation travels with the digest and is judged against the sending of the digest that it echoes, so no clocks are compared and a held-up message never looks fresh.

One watch per host was ruled out by the platform's call budget, and liveness from the platform's list by its lag: the list only names candidates.

A fleet of 60 hosts in four data centres with one watcher each takes a new version within 2 s in the fake network of the tests.

--- /dev/null
+++ b/datacentre/fleet_test.go
@@ -0,0 +1,42 @@
+package datacentre_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/datacentre"
+)
+
+func TestDatacentre(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "datacentre")
+}
+
+// settled returns a fleet whose hosts know each other and run version 1.
+func settled(seed uint64, centres, perCentre int, limits datacentre.Limits) *sim {
+	GinkgoHelper()
+	s := newSim(seed, centres, perCentre, limits)
+	s.list()
+	s.publish()
+	_, ok := s.until(10*time.Second, s.allAt(1, nil))
+	Expect(ok).To(BeTrue(), "the fleet takes its first version")
+	s.run(5 * time.Second)
+	return s
+}
+
+var _ = Describe("a fleet", func() {
+	It("of 60 hosts takes a new version within 2 s with one watcher per data centre", func() {
+		s := settled(1, 4, 15, datacentre.Limits{Watchers: 1, MaxWatchers: 1})
+		for _, centre := range []string{"dc0", "dc1", "dc2", "dc3"} {
+			Expect(s.watchers(centre)).To(HaveLen(1))
+		}
+		version := s.publish()
+		took, ok := s.until(5*time.Second, s.allAt(version, nil))
+		Expect(ok).To(BeTrue())
+		Expect(took).To(BeNumerically("<", 2*time.Second))
+		Expect(s.faults).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/datacentre/rendezvous.go
@@ -0,0 +1,30 @@
+package datacentre
+
+import "github.com/cespare/xxhash/v2"
+
+// score is the rendezvous weight of an address for a key: the highest wins.
+func score(key, address string) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(key)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(address)
+	return h.Sum64()
+}
+
+// outranks reports whether a comes before b for the key.
+func outranks(key, a, b string) bool {
+	sa, sb := score(key, a), score(key, b)
+	if sa != sb {
+		return sa > sb
+	}
+	return a < b
+}
+
+// bootHash is the short form of a boot id in digests; 0 means unknown.
+func bootHash(bootID string) uint32 {
+	if bootID == "" {
+		return 0
+	}
+	return uint32(score("boot", bootID)) | 1
+}
--- /dev/null
+++ b/datacentre/settings.go
@@ -0,0 +1,118 @@
+package datacentre
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Config is the settings of a Table. Zero values take the defaults.
+type Config struct {
+	Self       string // IP:port of this host's peer listener
+	DataCentre string
+	BootID     string
+	Seeds      []string // IP:port of hosts to try first, of any data centre
+	Timing     Timing
+	Limits     Limits
+	InForce    *Configuration // a new one when nil
+	Rand       *rand.Rand     // spreads digests in time; seeded from Self and BootID when nil
+}
+
+// Timing holds the durations of a Table.
+type Timing struct {
+	DigestEvery   time.Duration // between two digests to one peer
+	SilentAfter   time.Duration // a peer in direct contact counts as lost after this silence
+	VouchedFor    time.Duration // others' news of a member counts for this long
+	ForgetAfter   time.Duration // a silent member that no list names is removed
+	HopeFor       time.Duration // a member never heard counts as a candidate for this long
+	ProbeEvery    time.Duration // lost members are tried in turn, changing this often
+	FetchTimeout  time.Duration // for the answer of one peer to a snapshot request
+	SettleFor     time.Duration // after a start, before this host watches the platform
+	EscalateEvery time.Duration // of old news, for each further watcher
+}
+
+// Limits holds the sizes of a Table.
+type Limits struct {
+	Members          int // known hosts
+	Groups           int // known group views
+	FullMesh         int // up to this many members, everyone is a peer
+	RemoteCentres    int // other data centres that one host keeps peers in
+	RemotePeers      int // peers in each of them
+	Probes           int // lost members tried at once
+	DigestPeers      int // digests sent per turn
+	MembersPerDigest int // news in turn; changed members may take twice as many
+	GroupsPerDigest  int // changed group views, besides the one in turn
+	Watchers         int // hosts of a data centre that watch the platform
+	MaxWatchers      int // the same when news is old
+}
+
+// Default durations and limits.
+const (
+	DefaultDigestEvery   = 500 * time.Millisecond
+	DefaultSilentAfter   = 2500 * time.Millisecond
+	DefaultVouchedFor    = 2 * time.Minute
+	DefaultForgetAfter   = 10 * time.Minute
+	DefaultHopeFor       = 5 * time.Second
+	DefaultProbeEvery    = 3 * time.Second
+	DefaultFetchTimeout  = 700 * time.Millisecond
+	DefaultSettleFor     = 1500 * time.Millisecond
+	DefaultEscalateEvery = 3 * time.Second
+
+	DefaultMembers          = 8192
+	DefaultGroups           = 8192
+	DefaultFullMesh         = 32
+	DefaultRemoteCentres    = 4
+	DefaultRemotePeers      = 1
+	DefaultProbes           = 4
+	DefaultDigestPeers      = 48
+	DefaultMembersPerDigest = 4
+	DefaultGroupsPerDigest  = 8
+	DefaultWatchers         = 2
+	DefaultMaxWatchers      = 8
+)
+
+func (t Timing) withDefaults() Timing {
+	defaultTo(&t.DigestEvery, DefaultDigestEvery)
+	defaultTo(&t.SilentAfter, DefaultSilentAfter)
+	defaultTo(&t.VouchedFor, DefaultVouchedFor)
+	defaultTo(&t.ForgetAfter, DefaultForgetAfter)
+	defaultTo(&t.HopeFor, DefaultHopeFor)
+	defaultTo(&t.ProbeEvery, DefaultProbeEvery)
+	defaultTo(&t.FetchTimeout, DefaultFetchTimeout)
+	defaultTo(&t.SettleFor, DefaultSettleFor)
+	defaultTo(&t.EscalateEvery, DefaultEscalateEvery)
+	return t
+}
+
+func (l Limits) withDefaults() Limits {
+	defaultTo(&l.Members, DefaultMembers)
+	defaultTo(&l.Groups, DefaultGroups)
+	defaultTo(&l.FullMesh, DefaultFullMesh)
+	defaultTo(&l.RemoteCentres, DefaultRemoteCentres)
+	defaultTo(&l.RemotePeers, DefaultRemotePeers)
+	defaultTo(&l.Probes, DefaultProbes)
+	defaultTo(&l.DigestPeers, DefaultDigestPeers)
+	defaultTo(&l.MembersPerDigest, DefaultMembersPerDigest)
+	defaultTo(&l.GroupsPerDigest, DefaultGroupsPerDigest)
+	defaultTo(&l.Watchers, DefaultWatchers)
+	defaultTo(&l.MaxWatchers, DefaultMaxWatchers)
+	return l
+}
+
+func (c Config) withDefaults() Config {
+	c.Timing = c.Timing.withDefaults()
+	c.Limits = c.Limits.withDefaults()
+	if c.InForce == nil {
+		c.InForce = NewConfig(0)
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(score("digest", c.Self), score("digest", c.BootID)))
+	}
+	return c
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
