--- /dev/null
+++ b/customer/rate/settled.go
@@ -0,0 +1,9 @@
+package rate
+
+import "time"
+
+// Settled reports whether this host's standing shares are those of its newest
+// roster and accrue.
+func (t *Table) Settled(now time.Time) bool {
+	return t.keeper.Settled() && !now.Before(t.accrueFrom)
+}
--- /dev/null
+++ b/database/control.go
@@ -0,0 +1,155 @@
+package database
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+)
+
+// ErrBusy reports a control connection whose queue is full.
+var ErrBusy = errors.New("database: control connection is busy")
+
+// controlQueue bounds the operations that wait for one control connection.
+const controlQueue = 16
+
+// probe runs an empty query.
+func (c *Conn) probe() error {
+	_, err := c.query("")
+	return err
+}
+
+// query runs one simple query and returns its only row, nil for none.
+func (c *Conn) query(sql string) ([]string, error) {
+	if _, err := c.Send(&pgproto3.Query{String: sql}); err != nil {
+		return nil, eris.Wrap(err, "send")
+	}
+	rows, err := c.Await()
+	if err != nil || len(rows) == 0 {
+		return nil, err
+	}
+	return rows[0], nil
+}
+
+// Run carries out one group operation.
+func (c *Conn) Run(op groupsql.Op) (groupsql.Report, error) {
+	row, err := c.query(op.SQL())
+	if err != nil {
+		return groupsql.Report{}, err
+	}
+	return groupsql.ParseRow(row)
+}
+
+// Result is the end of one group operation.
+type Result struct {
+	Op     groupsql.Op
+	SentAt time.Time // when the operation left, by the proxy's clock
+	Report groupsql.Report
+	Err    error
+}
+
+// Control is the control connection to one database. It dials on demand, runs
+// one operation at a time and replaces a connection that went silent.
+type Control struct {
+	cfg  PoolConfig
+	ops  chan controlOp
+	stop chan struct{}
+	once sync.Once
+}
+
+type controlOp struct {
+	op      groupsql.Op
+	timeout time.Duration
+	done    func(Result)
+}
+
+// NewControl starts the connection's worker.
+func NewControl(cfg PoolConfig) *Control {
+	c := &Control{cfg: cfg, ops: make(chan controlOp, controlQueue), stop: make(chan struct{})}
+	go c.work()
+	return c
+}
+
+// Run queues an operation; done is called once, from another goroutine. A full
+// queue is reported at once as ErrBusy.
+func (c *Control) Run(op groupsql.Op, timeout time.Duration, done func(Result)) {
+	select {
+	case c.ops <- controlOp{op: op, timeout: timeout, done: done}:
+	default:
+		go done(Result{Op: op, SentAt: c.cfg.Now(), Err: ErrBusy})
+	}
+}
+
+// Close stops the worker. Operations still queued are dropped.
+func (c *Control) Close() { c.once.Do(func() { close(c.stop) }) }
+
+func (c *Control) work() {
+	var conn *Conn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case op := <-c.ops:
+			conn = c.run(conn, op)
+		}
+	}
+}
+
+// run carries out op and returns the connection to use next, nil after a
+// failure.
+func (c *Control) run(conn *Conn, op controlOp) *Conn {
+	res := Result{Op: op.op, SentAt: c.cfg.Now()}
+	deadline := res.SentAt.Add(op.timeout)
+	if conn == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		conn, res.Err = Dial(ctx, c.cfg.ID, c.cfg.Address, c.cfg.Login)
+		cancel()
+	}
+	if res.Err == nil {
+		conn.SetDeadline(deadline)
+		res.SentAt = c.cfg.Now()
+		res.Report, res.Err = conn.Run(op.op)
+	}
+	if res.Err != nil && conn != nil {
+		conn.MarkBroken()
+		conn.Close()
+		conn = nil
+	}
+	op.done(res)
+	return conn
+}
+
+// Await reads up to the next ReadyForQuery and returns the rows as text, nil
+// values as empty. The error is a *ServerError where the server reported one.
+func (c *Conn) Await() ([][]string, error) {
+	var rows [][]string
+	var failed error
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return nil, eris.Wrap(err, "receive")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			row := make([]string, len(m.Values))
+			for i, v := range m.Values {
+				row[i] = string(v)
+			}
+			rows = append(rows, row)
+		case *pgproto3.ErrorResponse:
+			failed = &ServerError{Code: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return rows, failed
+		}
+	}
+}
--- /dev/null
+++ b/database/pool.go
@@ -0,0 +1,202 @@
+package database
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Timing of pooled connections.
+const (
+	// idleProbeAfter is the idle time after which a connection answers a probe
+	// before it carries a request.
+	idleProbeAfter = 2 * time.Second
+	// idleProbeTimeout bounds that probe.
+	idleProbeTimeout = 100 * time.Millisecond
+	// idleCloseAfter is the idle time after which a connection is closed.
+	idleCloseAfter = 60 * time.Second
+)
+
+// ErrPoolClosed reports a pool whose database left or was removed.
+var ErrPoolClosed = errors.New("database: pool closed")
+
+// PoolConfig sets up a Pool.
+type PoolConfig struct {
+	ID      string
+	Address string
+	Login   Login
+	// MaxOpen bounds the open connections; SetMax changes it.
+	MaxOpen int
+	// ConnectTimeout bounds one connection attempt.
+	ConnectTimeout time.Duration
+	// Now is the time source.
+	Now func() time.Time
+}
+
+// Pool keeps connections to one database. The caller bounds concurrency with a
+// queue; the pool itself makes a caller wait only when MaxOpen is reached.
+type Pool struct {
+	cfg PoolConfig
+
+	mu     sync.Mutex // guards all below
+	idle   []*Conn    // most recently used last
+	open   int
+	max    int
+	closed bool
+	freed  chan struct{} // closed and replaced when a connection is freed
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, max: cfg.MaxOpen, freed: make(chan struct{})}
+}
+
+// Get returns a connection whose state is clean, waiting for one until ctx
+// ends. The caller gives it back with Put.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		c, wait, err := p.take()
+		if err != nil {
+			return nil, err
+		}
+		if c != nil {
+			if p.alive(c) {
+				return c, nil
+			}
+			p.discard(c)
+			continue
+		}
+		if wait == nil {
+			return p.dial(ctx)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// take returns an idle connection, or a channel to wait on, or neither when
+// the caller now holds the right to open one.
+func (p *Pool) take() (*Conn, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, ErrPoolClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, nil, nil
+	}
+	if p.open >= p.max {
+		return nil, p.freed, nil
+	}
+	p.open++
+	return nil, nil, nil
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ConnectTimeout)
+	defer cancel()
+	c, err := Dial(ctx, p.cfg.ID, p.cfg.Address, p.cfg.Login)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return c, nil
+}
+
+// alive probes a connection that was idle for long, so that a silent one never
+// gets a request.
+func (p *Pool) alive(c *Conn) bool {
+	if p.cfg.Now().Sub(c.idleAt) < idleProbeAfter {
+		return true
+	}
+	c.SetDeadline(p.cfg.Now().Add(idleProbeTimeout))
+	defer c.SetDeadline(time.Time{})
+	return c.probe() == nil
+}
+
+// Put gives a connection back. It is kept only if its state is known clean.
+func (p *Pool) Put(c *Conn) {
+	if !c.reusable() {
+		p.discard(c)
+		return
+	}
+	c.SetDeadline(time.Time{})
+	c.idleAt = p.cfg.Now()
+	p.mu.Lock()
+	if p.closed || p.open > p.max {
+		p.mu.Unlock()
+		p.discard(c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.wake()
+	p.mu.Unlock()
+}
+
+func (p *Pool) discard(c *Conn) {
+	c.Close()
+	p.release()
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.wake()
+	p.mu.Unlock()
+}
+
+// wake is called with mu held.
+func (p *Pool) wake() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
+// SetMax changes the bound. Connections over it close as they come back.
+func (p *Pool) SetMax(n int) {
+	p.mu.Lock()
+	p.max = n
+	p.wake()
+	p.mu.Unlock()
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// CloseIdle closes connections that have been idle for long.
+func (p *Pool) CloseIdle() {
+	cutoff := p.cfg.Now().Add(-idleCloseAfter)
+	p.mu.Lock()
+	var old []*Conn
+	for len(p.idle) > 0 && p.idle[0].idleAt.Before(cutoff) {
+		old = append(old, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.discard(c)
+	}
+}
+
+// Close closes idle connections and refuses new work; connections in use close
+// as they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.wake()
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
+}
--- /dev/null
+++ b/host/admin.go
@@ -0,0 +1,110 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+)
+
+// Status is what GET /status returns.
+type Status struct {
+	Host          string         `json:"host"`
+	DataCentre    string         `json:"dataCentre"`
+	Address       string         `json:"address"` // of the peer listener
+	BootID        string         `json:"bootId"`
+	Ready         bool           `json:"ready"`
+	Leaving       bool           `json:"leaving"`
+	ConfigVersion uint64         `json:"configVersion"`
+	ConfigAge     string         `json:"configAge"` // since the platform last confirmed it
+	Callers       int            `json:"callers"`
+	Watcher       bool           `json:"watcher"`
+	Peers         []peer.Info    `json:"peers"`
+	Groups        []group.Status `json:"groups"`
+}
+
+// adminServer is the operators' HTTP listener: /healthz, /readyz, /metrics,
+// /status, POST /drain and /burn.
+type adminServer struct {
+	host     *Host
+	listener net.Listener
+	server   *http.Server
+}
+
+func startAdmin(h *Host) (*adminServer, error) {
+	l, err := net.Listen("tcp", h.set.Admin.Listen)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for operators")
+	}
+	a := &adminServer{host: h, listener: l}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", a.ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.metrics.write(w) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) })
+	mux.HandleFunc("POST /drain", a.drain)
+	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	h.work(func() { a.server.Serve(l) })
+	return a, nil
+}
+
+func (a *adminServer) addr() string { return a.listener.Addr().String() }
+
+func (a *adminServer) close() { a.server.Close() }
+
+// ready answers 200 while the host takes callers.
+func (a *adminServer) ready(w http.ResponseWriter, _ *http.Request) {
+	if !a.host.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+// drain begins a graceful shutdown; the process ends when it is done.
+func (a *adminServer) drain(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusAccepted)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), a.host.set.Shutdown.Grace)
+		defer cancel()
+		a.host.Drain(ctx)
+		a.host.stop()
+	}()
+}
+
+// Done is closed when the host was told to stop.
+func (h *Host) Done() <-chan struct{} { return h.ctx.Done() }
+
+// Status returns the host's state for people.
+func (h *Host) Status() Status {
+	s := Status{
+		Host:          h.set.Host.ID,
+		DataCentre:    h.set.Host.DataCentre,
+		Address:       h.members.self,
+		BootID:        h.bootID,
+		Ready:         h.ready(),
+		Leaving:       h.leaving(),
+		ConfigVersion: h.view.Load().snap.Version,
+		ConfigAge:     h.members.inForce.Fresh(h.now()).String(),
+		Callers:       h.callers.count(),
+		Watcher:       h.members.isWatcher(),
+		Peers:         h.mesh.Peers(),
+	}
+	for _, g := range h.groupRunners() {
+		s.Groups = append(s.Groups, g.status())
+	}
+	return s
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	enc.Encode(v)
+}
--- /dev/null
+++ b/host/callers.go
@@ -0,0 +1,225 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/caller"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// cancelLimit bounds the work for one cancel request.
+const cancelLimit = 2 * time.Second
+
+// cancelKey names a session in a cancel request.
+type cancelKey struct {
+	pid    uint32
+	secret uint32
+}
+
+// registry holds the sessions of this host. Its size is bounded by the
+// setting callers.max_connections; further callers are refused.
+type registry struct {
+	mu       sync.Mutex // guards all below; no other lock is taken under it
+	sessions map[uint32]*registered
+	open     int
+	closed   bool
+}
+
+type registered struct {
+	secret  uint32
+	session *session
+}
+
+func newRegistry() *registry { return &registry{sessions: map[uint32]*registered{}} }
+
+// enter counts a connection; false means that the host is full or stopping.
+func (r *registry) enter(limit int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || limit > 0 && r.open >= limit {
+		return false
+	}
+	r.open++
+	return true
+}
+
+func (r *registry) exit() {
+	r.mu.Lock()
+	r.open--
+	r.mu.Unlock()
+}
+
+// add gives a session a key for cancel requests.
+func (r *registry) add(s *session) (cancelKey, error) {
+	var raw [8]byte
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for {
+		if _, err := rand.Read(raw[:]); err != nil {
+			return cancelKey{}, err
+		}
+		key := cancelKey{pid: binary.BigEndian.Uint32(raw[:4]) >> 1, secret: binary.BigEndian.Uint32(raw[4:])}
+		if r.sessions[key.pid] == nil && key.pid != 0 {
+			r.sessions[key.pid] = &registered{secret: key.secret, session: s}
+			return key, nil
+		}
+	}
+}
+
+func (r *registry) remove(key cancelKey) {
+	r.mu.Lock()
+	delete(r.sessions, key.pid)
+	r.mu.Unlock()
+}
+
+// find returns the session that a cancel request names, nil for none.
+func (r *registry) find(pid uint32, secret []byte) *session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reg := r.sessions[pid]
+	if reg == nil || subtle.ConstantTimeCompare(binary.BigEndian.AppendUint32(nil, reg.secret), secret) != 1 {
+		return nil
+	}
+	return reg.session
+}
+
+// all returns the sessions.
+func (r *registry) all() []*session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*session, 0, len(r.sessions))
+	for _, reg := range r.sessions {
+		list = append(list, reg.session)
+	}
+	return list
+}
+
+// count returns the number of open connections.
+func (r *registry) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open
+}
+
+func (r *registry) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+}
+
+// acceptCallers takes connections until the listener closes.
+func (h *Host) acceptCallers() {
+	for {
+		nc, err := h.callerListener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			pause(h.ctx, 10*time.Millisecond)
+			continue
+		}
+		go h.serveCaller(nc)
+	}
+}
+
+// serveCaller runs one connection from its startup to its end.
+func (h *Host) serveCaller(nc net.Conn) {
+	defer nc.Close()
+	conn, start, err := caller.Accept(nc, h.opt.CallerTLS, h.set.Callers.StartupTimeout)
+	if err != nil {
+		h.refuseStartup(conn, err)
+		return
+	}
+	if start.Cancel != nil {
+		h.cancel(start.Cancel)
+		return
+	}
+	if !h.callers.enter(h.set.Callers.MaxConnections) {
+		h.refuseStartup(conn, h.fullError())
+		return
+	}
+	defer h.callers.exit()
+	s, err := h.login(conn, start)
+	if err != nil {
+		h.refuseStartup(conn, err)
+		return
+	}
+	key, err := h.callers.add(s)
+	if err != nil {
+		h.refuseStartup(conn, err)
+		return
+	}
+	defer h.callers.remove(key)
+	if conn.Welcome(key.pid, binary.BigEndian.AppendUint32(nil, key.secret), start.Token) == nil {
+		s.run()
+	}
+}
+
+func (h *Host) fullError() error {
+	if h.leaving() {
+		return errkind.New(errkind.Leaving, "")
+	}
+	return errkind.New(errkind.ConnectionLimit, "")
+}
+
+// refuseStartup tells a caller why it cannot connect. A caller that broke off
+// is not told.
+func (h *Host) refuseStartup(conn *caller.Conn, err error) {
+	var known *errkind.Error
+	if !errors.As(err, &known) {
+		if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			h.log.Debug("Caller's startup failed.", "part", "session", "error", err)
+		}
+		return
+	}
+	h.metrics.refused(known.Kind)
+	conn.Send(caller.ErrorMessage(known))
+}
+
+// login checks the caller's key and the service that it names.
+func (h *Host) login(conn *caller.Conn, start caller.Startup) (*session, error) {
+	token, err := position.ParseToken(start.Token)
+	if err != nil {
+		return nil, errkind.New(errkind.Protocol, "session token cannot be read")
+	}
+	secret, err := conn.AskKey()
+	if err != nil {
+		return nil, err
+	}
+	s := &session{host: h, conn: conn, service: start.Database, token: *token, hasToken: start.HasToken, stmts: statements{}}
+	if secret != "" {
+		s.customer, s.keyID, err = h.keys.Check(secret)
+		if err != nil {
+			return nil, err
+		}
+		if start.User != s.customer {
+			return nil, errkind.New(errkind.BadKey, "user is not the key's customer")
+		}
+	}
+	if h.view.Load().services[start.Database] == nil {
+		return nil, errkind.New(errkind.UnknownDatabase, "%q", start.Database)
+	}
+	return s, nil
+}
+
+// cancel stops the statement of the session that the request names.
+func (h *Host) cancel(req *pgproto3.CancelRequest) {
+	s := h.callers.find(req.ProcessID, req.SecretKey)
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, cancelLimit)
+	defer cancel()
+	s.cancel(ctx)
+}
--- /dev/null
+++ b/host/groups.go
@@ -0,0 +1,354 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// opTimeout bounds one group operation on a control connection.
+const opTimeout = 400 * time.Millisecond
+
+// groupIO is what a groupRunner needs from its host.
+type groupIO interface {
+	// AskPeers asks other hosts whether they hear a database and feeds each
+	// answer to reply.
+	AskPeers(groupName, databaseID string, reply func(peer string, reachable bool, silent time.Duration))
+	// PublishGroup records a promotion in the platform, as publication only.
+	PublishGroup(act group.Publish)
+	// NewControl returns a control connection to a database.
+	NewControl(db contract.Database) *database.Control
+}
+
+// groupRunner drives one database group's table: it carries out what the table
+// asks for, and lets requests wait for what the table comes to know.
+type groupRunner struct {
+	name string
+	io   groupIO
+	now  func() time.Time
+
+	mu       sync.Mutex // guards all below; no other lock is taken under it
+	table    *group.Table
+	controls map[string]*database.Control
+	waiters  map[*waiter]struct{}
+	opLimit  time.Duration
+	acks     int // requests that wait for an acknowledgement
+	stopped  bool
+
+	kick chan struct{}
+	stop chan struct{}
+}
+
+// waiter is a request that waits until ready holds.
+type waiter struct {
+	ready func() bool // called with the runner's mu held
+	done  chan struct{}
+}
+
+func newGroupRunner(name string, table *group.Table, opLimit time.Duration, io groupIO, now func() time.Time) *groupRunner {
+	g := &groupRunner{
+		name:     name,
+		io:       io,
+		now:      now,
+		table:    table,
+		controls: map[string]*database.Control{},
+		waiters:  map[*waiter]struct{}{},
+		opLimit:  opLimit,
+		kick:     make(chan struct{}, 1),
+		stop:     make(chan struct{}),
+	}
+	go g.run()
+	return g
+}
+
+// setDatabases follows a configuration.
+func (g *groupRunner) setDatabases(dbs []contract.Database) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := make([]group.Member, len(dbs))
+	keep := map[string]bool{}
+	for i, db := range dbs {
+		members[i] = group.Member{ID: db.ID, Address: db.Address, DataCentre: db.DataCentre, Leaving: db.Leaving}
+		keep[db.ID] = true
+		if g.controls[db.ID] == nil {
+			g.controls[db.ID] = g.io.NewControl(db)
+		}
+	}
+	for id, c := range g.controls {
+		if !keep[id] {
+			c.Close()
+			delete(g.controls, id)
+		}
+	}
+	g.table.SetMembers(members, g.now())
+	g.wakeLocked()
+}
+
+func (g *groupRunner) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	g.stopped = true
+	close(g.stop)
+	for _, c := range g.controls {
+		c.Close()
+	}
+}
+
+// run ticks the table when it asks to be.
+func (g *groupRunner) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-g.kick:
+		case <-timer.C:
+		}
+		g.mu.Lock()
+		now := g.now()
+		g.act(g.table.Tick(now))
+		if g.acks > 0 {
+			g.act(g.table.WantAck(now))
+		}
+		next := g.table.Next()
+		g.mu.Unlock()
+		timer.Reset(max(next.Sub(now), time.Millisecond))
+	}
+}
+
+// act carries out actions. It is called with mu held and does not block.
+func (g *groupRunner) act(actions []group.Action) {
+	for _, a := range actions {
+		switch act := a.(type) {
+		case group.Send:
+			g.send(act)
+		case group.AskPeers:
+			go g.io.AskPeers(g.name, act.Database, g.peerReply(act.Database))
+		case group.Publish:
+			go g.io.PublishGroup(act)
+		}
+	}
+	g.wakeLocked()
+}
+
+func (g *groupRunner) send(act group.Send) {
+	c := g.controls[act.Database]
+	if c == nil {
+		return
+	}
+	c.Run(act.Op, g.opLimit, func(res database.Result) {
+		g.opResult(act.Database, res)
+	})
+}
+
+func (g *groupRunner) opResult(id string, res database.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.act(g.table.OpResult(id, res.Op, res.SentAt, res.Report, res.Err, g.now()))
+	g.kickRun()
+}
+
+func (g *groupRunner) peerReply(databaseID string) func(string, bool, time.Duration) {
+	return func(peer string, reachable bool, silent time.Duration) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.act(g.table.PeerReply(peer, databaseID, reachable, silent, g.now()))
+		g.kickRun()
+	}
+}
+
+// kickRun makes run tick soon, since Next may have changed.
+func (g *groupRunner) kickRun() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// wakeLocked releases the waiters whose condition holds. mu is held.
+func (g *groupRunner) wakeLocked() {
+	for w := range g.waiters {
+		if w.ready() {
+			close(w.done)
+			delete(g.waiters, w)
+		}
+	}
+}
+
+// wait blocks until ready holds or ctx ends. want starts what ready waits for.
+// Both are called with mu held.
+func (g *groupRunner) wait(ctx context.Context, want func(now time.Time) []group.Action, ready func() bool) error {
+	g.mu.Lock()
+	if ready() {
+		g.mu.Unlock()
+		return nil
+	}
+	w := &waiter{ready: ready, done: make(chan struct{})}
+	g.waiters[w] = struct{}{}
+	if want != nil {
+		g.act(want(g.now()))
+	}
+	g.mu.Unlock()
+	g.kickRun()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	delete(g.waiters, w)
+	g.mu.Unlock()
+	return ctx.Err()
+}
+
+// primary waits for a primary that takes writes.
+func (g *groupRunner) primary(ctx context.Context) (id string, term uint64, err error) {
+	ready := func() bool {
+		var ok bool
+		id, term, ok = g.table.Primary()
+		return ok
+	}
+	if g.wait(ctx, nil, ready) != nil {
+		return "", 0, errkind.New(errkind.NoPrimary, "group %s", g.name)
+	}
+	return id, term, nil
+}
+
+// confirm waits for the group's position, confirmed after since by a majority.
+func (g *groupRunner) confirm(ctx context.Context, since time.Time) (pos position.Position, err error) {
+	ready := func() bool {
+		var ok bool
+		pos, ok = g.table.Confirmed(since)
+		return ok
+	}
+	if g.wait(ctx, g.table.WantConfirm, ready) != nil {
+		return position.Position{}, errkind.New(errkind.NoMajority, "group %s", g.name)
+	}
+	return pos, nil
+}
+
+// startConfirm begins a confirmation without waiting for it.
+func (g *groupRunner) startConfirm() {
+	g.mu.Lock()
+	g.act(g.table.WantConfirm(g.now()))
+	g.mu.Unlock()
+	g.kickRun()
+}
+
+// acked waits until a majority holds p in p's term.
+func (g *groupRunner) acked(ctx context.Context, p position.Position) error {
+	state := group.AckPending
+	ready := func() bool {
+		state = g.table.Acked(p)
+		return state != group.AckPending
+	}
+	g.countAcks(1)
+	defer g.countAcks(-1)
+	if g.wait(ctx, g.table.WantAck, ready) != nil {
+		return errkind.New(errkind.OutcomeUnknown, "group %s did not confirm position %s", g.name, p)
+	}
+	if state == group.AckNever {
+		return errkind.New(errkind.OutcomeUnknown, "primary of group %s was replaced", g.name)
+	}
+	return nil
+}
+
+func (g *groupRunner) countAcks(n int) {
+	g.mu.Lock()
+	g.acks += n
+	g.mu.Unlock()
+}
+
+// committed records the position that a primary reported for a commit.
+func (g *groupRunner) committed(id string, p position.Position) {
+	g.mu.Lock()
+	g.table.Committed(id, p)
+	g.mu.Unlock()
+}
+
+// heard answers a peer's question about a database.
+func (g *groupRunner) heard(databaseID string) (bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reachable, silent, actions := g.table.Heard(databaseID, g.now())
+	g.act(actions)
+	return reachable, silent
+}
+
+// status returns the table's state for people.
+func (g *groupRunner) status() group.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Status()
+}
+
+// setRank sets this host's promoter rank.
+func (g *groupRunner) setRank(rank int) {
+	g.mu.Lock()
+	g.table.SetRank(rank)
+	g.mu.Unlock()
+}
+
+// ageFloor returns the position that data within the accepted age has reached,
+// and when it was sampled.
+func (g *groupRunner) ageFloor(age time.Duration) (position.Position, time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.AgeFloor(g.now(), age)
+}
+
+// readers returns the databases to try for a read, best first.
+func (g *groupRunner) readers(floor position.Position) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Readers(floor, g.now())
+}
+
+// checkFloor tells a session token that can never be reached.
+func (g *groupRunner) checkFloor(floor, confirmed position.Position) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	view, ok := g.table.View()
+	switch {
+	case ok && floor.Term < view.Term && floor.Index >= view.Marker:
+		return errkind.New(errkind.TokenCut, "%s", floor)
+	case confirmed.Before(floor):
+		return errkind.New(errkind.TokenAhead, "%s", floor)
+	}
+	return nil
+}
+
+// learn takes a hint from a peer or the platform.
+func (g *groupRunner) learn(v group.View) {
+	g.mu.Lock()
+	g.table.Learn(v, g.now())
+	g.mu.Unlock()
+	g.kickRun()
+}
+
+// view returns the established primary.
+func (g *groupRunner) view() (group.View, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.View()
+}
+
+// role returns "primary" or "replica" for a database that served a read.
+func (g *groupRunner) role(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v, ok := g.table.View(); ok && v.Primary == id {
+		return "primary"
+	}
+	return "replica"
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,245 @@
+// Package host is one entry host: it takes callers' connections, runs their
+// requests on databases under their contracts, and acts together with the
+// other hosts.
+//
+// Lock order: Host.applyMu, then members.mu, then any one of groupRunner.mu,
+// rates.mu, slotQueue.mu, session.mu and registry.mu, which are leaves.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/keys"
+	"github.com/bronzeloft/bronzeloft/customer/rate"
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/settings"
+)
+
+// Options is what a Host is made of.
+type Options struct {
+	Settings *settings.Host
+	Platform platform.API // nil: the configuration comes from peers or Offer
+	Logger   *slog.Logger // slog.Default when nil
+	Now      func() time.Time
+	// CallerTLS and PeerTLS are nil for plain TCP.
+	CallerTLS *tls.Config
+	PeerTLS   *tls.Config
+}
+
+// Host is one running entry host.
+type Host struct {
+	opt     Options
+	set     *settings.Host
+	log     *slog.Logger
+	now     func() time.Time
+	bootID  string
+	ctx     context.Context // ends when the host stops
+	stop    context.CancelFunc
+	metrics *hostMetrics
+
+	view    atomic.Pointer[view]
+	keys    *keys.Table
+	rates   *rates
+	retries *retryBudget
+	members *members
+	mesh    *peer.Mesh
+	callers *registry
+	admin   *adminServer
+	fetcher *contract.Fetcher // nil without a platform
+
+	applyMu sync.Mutex // guards groups and dbs, and serialises apply
+	groups  map[string]*groupRunner
+	dbs     map[string]*databaseState
+
+	callerListener net.Listener
+	peerListener   net.Listener
+	left           atomic.Bool
+	workers        sync.WaitGroup
+}
+
+// view is the configuration in force as requests use it. It is immutable.
+type view struct {
+	snap      *contract.Snapshot
+	services  map[string]*service
+	databases map[string]*databaseState
+}
+
+// service is one published service and its group.
+type service struct {
+	terms *contract.Service
+	group *groupRunner
+}
+
+// New returns a host that does not listen yet.
+func New(opt Options) *Host {
+	if opt.Logger == nil {
+		opt.Logger = slog.Default()
+	}
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
+	h := &Host{
+		opt:     opt,
+		set:     opt.Settings,
+		log:     opt.Logger.With("host", opt.Settings.Host.ID),
+		now:     opt.Now,
+		bootID:  uuid.NewString(),
+		keys:    keys.NewTable(),
+		retries: newRetryBudget(),
+		callers: newRegistry(),
+		groups:  map[string]*groupRunner{},
+		dbs:     map[string]*databaseState{},
+	}
+	if opt.Platform != nil {
+		h.fetcher = contract.NewFetcher(opt.Platform)
+	}
+	h.ctx, h.stop = context.WithCancel(context.Background())
+	h.metrics = newHostMetrics(h)
+	h.view.Store(&view{snap: &contract.Snapshot{}})
+	return h
+}
+
+// Start listens and begins to serve. The host is ready when it has a
+// configuration.
+func (h *Host) Start() error {
+	var err error
+	if h.callerListener, err = net.Listen("tcp", h.set.Callers.Listen); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	if h.peerListener, err = net.Listen("tcp", h.set.Peers.Listen); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	self := h.set.Peers.Advertise
+	if self == "" || self == h.set.Peers.Listen {
+		self = h.peerListener.Addr().String()
+	}
+	h.mesh = peer.New(peer.Config{
+		Self:       self,
+		DataCentre: h.set.Host.DataCentre,
+		BootID:     h.bootID,
+		TLS:        h.opt.PeerTLS,
+		Logger:     h.log,
+		Handler:    h,
+		Metrics:    h.metrics.set,
+		OnPeer:     h.onPeer,
+	})
+	h.members = newMembers(h, self)
+	h.rates = newRates(rate.Config{
+		Self:       self,
+		DataCentre: h.set.Host.DataCentre,
+		BootID:     h.bootID,
+		Started:    h.now(),
+	}, h.now, h.post)
+	if h.admin, err = startAdmin(h); err != nil {
+		return err
+	}
+	h.work(func() { h.mesh.Serve(h.peerListener) })
+	h.work(func() { h.rates.run(h.ctx) })
+	h.work(h.members.run)
+	h.work(h.maintain)
+	if h.opt.Platform != nil {
+		h.work(h.watchConfiguration)
+		h.work(h.watchHosts)
+	}
+	h.work(h.acceptCallers)
+	h.log.Info("Host started.", "part", "host", "callers", h.CallerAddr(), "peers", self, "admin", h.AdminAddr())
+	return nil
+}
+
+// work runs f as one of the host's workers.
+func (h *Host) work(f func()) {
+	h.workers.Add(1)
+	go func() {
+		defer h.workers.Done()
+		f()
+	}()
+}
+
+// CallerAddr returns the address that callers connect to.
+func (h *Host) CallerAddr() string { return h.callerListener.Addr().String() }
+
+// PeerAddr returns the address that other hosts connect to.
+func (h *Host) PeerAddr() string { return h.peerListener.Addr().String() }
+
+// AdminAddr returns the address of the operators' HTTP listener.
+func (h *Host) AdminAddr() string { return h.admin.addr() }
+
+// post sends a message to a peer; a lost one is made good by its sender's
+// protocol.
+func (h *Host) post(to string, env *peerpb.Envelope) {
+	if err := h.mesh.Send(to, env); err != nil {
+		h.metrics.unsent.Inc()
+	}
+}
+
+// ready reports whether the host should get callers: it has a configuration,
+// its standing shares of rates accrue, and it is not leaving.
+func (h *Host) ready() bool {
+	return !h.leaving() && h.view.Load().snap.Version > 0 && h.rates.settled()
+}
+
+// maintain closes connections that were idle for long.
+func (h *Host) maintain() {
+	ticker := time.NewTicker(5 * time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, db := range h.view.Load().databases {
+			db.pool.CloseIdle()
+		}
+	}
+}
+
+// newGroupTable returns the decisions of one group on this host.
+func (h *Host) newGroupTable(name string) *group.Table {
+	timing := group.DefaultTiming()
+	if d := h.set.Databases.ProbeInterval; d > 0 {
+		timing.ProbeInterval = d
+	}
+	if d := h.set.Databases.SuspectAfter; d > 0 {
+		timing.SuspectAfter = d
+	}
+	return group.New(group.Config{
+		Group:      name,
+		Self:       h.members.self,
+		DataCentre: h.set.Host.DataCentre,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Timing:     timing,
+	})
+}
+
+// poolConfig returns the settings of connections to one database.
+func (h *Host) poolConfig(db contract.Database, maxOpen int) database.PoolConfig {
+	return database.PoolConfig{
+		ID:             db.ID,
+		Address:        db.Address,
+		Login:          database.Login{User: h.set.Databases.User, Password: h.set.Databases.Password.Reveal(), Database: "main"},
+		MaxOpen:        maxOpen,
+		ConnectTimeout: h.set.Databases.ConnectTimeout,
+		Now:            h.now,
+	}
+}
+
+// NewControl returns a control connection to a database.
+func (h *Host) NewControl(db contract.Database) *database.Control {
+	return database.NewControl(h.poolConfig(db, 1))
+}
--- /dev/null
+++ b/host/lease.go
@@ -0,0 +1,83 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// drainLimit bounds the wait for a database to finish a statement whose caller
+// is no longer waiting.
+const drainLimit = 10 * time.Second
+
+// databaseState is what a host keeps for one database.
+type databaseState struct {
+	terms contract.Database
+	pool  *database.Pool
+	slots *slotQueue
+}
+
+// lease is the right to use one connection and one slot of a database.
+type lease struct {
+	db   *databaseState
+	conn *database.Conn
+	slot uint64
+}
+
+// acquire waits for a slot in the customer's turn, then for a connection.
+func (h *Host) acquire(ctx context.Context, r *request, id string) (*lease, error) {
+	db := h.view.Load().databases[id]
+	if db == nil {
+		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s left", id)
+	}
+	item := fair.Item{Weight: r.weight(), Urgent: r.terms.Urgent, Deadline: r.deadline}
+	if r.customer != nil {
+		item.Customer = r.customer.ID
+	}
+	slot, err := db.slots.acquire(ctx, item)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := db.pool.Get(ctx)
+	if err != nil {
+		db.slots.release(slot)
+		return nil, connectFailure(err)
+	}
+	return &lease{db: db, conn: conn, slot: slot}, nil
+}
+
+// connectFailure says that nothing was sent for want of a connection.
+func connectFailure(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return errkind.Wrap(errkind.DeadlineNotRun, err, "no connection in time")
+	}
+	return errkind.Wrap(errkind.DatabaseUnavailable, err, "no connection")
+}
+
+// release gives the slot and the connection back. A dirty connection is closed.
+func (l *lease) release(dirty bool) {
+	if dirty {
+		l.conn.MarkBroken()
+	}
+	l.db.pool.Put(l.conn)
+	l.db.slots.release(l.slot)
+}
+
+// abandon gives up a connection that may still be running a statement. Its
+// slot stays taken until the database closed its side or the limit passed.
+func (l *lease) abandon() {
+	go l.stop()
+}
+
+func (l *lease) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	l.conn.Stop(ctx)
+	l.db.pool.Put(l.conn)
+	l.db.slots.release(l.slot)
+}
--- /dev/null
+++ b/host/members.go
@@ -0,0 +1,198 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/datacentre"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// Timing of the work with other hosts.
+const (
+	membersTick   = 100 * time.Millisecond
+	snapshotLimit = 2 * time.Second // for a peer's snapshot
+	reachLimit    = 300 * time.Millisecond
+	// maxAsked bounds the peers that are asked about one database.
+	maxAsked = 6
+)
+
+// members runs the table of other hosts and of the configuration in force.
+type members struct {
+	host    *Host
+	self    string
+	inForce *datacentre.Configuration
+
+	mu    sync.Mutex // guards table and the changing methods of inForce
+	table *datacentre.Table
+}
+
+func newMembers(h *Host, self string) *members {
+	inForce := datacentre.NewConfig(0)
+	return &members{
+		host:    h,
+		self:    self,
+		inForce: inForce,
+		table: datacentre.New(datacentre.Config{
+			Self:       self,
+			DataCentre: h.set.Host.DataCentre,
+			BootID:     h.bootID,
+			Seeds:      h.set.Peers.Seeds,
+			InForce:    inForce,
+		}),
+	}
+}
+
+// run ticks the table until the host stops.
+func (m *members) run() {
+	ticker := time.NewTicker(membersTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.host.ctx.Done():
+			return
+		case <-ticker.C:
+			m.tick()
+		}
+	}
+}
+
+func (m *members) tick() {
+	groups := m.host.groupRunners()
+	for _, g := range groups {
+		if v, ok := g.view(); ok {
+			m.observeGroup(g.name, v)
+		}
+	}
+	m.mu.Lock()
+	now := m.host.now()
+	out := m.table.Tick(now)
+	peers := m.table.Peers(now)
+	ranks := make(map[string]int, len(groups))
+	for _, g := range groups {
+		ranks[g.name] = m.table.Rank(g.name, now)
+	}
+	m.mu.Unlock()
+	m.host.mesh.SetPeers(peers)
+	for _, g := range groups {
+		g.setRank(ranks[g.name])
+	}
+	m.carryOut(out)
+}
+
+// carryOut does what the table asks for. No lock is held.
+func (m *members) carryOut(out datacentre.Output) {
+	for _, s := range out.Send {
+		m.host.post(s.To, s.Env)
+	}
+	for _, v := range out.Groups {
+		m.host.learnGroup(v)
+	}
+	if out.Updated {
+		m.host.apply()
+	}
+	if out.FetchFrom != "" {
+		go m.fetch(out.FetchFrom)
+	}
+}
+
+// fetch asks a peer for its snapshot.
+func (m *members) fetch(from string) {
+	ctx, cancel := context.WithTimeout(m.host.ctx, snapshotLimit)
+	defer cancel()
+	req := &peerpb.Envelope{Body: &peerpb.Envelope_SnapshotRequest{
+		SnapshotRequest: &peerpb.SnapshotRequest{HaveVersion: m.inForce.Version()},
+	}}
+	var snap *contract.Snapshot
+	env, err := m.host.mesh.Request(ctx, from, req)
+	if err == nil && env.GetSnapshotReply() != nil {
+		snap, err = datacentre.DecodeReply(env.GetSnapshotReply())
+	}
+	if err != nil {
+		m.host.log.Warn("Peer's configuration could not be read.", "part", "config", "peer", from, "error", err)
+	}
+	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.HandleSnapshot(from, snap, now) })
+}
+
+// with runs one step of the table and carries out its output.
+func (m *members) with(step func(t *datacentre.Table, now time.Time) datacentre.Output) {
+	m.mu.Lock()
+	out := step(m.table, m.host.now())
+	m.mu.Unlock()
+	m.carryOut(out)
+}
+
+func (m *members) current() *contract.Snapshot { return m.inForce.Current() }
+
+func (m *members) offer(snap *contract.Snapshot, from string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inForce.Offer(snap, from, m.host.now())
+}
+
+func (m *members) confirm(version uint64, asked time.Time) {
+	m.mu.Lock()
+	m.inForce.Confirm(version, asked)
+	m.mu.Unlock()
+}
+
+func (m *members) followRoster(r contract.Roster) {
+	m.mu.Lock()
+	m.table.ObserveRoster(r, m.host.now())
+	m.table.FollowRoster(r.Version)
+	m.mu.Unlock()
+}
+
+func (m *members) observeList(list []platform.HostState) {
+	m.mu.Lock()
+	m.table.ObserveList(list, m.host.now())
+	m.mu.Unlock()
+}
+
+func (m *members) observeGroup(name string, v group.View) {
+	m.mu.Lock()
+	m.table.ObserveGroup(&peerpb.GroupView{Group: name, Term: v.Term, Primary: v.Primary, MarkerIndex: v.Marker})
+	m.mu.Unlock()
+}
+
+func (m *members) isWatcher() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.IsWatcher(m.host.now())
+}
+
+// alone reports whether this host hears no other one.
+func (m *members) alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.table.Live(m.host.now())) <= 1
+}
+
+// heardFrom notes a message of a peer.
+func (m *members) heardFrom(info peer.Info) {
+	m.mu.Lock()
+	m.table.Heard(info.Address, info.DataCentre, info.BootID, m.host.now())
+	m.mu.Unlock()
+}
+
+func (m *members) connected(info peer.Info) {
+	m.mu.Lock()
+	m.table.ObserveHello(info.Address, info.DataCentre, info.BootID, m.host.now())
+	m.mu.Unlock()
+}
+
+func (m *members) leaving(address string) {
+	m.mu.Lock()
+	m.table.Leaving(address)
+	m.mu.Unlock()
+}
+
+// leave announces the end of this host and gives its duties up.
+func (m *members) leave() {
+	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.Leave(now) })
+}
--- /dev/null
+++ b/host/metrics.go
@@ -0,0 +1,49 @@
+package host
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// hostMetrics are the metrics of one host. Labels never hold a key.
+type hostMetrics struct {
+	set          *metrics.Set
+	readRetries  *metrics.Counter
+	writeRetries *metrics.Counter
+	unsent       *metrics.Counter
+}
+
+func newHostMetrics(h *Host) *hostMetrics {
+	set := metrics.NewSet()
+	m := &hostMetrics{
+		set:          set,
+		readRetries:  set.NewCounter("bronzeloft_read_retries_total"),
+		writeRetries: set.NewCounter("bronzeloft_write_retries_total"),
+		unsent:       set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+	}
+	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(h.callers.count()) })
+	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(h.view.Load().snap.Version) })
+	return m
+}
+
+// refused counts a refusal by kind.
+func (m *hostMetrics) refused(k errkind.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_refused_total{kind=%q}`, k)).Inc()
+}
+
+// served counts a read by the role of the database that served it.
+func (m *hostMetrics) served(service, role string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_reads_total{service=%q,role=%q}`, service, role)).Inc()
+}
+
+// observe records the time of one answered request.
+func (m *hostMetrics) observe(service, access string, took time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`bronzeloft_request_seconds{service=%q,access=%q}`, service, access)).Update(took.Seconds())
+}
+
+func (m *hostMetrics) write(w io.Writer) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/host/peers.go
@@ -0,0 +1,135 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/datacentre"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// HandlePeer handles one message of another host.
+func (h *Host) HandlePeer(from peer.Info, env *peerpb.Envelope) *peerpb.Envelope {
+	h.members.heardFrom(from)
+	switch body := env.Body.(type) {
+	case *peerpb.Envelope_Digest:
+		h.members.with(func(t *datacentre.Table, now time.Time) datacentre.Output {
+			return t.HandleDigest(from.Address, body.Digest, now)
+		})
+	case *peerpb.Envelope_SnapshotRequest:
+		return h.snapshotReply(body.SnapshotRequest)
+	case *peerpb.Envelope_TokenRequest, *peerpb.Envelope_TokenGrant, *peerpb.Envelope_RosterAck:
+		h.rates.handle(from.Address, env)
+	case *peerpb.Envelope_ReachabilityRequest:
+		return h.reachabilityReply(body.ReachabilityRequest)
+	case *peerpb.Envelope_GroupView:
+		h.learnGroup(body.GroupView)
+	case *peerpb.Envelope_Leaving:
+		h.members.leaving(from.Address)
+	}
+	return nil
+}
+
+// onPeer is told of each connection to another host.
+func (h *Host) onPeer(info peer.Info, connected bool) {
+	if connected {
+		h.members.connected(info)
+	}
+}
+
+func (h *Host) snapshotReply(req *peerpb.SnapshotRequest) *peerpb.Envelope {
+	reply, err := h.members.inForce.Reply(req)
+	if err != nil {
+		h.log.Error("Snapshot could not be encoded.", "part", "config", "error", err)
+		return nil
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_SnapshotReply{SnapshotReply: reply}}
+}
+
+func (h *Host) reachabilityReply(req *peerpb.ReachabilityRequest) *peerpb.Envelope {
+	reply := &peerpb.ReachabilityReply{Group: req.Group, Database: req.Database}
+	if g := h.group(req.Group); g != nil {
+		reachable, silent := g.heard(req.Database)
+		reply.Reachable = reachable
+		reply.SilentMs = uint64(silent.Milliseconds())
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ReachabilityReply{ReachabilityReply: reply}}
+}
+
+// AskPeers asks some connected hosts, other data centres among them, whether
+// they hear a database.
+func (h *Host) AskPeers(groupName, databaseID string, reply func(string, bool, time.Duration)) {
+	for _, address := range h.peersToAsk() {
+		go h.askPeer(address, groupName, databaseID, reply)
+	}
+}
+
+func (h *Host) askPeer(address, groupName, databaseID string, reply func(string, bool, time.Duration)) {
+	ctx, cancel := context.WithTimeout(h.ctx, reachLimit)
+	defer cancel()
+	env, err := h.mesh.Request(ctx, address, &peerpb.Envelope{Body: &peerpb.Envelope_ReachabilityRequest{
+		ReachabilityRequest: &peerpb.ReachabilityRequest{Group: groupName, Database: databaseID},
+	}})
+	if err != nil {
+		return
+	}
+	if r := env.GetReachabilityReply(); r != nil {
+		reply(address, r.Reachable, time.Duration(r.SilentMs)*time.Millisecond)
+	}
+}
+
+// peersToAsk returns up to maxAsked peers, taking data centres in turn.
+func (h *Host) peersToAsk() []string {
+	byCentre := map[string][]string{}
+	var centres []string
+	for _, p := range h.mesh.Peers() {
+		if byCentre[p.DataCentre] == nil {
+			centres = append(centres, p.DataCentre)
+		}
+		byCentre[p.DataCentre] = append(byCentre[p.DataCentre], p.Address)
+	}
+	var asked []string
+	for round := 0; len(asked) < maxAsked; round++ {
+		before := len(asked)
+		for _, c := range centres {
+			if round < len(byCentre[c]) && len(asked) < maxAsked {
+				asked = append(asked, byCentre[c][round])
+			}
+		}
+		if len(asked) == before {
+			break
+		}
+	}
+	return asked
+}
+
+// learnGroup passes a hint about a group's primary to its table.
+func (h *Host) learnGroup(v *peerpb.GroupView) {
+	if g := h.group(v.Group); g != nil {
+		g.learn(group.View{Term: v.Term, Primary: v.Primary, Marker: v.MarkerIndex})
+	}
+}
+
+func (h *Host) group(name string) *groupRunner {
+	for _, svc := range h.view.Load().services {
+		if svc.group.name == name {
+			return svc.group
+		}
+	}
+	return nil
+}
+
+// groupRunners returns the groups of the configuration in force, each once.
+func (h *Host) groupRunners() []*groupRunner {
+	seen := map[string]bool{}
+	var all []*groupRunner
+	for _, svc := range h.view.Load().services {
+		if !seen[svc.group.name] {
+			seen[svc.group.name] = true
+			all = append(all, svc.group)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/host/read.go
@@ -0,0 +1,112 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// read runs a read on any database that has reached the read's floor. A read
+// may be tried again as long as nothing of an answer went to the caller.
+func (s *session) read(ctx context.Context, r *request) error {
+	var last error
+	var wait backoff
+	for {
+		floor, sampled, err := s.readFloor(ctx, r)
+		if err != nil {
+			return err
+		}
+		for _, id := range r.service.group.readers(floor) {
+			last = s.readOn(ctx, r, id, floor, sampled)
+			if last == nil || !retryRead(last) {
+				return last
+			}
+			s.host.metrics.readRetries.Inc()
+		}
+		if !wait.pause(ctx) {
+			return readFailure(last)
+		}
+	}
+}
+
+// retryRead reports whether another database may serve the read.
+func retryRead(err error) bool {
+	if errors.Is(err, errCaller) || errors.Is(err, errStarted) {
+		return false
+	}
+	switch errkind.Of(err) {
+	case errkind.OverRate, errkind.Protocol, errkind.TooLarge, errkind.Leaving:
+		return false
+	}
+	return true
+}
+
+// readFailure is the answer to a read that no database served in time. A read
+// changes nothing, so it counts as not run.
+func readFailure(last error) error {
+	var known *errkind.Error
+	if errors.As(last, &known) && known.Kind.Answer().Outcome == errkind.NotRun {
+		return known
+	}
+	return errkind.Wrap(errkind.DatabaseUnavailable, last, "no database served the read in time")
+}
+
+// errStarted reports an answer that broke after its first part went out.
+var errStarted = errors.New("host: answer broke after it had begun")
+
+// readOn runs the read on one database.
+func (s *session) readOn(ctx context.Context, r *request, id string, floor position.Position, sampled time.Time) error {
+	lease, err := s.host.acquire(ctx, r, id)
+	if err != nil {
+		return err
+	}
+	check := func() error {
+		if lease.conn.Position().Before(floor) {
+			return errBehind
+		}
+		if !sampled.IsZero() && s.host.now().Sub(sampled) > r.terms.MaxAge {
+			return errBehind
+		}
+		return nil
+	}
+	rep, _, err := s.exchange(lease.conn, r, check)
+	if err != nil {
+		lease.abandon()
+		if rep != nil && rep.started {
+			return errors.Join(errCaller, errStarted, err)
+		}
+		return err
+	}
+	if !rep.started {
+		if err := check(); err != nil {
+			lease.release(r.dirty)
+			return err
+		}
+	}
+	if rep.status != 'I' {
+		lease.abandon()
+		return errkind.New(errkind.Protocol, "a read may not open a transaction")
+	}
+	lease.release(r.dirty)
+	s.host.metrics.served(r.service.terms.Name, r.service.group.role(id))
+	return s.finish(rep.buf, 'I')
+}
+
+// describe runs a batch that executes nothing on any database.
+func (s *session) describe(ctx context.Context, r *request) error {
+	var last error
+	var wait backoff
+	for {
+		for _, id := range r.service.group.readers(position.Position{}) {
+			if last = s.readOn(ctx, r, id, position.Position{}, time.Time{}); last == nil || !retryRead(last) {
+				return last
+			}
+		}
+		if !wait.pause(ctx) {
+			return readFailure(last)
+		}
+	}
+}
--- /dev/null
+++ b/host/session.go
@@ -0,0 +1,188 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/caller"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Timing of callers' sessions.
+const (
+	// idleInTransaction is how long a transaction may wait for its caller.
+	idleInTransaction = 60 * time.Second
+	// idleBeforeLeaving is how long a session must be idle before a leaving
+	// host ends it during the first half of its grace.
+	idleBeforeLeaving = 500 * time.Millisecond
+)
+
+// errCaller marks an error of the caller's own connection: nobody is left to
+// be told.
+var errCaller = errors.New("host: caller's connection failed")
+
+// session is one caller's connection. Its fields are used by the session's
+// goroutine, but for those guarded by mu.
+type session struct {
+	host     *Host
+	conn     *caller.Conn
+	customer string // empty for a caller with no key
+	keyID    string
+	service  string
+	token    position.Token
+	hasToken bool // the caller hands tokens back
+	stmts    statements
+	tx       *transaction // pinned connection, nil outside a transaction
+	busy     atomic.Bool
+
+	mu        sync.Mutex // guards running and idleSince
+	running   *database.Conn
+	idleSince time.Time
+}
+
+// run serves requests until the caller or the host ends the session.
+func (s *session) run() {
+	defer s.end()
+	for {
+		s.markIdle()
+		b, err := s.receive()
+		s.busy.Store(true)
+		if err == nil {
+			err = s.serve(b)
+		}
+		if err == nil {
+			continue
+		}
+		if s.answer(err) != nil {
+			return
+		}
+	}
+}
+
+func (s *session) markIdle() {
+	s.mu.Lock()
+	s.idleSince = s.host.now()
+	s.mu.Unlock()
+	s.busy.Store(false)
+}
+
+func (s *session) receive() (*caller.Batch, error) {
+	for {
+		if s.tx != nil {
+			s.conn.SetReadDeadline(s.host.now().Add(idleInTransaction))
+		}
+		b, err := s.conn.Receive()
+		var ne net.Error
+		if err == nil || !errors.As(err, &ne) || !ne.Timeout() {
+			return b, err
+		}
+		if s.tx != nil {
+			return nil, errkind.New(errkind.DeadlineNotRun, "transaction idle for over %s", idleInTransaction)
+		}
+		if s.host.leaving() {
+			return nil, errkind.New(errkind.Leaving, "")
+		}
+		s.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// answer tells the caller of a refusal. It returns an error when the session
+// must end.
+func (s *session) answer(err error) error {
+	var known *errkind.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, errCaller) || !errors.As(err, &known) {
+		return errCaller
+	}
+	if known.Kind == errkind.DeadlineNotRun && s.tx != nil {
+		s.dropTransaction()
+	}
+	s.host.metrics.refused(known.Kind)
+	if s.conn.Refuse(known, s.txStatus()) != nil || known.Kind.Answer().Fatal {
+		return errCaller
+	}
+	return nil
+}
+
+func (s *session) txStatus() byte {
+	if s.tx == nil {
+		return 'I'
+	}
+	return s.tx.conn.TxStatus()
+}
+
+func (s *session) end() {
+	s.dropTransaction()
+	s.conn.Close()
+}
+
+// setRunning names the connection that a cancel request would reach.
+func (s *session) setRunning(c *database.Conn) {
+	s.mu.Lock()
+	s.running = c
+	s.mu.Unlock()
+}
+
+// cancel stops the statement that runs for the session, if any.
+func (s *session) cancel(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		return
+	}
+	if err := s.running.Cancel(ctx); err != nil {
+		s.host.log.Warn("Cancel did not reach the database.", "part", "session", "error", err)
+	}
+}
+
+// expire wakes an idle session of a leaving host so that it ends.
+func (s *session) expire(now time.Time, force bool) {
+	s.mu.Lock()
+	idle := now.Sub(s.idleSince)
+	s.mu.Unlock()
+	if s.busy.Load() || (!force && idle < idleBeforeLeaving) {
+		return
+	}
+	s.conn.SetReadDeadline(now)
+}
+
+// finish sends the rest of an answer with the session's token, and the status
+// that ends it.
+func (s *session) finish(rest []byte, status byte) error {
+	var err error
+	if token := s.token.Encode(); token != "" {
+		rest, err = (&pgproto3.ParameterStatus{Name: caller.TokenParameter, Value: token}).Encode(rest)
+		if err != nil {
+			return err
+		}
+	}
+	rest, err = (&pgproto3.ReadyForQuery{TxStatus: status}).Encode(rest)
+	if err != nil {
+		return err
+	}
+	return s.write(rest)
+}
+
+func (s *session) write(buf []byte) error {
+	if err := s.conn.Write(buf); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// answerEmpty answers a request that holds no statement.
+func (s *session) answerEmpty(r *request) error {
+	var buf []byte
+	if r.batch.Simple {
+		buf, _ = (&pgproto3.EmptyQueryResponse{}).Encode(buf)
+	}
+	return s.finish(buf, 'I')
+}
--- /dev/null
+++ b/host/transaction.go
@@ -0,0 +1,133 @@
+package host
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// transaction pins one connection to a session from BEGIN to its end.
+type transaction struct {
+	lease *lease
+	conn  *database.Conn
+	term  uint64
+	dirty bool
+}
+
+// beginTransaction pins the connection on which a request opened a transaction.
+func (s *session) beginTransaction(ctx context.Context, r *request, rep *reply, l *lease, term uint64) error {
+	if err := s.confirmTerm(ctx, r, term); err != nil {
+		l.abandon()
+		return startedFailure(rep, errkind.New(errkind.PrimaryReplaced, "term %d is not confirmed", term))
+	}
+	s.tx = &transaction{lease: l, conn: l.conn, term: term, dirty: r.dirty}
+	return s.finish(rep.buf, rep.status)
+}
+
+// runInTransaction runs a request on the pinned connection. What it reads is
+// confirmed to be of the current term; its end is acknowledged as a write is.
+func (s *session) runInTransaction(ctx context.Context, r *request) error {
+	tx := s.tx
+	tx.dirty = tx.dirty || r.dirty
+	if r.executes && !endsTransaction(r) {
+		if err := s.admit(ctx, r); err != nil {
+			return err
+		}
+	}
+	r.service.group.startConfirm()
+	rep, sent, err := s.exchange(tx.conn, r, nil)
+	if err != nil {
+		if known := errkind.Of(err); known == errkind.Protocol || known == errkind.TooLarge {
+			return err
+		}
+		return s.failTransaction(r, rep, sent, err)
+	}
+	if rep.status != 'I' {
+		if err := s.confirmTerm(ctx, r, tx.term); err != nil {
+			s.dropTransaction()
+			return startedFailure(rep, errkind.New(errkind.PrimaryReplaced, "transaction was rolled back: term %d is not confirmed", tx.term))
+		}
+		return s.finish(rep.buf, rep.status)
+	}
+	s.tx = nil
+	err = s.settleEnd(ctx, r, rep, tx)
+	tx.lease.release(tx.dirty)
+	if err != nil {
+		return startedFailure(rep, err)
+	}
+	return s.finish(rep.buf, 'I')
+}
+
+// settleEnd acknowledges the end of a transaction. A rollback needs no
+// majority.
+func (s *session) settleEnd(ctx context.Context, r *request, rep *reply, tx *transaction) error {
+	if rep.tag == "ROLLBACK" || rep.failed != "" && rep.tag == "" {
+		return nil
+	}
+	return s.settle(ctx, r, tx.lease, tx.term)
+}
+
+// failTransaction ends a transaction whose connection failed. Before COMMIT
+// was sent the database rolls back; after, the outcome is unknown.
+func (s *session) failTransaction(r *request, rep *reply, sent bool, err error) error {
+	s.dropTransaction()
+	if sent && mayCommit(r) {
+		return writeFailure(rep, sent, err)
+	}
+	return startedFailure(rep, errkind.Wrap(errkind.PrimaryReplaced, err, "transaction was rolled back"))
+}
+
+// dropTransaction closes the pinned connection: the database rolls back.
+func (s *session) dropTransaction() {
+	if s.tx == nil {
+		return
+	}
+	s.tx.lease.abandon()
+	s.tx = nil
+}
+
+// endsTransaction reports whether the request only ends the transaction.
+func endsTransaction(r *request) bool {
+	if len(r.words) != 1 {
+		return false
+	}
+	st := r.words[0]
+	return st.Is("COMMIT") || st.Is("END") || st.Is("ROLLBACK") || st.Is("ABORT")
+}
+
+// mayCommit reports whether the request could commit the transaction.
+func mayCommit(r *request) bool {
+	for _, msg := range r.batch.Messages {
+		switch msg.(type) {
+		case *pgproto3.Query, *pgproto3.Execute:
+			if holdsCommit(r) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// holdsCommit reports whether any statement commits. Only the first statement
+// of an extended batch is known, so a longer batch counts as one.
+func holdsCommit(r *request) bool {
+	for _, st := range r.words {
+		if st.Is("COMMIT") || st.Is("END") || st.Is("PREPARE") {
+			return true
+		}
+	}
+	return !r.batch.Simple && executes(r.batch.Messages) > 1
+}
+
+func executes(msgs []pgproto3.FrontendMessage) int {
+	n := 0
+	for _, m := range msgs {
+		if _, ok := m.(*pgproto3.Execute); ok {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/loopback/site.go
@@ -0,0 +1,188 @@
+// Package loopback runs a whole site in one process on the loopback interface:
+// a stand-in platform, stand-in databases and entry hosts, for trials and for
+// tests of hosts together.
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/host"
+	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
+	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/settings"
+)
+
+// databasePassword is what hosts present to the stand-in databases.
+const databasePassword = "database-login"
+
+// Config says what a Site holds.
+type Config struct {
+	Snapshot *contract.Snapshot // addresses and roster are filled in by Start
+	Hosts    int                // entry hosts, spread over the data centres
+	// Platform is the API that hosts use; nil gives the snapshot to the first
+	// host by hand.
+	Platform platform.API
+	// Database is called for each database's settings before it starts.
+	Database func(id string, cfg *dbserver.Config)
+	Settings func(i int, set *settings.Host)
+	Logger   *slog.Logger
+}
+
+// Site is a running site.
+type Site struct {
+	Config    Config
+	Snapshot  *contract.Snapshot
+	Hosts     []*host.Host
+	Databases map[string]*dbserver.Server
+}
+
+// Start starts databases and hosts and puts the snapshot in force.
+func Start(cfg Config) (*Site, error) {
+	s := &Site{Config: cfg, Snapshot: cfg.Snapshot, Databases: map[string]*dbserver.Server{}}
+	if err := s.startDatabases(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := s.startHosts(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.Snapshot.Roster = s.roster()
+	return s, nil
+}
+
+// startDatabases starts each group with its first database as the primary.
+func (s *Site) startDatabases() error {
+	for i := range s.Snapshot.Services {
+		svc := &s.Snapshot.Services[i]
+		primary := ""
+		for j := range svc.Databases {
+			db := &svc.Databases[j]
+			if old := s.Databases[db.ID]; old != nil {
+				db.Address = old.Addr()
+				continue
+			}
+			cfg := dbserver.Config{
+				ID:         db.ID,
+				Password:   databasePassword,
+				MaxConns:   svc.MaxConns,
+				Slots:      svc.Slots,
+				Primary:    j == 0,
+				FollowAddr: primary,
+			}
+			if s.Config.Database != nil {
+				s.Config.Database(db.ID, &cfg)
+			}
+			srv, err := dbserver.Start(cfg)
+			if err != nil {
+				return eris.Wrapf(err, "start database %s", db.ID)
+			}
+			s.Databases[db.ID] = srv
+			db.Address = srv.Addr()
+			if j == 0 {
+				primary = db.Address
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Site) startHosts() error {
+	for range s.Config.Hosts {
+		if _, err := s.AddHost(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddHost starts one more host, in the next data centre in turn.
+func (s *Site) AddHost() (*host.Host, error) {
+	i := len(s.Hosts)
+	centres := s.dataCentres()
+	set := &settings.Host{
+		Host:      settings.Identity{ID: fmt.Sprintf("host-%d", i+1), DataCentre: centres[i%len(centres)]},
+		Callers:   settings.Callers{Listen: "127.0.0.1:0", MaxConnections: 10_000, StartupTimeout: 5 * time.Second},
+		Peers:     settings.Peers{Listen: "127.0.0.1:0"},
+		Databases: settings.Databases{User: "bronzeloft", Password: databasePassword, ConnectTimeout: time.Second},
+		Admin:     settings.Admin{Listen: "127.0.0.1:0"},
+		Shutdown:  settings.Shutdown{Grace: 5 * time.Second},
+	}
+	for _, h := range s.Hosts {
+		set.Peers.Seeds = append(set.Peers.Seeds, h.PeerAddr())
+	}
+	if s.Config.Settings != nil {
+		s.Config.Settings(i, set)
+	}
+	h := host.New(host.Options{Settings: set, Platform: s.Config.Platform, Logger: s.Config.Logger})
+	if err := h.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start host %d", i+1)
+	}
+	s.Hosts = append(s.Hosts, h)
+	return h, nil
+}
+
+func (s *Site) dataCentres() []string {
+	seen := map[string]bool{}
+	var all []string
+	for _, svc := range s.Snapshot.Services {
+		for _, db := range svc.Databases {
+			if !seen[db.DataCentre] {
+				seen[db.DataCentre] = true
+				all = append(all, db.DataCentre)
+			}
+		}
+	}
+	return all
+}
+
+func (s *Site) roster() contract.Roster {
+	r := contract.Roster{Version: s.Snapshot.Roster.Version + 1}
+	for _, h := range s.Hosts {
+		r.Hosts = append(r.Hosts, contract.RosterHost{Address: h.PeerAddr(), DataCentre: h.Status().DataCentre})
+	}
+	return r
+}
+
+// WaitReady waits until every host runs by at least the given version and
+// knows a primary of every group.
+func (s *Site) WaitReady(ctx context.Context, version uint64) error {
+	for _, h := range s.Hosts {
+		for !ready(h.Status(), version) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("host %s is not ready", h.Status().Host)
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(st host.Status, version uint64) bool {
+	if !st.Ready || st.ConfigVersion < version {
+		return false
+	}
+	for _, g := range st.Groups {
+		if !g.Established {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops everything.
+func (s *Site) Close() {
+	for _, h := range s.Hosts {
+		h.Close()
+	}
+	for _, db := range s.Databases {
+		db.Close()
+	}
+}
--- /dev/null
+++ b/link/caller/conn.go
@@ -0,0 +1,272 @@
+// Package caller is the link to a caller: the server side of PostgreSQL's wire
+// protocol, up to whole requests. It decides nothing.
+package caller
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// Names that callers use.
+const (
+	TokenParameter = "bronzeloft.token" // startup option, and ParameterStatus after a write
+)
+
+// maxStartupTries bounds the encryption requests before the startup message.
+const maxStartupTries = 3
+
+// writeTimeout is how long a caller may leave an answer unread.
+const writeTimeout = 30 * time.Second
+
+// Startup is what a caller said first. Cancel is set when it only asked to
+// cancel a statement.
+type Startup struct {
+	User     string
+	Database string
+	Token    string // empty and HasToken false when the caller handed none
+	HasToken bool
+	Cancel   *pgproto3.CancelRequest
+}
+
+// Conn is a caller's connection. Reads and writes are each used by one
+// goroutine at a time.
+type Conn struct {
+	net     net.Conn
+	backend *pgproto3.Backend
+	out     []byte
+}
+
+// Accept reads the startup, over TLS when config is set. A caller that does
+// not ask for TLS is then refused.
+func Accept(nc net.Conn, config *tls.Config, timeout time.Duration) (*Conn, Startup, error) {
+	nc.SetDeadline(time.Now().Add(timeout))
+	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	secure := false
+	for range maxStartupTries {
+		msg, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return c, Startup{}, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if err := c.upgrade(config); err != nil {
+				return c, Startup{}, err
+			}
+			secure = config != nil
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{'N'}); err != nil {
+				return c, Startup{}, err
+			}
+		case *pgproto3.CancelRequest:
+			return c, Startup{Cancel: m}, nil
+		case *pgproto3.StartupMessage:
+			if config != nil && !secure {
+				return c, Startup{}, errkind.New(errkind.BadKey, "TLS is required")
+			}
+			return c, readStartup(m), nil
+		}
+	}
+	return c, Startup{}, errkind.New(errkind.Protocol, "no startup message")
+}
+
+func (c *Conn) upgrade(config *tls.Config) error {
+	if config == nil {
+		_, err := c.net.Write([]byte{'N'})
+		return err
+	}
+	if _, err := c.net.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	tc := tls.Server(c.net, config)
+	if err := tc.Handshake(); err != nil {
+		return eris.Wrap(err, "TLS handshake")
+	}
+	c.net = tc
+	c.backend = pgproto3.NewBackend(tc, tc)
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	return nil
+}
+
+func readStartup(m *pgproto3.StartupMessage) Startup {
+	s := Startup{User: m.Parameters["user"], Database: m.Parameters["database"]}
+	if s.Database == "" {
+		s.Database = s.User
+	}
+	s.Token, s.HasToken = m.Parameters[TokenParameter]
+	if !s.HasToken {
+		s.Token, s.HasToken = tokenOption(m.Parameters["options"])
+	}
+	return s
+}
+
+// tokenOption finds "-c bronzeloft.token=..." in the options parameter.
+func tokenOption(options string) (string, bool) {
+	for _, word := range strings.Fields(options) {
+		word = strings.TrimPrefix(strings.TrimPrefix(word, "-c"), "--")
+		if value, ok := strings.CutPrefix(word, TokenParameter+"="); ok {
+			return value, true
+		}
+	}
+	return "", false
+}
+
+// AskKey asks for the caller's key as a password.
+func (c *Conn) AskKey() (string, error) {
+	if err := c.Send(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
+		return "", err
+	}
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return "", err
+	}
+	msg, err := c.backend.Receive()
+	if err != nil {
+		return "", err
+	}
+	m, ok := msg.(*pgproto3.PasswordMessage)
+	if !ok {
+		return "", errkind.New(errkind.Protocol, "%T instead of a password", msg)
+	}
+	return m.Password, nil
+}
+
+// Welcome ends the startup: the caller may now send requests.
+func (c *Conn) Welcome(pid uint32, secret []byte, token string) error {
+	msgs := []pgproto3.BackendMessage{
+		&pgproto3.AuthenticationOk{},
+		&pgproto3.ParameterStatus{Name: "server_version", Value: "15.0 (bronzeloft)"},
+		&pgproto3.ParameterStatus{Name: "server_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "DateStyle", Value: "ISO, MDY"},
+		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
+		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
+		&pgproto3.ParameterStatus{Name: TokenParameter, Value: token},
+		&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: secret},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	}
+	err := c.Send(msgs...)
+	c.net.SetDeadline(time.Time{})
+	return err
+}
+
+// Receive returns the caller's next request. The error is io.EOF when the
+// caller ended the connection, and an *errkind.Error when it must be told.
+// After a *errkind.Error in an extended batch the rest up to Sync is skipped.
+func (c *Conn) Receive() (*Batch, error) {
+	b := &Batch{}
+	var bad error
+	for {
+		msg, err := c.backend.Receive()
+		if err != nil {
+			return nil, receiveError(err)
+		}
+		switch m := msg.(type) {
+		case *pgproto3.Terminate:
+			return nil, io.EOF
+		case *pgproto3.Query:
+			if len(b.Messages) > 0 {
+				return nil, errkind.New(errkind.Protocol, "query inside an extended batch")
+			}
+			b.Simple = true
+			b.SQL = m.String
+			b.Messages = []pgproto3.FrontendMessage{&pgproto3.Query{String: m.String}}
+			return b, nil
+		case *pgproto3.Sync:
+			if bad != nil {
+				return nil, bad
+			}
+			return b, b.add(m)
+		default:
+			if bad == nil {
+				bad = b.add(msg)
+			}
+		}
+	}
+}
+
+func receiveError(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return io.EOF
+	}
+	var ne net.Error
+	if errors.As(err, &ne) {
+		return err
+	}
+	var large *pgproto3.ExceededMaxBodyLenErr
+	if errors.As(err, &large) {
+		return &errkind.Error{Kind: errkind.TooLarge, Detail: "message", Err: err}
+	}
+	return errkind.Wrap(errkind.Protocol, err, "")
+}
+
+// Send encodes and writes the messages.
+func (c *Conn) Send(msgs ...pgproto3.BackendMessage) error {
+	var err error
+	buf := c.out[:0]
+	for _, m := range msgs {
+		if buf, err = m.Encode(buf); err != nil {
+			return eris.Wrap(err, "encode")
+		}
+	}
+	return c.Write(buf)
+}
+
+// Write writes messages that are already encoded.
+func (c *Conn) Write(buf []byte) error {
+	c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.net.Write(buf)
+	return err
+}
+
+// Refuse tells the caller of err by its kind, and that it may go on with the
+// given transaction status unless the kind is fatal.
+func (c *Conn) Refuse(err error, txStatus byte) error {
+	msgs := []pgproto3.BackendMessage{ErrorMessage(err)}
+	if !errkind.Of(err).Answer().Fatal {
+		msgs = append(msgs, &pgproto3.ReadyForQuery{TxStatus: txStatus})
+	}
+	return c.Send(msgs...)
+}
+
+// ErrorMessage is the wire form of err. Its Detail states the outcome; the
+// cause is left out, it is for logs.
+func ErrorMessage(err error) *pgproto3.ErrorResponse {
+	kind := errkind.Of(err)
+	a := kind.Answer()
+	severity := "ERROR"
+	if a.Fatal {
+		severity = "FATAL"
+	}
+	detail := a.Outcome.String()
+	var e *errkind.Error
+	if errors.As(err, &e) && e.Detail != "" {
+		detail += "; " + e.Detail
+	}
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                a.SQLState,
+		Message:             "bronzeloft: " + a.Message,
+		Detail:              detail,
+		Hint:                a.Hint,
+		ConstraintName:      a.Name,
+	}
+}
+
+// SetReadDeadline bounds the wait for the next request.
+func (c *Conn) SetReadDeadline(t time.Time) { c.net.SetReadDeadline(t) }
+
+// RemoteAddr returns the caller's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.net.RemoteAddr() }
+
+// Close ends the connection.
+func (c *Conn) Close() { c.net.Close() }
