Add a stand-in of one database server

Tests and trials need a server of a database group that speaks PostgreSQL's wire protocol, has terms and log positions, and can be disturbed on purpose. A driver double was ruled out: it would leave out the wire, where connections go silent and answers are lost.

--- /dev/null
+++ b/internal/standin/dbserver/transaction.go
@@ -0,0 +1,224 @@
+package dbserver
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// control handles statements that begin, end or divide a transaction.
+func (c *session) control(verb, sql string) (handled bool, err error) {
+	w := words(sql, 3)
+	switch verb {
+	case "BEGIN", "START":
+		return true, c.beginBlock(sql)
+	case "COMMIT", "END":
+		return true, c.endBlock(true)
+	case "ABORT":
+		return true, c.endBlock(false)
+	case "ROLLBACK":
+		if len(w) > 1 && slices.Contains(w, "TO") {
+			return true, c.rollbackTo(lastWord(sql))
+		}
+		return true, c.endBlock(false)
+	case "SAVEPOINT":
+		return true, c.savepoint(lastWord(sql))
+	case "RELEASE":
+		return true, c.releaseSavepoint(lastWord(sql))
+	default:
+		return false, nil
+	}
+}
+
+func lastWord(sql string) string {
+	fields := strings.Fields(sql)
+	return strings.ToLower(strings.Trim(fields[len(fields)-1], `"`))
+}
+
+func (c *session) beginBlock(sql string) error {
+	if c.status == statusFailed {
+		return newError(codeFailedTx, "current transaction is aborted, commands ignored until end of transaction block")
+	}
+	c.status = statusActive
+	c.readOnly = strings.Contains(strings.ToUpper(sql), "READ ONLY")
+	if c.tx != nil {
+		c.tx.explicit = true
+	}
+	c.complete("BEGIN")
+	return nil
+}
+
+// endBlock ends the transaction block by COMMIT or ROLLBACK.
+func (c *session) endBlock(commit bool) error {
+	failed := c.status == statusFailed
+	c.status, c.readOnly = statusIdle, false
+	if failed || !commit {
+		c.rollback()
+		c.complete("ROLLBACK")
+		return nil
+	}
+	if err := c.commit(); err != nil {
+		return err
+	}
+	c.complete("COMMIT")
+	return nil
+}
+
+// begin opens the transaction of the first statement of a block, or of a
+// statement outside one.
+func (c *session) begin(ctx context.Context) error {
+	if c.tx != nil {
+		return nil
+	}
+	e := c.server.engine
+	if err := e.lock(ctx, c.server.cfg.LockTimeout); err != nil {
+		return err
+	}
+	tx := &transaction{explicit: c.status == statusActive, readOnly: c.readOnly}
+	if err := e.begin(tx); err != nil {
+		return err
+	}
+	c.tx = tx
+	return nil
+}
+
+// commit ends the open transaction and tells the client the position of its
+// log entry. It fails, with everything rolled back, when the server no longer
+// is the primary that the transaction wrote to.
+func (c *session) commit() error {
+	tx := c.tx
+	if tx == nil {
+		return nil
+	}
+	c.tx = nil
+	var p position.Position
+	err := c.server.engine.end(tx, func() error {
+		if tx.term == 0 {
+			return nil
+		}
+		var err error
+		p, err = c.server.commitEntry(c.ctx, tx)
+		return err
+	})
+	if err != nil || tx.term == 0 {
+		return err
+	}
+	held := c.pending
+	c.pending = nil
+	c.tell(p)
+	c.pending = held
+	return nil
+}
+
+// commitEntry commits in the database and in the log as one step.
+func (s *Server) commitEntry(ctx context.Context, tx *transaction) (position.Position, error) {
+	var p position.Position
+	var failure error
+	err := s.update(ctx, func(st *state) {
+		if !st.leads(tx.term) {
+			failure = newError(codeReadOnly, "server is not the primary of term %d any more; rolled back", tx.term)
+			return
+		}
+		if failure = s.engine.exec("COMMIT"); failure == nil {
+			p, _ = st.commit(tx.term, tx.statements, now())
+		}
+	})
+	if err != nil {
+		return p, fatalError(codeShutdown, "server is shutting down")
+	}
+	return p, failure
+}
+
+// rollback ends the open transaction without effect.
+func (c *session) rollback() {
+	if c.tx == nil {
+		return
+	}
+	_ = c.server.engine.end(c.tx, func() error { return nil })
+	c.tx = nil
+}
+
+// failTransaction handles an error: outside a block the transaction ends; in a
+// block it is failed, and its lock is given up unless a savepoint can revive it.
+func (c *session) failTransaction() {
+	if c.status == statusIdle {
+		c.rollback()
+		return
+	}
+	c.status = statusFailed
+	if c.tx != nil && len(c.tx.savepoints) == 0 {
+		c.rollback()
+	}
+}
+
+func (c *session) savepoint(name string) error {
+	if c.status != statusActive {
+		return newError(codeNoTx, "SAVEPOINT can only be used in transaction blocks")
+	}
+	if err := c.begin(c.ctx); err != nil {
+		return err
+	}
+	if err := c.mark("SAVEPOINT " + quoteName(name)); err != nil {
+		return err
+	}
+	c.tx.savepoints = append(c.tx.savepoints, savepoint{name: name, statements: len(c.tx.statements)})
+	c.complete("SAVEPOINT")
+	return nil
+}
+
+func (c *session) rollbackTo(name string) error {
+	i := c.findSavepoint(name)
+	if i < 0 {
+		return newError("3B001", "savepoint %q does not exist", name)
+	}
+	if err := c.mark("ROLLBACK TO " + quoteName(name)); err != nil {
+		return err
+	}
+	c.tx.statements = c.tx.statements[:c.tx.savepoints[i].statements]
+	c.tx.savepoints = c.tx.savepoints[:i+1]
+	c.status = statusActive
+	c.complete("ROLLBACK")
+	return nil
+}
+
+func (c *session) releaseSavepoint(name string) error {
+	i := c.findSavepoint(name)
+	if i < 0 || c.status == statusFailed {
+		return newError("3B001", "savepoint %q does not exist", name)
+	}
+	if err := c.mark("RELEASE " + quoteName(name)); err != nil {
+		return err
+	}
+	c.tx.savepoints = c.tx.savepoints[:i]
+	c.complete("RELEASE")
+	return nil
+}
+
+func (c *session) findSavepoint(name string) int {
+	if c.tx == nil {
+		return -1
+	}
+	for i, p := range slices.Backward(c.tx.savepoints) {
+		if p.name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// mark runs a savepoint statement on the engine.
+func (c *session) mark(sql string) error {
+	e := c.server.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.tx.aborted {
+		return newError(codeConflict, "transaction was rolled back by the server")
+	}
+	return e.exec(sql)
+}
+
+func quoteName(name string) string {
+	return `"` + strings.ReplaceAll(name, `"`, `""`) + `"`
+}
