--- /dev/null
+++ b/internal/standin/platformserver/handlers.go
@@ -0,0 +1,157 @@
+package platformserver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// handler returns the API over HTTP.
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	object := platform.PathObjects + "/{kind}/{name}"
+	mux.HandleFunc("GET "+object, s.counted(&s.calls.Reads, s.get))
+	mux.HandleFunc("GET "+platform.PathObjects+"/{kind}", s.counted(&s.calls.Reads, s.list))
+	mux.HandleFunc("POST "+object, s.counted(&s.calls.Writes, s.create))
+	mux.HandleFunc("PUT "+object, s.counted(&s.calls.Writes, s.update))
+	mux.HandleFunc("GET "+platform.PathWatch+"/{kind}", s.counted(&s.calls.Watches, s.watch))
+	mux.HandleFunc("GET "+platform.PathHosts, s.counted(&s.calls.Reads, s.listHosts))
+	return mux
+}
+
+// counted counts a call and lets it through the faults.
+func (s *Server) counted(counter *int, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		*counter++
+		s.mu.Unlock()
+		if !s.pass(r.Context()) {
+			drop()
+		}
+		next(w, r)
+	}
+}
+
+// drop breaks the connection without an answer.
+func drop() { panic(http.ErrAbortHandler) }
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, err := s.readStore().get(r.PathValue("kind"), r.PathValue("name"))
+	s.mu.Unlock()
+	answer(w, o, err)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	objects, version := s.readStore().list(r.PathValue("kind"))
+	s.mu.Unlock()
+	answer(w, platform.ListAnswer{Objects: objects, Version: version}, nil)
+}
+
+func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	hosts := s.visibleHosts(time.Now())
+	s.mu.Unlock()
+	answer(w, hosts, nil)
+}
+
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(value []byte) (platform.Object, error) {
+		return s.store.create(r.PathValue("kind"), r.PathValue("name"), value)
+	})
+}
+
+func (s *Server) update(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get(platform.ParamVersion), 10, 64)
+	if err != nil {
+		badRequest(w, "version is not a number")
+		return
+	}
+	s.write(w, r, func(value []byte) (platform.Object, error) {
+		return s.store.update(r.PathValue("kind"), r.PathValue("name"), version, value)
+	})
+}
+
+// write carries out change with the body as value, and loses the answer when
+// asked to.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, change func([]byte) (platform.Object, error)) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		answer(w, nil, errTooLarge)
+		return
+	}
+	if err != nil {
+		drop()
+	}
+	s.mu.Lock()
+	o, err := change(value)
+	lose := s.faults.takeLoss()
+	s.notify()
+	s.mu.Unlock()
+	if lose {
+		drop()
+	}
+	answer(w, o, err)
+}
+
+// watch answers with the events after a version, waiting for the first one.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	version, err := strconv.ParseUint(query.Get(platform.ParamVersion), 10, 64)
+	if err != nil {
+		badRequest(w, "version is not a number")
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get(platform.ParamWait))
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, s.cfg.MaxWait))
+	defer timer.Stop()
+	for expired := false; ; {
+		s.mu.Lock()
+		events, err := s.store.since(r.PathValue("kind"), version)
+		now, changed, cut := s.store.version, s.changed, s.faults.cut
+		s.mu.Unlock()
+		if err != nil || len(events) > 0 || expired {
+			answer(w, platform.WatchAnswer{Events: events, Version: now}, err)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-cut:
+			drop()
+		case <-r.Context().Done():
+			return
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// answer writes v, or err as an error answer.
+func answer(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	switch {
+	case errors.Is(err, errTooLarge):
+		status, v = http.StatusRequestEntityTooLarge, platform.ErrorAnswer{Code: "too_large", Message: err.Error()}
+	case err != nil:
+		code := ""
+		status, code = platform.HTTPError(err)
+		v = platform.ErrorAnswer{Code: code, Message: err.Error()}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func badRequest(w http.ResponseWriter, message string) {
+	w.WriteHeader(http.StatusBadRequest)
+	_ = json.NewEncoder(w).Encode(platform.ErrorAnswer{Code: "bad_request", Message: message})
+}
