Add the stand-in daemons

Trials across processes need the stand-ins as processes. Each daemon only reads its flags, runs the package and stops on SIGTERM.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,94 @@
+// Command standin-platform runs a stand-in of the platform's object API and
+// list of hosts, for trials. It stops on SIGTERM or SIGINT.
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// options are the flags of the command.
+type options struct {
+	Listen   string        `long:"listen" description:"IP:port to listen on" default:"127.0.0.1:0"`
+	Hosts    []string      `long:"hosts" description:"host as datacentre=IP:port, with ,leaving when it leaves; may be repeated"`
+	HostsLag time.Duration `long:"hosts-lag" description:"lag of the list of hosts"`
+	Keep     int           `long:"keep-events" description:"events kept for watches" default:"1000"`
+	Slow     time.Duration `long:"slow" description:"delay of every call"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stderr))
+}
+
+// run serves until ctx ends and returns the exit code.
+func run(ctx context.Context, args []string, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewNamedParser("standin-platform", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return fail(stderr, err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return fail(stderr, err)
+	}
+	hosts, err := parseHosts(opts.Hosts)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	logger := slog.New(slog.NewTextHandler(stderr, nil))
+	server, err := platformserver.Start(platformserver.Config{
+		Listen:     opts.Listen,
+		KeepEvents: opts.Keep,
+		HostsLag:   opts.HostsLag,
+		Hosts:      hosts,
+		Logger:     logger,
+	})
+	if err != nil {
+		return fail(stderr, err)
+	}
+	defer server.Close()
+	server.SetSlow(opts.Slow)
+	logger = logger.With("part", "standin-platform")
+	logger.Info("Listening.", "address", server.Addr())
+	<-ctx.Done()
+	logger.Info("Stopping.")
+	return 0
+}
+
+// parseHosts reads entries of the form "datacentre=IP:port[,leaving]".
+func parseHosts(entries []string) ([]platform.HostState, error) {
+	var hosts []platform.HostState
+	for _, entry := range entries {
+		dc, rest, ok := strings.Cut(entry, "=")
+		address, mark, marked := strings.Cut(rest, ",")
+		if !ok || dc == "" || address == "" || marked && mark != "leaving" {
+			return nil, eris.Errorf("host %q is not datacentre=IP:port[,leaving]", entry)
+		}
+		hosts = append(hosts, platform.HostState{Address: address, DataCentre: dc, Leaving: marked})
+	}
+	return hosts, nil
+}
+
+// fail prints err and returns the exit code, 0 for a request for help.
+func fail(w io.Writer, err error) int {
+	_, _ = io.WriteString(w, err.Error()+"\n")
+	var e *flags.Error
+	if errors.As(err, &e) && e.Type == flags.ErrHelp {
+		return 0
+	}
+	return 1
+}
