Fuzz the stand-in's log and term state machine

Three servers without sockets take random fences, promotions, follows, pulls, writes and restarts. Two logs that share a (term, index) must be equal up to it, one server leads a term, and no primary may lack an entry that was acknowledged in its term or before. Five broken rules are each found, with a fixed seed. A first form of the check held a superseded primary to entries acknowledged in a later term; that was wrong and now every primary is checked by term.

--- a/internal/standin/dbserver/dbserver_test.go
+++ b/internal/standin/dbserver/dbserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -17,8 +18,18 @@
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
+// The fuzzer's runs; flags on the command line replace them.
+var rapidFlags = map[string]string{"rapid.seed": "20261204", "rapid.checks": "5000", "rapid.steps": "50", "rapid.nofailfile": "true"}
+
 func TestDBServer(t *testing.T) {
 	RegisterFailHandler(Fail)
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range rapidFlags {
+		if !given[name] {
+			Expect(flag.Set(name, value)).To(Succeed())
+		}
+	}
 	RunSpecs(t, "dbserver")
 }
 
--- /dev/null
+++ b/internal/standin/dbserver/state_test.go
@@ -0,0 +1,332 @@
+package dbserver
+
+import (
+	"fmt"
+	"runtime"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// groupModel is three servers without sockets, with a claimant per term that
+// follows the promotion rule: fence a majority, promote the longest log.
+type groupModel struct {
+	servers []*state
+	fenced  map[claim]map[int]position.Position // what a claim's fences reported
+	chosen  map[claim]int                       // server that a claim promotes
+	acked   map[position.Position]ack
+	ids     int
+	broken  mutation
+}
+
+// mutation names a rule that a run breaks on purpose.
+type mutation string
+
+const (
+	whole           mutation = ""
+	ackOldTerms     mutation = "acknowledges entries of older terms, without the marker"
+	ackNoMajority   mutation = "acknowledges without a majority"
+	promoteShortest mutation = "promotes the shortest log"
+	writeFenced     mutation = "writes although fenced"
+	followOlder     mutation = "follows a primary of an older term"
+)
+
+// ack is an acknowledged entry with the term of the primary that it was
+// acknowledged by: no primary of that term or a later one may lack it.
+type ack struct {
+	entry Entry
+	term  uint64
+}
+
+// claim is one claimant's attempt at a term.
+type claim struct {
+	term     uint64
+	claimant string
+}
+
+const modelServers = 3
+
+func newGroupModel(broken mutation) *groupModel {
+	m := &groupModel{
+		broken: broken,
+		fenced: map[claim]map[int]position.Position{},
+		chosen: map[claim]int{},
+		acked:  map[position.Position]ack{},
+	}
+	for i := range modelServers {
+		m.servers = append(m.servers, newState(i == 0, 1, name(0), "", 0))
+	}
+	return m
+}
+
+func name(i int) string { return fmt.Sprint(i) }
+
+// fence records what a promise reported, as a claimant would.
+func (m *groupModel) fence(c claim, i int) {
+	if !m.servers[i].fence(c.term, c.claimant) {
+		return
+	}
+	if m.fenced[c] == nil {
+		m.fenced[c] = map[int]position.Position{}
+	}
+	m.fenced[c][i] = m.servers[i].last()
+}
+
+// promote promotes the longest of a fenced majority, always the same server.
+func (m *groupModel) promote(c claim) {
+	if len(m.fenced[c]) <= modelServers/2 {
+		return
+	}
+	best, ok := m.chosen[c]
+	if !ok {
+		best = -1
+		for i := range modelServers {
+			p, fenced := m.fenced[c][i]
+			if fenced && (best < 0 || m.fenced[c][best].Before(p) != (m.broken == promoteShortest)) {
+				best = i
+			}
+		}
+		m.chosen[c] = best
+	}
+	m.servers[best].promote(c.term, c.claimant, 0)
+}
+
+// pull moves one answer from the followed server, as the pull loop does.
+func (m *groupModel) pull(i, batch int) {
+	st := m.servers[i]
+	if st.role != groupsql.Replica || st.source == "" || st.source == name(i) {
+		return
+	}
+	source := m.servers[int(st.source[0]-'0')]
+	probe := st.last()
+	status, entries, hint := source.serve(st.term, probe, batch)
+	for status == pullMismatch {
+		probe = position.Position{Term: st.termAt(hint), Index: hint}
+		status, entries, hint = source.serve(st.term, probe, batch)
+	}
+	if status != pullMatch {
+		return
+	}
+	if st.last() != probe {
+		st.cut(st.epoch, probe.Index)
+	}
+	for _, e := range entries {
+		st.accept(st.epoch, e)
+	}
+}
+
+// write appends an entry on a primary.
+func (m *groupModel) write(i int) {
+	m.ids++
+	st := m.servers[i]
+	if m.broken == writeFenced && st.role == groupsql.Fenced {
+		st.log = append(st.log, Entry{Term: st.termAt(st.last().Index), Index: st.last().Index + 1, Statements: []Statement{{SQL: fmt.Sprint(m.ids)}}})
+	}
+	st.commit(st.term, []Statement{{SQL: fmt.Sprint(m.ids)}}, 0)
+}
+
+// acknowledge notes the entries that a majority holds and whose term is that of
+// the primary, as the proxy acknowledges a write.
+func (m *groupModel) acknowledge() {
+	for _, p := range m.servers {
+		if p.role != groupsql.Primary {
+			continue
+		}
+		for _, e := range p.log {
+			if m.acknowledged(p, e) {
+				m.keep(p.log[:e.Index], p.term)
+			}
+		}
+	}
+}
+
+func (m *groupModel) acknowledged(p *state, e Entry) bool {
+	switch {
+	case m.broken == ackNoMajority:
+		return e.Term == p.term
+	case m.broken == ackOldTerms:
+		return m.holders(e) > modelServers/2
+	default:
+		return e.Term == p.term && m.holders(e) > modelServers/2
+	}
+}
+
+// keep notes a log as acknowledged by the primary of term.
+func (m *groupModel) keep(log []Entry, term uint64) {
+	for _, e := range log {
+		old, known := m.acked[e.Position()]
+		if !known || term < old.term {
+			m.acked[e.Position()] = ack{entry: e, term: term}
+		}
+	}
+}
+
+// holders counts the servers that have promised no later term and hold e.
+func (m *groupModel) holders(e Entry) int {
+	n := 0
+	for _, st := range m.servers {
+		if (st.accepted == e.Term || m.broken == ackOldTerms) && st.termAt(e.Index) == e.Term {
+			n++
+		}
+	}
+	return n
+}
+
+// check returns what is wrong.
+func (m *groupModel) check() error {
+	leaders := map[uint64]int{}
+	for i, st := range m.servers {
+		if st.role == groupsql.Primary {
+			if j, two := leaders[st.term]; two {
+				return fmt.Errorf("servers %d and %d lead term %d", i, j, st.term)
+			}
+			leaders[st.term] = i
+		}
+		for _, other := range m.servers[:i] {
+			if err := matching(st.log, other.log); err != nil {
+				return err
+			}
+		}
+	}
+	return m.checkAcked()
+}
+
+// matching checks that two logs with an equal (term, index) are equal up to it.
+func matching(a, b []Entry) error {
+	equal := true
+	for i := range min(len(a), len(b)) {
+		equal = equal && same(a[i], b[i])
+		if a[i].Term == b[i].Term && !equal {
+			return fmt.Errorf("logs share %s and differ at or before it", a[i].Position())
+		}
+	}
+	return nil
+}
+
+func same(a, b Entry) bool {
+	return a.Position() == b.Position() && fmt.Sprint(a.Statements) == fmt.Sprint(b.Statements)
+}
+
+// checkAcked checks that no primary lacks an entry that was acknowledged in its
+// term or before.
+func (m *groupModel) checkAcked() error {
+	for _, st := range m.servers {
+		if st.role != groupsql.Primary {
+			continue
+		}
+		for _, a := range m.acked {
+			i := a.entry.Index
+			if a.term <= st.term && (i > uint64(len(st.log)) || !same(a.entry, st.log[i-1])) {
+				return fmt.Errorf("primary of term %d lacks acknowledged entry %s", st.term, a.entry.Position())
+			}
+		}
+	}
+	return nil
+}
+
+// highest returns the highest term that any server promised.
+func (m *groupModel) highest() uint64 {
+	top := uint64(0)
+	for _, st := range m.servers {
+		top = max(top, st.accepted)
+	}
+	return top
+}
+
+// actions are the steps that the fuzzer takes.
+func (m *groupModel) actions() map[string]func(*rapid.T) {
+	server := func(t *rapid.T) int { return rapid.IntRange(0, modelServers-1).Draw(t, "server") }
+	attempt := func(t *rapid.T) claim {
+		return claim{
+			term:     m.highest() + rapid.Uint64Range(0, 1).Draw(t, "term"),
+			claimant: rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "claimant"),
+		}
+	}
+	return map[string]func(*rapid.T){
+		"fence":   func(t *rapid.T) { m.fence(attempt(t), server(t)) },
+		"promote": func(t *rapid.T) { m.promote(attempt(t)) },
+		"late promote": func(t *rapid.T) {
+			c := attempt(t)
+			c.term = rapid.Uint64Range(1, m.highest()).Draw(t, "old term")
+			m.promote(c)
+		},
+		"elect": func(t *rapid.T) {
+			c := attempt(t)
+			m.fence(c, server(t))
+			m.fence(c, server(t))
+			m.promote(c)
+		},
+		"follow": func(t *rapid.T) {
+			i := server(t)
+			if m.servers[i].role == groupsql.Primary {
+				m.servers[server(t)].follow(m.servers[i].term, name(i))
+			}
+		},
+		"late follow": func(t *rapid.T) {
+			m.servers[server(t)].follow(rapid.Uint64Range(1, m.highest()).Draw(t, "term"), name(server(t)))
+		},
+		"follow older": func(t *rapid.T) {
+			st, i := m.servers[server(t)], server(t)
+			if m.broken == followOlder && m.servers[i].role == groupsql.Primary && st.role != groupsql.Primary {
+				st.change(groupsql.Replica, m.servers[i].term, name(i))
+				st.accepted = m.servers[i].term
+			}
+		},
+		"pull":    func(t *rapid.T) { m.pull(server(t), rapid.IntRange(1, 3).Draw(t, "batch")) },
+		"write":   func(t *rapid.T) { m.write(server(t)) },
+		"restart": func(t *rapid.T) { m.servers[server(t)].restart("again") },
+		"": func(t *rapid.T) {
+			m.acknowledge()
+			if err := m.check(); err != nil {
+				t.Fatal(err)
+			}
+		},
+	}
+}
+
+// recorder is a test that records failure instead of failing.
+type recorder struct {
+	rapid.TB
+	failed bool
+}
+
+func (r *recorder) Helper()               { r.TB.Helper() }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Log(...any)            {}
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Fatal(...any)          { r.FailNow() }
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+func (r *recorder) FailNow()              { r.failed = true; runtime.Goexit() }
+
+var _ = ginkgo.Describe("the log and term state machine", func() {
+	run := func(t rapid.TB, broken mutation) {
+		rapid.Check(t, func(t *rapid.T) { t.Repeat(newGroupModel(broken).actions()) })
+	}
+
+	ginkgo.It("keeps logs matching and loses no acknowledged entry", func() {
+		run(ginkgo.GinkgoT(), whole)
+	})
+
+	ginkgo.DescribeTable("is told apart from one that", func(broken mutation) {
+		r := &recorder{TB: ginkgo.GinkgoT()}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			run(r, broken)
+		}()
+		<-done
+		gomega.Expect(r.failed).To(gomega.BeTrue())
+	},
+		ginkgo.Entry(string(ackOldTerms), ackOldTerms),
+		ginkgo.Entry(string(ackNoMajority), ackNoMajority),
+		ginkgo.Entry(string(promoteShortest), promoteShortest),
+		ginkgo.Entry(string(writeFenced), writeFenced),
+		ginkgo.Entry(string(followOlder), followOlder),
+	)
+})
