Drive the group tables through a fault matrix and random schedules

Cause: the decisions of a group must hold under every fault at every step. Ruled out: a cluster of processes; a world of messages and simulated time runs the same tables, is a function of its seed and is far quicker. Change: internal/matrix with models of databases and hosts, a table of named steps and faults, random schedules, an oracle, and a check that the oracle reports each mechanism that is left out. In the group table a confirmation keeps the lowest floor: the latest one ran ahead of the replicas and starved fresh reads (schedule 9 of the fuzzer). A planned switchover pauses new writes until a successor is level.

--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -51,6 +51,7 @@
 	c.times = ClaimTimes{Term: c.term, Cause: c.cause, Detected: t.det.since, Claimed: now}
 	c.stepAt = now
 	c.fenced, c.refused = make(map[string]groupsql.Report), make(map[string]bool)
+	t.draining = false
 	if c.cause == CauseLeaving {
 		t.switchAt = now
 	}
@@ -281,8 +282,11 @@
 // onEstablished ends a claim that succeeded, or one that another host's made
 // needless, and publishes.
 func (t *Table) onEstablished(p *member, now time.Time) {
-	t.det = detection{}
+	t.det, t.draining = detection{}, false
 	t.durable, t.stallFrom = 0, now
+	if p.Leaving {
+		t.switchAt = now
+	}
 	own := t.claim.active() && t.claim.term == t.view.Term
 	if own {
 		t.claim.times.Confirmed = now
--- a/database/group/confirm.go
+++ b/database/group/confirm.go
@@ -8,8 +8,11 @@
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// maxSamples bounds the samples kept for aged reads.
-const maxSamples = 512
+// Bounds of the samples kept.
+const (
+	maxSamples = 512 // for aged reads
+	maxRecent  = 128 // for confirmations
+)
 
 // round is the probing that confirmations and acknowledgements share: at most
 // one is in flight, and the next one serves all that came in the meantime.
@@ -41,12 +44,20 @@
 
 // Confirmed returns a position at or past every write of the group that was
 // acknowledged before since, once a round of probes that were all sent at or
-// after since has shown it.
+// after since has shown it. Of several such positions it returns the lowest, so
+// the answer does not run ahead of replicas while later rounds end.
 func (t *Table) Confirmed(since time.Time) (position.Position, bool) {
-	if t.latest.start.IsZero() || t.latest.start.Before(since) {
-		return position.Position{}, false
+	var low position.Position
+	found := false
+	for _, s := range t.recent {
+		if s.start.Before(since) {
+			continue
+		}
+		if !found || s.pos.Before(low) {
+			low, found = s.pos, true
+		}
 	}
-	return t.latest.pos, true
+	return low, found
 }
 
 // AgeFloor returns the oldest confirmed position whose probes were sent at or
@@ -102,60 +113,89 @@
 	return position.Position{Term: t.view.Term, Index: held[t.majority()-1]}, true
 }
 
-// confirm takes a sample when the latest answers show one: the primary of the
-// established term and a majority with it still had that term as their highest.
-// Its start is the send time of the oldest probe counted.
+// confirm takes samples when the latest answers show one: a majority still had
+// the established term as the highest promised. Every write acknowledged before
+// the oldest probe counted is then in that term's log, and held by a majority;
+// the members that were not counted may hold it too, so the floor is the lowest
+// position that enough of the counted ones reach to make up a majority.
 func (t *Table) confirm(now time.Time) {
 	if !t.established {
 		return
 	}
-	p := t.member(t.view.Primary)
-	if !isPrimary(p, t.view.Term) {
-		return
-	}
-	start, ok := t.oldestCounted(p)
-	if !ok || !t.latest.start.Before(start) {
-		return
+	current := t.currentMembers()
+	for k := t.majority(); k <= len(current); k++ {
+		floor, ok := t.floorOf(current[:k])
+		if !ok {
+			continue
+		}
+		t.addSample(sample{start: current[k-1].sentAt, pos: floor})
 	}
-	t.latest = sample{start: start, pos: p.report.Position}
-	t.keepSample()
 	t.noteLag(now)
 }
 
-// oldestCounted returns the send time of the oldest probe of the freshest
-// majority that includes p and agrees on p's term.
-func (t *Table) oldestCounted(p *member) (time.Time, bool) {
-	others := make([]time.Time, 0, len(t.members))
+// currentMembers returns the members that last reported the established term as
+// their highest, the one asked last first.
+func (t *Table) currentMembers() []*member {
+	out := make([]*member, 0, len(t.members))
 	for _, m := range t.members {
-		if m != p && m.known && m.report.Accepted == p.report.Accepted {
-			others = append(others, m.sentAt)
+		if m.known && m.report.Accepted == t.view.Term {
+			out = append(out, m)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].sentAt.After(out[j].sentAt) })
+	return out
+}
+
+// floorOf returns the lowest position that no acknowledged write lies beyond,
+// given what the counted members reported.
+func (t *Table) floorOf(counted []*member) (position.Position, bool) {
+	held := make([]uint64, 0, len(counted))
+	for _, m := range counted {
+		if m.report.Position.Term == t.view.Term {
+			held = append(held, m.report.Position.Index)
 		}
 	}
-	need := t.majority() - 1
-	if len(others) < need {
-		return time.Time{}, false
+	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	need := t.majority() - (len(t.members) - len(counted))
+	if need < 1 || need > len(held) {
+		return position.Position{}, false
 	}
-	start := p.sentAt
-	if need > 0 {
-		sort.Slice(others, func(i, j int) bool { return others[i].After(others[j]) })
-		if oldest := others[need-1]; oldest.Before(start) {
-			start = oldest
+	return position.Position{Term: t.view.Term, Index: held[need-1]}, true
+}
+
+// addSample keeps s unless one that is as fresh and as low is kept already.
+func (t *Table) addSample(s sample) {
+	for _, old := range t.recent {
+		if !old.start.Before(s.start) && !s.pos.Before(old.pos) {
+			return
 		}
 	}
-	return start, true
+	if len(t.recent) == maxRecent {
+		t.recent = append(t.recent[:0], t.recent[1:]...)
+	}
+	t.recent = append(t.recent, s)
+	if t.latest.start.Before(s.start) {
+		t.latest = s
+	}
+	t.keepSample(s)
 }
 
-// keepSample appends the latest sample to the ring if it is far enough from
-// the one before.
-func (t *Table) keepSample() {
+// keepSample appends s to the ring for aged reads if it is far enough from the
+// one before, or replaces that by one as fresh and lower.
+func (t *Table) keepSample(s sample) {
 	n := len(t.samples)
-	if n > 0 && t.latest.start.Sub(t.samples[n-1].start) < t.t.SampleEvery {
+	switch {
+	case n == 0 || s.start.Sub(t.samples[n-1].start) >= t.t.SampleEvery:
+	case !s.start.Before(t.samples[n-1].start) && s.pos.Before(t.samples[n-1].pos):
+		t.samples[n-1] = s
+		return
+	default:
 		return
 	}
 	if n == maxSamples {
 		t.samples = append(t.samples[:0], t.samples[1:]...)
 	}
-	t.samples = append(t.samples, t.latest)
+	t.samples = append(t.samples, s)
 }
 
 // pumpRound ends the round in flight when it is served or hopeless, and starts
--- a/database/group/detect.go
+++ b/database/group/detect.go
@@ -112,7 +112,7 @@
 // in a claim is probed at RetryInterval.
 func (t *Table) regularProbes(now time.Time) []Action {
 	every := t.interval()
-	if t.claim.state == Marking {
+	if t.claim.state == Marking || t.draining {
 		every = t.t.RetryInterval
 	}
 	var out []Action
@@ -218,20 +218,10 @@
 	return n
 }
 
-// successorReady reports whether a member that stays can take over from p.
-func (t *Table) successorReady(p *member, now time.Time) bool {
-	for _, m := range t.members {
-		follows := m.report.Role == groupsql.Replica && m.report.Position.Term == t.view.Term
-		if m != p && !m.Leaving && t.reachable(m, now) && follows {
-			return t.reachableCount(now) >= t.majority()
-		}
-	}
-	return false
-}
-
 // watch looks for a cause to act and starts a claim when this host's turn has
 // come.
 func (t *Table) watch(now time.Time) []Action {
+	t.draining = false
 	if t.claim.active() {
 		return nil
 	}
@@ -239,6 +229,9 @@
 	if c != t.det.cause {
 		t.det = detection{cause: c, since: now}
 	}
+	if c == CauseLeaving && !t.drained(now) {
+		return nil
+	}
 	if c == CauseNone || t.reachableCount(now) < t.majority() {
 		return nil
 	}
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -66,6 +66,7 @@
 	BackoffMax    time.Duration // longest wait after a lost claim
 	StallAfter    time.Duration // no replica progress while the primary is ahead
 	StrandedAfter time.Duration // a member fenced above the established term
+	DrainMax      time.Duration // longest pause of new writes before a planned switchover
 	SwitchRetry   time.Duration // between planned switchovers that did not succeed
 	FollowRetry   time.Duration // between follow orders to one member
 	ConfirmRetry  time.Duration // between confirmation rounds that failed
@@ -93,6 +94,7 @@
 		BackoffMax:    200 * time.Millisecond,
 		StallAfter:    500 * time.Millisecond,
 		StrandedAfter: 3 * time.Second,
+		DrainMax:      300 * time.Millisecond,
 		SwitchRetry:   2 * time.Second,
 		FollowRetry:   50 * time.Millisecond,
 		ConfirmRetry:  5 * time.Millisecond,
@@ -125,6 +127,7 @@
 	fill(&t.BackoffMax, d.BackoffMax)
 	fill(&t.StallAfter, d.StallAfter)
 	fill(&t.StrandedAfter, d.StrandedAfter)
+	fill(&t.DrainMax, d.DrainMax)
 	fill(&t.SwitchRetry, d.SwitchRetry)
 	fill(&t.FollowRetry, d.FollowRetry)
 	fill(&t.ConfirmRetry, d.ConfirmRetry)
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -26,8 +26,9 @@
 }
 
 // Table is one host's state of one group. It is not safe for concurrent use:
-// the host holds one mutex per Table. It holds at most MaxMembers members and
-// maxSamples samples; the oldest sample is dropped when they are full.
+// the host holds one mutex per Table. It holds at most MaxMembers members,
+// maxRecent confirmations and maxSamples samples; the oldest is dropped when
+// they are full.
 type Table struct {
 	cfg     Config
 	t       Timing
@@ -47,11 +48,13 @@
 	claim     claim
 	round     round
 	latest    sample
-	samples   []sample  // oldest first
+	recent    []sample  // confirmations, oldest first
+	samples   []sample  // spaced, for aged reads, oldest first
 	pending   []Action  // made while a result is taken, returned with it
 	durable   uint64    // index of the last durable position seen
 	stallFrom time.Time // last time that a majority was level or advanced
 	switchAt  time.Time // last planned switchover
+	draining  bool      // new writes wait for a planned switchover
 	lastClaim ClaimTimes
 }
 
@@ -108,9 +111,10 @@
 // View returns the established primary: its marker is on a majority.
 func (t *Table) View() (View, bool) { return t.view, t.established }
 
-// Primary returns the database to which writes go now.
+// Primary returns the database to which writes go now. It is not ok while no
+// primary is established, and for the moments of a planned switchover.
 func (t *Table) Primary() (id string, term uint64, ok bool) {
-	if !t.established || t.claim.active() || t.fencedAbove(t.view.Term) >= t.majority() {
+	if !t.established || t.draining || t.claim.active() || t.fencedAbove(t.view.Term) >= t.majority() {
 		return "", 0, false
 	}
 	p := t.member(t.view.Primary)
--- /dev/null
+++ b/internal/matrix/database.go
@@ -0,0 +1,234 @@
+package matrix
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/group"
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// pullRetry is the time after which a replica repeats an unanswered pull.
+const pullRetry = 50 * time.Millisecond
+
+// entry is one log entry: a write's id, or 0 for a term's marker.
+type entry struct {
+	term  uint64
+	write int
+}
+
+// database models a member of a group: a durable log and promise, and a role
+// that a restart turns into fenced. Logs are never changed in place, so that
+// answers may share them.
+type database struct {
+	node
+	w        *World
+	member   group.Member
+	log      []entry
+	accepted uint64
+	claimant string
+	role     groupsql.Role
+	source   *database // whom a replica follows
+	version  int       // changes with role, promise or truncation
+	waiting  map[*database]pull
+}
+
+// pull is a replica's request for what follows its log.
+type pull struct {
+	term    uint64
+	log     []entry
+	version int
+	from    *database
+}
+
+func newDatabase(w *World, i int) *database {
+	id := string(rune('a' + i))
+	dc := fmt.Sprintf("dc%d", i%3+1)
+	d := &database{w: w, role: groupsql.Fenced, waiting: make(map[*database]pull)}
+	d.node = node{name: id, dc: dc, alive: true}
+	d.member = group.Member{ID: id, Address: "addr-" + id, DataCentre: dc}
+	return d
+}
+
+func (d *database) position() position.Position {
+	if len(d.log) == 0 {
+		return position.Position{}
+	}
+	return position.Position{Term: d.log[len(d.log)-1].term, Index: uint64(len(d.log))}
+}
+
+func (d *database) report(ok bool) groupsql.Report {
+	return groupsql.Report{
+		OK: ok, Position: d.position(), Accepted: d.accepted, Claimant: d.claimant,
+		Role: d.role, BootID: fmt.Sprintf("%s-%d", d.name, d.boot),
+	}
+}
+
+// do carries out a control operation.
+func (d *database) do(op groupsql.Op) groupsql.Report {
+	ok := true
+	switch op.Kind {
+	case groupsql.OpFence:
+		ok = d.fence(op.Term, op.Claimant)
+	case groupsql.OpPromote:
+		ok = d.promote(op.Term, op.Claimant)
+	case groupsql.OpFollow:
+		ok = d.follow(op.Term, op.Address)
+	}
+	if op.Kind != groupsql.OpPosition {
+		d.w.logf("%s: %s -> %t, at %s", d.name, op.SQL(), ok, d.position())
+	}
+	r := d.report(ok)
+	if d.w.hooks.ignoresFence && op.Kind == groupsql.OpFence && ok {
+		r.Accepted, r.Claimant, r.Role = op.Term, op.Claimant, groupsql.Fenced
+	}
+	if d.w.hooks.noMarker && d.role != groupsql.Fenced {
+		r.Position.Term = d.accepted
+	}
+	return r
+}
+
+func (d *database) fence(term uint64, claimant string) bool {
+	if term < d.accepted || term == d.accepted && claimant != d.claimant {
+		return false
+	}
+	if term == d.accepted && d.role == groupsql.Primary || d.w.hooks.ignoresFence {
+		return true
+	}
+	d.accepted, d.claimant, d.role = term, claimant, groupsql.Fenced
+	d.version++
+	return true
+}
+
+func (d *database) promote(term uint64, claimant string) bool {
+	if d.w.hooks.ignoresFence && term > d.accepted {
+		d.accepted, d.claimant, d.role = term, claimant, groupsql.Fenced
+	}
+	if term != d.accepted || claimant != d.claimant {
+		return false
+	}
+	if d.role == groupsql.Primary {
+		return true
+	}
+	if d.role != groupsql.Fenced {
+		return false
+	}
+	d.role = groupsql.Primary
+	d.w.oracle.promoted(term, d.name)
+	d.version++
+	d.waiting = make(map[*database]pull)
+	if !d.w.hooks.noMarker {
+		d.append(entry{term: term})
+	}
+	return true
+}
+
+func (d *database) follow(term uint64, address string) bool {
+	if term < d.accepted || term == d.accepted && d.role == groupsql.Primary {
+		return false
+	}
+	if term > d.accepted {
+		d.claimant = ""
+	}
+	d.accepted, d.role = term, groupsql.Replica
+	d.version++
+	for _, other := range d.w.dbs {
+		if other.member.Address == address {
+			d.source = other
+		}
+	}
+	d.pull()
+	return true
+}
+
+func (d *database) append(e entry) {
+	d.log = append(d.log[:len(d.log):len(d.log)], e)
+	d.feed()
+}
+
+// commit writes an entry for a caller; ok is false when d is not primary.
+func (d *database) commit(write int) (position.Position, bool) {
+	if d.role != groupsql.Primary {
+		return position.Position{}, false
+	}
+	d.append(entry{term: d.accepted, write: write})
+	return d.position(), true
+}
+
+// pull asks the source for what follows, and again when no answer comes.
+func (d *database) pull() {
+	src, version, length := d.source, d.version, len(d.log)
+	req := pull{term: d.accepted, log: d.log, version: version, from: d}
+	d.w.send(&d.node, &src.node, func() { src.pulled(req) })
+	d.w.timer(&d.node, pullRetry, func() {
+		if d.version == version && len(d.log) == length {
+			d.pull()
+		}
+	})
+}
+
+// pulled answers a pull now, or when there is more.
+func (d *database) pulled(req pull) {
+	if d.role != groupsql.Primary || req.term != d.accepted {
+		return
+	}
+	d.waiting[req.from] = req
+	d.feed()
+}
+
+// feed answers the waiting pulls that lack something.
+func (d *database) feed() {
+	for _, other := range d.w.dbs {
+		req, ok := d.waiting[other]
+		if !ok {
+			continue
+		}
+		common := commonPrefix(d.log, req.log)
+		if common == len(d.log) && common == len(req.log) {
+			continue
+		}
+		delete(d.waiting, other)
+		log, term := d.log, d.accepted
+		d.w.timer(&d.node, commitDelay+d.w.opt.Lag, func() {
+			d.w.send(&d.node, &other.node, func() { other.store(req, term, log) })
+		})
+	}
+}
+
+// store takes the source's log if nothing changed since the pull.
+func (d *database) store(req pull, term uint64, log []entry) {
+	if d.version != req.version || d.role != groupsql.Replica || term != d.accepted {
+		return
+	}
+	if len(d.log) != len(req.log) {
+		return
+	}
+	if commonPrefix(d.log, log) < len(d.log) {
+		d.w.logf("%s: drops its tail, %s -> %d entries", d.name, d.position(), len(log))
+	}
+	d.log = log[:len(log):len(log)]
+	d.pull()
+}
+
+// commonPrefix returns the length that two logs share: logs that agree on one
+// entry agree on all before it.
+func commonPrefix(a, b []entry) int {
+	n := min(len(a), len(b))
+	for n > 0 && a[n-1] != b[n-1] {
+		n--
+	}
+	return n
+}
+
+// restart starts the database again with what it had stored.
+func (d *database) restart() {
+	if d.alive {
+		d.w.kill(&d.node)
+	}
+	d.alive = true
+	d.role, d.source = groupsql.Fenced, nil
+	d.version++
+	d.waiting = make(map[*database]pull)
+	d.w.logf("restart %s", d.name)
+}
--- /dev/null
+++ b/internal/matrix/world.go
@@ -0,0 +1,309 @@
+// Package matrix proves the decisions of package database/group: it drives
+// several hosts' tables and small models of databases by messages and a
+// simulated clock, injects faults at named steps or at random, and checks what
+// callers saw against an oracle. The same world measures the failover gap.
+//
+// A run is a function of its seed. Nothing here opens a socket, reads a clock
+// or starts a goroutine.
+package matrix
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// node is a process in the world: a host or a database.
+type node struct {
+	name   string
+	dc     string
+	alive  bool
+	frozen bool
+	boot   int      // rises with every restart
+	inbox  []func() // what arrived while frozen
+}
+
+// event is one thing that happens at a time.
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// link is one direction between two nodes.
+type link struct{ from, to string }
+
+// path is the state of a link.
+type path struct {
+	cut    bool
+	hold   bool // messages sent during the cut arrive after it
+	silent bool // an open connection that carries nothing; a new one works
+	slow   time.Duration
+	drop   int // messages still to be lost
+	lastAt time.Time
+	held   []func()
+}
+
+// Options say how a world is made. A zero field takes its default.
+type Options struct {
+	Seed      uint64
+	Databases int
+	Hosts     int
+	Between   time.Duration // one way between data centres
+	Jitter    time.Duration // largest extra delay of a message
+	WriteGap  time.Duration // mean time between writes of one host
+	ReadGap   time.Duration // mean time between reads of one host
+	Lag       time.Duration // extra delay of replication
+	SameRank  bool          // every host believes to be the first promoter
+}
+
+func (o Options) withDefaults() Options {
+	if o.Databases == 0 {
+		o.Databases = 3
+	}
+	if o.Hosts == 0 {
+		o.Hosts = 3
+	}
+	if o.Between == 0 {
+		o.Between = time.Millisecond
+	}
+	if o.Jitter == 0 {
+		o.Jitter = 100 * time.Microsecond
+	}
+	if o.WriteGap == 0 {
+		o.WriteGap = 15 * time.Millisecond
+	}
+	if o.ReadGap == 0 {
+		o.ReadGap = 15 * time.Millisecond
+	}
+	return o
+}
+
+// Delays of the world besides Options.
+const (
+	withinDelay = 100 * time.Microsecond // one way within a data centre
+	commitDelay = 300 * time.Microsecond // a database's commit
+	opTimeout   = 250 * time.Millisecond // a host's control operation
+	traceLines  = 400
+)
+
+// World is a simulated fleet. It is not safe for concurrent use.
+type World struct {
+	opt      Options
+	start    time.Time
+	now      time.Time
+	seq      int
+	queue    eventQueue
+	rand     *rand.Rand
+	paths    map[link]*path
+	dbs      []*database
+	hosts    []*host
+	oracle   *oracle
+	record   record
+	armed    *armed
+	hooks    hooks
+	trace    []string
+	sessions []*session
+}
+
+// record is the platform's record of the group.
+type record struct {
+	down    bool
+	term    uint64
+	primary string
+}
+
+// New returns a world of databases that are all fenced at term 0 with empty
+// logs: the hosts promote the first primary.
+func New(opt Options) *World {
+	opt = opt.withDefaults()
+	w := &World{
+		opt:   opt,
+		start: time.Unix(1000, 0),
+		rand:  rand.New(rand.NewPCG(opt.Seed, 0x9e3779b97f4a7c15)),
+		paths: make(map[link]*path),
+	}
+	w.now = w.start
+	w.oracle = newOracle(w)
+	w.hooks = defaultHooks()
+	for i := range opt.Databases {
+		w.dbs = append(w.dbs, newDatabase(w, i))
+	}
+	for i := range opt.Hosts {
+		w.hosts = append(w.hosts, newHost(w, i))
+	}
+	return w
+}
+
+// Run advances the world by d.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// Elapsed returns the simulated time since the start.
+func (w *World) Elapsed() time.Duration { return w.now.Sub(w.start) }
+
+func (w *World) at(at time.Time, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: at, seq: w.seq, run: run})
+}
+
+func (w *World) after(d time.Duration, run func()) { w.at(w.now.Add(d), run) }
+
+// timer runs fn on n after d, unless n restarted; a frozen node runs it late.
+func (w *World) timer(n *node, d time.Duration, fn func()) {
+	boot := n.boot
+	w.after(d, func() { w.deliver(n, boot, fn) })
+}
+
+func (w *World) deliver(n *node, boot int, fn func()) {
+	switch {
+	case !n.alive || n.boot != boot:
+	case n.frozen:
+		n.inbox = append(n.inbox, func() {
+			if n.alive && n.boot == boot {
+				fn()
+			}
+		})
+	default:
+		fn()
+	}
+}
+
+func (w *World) path(from, to string) *path {
+	l := link{from, to}
+	p := w.paths[l]
+	if p == nil {
+		p = &path{}
+		w.paths[l] = p
+	}
+	return p
+}
+
+// send carries fn from one node to another: in order, delayed, and lost or held
+// back where the path is cut. A message does not outlive a restart of an end.
+func (w *World) send(from, to *node, fn func()) {
+	p := w.path(from.name, to.name)
+	if p.silent {
+		return
+	}
+	if p.drop > 0 {
+		p.drop--
+		return
+	}
+	fromBoot, toBoot := from.boot, to.boot
+	carry := func() {
+		if from.boot == fromBoot {
+			w.deliver(to, toBoot, fn)
+		}
+	}
+	if p.cut {
+		if p.hold {
+			p.held = append(p.held, carry)
+		}
+		return
+	}
+	at := w.now.Add(w.delay(from, to) + p.slow)
+	if at.Before(p.lastAt) {
+		at = p.lastAt
+	}
+	p.lastAt = at
+	w.at(at, func() {
+		if p.cut && !p.hold {
+			return
+		}
+		if p.cut {
+			p.held = append(p.held, carry)
+			return
+		}
+		carry()
+	})
+}
+
+func (w *World) delay(from, to *node) time.Duration {
+	base := withinDelay
+	if from.dc != to.dc {
+		base = w.opt.Between
+	}
+	return base + time.Duration(w.rand.Int64N(int64(w.opt.Jitter)))
+}
+
+// Faults of single nodes and links.
+
+func (w *World) cut(from, to string, hold bool) {
+	p := w.path(from, to)
+	p.cut, p.hold = true, hold
+	w.logf("cut %s -> %s hold=%t", from, to, hold)
+}
+
+func (w *World) mend(from, to string) {
+	p := w.path(from, to)
+	if !p.cut {
+		return
+	}
+	p.cut = false
+	held := p.held
+	p.held = nil
+	w.logf("mend %s -> %s", from, to)
+	for _, fn := range held {
+		w.after(w.opt.Between, fn)
+	}
+}
+
+func (w *World) freeze(n *node) {
+	n.frozen = true
+	w.logf("freeze %s", n.name)
+}
+
+func (w *World) wake(n *node) {
+	if !n.frozen {
+		return
+	}
+	n.frozen = false
+	inbox := n.inbox
+	n.inbox = nil
+	w.logf("wake %s", n.name)
+	for _, fn := range inbox {
+		fn()
+	}
+}
+
+func (w *World) kill(n *node) {
+	n.alive, n.frozen, n.inbox = false, false, nil
+	n.boot++
+	w.logf("kill %s", n.name)
+}
+
+// logf keeps the last lines of what happened, for a failure's report.
+func (w *World) logf(format string, args ...any) {
+	line := fmt.Sprintf("%9.3fms %s", float64(w.Elapsed().Microseconds())/1000, fmt.Sprintf(format, args...))
+	if len(w.trace) == traceLines {
+		w.trace = append(w.trace[:0], w.trace[1:]...)
+	}
+	w.trace = append(w.trace, line)
+}
