--- a/datacentre/fault_test.go
+++ b/datacentre/fault_test.go
@@ -188,6 +188,20 @@
 		Expect(table.Tick(now).FetchFrom).To(Equal(peerAddress(1)))
 	})
 
+	It("is not waited for from one peer behind a cut after another", func() {
+		table, now := lone()
+		for i := range 4 {
+			hear(table, peerAddress(i), now)
+		}
+		for i := range 3 {
+			table.HandleDigest(peerAddress(i), &peerpb.Digest{ConfigVersion: 9, Sequence: 1}, now)
+		}
+		later := now.Add(500 * time.Millisecond) // the other three are cut off
+		table.HandleDigest(peerAddress(3), &peerpb.Digest{ConfigVersion: 8, Sequence: 1}, later)
+		now = now.Add(datacentre.DefaultFetchTimeout)
+		Expect(table.Tick(now).FetchFrom).To(Equal(peerAddress(3)))
+	})
+
 	It("is not replaced by a peer's lower or equal version", func() {
 		c := datacentre.NewConfig(0)
 		s := &sim{}
--- a/datacentre/spread.go
+++ b/datacentre/spread.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// fetchNext asks the peer with the highest version, if it is higher than the
-// one in force and no request is under way. A request without an answer is
-// given up after FetchTimeout.
+// fetchNext asks the best peer with a higher version than the one in force, if
+// no request is under way. A request without an answer is given up after
+// FetchTimeout.
 func (t *Table) fetchNext(out Output, now time.Time) Output {
 	if t.fetch.from != "" {
 		if now.Sub(t.fetch.at) < t.cfg.Timing.FetchTimeout {
@@ -49,7 +49,7 @@
 	}
 	var best *member
 	for _, m := range t.order {
-		if t.canFetch(m, now) && (best == nil || m.config > best.config) {
+		if t.canFetch(m, now) && (best == nil || t.betterSource(m, best, now)) {
 			best = m
 		}
 	}
@@ -66,6 +66,21 @@
 	return m.failedAt.IsZero() || now.Sub(m.failedAt) >= retryPeerAfter
 }
 
+// betterSource reports whether a should be asked rather than b. A peer whose
+// last digest is overdue may be behind a cut link, which would cost the whole
+// timeout; so it comes after the others.
+func (t *Table) betterSource(a, b *member, now time.Time) bool {
+	overdue := t.cfg.Timing.DigestEvery * 6 / 5
+	lateA, lateB := now.Sub(a.heardAt) > overdue, now.Sub(b.heardAt) > overdue
+	if lateA != lateB {
+		return lateB
+	}
+	if a.config != b.config {
+		return a.config > b.config
+	}
+	return a.heardAt.After(b.heardAt)
+}
+
 func (t *Table) startFetch(m *member, out Output, now time.Time) Output {
 	t.fetch = fetch{from: m.address, at: now}
 	out.FetchFrom = m.address
