Send configuration changes as deltas between hosts

Passing the delta on is free of work: the received form is kept for the next peer. Empty and missing lists had different sums, found by the drawn test.

--- a/datacentre/configuration.go
+++ b/datacentre/configuration.go
@@ -11,9 +11,9 @@
 // Never is the age of a configuration that no news ever confirmed.
 const Never = time.Duration(math.MaxInt64)
 
-// Configuration is the configuration in force on one host. Version, Current
-// and Fresh may be called at any time; the others by the holder of the lock of
-// the Table that it belongs to.
+// Configuration is the configuration in force on one host. Offer, Confirm and
+// Source are called by the holder of the lock of the Table that it belongs to,
+// the others at any time. Only Offer changes what is in force.
 //
 // A version once in force is never followed by a lower one. A host that lost
 // contact with the platform and with every peer that hears it goes on with what
@@ -25,8 +25,7 @@
 	current     atomic.Pointer[contract.Snapshot]
 	confirmed   atomic.Pointer[time.Time]
 	source      string
-	encoded     encoded
-	earlier     []*contract.Snapshot // the last few, oldest first, for deltas
+	transfer    transfer
 }
 
 // NewConfig returns a configuration with version 0 in force. refuseAfter is
@@ -47,10 +46,9 @@
 	if snap == nil || !c.replaces(current.Version, snap.Version) {
 		return false
 	}
-	c.keepEarlier(current)
+	c.transfer.keepEarlier(current)
 	c.current.Store(snap)
 	c.source = from
-	c.encoded = encoded{}
 	return true
 }
 
--- /dev/null
+++ b/datacentre/delta.go
@@ -0,0 +1,116 @@
+package datacentre
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+)
+
+// Delta is what turns one snapshot into a later one.
+type Delta struct {
+	Base             uint64              `json:"base"` // version that it applies to
+	Version          uint64              `json:"version"`
+	RemovedServices  []string            `json:"removedServices,omitempty"`  // names
+	RemovedCustomers []string            `json:"removedCustomers,omitempty"` // ids
+	Services         []contract.Service  `json:"services,omitempty"`         // new or changed
+	Customers        []contract.Customer `json:"customers,omitempty"`        // new or changed
+	Roster           *contract.Roster    `json:"roster,omitempty"`           // nil when the same
+}
+
+// Diff returns what turns base into next.
+func Diff(base, next *contract.Snapshot) *Delta {
+	d := &Delta{Base: base.Version, Version: next.Version}
+	d.RemovedServices, d.Services = changes(base.Services, next.Services, serviceName)
+	d.RemovedCustomers, d.Customers = changes(base.Customers, next.Customers, customerID)
+	if !reflect.DeepEqual(base.Roster, next.Roster) {
+		d.Roster = &next.Roster
+	}
+	return d
+}
+
+// Apply returns the snapshot that the delta makes of its base, in canonical
+// order. Unchanged parts are shared with the base.
+func (d *Delta) Apply(base *contract.Snapshot) *contract.Snapshot {
+	next := &contract.Snapshot{
+		Version:   d.Version,
+		Services:  patch(base.Services, d.RemovedServices, d.Services, serviceName),
+		Customers: patch(base.Customers, d.RemovedCustomers, d.Customers, customerID),
+		Roster:    base.Roster,
+	}
+	if d.Roster != nil {
+		next.Roster = *d.Roster
+	}
+	return canonical(next)
+}
+
+// canonical returns the snapshot with its services and customers in the order
+// of their names and nil for empty lists, so that equal snapshots have equal
+// sums.
+func canonical(snap *contract.Snapshot) *contract.Snapshot {
+	sorted := *snap
+	sorted.Services = sortedBy(snap.Services, serviceName)
+	sorted.Customers = sortedBy(snap.Customers, customerID)
+	return &sorted
+}
+
+func serviceName(s contract.Service) string { return s.Name }
+
+func customerID(c contract.Customer) string { return c.ID }
+
+func sortedBy[T any](parts []T, name func(T) string) []T {
+	if len(parts) == 0 {
+		return nil
+	}
+	byName := func(a, b T) int { return cmp.Compare(name(a), name(b)) }
+	if slices.IsSortedFunc(parts, byName) {
+		return parts
+	}
+	parts = slices.Clone(parts)
+	slices.SortStableFunc(parts, byName)
+	return parts
+}
+
+// changes returns the names that next lacks and the parts that are new or
+// differ.
+func changes[T any](base, next []T, name func(T) string) (removed []string, changed []T) {
+	old := make(map[string]*T, len(base))
+	for i := range base {
+		old[name(base[i])] = &base[i]
+	}
+	for i := range next {
+		id := name(next[i])
+		if before := old[id]; before == nil || !reflect.DeepEqual(*before, next[i]) {
+			changed = append(changed, next[i])
+		}
+		delete(old, id)
+	}
+	for i := range base {
+		if id := name(base[i]); old[id] != nil {
+			removed = append(removed, id)
+		}
+	}
+	return removed, changed
+}
+
+// patch returns base without the removed and with the changed parts.
+func patch[T any](base []T, removed []string, changed []T, name func(T) string) []T {
+	if len(removed) == 0 && len(changed) == 0 {
+		return base
+	}
+	replaced := make(map[string]bool, len(removed)+len(changed))
+	for _, id := range removed {
+		replaced[id] = true
+	}
+	for i := range changed {
+		replaced[name(changed[i])] = true
+	}
+	next := make([]T, 0, len(base)+len(changed))
+	for i := range base {
+		if !replaced[name(base[i])] {
+			next = append(next, base[i])
+		}
+	}
+	return append(next, changed...)
+}
--- a/datacentre/sim_test.go
+++ b/datacentre/sim_test.go
@@ -244,14 +244,15 @@
 
 // fetch plays the snapshot request; a lost message is never answered.
 func (s *sim) fetch(h, from *simHost) {
+	request := h.table.InForce().Request()
 	s.post(h, from, func(from *simHost) {
-		reply, err := from.table.InForce().Reply(&peerpb.SnapshotRequest{HaveVersion: h.table.InForce().Version()})
+		reply, err := from.table.InForce().Reply(request)
 		if err != nil {
 			s.faults = append(s.faults, err.Error())
 			return
 		}
 		s.post(from, h, func(h *simHost) {
-			snap, err := datacentre.DecodeReply(reply)
+			snap, err := h.table.InForce().Decode(reply)
 			if err != nil {
 				snap = nil
 			}
