--- a/datacentre/configuration.go
+++ b/datacentre/configuration.go
@@ -11,9 +11,9 @@
 // Never is the age of a configuration that no news ever confirmed.
 const Never = time.Duration(math.MaxInt64)
 
-// Configuration is the configuration in force on one host. Version, Current
-// and Fresh may be called at any time; the others by the holder of the lock of
-// the Table that it belongs to.
+// Configuration is the configuration in force on one host. Offer, Confirm and
+// Source are called by the holder of the lock of the Table that it belongs to,
+// the others at any time. Only Offer changes what is in force.
 //
 // A version once in force is never followed by a lower one. A host that lost
 // contact with the platform and with every peer that hears it goes on with what
@@ -21,33 +21,34 @@
 // knowledge is, and Refuses says whether the operator's limit is passed.
 type Configuration struct {
 	refuseAfter time.Duration
+	replaces    func(current, offered uint64) bool
 	current     atomic.Pointer[contract.Snapshot]
 	confirmed   atomic.Pointer[time.Time]
 	source      string
-	encoded     encoded
-	earlier     []*contract.Snapshot // the last few, oldest first, for deltas
+	transfer    transfer
 }
 
 // NewConfig returns a configuration with version 0 in force. refuseAfter is
 // the age of the last confirmation at which Refuses turns true; 0 means never.
 func NewConfig(refuseAfter time.Duration) *Configuration {
-	c := &Configuration{refuseAfter: refuseAfter}
+	c := &Configuration{refuseAfter: refuseAfter, replaces: isHigher}
 	c.current.Store(&contract.Snapshot{})
 	return c
 }
 
+func isHigher(current, offered uint64) bool { return offered > current }
+
 // Offer puts a snapshot in force if its version is higher than the current
 // one, and reports whether it did. from names the peer, or the platform. The
 // snapshot must not be changed afterwards.
 func (c *Configuration) Offer(snap *contract.Snapshot, from string, _ time.Time) bool {
 	current := c.current.Load()
-	if snap == nil || snap.Version <= current.Version {
+	if snap == nil || !c.replaces(current.Version, snap.Version) {
 		return false
 	}
-	c.keepEarlier(current)
+	c.transfer.keepEarlier(current)
 	c.current.Store(snap)
 	c.source = from
-	c.encoded = encoded{}
 	return true
 }
 
