--- a/customer/rate/account.go
+++ b/customer/rate/account.go
@@ -243,7 +243,7 @@
 }
 
 // demandMemory is the time constant of the mean.
-const demandMemory = 200 * time.Millisecond
+const demandMemory = 500 * time.Millisecond
 
 func (d *demand) add(now time.Time) {
 	d.decay(now)
--- a/customer/rate/borrow.go
+++ b/customer/rate/borrow.go
@@ -9,11 +9,11 @@
 
 // Sizes and timing of borrowing.
 const (
-	firstFanout   = 2                     // peers asked in a first round
-	maxFanout     = 8                     // peers asked in any round
-	silentPause   = time.Second           // a silent peer is passed over this long
-	headroomTime  = 20 * time.Millisecond // of demand, asked for on top of the need
-	rateAllowance = 1.25                  // of demand, kept or asked for
+	firstFanout   = 2           // peers asked in a first round
+	maxFanout     = 8           // peers asked in any round
+	silentPause   = time.Second // a silent peer is passed over this long
+	overAsk       = 2           // times the need, asked for in one round
+	rateAllowance = 1.25        // of demand, kept or asked for
 )
 
 // round is the state of asking other hosts in turn.
@@ -39,18 +39,19 @@
 	if need <= 0 {
 		return
 	}
-	n := a.round.width(len(a.holders))
+	n := a.round.width(len(a.holders), t.cfg)
+	each := max(1, need*min(1, overAsk/float64(n)))
 	for range n {
 		if peer := t.nextPeer(a, now); peer != "" {
-			t.ask(a, peer, need, now, out)
+			t.ask(a, peer, each, now, out)
 		}
 	}
-	a.round.next = now.Add(max(a.round.pause, t.cfg.MinPause/8))
+	a.round.rest(now, t.cfg)
 }
 
 // width returns how many peers the next round asks and widens the one after.
-func (r *round) width(holders int) int {
-	if r.exhausted || r.fanout == 0 {
+func (r *round) width(holders int, cfg Config) int {
+	if r.fanout == 0 || r.pause >= cfg.MaxPause {
 		r.fanout = firstFanout
 	}
 	n := min(r.fanout, holders)
@@ -58,6 +59,15 @@
 	return n
 }
 
+// rest sets when the next round may start: soon while peers lend, after ever
+// longer pauses while none does.
+func (r *round) rest(now time.Time, cfg Config) {
+	if r.exhausted {
+		r.pause = min(max(2*r.pause, cfg.MinPause), cfg.MaxPause)
+	}
+	r.next = now.Add(max(r.pause, cfg.MinPause/8))
+}
+
 // nextPeer returns the next holder to ask, near ones first, passing over those
 // that were silent lately; "" when all were.
 func (t *Table) nextPeer(a *account, now time.Time) string {
@@ -65,7 +75,7 @@
 		peer := a.holders[a.round.cursor%len(a.holders)]
 		a.round.cursor = (a.round.cursor + 1) % len(a.holders)
 		if now.Before(t.silent[peer]) {
-			a.round.miss(len(a.holders), now, t.cfg)
+			a.round.miss(len(a.holders), now)
 			continue
 		}
 		return peer
@@ -86,8 +96,8 @@
 	req := &peerpb.TokenRequest{
 		Customer:      a.id,
 		RequestId:     id,
-		Wanted:        need + a.demand.perSecond*headroomTime.Seconds(),
-		WantedRate:    max(0, a.demand.perSecond*rateAllowance-a.totalRate()),
+		Wanted:        need,
+		WantedRate:    max(0, min(a.rate, a.demand.perSecond*rateAllowance)-a.totalRate()),
 		Demand:        a.demand.perSecond,
 		RosterVersion: t.keeper.Version(),
 	}
@@ -114,7 +124,7 @@
 		}
 		k.passed = true
 		t.silent[k.to] = now.Add(silentPause)
-		a.round.miss(len(a.holders), now, t.cfg)
+		a.round.miss(len(a.holders), now)
 	}
 }
 
@@ -127,19 +137,18 @@
 // hit notes a peer that lent something.
 func (r *round) hit() {
 	r.empty = 0
-	r.pause = 0
+	r.pause /= 4
 	r.exhausted = false
 }
 
 // miss notes a peer that had nothing. After a whole turn of them rounds get
 // narrow and rare.
-func (r *round) miss(holders int, now time.Time, cfg Config) {
+func (r *round) miss(holders int, now time.Time) {
 	r.empty++
 	if r.empty < holders {
 		return
 	}
 	r.exhausted = true
 	r.emptyAt = now
-	r.empty = holders - min(firstFanout, holders)
-	r.pause = min(max(2*r.pause, cfg.MinPause), cfg.MaxPause)
+	r.empty = holders
 }
--- a/customer/rate/config.go
+++ b/customer/rate/config.go
@@ -22,7 +22,7 @@
 const (
 	DefaultLoanTerm   = time.Second
 	DefaultAskTimeout = 25 * time.Millisecond
-	DefaultMaxWait    = 200 * time.Millisecond
+	DefaultMaxWait    = 500 * time.Millisecond
 	DefaultIdleReturn = 50 * time.Millisecond
 	DefaultMinPause   = 5 * time.Millisecond
 	DefaultMaxPause   = 160 * time.Millisecond
--- a/customer/rate/loans.go
+++ b/customer/rate/loans.go
@@ -144,11 +144,13 @@
 func (t *Table) take(a *account, k *ask, m *peerpb.TokenGrant, now time.Time) {
 	if finite(m.Burst) <= 0 {
 		if !k.passed {
-			a.round.miss(len(a.holders), now, t.cfg)
+			a.round.miss(len(a.holders), now)
 		}
 		return
 	}
-	a.round.hit()
+	if m.Tokens >= 1 || m.Rate > 0 {
+		a.round.hit()
+	}
 	lifetime := time.Duration(m.LifetimeMs) * time.Millisecond
 	a.held = append(a.held, &heldLoan{
 		from:  k.to,
@@ -207,10 +209,20 @@
 	t.serve(a, now, out)
 }
 
-// returnSpent returns loans that have nothing left and bring nothing more.
+// returnSpent returns loans that have nothing left and bring nothing more and,
+// when no request waits, those whose tokens and rate are not needed soon.
 func (t *Table) returnSpent(a *account, out *Output) {
+	a.demand.decay(a.at)
+	surplus := a.totalRate() - a.demand.perSecond
 	t.returnWhere(a, out, func(h *heldLoan) bool {
-		return h.rate == 0 && h.level < epsilon
+		if h.rate == 0 {
+			return len(a.waiters) == 0 || h.level < epsilon
+		}
+		if len(a.waiters) > 0 || h.rate > surplus {
+			return false
+		}
+		surplus -= h.rate
+		return true
 	})
 }
 
--- a/customer/rate/table.go
+++ b/customer/rate/table.go
@@ -79,8 +79,11 @@
 	for _, a := range t.accounts {
 		a.advance(now, t.accrueFrom)
 	}
+	first := t.keeper.Plan() == nil
 	if t.keeper.Apply(roster, now) {
-		t.cleanAt = later(t.cleanAt, now.Add(hold(t.cfg.LoanTerm)))
+		if !first {
+			t.cleanAt = later(t.cleanAt, now.Add(hold(t.cfg.LoanTerm)))
+		}
 		t.forgetSilent()
 	}
 	listed := make(map[string]bool, len(customers))
