Share a database's slots by deficit round robin

Cause: one customer at ten times its rate must not change what others wait. Customers below their share of slot time go first. Change: customer/fair.

--- /dev/null
+++ b/customer/fair/pick.go
@@ -0,0 +1,186 @@
+package fair
+
+import (
+	"slices"
+	"time"
+)
+
+// leastQuantum is the slot time per weight and turn while no service time is
+// known.
+const leastQuantum = time.Millisecond
+
+// push adds a request to its customer's queue.
+func (q *Queue) push(c *customer, item Item) {
+	if c.waiting() == 0 {
+		q.joinRing(c)
+	}
+	if item.Urgent {
+		c.urgent = append(c.urgent, item)
+	} else {
+		c.plain = append(c.plain, item)
+	}
+	q.queued++
+}
+
+// joinRing puts a customer last in turn. An idle customer has saved up no slot
+// time and owes none.
+func (q *Queue) joinRing(c *customer) {
+	if c.running == 0 {
+		c.deficit = 0
+	}
+	c.deficit = min(c.deficit, 0)
+	q.ring = slices.Insert(q.ring, q.turn, c)
+	if len(q.ring) > 1 {
+		q.turn++
+	}
+}
+
+// leaveRing takes a customer with nothing waiting out of the ring.
+func (q *Queue) leaveRing(c *customer) {
+	if c.waiting() > 0 {
+		return
+	}
+	i := slices.Index(q.ring, c)
+	if i < 0 {
+		return
+	}
+	q.ring = slices.Delete(q.ring, i, i+1)
+	switch {
+	case i < q.turn:
+		q.turn--
+	case i == q.turn:
+		q.granted = false
+	}
+	if q.turn >= len(q.ring) {
+		q.turn = 0
+	}
+	q.rest(c)
+}
+
+// fill starts requests while slots are free.
+func (q *Queue) fill() []uint64 {
+	var out []uint64
+	for len(q.running) < q.cfg.Slots {
+		c, item, ok := q.pick()
+		if !ok {
+			return out
+		}
+		q.start(c, item.ID)
+		q.leaveRing(c)
+		out = append(out, item.ID)
+	}
+	return out
+}
+
+// class selects customers.
+type class func(*customer) bool
+
+func anyCustomer(*customer) bool { return true }
+
+// pick takes the next request: in turn among customers within their share, else
+// in turn among all.
+func (q *Queue) pick() (*customer, Item, bool) {
+	if c, item, ok := q.pickFrom(q.withinShare); ok {
+		return c, item, true
+	}
+	return q.pickFrom(anyCustomer)
+}
+
+func (q *Queue) pickFrom(in class) (*customer, Item, bool) {
+	for range 2 {
+		for range len(q.ring) + 1 {
+			if c, item, ok := q.pickCurrent(in); ok {
+				return c, item, true
+			}
+			q.endTurn()
+		}
+		q.skipTurns(in)
+	}
+	return nil, Item{}, false
+}
+
+// pickCurrent takes a request of the customer whose turn it is, if it is in the
+// class and has slot time left.
+func (q *Queue) pickCurrent(in class) (*customer, Item, bool) {
+	if len(q.ring) == 0 || !in(q.ring[q.turn]) {
+		return nil, Item{}, false
+	}
+	c := q.ring[q.turn]
+	if !q.granted {
+		q.granted = true
+		q.grant(c, 1)
+	}
+	if c.deficit <= 0 {
+		return nil, Item{}, false
+	}
+	item, ok := c.pop(q.now)
+	if ok {
+		q.queued--
+	}
+	return c, item, ok
+}
+
+func (q *Queue) endTurn() {
+	if len(q.ring) == 0 {
+		return
+	}
+	q.turn = (q.turn + 1) % len(q.ring)
+	q.granted = false
+}
+
+// grant gives a customer the slot time of some turns. It saves up no more than
+// one turn's.
+func (q *Queue) grant(c *customer, turns time.Duration) {
+	quantum := q.quantum(c)
+	c.deficit = min(c.deficit+turns*quantum, quantum)
+}
+
+// skipTurns gives the customers of a class as many turns as it takes until one
+// of them may run a request in its next turn.
+func (q *Queue) skipTurns(in class) {
+	turns := time.Duration(-1)
+	for _, c := range q.ring {
+		if !in(c) || !c.live(q.now) {
+			continue
+		}
+		need := max(0, -c.deficit) / q.quantum(c)
+		if turns < 0 || need < turns {
+			turns = need
+		}
+	}
+	if turns <= 0 {
+		return
+	}
+	for _, c := range q.ring {
+		if in(c) {
+			q.grant(c, turns)
+		}
+	}
+}
+
+// quantum is the slot time that a customer gets per turn.
+func (q *Queue) quantum(c *customer) time.Duration {
+	return time.Duration(c.weight) * max(q.service.value, leastQuantum)
+}
+
+// expectedWait estimates the wait of one more request of c: the slot time of
+// those that run, of c's own ahead of it, and of as many of each other customer
+// as its weight lets pass meanwhile.
+func (q *Queue) expectedWait(c *customer, urgent bool) time.Duration {
+	if q.cfg.Slots <= 0 {
+		return 0
+	}
+	own := len(c.urgent)
+	if !urgent {
+		own += len(c.plain)
+	}
+	ahead := time.Duration(own+1) * c.service.value
+	for _, o := range q.ring {
+		if o == c {
+			continue
+		}
+		passing := min(o.waiting(), (own+1)*o.weight/c.weight+1)
+		ahead += time.Duration(passing) * o.service.value
+	}
+	return ahead / time.Duration(q.cfg.Slots)
+}
