Add the operators' command line

Operators drive the proxy by editing team files and publishing. bronzeloftctl checks, diffs and publishes them, changes keys, and looks after hosts through their admin listeners. Exit codes tell a fault (1), a wrong command line (2), a conflict (3) and an unreachable platform or host (4) apart.

A call that the budget refuses is known to have no effect, so publishing waits for it instead of counting the attempt or calling the outcome unknown. A report names hosts that did not answer.

--- /dev/null
+++ b/cmd/bronzeloftctl/main.go
@@ -0,0 +1,42 @@
+// Command bronzeloftctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/ctl"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// Budget of platform calls of one command.
+const (
+	callsPerSecond = 100
+	callBurst      = 200
+)
+
+// hostTimeout bounds one call to a host.
+const hostTimeout = 5 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := ctl.Run(ctx, os.Args[1:], ctl.Env{
+		Out:    os.Stdout,
+		Err:    os.Stderr,
+		Now:    time.Now,
+		Random: rand.Reader,
+		API:    newAPI,
+		HTTP:   &http.Client{Timeout: hostTimeout},
+	})
+	stop()
+	os.Exit(code)
+}
+
+func newAPI(baseURL string) platform.API {
+	return platform.NewClient(platform.ClientConfig{BaseURL: baseURL, CallsPerSecond: callsPerSecond, Burst: callBurst})
+}
--- a/contract/publish.go
+++ b/contract/publish.go
@@ -92,10 +92,7 @@
 func Publish(ctx context.Context, api platform.API, snap *Snapshot, opts PublishOptions) (Result, error) {
 	p := newPublisher(api, opts)
 	return p.run(ctx, func(ctx context.Context, cur *current) (*Snapshot, error) {
-		next := normalised(snap)
-		if cur.snap != nil {
-			carryKeys(cur.snap, next)
-		}
+		next := Preview(cur.snap, snap)
 		if err := p.checkBase(ctx, cur, next); err != nil {
 			return nil, err
 		}
@@ -103,6 +100,16 @@
 	})
 }
 
+// Preview returns what publishing snap on top of inForce, which may be nil, would
+// put in force: Diff of the two is what an operator wants to see first.
+func Preview(inForce, snap *Snapshot) *Snapshot {
+	next := normalised(snap)
+	if inForce != nil {
+		carryKeys(inForce, next)
+	}
+	return next
+}
+
 // Edit changes the snapshot in force by a conditional update: change gets a
 // copy of it, and gets the newest copy again when somebody else was faster. An
 // error of change is returned as it is. Base is not used.
@@ -171,20 +178,22 @@
 // makeNext returns the snapshot to publish on top of cur.
 type makeNext func(context.Context, *current) (*Snapshot, error)
 
-// run tries until an attempt has a definite outcome.
+// run tries until an attempt has a definite outcome. An attempt that ends for
+// want of budget does not count: ctx bounds those.
 func (p *publisher) run(ctx context.Context, next makeNext) (Result, error) {
 	var last error
-	for attempt := range p.opts.Attempts {
-		if attempt > 0 {
-			if err := p.opts.Pause(ctx); err != nil {
-				break
-			}
-		}
+	for attempts := 0; attempts < p.opts.Attempts; {
 		res, err := p.attempt(ctx, next)
 		if err == nil || isFinal(err) {
 			return res, err
 		}
 		last = err
+		if !errors.Is(err, platform.ErrBudget) {
+			attempts++
+		}
+		if p.opts.Pause(ctx) != nil {
+			break
+		}
 	}
 	if p.unknown != nil {
 		return Result{}, &UnknownError{PublishID: p.id, Err: last}
--- a/contract/publish_test.go
+++ b/contract/publish_test.go
@@ -272,6 +272,22 @@
 			Expect(fetch().Customer("cluj").Rate).To(Equal(300.0))
 		})
 
+		It("waits for its budget of calls", func() {
+			refused := map[string]int{}
+			api.before = func(op, kind, _ string) error {
+				refused[op+kind]++
+				if refused[op+kind]%2 == 1 {
+					return platform.ErrBudget
+				}
+				return nil
+			}
+			res, err := publish("ana", 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Recovered).To(BeFalse())
+			api.before = nil
+			Expect(fetch().Version).To(Equal(uint64(2)))
+		})
+
 		It("says unknown when the head can't be read back, and the next try finds it done", func() {
 			down := false
 			api.after = once("update", platform.KindHead, func() error { down = true; return errLost })
--- a/contract/write.go
+++ b/contract/write.go
@@ -42,10 +42,13 @@
 	return c.head != nil && slices.Contains(c.head.Parts, part)
 }
 
-// writeChunk creates a chunk. One that exists already has the same content, for
-// its name is its hash.
+// writeChunk creates a chunk, waiting for the budget of calls. One that exists
+// already has the same content, for its name is its hash.
 func (p *publisher) writeChunk(ctx context.Context, b blob) error {
 	_, err := p.api.Create(ctx, platform.KindChunk, b.part.Hash, b.value)
+	for errors.Is(err, platform.ErrBudget) && p.opts.Pause(ctx) == nil {
+		_, err = p.api.Create(ctx, platform.KindChunk, b.part.Hash, b.value)
+	}
 	if err == nil || errors.Is(err, platform.ErrExists) {
 		return nil
 	}
@@ -84,12 +87,18 @@
 	if err == nil {
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrExists) {
+	if !isRefusal(err) {
 		p.unknown = err
 	}
 	return retryable{eris.Wrap(err, "contract: write head")}
 }
 
+// isRefusal reports whether err says for certain that nothing took effect.
+func isRefusal(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) ||
+		errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrBudget)
+}
+
 // normalised returns a deep enough copy of s to change, in the order in which
 // it is published.
 func normalised(s *Snapshot) *Snapshot {
--- /dev/null
+++ b/internal/ctl/admin.go
@@ -0,0 +1,138 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/report"
+)
+
+// hostsAtOnce bounds the hosts that are asked at the same time.
+const hostsAtOnce = 16
+
+// maxAnswerBytes bounds a host's answer.
+const maxAnswerBytes = 64 << 20
+
+// Paths of a host's admin listener.
+const (
+	pathStatus = "/status" // GET: JSON of hostStatus
+	pathBurn   = "/burn"   // GET: JSON of report.Counts
+	pathDrain  = "/drain"  // POST: begins a graceful shutdown
+)
+
+// errHost marks a host that could not be reached or did not answer as it should.
+var errHost = errors.New("host did not answer")
+
+// hostStatus is what the commands read of a host's status.
+type hostStatus struct {
+	Host          string `json:"host"`
+	DataCentre    string `json:"dataCentre"`
+	Address       string `json:"address"`
+	BootID        string `json:"bootId"`
+	Ready         bool   `json:"ready"`
+	Leaving       bool   `json:"leaving"`
+	ConfigVersion uint64 `json:"configVersion"`
+	ConfigAge     string `json:"configAge"`
+	Callers       int    `json:"callers"`
+	Watcher       bool   `json:"watcher"`
+}
+
+// state returns the host's state in a word.
+func (s hostStatus) state() string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	default:
+		return "starting"
+	}
+}
+
+// call makes one call to a host and decodes its answer into out, unless nil.
+func (a *app) call(ctx context.Context, method, host, path string, out any) error {
+	if !strings.Contains(host, "://") {
+		host = "http://" + host
+	}
+	req, err := http.NewRequestWithContext(ctx, method, host+path, nil)
+	if err != nil {
+		return usageError{err.Error()}
+	}
+	resp, err := a.env.HTTP.Do(req)
+	if err != nil {
+		return eris.Wrapf(errHost, "%s: %v", host, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return eris.Wrapf(errHost, "%s: %s %s: %s", host, method, path, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return eris.Wrapf(errHost, "%s: %s: %v", host, path, err)
+	}
+	return nil
+}
+
+// answer is one host's answer, or why there is none.
+type answer[T any] struct {
+	host  string
+	value T
+	err   error
+}
+
+// askAll gets path from every host, a bounded number at once, and returns the
+// answers in the order of hosts.
+func askAll[T any](a *app, hosts []string, path string) []answer[T] {
+	answers := make([]answer[T], len(hosts))
+	slots := make(chan struct{}, hostsAtOnce)
+	var wg sync.WaitGroup
+	for i, host := range hosts {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			answers[i].host = host
+			answers[i].err = a.call(a.ctx, http.MethodGet, host, path, &answers[i].value)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// counts asks hosts for what they counted, and returns those that did not
+// answer.
+func (a *app) counts(hosts []string) (all []report.Counts, unreached []string) {
+	for _, ans := range askAll[report.Counts](a, hosts, pathBurn) {
+		if ans.err != nil {
+			fmt.Fprintln(a.env.Err, "bronzeloftctl:", ans.err)
+			unreached = append(unreached, ans.host)
+			continue
+		}
+		all = append(all, ans.value)
+	}
+	return all, unreached
+}
+
+// isGone reports whether a host's admin listener refuses connections.
+func (a *app) isGone(host string) bool {
+	err := a.call(a.ctx, http.MethodGet, host, pathStatus, nil)
+	if err == nil || a.ctx.Err() != nil {
+		return false
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(a.ctx, "tcp", strings.TrimPrefix(host, "http://"))
+	if err == nil {
+		conn.Close()
+	}
+	return err != nil && a.ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,187 @@
+// Package ctl is the operators' command line: checking and publishing team
+// files, keys, and looking after hosts. The commands know no clock, terminal or
+// platform of their own; an Env brings them in.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/keys"
+	"github.com/bronzeloft/bronzeloft/internal/tomlread"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitRefused     = 1 // a fault in files, or a refusal
+	ExitUsage       = 2 // a wrong command line
+	ExitConflict    = 3 // somebody else published meanwhile
+	ExitUnavailable = 4 // the platform or a host could not be reached, or the outcome is unknown
+)
+
+const description = `Operates a fleet of bronzeloft hosts.
+
+Exit codes: 0 done; 1 a fault in the files, or refused; 2 wrong command line;
+3 conflict, somebody else published meanwhile; 4 the platform or a host could
+not be reached, or the outcome is unknown.`
+
+// Env is what the commands act on.
+type Env struct {
+	Out    io.Writer
+	Err    io.Writer
+	Now    func() time.Time
+	Random io.Reader                         // source of keys
+	API    func(baseURL string) platform.API // the platform at a URL
+	HTTP   *http.Client                      // for the hosts' admin listeners
+	Pause  func(context.Context) error       // between tries; nil for the usual ones
+}
+
+// globals are the flags of every command.
+type globals struct {
+	Platform string        `long:"platform" env:"BRONZELOFT_PLATFORM" value-name:"URL" description:"base URL of the platform's object API"`
+	Operator string        `long:"operator" env:"BRONZELOFT_OPERATOR" value-name:"NAME" default:"unnamed" description:"your name, shown to operators who publish at the same time"`
+	Timeout  time.Duration `long:"timeout" default:"30s" description:"time for the whole command"`
+	JSON     bool          `long:"json" description:"print JSON instead of a table"`
+}
+
+// app is one run of the command line.
+type app struct {
+	globals
+	env Env
+	ctx context.Context
+}
+
+// errRefused is the outcome of a command that has printed why already.
+var errRefused = errors.New("refused")
+
+// usageError is a wrong command line that the parser cannot see.
+type usageError struct{ message string }
+
+// Error returns what is wrong.
+func (e usageError) Error() string { return e.message }
+
+// Run carries out one command line and returns the exit code.
+func Run(ctx context.Context, args []string, env Env) int {
+	a := &app{env: env}
+	parser := flags.NewNamedParser("bronzeloftctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if err := a.register(parser); err != nil {
+		fmt.Fprintln(env.Err, err)
+		return ExitUsage
+	}
+	parser.CommandHandler = func(command flags.Commander, args []string) error {
+		if len(args) > 0 {
+			return usageError{fmt.Sprintf("unexpected argument %q", args[0])}
+		}
+		var cancel context.CancelFunc
+		a.ctx, cancel = context.WithTimeout(ctx, a.Timeout)
+		defer cancel()
+		return command.Execute(args)
+	}
+	_, err := parser.ParseArgs(args)
+	return a.finish(err)
+}
+
+func (a *app) register(p *flags.Parser) error {
+	if _, err := p.AddGroup("Global options", "", &a.globals); err != nil {
+		return err
+	}
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"check", "Check team files and name every fault", &checkCommand{app: a}},
+		{"diff", "Show what publishing team files would change", &diffCommand{app: a}},
+		{"publish", "Put team files in force", &publishCommand{app: a}},
+		{"status", "Show what is published and what hosts run by", &statusCommand{app: a}},
+		{"drain", "Stop a host gracefully", &drainCommand{app: a}},
+		{"report", "Show service-level burn", &reportCommand{app: a}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return a.registerKeys(p)
+}
+
+// finish prints err, if any, and returns the exit code.
+func (a *app) finish(err error) int {
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Fprintln(a.env.Out, err)
+		return ExitOK
+	case errors.Is(err, errRefused):
+		return ExitRefused
+	}
+	fmt.Fprintln(a.env.Err, "bronzeloftctl:", err)
+	return exitCode(err)
+}
+
+// refusals are the errors that trying again does not change.
+var refusals = []error{
+	contract.ErrNotPublished, contract.ErrChunkMissing, contract.ErrCorrupt, contract.ErrTooLarge,
+	keys.ErrNoCustomer, keys.ErrNoKey, keys.ErrTooMany, keys.ErrNoneValid, keys.ErrID,
+}
+
+func exitCode(err error) int {
+	var (
+		flagsErr *flags.Error
+		usage    usageError
+		conflict *contract.ConflictError
+		faults   tomlread.Faults
+	)
+	switch {
+	case errors.As(err, &flagsErr), errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &faults):
+		return ExitRefused
+	}
+	for _, refusal := range refusals {
+		if errors.Is(err, refusal) {
+			return ExitRefused
+		}
+	}
+	return ExitUnavailable
+}
+
+// api returns the platform that the command line names.
+func (a *app) api() (platform.API, error) {
+	if a.Platform == "" {
+		return nil, usageError{"--platform or BRONZELOFT_PLATFORM must name the platform"}
+	}
+	return a.env.API(a.Platform), nil
+}
+
+// options returns how this operator publishes on top of base.
+func (a *app) options(base uint64) contract.PublishOptions {
+	return contract.PublishOptions{Base: base, Operator: a.Operator, Pause: a.env.Pause}
+}
+
+// published returns the platform and what is in force there, nil for nothing.
+func (a *app) published() (platform.API, *contract.Snapshot, error) {
+	api, err := a.api()
+	if err != nil {
+		return nil, nil, err
+	}
+	snap, err := contract.Fetch(a.ctx, api)
+	if errors.Is(err, contract.ErrNotPublished) {
+		return api, nil, nil
+	}
+	return api, snap, eris.Wrap(err, "read what is published")
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,252 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/keys"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/ctl"
+	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
+	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/report"
+)
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "internal/ctl")
+}
+
+const pluta = "../../examples/pluta"
+
+var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// result is what one command line did.
+type result struct {
+	code     int
+	out, err string
+}
+
+// run carries out one command line.
+func run(args ...string) result {
+	var out, errs bytes.Buffer
+	code := ctl.Run(context.Background(), args, ctl.Env{
+		Out:    &out,
+		Err:    &errs,
+		Now:    func() time.Time { return noon },
+		Random: rand.Reader,
+		API: func(url string) platform.API {
+			return platform.NewClient(platform.ClientConfig{BaseURL: url, Timeout: 300 * time.Millisecond, CallsPerSecond: 1000, Burst: 1000})
+		},
+		HTTP:  &http.Client{Timeout: time.Second},
+		Pause: func(ctx context.Context) error { return ctx.Err() },
+	})
+	return result{code, out.String(), errs.String()}
+}
+
+var _ = Describe("bronzeloftctl", func() {
+	It("states its exit codes in its help", func() {
+		res := run("--help")
+		Expect(res.code).To(Equal(ctl.ExitOK))
+		Expect(res.out).To(ContainSubstring("Exit codes: 0 done; 1 a fault"))
+		Expect(res.out).To(ContainSubstring("publish"))
+		Expect(run("publish", "--help").out).To(ContainSubstring("--base"))
+	})
+
+	DescribeTable("exits 2 for a wrong command line", func(args ...string) {
+		res := run(args...)
+		Expect(res.code).To(Equal(ctl.ExitUsage), res.err)
+		Expect(res.err).NotTo(BeEmpty())
+	},
+		Entry("no command"),
+		Entry("unknown command", "fly"),
+		Entry("unknown flag", "check", "--fast", pluta),
+		Entry("no directory", "check"),
+		Entry("no base", "--platform", "http://127.0.0.1:1", "publish", pluta),
+		Entry("no platform", "diff", pluta),
+		Entry("no host", "--platform", "http://127.0.0.1:1", "report"),
+		Entry("nothing to show", "status"),
+		Entry("too much", "--platform", "http://127.0.0.1:1", "keys", "issue", "cluj", "iasi"),
+		Entry("unknown format", "report", "--host", "127.0.0.1:1", "--format", "pdf"),
+	)
+
+	It("checks files, and exits 1 with each fault", func() {
+		res := run("check", pluta)
+		Expect(res).To(Equal(result{0, "no faults: 3 services, 8 customers, 15 hosts\n", ""}))
+		dir := GinkgoT().TempDir()
+		Expect(os.CopyFS(dir, os.DirFS(pluta))).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, "orders.toml"), []byte("service = \"orders\"\nwrong = 1\n"), 0o600)).To(Succeed())
+		res = run("check", dir)
+		Expect(res.code).To(Equal(ctl.ExitRefused))
+		Expect(res.out).To(ContainSubstring("orders.toml:2: wrong: found an unknown key"))
+		res = run("--json", "check", dir)
+		Expect(res.code).To(Equal(ctl.ExitRefused))
+		var parsed struct{ Faults []contract.Fault }
+		Expect(json.Unmarshal([]byte(res.out), &parsed)).To(Succeed())
+		Expect(parsed.Faults).To(HaveLen(1))
+	})
+
+	Describe("with a platform", func() {
+		var (
+			server *platformserver.Server
+			url    string
+			dir    string
+		)
+
+		BeforeEach(func() {
+			var err error
+			server, err = platformserver.Start(platformserver.Config{KeepEvents: 100})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { server.Close() })
+			url = "http://" + server.Addr()
+			dir = GinkgoT().TempDir()
+			Expect(os.CopyFS(dir, os.DirFS(pluta))).To(Succeed())
+		})
+
+		at := func(args ...string) result {
+			return run(append([]string{"--platform", url, "--operator", "ana"}, args...)...)
+		}
+		rate := func(from, to string) {
+			GinkgoHelper()
+			path := filepath.Join(dir, "customers.toml")
+			text, err := os.ReadFile(path)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(os.WriteFile(path, []byte(strings.Replace(string(text), "rate = "+from, "rate = "+to, 1)), 0o600)).To(Succeed())
+		}
+
+		It("diffs, publishes, shows and refuses the slower of two operators", func() {
+			Expect(at("status").code).To(Equal(ctl.ExitRefused))
+			Expect(at("diff", dir).out).To(ContainSubstring("publish them with --base 0"))
+			res := at("publish", "--base", "0", dir)
+			Expect(res.code).To(Equal(ctl.ExitOK), res.err)
+			Expect(res.out).To(ContainSubstring("version 1 is published"))
+			Expect(at("diff", dir).out).To(Equal("0 changes on top of version 1; publish them with --base 1\n"))
+
+			rate("250", "260")
+			Expect(at("diff", dir).out).To(HavePrefix("~ customer cluj: rate 250 -> 260\n1 changes on top of version 1"))
+			Expect(at("publish", "--base", "1", dir).code).To(Equal(ctl.ExitOK))
+			rate("260", "270")
+			res = at("publish", "--base", "1", dir)
+			Expect(res.code).To(Equal(ctl.ExitConflict))
+			Expect(res.err).To(ContainSubstring("version 2, published by ana, is in force instead of 1\n~ customer cluj: rate 250 -> 260"))
+			Expect(at("status").out).To(HavePrefix("version 2, published by ana"))
+		})
+
+		It("issues, rotates, lists and withdraws keys, and publishing keeps them", func() {
+			Expect(at("keys", "list").code).To(Equal(ctl.ExitRefused))
+			Expect(at("publish", "--base", "0", dir).code).To(Equal(ctl.ExitOK))
+			var first keys.Issued
+			Expect(json.Unmarshal([]byte(at("--json", "keys", "issue", "cluj").out), &first)).To(Succeed())
+			res := at("keys", "rotate", "cluj")
+			Expect(res.code).To(Equal(ctl.ExitOK), res.err)
+			plaintext, _, _ := strings.Cut(res.out, "\n")
+			Expect(at("keys", "rotate", "cluj").code).To(Equal(ctl.ExitRefused))
+			Expect(at("keys", "issue", "nobody").code).To(Equal(ctl.ExitRefused))
+			Expect(at("keys", "withdraw", first.ID).out).To(Equal("key " + first.ID + " is withdrawn as of version 4\n"))
+			rate("250", "260")
+			Expect(at("publish", "--base", "1", dir).code).To(Equal(ctl.ExitOK)) // only keys changed since
+
+			list := at("keys", "list").out
+			Expect(list).To(MatchRegexp(`cluj +%s +withdrawn`, first.ID))
+			Expect(list).To(ContainSubstring("valid"))
+			Expect(list).NotTo(ContainSubstring(plaintext))
+			snap, err := contract.Fetch(context.Background(), platform.NewClient(platform.ClientConfig{BaseURL: url}))
+			Expect(err).NotTo(HaveOccurred())
+			table := keys.NewTable()
+			table.Apply(snap)
+			_, _, err = table.Check(plaintext)
+			Expect(err).NotTo(HaveOccurred())
+			_, _, err = table.Check(first.Plaintext)
+			Expect(errkind.Of(err)).To(Equal(errkind.KeyWithdrawn))
+		})
+
+		It("exits 4 when the platform can't be reached", func() {
+			server.Close()
+			for _, args := range [][]string{{"diff", dir}, {"publish", "--base", "0", dir}, {"keys", "list"}, {"status"}} {
+				Expect(at(args...).code).To(Equal(ctl.ExitUnavailable), args[0])
+			}
+		})
+
+		It("reports burn by the published objectives, and names a silent host", func() {
+			Expect(at("publish", "--base", "0", dir).code).To(Equal(ctl.ExitOK))
+			host := newFakeHost()
+			page := filepath.Join(dir, "burn.html")
+			res := at("report", "--host", host.addr(), "--host", "127.0.0.1:1", "--format", "html", "--output", page)
+			Expect(res.code).To(Equal(ctl.ExitOK), res.err)
+			html, err := os.ReadFile(page)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(html)).To(ContainSubstring("did not answer"))
+			Expect(string(html)).To(ContainSubstring("cluj"))
+			Expect(at("report", "--host", host.addr()).out).To(MatchRegexp(`cluj +availability +99.9% +1 +0 +100%`))
+			Expect(at("report", "--host", "127.0.0.1:1").code).To(Equal(ctl.ExitUnavailable))
+		})
+	})
+
+	It("shows hosts, and those that don't answer", func() {
+		host := newFakeHost()
+		res := run("status", "--host", host.addr(), "--host", "127.0.0.1:1")
+		Expect(res.code).To(Equal(ctl.ExitUnavailable))
+		Expect(res.out).To(MatchRegexp(`%s +entry-1 +ro-centru-a +ready +7 +1s +3`, host.addr()))
+		Expect(res.out).To(MatchRegexp(`127.0.0.1:1 .*no answer`))
+		Expect(run("--json", "status", "--host", host.addr()).out).To(ContainSubstring(`"configVersion": 7`))
+	})
+
+	It("drains a host and waits until it has stopped", func() {
+		host := newFakeHost()
+		Expect(run("drain", host.addr()).out).To(ContainSubstring("is draining"))
+		Eventually(host.drained).Should(Receive())
+		go func() {
+			<-host.drained
+			host.server.Close()
+		}()
+		res := run("drain", "--wait", host.addr())
+		Expect(res).To(Equal(result{0, host.addr() + " has stopped\n", ""}))
+		Expect(run("drain", host.addr()).code).To(Equal(ctl.ExitUnavailable))
+	})
+
+	It("gives up waiting for a host that does not stop", func() {
+		res := run("--timeout", "300ms", "drain", "--wait", newFakeHost().addr())
+		Expect(res.code).To(Equal(ctl.ExitUnavailable))
+		Expect(res.err).To(ContainSubstring("still draining"))
+	})
+})
+
+// fakeHost is a host's admin listener.
+type fakeHost struct {
+	server  *httptest.Server
+	drained chan struct{}
+}
+
+func newFakeHost() *fakeHost {
+	h := &fakeHost{drained: make(chan struct{}, 1)}
+	recorder := report.NewRecorder("127.0.0.1:7201", "boot", noon.Add(-time.Hour))
+	recorder.Record(noon, "cluj", report.OK, time.Millisecond)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"host":"entry-1","dataCentre":"ro-centru-a","ready":true,"configVersion":7,"configAge":"1s","callers":3,"peers":[{"x":1}]}`)
+	})
+	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(recorder.Counts(noon)) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusAccepted)
+		h.drained <- struct{}{}
+	})
+	h.server = httptest.NewServer(mux)
+	DeferCleanup(h.server.Close)
+	return h
+}
+
+func (h *fakeHost) addr() string { return h.server.Listener.Addr().String() }
--- /dev/null
+++ b/internal/ctl/hosts.go
@@ -0,0 +1,208 @@
+package ctl
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/report"
+)
+
+// drainPoll is the time between looks at a host that drains.
+const drainPoll = 100 * time.Millisecond
+
+// hostsFlag names hosts by their admin listeners.
+type hostsFlag struct {
+	Hosts []string `long:"host" value-name:"IP:PORT" description:"admin address of a host; may be repeated"`
+}
+
+// statusCommand shows the publication and the hosts.
+type statusCommand struct {
+	app *app
+	hostsFlag
+}
+
+// statusResult is what status prints as JSON.
+type statusResult struct {
+	Published *publication `json:"published,omitempty"`
+	Hosts     []hostLine   `json:"hosts"`
+}
+
+// publication is what is known of the head in force.
+type publication struct {
+	Version   uint64                 `json:"version"`
+	Operator  string                 `json:"operator"`
+	PublishID string                 `json:"publishId"`
+	Recent    []contract.Publication `json:"recent"`
+}
+
+// hostLine is one host's status, or the error in its place.
+type hostLine struct {
+	Admin  string      `json:"admin"`
+	Status *hostStatus `json:"status,omitempty"`
+	Error  string      `json:"error,omitempty"`
+}
+
+// Execute runs the command. It prints what it got, and fails with errHost when a
+// host did not answer.
+func (c *statusCommand) Execute([]string) error {
+	if c.app.Platform == "" && len(c.Hosts) == 0 {
+		return usageError{"name the platform or a host"}
+	}
+	res, firstErr := c.collect()
+	if c.app.JSON {
+		return errors.Join(c.app.printJSON(res), firstErr)
+	}
+	if p := res.Published; p != nil {
+		c.app.printf("version %d, published by %s as %s", p.Version, p.Operator, p.PublishID)
+	}
+	if len(res.Hosts) == 0 {
+		return firstErr
+	}
+	return errors.Join(c.printHosts(res.Hosts), firstErr)
+}
+
+func (c *statusCommand) collect() (res statusResult, firstErr error) {
+	res.Hosts = []hostLine{}
+	if c.app.Platform != "" {
+		res.Published, firstErr = c.publication()
+	}
+	for _, ans := range askAll[hostStatus](c.app, c.Hosts, pathStatus) {
+		line := hostLine{Admin: ans.host, Status: &ans.value}
+		if ans.err != nil {
+			line.Status, line.Error = nil, ans.err.Error()
+			firstErr = errors.Join(firstErr, ans.err)
+		}
+		res.Hosts = append(res.Hosts, line)
+	}
+	return res, firstErr
+}
+
+func (c *statusCommand) publication() (*publication, error) {
+	api, err := c.app.api()
+	if err != nil {
+		return nil, err
+	}
+	head, _, err := contract.ReadHead(c.app.ctx, api)
+	if err != nil {
+		return nil, err
+	}
+	return &publication{Version: head.Version, Operator: head.Operator, PublishID: head.PublishID, Recent: head.Recent}, nil
+}
+
+func (c *statusCommand) printHosts(hosts []hostLine) error {
+	var rows [][]string
+	for _, h := range hosts {
+		if h.Status == nil {
+			rows = append(rows, []string{h.Admin, "-", "-", "no answer", "-", "-", "-"})
+			continue
+		}
+		s := h.Status
+		rows = append(rows, []string{h.Admin, s.Host, s.DataCentre, s.state(), strconv.FormatUint(s.ConfigVersion, 10), s.ConfigAge, strconv.Itoa(s.Callers)})
+	}
+	return c.app.table([]string{"ADMIN", "HOST", "DATA CENTRE", "STATE", "VERSION", "CONFIRMED", "CALLERS"}, rows)
+}
+
+// drainCommand stops a host gracefully.
+type drainCommand struct {
+	app  *app
+	Wait bool `long:"wait" description:"wait until the host has stopped"`
+	Args struct {
+		Host string `positional-arg-name:"IP:PORT" required:"yes" description:"admin address of the host"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *drainCommand) Execute([]string) error {
+	if err := c.app.call(c.app.ctx, http.MethodPost, c.Args.Host, pathDrain, nil); err != nil {
+		return err
+	}
+	if !c.Wait {
+		c.app.printf("%s is draining", c.Args.Host)
+		return nil
+	}
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !c.app.isGone(c.Args.Host) {
+		select {
+		case <-c.app.ctx.Done():
+			return eris.Wrapf(errHost, "%s: still draining", c.Args.Host)
+		case <-ticker.C:
+		}
+	}
+	c.app.printf("%s has stopped", c.Args.Host)
+	return nil
+}
+
+// reportCommand shows service-level burn.
+type reportCommand struct {
+	app *app
+	hostsFlag
+	Files  []string `long:"files" value-name:"DIR" description:"take objectives from team files instead of the platform; may be repeated"`
+	Format string   `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"form of the report"`
+	Output string   `long:"output" value-name:"FILE" description:"write the report to a file"`
+}
+
+// Execute runs the command. A host that does not answer is named in the report.
+func (c *reportCommand) Execute([]string) error {
+	if len(c.Hosts) == 0 {
+		return usageError{"--host must name one or more hosts"}
+	}
+	objectives, err := c.objectives()
+	if err != nil {
+		return err
+	}
+	counts, unreached := c.app.counts(c.Hosts)
+	rep := report.Burn(report.Merge(counts), objectives, c.app.env.Now())
+	rep.Unreached = unreached
+	if err := c.write(rep); err != nil {
+		return err
+	}
+	if len(counts) == 0 {
+		return eris.Wrap(errHost, "no host counted anything")
+	}
+	return nil
+}
+
+func (c *reportCommand) objectives() (report.Objectives, error) {
+	if len(c.Files) > 0 {
+		snap, err := c.app.load(files{Dirs: c.Files})
+		if err != nil {
+			return nil, err
+		}
+		return report.ObjectivesOf(snap), nil
+	}
+	_, snap, err := c.app.published()
+	if err != nil {
+		return nil, err
+	}
+	if snap == nil {
+		return nil, contract.ErrNotPublished
+	}
+	return report.ObjectivesOf(snap), nil
+}
+
+func (c *reportCommand) write(rep report.Report) error {
+	out := c.app.env.Out
+	if c.Output != "" {
+		f, err := os.Create(c.Output)
+		if err != nil {
+			return usageError{err.Error()}
+		}
+		defer f.Close()
+		out = f
+	}
+	switch {
+	case c.Format == "html":
+		return report.WriteHTML(out, rep)
+	case c.Format == "json" || c.app.JSON:
+		return report.WriteJSON(out, rep)
+	default:
+		return report.WriteText(out, rep)
+	}
+}
--- a/report/burn.go
+++ b/report/burn.go
@@ -53,6 +53,7 @@
 	At        time.Time      `json:"at"`
 	Period    string         `json:"period"` // what the budgets span
 	Hosts     []HostReport   `json:"hosts"`
+	Unreached []string       `json:"unreached,omitempty"` // hosts that were asked and did not answer
 	Customers []CustomerBurn `json:"customers"`
 }
 
--- a/report/render.go
+++ b/report/render.go
@@ -47,6 +47,9 @@
 	if err := tw.Flush(); err != nil {
 		return err
 	}
+	for _, h := range r.Unreached {
+		fmt.Fprintf(w, "no answer: %s\n", h)
+	}
 	for _, h := range r.Hosts {
 		for _, g := range h.Gaps {
 			fmt.Fprintf(w, "gap: %s counted nothing from %s to %s\n", h.Address, clock(g.From), clock(g.To))
