Bite harder in the tests of chunks, budgets and alerts

With each mechanism switched off in turn on a scratch copy, three specs still passed: an altered chunk was accepted because the spec only looked at errors it happened to get, a budget refusal taken for an unknown outcome went unseen, and so did alerts from the short window alone. Each now fails without its mechanism.

--- a/contract/publish_test.go
+++ b/contract/publish_test.go
@@ -319,28 +319,39 @@
 			Expect(fetch().Version).To(Equal(uint64(1)))
 		})
 
-		It("refuses a snapshot with a chunk missing or altered", func() {
-			for key, o := range api.objects {
-				if o.Kind != platform.KindChunk {
-					continue
-				}
+		It("refuses a snapshot with any chunk missing or altered", func() {
+			head, _, err := contract.ReadHead(ctx, api)
+			Expect(err).NotTo(HaveOccurred())
+			for _, part := range head.Parts {
+				key := platform.KindChunk + "/" + part.Hash
+				o := api.objects[key]
 				delete(api.objects, key)
-				if _, err := contract.Fetch(ctx, api); err != nil {
-					Expect(err).To(MatchError(contract.ErrChunkMissing))
-				}
+				_, err = contract.Fetch(ctx, api)
+				Expect(err).To(MatchError(contract.ErrChunkMissing), part.Name)
 				altered := o
 				altered.Value = append([]byte(" "), o.Value...)
 				api.objects[key] = altered
-				if _, err := contract.Fetch(ctx, api); err != nil {
-					Expect(err).To(MatchError(contract.ErrCorrupt))
-				}
+				_, err = contract.Fetch(ctx, api)
+				Expect(err).To(MatchError(contract.ErrCorrupt), part.Name)
 				api.objects[key] = o
 			}
-			head, _, err := contract.ReadHead(ctx, api)
-			Expect(err).NotTo(HaveOccurred())
-			delete(api.objects, platform.KindChunk+"/"+head.Parts[0].Hash)
-			_, err = contract.Fetch(ctx, api)
-			Expect(err).To(MatchError(contract.ErrChunkMissing))
+			fetch()
+		})
+
+		It("does not call the outcome unknown when the budget refused the update", func() {
+			api.before = func(op, kind, _ string) error {
+				if op == "update" && kind == platform.KindHead {
+					return platform.ErrBudget
+				}
+				return nil
+			}
+			short, cancel := context.WithCancel(ctx)
+			opts := options("ana", 1)
+			opts.Pause = func(context.Context) error { cancel(); return short.Err() }
+			_, err := contract.Publish(short, api, snap, opts)
+			Expect(err).To(MatchError(platform.ErrBudget))
+			var unknown *contract.UnknownError
+			Expect(errors.As(err, &unknown)).To(BeFalse())
 		})
 	})
 
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -166,6 +166,7 @@
 		Entry("nothing wrong", time.Duration(0), time.Duration(0), 0, report.NoAlert),
 		Entry("a fast burn that goes on", 30*time.Minute, time.Duration(0), 10, report.FastAlert),
 		Entry("a fast burn that ended", time.Hour, 40*time.Minute, 10, report.NoAlert),
+		Entry("a fast burn that has just begun", 4*time.Minute, time.Duration(0), 2, report.NoAlert),
 		Entry("a slow burn that goes on", 5*time.Hour, time.Duration(0), 1, report.SlowAlert),
 		Entry("a few failures", 3*time.Minute, time.Duration(0), 1, report.NoAlert),
 	)
