--- a/contract/publish_test.go
+++ b/contract/publish_test.go
@@ -371,6 +371,18 @@
 		Expect(api.calls["get "+platform.KindChunk] - before).To(Equal(1))
 	})
 
+	It("does not list a chunk of a publishing under way", func() {
+		_, err := publish("ana", 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = api.Create(ctx, platform.KindChunk, "stray", []byte("{}"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contract.Unreferenced(ctx, api)).To(BeEmpty())
+		snap.Customer("cluj").Rate++
+		_, err = publish("ana", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contract.Unreferenced(ctx, api)).To(Equal([]string{"stray"}))
+	})
+
 	It("lists as unreferenced only what no remembered version names", func() {
 		_, err := publish("ana", 0)
 		Expect(err).NotTo(HaveOccurred())
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -171,6 +171,16 @@
 		Entry("a few failures", 3*time.Minute, time.Duration(0), 1, report.NoAlert),
 	)
 
+	It("wakes nobody for a few failures of a customer who sends little", func() {
+		r := recorder("a", "1", noon.Add(-6*time.Hour))
+		repeat(r, noon.Add(-4*time.Minute), noon, 1, report.Failed(errkind.NoPrimary), 0)
+		got := burn(noon, r.Counts(noon))[report.Availability]
+		Expect(got.Slow.Short).To(BeNumerically(">", report.FastRate))
+		Expect(got.Alert).To(Equal(report.NoAlert))
+		r.Record(noon, "cluj", report.Failed(errkind.NoPrimary), 0)
+		Expect(burn(noon, r.Counts(noon))[report.Availability].Alert).To(Equal(report.FastAlert))
+	})
+
 	It("covers latency, freshness and admission likewise", func() {
 		r := recorder("a", "1", noon.Add(-6*time.Hour))
 		repeat(r, noon.Add(-time.Hour), noon, perMinute, report.OK, time.Second)
