--- a/contract/publish_test.go
+++ b/contract/publish_test.go
@@ -273,10 +273,9 @@
 		})
 
 		It("waits for its budget of calls", func() {
-			refused := map[string]int{}
-			api.before = func(op, kind, _ string) error {
-				refused[op+kind]++
-				if refused[op+kind]%2 == 1 {
+			var refused sync.Map
+			api.before = func(op, kind, name string) error {
+				if _, before := refused.LoadOrStore(op+kind+name, true); !before {
 					return platform.ErrBudget
 				}
 				return nil
