--- a/contract/check.go
+++ b/contract/check.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -16,6 +17,12 @@
 // MaxKeyIDBytes bounds a key's id.
 const MaxKeyIDBytes = 64
 
+// Sizes of a key's salt.
+const (
+	minSaltBytes = 8
+	maxSaltBytes = 64
+)
+
 // Patterns of names.
 var (
 	namePattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
@@ -152,7 +159,7 @@
 	c.count(key+" keys", len(cu.Keys), 0, MaxKeys)
 	for _, k := range cu.Keys {
 		c.want(ValidKeyID(k.ID), key+" key", fmt.Sprintf("%q", k.ID), "1 to 64 lower-case letters, digits, '-' and '_'")
-		c.want(len(k.Salt) >= 8 && len(k.Hash) == 32, key+" key", k.ID+" without a whole salt and hash", "a key as issued")
+		c.want(len(k.Salt) >= minSaltBytes && len(k.Salt) <= maxSaltBytes && len(k.Hash) == sha256.Size, key+" key", k.ID+" without a whole salt and hash", "a key as issued")
 	}
 }
 
--- a/contract/head.go
+++ b/contract/head.go
@@ -16,8 +16,9 @@
 
 // Bounds of the published form.
 const (
-	customersPerChunk = 256 // customers of one chunk
-	MaxRecent         = 64  // earlier publications that a head remembers
+	customersPerChunk = 128 // customers of one chunk
+	MaxRecent         = 64  // publications that a head remembers
+	maxOperatorBytes  = 64  // of an operator's name; the rest is cut off
 )
 
 // Errors of published snapshots.
@@ -92,7 +93,8 @@
 }
 
 // split cuts a snapshot into chunks: the fleet, each service, and customers by
-// the hundred, so that a change rewrites little.
+// the hundred, so that a change rewrites little. Whatever Check allows fits
+// platform.MaxValueBytes.
 func split(s *Snapshot) ([]blob, error) {
 	chunks := map[string]chunk{"fleet": {DataCentres: s.DataCentres, Roster: &s.Roster}}
 	for i := range s.Services {
--- a/contract/write.go
+++ b/contract/write.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -56,7 +57,7 @@
 }
 
 func (p *publisher) head(cur *current, snap *Snapshot, blobs []blob, list blob) *Head {
-	h := &Head{Version: snap.Version, PublishID: p.id, Operator: p.opts.Operator}
+	h := &Head{Version: snap.Version, PublishID: p.id, Operator: operatorName(p.opts.Operator)}
 	for _, b := range blobs {
 		h.Parts = append(h.Parts, b.part)
 	}
@@ -68,6 +69,10 @@
 	return h
 }
 
+func operatorName(s string) string {
+	return strings.ToValidUTF8(s[:min(len(s), maxOperatorBytes)], "")
+}
+
 // writeHead replaces the head if it still is the one that was read. Any other
 // error than a definite refusal leaves the outcome unknown until the head is
 // read back.
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -1,6 +1,8 @@
 package ctl
 
 import (
+	"fmt"
+
 	"github.com/jessevdk/go-flags"
 
 	"github.com/bronzeloft/bronzeloft/contract"
@@ -87,7 +89,7 @@
 		return a.printJSON(key)
 	}
 	a.printf("%s", key.Plaintext)
-	a.printf("key %s of %s is in version %d; the line above is shown this once", key.ID, key.Customer, key.Version)
+	fmt.Fprintf(a.env.Err, "key %s of %s is in version %d; it is shown this once\n", key.ID, key.Customer, key.Version)
 	return nil
 }
 
