--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -144,6 +144,7 @@
 			Expect(res.code).To(Equal(ctl.ExitConflict))
 			Expect(res.err).To(ContainSubstring("version 2, published by ana, is in force instead of 1\n~ customer cluj: rate 250 -> 260"))
 			Expect(at("status").out).To(HavePrefix("version 2, published by ana"))
+			Expect(at("publish", "--base", "2", "--above", "40", dir).out).To(ContainSubstring("version 41 is published"))
 		})
 
 		It("issues, rotates, lists and withdraws keys, and publishing keeps them", func() {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -125,6 +125,11 @@
 		Expect(err).To(MatchError(os.ErrNotExist))
 	})
 
+	It("accepts the example", func() {
+		_, err := settings.Load("../examples/host.toml")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("describes every setting once, with defaults that pass", func() {
 		seen := map[string]bool{}
 		for _, f := range settings.Describe() {
