Run the whole path: daemon, trial, promises tested on real sockets

Cause: requests were served only in one test, with a configuration given by hand. Ruled out: describing statements on replicas, since a lagging one does not know a new table and its position is not reported for a description; the primary's schema is asked first. Change: the daemon, hosts that read the platform's configuration, the trial, COPY as a simple query, lingering closes for refused callers, and focused tests of the promises.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -41,6 +41,7 @@
 	DatabaseUnavailable             // no connection to a database could be had
 	PrimaryReplaced                 // the database refused: it is fenced or a replica
 	ConnectionLimit                 // too many caller connections on this host
+	UnknownStatement                // a prepared statement that the caller did not prepare
 	numKinds
 )
 
@@ -101,6 +102,7 @@
 	DatabaseUnavailable: {"database_unavailable", "57P03", NotRun, false, "no database can be reached", "retry"},
 	PrimaryReplaced:     {"primary_replaced", "57P03", NotRun, false, "primary was replaced", "retry"},
 	ConnectionLimit:     {"connection_limit", "53300", NotRun, true, "host has too many caller connections", "reconnect later"},
+	UnknownStatement:    {"unknown_statement", "26000", NotRun, false, "prepared statement does not exist", "prepare it on this connection"},
 }
 
 // Answer returns the table row of k.
--- a/host/admin.go
+++ b/host/admin.go
@@ -60,7 +60,7 @@
 
 // ready answers 200 while the host takes callers.
 func (a *adminServer) ready(w http.ResponseWriter, _ *http.Request) {
-	if !a.host.ready() {
+	if !a.host.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -88,7 +88,7 @@
 		DataCentre:    h.set.Host.DataCentre,
 		Address:       h.members.self,
 		BootID:        h.bootID,
-		Ready:         h.ready(),
+		Ready:         h.Ready(),
 		Leaving:       h.leaving(),
 		ConfigVersion: h.view.Load().snap.Version,
 		ConfigAge:     h.members.inForce.Fresh(h.now()).String(),
--- a/host/groups.go
+++ b/host/groups.go
@@ -314,6 +314,19 @@
 	return g.table.Readers(floor, g.now())
 }
 
+// describers returns the databases to ask for the form of a statement, the
+// primary first.
+func (g *groupRunner) describers() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	readers := g.table.Readers(position.Position{}, g.now())
+	id, _, ok := g.table.Primary()
+	if !ok {
+		return readers
+	}
+	return append([]string{id}, readers...)
+}
+
 // checkFloor tells a session token that can never be reached.
 func (g *groupRunner) checkFloor(floor, confirmed position.Position) error {
 	g.mu.Lock()
--- a/host/host.go
+++ b/host/host.go
@@ -187,9 +187,12 @@
 	}
 }
 
-// ready reports whether the host should get callers: it has a configuration,
+// Settings returns the settings that the host runs by.
+func (h *Host) Settings() *settings.Host { return h.set }
+
+// Ready reports whether the host should get callers: it has a configuration,
 // its standing shares of rates accrue, and it is not leaving.
-func (h *Host) ready() bool {
+func (h *Host) Ready() bool {
 	return !h.leaving() && h.view.Load().snap.Version > 0 && h.rates.settled()
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -38,23 +43,57 @@
 })
 
 // startSite starts one service of three databases in three data centres and
-// three hosts, and returns the customer's key.
-func startSite(ctx context.Context) (*loopback.Site, string) {
+// three hosts, and returns the customer's key. change may alter the site.
+func startSite(ctx context.Context, change ...func(*loopback.Config)) (*loopback.Site, string) {
+	GinkgoHelper()
 	key := loopback.MustKey("shop")
-	site, err := loopback.Start(loopback.Config{Hosts: 3, Snapshot: loopback.OneService(key.Stored)})
+	cfg := loopback.Config{Hosts: 3, Snapshot: loopback.OneService(key.Stored), Logger: slog.New(slog.DiscardHandler)}
+	for _, c := range change {
+		c(&cfg)
+	}
+	site, err := loopback.Start(cfg)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(site.Close)
-	site.Snapshot.Version = 1
-	site.Hosts[0].Offer(site.Snapshot, "test")
-	Expect(site.WaitReady(ctx, 1)).To(Succeed())
+	offer(ctx, site, func(*contract.Snapshot) {})
 	return site, key.Plaintext
 }
 
+// offer puts the next version of the site's snapshot in force everywhere.
+func offer(ctx context.Context, site *loopback.Site, change func(*contract.Snapshot)) {
+	GinkgoHelper()
+	raw, err := json.Marshal(site.Snapshot)
+	Expect(err).NotTo(HaveOccurred())
+	next := &contract.Snapshot{}
+	Expect(json.Unmarshal(raw, next)).To(Succeed())
+	next.Version++
+	change(next)
+	site.Snapshot = next
+	site.Hosts[0].Offer(next, "test")
+	Expect(site.WaitReady(ctx, next.Version)).To(Succeed())
+}
+
+// createOrders makes the table that most tests write to.
+func createOrders(ctx context.Context, site *loopback.Site, key string) *pgx.Conn {
+	GinkgoHelper()
+	conn := connect(ctx, site, 0, key)
+	_, err := conn.Exec(ctx, "CREATE TABLE orders (id TEXT, tiles INTEGER)")
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+// refusal returns the name of the error kind that a caller saw, and whether it
+// was told that the request did not run.
+func refusal(err error) (kind string, notRun bool) {
+	var pe *pgconn.PgError
+	if !errors.As(err, &pe) {
+		return fmt.Sprint(err), false
+	}
+	return pe.ConstraintName, strings.HasPrefix(pe.Detail, "not run")
+}
+
 func connect(ctx context.Context, site *loopback.Site, host int, key string) *pgx.Conn {
 	GinkgoHelper()
 	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=disable", key, site.Hosts[host].CallerAddr()))
 	Expect(err).NotTo(HaveOccurred())
 	return conn
 }
-
-var _ = contract.Read
--- a/host/lease.go
+++ b/host/lease.go
@@ -48,7 +48,21 @@
 		db.slots.release(slot)
 		return nil, connectFailure(err)
 	}
-	return &lease{db: db, conn: conn, slot: slot}, nil
+	l := &lease{db: db, conn: conn, slot: slot}
+	if err := h.checkKey(r); err != nil {
+		l.release(false)
+		return nil, err
+	}
+	return l, nil
+}
+
+// checkKey checks the caller's key against the configuration in force, before
+// the request is looked at and again after it waited.
+func (h *Host) checkKey(r *request) error {
+	if r.keyID == "" {
+		return nil
+	}
+	return h.keys.ValidFor(r.customerID(), r.keyID)
 }
 
 // connectFailure says that nothing was sent for want of a connection.
--- a/host/members.go
+++ b/host/members.go
@@ -106,12 +106,12 @@
 	ctx, cancel := context.WithTimeout(m.host.ctx, snapshotLimit)
 	defer cancel()
 	req := &peerpb.Envelope{Body: &peerpb.Envelope_SnapshotRequest{
-		SnapshotRequest: &peerpb.SnapshotRequest{HaveVersion: m.inForce.Version()},
+		SnapshotRequest: m.inForce.Request(),
 	}}
 	var snap *contract.Snapshot
 	env, err := m.host.mesh.Request(ctx, from, req)
 	if err == nil && env.GetSnapshotReply() != nil {
-		snap, err = datacentre.DecodeReply(env.GetSnapshotReply())
+		snap, err = m.inForce.Decode(env.GetSnapshotReply())
 	}
 	if err != nil {
 		m.host.log.Warn("Peer's configuration could not be read.", "part", "config", "peer", from, "error", err)
--- /dev/null
+++ b/host/options.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/settings"
+)
+
+// FromSettings returns the options of a daemon: platform client and TLS from
+// the files that the settings name.
+func FromSettings(set *settings.Host, logger *slog.Logger) (Options, error) {
+	opt := Options{Settings: set, Logger: logger}
+	if set.Platform.URL != "" {
+		opt.Platform = platform.NewClient(platform.ClientConfig{
+			BaseURL:        set.Platform.URL,
+			Timeout:        set.Platform.Timeout,
+			CallsPerSecond: set.Platform.CallsPerSecond,
+		})
+	}
+	var err error
+	if opt.CallerTLS, err = callerTLS(set.Callers); err != nil {
+		return Options{}, err
+	}
+	opt.PeerTLS, err = peerTLS(set.Peers)
+	return opt, err
+}
+
+func callerTLS(c settings.Callers) (*tls.Config, error) {
+	if c.TLSCert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.TLSCert, c.TLSKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate for callers")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// peerTLS makes both ends of a connection between hosts prove themselves by
+// the fleet's authority.
+func peerTLS(p settings.Peers) (*tls.Config, error) {
+	if p.TLSCert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(p.TLSCert, p.TLSKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate for hosts")
+	}
+	pem, err := os.ReadFile(p.TLSCA)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority of hosts")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", p.TLSCA)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
+// NewLogger returns the logger that the settings ask for.
+func NewLogger(l settings.Log, w io.Writer) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	if l.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
--- a/host/plan.go
+++ b/host/plan.go
@@ -171,7 +171,7 @@
 func (s statements) ensure(p *plan, name string, conn *database.Conn, fresh map[string]bool) (*statement, error) {
 	st := s[name]
 	if st == nil {
-		return nil, errkind.New(errkind.Protocol, "prepared statement %q does not exist", name)
+		return nil, errkind.New(errkind.UnknownStatement, "%q", name)
 	}
 	if !conn.Prepared(st.name) && !fresh[st.name] {
 		fresh[st.name] = true
--- a/host/read.go
+++ b/host/read.go
@@ -9,7 +9,7 @@
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// read runs a read on any database that has reached the read's floor. A read
+// read runs a read on any database that has reached the read's floor. It
 // may be tried again as long as nothing of an answer went to the caller.
 func (s *session) read(ctx context.Context, r *request) error {
 	var last error
@@ -95,12 +95,14 @@
 	return s.finish(rep.buf, 'I')
 }
 
-// describe runs a batch that executes nothing on any database.
+// describe runs a batch that executes nothing. It changes and reads no data,
+// so it is not counted; it goes to the primary first, whose schema is current,
+// and to a replica where there is none.
 func (s *session) describe(ctx context.Context, r *request) error {
 	var last error
 	var wait backoff
 	for {
-		for _, id := range r.service.group.readers(position.Position{}) {
+		for _, id := range r.service.group.describers() {
 			if last = s.readOn(ctx, r, id, position.Position{}, time.Time{}); last == nil || !retryRead(last) {
 				return last
 			}
--- a/host/reply.go
+++ b/host/reply.go
@@ -4,6 +4,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/errkind"
 )
 
 // Limits of buffered answers.
@@ -24,13 +25,14 @@
 	check func() error
 	// write passes encoded messages to the caller.
 	write func([]byte) error
+	// copyIn passes the caller's data to the database; nil refuses it.
+	copyIn func(*database.Conn) error
 
 	started   bool   // bytes went to the caller
 	failed    string // SQLSTATE of the database's error, empty for none
 	failedMsg string
 	tag       string // last command tag
 	status    byte   // transaction status at the end
-	copying   bool
 }
 
 // read collects messages until ReadyForQuery. What was buffered is left in
@@ -67,8 +69,8 @@
 		r.steps = nil
 	case *pgproto3.CommandComplete:
 		r.tag = string(m.CommandTag)
-	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
-		r.copying = true
+	case *pgproto3.CopyInResponse:
+		return false, r.takeCopy(m)
 	}
 	if endsStep(msg) && r.endStep() {
 		return false, nil
@@ -77,6 +79,21 @@
 	return false, err
 }
 
+// takeCopy lets the caller send its data.
+func (r *reply) takeCopy(m *pgproto3.CopyInResponse) error {
+	if r.copyIn == nil {
+		return errkind.New(errkind.NotSupported, "COPY FROM STDIN here")
+	}
+	var err error
+	if r.buf, err = m.Encode(r.buf); err != nil {
+		return err
+	}
+	if err := r.flush(); err != nil {
+		return err
+	}
+	return r.copyIn(r.conn)
+}
+
 // makeAnswers adds the answers that the proxy gives itself, in their place.
 func (r *reply) makeAnswers() {
 	for len(r.steps) > 0 && r.steps[0].kind == stepMake {
--- a/host/request.go
+++ b/host/request.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/database"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -24,6 +26,7 @@
 	customer *contract.Customer // nil for a caller with no key
 	arrived  time.Time
 	deadline time.Time
+	keyID    string
 	dirty    bool // leaves state on its connection: never pool that again
 }
 
@@ -42,17 +45,18 @@
 
 func (s *session) newRequest(b *caller.Batch) (*request, error) {
 	now := s.host.now()
-	if s.keyID != "" {
-		if err := s.host.keys.Valid(s.keyID); err != nil {
-			return nil, err
-		}
-	}
 	v := s.host.view.Load()
 	svc := v.services[s.service]
 	if svc == nil {
 		return nil, errkind.New(errkind.UnknownDatabase, "%s was withdrawn", s.service)
 	}
-	r := &request{batch: b, service: svc, arrived: now, customer: v.snap.Customer(s.customer)}
+	r := &request{batch: b, service: svc, arrived: now, keyID: s.keyID, customer: v.snap.Customer(s.customer)}
+	if s.keyID != "" && r.customer == nil {
+		return nil, errkind.New(errkind.KeyWithdrawn, "customer was withdrawn")
+	}
+	if err := s.host.checkKey(r); err != nil {
+		return nil, err
+	}
 	r.sql, r.executes = s.stmts.batchSQL(b)
 	r.tags = caller.ParseTags(r.sql)
 	r.terms = svc.terms.Request(r.tags.Request)
@@ -69,9 +73,6 @@
 	if s.customer == "" && r.executes && !r.terms.Open {
 		return errkind.New(errkind.BadKey, "request needs a key")
 	}
-	if s.customer != "" && r.customer == nil {
-		return errkind.New(errkind.KeyWithdrawn, "customer was withdrawn")
-	}
 	return nil
 }
 
@@ -81,7 +82,10 @@
 	for _, st := range r.words {
 		switch {
 		case st.Is("COPY"):
-			return errkind.New(errkind.NotSupported, "COPY")
+			if !r.batch.Simple || len(r.words) > 1 || r.tags.RequestID != "" {
+				return errkind.New(errkind.NotSupported, "COPY other than as a simple query of its own, with no request id")
+			}
+			r.deadline = r.arrived.Add(copyDeadline)
 		case st.Is("LISTEN"), st.Is("UNLISTEN"), st.Is("NOTIFY"):
 			return errkind.New(errkind.NotSupported, "%s", st.Words[0])
 		case st.Is("DO"), st.Is("CALL"):
@@ -114,12 +118,13 @@
 	if r.empty() {
 		return s.answerEmpty(r)
 	}
+	if !r.executes {
+		return s.describe(ctx, r)
+	}
 	if err := s.admit(ctx, r); err != nil {
 		return err
 	}
 	switch {
-	case !r.executes:
-		return s.describe(ctx, r)
 	case r.terms.Access == contract.Read:
 		return s.read(ctx, r)
 	case r.tags.RequestID != "":
@@ -136,7 +141,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	rep = &reply{conn: conn, steps: p.steps, check: check, write: s.write}
+	rep = &reply{conn: conn, steps: p.steps, check: check, write: s.write, copyIn: s.copyIn}
 	conn.SetDeadline(r.deadline)
 	s.setRunning(conn)
 	defer s.setRunning(nil)
@@ -180,6 +185,26 @@
 	return position.Max(own, confirmed), sampled, nil
 }
 
+// copyDeadline bounds one COPY, from its arrival to its answer.
+const copyDeadline = 10 * time.Minute
+
+// copyIn passes COPY data from the caller to the database.
+func (s *session) copyIn(conn *database.Conn) error {
+	for {
+		msg, err := s.conn.ReceiveCopy()
+		if err != nil {
+			return errors.Join(errCaller, err)
+		}
+		if _, err := conn.Send(msg); err != nil {
+			return err
+		}
+		switch msg.(type) {
+		case *pgproto3.CopyDone, *pgproto3.CopyFail:
+			return nil
+		}
+	}
+}
+
 // errBehind reports that a database read at a position before the floor.
 var errBehind = errors.New("host: database is behind the read's floor")
 
--- a/host/session.go
+++ b/host/session.go
@@ -43,6 +43,7 @@
 	stmts    statements
 	tx       *transaction // pinned connection, nil outside a transaction
 	busy     atomic.Bool
+	pinned   atomic.Bool // tx is set
 
 	mu        sync.Mutex // guards running and idleSince
 	running   *database.Conn
@@ -106,7 +107,11 @@
 		s.dropTransaction()
 	}
 	s.host.metrics.refused(known.Kind)
-	if s.conn.Refuse(known, s.txStatus()) != nil || known.Kind.Answer().Fatal {
+	if s.conn.Refuse(known, s.txStatus()) != nil {
+		return errCaller
+	}
+	if known.Kind.Answer().Fatal {
+		s.conn.Linger()
 		return errCaller
 	}
 	return nil
@@ -143,12 +148,13 @@
 	}
 }
 
-// expire wakes an idle session of a leaving host so that it ends.
+// expire wakes an idle session of a leaving host so that it ends. A session
+// with an open transaction is left alone: the end of the grace cuts it off.
 func (s *session) expire(now time.Time, force bool) {
 	s.mu.Lock()
 	idle := now.Sub(s.idleSince)
 	s.mu.Unlock()
-	if s.busy.Load() || (!force && idle < idleBeforeLeaving) {
+	if s.busy.Load() || s.pinned.Load() || (!force && idle < idleBeforeLeaving) {
 		return
 	}
 	s.conn.SetReadDeadline(now)
--- a/host/slots.go
+++ b/host/slots.go
@@ -29,11 +29,11 @@
 	s.next++
 	item.ID = s.next
 	verdict := s.queue.Enqueue(item, s.now())
-	if verdict.Run {
+	if verdict.State == fair.Run {
 		s.mu.Unlock()
 		return item.ID, nil
 	}
-	if !verdict.Queued {
+	if verdict.State == fair.Refused {
 		s.mu.Unlock()
 		return 0, errkind.New(verdict.Kind, "")
 	}
--- a/host/transaction.go
+++ b/host/transaction.go
@@ -24,6 +24,7 @@
 		return startedFailure(rep, errkind.New(errkind.PrimaryReplaced, "term %d is not confirmed", term))
 	}
 	s.tx = &transaction{lease: l, conn: l.conn, term: term, dirty: r.dirty}
+	s.pinned.Store(true)
 	return s.finish(rep.buf, rep.status)
 }
 
@@ -40,8 +41,8 @@
 	r.service.group.startConfirm()
 	rep, sent, err := s.exchange(tx.conn, r, nil)
 	if err != nil {
-		if known := errkind.Of(err); known == errkind.Protocol || known == errkind.TooLarge {
-			return err
+		if rep == nil {
+			return err // nothing was sent
 		}
 		return s.failTransaction(r, rep, sent, err)
 	}
@@ -52,7 +53,7 @@
 		}
 		return s.finish(rep.buf, rep.status)
 	}
-	s.tx = nil
+	s.unpin()
 	err = s.settleEnd(ctx, r, rep, tx)
 	tx.lease.release(tx.dirty)
 	if err != nil {
@@ -86,7 +87,12 @@
 		return
 	}
 	s.tx.lease.abandon()
+	s.unpin()
+}
+
+func (s *session) unpin() {
 	s.tx = nil
+	s.pinned.Store(false)
 }
 
 // endsTransaction reports whether the request only ends the transaction.
--- a/internal/loopback/site.go
+++ b/internal/loopback/site.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,9 +26,9 @@
 type Config struct {
 	Snapshot *contract.Snapshot // addresses and roster are filled in by Start
 	Hosts    int                // entry hosts, spread over the data centres
-	// Platform is the API that hosts use; nil gives the snapshot to the first
-	// host by hand.
-	Platform platform.API
+	// PlatformURL is the base URL of the platform that hosts use; empty for
+	// hosts that get their configuration by hand.
+	PlatformURL string
 	// Database is called for each database's settings before it starts.
 	Database func(id string, cfg *dbserver.Config)
 	Settings func(i int, set *settings.Host)
@@ -40,6 +41,51 @@
 	Snapshot  *contract.Snapshot
 	Hosts     []*host.Host
 	Databases map[string]*dbserver.Server
+
+	mu   sync.Mutex // guards Hosts while hosts are added and removed
+	next int        // host that AnyURL names next
+}
+
+// ReplaceHost shuts a host down gracefully and starts another process in its
+// place, at the same addresses.
+func (s *Site) ReplaceHost(ctx context.Context, i int) error {
+	old := s.Hosts[i]
+	set := *old.Settings()
+	set.Callers.Listen = old.CallerAddr()
+	set.Peers.Listen = old.PeerAddr()
+	set.Peers.Seeds = nil
+	for _, h := range s.Hosts {
+		if h != old {
+			set.Peers.Seeds = append(set.Peers.Seeds, h.PeerAddr())
+		}
+	}
+	if err := old.Drain(ctx); err != nil {
+		return eris.Wrap(err, "drain")
+	}
+	old.Close()
+	fresh, err := s.start(&set)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Hosts[i] = fresh
+	return nil
+}
+
+// AnyURL returns a connection string of a host that is ready, each in turn, as
+// the balancer would choose one.
+func (s *Site) AnyURL(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range s.Hosts {
+		s.next++
+		if s.Hosts[s.next%len(s.Hosts)].Ready() {
+			break
+		}
+	}
+	h := s.Hosts[s.next%len(s.Hosts)]
+	return fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=disable", key, h.CallerAddr())
 }
 
 // Start starts databases and hosts and puts the snapshot in force.
@@ -120,11 +166,25 @@
 	if s.Config.Settings != nil {
 		s.Config.Settings(i, set)
 	}
-	h := host.New(host.Options{Settings: set, Platform: s.Config.Platform, Logger: s.Config.Logger})
-	if err := h.Start(); err != nil {
-		return nil, eris.Wrapf(err, "start host %d", i+1)
+	h, err := s.start(set)
+	if err != nil {
+		return nil, err
 	}
+	s.mu.Lock()
 	s.Hosts = append(s.Hosts, h)
+	s.mu.Unlock()
+	return h, nil
+}
+
+func (s *Site) start(set *settings.Host) (*host.Host, error) {
+	opt := host.Options{Settings: set, Logger: s.Config.Logger}
+	if s.Config.PlatformURL != "" {
+		opt.Platform = s.Client()
+	}
+	h := host.New(opt)
+	if err := h.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start %s", set.Host.ID)
+	}
 	return h, nil
 }
 
@@ -186,3 +246,8 @@
 		db.Close()
 	}
 }
+
+// Client returns a client of the site's platform.
+func (s *Site) Client() *platform.Client {
+	return platform.NewClient(platform.ClientConfig{BaseURL: s.Config.PlatformURL})
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,168 @@
+// Package trial runs a small site on loopback under load, kills a primary
+// midway and judges the outcome by what the databases hold.
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
+)
+
+// Config sets a trial up. Zero values take the defaults.
+type Config struct {
+	Shops    int           // callers at once
+	Duration time.Duration // of the load; the primary is killed halfway
+	Out      io.Writer     // progress
+	Logger   *slog.Logger  // of the hosts; discarded when nil
+}
+
+// Defaults of Config.
+const (
+	DefaultShops    = 24
+	DefaultDuration = 6 * time.Second
+	readyLimit      = 20 * time.Second
+	settleLimit     = 10 * time.Second
+)
+
+// Result is what a trial found.
+type Result struct {
+	Requests     int
+	Acknowledged int // writes
+	Lost         int // acknowledged writes that no database holds
+	Doubled      int // writes that a database holds more than once
+	Stale        int // reads that missed an acknowledged write
+	Refused      int // requests that ended in a refusal
+	Unknown      int // writes whose outcome stayed unknown
+	Reads        int
+	FailoverGap  time.Duration // longest time without an acknowledged write after the kill
+}
+
+// Line is the trial's last line.
+func (r Result) Line() string {
+	return fmt.Sprintf("trial: requests=%d acknowledged=%d lost=%d doubled=%d stale=%d refused=%d failover_gap_ms=%d",
+		r.Requests, r.Acknowledged, r.Lost, r.Doubled, r.Stale, r.Refused, r.FailoverGap.Milliseconds())
+}
+
+// Failed reports whether the trial broke a promise.
+func (r Result) Failed() bool { return r.Lost > 0 || r.Doubled > 0 || r.Stale > 0 }
+
+// Trial is a running site with its stand-in platform.
+type Trial struct {
+	Site     *loopback.Site
+	Platform *platformserver.Server
+	Key      string // the customer's key
+	cfg      Config
+}
+
+// Start starts the site and publishes its configuration.
+func Start(ctx context.Context, cfg Config) (*Trial, error) {
+	cfg = cfg.withDefaults()
+	t := &Trial{cfg: cfg}
+	var err error
+	if t.Platform, err = platformserver.Start(platformserver.Config{}); err != nil {
+		return nil, eris.Wrap(err, "start platform")
+	}
+	key := loopback.MustKey("shop-key")
+	t.Key = key.Plaintext
+	t.Site, err = loopback.Start(loopback.Config{
+		Snapshot:    loopback.OneService(key.Stored),
+		Hosts:       3,
+		PlatformURL: t.Platform.URL(),
+		Logger:      cfg.Logger,
+	})
+	if err != nil {
+		t.Platform.Close()
+		return nil, err
+	}
+	if err := t.publish(ctx); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.Shops == 0 {
+		c.Shops = DefaultShops
+	}
+	if c.Duration == 0 {
+		c.Duration = DefaultDuration
+	}
+	if c.Out == nil {
+		c.Out = io.Discard
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
+
+func (t *Trial) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	res, err := contract.Publish(ctx, t.Site.Client(), t.Site.Snapshot, contract.PublishOptions{Operator: "trial"})
+	if err != nil {
+		return eris.Wrap(err, "publish")
+	}
+	t.say("configuration %d published", res.Version)
+	return t.Site.WaitReady(ctx, res.Version)
+}
+
+// Close stops the site and the platform.
+func (t *Trial) Close() {
+	t.Site.Close()
+	t.Platform.Close()
+}
+
+func (t *Trial) say(format string, args ...any) {
+	fmt.Fprintf(t.cfg.Out, format+"\n", args...)
+}
+
+// Run puts the site under load, kills the primary midway and judges.
+func (t *Trial) Run(ctx context.Context) (Result, error) {
+	if err := t.createTable(ctx); err != nil {
+		return Result{}, err
+	}
+	load := newLoad(t)
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.Duration)
+	defer cancel()
+	var shops sync.WaitGroup
+	for i := range t.cfg.Shops {
+		shops.Add(1)
+		go func() {
+			defer shops.Done()
+			load.shop(ctx, i)
+		}()
+	}
+	t.say("%d shops order and look up through %d hosts", t.cfg.Shops, len(t.Site.Hosts))
+	t.killMidway(ctx, load)
+	shops.Wait()
+	return load.judge()
+}
+
+// killMidway kills the primary when half of the load's time has passed.
+func (t *Trial) killMidway(ctx context.Context, load *load) {
+	select {
+	case <-time.After(t.cfg.Duration / 2):
+	case <-ctx.Done():
+		return
+	}
+	id := t.primary()
+	load.killed(time.Now())
+	t.Site.Databases[id].Kill()
+	t.say("primary %s killed after %d requests", id, load.count())
+}
+
+// primary returns the primary that the first host knows.
+func (t *Trial) primary() string {
+	return t.Site.Hosts[0].Status().Groups[0].Primary
+}
--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -24,6 +24,9 @@
 // maxStartupTries bounds the encryption requests before the startup message.
 const maxStartupTries = 3
 
+// lingerTime bounds the wait for a refused caller to close its side.
+const lingerTime = 500 * time.Millisecond
+
 // writeTimeout is how long a caller may leave an answer unread.
 const writeTimeout = 30 * time.Second
 
@@ -193,6 +196,24 @@
 	}
 }
 
+// ReceiveCopy returns the next message of a COPY: data, its end, or its
+// failure. It is valid until the next call.
+func (c *Conn) ReceiveCopy() (pgproto3.FrontendMessage, error) {
+	for {
+		msg, err := c.backend.Receive()
+		if err != nil {
+			return nil, receiveError(err)
+		}
+		switch msg.(type) {
+		case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+			return msg, nil
+		case *pgproto3.Sync, *pgproto3.Flush: // without meaning during a COPY
+		default:
+			return nil, errkind.New(errkind.Protocol, "%T during COPY", msg)
+		}
+	}
+}
+
 func receiveError(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return io.EOF
@@ -262,6 +283,18 @@
 	}
 }
 
+// Linger closes the sending side and discards what still comes in for a
+// moment: closing with unread data would reset the connection, and the caller
+// might lose the last answer.
+func (c *Conn) Linger() {
+	type writeCloser interface{ CloseWrite() error }
+	if wc, ok := c.net.(writeCloser); ok {
+		wc.CloseWrite()
+	}
+	c.net.SetReadDeadline(time.Now().Add(lingerTime))
+	io.Copy(io.Discard, c.net)
+}
+
 // SetReadDeadline bounds the wait for the next request.
 func (c *Conn) SetReadDeadline(t time.Time) { c.net.SetReadDeadline(t) }
 
