--- a/internal/standin/dbserver/sqlstate.go
+++ b/internal/standin/dbserver/sqlstate.go
@@ -53,6 +53,10 @@
 	return &sqlError{code: code, message: fmt.Sprintf(format, args...), fatal: true}
 }
 
+func canceledError() *sqlError {
+	return newError(codeCanceled, "canceling statement due to user request")
+}
+
 // response returns the wire message of err.
 func response(err error) *pgproto3.ErrorResponse {
 	e := toSQLError(err)
--- a/internal/standin/dbserver/startup.go
+++ b/internal/standin/dbserver/startup.go
@@ -41,7 +41,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close()
-	c := newSession(s, ctx, cancel, conn)
+	c := newSession(ctx, s, conn)
 	defer s.forget(c)
 	if err := c.startup(); err != nil {
 		return
