--- a/internal/standin/dbserver/faults.go
+++ b/internal/standin/dbserver/faults.go
@@ -66,7 +66,7 @@
 }
 
 // Block keeps this replica from pulling from the addresses for which blocked
-// reports true; nil lifts the block.
+// reports true; nil lifts the block. blocked must not call the server.
 func (s *Server) Block(blocked func(addr string) bool) {
 	s.faults.mu.Lock()
 	s.faults.blocked = blocked
@@ -94,7 +94,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.sessions {
-		c.silent.Store(true)
+		if !c.replication {
+			c.silent.Store(true)
+		}
 	}
 }
 
--- a/internal/standin/dbserver/messages.go
+++ b/internal/standin/dbserver/messages.go
@@ -10,6 +10,10 @@
 	"github.com/jackc/pgx/v5/pgtype"
 )
 
+// maxNamed bounds the prepared statements and the portals of a session, each;
+// beyond it Parse and Bind fail.
+const maxNamed = 4096
+
 // handle carries out one message of the client.
 func (c *session) handle(msg pgproto3.FrontendMessage) {
 	switch msg := msg.(type) {
@@ -84,6 +88,9 @@
 	if _, taken := c.statements[msg.Name]; taken && msg.Name != "" {
 		return newError("42P05", "prepared statement %q already exists", msg.Name)
 	}
+	if len(c.statements) >= maxNamed {
+		return newError(codeTooComplex, "more than %d prepared statements", maxNamed)
+	}
 	if _, err := c.shape(sql); err != nil {
 		return err
 	}
@@ -98,6 +105,9 @@
 	if p == nil {
 		return newError(codeNoStatement, "prepared statement %q does not exist", msg.PreparedStatement)
 	}
+	if len(c.portals) >= maxNamed {
+		return newError(codeTooComplex, "more than %d portals", maxNamed)
+	}
 	for _, format := range msg.ResultFormatCodes {
 		if format != pgproto3.TextFormat {
 			return newError(codeNotSupported, "results have the text format only")
--- a/internal/standin/dbserver/pull.go
+++ b/internal/standin/dbserver/pull.go
@@ -42,11 +42,12 @@
 			cancel()
 			continue
 		}
-		if err := s.pullFrom(pullCtx, f); err != nil && pullCtx.Err() == nil {
+		err := s.pullFrom(pullCtx, f)
+		if pullCtx.Err() == nil {
 			s.cfg.Logger.Debug("Pull failed.", "source", f.source, "error", err)
+			sleep(ctx, pullRetry)
 		}
 		cancel()
-		sleep(ctx, pullRetry)
 	}
 }
 
--- a/internal/standin/dbserver/sqlstate.go
+++ b/internal/standin/dbserver/sqlstate.go
@@ -30,6 +30,7 @@
 	codeUndefinedCol   = "42703"
 	codeDuplicateTable = "42P07"
 	codeTooMany        = "53300"
+	codeTooComplex     = "54000"
 	codeLockTimeout    = "55P03"
 	codeCanceled       = "57014"
 	codeShutdown       = "57P01"
