--- a/internal/standin/dbserver/faults_test.go
+++ b/internal/standin/dbserver/faults_test.go
@@ -26,12 +26,12 @@
 	})
 
 	ginkgo.It("keeps a cut or fenced replica from applying what it has pulled", func() {
-		f := following{epoch: s.state.epoch, term: 1, source: "127.0.0.1:1"}
+		f, _ := s.nextPull(func() {})
 		e := Entry{Term: 1, Index: 1}
 		s.SetReplicationCut(true)
 		gomega.Expect(s.applyEntry(context.Background(), f, e)).NotTo(gomega.Succeed())
 		s.SetReplicationCut(false)
-		s.state.fence(2, "h")
+		gomega.Expect(s.update(context.Background(), func(st *state) { st.fence(2, "h") })).To(gomega.Succeed())
 		gomega.Expect(s.applyEntry(context.Background(), f, e)).NotTo(gomega.Succeed())
 		gomega.Expect(s.Entries()).To(gomega.BeEmpty())
 	})
