--- a/internal/standin/dbserver/sqlstate.go
+++ b/internal/standin/dbserver/sqlstate.go
@@ -30,6 +30,7 @@
 	codeUndefinedCol   = "42703"
 	codeDuplicateTable = "42P07"
 	codeTooMany        = "53300"
+	codeTooComplex     = "54000"
 	codeLockTimeout    = "55P03"
 	codeCanceled       = "57014"
 	codeShutdown       = "57P01"
@@ -53,6 +54,10 @@
 	return &sqlError{code: code, message: fmt.Sprintf(format, args...), fatal: true}
 }
 
+func canceledError() *sqlError {
+	return newError(codeCanceled, "canceling statement due to user request")
+}
+
 // response returns the wire message of err.
 func response(err error) *pgproto3.ErrorResponse {
 	e := toSQLError(err)
