--- a/database/group/confirm.go
+++ b/database/group/confirm.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -109,7 +110,8 @@
 	if len(held) < t.majority() {
 		return position.Position{}, false
 	}
-	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	slices.Sort(held)
+	slices.Reverse(held)
 	return position.Position{Term: t.view.Term, Index: held[t.majority()-1]}, true
 }
 
@@ -142,7 +144,7 @@
 			out = append(out, m)
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].sentAt.After(out[j].sentAt) })
+	slices.SortStableFunc(out, func(a, b *member) int { return b.sentAt.Compare(a.sentAt) })
 	return out
 }
 
@@ -155,7 +157,8 @@
 			held = append(held, m.report.Position.Index)
 		}
 	}
-	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	slices.Sort(held)
+	slices.Reverse(held)
 	need := t.majority() - (len(t.members) - len(counted))
 	if need < 1 || need > len(held) {
 		return position.Position{}, false
@@ -163,10 +166,10 @@
 	return position.Position{Term: t.view.Term, Index: held[need-1]}, true
 }
 
-// addSample keeps s unless one that is as fresh and as low is kept already.
+// addSample keeps s unless one of the last few is as fresh and as low.
 func (t *Table) addSample(s sample) {
-	for _, old := range t.recent {
-		if !old.start.Before(s.start) && !s.pos.Before(old.pos) {
+	for i := len(t.recent) - 1; i >= max(0, len(t.recent)-2*len(t.members)); i-- {
+		if old := t.recent[i]; !old.start.Before(s.start) && !s.pos.Before(old.pos) {
 			return
 		}
 	}
--- a/internal/matrix/cases.go
+++ b/internal/matrix/cases.go
@@ -10,8 +10,8 @@
 const (
 	warmUp    = 600 * time.Millisecond  // the first primary is promoted
 	faultTime = 1200 * time.Millisecond // from the fault to its end
-	recovery  = 2 * time.Second         // within which service must be back
-	lastSpell = 500 * time.Millisecond  // reads and writes must succeed in it
+	recovery  = 1500 * time.Millisecond // within which service must be back
+	lastSpell = 400 * time.Millisecond  // reads and writes must succeed in it
 )
 
 // Case is one cell of the fault matrix.
