Measure failover, quiet spells and the share of replica reads

Ruled out: a fresh read going to the primary as soon as only the primary qualifies; what it shows must reach a majority before it is told, so waiting up to 5 ms for the rest of the round is shorter.

--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -287,7 +287,7 @@
 	if p.Leaving {
 		t.switchAt = now
 	}
-	own := t.claim.active() && t.claim.term == t.view.Term
+	own := t.claim.active() && t.claim.term == t.view.Term && p.report.Claimant == t.claim.id
 	if own {
 		t.claim.times.Confirmed = now
 		t.lastClaim = t.claim.times
--- a/database/group/confirm.go
+++ b/database/group/confirm.go
@@ -26,11 +26,15 @@
 	acks     time.Time // latest request for acknowledgements
 }
 
-// ackPatience bounds how long one WantAck keeps probes going back to back.
-const ackPatience = 20 * time.Millisecond
+// Bounds of how long a request keeps rounds going.
+const (
+	ackPatience     = 20 * time.Millisecond // one WantAck
+	confirmPatience = 2 * time.Second       // one WantConfirm
+)
 
 // WantConfirm asks for a round of probes sent at or after now. One round is in
 // flight at a time; one that was sent before now does not serve this request.
+// The request lapses after confirmPatience; a host that waits longer repeats it.
 func (t *Table) WantConfirm(now time.Time) []Action {
 	t.round.wanted = later(t.round.wanted, now)
 	return t.pumpRound(now)
@@ -233,7 +237,7 @@
 
 // roundWanted reports whether a confirmation or a writer waits for a round.
 func (t *Table) roundWanted(now time.Time) bool {
-	confirm := !t.round.wanted.IsZero() && t.latest.start.Before(t.round.wanted)
+	confirm := !t.round.wanted.IsZero() && now.Sub(t.round.wanted) < confirmPatience && t.latest.start.Before(t.round.wanted)
 	acks := !t.round.acks.IsZero() && now.Sub(t.round.acks) < ackPatience
 	return confirm || acks
 }
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -73,6 +73,7 @@
 	SampleEvery   time.Duration // spacing of the samples kept for aged reads
 	LagOut        time.Duration // replica lag that demotes a reader
 	LagIn         time.Duration // replica lag that restores it
+	ReplicaWait   time.Duration // wait of a fresh read for a replica to qualify
 	SilentReader  time.Duration // silence that excludes a reader
 }
 
@@ -101,6 +102,7 @@
 		SampleEvery:   20 * time.Millisecond,
 		LagOut:        500 * time.Millisecond,
 		LagIn:         100 * time.Millisecond,
+		ReplicaWait:   5 * time.Millisecond,
 		SilentReader:  250 * time.Millisecond,
 	}
 }
@@ -134,6 +136,7 @@
 	fill(&t.SampleEvery, d.SampleEvery)
 	fill(&t.LagOut, d.LagOut)
 	fill(&t.LagIn, d.LagIn)
+	fill(&t.ReplicaWait, d.ReplicaWait)
 	fill(&t.SilentReader, d.SilentReader)
 	if t.Promoters <= 0 {
 		t.Promoters = d.Promoters
--- a/database/group/readers.go
+++ b/database/group/readers.go
@@ -40,6 +40,15 @@
 	return ids
 }
 
+// AwaitReplica reports whether a fresh read that was asked for at asked does
+// better to look at Confirmed and Readers again than to go to the primary: the
+// answers of the rest of the round lower its floor, and what the primary shows
+// beyond the floor has to reach a majority before it may be told.
+func (t *Table) AwaitReplica(readers []string, asked, now time.Time) bool {
+	onlyPrimary := len(readers) == 0 || readers[0] == t.view.Primary
+	return onlyPrimary && now.Sub(asked) < t.t.ReplicaWait
+}
+
 func (t *Table) canRead(m *member, primary bool, floor position.Position, now time.Time) bool {
 	if !m.known || m.silence(now) >= t.t.SilentReader {
 		return false
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -99,13 +99,13 @@
 
 // Learn takes a hint from a peer or the platform. A hint of a newer term makes
 // the table probe at once; it is never authority.
-func (t *Table) Learn(view View, now time.Time) {
+func (t *Table) Learn(view View, now time.Time) []Action {
 	t.peersTerm = max(t.peersTerm, view.Term)
 	if view.Term <= t.hint.Term || view.Term <= t.view.Term {
-		return
+		return nil
 	}
 	t.hint = view
-	t.round.wanted = later(t.round.wanted, now)
+	return t.WantConfirm(now)
 }
 
 // View returns the established primary: its marker is on a majority.
--- a/internal/matrix/database.go
+++ b/internal/matrix/database.go
@@ -44,7 +44,7 @@
 
 func newDatabase(w *World, i int) *database {
 	id := string(rune('a' + i))
-	dc := fmt.Sprintf("dc%d", i%3+1)
+	dc := fmt.Sprintf("dc%d", i%w.opt.Centres+1)
 	d := &database{w: w, role: groupsql.Fenced, waiting: make(map[*database]pull)}
 	d.node = node{name: id, dc: dc, alive: true}
 	d.member = group.Member{ID: id, Address: "addr-" + id, DataCentre: dc}
--- a/internal/matrix/hooks.go
+++ b/internal/matrix/hooks.go
@@ -11,6 +11,7 @@
 // hooks are the places where a run can depart from the mechanisms, so that a
 // check of the oracle can do without one of them.
 type hooks struct {
+	asksNobody   bool                                                       // a host takes its own word that a database is gone
 	ignoresFence bool                                                       // databases promise and forget
 	noMarker     bool                                                       // a new primary writes no marker, and copies count as of its term
 	report       func(r groupsql.Report) groupsql.Report                    // what a host reads in a report
@@ -41,3 +42,17 @@
 		tokenFloor: func(session position.Position) position.Position { return session },
 	}
 }
+
+// confirmedEnd is the position that the primary reported in a confirmed round:
+// a floor that no replica may have reached yet.
+func confirmedEnd(h *host, since time.Time) (position.Position, bool) {
+	if _, ok := h.table.Confirmed(since); !ok {
+		return position.Position{}, false
+	}
+	for _, e := range h.ends {
+		if !e.sentAt.Before(since) {
+			return e.at, true
+		}
+	}
+	return position.Position{}, false
+}
--- a/internal/matrix/host.go
+++ b/internal/matrix/host.go
@@ -9,6 +9,7 @@
 	"github.com/bronzeloft/bronzeloft/database/group"
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
 	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/position"
 )
 
 // Periods of a host's chores.
@@ -31,10 +32,20 @@
 	views   map[uint64]time.Time // when this host first held each term
 	claims  []group.ClaimTimes
 	polling bool
+	ends    []logEnd // latest reports of primaries, oldest first
 }
 
+// logEnd is a position that a primary reported to a probe.
+type logEnd struct {
+	sentAt time.Time
+	at     position.Position
+}
+
+// maxEnds bounds the reports of primaries that a host keeps.
+const maxEnds = 128
+
 func newHost(w *World, i int) *host {
-	dc := fmt.Sprintf("dc%d", i%3+1)
+	dc := fmt.Sprintf("dc%d", i%w.opt.Centres+1)
 	h := &host{w: w, rank: i}
 	if w.opt.SameRank {
 		h.rank = 0
@@ -51,7 +62,7 @@
 	h.views = make(map[uint64]time.Time)
 	h.table = group.New(group.Config{
 		Group: "g", Self: h.name, DataCentre: h.dc,
-		Rand: rand.New(rand.NewPCG(h.w.rand.Uint64(), uint64(h.boot))),
+		Rand: rand.New(rand.NewPCG(h.w.rand.Uint64(), uint64(h.boot))), Timing: h.w.opt.Timing,
 	})
 	h.table.SetMembers(h.w.members(), h.w.now)
 	h.table.SetRank(h.rank)
@@ -152,6 +163,7 @@
 			return
 		}
 		done = true
+		h.noteEnd(sentAt, r)
 		h.take(h.table.OpResult(d.name, s.Op, sentAt, r, err, h.w.now))
 	}
 	h.w.send(&h.node, &d.node, func() {
@@ -167,6 +179,17 @@
 	})
 }
 
+// noteEnd keeps what a primary reported.
+func (h *host) noteEnd(sentAt time.Time, r groupsql.Report) {
+	if r.Role != groupsql.Primary {
+		return
+	}
+	if len(h.ends) == maxEnds {
+		h.ends = append(h.ends[:0], h.ends[1:]...)
+	}
+	h.ends = append(h.ends, logEnd{sentAt, r.Position})
+}
+
 // reconnect opens a new connection, which works where the old one was silent.
 func (w *World) reconnect(h *host, d *database) {
 	w.path(h.name, d.name).silent = false
@@ -184,6 +207,10 @@
 
 func (h *host) askPeers(id string) {
 	h.w.step(stepAskPeers, h, h.w.db(id))
+	if h.w.hooks.asksNobody {
+		h.w.timer(&h.node, 0, func() { h.take(h.table.PeerReply("", id, false, 0, h.w.now)) })
+		return
+	}
 	for _, p := range h.w.hosts {
 		if p == h {
 			continue
@@ -200,6 +227,7 @@
 
 func (h *host) publish(s platform.GroupState) {
 	h.w.step(stepPublish, h, h.w.db(s.Primary))
+	h.tellPeers()
 	if h.w.record.down {
 		h.w.timer(&h.node, publishRetry, func() { h.publish(s) })
 		return
@@ -209,17 +237,24 @@
 	}
 }
 
+// tellPeers sends this host's view to its peers.
+func (h *host) tellPeers() {
+	v, ok := h.table.View()
+	if !ok {
+		return
+	}
+	for _, p := range h.w.hosts {
+		if p != h {
+			h.w.send(&h.node, &p.node, func() { p.take(p.table.Learn(v, p.w.now)) })
+		}
+	}
+}
+
 // digest tells peers this host's view, and takes the platform's as a hint.
 func (h *host) digest() {
 	h.w.timer(&h.node, digestEvery, h.digest)
-	if v, ok := h.table.View(); ok {
-		for _, p := range h.w.hosts {
-			if p != h {
-				h.w.send(&h.node, &p.node, func() { p.table.Learn(v, p.w.now) })
-			}
-		}
-	}
+	h.tellPeers()
 	if !h.w.record.down && h.w.record.term > 0 {
-		h.table.Learn(group.View{Term: h.w.record.term, Primary: h.w.record.primary}, h.w.now)
+		h.take(h.table.Learn(group.View{Term: h.w.record.term, Primary: h.w.record.primary}, h.w.now))
 	}
 }
--- a/internal/matrix/oracle.go
+++ b/internal/matrix/oracle.go
@@ -26,6 +26,9 @@
 	violation string // the first one
 	lastWrite time.Time
 	lastRead  time.Time
+
+	freshTimes []time.Duration // of fresh reads, asked to answered
+	agedTimes  []time.Duration
 }
 
 // Counts are the outcomes of a run.
@@ -96,6 +99,7 @@
 // fresh checks a fresh read that began at m and showed log.
 func (o *oracle) fresh(m moment, log []entry, replica bool) {
 	o.counts.FreshReads++
+	o.freshTimes = append(o.freshTimes, o.w.now.Sub(m.at))
 	o.lastRead = o.w.now
 	if replica {
 		o.counts.FreshReplica++
@@ -112,6 +116,7 @@
 // aged checks a read of accepted age, of a session with writes of its own.
 func (o *oracle) aged(m moment, age time.Duration, own []ackedWrite, log []entry, replica bool) {
 	o.counts.AgedReads++
+	o.agedTimes = append(o.agedTimes, o.w.now.Sub(m.at))
 	if replica {
 		o.counts.AgedReplica++
 	}
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -12,6 +12,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/bronzeloft/bronzeloft/database/group"
 )
 
 // node is a process in the world: a host or a database.
@@ -68,12 +70,14 @@
 	Seed      uint64
 	Databases int
 	Hosts     int
+	Centres   int           // data centres
 	Between   time.Duration // one way between data centres
 	Jitter    time.Duration // largest extra delay of a message
 	WriteGap  time.Duration // mean time between writes of one host
 	ReadGap   time.Duration // mean time between reads of one host
 	Lag       time.Duration // extra delay of replication
 	SameRank  bool          // every host believes to be the first promoter
+	Timing    group.Timing
 }
 
 func (o Options) withDefaults() Options {
@@ -83,6 +87,9 @@
 	if o.Hosts == 0 {
 		o.Hosts = 3
 	}
+	if o.Centres == 0 {
+		o.Centres = 3
+	}
 	if o.Between == 0 {
 		o.Between = time.Millisecond
 	}
