End duels and let a follower catch up

Ruled out: a longer backoff, which would still hide behind the turn. Change: the backoff is added to the turn; follow orders to a replica that follows already become rarer until it advances, and need a report of their own.

--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -15,19 +15,19 @@
 // promotion of one term to one database only; where that may have been lost it
 // repeats it there or claims a newer term.
 type claim struct {
-	state     State // Fencing, Promoting or Marking; empty when none
-	cause     Cause
-	term      uint64
-	id        string // unique claimant id
-	times     ClaimTimes
-	stepAt    time.Time // start of the present step
-	sentAt    time.Time // last send of the present step
-	majorAt   time.Time // when a majority was fenced
-	fenced    map[string]groupsql.Report
-	refused   map[string]bool
-	chosen    string
-	attempts  int       // lost claims in a row
-	notBefore time.Time // backoff
+	state    State // Fencing, Promoting or Marking; empty when none
+	cause    Cause
+	term     uint64
+	id       string // unique claimant id
+	times    ClaimTimes
+	stepAt   time.Time // start of the present step
+	sentAt   time.Time // last send of the present step
+	majorAt  time.Time // when a majority was fenced
+	fenced   map[string]groupsql.Report
+	refused  map[string]bool
+	chosen   string
+	attempts int           // lost claims in a row
+	backoff  time.Duration // random wait after lost claims, on top of the turn
 }
 
 // ClaimTimes are the moments of a claim; those not reached are zero.
@@ -80,7 +80,7 @@
 		return nil
 	}
 	if t.claimExpired(now) || t.overtaken() {
-		t.loseClaim(now)
+		t.loseClaim()
 		return nil
 	}
 	if c.state == Fencing && t.fencingDone(now) {
@@ -126,12 +126,13 @@
 	return target == nil || target.known && target.report.Accepted > c.term
 }
 
-// loseClaim gives the claim up and waits for a random time before another.
-func (t *Table) loseClaim(now time.Time) {
+// loseClaim gives the claim up. The next one waits for a random time besides
+// its turn: hosts that duel see the same signs, and so have the same turn.
+func (t *Table) loseClaim() {
 	attempts := t.claim.attempts + 1
 	span := min(t.t.BackoffMin<<min(attempts, maxBackoffShift), t.t.BackoffMax)
 	wait := t.t.BackoffMin + time.Duration(t.cfg.Rand.Int64N(int64(span)))
-	t.claim = claim{attempts: attempts, notBefore: now.Add(wait)}
+	t.claim = claim{attempts: attempts, backoff: wait}
 	t.det = detection{}
 }
 
@@ -274,7 +275,7 @@
 		c.times.Promoted = now
 		t.lastClaim = c.times
 	case op.Kind == groupsql.OpPromote && c.state == Promoting:
-		t.loseClaim(now)
+		t.loseClaim()
 	}
 	return nil
 }
--- a/database/group/detect.go
+++ b/database/group/detect.go
@@ -251,7 +251,7 @@
 	if t.highest > t.view.Term {
 		at = later(at, t.foreignUntil(now).Add(time.Duration(t.rank)*t.t.RankDelay))
 	}
-	return later(at, t.claim.notBefore)
+	return at.Add(t.claim.backoff)
 }
 
 // foreignUntil returns until when a claim by another host is given time: one
--- a/database/group/follow.go
+++ b/database/group/follow.go
@@ -6,9 +6,12 @@
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
 )
 
+// maxFollowShift bounds the doublings of the time between follow orders.
+const maxFollowShift = 5
+
 // followOrders tells members that do not follow the primary to do so: those
 // just fenced, those that return late, and those that restarted. The claimant
-// tells them at once, other hosts after a delay by rank.
+// tells them at once, other hosts only if a later report still says so.
 func (t *Table) followOrders(now time.Time) []Action {
 	term, p, wait := t.leader()
 	if p == nil {
@@ -23,15 +26,26 @@
 		if m.strayAt.IsZero() {
 			m.strayAt = now
 		}
-		if now.Sub(m.strayAt) < wait || now.Sub(m.followAt) < t.t.FollowRetry {
+		if m.sentAt.Before(m.strayAt.Add(wait)) && wait > 0 || now.Sub(m.followAt) < t.followGap(m) {
 			continue
 		}
 		m.followAt = now
+		m.follows++
 		out = append(out, Send{Database: m.ID, Op: groupsql.Op{Kind: groupsql.OpFollow, Term: term, Address: p.Address}})
 	}
 	return out
 }
 
+// followGap returns the least time between two orders to m. An order may make a
+// replica that is on its way start over, so orders to one that follows already
+// become rarer until it advances.
+func (t *Table) followGap(m *member) time.Duration {
+	if m.report.Role != groupsql.Replica || m.follows == 0 {
+		return t.t.FollowRetry
+	}
+	return t.t.StallAfter << min(m.follows, maxFollowShift)
+}
+
 // leader returns the primary that others must follow, its term, and how long
 // this host leaves the order to hosts of earlier ranks.
 func (t *Table) leader() (uint64, *member, time.Duration) {
--- a/database/group/readers.go
+++ b/database/group/readers.go
@@ -40,10 +40,11 @@
 	return ids
 }
 
-// AwaitReplica reports whether a fresh read that was asked for at asked does
-// better to look at Confirmed and Readers again than to go to the primary: the
-// answers of the rest of the round lower its floor, and what the primary shows
-// beyond the floor has to reach a majority before it may be told.
+// AwaitReplica reports whether a read that was asked for at asked does better
+// to call WantConfirm(asked) and look again than to go to the primary. For a
+// fresh read, the answers of the rest of the round lower its floor, and what the
+// primary shows beyond the floor has to reach a majority before it may be told.
+// For other reads, the last reports may be old and replicas further on.
 func (t *Table) AwaitReplica(readers []string, asked, now time.Time) bool {
 	onlyPrimary := len(readers) == 0 || readers[0] == t.view.Primary
 	return onlyPrimary && now.Sub(asked) < t.t.ReplicaWait
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -21,6 +21,7 @@
 	progressAt   time.Time         // last advance of report.Position
 	followAt     time.Time         // last follow order
 	strayAt      time.Time         // since when it does not follow the established term
+	follows      int               // follow orders since the last advance
 	lagging      bool
 	load         float64
 }
@@ -184,7 +185,7 @@
 		return
 	}
 	if !m.known || m.report.Position.Before(r.Position) {
-		m.progressAt = now
+		m.progressAt, m.follows = now, 0
 	}
 	m.known, m.unansweredAt = true, time.Time{}
 	m.report, m.sentAt, m.heardAt = r, sentAt, now
--- a/internal/matrix/operation.go
+++ b/internal/matrix/operation.go
@@ -169,7 +169,7 @@
 	h.w.step(stepReadConfirm, h, nil)
 	since, m := h.w.now, h.w.oracle.moment()
 	h.carryOut(h.table.WantConfirm(since))
-	r := &reading{h: h, settle: true, confirms: true, asked: since}
+	r := &reading{h: h, settle: true, asked: since}
 	r.floor = func() (position.Position, bool) { return h.w.hooks.confirmed(h, since) }
 	r.deliver = func(log []entry, replica bool) { h.w.oracle.fresh(m, log, replica) }
 	h.add(&operation{poll: r.poll, late: h.w.oracle.refuseRead})
@@ -184,7 +184,6 @@
 	asked := h.w.now
 	floor, known := h.w.hooks.aged(h, age)
 	if !known {
-		r.confirms = true
 		h.carryOut(h.table.WantConfirm(asked))
 	}
 	r.floor = func() (position.Position, bool) {
@@ -202,7 +201,6 @@
 type reading struct {
 	h        *host
 	settle   bool
-	confirms bool // its floor comes from a confirmation of its own
 	floor    func() (position.Position, bool)
 	deliver  func(log []entry, replica bool)
 	out      bool // sent, not answered
@@ -238,7 +236,8 @@
 
 func (r *reading) send(floor position.Position) {
 	ids := r.h.table.Readers(floor, r.h.w.now)
-	if r.confirms && r.try == 0 && r.h.table.AwaitReplica(ids, r.asked, r.h.w.now) {
+	if r.try == 0 && r.h.table.AwaitReplica(ids, r.asked, r.h.w.now) {
+		r.h.carryOut(r.h.table.WantConfirm(r.asked))
 		return
 	}
 	if len(ids) == 0 {
