--- a/database/group/table.go
+++ b/database/group/table.go
@@ -21,6 +21,7 @@
 	progressAt   time.Time         // last advance of report.Position
 	followAt     time.Time         // last follow order
 	strayAt      time.Time         // since when it does not follow the established term
+	follows      int               // follow orders since the last advance
 	lagging      bool
 	load         float64
 }
@@ -99,13 +100,13 @@
 
 // Learn takes a hint from a peer or the platform. A hint of a newer term makes
 // the table probe at once; it is never authority.
-func (t *Table) Learn(view View, now time.Time) {
+func (t *Table) Learn(view View, now time.Time) []Action {
 	t.peersTerm = max(t.peersTerm, view.Term)
 	if view.Term <= t.hint.Term || view.Term <= t.view.Term {
-		return
+		return nil
 	}
 	t.hint = view
-	t.round.wanted = later(t.round.wanted, now)
+	return t.WantConfirm(now)
 }
 
 // View returns the established primary: its marker is on a majority.
@@ -184,7 +185,7 @@
 		return
 	}
 	if !m.known || m.report.Position.Before(r.Position) {
-		m.progressAt = now
+		m.progressAt, m.follows = now, 0
 	}
 	m.known, m.unansweredAt = true, time.Time{}
 	m.report, m.sentAt, m.heardAt = r, sentAt, now
