Bound the control traffic of a host below its budget

The measurement runs real meshes and tables in one process before a platform in memory, beside a baseline in which each host watches the platform.

--- a/datacentre/digest.go
+++ b/datacentre/digest.go
@@ -70,7 +70,7 @@
 	m.contact = false
 	m.config = 0
 	if m.chosen {
-		m.newsTurns = newsRepeats
+		m.newsTurns = lossRepeats
 	}
 }
 
@@ -153,13 +153,16 @@
 	return Send{To: address, Env: &peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: digest}}}
 }
 
+// changedShare is how many times MembersPerDigest changed members may take.
+const changedShare = 4
+
 // memberNews returns news of members: changed ones first, then live ones in
 // turn.
 func (t *Table) memberNews(now time.Time) []*peerpb.MemberNews {
 	limit := t.cfg.Limits.MembersPerDigest
 	var news []*peerpb.MemberNews
 	for _, m := range t.order {
-		if len(news) >= 2*limit {
+		if len(news) >= changedShare*limit {
 			return news
 		}
 		if m.newsTurns > 0 && !m.seenAt.IsZero() {
--- a/datacentre/fault_test.go
+++ b/datacentre/fault_test.go
@@ -61,7 +61,7 @@
 var today = datacentre.Limits{}
 
 // ringed makes a small fleet choose its peers as a large one does.
-var ringed = datacentre.Limits{FullMesh: 5}
+var ringed = datacentre.Limits{FullMesh: 5, LocalMesh: 5}
 
 var _ = Describe("configuration in force", func() {
 	It("reaches a data centre that is cut off from the platform through its peers", func() {
--- a/datacentre/member.go
+++ b/datacentre/member.go
@@ -43,8 +43,12 @@
 	newsTurns int       // digests that still put it in front
 }
 
-// newsRepeats is the number of digests that carry a change of a member.
-const newsRepeats = 3
+// Number of digests that carry a change of a member. An arrival is also told
+// in turn, a loss or departure is not.
+const (
+	arrivalRepeats = 1
+	lossRepeats    = 3
+)
 
 // direct reports whether the member was heard here recently.
 func (m *member) direct(t Timing, now time.Time) bool {
@@ -97,13 +101,13 @@
 	m.config = 0
 	m.roster = 0
 	m.failedAt = time.Time{}
-	m.newsTurns = newsRepeats
+	m.newsTurns = arrivalRepeats
 }
 
 // heard notes a message received here.
 func (m *member) heard(t Timing, now time.Time) {
 	if !m.leaving && !m.live(t, now) {
-		m.newsTurns = newsRepeats
+		m.newsTurns = arrivalRepeats
 	}
 	m.heardAt = now
 	m.seenAt = later(m.seenAt, now)
--- a/datacentre/peers.go
+++ b/datacentre/peers.go
@@ -106,7 +106,7 @@
 // fingers returns all of a small data centre, else the members at distances
 // that are powers of two.
 func (t *Table) fingers(own []*member, ring []ringPoint, place int) []*member {
-	if len(own) < t.cfg.Limits.FullMesh {
+	if len(own) < t.cfg.Limits.LocalMesh {
 		return own
 	}
 	var chosen []*member
--- a/datacentre/receive.go
+++ b/datacentre/receive.go
@@ -77,8 +77,11 @@
 	if news.GetLost() {
 		m.lostAt = later(m.lostAt, seen.Add(t.cfg.Timing.SilentAfter))
 	}
-	if m.live(t.cfg.Timing, now) != wasLive {
-		m.newsTurns = newsRepeats
+	switch live := m.live(t.cfg.Timing, now); {
+	case live && !wasLive:
+		m.newsTurns = arrivalRepeats
+	case wasLive && !live:
+		m.newsTurns = lossRepeats
 	}
 }
 
--- a/datacentre/settings.go
+++ b/datacentre/settings.go
@@ -34,12 +34,13 @@
 type Limits struct {
 	Members          int // known hosts
 	Groups           int // known group views
-	FullMesh         int // up to this many members, everyone is a peer
+	FullMesh         int // hosts of a fleet in which everyone is a peer
+	LocalMesh        int // hosts of a data centre in which everyone is a peer
 	RemoteCentres    int // other data centres that one host keeps peers in
 	RemotePeers      int // peers in each of them
 	Probes           int // lost members tried at once
 	DigestPeers      int // digests sent per turn
-	MembersPerDigest int // news in turn; changed members may take twice as many
+	MembersPerDigest int // news in turn; changed members may take four times as many
 	GroupsPerDigest  int // changed group views, besides the one in turn
 	Watchers         int // hosts of a data centre that watch the platform
 	MaxWatchers      int // the same when news is old
@@ -49,7 +50,7 @@
 const (
 	DefaultDigestEvery   = 500 * time.Millisecond
 	DefaultSilentAfter   = 2500 * time.Millisecond
-	DefaultVouchedFor    = 2 * time.Minute
+	DefaultVouchedFor    = 5 * time.Minute
 	DefaultForgetAfter   = 10 * time.Minute
 	DefaultHopeFor       = 5 * time.Second
 	DefaultProbeEvery    = 3 * time.Second
@@ -59,12 +60,13 @@
 
 	DefaultMembers          = 8192
 	DefaultGroups           = 8192
-	DefaultFullMesh         = 32
+	DefaultFullMesh         = 24
+	DefaultLocalMesh        = 16
 	DefaultRemoteCentres    = 4
 	DefaultRemotePeers      = 1
 	DefaultProbes           = 4
-	DefaultDigestPeers      = 48
-	DefaultMembersPerDigest = 4
+	DefaultDigestPeers      = 28
+	DefaultMembersPerDigest = 2
 	DefaultGroupsPerDigest  = 8
 	DefaultWatchers         = 2
 	DefaultMaxWatchers      = 8
@@ -87,6 +89,7 @@
 	defaultTo(&l.Members, DefaultMembers)
 	defaultTo(&l.Groups, DefaultGroups)
 	defaultTo(&l.FullMesh, DefaultFullMesh)
+	defaultTo(&l.LocalMesh, DefaultLocalMesh)
 	defaultTo(&l.RemoteCentres, DefaultRemoteCentres)
 	defaultTo(&l.RemotePeers, DefaultRemotePeers)
 	defaultTo(&l.Probes, DefaultProbes)
--- a/datacentre/table.go
+++ b/datacentre/table.go
@@ -196,7 +196,7 @@
 func (t *Table) Leaving(address string) {
 	if m := t.members[address]; m != nil && !m.leaving {
 		m.leaving = true
-		m.newsTurns = newsRepeats
+		m.newsTurns = lossRepeats
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/fleet/members.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/datacentre"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// TableResult is what one table costs at a given size.
+type TableResult struct {
+	Members        int     `json:"members"`
+	BytesPerMember float64 `json:"bytesPerMember"`
+	TickSeconds    float64 `json:"tickSeconds"` // one turn of digests
+	RankSeconds    float64 `json:"rankSeconds"` // one rank
+	Peers          int     `json:"peers"`
+}
+
+// MeasureTable measures a table that knows members hosts, all alive, in the
+// given number of data centres.
+func MeasureTable(members, centres int) TableResult {
+	list := make([]platform.HostState, members)
+	for i := range list {
+		list[i] = platform.HostState{
+			Address:    fmt.Sprintf("10.%d.%d.%d:7000", i%centres, i/250, i%250),
+			DataCentre: fmt.Sprintf("dc%d", i%centres),
+		}
+	}
+	before := usedMemory()
+	table := datacentre.New(datacentre.Config{Self: list[0].Address, DataCentre: "dc0", BootID: "boot"})
+	now := time.Now()
+	table.ObserveList(list, now)
+	for i, host := range list[1:] {
+		table.ObserveHello(host.Address, host.DataCentre, fmt.Sprint("boot-", i), now)
+	}
+	after := usedMemory()
+	used := after - min(before, after)
+	const turns = 20
+	began := time.Now()
+	for range turns {
+		now = now.Add(datacentre.DefaultDigestEvery / 5)
+		table.Tick(now)
+	}
+	result := TableResult{
+		Members:        members,
+		BytesPerMember: float64(used) / float64(members),
+		TickSeconds:    time.Since(began).Seconds() / (turns / 5),
+		Peers:          len(table.Peers(now)),
+	}
+	began = time.Now()
+	for i := range turns {
+		table.Rank(fmt.Sprint("group-", i), now)
+	}
+	result.RankSeconds = time.Since(began).Seconds() / turns
+	return result
+}
--- /dev/null
+++ b/internal/experiment/fleet/node.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/datacentre"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	watchWait = time.Second // a watch without news returns after this time
+)
+
+// node is one host: a table, a mesh, and the goroutines that carry messages
+// between them.
+type node struct {
+	address  string
+	listener net.Listener
+	store    *store
+	mesh     *peer.Mesh
+	inForce  *datacentre.Configuration
+	everyone bool // the baseline: watches, and has no peers
+
+	mu    sync.Mutex // guards table
+	table *datacentre.Table
+
+	taken sync.Map // version -> time it came in force
+	wg    sync.WaitGroup
+}
+
+func newNode(s *store, centre string, index int, cfg Config, config *tls.Config) (*node, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		address:  listener.Addr().String(),
+		listener: listener,
+		store:    s,
+		inForce:  datacentre.NewConfig(0),
+		everyone: cfg.WatchPerHost,
+	}
+	boot := fmt.Sprintf("boot-%d", index)
+	n.table = datacentre.New(datacentre.Config{
+		Self:       n.address,
+		DataCentre: centre,
+		BootID:     boot,
+		InForce:    n.inForce,
+		Rand:       rand.New(rand.NewPCG(cfg.Seed, uint64(index))),
+	})
+	n.mesh = peer.New(peer.Config{
+		Self:       n.address,
+		DataCentre: centre,
+		BootID:     boot,
+		TLS:        config,
+		Handler:    n,
+		OnPeer:     n.onPeer,
+	})
+	return n, nil
+}
+
+// run serves until ctx ends.
+func (n *node) run(ctx context.Context, hosts []platform.HostState) {
+	n.mu.Lock()
+	n.table.ObserveList(hosts, time.Now())
+	n.mu.Unlock()
+	n.wg.Go(func() { n.watchLoop(ctx) })
+	if n.everyone {
+		return
+	}
+	n.wg.Go(func() { _ = n.mesh.Serve(n.listener) })
+	n.wg.Go(func() { n.tickLoop(ctx) })
+}
+
+func (n *node) close() {
+	_ = n.listener.Close()
+	n.mesh.Close()
+	n.wg.Wait()
+}
+
+func (n *node) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var peers []string
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		now := time.Now()
+		out := n.table.Tick(now)
+		chosen := n.table.Peers(now)
+		n.mu.Unlock()
+		if !slices.Equal(chosen, peers) {
+			peers = chosen
+			n.mesh.SetPeers(peers)
+		}
+		n.act(ctx, out)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watchLoop watches the platform while this is the host's duty.
+func (n *node) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		watches := n.everyone || n.table.IsWatcher(time.Now())
+		n.mu.Unlock()
+		if !watches {
+			sleep(ctx, tickEvery)
+			continue
+		}
+		asked := time.Now()
+		version := n.store.watch(ctx, n.inForce.Version(), watchWait)
+		if version > n.inForce.Version() {
+			asked = time.Now()
+			n.offer(ctx, n.store.get(ctx))
+		}
+		n.mu.Lock()
+		n.inForce.Confirm(version, asked)
+		n.mu.Unlock()
+	}
+}
+
+func (n *node) offer(ctx context.Context, snap *contract.Snapshot) {
+	n.mu.Lock()
+	now := time.Now()
+	taken := n.inForce.Offer(snap, "platform", now)
+	var out datacentre.Output
+	if !n.everyone {
+		out = n.table.Tick(now)
+	}
+	n.mu.Unlock()
+	if taken {
+		n.taken.Store(snap.Version, now)
+	}
+	n.act(ctx, out)
+}
+
+func (n *node) onPeer(info peer.Info, connected bool) {
+	if !connected {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.ObserveHello(info.Address, info.DataCentre, info.BootID, time.Now())
+}
+
+// HandlePeer implements peer.Handler.
+func (n *node) HandlePeer(from peer.Info, env *peerpb.Envelope) *peerpb.Envelope {
+	switch body := env.GetBody().(type) {
+	case *peerpb.Envelope_Digest:
+		n.mu.Lock()
+		out := n.table.HandleDigest(from.Address, body.Digest, time.Now())
+		n.mu.Unlock()
+		n.act(context.Background(), out)
+	case *peerpb.Envelope_SnapshotRequest:
+		reply, err := n.inForce.Reply(body.SnapshotRequest)
+		if err != nil {
+			return nil
+		}
+		return &peerpb.Envelope{Body: &peerpb.Envelope_SnapshotReply{SnapshotReply: reply}}
+	}
+	return nil
+}
+
+// act carries out what the table decided.
+func (n *node) act(ctx context.Context, out datacentre.Output) {
+	for _, send := range out.Send {
+		_ = n.mesh.Send(send.To, send.Env) // one that is not connected yet gets the next
+	}
+	if out.FetchFrom != "" {
+		go n.fetch(ctx, out.FetchFrom)
+	}
+}
+
+func (n *node) fetch(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, datacentre.DefaultFetchTimeout)
+	defer cancel()
+	reply, err := n.mesh.Request(ctx, from, &peerpb.Envelope{
+		Body: &peerpb.Envelope_SnapshotRequest{SnapshotRequest: n.inForce.Request()},
+	})
+	var snap *contract.Snapshot
+	if err == nil {
+		snap, _ = n.inForce.Decode(reply.GetSnapshotReply())
+	}
+	n.mu.Lock()
+	now := time.Now()
+	before := n.inForce.Version()
+	out := n.table.HandleSnapshot(from, snap, now)
+	after := n.inForce.Version()
+	n.mu.Unlock()
+	if after != before {
+		n.taken.Store(after, now)
+	}
+	n.act(context.Background(), out)
+}
--- /dev/null
+++ b/internal/experiment/fleet/run.go
@@ -0,0 +1,281 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/platform"
+)
+
+// Config says what to measure. Zero values take the defaults.
+type Config struct {
+	Hosts        int           `json:"hosts"`
+	Centres      int           `json:"centres"`
+	TLS          bool          `json:"tls"`
+	WatchPerHost bool          `json:"watchPerHost"` // the baseline
+	Services     int           `json:"services"`     // in the configuration
+	Customers    int           `json:"customers"`
+	Changes      int           `json:"changes"` // versions published, one after the other
+	Settle       time.Duration `json:"settleNs"`
+	Window       time.Duration `json:"windowNs"` // of the steady measurement
+	Seed         uint64        `json:"seed"`
+}
+
+// Result is what one run measured. Rates are per second and host. Bytes are TCP
+// payload, TLS included; wire bytes add 52 bytes of TCP/IP headers for each
+// segment sent or received and for as many acknowledgements of the other way.
+type Result struct {
+	Config Config `json:"config"`
+
+	PeersMean float64 `json:"peersMean"`
+	PeersMax  int     `json:"peersMax"`
+
+	SentBytes     float64 `json:"sentBytesPerSecond"`
+	ReceivedBytes float64 `json:"receivedBytesPerSecond"`
+	MaxBytes      float64 `json:"maxBytesPerSecond"` // both ways, of the busiest host
+	WireBytes     float64 `json:"wireBytesPerSecond"`
+	MaxWireBytes  float64 `json:"maxWireBytesPerSecond"`
+	SentMessages  float64 `json:"sentMessagesPerSecond"`
+	Core          float64 `json:"coreShare"` // processor time per host and second
+
+	PlatformCalls  float64 `json:"platformCallsPerSecond"` // whole fleet, without changes
+	CallsPerChange float64 `json:"platformCallsPerChange"` // whole fleet
+	BytesPerChange float64 `json:"platformBytesPerChange"`
+
+	InForceMedian float64 `json:"inForceMedianSeconds"` // over hosts and changes
+	InForceMax    float64 `json:"inForceMaxSeconds"`
+	ChangeBytes   float64 `json:"peerBytesPerChange"` // sent per host and change
+
+	Connections     int     `json:"connections"` // both ends counted
+	BytesPerConn    float64 `json:"memoryPerConnection"`
+	MemoryPerHost   float64 `json:"memoryPerHost"`
+	GoroutinesTotal int     `json:"goroutines"`
+}
+
+const platformDelay = 5 * time.Millisecond
+
+func (c Config) withDefaults() Config {
+	if c.Hosts == 0 {
+		c.Hosts = 15
+	}
+	if c.Centres == 0 {
+		c.Centres = 4
+	}
+	if c.Services == 0 {
+		c.Services, c.Customers = 3, 8
+	}
+	if c.Changes == 0 {
+		c.Changes = 5
+	}
+	if c.Settle == 0 {
+		c.Settle = 5 * time.Second
+	}
+	if c.Window == 0 {
+		c.Window = 5 * time.Second
+	}
+	return c
+}
+
+// fleet is the hosts of one run.
+type fleet struct {
+	cfg     Config
+	store   *store
+	nodes   []*node
+	version uint64
+	cancel  context.CancelFunc
+}
+
+// Run measures one fleet. It takes Settle and Window, and a moment per change.
+func Run(cfg Config) (Result, error) {
+	cfg = cfg.withDefaults()
+	before := usedMemory()
+	f, err := start(cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.close()
+	if err := f.settle(); err != nil {
+		return Result{}, err
+	}
+	result := Result{Config: cfg}
+	f.measureSteady(&result)
+	f.measureMemory(&result, before)
+	err = f.measureChanges(&result)
+	return result, err
+}
+
+func start(cfg Config) (*fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{cfg: cfg, store: newStore(platformDelay), cancel: cancel}
+	config, err := tlsConfig(cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
+	var hosts []platform.HostState
+	for i := range cfg.Hosts {
+		centre := fmt.Sprintf("dc%d", i%cfg.Centres)
+		n, err := newNode(f.store, centre, i, cfg, config)
+		if err != nil {
+			f.close()
+			return nil, eris.Wrap(err, "start host")
+		}
+		f.nodes = append(f.nodes, n)
+		hosts = append(hosts, platform.HostState{Address: n.address, DataCentre: centre})
+	}
+	for _, n := range f.nodes {
+		n.run(ctx, hosts)
+	}
+	return f, nil
+}
+
+func (f *fleet) close() {
+	f.cancel()
+	for _, n := range f.nodes {
+		n.close()
+	}
+}
+
+// settle publishes the first version and waits for it and for the links.
+func (f *fleet) settle() error {
+	if _, err := f.change(); err != nil {
+		return err
+	}
+	time.Sleep(f.cfg.Settle)
+	return nil
+}
+
+const changeLimit = 60 * time.Second
+
+// change publishes a version and waits until it is in force everywhere. It
+// returns the seconds that each host took.
+func (f *fleet) change() ([]float64, error) {
+	f.version++
+	began := time.Now()
+	if err := f.store.publish(sampleSnapshot(f.version, f.cfg.Services, f.cfg.Customers)); err != nil {
+		return nil, err
+	}
+	for time.Since(began) < changeLimit {
+		if f.allAt(f.version) {
+			return f.delays(began), nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, eris.Errorf("version %d is not in force after %s", f.version, changeLimit)
+}
+
+func (f *fleet) allAt(version uint64) bool {
+	for _, n := range f.nodes {
+		if n.inForce.Version() != version {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) delays(began time.Time) []float64 {
+	var delays []float64
+	for _, n := range f.nodes {
+		if at, ok := n.taken.Load(f.version); ok {
+			delays = append(delays, at.(time.Time).Sub(began).Seconds())
+		}
+	}
+	return delays
+}
+
+func (f *fleet) stats() []peer.Stats {
+	stats := make([]peer.Stats, len(f.nodes))
+	for i, n := range f.nodes {
+		stats[i] = n.mesh.Stats()
+	}
+	return stats
+}
+
+const headerBytes = 52 // of IPv4 and TCP with timestamps
+
+// measureSteady measures a window without changes.
+func (f *fleet) measureSteady(r *Result) {
+	before, calls, cpu, began := f.stats(), f.store.calls.Load(), processorTime(), time.Now()
+	time.Sleep(f.cfg.Window)
+	seconds := time.Since(began).Seconds()
+	hosts := float64(len(f.nodes))
+	r.Core = (processorTime() - cpu).Seconds() / seconds / hosts
+	r.PlatformCalls = float64(f.store.calls.Load()-calls) / seconds
+	for i, after := range f.stats() {
+		sent := float64(after.SentBytes-before[i].SentBytes) / seconds
+		received := float64(after.ReceivedBytes-before[i].ReceivedBytes) / seconds
+		segments := float64(after.Writes-before[i].Writes+after.Reads-before[i].Reads) / seconds
+		wire := sent + received + 2*headerBytes*segments
+		r.SentBytes += sent / hosts
+		r.ReceivedBytes += received / hosts
+		r.WireBytes += wire / hosts
+		r.MaxBytes = max(r.MaxBytes, sent+received)
+		r.MaxWireBytes = max(r.MaxWireBytes, wire)
+		r.SentMessages += float64(after.SentMessages-before[i].SentMessages) / seconds / hosts
+	}
+	for _, n := range f.nodes {
+		peers := len(n.mesh.Peers())
+		r.Connections += peers
+		r.PeersMax = max(r.PeersMax, peers)
+	}
+	r.PeersMean = float64(r.Connections) / hosts
+}
+
+// measureMemory attributes what the process uses to hosts and connections.
+func (f *fleet) measureMemory(r *Result, before uint64) {
+	after := usedMemory()
+	used := float64(after - min(before, after))
+	r.MemoryPerHost = used / float64(len(f.nodes))
+	if r.Connections > 0 {
+		r.BytesPerConn = used / float64(r.Connections)
+	}
+	r.GoroutinesTotal = runtime.NumGoroutine()
+}
+
+func (f *fleet) measureChanges(r *Result) error {
+	before, calls, bytes, began := f.stats(), f.store.calls.Load(), f.store.bytes.Load(), time.Now()
+	var delays []float64
+	for range f.cfg.Changes {
+		took, err := f.change()
+		if err != nil {
+			return err
+		}
+		delays = append(delays, took...)
+	}
+	seconds := time.Since(began).Seconds()
+	changes := float64(f.cfg.Changes)
+	slices.Sort(delays)
+	r.InForceMedian = delays[len(delays)/2]
+	r.InForceMax = delays[len(delays)-1]
+	r.CallsPerChange = max(0, float64(f.store.calls.Load()-calls)-r.PlatformCalls*seconds) / changes
+	r.BytesPerChange = float64(f.store.bytes.Load()-bytes) / changes
+	for i, after := range f.stats() {
+		sent := float64(after.SentBytes - before[i].SentBytes)
+		r.ChangeBytes += sent / changes / float64(len(f.nodes))
+	}
+	r.ChangeBytes = max(0, r.ChangeBytes-r.SentBytes*seconds/changes)
+	return nil
+}
+
+// usedMemory returns the bytes of heap and stacks in use after a collection.
+func usedMemory() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/internal/experiment/fleet/store.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+)
+
+// store is the platform: one snapshot with a version, read by Get and Watch.
+// It counts calls and bytes.
+type store struct {
+	calls atomic.Uint64
+	bytes atomic.Uint64
+	delay time.Duration // of each call
+
+	mu      sync.Mutex
+	snap    *contract.Snapshot
+	size    uint64        // bytes of the snapshot's JSON
+	changed chan struct{} // closed by the next publish
+}
+
+func newStore(delay time.Duration) *store {
+	return &store{delay: delay, snap: &contract.Snapshot{}, changed: make(chan struct{})}
+}
+
+func (s *store) publish(snap *contract.Snapshot) error {
+	data, err := json.Marshal(snap)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snap = snap
+	s.size = uint64(len(data))
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// get returns the newest snapshot.
+func (s *store) get(ctx context.Context) *contract.Snapshot {
+	s.calls.Add(1)
+	sleep(ctx, s.delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytes.Add(s.size)
+	return s.snap
+}
+
+// watch waits until the version is another one than the given or the wait ends,
+// and returns it. A waiting watch is one call.
+func (s *store) watch(ctx context.Context, version uint64, wait time.Duration) uint64 {
+	s.calls.Add(1)
+	sleep(ctx, s.delay)
+	s.mu.Lock()
+	newest, changed := s.snap.Version, s.changed
+	s.mu.Unlock()
+	if newest != version {
+		return newest
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snap.Version
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/link/peer/handshake.go
+++ b/link/peer/handshake.go
@@ -27,12 +27,7 @@
 // handshake sets up TLS, yamux and the shared stream, and exchanges Hellos.
 // For a dialed connection, address is where it was dialed to; empty otherwise.
 func (m *Mesh) handshake(raw net.Conn, address string) (*conn, error) {
-	wire := &countingConn{
-		Conn:     raw,
-		received: &m.stats.receivedBytes,
-		sent:     &m.stats.sentBytes,
-		epoch:    time.Now(),
-	}
+	wire := &countingConn{Conn: raw, stats: &m.stats, epoch: time.Now()}
 	deadline := time.Now().Add(m.cfg.HandshakeTimeout)
 	_ = wire.SetDeadline(deadline)
 	secured, cert, err := m.secure(wire, address)
--- a/link/peer/stats.go
+++ b/link/peer/stats.go
@@ -13,6 +13,8 @@
 	ReceivedBytes    uint64
 	SentMessages     uint64
 	ReceivedMessages uint64
+	Writes           uint64 // to TCP connections
+	Reads            uint64 // from TCP connections
 	Dropped          uint64 // messages that met a full queue
 }
 
@@ -21,6 +23,8 @@
 	receivedBytes    atomic.Uint64
 	sentMessages     atomic.Uint64
 	receivedMessages atomic.Uint64
+	writes           atomic.Uint64
+	reads            atomic.Uint64
 }
 
 // Stats returns the traffic so far.
@@ -30,6 +34,8 @@
 		ReceivedBytes:    m.stats.receivedBytes.Load(),
 		SentMessages:     m.stats.sentMessages.Load(),
 		ReceivedMessages: m.stats.receivedMessages.Load(),
+		Writes:           m.stats.writes.Load(),
+		Reads:            m.stats.reads.Load(),
 		Dropped:          m.meters.dropped.Get(),
 	}
 }
--- a/link/peer/wire.go
+++ b/link/peer/wire.go
@@ -10,8 +10,7 @@
 // countingConn counts bytes on the wire and notes when the last one came.
 type countingConn struct {
 	net.Conn
-	received  *atomic.Uint64
-	sent      *atomic.Uint64
+	stats     *counters
 	lastHeard atomic.Int64 // nanoseconds after epoch
 	epoch     time.Time
 }
@@ -19,7 +18,8 @@
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received.Add(uint64(n))
+		c.stats.receivedBytes.Add(uint64(n))
+		c.stats.reads.Add(1)
 		c.lastHeard.Store(int64(time.Since(c.epoch)))
 	}
 	return n, err
@@ -27,7 +27,8 @@
 
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.sent.Add(uint64(n))
+	c.stats.sentBytes.Add(uint64(n))
+	c.stats.writes.Add(1)
 	return n, err
 }
 
