Accrue what a loan held from the loan's end

Cause: a host that had lent its whole share and was not looked at afterwards accrued nothing for all that time, since the loan counted as out until the next look; a burst after a quiet spell was refused in part. Ruled out: a timer per loan; the loans are in order of their end, so the account accrues up to each end in turn. Change: account.advance; a test that fails without it.

--- a/customer/rate/account.go
+++ b/customer/rate/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract"
@@ -98,29 +99,38 @@
 // advance accrues up to now and drops what has run out. Nothing accrues before
 // from.
 func (a *account) advance(now, from time.Time) {
+	a.endLoans(now, from)
+	a.accrue(now, from)
+	a.dropHeld(now)
+	a.dropAsks(now)
+}
+
+// accrue fills the own part of the bucket up to now.
+func (a *account) accrue(now, from time.Time) {
 	if start := later(a.at, from); now.After(start) {
 		a.level = min(a.ownBurst(), a.level+a.ownRate()*now.Sub(start).Seconds())
 	}
 	if now.After(a.at) {
 		a.at = now
 	}
-	a.endLoans(now)
-	a.dropHeld(now)
-	a.dropAsks(now)
 }
 
-// endLoans takes back loans that have run out; their tokens are spent or lost.
-func (a *account) endLoans(now time.Time) {
-	kept := a.loans[:0]
-	for _, l := range a.loans {
-		if now.Before(l.until) {
-			kept = append(kept, l)
-			continue
+// endLoans takes back loans that have run out, each at its end, so that what
+// they held accrues from then on. Their tokens are spent or lost. Loans have
+// one term, so they are in order of their end.
+func (a *account) endLoans(now, from time.Time) {
+	n := 0
+	for n < len(a.loans) && !now.Before(a.loans[n].until) {
+		l := a.loans[n]
+		if !l.ended {
+			a.accrue(l.until, from)
+			a.endLoan(l)
 		}
-		a.endLoan(l)
+		n++
+	}
+	if n > 0 {
+		a.loans = slices.Delete(a.loans, 0, n)
 	}
-	clear(a.loans[len(kept):])
-	a.loans = kept
 }
 
 // endLoan makes the lent part the host's own again.
--- a/customer/rate/rate_test.go
+++ b/customer/rate/rate_test.go
@@ -47,6 +47,22 @@
 		GinkgoWriter.Println("messages", w.messages)
 	})
 
+	It("accrues what a loan held from its end, though nobody looks", func() {
+		w := fleet(1, whole, 2, 1, 10, 20)
+		n := w.nodes[1]
+		w.cut[[2]string{n.address, w.nodes[0].address}] = true
+		for range 20 {
+			w.ask(w.nodes[0], "shop", time.Second)
+		}
+		w.run(10 * time.Second)
+		Expect(w.admitted["shop"]).To(Equal(12), "its own ten, and what accrued while requests waited")
+		v := Admitted
+		for i := 0; v == Admitted; i++ {
+			v = w.ask(n, "shop", time.Second)
+		}
+		Expect(w.admitted["shop"]).To(Equal(22))
+	})
+
 	It("admits a burst smaller than the number of hosts", func() {
 		w := fleet(1, whole, 15, 4, 1, 3)
 		for range 3 {
