Pass on the share of a host that is gone

Cause: a dead host never acknowledges a roster without it, so no host could rise and the newcomer held nothing. Ruled out: taking the operator's word that a host is dead, since a frozen one wakes; a platform lease, which an outage would run out. A borrower that waits no longer returns its loans as idle. Result: tests for a dead, a frozen and a cut-off host pass; without the lapse the woken host overshoots.

--- a/customer/rate/borrow.go
+++ b/customer/rate/borrow.go
@@ -134,8 +134,9 @@
 	clear(t.silent)
 }
 
-// hit notes a peer that lent something.
+// hit notes a peer that lent something: the next round may follow at once.
 func (r *round) hit() {
+	r.next = time.Time{}
 	r.empty = 0
 	r.pause /= 4
 	r.exhausted = false
--- a/customer/rate/config.go
+++ b/customer/rate/config.go
@@ -45,6 +45,10 @@
 	IdleReturn time.Duration // a loan unused this long is returned
 	MinPause   time.Duration // between rounds of asking
 	MaxPause   time.Duration // between rounds while peers have nothing
+	// ConfirmTerm is how long the standing shares are used after hosts that
+	// follow the same roster were last heard; the same on every host. Zero means
+	// standing.DefaultConfirmTerm.
+	ConfirmTerm time.Duration
 }
 
 func (c Config) withDefaults() Config {
--- a/customer/rate/loans.go
+++ b/customer/rate/loans.go
@@ -257,11 +257,14 @@
 // returnAt is when a held loan goes back.
 func (t *Table) returnAt(a *account, h *heldLoan) time.Time {
 	end := h.until.Add(-t.cfg.LoanTerm / returnParts)
+	if len(a.waiters) > 0 {
+		return end
+	}
 	return earlier(end, a.lastUsed.Add(t.cfg.IdleReturn))
 }
 
 func (t *Table) inUse(a *account, now time.Time) bool {
-	return !t.leaving && now.Sub(a.lastUsed) < t.cfg.IdleReturn
+	return !t.leaving && (len(a.waiters) > 0 || now.Sub(a.lastUsed) < t.cfg.IdleReturn)
 }
 
 // returnWhere sends back the held loans that match, debiting them first.
--- a/customer/rate/roster.go
+++ b/customer/rate/roster.go
@@ -30,11 +30,7 @@
 
 func (t *Table) rosterDone(sends []Send, rose bool, now time.Time, out *Output) {
 	out.Send = append(out.Send, sends...)
-	if !rose {
-		return
-	}
-	for _, a := range t.accounts {
-		a.advance(now, t.accrueFrom)
+	if rose || t.keeper.Confirmed(now) != t.confirmed {
+		t.reshare(now)
 	}
-	t.reshare()
 }
--- a/customer/rate/table.go
+++ b/customer/rate/table.go
@@ -44,6 +44,7 @@
 	waiting    map[uint64]*account
 	silent     map[string]time.Time // peers passed over until then
 	asked      uint64               // loan requests so far
+	confirmed  bool                 // the keeper's word at the last reshare
 	leaving    bool
 }
 
@@ -53,7 +54,7 @@
 	from := cfg.Started.Add(hold(cfg.LoanTerm))
 	return &Table{
 		cfg:        cfg,
-		keeper:     standing.NewKeeper(cfg.Self, resource, xxhash.Sum64String(cfg.BootID)),
+		keeper:     standing.NewKeeper(keeperConfig(cfg)),
 		accrueFrom: from,
 		cleanAt:    from,
 		accounts:   map[string]*account{},
@@ -62,12 +63,27 @@
 	}
 }
 
+// keeperConfig lets a share pass on only when the loans given from it are over.
+func keeperConfig(cfg Config) standing.Config {
+	return standing.Config{
+		Self:     cfg.Self,
+		Resource: resource,
+		Seed:     xxhash.Sum64String(cfg.BootID),
+		Term:     cfg.ConfirmTerm,
+		Drain:    2 * hold(cfg.LoanTerm),
+	}
+}
+
 // resource names this package's shares in RosterAck messages.
 const resource = "rate"
 
-// tick moves the table's time forward, never back.
+// tick moves the table's time forward, never back, and drops or takes up the
+// standing shares when their confirmation ran out or came.
 func (t *Table) tick(now time.Time) time.Time {
 	t.now = later(t.now, now)
+	if t.keeper.Confirmed(t.now) != t.confirmed {
+		t.reshare(t.now)
+	}
 	return t.now
 }
 
@@ -95,7 +111,7 @@
 			t.withdraw(a, now, &out)
 		}
 	}
-	t.reshare()
+	t.reshare(now)
 	t.pollRoster(now, &out)
 	return out
 }
@@ -131,7 +147,8 @@
 }
 
 // reshare sets every account's standing share from the roster.
-func (t *Table) reshare() {
+func (t *Table) reshare(now time.Time) {
+	t.confirmed = t.keeper.Confirmed(now)
 	plan := t.keeper.Plan()
 	if plan == nil {
 		return
@@ -140,8 +157,9 @@
 		if a.removed {
 			continue
 		}
+		a.advance(now, t.accrueFrom)
 		a.holders = without(plan.Holders(a.id, t.cfg.DataCentre), t.cfg.Self)
-		a.set(a.rate, a.burst, t.keeper.Fraction(a.id))
+		a.set(a.rate, a.burst, t.keeper.Fraction(a.id, now))
 	}
 }
 
