Ask hosts that acknowledged whether the roster is settled

Ruled out: asking all again each time; one in turn per poll suffices. Change: standing.Keeper polls one acknowledged host besides.

--- a/internal/standing/keeper.go
+++ b/internal/standing/keeper.go
@@ -45,15 +45,16 @@
 	zero    bool    // lows overflowed: hold nothing until the rise
 	settled bool
 
-	need     map[string]int // address -> last round acknowledged
-	order    []string       // addresses of need, in polling order
-	overflow bool
-	round    int
-	roundID  uint64 // query id of the current round
-	nextID   uint64
-	poll     time.Duration
-	pollAt   time.Time
-	cursor   int
+	need          map[string]int // address -> last round acknowledged
+	order         []string       // addresses of need, in polling order
+	overflow      bool
+	round         int
+	roundID       uint64 // query id of the current round
+	nextID        uint64
+	poll          time.Duration
+	pollAt        time.Time
+	cursor        int
+	settledCursor int
 
 	term       time.Duration // of a confirmation
 	drain      time.Duration // after which nothing of a lapsed share is in use
@@ -297,6 +298,7 @@
 		}
 	}
 	out = append(out, k.queries()...)
+	out = append(out, k.askSettled()...)
 	if k.cursor == 0 {
 		k.poll = min(2*k.poll, slowestPoll)
 	}
@@ -321,6 +323,18 @@
 	return out
 }
 
+// askSettled asks one host that has acknowledged, in turn, whether it has seen
+// all others do so: it may know of hosts that lapsed.
+func (k *Keeper) askSettled() []Send {
+	for range k.order {
+		k.settledCursor = (k.settledCursor + 1) % len(k.order)
+		if a := k.order[k.settledCursor]; k.need[a] >= k.round {
+			return []Send{k.query(a, k.roundID)}
+		}
+	}
+	return nil
+}
+
 func (k *Keeper) query(to string, id uint64) Send {
 	q := &peerpb.RosterAck{
 		RosterVersion: k.plan.Version,
