--- a/internal/standing/confirm.go
+++ b/internal/standing/confirm.go
@@ -8,7 +8,7 @@
 
 // DefaultConfirmTerm is how long a host uses its shares after it last heard
 // that its roster is still followed.
-const DefaultConfirmTerm = time.Minute
+const DefaultConfirmTerm = 15 * time.Second
 
 // Timing of confirmations.
 const (
@@ -118,11 +118,16 @@
 }
 
 // outvoted reports whether the hosts that have not acknowledged are too few, in
-// every older plan that names address, to confirm its share.
+// every older plan that names address, to confirm its share. A host that knows
+// no older plan judges by the newest.
 func (k *Keeper) outvoted(address string) bool {
 	older := func(a string) bool { return a != k.self && k.need[a] == 0 }
 	named := false
-	for _, p := range k.former {
+	plans := k.former
+	if len(plans) == 0 {
+		plans = []*Plan{k.plan}
+	}
+	for _, p := range plans {
 		if p.DataCentre(address) == "" {
 			continue
 		}
--- a/internal/standing/keeper.go
+++ b/internal/standing/keeper.go
@@ -39,11 +39,13 @@
 	self     string
 	resource string
 
-	plan    *Plan
-	base    *Plan   // plan of the last rise; nil before the first
-	lows    []*Plan // plans passed since
-	zero    bool    // lows overflowed: hold nothing until the rise
-	settled bool
+	plan       *Plan
+	base       *Plan   // plan of the last rise; nil before the first
+	lows       []*Plan // plans passed since
+	zero       bool    // lows overflowed: hold nothing until the rise
+	settled    bool
+	cold       bool
+	othersHeld bool // some host said that it held a share
 
 	need          map[string]int // address -> last round acknowledged
 	order         []string       // addresses of need, in polling order
@@ -163,23 +165,33 @@
 // Fraction returns the part of name's amount that this host may use now. It
 // changes when the plan does, when the share rises, and with Confirmed.
 func (k *Keeper) Fraction(name string, now time.Time) float64 {
+	return k.Least(now, func(p *Plan) float64 { return p.Fraction(name, k.self) })
+}
+
+// Least returns the lowest share among the plans that bind this host now, 0
+// while it may use none. share returns the share in one plan.
+func (k *Keeper) Least(now time.Time, share func(*Plan) float64) float64 {
 	if k.plan == nil || !k.Confirmed(now) {
 		return 0
 	}
-	f := k.plan.Fraction(name, k.self)
+	s := share(k.plan)
 	if k.settled {
-		return f
+		return s
 	}
 	if k.base == nil || k.zero {
 		return 0
 	}
-	f = min(f, k.base.Fraction(name, k.self))
+	s = min(s, share(k.base))
 	for _, low := range k.lows {
-		f = min(f, low.Fraction(name, k.self))
+		s = min(s, share(low))
 	}
-	return f
+	return s
 }
 
+// Cold reports whether this host's first rise came with that of all others: no
+// host had a share before.
+func (k *Keeper) Cold() bool { return k.cold }
+
 // Plan returns the newest plan, nil before the first.
 func (k *Keeper) Plan() *Plan { return k.plan }
 
@@ -201,6 +213,7 @@
 	if m.Query {
 		return []Send{{from, k.answer(m, ready, now)}}, false
 	}
+	k.othersHeld = k.othersHeld || m.Held
 	k.handleConfirm(from, m)
 	if k.plan == nil || k.settled || m.RosterVersion != k.plan.Version || m.QueryId != k.roundID {
 		return nil, false
@@ -225,6 +238,7 @@
 		QueryId:       m.QueryId,
 		Resource:      k.resource,
 		Ready:         ready,
+		Held:          k.base != nil,
 		Settled:       k.settled && k.Confirmed(now),
 	}
 	if !k.settled {
@@ -261,6 +275,7 @@
 		k.startRound(now)
 		return false
 	}
+	k.cold = k.base == nil && !k.othersHeld || k.cold
 	k.rise()
 	return true
 }
--- a/internal/standing/plan.go
+++ b/internal/standing/plan.go
@@ -129,6 +129,17 @@
 	return 1 / float64(len(holders))
 }
 
+// Whole returns the whole units of name's amount that address holds. The units
+// of all holders sum to amount; more of them never mean fewer for any holder.
+func (p *Plan) Whole(name, address string, amount int) int {
+	holders := p.Holders(name, "")
+	i := slices.Index(holders, address)
+	if i < 0 {
+		return 0
+	}
+	return (max(0, amount) + len(holders) - 1 - i) / len(holders)
+}
+
 // DataCentre returns the data centre of a member, "" when address is none.
 func (p *Plan) DataCentre(address string) string {
 	for _, m := range p.members {
