Repeat the wish of a request that waits long

Cause: a group table lets a wish for a confirmation lapse after two seconds, and a request asked only once, so one with a longer deadline waited in vain. Change: a waiting request repeats its wish twice a second.

--- a/host/groups.go
+++ b/host/groups.go
@@ -15,6 +15,10 @@
 // opTimeout bounds one group operation on a control connection.
 const opTimeout = 400 * time.Millisecond
 
+// wantAgain is how often a waiting request repeats what it wants: a table lets
+// a wish lapse whose owner may have gone.
+const wantAgain = 500 * time.Millisecond
+
 // groupIO is what a groupRunner needs from its host.
 type groupIO interface {
 	// AskPeers asks other hosts whether they hear a database and feeds each
@@ -195,20 +199,33 @@
 	}
 	w := &waiter{ready: ready, done: make(chan struct{})}
 	g.waiters[w] = struct{}{}
-	if want != nil {
-		g.act(want(g.now()))
-	}
+	g.want(want)
 	g.mu.Unlock()
 	g.kickRun()
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
+	again := time.NewTicker(wantAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-w.done:
+			return nil
+		case <-ctx.Done():
+			g.mu.Lock()
+			delete(g.waiters, w)
+			g.mu.Unlock()
+			return ctx.Err()
+		case <-again.C:
+			g.mu.Lock()
+			g.want(want)
+			g.mu.Unlock()
+		}
+	}
+}
+
+// want starts what a waiter waits for. mu is held.
+func (g *groupRunner) want(want func(now time.Time) []group.Action) {
+	if want != nil {
+		g.act(want(g.now()))
 	}
-	g.mu.Lock()
-	delete(g.waiters, w)
-	g.mu.Unlock()
-	return ctx.Err()
 }
 
 // primary waits for a primary that takes writes.
