--- a/host/admin.go
+++ b/host/admin.go
@@ -30,7 +30,8 @@
 }
 
 // adminServer is the operators' HTTP listener: /healthz, /readyz, /metrics,
-// /status, POST /drain and /burn.
+// /status, /burn (this host's counts), /burn.html (its data centre's burn) and
+// POST /drain.
 type adminServer struct {
 	host     *Host
 	listener net.Listener
@@ -48,6 +49,8 @@
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.metrics.write(w) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) })
+	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.burn.Counts(h.now())) })
+	mux.HandleFunc("GET /burn.html", a.burnPage)
 	mux.HandleFunc("POST /drain", a.drain)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	h.work(func() { a.server.Serve(l) })
--- a/host/apply.go
+++ b/host/apply.go
@@ -30,6 +30,7 @@
 	// Keys first: a withdrawn key must not outlive any other change.
 	h.keys.Apply(snap)
 	h.rates.apply(snap)
+	h.burn.Apply(snap)
 	h.retries.keep(func(id string) bool { return id == "" || snap.Customer(id) != nil })
 	h.view.Store(h.newView(snap))
 	h.members.followRoster(snap.Roster)
--- a/host/host.go
+++ b/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/report"
 	"github.com/bronzeloft/bronzeloft/settings"
 )
 
@@ -60,6 +61,7 @@
 	mesh    *peer.Mesh
 	callers *registry
 	admin   *adminServer
+	burn    *report.Recorder
 	fetcher *contract.Fetcher // nil without a platform
 
 	applyMu sync.Mutex // guards groups and dbs, and serialises apply
@@ -145,6 +147,7 @@
 		BootID:     h.bootID,
 		Started:    h.now(),
 	}, h.now, h.post)
+	h.burn = report.NewRecorder(self, h.bootID, h.now())
 	if h.admin, err = startAdmin(h); err != nil {
 		return err
 	}
--- a/host/peers.go
+++ b/host/peers.go
@@ -24,6 +24,8 @@
 		h.rates.handle(from.Address, env)
 	case *peerpb.Envelope_ReachabilityRequest:
 		return h.reachabilityReply(body.ReachabilityRequest)
+	case *peerpb.Envelope_BurnRequest:
+		return h.burnReply()
 	case *peerpb.Envelope_GroupView:
 		h.learnGroup(body.GroupView)
 	case *peerpb.Envelope_Leaving:
