--- a/database/group/detect.go
+++ b/database/group/detect.go
@@ -71,6 +71,11 @@
 		return now.Add(min(t.t.RetryInterval, t.interval()))
 	}
 	due := now.Add(t.interval())
+	if p := t.member(t.view.Primary); p != nil && !p.unansweredAt.IsZero() {
+		if at := p.unansweredAt.Add(t.t.SuspectAfter); at.After(now) && at.Before(due) {
+			due = at
+		}
+	}
 	for _, m := range t.members {
 		if at := m.probedAt.Add(t.interval()); at.After(now) && at.Before(due) {
 			due = at
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -87,7 +87,7 @@
 		SuspectAfter:  300 * time.Millisecond,
 		AskWindow:     40 * time.Millisecond,
 		AloneDelay:    200 * time.Millisecond,
-		RankDelay:     100 * time.Millisecond,
+		RankDelay:     150 * time.Millisecond,
 		ClaimTimeout:  150 * time.Millisecond,
 		FenceGrace:    5 * time.Millisecond,
 		RetryInterval: 5 * time.Millisecond,
--- a/internal/matrix/measure.go
+++ b/internal/matrix/measure.go
@@ -68,8 +68,11 @@
 	Total        Spread `json:"totalMs"`   // loss to routing, over hosts and runs
 }
 
-// failoverBound is the longest gap that a run waits for.
-const failoverBound = 8 * time.Second
+// Durations of a run.
+const (
+	failoverBound = 8 * time.Second        // longest gap that it waits for
+	settleSpread  = 200 * time.Millisecond // spread of the moment of the loss
+)
 
 // Detector is a way to decide that a primary is gone.
 type Detector struct {
@@ -111,7 +114,7 @@
 	var p parts
 	for i := range runs {
 		w := d.world(s, uint64(i+1), 100*time.Millisecond)
-		w.Run(2*time.Second + time.Duration(w.rand.Int64N(int64(200*time.Millisecond))))
+		w.settle()
 		w.record.down = platformDown
 		lost := w.now
 		old := w.primary()
@@ -129,6 +132,14 @@
 	return out
 }
 
+// settle runs until every host routes to the first primary, and a random while.
+func (w *World) settle() {
+	for w.Elapsed() < failoverBound && !w.rerouted(nil) {
+		w.Run(10 * time.Millisecond)
+	}
+	w.Run(time.Second + time.Duration(w.rand.Int64N(int64(settleSpread))))
+}
+
 func (w *World) lose(d *database, loss Loss) {
 	switch loss {
 	case Killed:
@@ -144,11 +155,11 @@
 	}
 }
 
-// rerouted reports whether every host routes to another database than old.
+// rerouted reports whether every host routes to a database other than old.
 func (w *World) rerouted(old *database) bool {
 	for _, h := range w.hosts {
 		id, _, ok := h.table.Primary()
-		if !ok || id == old.name {
+		if !ok || old != nil && id == old.name {
 			return false
 		}
 	}
--- a/internal/matrix/quiet.go
+++ b/internal/matrix/quiet.go
@@ -23,15 +23,16 @@
 	hostPause       = 2 * time.Second        // longest, of any host
 	pathBreak       = 3 * time.Second        // longest, between one host and one database
 	disturbanceMean = 3 * time.Second        // between disturbances
+	quietGap        = 2 * time.Second        // mean time between writes, or reads, of one host
 	quietJitter     = 15 * time.Millisecond  // largest extra delay of a message
 )
 
 // MeasureQuiet runs a fleet of s for spell under jitter, pauses and broken
 // paths, and counts promotions that nothing called for.
 func MeasureQuiet(s Site, d Detector, spell time.Duration, seed uint64) Quiet {
-	w := d.world(s, seed, 500*time.Millisecond)
+	w := d.world(s, seed, quietGap)
 	w.opt.Jitter = quietJitter
-	w.Run(2 * time.Second)
+	w.settle()
 	claims, promotions := w.oracle.counts.Claims, w.oracle.counts.Promotions
 	out := Quiet{Site: s.Name, Detector: d.Name, Minutes: spell.Minutes()}
 	end := w.now.Add(spell)
