--- a/datacentre/encode.go
+++ b/datacentre/encode.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	keptSnapshots   = 4        // earlier snapshots, for deltas
+	keptSnapshots   = 2        // earlier snapshots, for deltas
 	maxSnapshotJSON = 64 << 20 // bytes of a snapshot or delta after decompression
 )
 
@@ -31,9 +31,8 @@
 // encoded is one snapshot as it travels; the zero value is of no version.
 type encoded struct {
 	version uint64
-	json    []byte
-	sum     uint64 // of json
-	packed  []byte // json compressed, made on first use
+	sum     uint64 // of its JSON
+	packed  []byte // compressed JSON, made on first use
 }
 
 type encodedDelta struct {
@@ -85,11 +84,11 @@
 	if reply.Delta, err = t.deltaFrom(request.GetHaveVersion(), snap); err != nil || reply.Delta != nil {
 		return reply, err
 	}
-	reply.Snapshot, err = t.packFull()
+	reply.Snapshot, err = t.packFull(snap)
 	return reply, err
 }
 
-// encode makes sure that full holds the snapshot.
+// encode makes sure that full is of the snapshot.
 func (t *transfer) encode(snap *contract.Snapshot) error {
 	if t.full.version == snap.Version {
 		return nil
@@ -98,15 +97,19 @@
 	if err != nil {
 		return eris.Wrap(err, "encode snapshot")
 	}
-	t.full = encoded{version: snap.Version, json: data, sum: xxhash.Sum64(data)}
+	t.full = encoded{version: snap.Version, sum: xxhash.Sum64(data)}
 	return nil
 }
 
-func (t *transfer) packFull() ([]byte, error) {
-	var err error
-	if t.full.packed == nil {
-		t.full.packed, err = pack(t.full.json)
+func (t *transfer) packFull(snap *contract.Snapshot) ([]byte, error) {
+	if t.full.packed != nil {
+		return t.full.packed, nil
+	}
+	data, err := json.Marshal(canonical(snap))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode snapshot")
 	}
+	t.full.packed, err = pack(data)
 	return t.full.packed, err
 }
 
@@ -209,7 +212,7 @@
 		return nil, eris.Errorf("snapshot of version %d, announced as %d", snap.Version, reply.GetVersion())
 	}
 	if snap.Version > t.full.version {
-		t.full = encoded{version: snap.Version, json: data, sum: sum}
+		t.full = encoded{version: snap.Version, sum: sum}
 	}
 	if delta != nil && reply.GetCompressed() {
 		t.keepDelta(*delta)
--- a/datacentre/groups.go
+++ b/datacentre/groups.go
@@ -2,8 +2,10 @@
 
 import "github.com/bronzeloft/bronzeloft/link/peerpb"
 
-// viewRepeats is the number of digests that carry a changed group view.
-const viewRepeats = 2
+const (
+	viewRepeats = 2 // digests that carry a changed group view
+	viewTurn    = 4 // digests until the next view in turn
+)
 
 // groupViews holds the newest known view of each group and says which of them
 // go into the next digest. When full, views of further groups are dropped;
@@ -12,7 +14,7 @@
 	limit int
 	byID  map[string]*groupView
 	order []*groupView
-	turn  int
+	calls int // of next
 }
 
 type groupView struct {
@@ -31,14 +33,10 @@
 
 func (g *groupViews) observe(view *peerpb.GroupView) bool {
 	known := g.byID[view.GetGroup()]
-	if known == nil {
-		if len(g.byID) >= g.limit || view.GetGroup() == "" {
-			return false
-		}
-		known = &groupView{}
-		g.byID[view.GetGroup()] = known
-		g.order = append(g.order, known)
-	} else if !newerView(view, known.view) {
+	switch {
+	case known == nil:
+		return g.add(view)
+	case !newerView(view, known.view):
 		return false
 	}
 	known.view = view
@@ -46,6 +44,18 @@
 	return true
 }
 
+// add takes in a group's first view. It goes out in turn only, so that a host
+// that starts does not tell its peers of every group at once.
+func (g *groupViews) add(view *peerpb.GroupView) bool {
+	if len(g.byID) >= g.limit || view.GetGroup() == "" {
+		return false
+	}
+	known := &groupView{view: view}
+	g.byID[view.GetGroup()] = known
+	g.order = append(g.order, known)
+	return true
+}
+
 func newerView(a, b *peerpb.GroupView) bool {
 	if a.GetTerm() != b.GetTerm() {
 		return a.GetTerm() > b.GetTerm()
@@ -64,7 +74,7 @@
 	return newer
 }
 
-// next returns up to limit changed views and one more in turn.
+// next returns up to limit changed views, and now and then one more in turn.
 func (g *groupViews) next(limit int) []*peerpb.GroupView {
 	if len(g.order) == 0 {
 		return nil
@@ -79,6 +89,9 @@
 			views = append(views, known.view)
 		}
 	}
-	g.turn = (g.turn + 1) % len(g.order)
-	return append(views, g.order[g.turn].view)
+	g.calls++
+	if g.calls%viewTurn != 0 {
+		return views
+	}
+	return append(views, g.order[g.calls/viewTurn%len(g.order)].view)
 }
--- a/datacentre/table.go
+++ b/datacentre/table.go
@@ -15,7 +15,9 @@
 	// Send are messages for peers; those not connected may be skipped.
 	Send []Send
 	// FetchFrom is the peer to ask for its snapshot, empty for none. The host
-	// answers with HandleSnapshot, also when the request failed.
+	// answers with HandleSnapshot, also when the request failed. The table asks
+	// another peer after FetchTimeout, but takes a late answer too, so the host
+	// should wait some seconds: a whole snapshot can take them.
 	FetchFrom string
 	// Updated says that another version is in force.
 	Updated bool
--- a/internal/experiment/fleet/config.go
+++ b/internal/experiment/fleet/config.go
@@ -23,7 +23,7 @@
 }
 
 func sampleService(i int) contract.Service {
-	name := fmt.Sprintf("service-%05d", i)
+	name := groupName(i)
 	service := contract.Service{Name: name, Group: name, Slots: 5, MaxConns: 70}
 	for d := range 3 {
 		service.Databases = append(service.Databases, contract.Database{
@@ -42,6 +42,8 @@
 	return service
 }
 
+func groupName(i int) string { return fmt.Sprintf("service-%05d", i) }
+
 func sampleCustomer(i int) contract.Customer {
 	customer := contract.Customer{ID: fmt.Sprintf("customer-%05d", i), Rate: 100, Burst: 200, Weight: 1}
 	for k := range 2 {
--- a/internal/experiment/fleet/node.go
+++ b/internal/experiment/fleet/node.go
@@ -20,6 +20,7 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	watchWait = time.Second // a watch without news returns after this time
+	fetchWait = 5 * time.Second
 )
 
 // node is one host: a table, a mesh, and the goroutines that carry messages
@@ -30,6 +31,7 @@
 	store    *store
 	mesh     *peer.Mesh
 	inForce  *datacentre.Configuration
+	groups   int  // database groups that it knows
 	everyone bool // the baseline: watches, and has no peers
 
 	mu    sync.Mutex // guards table
@@ -49,6 +51,7 @@
 		listener: listener,
 		store:    s,
 		inForce:  datacentre.NewConfig(0),
+		groups:   cfg.Services,
 		everyone: cfg.WatchPerHost,
 	}
 	boot := fmt.Sprintf("boot-%d", index)
@@ -74,6 +77,9 @@
 func (n *node) run(ctx context.Context, hosts []platform.HostState) {
 	n.mu.Lock()
 	n.table.ObserveList(hosts, time.Now())
+	for i := range n.groups {
+		n.table.ObserveGroup(&peerpb.GroupView{Group: groupName(i), Term: 1, Primary: groupName(i) + "-0", MarkerIndex: 1})
+	}
 	n.mu.Unlock()
 	n.wg.Go(func() { n.watchLoop(ctx) })
 	if n.everyone {
@@ -136,7 +142,7 @@
 func (n *node) offer(ctx context.Context, snap *contract.Snapshot) {
 	n.mu.Lock()
 	now := time.Now()
-	taken := n.inForce.Offer(snap, "platform", now)
+	taken := snap != nil && n.inForce.Offer(snap, "platform", now)
 	var out datacentre.Output
 	if !n.everyone {
 		out = n.table.Tick(now)
@@ -186,7 +192,7 @@
 }
 
 func (n *node) fetch(ctx context.Context, from string) {
-	ctx, cancel := context.WithTimeout(ctx, datacentre.DefaultFetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchWait)
 	defer cancel()
 	reply, err := n.mesh.Request(ctx, from, &peerpb.Envelope{
 		Body: &peerpb.Envelope_SnapshotRequest{SnapshotRequest: n.inForce.Request()},
--- a/internal/experiment/fleet/run.go
+++ b/internal/experiment/fleet/run.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
 	"github.com/bronzeloft/bronzeloft/platform"
 )
 
@@ -51,7 +52,10 @@
 
 	InForceMedian float64 `json:"inForceMedianSeconds"` // over hosts and changes
 	InForceMax    float64 `json:"inForceMaxSeconds"`
-	ChangeBytes   float64 `json:"peerBytesPerChange"` // sent per host and change
+	ChangeBytes   float64 `json:"peerBytesPerChange"`        // sent per host and change
+	ChangeSeconds float64 `json:"processorSecondsPerChange"` // per host and change
+
+	SnapshotBytes int `json:"snapshotBytes"` // whole, compressed, as sent to a host that starts
 
 	Connections     int     `json:"connections"` // both ends counted
 	BytesPerConn    float64 `json:"memoryPerConnection"`
@@ -106,8 +110,12 @@
 	}
 	result := Result{Config: cfg}
 	f.measureSteady(&result)
+	if err := f.measureChanges(&result); err != nil {
+		return result, err
+	}
+	reply, err := f.nodes[0].inForce.Reply(&peerpb.SnapshotRequest{})
+	result.SnapshotBytes = len(reply.GetSnapshot())
 	f.measureMemory(&result, before)
-	err = f.measureChanges(&result)
 	return result, err
 }
 
@@ -240,6 +248,7 @@
 
 func (f *fleet) measureChanges(r *Result) error {
 	before, calls, bytes, began := f.stats(), f.store.calls.Load(), f.store.bytes.Load(), time.Now()
+	cpu := processorTime()
 	var delays []float64
 	for range f.cfg.Changes {
 		took, err := f.change()
@@ -259,6 +268,8 @@
 		sent := float64(after.SentBytes - before[i].SentBytes)
 		r.ChangeBytes += sent / changes / float64(len(f.nodes))
 	}
+	hosts := float64(len(f.nodes))
+	r.ChangeSeconds = ((processorTime()-cpu).Seconds()/hosts - r.Core*seconds) / changes
 	r.ChangeBytes = max(0, r.ChangeBytes-r.SentBytes*seconds/changes)
 	return nil
 }
@@ -266,6 +277,7 @@
 // usedMemory returns the bytes of heap and stacks in use after a collection.
 func usedMemory() uint64 {
 	runtime.GC()
+	runtime.GC() // empties pools too
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc + stats.StackInuse
