--- a/database/pool.go
+++ b/database/pool.go
@@ -9,13 +9,12 @@
 
 // Timing of pooled connections.
 const (
-	// idleProbeAfter is the idle time after which a connection answers a probe
-	// before it carries a request.
-	idleProbeAfter = 2 * time.Second
-	// idleProbeTimeout bounds that probe.
+	// DefaultIdleProbeAfter is the default of PoolConfig.IdleProbeAfter.
+	DefaultIdleProbeAfter = 2 * time.Second
+	// DefaultIdleTimeout is the default of PoolConfig.IdleTimeout.
+	DefaultIdleTimeout = 60 * time.Second
+	// idleProbeTimeout bounds the probe of an idle connection.
 	idleProbeTimeout = 100 * time.Millisecond
-	// idleCloseAfter is the idle time after which a connection is closed.
-	idleCloseAfter = 60 * time.Second
 )
 
 // ErrPoolClosed reports a pool whose database left or was removed.
@@ -30,6 +29,11 @@
 	MaxOpen int
 	// ConnectTimeout bounds one connection attempt.
 	ConnectTimeout time.Duration
+	// IdleProbeAfter is the idle time after which a connection answers a probe
+	// before it carries a request.
+	IdleProbeAfter time.Duration
+	// IdleTimeout is the idle time after which CloseIdle closes a connection.
+	IdleTimeout time.Duration
 	// Now is the time source.
 	Now func() time.Time
 }
@@ -49,6 +53,12 @@
 
 // NewPool returns an empty pool.
 func NewPool(cfg PoolConfig) *Pool {
+	if cfg.IdleProbeAfter == 0 {
+		cfg.IdleProbeAfter = DefaultIdleProbeAfter
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
+	}
 	return &Pool{cfg: cfg, max: cfg.MaxOpen, freed: make(chan struct{})}
 }
 
@@ -112,7 +122,7 @@
 // alive probes a connection that was idle for long, so that a silent one never
 // gets a request.
 func (p *Pool) alive(c *Conn) bool {
-	if p.cfg.Now().Sub(c.idleAt) < idleProbeAfter {
+	if p.cfg.Now().Sub(c.idleAt) < p.cfg.IdleProbeAfter {
 		return true
 	}
 	c.SetDeadline(p.cfg.Now().Add(idleProbeTimeout))
@@ -174,7 +184,7 @@
 
 // CloseIdle closes connections that have been idle for long.
 func (p *Pool) CloseIdle() {
-	cutoff := p.cfg.Now().Add(-idleCloseAfter)
+	cutoff := p.cfg.Now().Add(-p.cfg.IdleTimeout)
 	p.mu.Lock()
 	var old []*Conn
 	for len(p.idle) > 0 && p.idle[0].idleAt.Before(cutoff) {
--- a/host/callers.go
+++ b/host/callers.go
@@ -11,10 +11,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/caller"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -30,6 +32,8 @@
 // registry holds the sessions of this host. Its size is bounded by the
 // setting callers.max_connections; further callers are refused.
 type registry struct {
+	prefix uint32 // of this host's process ids
+
 	mu       sync.Mutex // guards all below; no other lock is taken under it
 	sessions map[uint32]*registered
 	open     int
@@ -41,6 +45,20 @@
 	session *session
 }
 
+// A process id names the session's host by a hash of its address, so that a
+// cancel request finds its way from any host: 15 bits for the host, 16 for the
+// session, and the sign bit clear.
+const (
+	sessionBits = 16
+	sessionMask = 1<<sessionBits - 1
+	hostMask    = 1<<15 - 1
+)
+
+// hostPrefix returns the part of process ids that names a host.
+func hostPrefix(address string) uint32 {
+	return uint32(xxhash.Sum64String(address)&hostMask) << sessionBits
+}
+
 func newRegistry() *registry { return &registry{sessions: map[uint32]*registered{}} }
 
 // enter counts a connection; false means that the host is full or stopping.
@@ -69,7 +87,7 @@
 		if _, err := rand.Read(raw[:]); err != nil {
 			return cancelKey{}, err
 		}
-		key := cancelKey{pid: binary.BigEndian.Uint32(raw[:4]) >> 1, secret: binary.BigEndian.Uint32(raw[4:])}
+		key := cancelKey{pid: r.prefix | binary.BigEndian.Uint32(raw[:4])&sessionMask, secret: binary.BigEndian.Uint32(raw[4:])}
 		if r.sessions[key.pid] == nil && key.pid != 0 {
 			r.sessions[key.pid] = &registered{secret: key.secret, session: s}
 			return key, nil
@@ -213,13 +231,31 @@
 	return s, nil
 }
 
-// cancel stops the statement of the session that the request names.
+// cancel stops the statement of the session that the request names, here or on
+// the hosts whose prefix it has. A host that this one keeps no connection to is
+// not reached, as the protocol allows: a cancel request promises nothing.
 func (h *Host) cancel(req *pgproto3.CancelRequest) {
-	s := h.callers.find(req.ProcessID, req.SecretKey)
-	if s == nil {
+	if h.cancelHere(req.ProcessID, req.SecretKey) {
 		return
 	}
+	for _, p := range h.mesh.Peers() {
+		if hostPrefix(p.Address) == req.ProcessID&^sessionMask {
+			h.post(p.Address, &peerpb.Envelope{Body: &peerpb.Envelope_CancelStatement{
+				CancelStatement: &peerpb.CancelStatement{ProcessId: req.ProcessID, Secret: req.SecretKey},
+			}})
+		}
+	}
+}
+
+// cancelHere stops the statement of a session of this host and reports whether
+// there is such a session.
+func (h *Host) cancelHere(pid uint32, secret []byte) bool {
+	s := h.callers.find(pid, secret)
+	if s == nil {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(h.ctx, cancelLimit)
 	defer cancel()
 	s.cancel(ctx)
+	return true
 }
--- a/host/host.go
+++ b/host/host.go
@@ -140,6 +140,7 @@
 		Metrics:    h.metrics.set,
 		OnPeer:     h.onPeer,
 	})
+	h.callers.prefix = hostPrefix(self)
 	h.members = newMembers(h, self)
 	h.rates = newRates(rate.Config{
 		Self:       self,
@@ -241,6 +242,8 @@
 		Login:          database.Login{User: h.set.Databases.User, Password: h.set.Databases.Password.Reveal(), Database: "main"},
 		MaxOpen:        maxOpen,
 		ConnectTimeout: h.set.Databases.ConnectTimeout,
+		IdleProbeAfter: h.set.Databases.IdleProbeAfter,
+		IdleTimeout:    h.set.Databases.IdleTimeout,
 		Now:            h.now,
 	}
 }
--- a/host/peers.go
+++ b/host/peers.go
@@ -26,6 +26,8 @@
 		return h.reachabilityReply(body.ReachabilityRequest)
 	case *peerpb.Envelope_BurnRequest:
 		return h.burnReply()
+	case *peerpb.Envelope_CancelStatement:
+		go h.cancelHere(body.CancelStatement.ProcessId, body.CancelStatement.Secret)
 	case *peerpb.Envelope_GroupView:
 		h.learnGroup(body.GroupView)
 	case *peerpb.Envelope_Leaving:
