Share the waiting of requests among rates and queues

Cause: rates and slot queues each kept their own table of waiting requests, and connections and slots over the fleet need the same a third time. Change: one waiting list and one runner for tables whose shares move between hosts.

--- a/host/plan.go
+++ b/host/plan.go
@@ -84,8 +84,8 @@
 	stepParse                 // as stepPass, and the connection now holds the statement
 )
 
-// step is the answer to one message of an extended batch.
-type step struct {
+// answerStep is the answer to one message of an extended batch.
+type answerStep struct {
 	kind   stepKind
 	name   string                  // statement on the connection: stepDrop, stepParse
 	answer pgproto3.BackendMessage // stepMake
@@ -94,7 +94,7 @@
 // plan is a batch as sent on one database connection.
 type plan struct {
 	messages []pgproto3.FrontendMessage
-	steps    []step
+	steps    []answerStep
 }
 
 // newPlan rewrites a batch for conn: statement names become those on the
@@ -125,28 +125,28 @@
 		}
 		bind := *m
 		bind.PreparedStatement = st.name
-		p.add(&bind, step{kind: stepPass})
+		p.add(&bind, answerStep{kind: stepPass})
 	case *pgproto3.Describe:
 		if m.ObjectType != 'S' {
-			p.add(m, step{kind: stepPass})
+			p.add(m, answerStep{kind: stepPass})
 			return nil
 		}
 		st, err := s.ensure(p, m.Name, conn, fresh)
 		if err != nil {
 			return err
 		}
-		p.add(&pgproto3.Describe{ObjectType: 'S', Name: st.name}, step{kind: stepPass})
+		p.add(&pgproto3.Describe{ObjectType: 'S', Name: st.name}, answerStep{kind: stepPass})
 	case *pgproto3.Close:
 		if m.ObjectType != 'S' {
-			p.add(m, step{kind: stepPass})
+			p.add(m, answerStep{kind: stepPass})
 			return nil
 		}
 		delete(s, m.Name)
-		p.steps = append(p.steps, step{kind: stepMake, answer: &pgproto3.CloseComplete{}})
+		p.steps = append(p.steps, answerStep{kind: stepMake, answer: &pgproto3.CloseComplete{}})
 	case *pgproto3.Sync:
 		p.messages = append(p.messages, m)
 	default:
-		p.add(msg, step{kind: stepPass})
+		p.add(msg, answerStep{kind: stepPass})
 	}
 	return nil
 }
@@ -158,11 +158,11 @@
 	st := newStatement(m.Query, m.ParameterOIDs)
 	s[m.Name] = st
 	if conn.Prepared(st.name) || fresh[st.name] {
-		p.steps = append(p.steps, step{kind: stepMake, answer: &pgproto3.ParseComplete{}})
+		p.steps = append(p.steps, answerStep{kind: stepMake, answer: &pgproto3.ParseComplete{}})
 		return nil
 	}
 	fresh[st.name] = true
-	p.add(st.parse(), step{kind: stepParse, name: st.name})
+	p.add(st.parse(), answerStep{kind: stepParse, name: st.name})
 	return nil
 }
 
@@ -175,12 +175,12 @@
 	}
 	if !conn.Prepared(st.name) && !fresh[st.name] {
 		fresh[st.name] = true
-		p.add(st.parse(), step{kind: stepDrop, name: st.name})
+		p.add(st.parse(), answerStep{kind: stepDrop, name: st.name})
 	}
 	return st, nil
 }
 
-func (p *plan) add(msg pgproto3.FrontendMessage, st step) {
+func (p *plan) add(msg pgproto3.FrontendMessage, st answerStep) {
 	p.messages = append(p.messages, msg)
 	p.steps = append(p.steps, st)
 }
--- a/host/reply.go
+++ b/host/reply.go
@@ -17,7 +17,7 @@
 // reply collects the answer to one plan from one connection.
 type reply struct {
 	conn  *database.Conn
-	steps []step
+	steps []answerStep
 	buf   []byte // encoded messages for the caller, without ReadyForQuery
 
 	// check is called once before the first byte goes to the caller; an error
--- a/host/slots.go
+++ b/host/slots.go
@@ -15,19 +15,17 @@
 
 	mu      sync.Mutex // guards all below; no other lock is taken under it
 	queue   *fair.Queue
-	next    uint64
-	waiting map[uint64]chan bool // true to run, false when refused
+	waiting waiting
 }
 
 func newSlotQueue(cfg fair.Config, now func() time.Time) *slotQueue {
-	return &slotQueue{now: now, queue: fair.New(cfg), waiting: map[uint64]chan bool{}}
+	return &slotQueue{now: now, queue: fair.New(cfg), waiting: newWaiting()}
 }
 
 // acquire waits for a slot. A request that gets none has not run.
 func (s *slotQueue) acquire(ctx context.Context, item fair.Item) (uint64, error) {
 	s.mu.Lock()
-	s.next++
-	item.ID = s.next
+	item.ID = s.waiting.id()
 	verdict := s.queue.Enqueue(item, s.now())
 	if verdict.State == fair.Run {
 		s.mu.Unlock()
@@ -37,8 +35,7 @@
 		s.mu.Unlock()
 		return 0, errkind.New(verdict.Kind, "")
 	}
-	turn := make(chan bool, 1)
-	s.waiting[item.ID] = turn
+	turn := s.waiting.add(item.ID)
 	s.mu.Unlock()
 	select {
 	case run := <-turn:
@@ -53,14 +50,14 @@
 
 // leave takes a request out of the queue, or gives its slot back if its turn
 // came at the same moment.
-func (s *slotQueue) leave(id uint64, turn chan bool) error {
+func (s *slotQueue) leave(id uint64, turn <-chan bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.waiting, id)
+	s.waiting.remove(id)
 	select {
 	case run := <-turn:
 		if run {
-			s.wake(s.queue.Done(id, s.now()))
+			s.waiting.answer(s.queue.Done(id, s.now()), true)
 		}
 	default:
 		s.queue.Cancel(id)
@@ -71,22 +68,12 @@
 // release frees a slot; the database is known to have stopped.
 func (s *slotQueue) release(id uint64) {
 	s.mu.Lock()
-	s.wake(s.queue.Done(id, s.now()))
+	s.waiting.answer(s.queue.Done(id, s.now()), true)
 	s.mu.Unlock()
 }
 
 func (s *slotQueue) setSlots(n int) {
 	s.mu.Lock()
-	s.wake(s.queue.SetSlots(n, s.now()))
+	s.waiting.answer(s.queue.SetSlots(n, s.now()), true)
 	s.mu.Unlock()
 }
-
-// wake runs the requests whose turn came. mu is held.
-func (s *slotQueue) wake(ids []uint64) {
-	for _, id := range ids {
-		if turn := s.waiting[id]; turn != nil {
-			delete(s.waiting, id)
-			turn <- true
-		}
-	}
-}
