--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -116,7 +116,7 @@
 // overtaken reports whether a newer claim makes this one hopeless.
 func (t *Table) overtaken() bool {
 	c := &t.claim
-	if t.established && t.view.Term >= c.term || t.fencedAbove(c.term) >= t.majority() {
+	if t.established && t.view.Term >= c.term || t.blocked(c.term) {
 		return true
 	}
 	if c.state == Fencing {
--- a/database/group/detect.go
+++ b/database/group/detect.go
@@ -27,7 +27,7 @@
 	CauseNone      Cause = ""
 	CauseNoPrimary Cause = "no-primary" // no primary is known
 	CauseSilent    Cause = "silent"     // it does not answer
-	CauseDemoted   Cause = "demoted"    // it, or a majority, promised a newer term
+	CauseDemoted   Cause = "demoted"    // it promised a newer term, or no majority is left in its term
 	CauseStalled   Cause = "stalled"    // no replica follows it
 	CauseStranded  Cause = "stranded"   // a member is fenced above its term
 	CauseLeaving   Cause = "leaving"    // it leaves
@@ -146,7 +146,7 @@
 	switch {
 	case !t.established || p == nil:
 		return CauseNoPrimary
-	case !isPrimary(p, t.view.Term), t.fencedAbove(t.view.Term) >= t.majority():
+	case !isPrimary(p, t.view.Term), t.blocked(t.view.Term):
 		return CauseDemoted
 	case p.silence(now) >= t.t.SuspectAfter && !t.replicasProgress(p, now):
 		return CauseSilent
@@ -276,73 +276,6 @@
 	return until
 }
 
-// askPeers asks peers about databases that this host does not hear, where the
-// cause rests on silence. It reports whether nothing speaks against acting.
-func (t *Table) askPeers(now time.Time) (out []Action, clear bool) {
-	doubtful := t.unheard(now)
-	if len(doubtful) == 0 || t.det.cause == CauseDemoted || t.det.cause == CauseStalled {
-		return nil, true
-	}
-	d := &t.det
-	if d.askedAt.IsZero() {
-		d.askedAt, d.asks, d.replies, d.vetoed = now, 0, 0, false
-	}
-	since := now.Sub(d.askedAt)
-	if d.asks < 2 && since >= time.Duration(d.asks)*t.t.AskWindow/2 {
-		d.asks++
-		for _, m := range doubtful {
-			out = append(out, AskPeers{Database: m.ID})
-		}
-	}
-	switch {
-	case d.vetoed && since >= t.t.SuspectAfter:
-		d.askedAt = time.Time{}
-		return out, d.cause != CauseSilent && now.Sub(d.since) >= t.t.StrandedAfter
-	case d.vetoed || since < t.t.AskWindow:
-		return out, false
-	case d.replies == 0:
-		return out, since >= t.t.AskWindow+t.t.AloneDelay
-	}
-	return out, true
-}
-
-// unheard returns the databases whose silence matters to the cause: the
-// primary, or any member while no primary is known.
-func (t *Table) unheard(now time.Time) []*member {
-	var out []*member
-	for _, m := range t.members {
-		matters := m.ID == t.view.Primary || t.det.cause == CauseNoPrimary
-		if matters && !t.reachable(m, now) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// PeerReply takes a peer's answer to AskPeers: whether it hears database, and
-// for how long it has not.
-func (t *Table) PeerReply(peer string, database string, reachable bool, silent time.Duration, now time.Time) []Action {
-	if t.det.cause == CauseNone || t.det.askedAt.IsZero() || t.member(database) == nil {
-		return nil
-	}
-	t.det.replies++
-	if reachable && silent < t.t.SuspectAfter/2 {
-		t.det.vetoed = true
-	}
-	return t.Tick(now)
-}
-
-// Heard answers a peer's question about database: whether it answers this
-// host, and for how long it has not. A host that probes seldom probes at once,
-// so that the next question finds a fresh answer.
-func (t *Table) Heard(database string, now time.Time) (reachable bool, silent time.Duration, out []Action) {
-	m := t.member(database)
-	if m == nil || !m.known {
-		return false, 0, nil
-	}
-	return t.reachable(m, now), now.Sub(m.heardAt), t.probe(m, now)
-}
-
 // Unreachable records that no connection to database could be had.
 func (t *Table) Unreachable(database string, now time.Time) []Action {
 	m := t.member(database)
--- a/database/group/promotion_test.go
+++ b/database/group/promotion_test.go
@@ -120,6 +120,35 @@
 		Expect(r.Status().Cause).To(Equal(group.CauseNone))
 	})
 
+	It("acts at once where half of an even group is fenced above the term", func() {
+		four := append(three(), group.Member{ID: "d", Address: "10.0.4.1:5432", DataCentre: "dc3"})
+		r := newRig(four...).healthy()
+		stranded := replica(10)
+		stranded.Role, stranded.Accepted = groupsql.Fenced, 7
+		primary := replica(10)
+		primary.Role = groupsql.Primary
+		answers := map[string]groupsql.Report{"a": primary, "b": stranded, "c": replica(10), "d": stranded}
+		out := r.quiet(300*ms, answers)
+		Expect(fences(out)["a"].Term).To(BeEquivalentTo(8))
+		_, _, ok := r.Primary()
+		Expect(ok).To(BeFalse())
+	})
+
+	It("leaves alone a primary of a newer term that only peers hear", func() {
+		r := newRig().healthy()
+		newer := replica(12)
+		newer.Accepted, newer.Position = 6, at(6, 12)
+		answers := map[string]groupsql.Report{"b": newer, "c": newer}
+		for range 200 {
+			for _, a := range r.quiet(10*ms, answers) {
+				Expect(sendTo(a)).NotTo(Equal("b"), "%v", a)
+				if ask, ok := a.(group.AskPeers); ok {
+					r.PeerReply("h9", ask.Database, true, 10*ms, r.now)
+				}
+			}
+		}
+	})
+
 	It("waits longer on a host of a later rank", func() {
 		r := newRig().healthy()
 		r.SetRank(2)
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -115,7 +115,7 @@
 // Primary returns the database to which writes go now. It is not ok while no
 // primary is established, and for the moments of a planned switchover.
 func (t *Table) Primary() (id string, term uint64, ok bool) {
-	if !t.established || t.draining || t.claim.active() || t.fencedAbove(t.view.Term) >= t.majority() {
+	if !t.established || t.draining || t.claim.active() || t.blocked(t.view.Term) {
 		return "", 0, false
 	}
 	p := t.member(t.view.Primary)
@@ -152,6 +152,12 @@
 	return n
 }
 
+// blocked reports whether too many members promised a term above term for a
+// majority to be left in it.
+func (t *Table) blocked(term uint64) bool {
+	return len(t.members)-t.fencedAbove(term) < t.majority()
+}
+
 // OpResult takes the result of an operation on database id that was sent at
 // sentAt, or the error that ended it.
 func (t *Table) OpResult(id string, op groupsql.Op, sentAt time.Time, r groupsql.Report, err error, now time.Time) []Action {
