Find every statement that PostgreSQL would run, and bound what callers send

Split lost statements after an escape string continued on a later line, a dollar sign inside a name, a line comment ended by a carriage return and a leading form feed, so that a SET could pass as part of a string. The size of a batch left out names, and a message before the key could claim 16 MB. A caller that sent Flush and waited was never answered.

Ruled out: refusing all of E'' and dollar quotes, which callers use.

Statements now tell whether they hold a writing word. Flush is answered at once with not_supported and the batch ends at Sync as before.

--- a/link/caller/batch.go
+++ b/link/caller/batch.go
@@ -34,7 +34,7 @@
 	case *pgproto3.Parse:
 		c := *m
 		c.ParameterOIDs = append([]uint32(nil), m.ParameterOIDs...)
-		size = len(c.Query)
+		size = len(c.Name) + len(c.Query) + 4*len(c.ParameterOIDs)
 		msg = &c
 	case *pgproto3.Bind:
 		c := copyBind(m)
@@ -42,12 +42,15 @@
 		msg = c
 	case *pgproto3.Describe:
 		c := *m
+		size = len(c.Name)
 		msg = &c
 	case *pgproto3.Execute:
 		c := *m
+		size = len(c.Portal)
 		msg = &c
 	case *pgproto3.Close:
 		c := *m
+		size = len(c.Name)
 		msg = &c
 	case *pgproto3.Sync:
 		msg = &pgproto3.Sync{}
@@ -74,7 +77,7 @@
 }
 
 func bindBytes(m *pgproto3.Bind) int {
-	n := 0
+	n := len(m.DestinationPortal) + len(m.PreparedStatement) + 2*len(m.ParameterFormatCodes) + 2*len(m.ResultFormatCodes)
 	for _, p := range m.Parameters {
 		n += len(p)
 	}
--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -21,6 +21,9 @@
 	TokenParameter = "bronzeloft.token" // startup option, and ParameterStatus after a write
 )
 
+// maxKeyBytes bounds the messages of a caller that has not shown a key yet.
+const maxKeyBytes = 4 << 10
+
 // maxStartupTries bounds the encryption requests before the startup message.
 const maxStartupTries = 3
 
@@ -46,6 +49,7 @@
 	net     net.Conn
 	backend *pgproto3.Backend
 	out     []byte
+	told    bool // of the error of the batch that is being read
 }
 
 // Accept reads the startup, over TLS when config is set. A caller that does
@@ -53,7 +57,7 @@
 func Accept(nc net.Conn, config *tls.Config, timeout time.Duration) (*Conn, Startup, error) {
 	nc.SetDeadline(time.Now().Add(timeout))
 	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	c.backend.SetMaxBodyLen(maxKeyBytes)
 	secure := false
 	for range maxStartupTries {
 		msg, err := c.backend.ReceiveStartupMessage()
@@ -96,7 +100,7 @@
 	}
 	c.net = tc
 	c.backend = pgproto3.NewBackend(tc, tc)
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	c.backend.SetMaxBodyLen(maxKeyBytes)
 	return nil
 }
 
@@ -133,7 +137,7 @@
 	}
 	msg, err := c.backend.Receive()
 	if err != nil {
-		return "", err
+		return "", receiveError(err)
 	}
 	m, ok := msg.(*pgproto3.PasswordMessage)
 	if !ok {
@@ -158,6 +162,7 @@
 	}
 	err := c.Send(msgs...)
 	c.net.SetDeadline(time.Time{})
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
 	return err
 }
 
@@ -192,10 +197,25 @@
 			if bad == nil {
 				bad = b.add(msg)
 			}
+			if _, ok := msg.(*pgproto3.Flush); ok {
+				if err := c.tell(bad); err != nil {
+					return nil, err
+				}
+			}
 		}
 	}
 }
 
+// tell answers err ahead of Sync, since a caller that sent Flush may wait for
+// an answer before it sends more.
+func (c *Conn) tell(err error) error {
+	if c.told {
+		return nil
+	}
+	c.told = true
+	return c.Send(ErrorMessage(err))
+}
+
 // ReceiveCopy returns the next message of a COPY: data, its end, or its
 // failure. It is valid until the next call.
 func (c *Conn) ReceiveCopy() (pgproto3.FrontendMessage, error) {
@@ -242,8 +262,16 @@
 }
 
 // Write writes messages that are already encoded.
-func (c *Conn) Write(buf []byte) error {
-	c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+func (c *Conn) Write(buf []byte) error { return c.WriteBy(buf, time.Time{}) }
+
+// WriteBy is Write with a deadline, for a writer that holds what others wait
+// for. The zero time sets none.
+func (c *Conn) WriteBy(buf []byte, deadline time.Time) error {
+	limit := time.Now().Add(writeTimeout)
+	if !deadline.IsZero() && deadline.Before(limit) {
+		limit = deadline
+	}
+	c.net.SetWriteDeadline(limit)
 	_, err := c.net.Write(buf)
 	return err
 }
@@ -251,7 +279,11 @@
 // Refuse tells the caller of err by its kind, and that it may go on with the
 // given transaction status unless the kind is fatal.
 func (c *Conn) Refuse(err error, txStatus byte) error {
-	msgs := []pgproto3.BackendMessage{ErrorMessage(err)}
+	var msgs []pgproto3.BackendMessage
+	if !c.told {
+		msgs = append(msgs, ErrorMessage(err))
+	}
+	c.told = false
 	if !errkind.Of(err).Answer().Fatal {
 		msgs = append(msgs, &pgproto3.ReadyForQuery{TxStatus: txStatus})
 	}
--- a/link/caller/statement.go
+++ b/link/caller/statement.go
@@ -51,12 +51,15 @@
 }
 
 // maxWords is how many leading words of a statement are kept.
-const maxWords = 3
+const maxWords = 4
 
 // Statement is one statement of a query, by its leading words in upper case.
 type Statement struct {
-	Words []string // up to three
-	Calls []string // names anywhere in it, lower case, of functions that leave session state
+	Words  []string // up to four
+	Calls  []string // names anywhere in it, lower case, that leave session state
+	Writes bool     // holds a word anywhere that changes data or its shape
+
+	last string // the word before, upper case
 }
 
 // Is reports whether the statement begins with the given words.
@@ -81,16 +84,16 @@
 		n := skip(sql[i:])
 		switch {
 		case n > 0:
+			if sql[i] == '"' {
+				cur.quoted(sql[max(i-2, 0):i], sql[i:i+n])
+			}
 			i += n
 		case sql[i] == ';':
 			all = appendStatement(all, cur)
 			cur = Statement{}
 			i++
 		case isWord(sql[i]):
-			end := i
-			for end < len(sql) && isWord(sql[end]) {
-				end++
-			}
+			end := i + wordLen(sql[i:])
 			cur.add(sql[i:end])
 			i = end + escapedString(sql[i:end], sql[end:])
 		default:
@@ -111,21 +114,57 @@
 }
 
 func (s *Statement) add(word string) {
+	upper := strings.ToUpper(word)
 	if len(s.Words) < maxWords {
-		s.Words = append(s.Words, strings.ToUpper(word))
+		s.Words = append(s.Words, upper)
+	}
+	s.note(strings.ToLower(word))
+	if intoTemp := s.last == "INTO" && (upper == "TEMP" || upper == "TEMPORARY"); intoTemp && s.Words[0] != "INSERT" {
+		s.Calls = append(s.Calls, "into temp")
+	}
+	s.Writes = s.Writes || writing[upper]
+	s.last = upper
+}
+
+// quoted notes a name in double quotes, which is a name as any other. before
+// is what stands in front of it.
+func (s *Statement) quoted(before, text string) {
+	if strings.EqualFold(before, "U&") { // its escapes may spell any name
+		s.Calls = append(s.Calls, "u&")
 	}
-	if lower := strings.ToLower(word); setsSession(lower) {
-		s.Calls = append(s.Calls, lower)
+	s.note(strings.Trim(text, `"`))
+}
+
+func (s *Statement) note(name string) {
+	if setsSession(name) {
+		s.Calls = append(s.Calls, name)
 	}
 }
 
-// setsSession reports whether a function leaves state on its connection.
+// writing are the words of statements that change data or its shape.
+var writing = map[string]bool{
+	"INSERT": true, "UPDATE": true, "DELETE": true, "MERGE": true,
+	"TRUNCATE": true, "CREATE": true, "ALTER": true, "DROP": true, "INTO": true,
+}
+
+// sessionPrefixes begin the names that leave state on their connection.
+var sessionPrefixes = []string{
+	"set_config", "setseed", "dblink_connect", "pg_advisory_lock", "pg_try_advisory_lock", "pg_temp",
+}
+
+// setsSession reports whether a name leaves state on its connection.
 func setsSession(name string) bool {
-	return name == "set_config" || strings.HasPrefix(name, "pg_advisory_lock") || strings.HasPrefix(name, "pg_try_advisory_lock")
+	for _, p := range sessionPrefixes {
+		if strings.HasPrefix(name, p) {
+			return true
+		}
+	}
+	return false
 }
 
 // escapedString returns the length of the quoted text that rest begins with
-// when word is the E of an escape string, where a backslash escapes a quote.
+// when word is the E of an escape string, where a backslash escapes a quote. A
+// quote on a later line goes on with the same string.
 func escapedString(word, rest string) int {
 	if (word != "E" && word != "e") || rest == "" || rest[0] != '\'' {
 		return 0
@@ -135,12 +174,64 @@
 		case '\\':
 			i++
 		case '\'':
-			return i + 1
+			n := continued(rest[i+1:])
+			if n == 0 {
+				return i + 1
+			}
+			i += n
 		}
 	}
 	return len(rest)
 }
 
+// continued returns the length of the space, comments and opening quote with
+// which s goes on with a string that was just closed, 0 when it does not.
+func continued(s string) int {
+	line := false
+	for i := 0; i < len(s); {
+		switch {
+		case s[i] == '\'' && line:
+			return i + 1
+		case isSpace(s[i]):
+			line = line || s[i] == '\n' || s[i] == '\r'
+			i++
+		case strings.HasPrefix(s[i:], "--"):
+			i += lineComment(s[i:])
+			line = true
+		default:
+			return 0
+		}
+	}
+	return 0
+}
+
+// wordLen returns the length of the word or number that s begins with. A name
+// may hold a dollar sign, a number may not.
+func wordLen(s string) int {
+	number := s[0] >= '0' && s[0] <= '9'
+	n := 0
+	for n < len(s) && (isWord(s[n]) || s[n] == '$') {
+		if number && (s[n] < '0' || s[n] > '9') {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+func isSpace(b byte) bool {
+	return b == ' ' || b >= '\t' && b <= '\r'
+}
+
+// lineComment returns the length of the comment that s begins with; either
+// line break ends it.
+func lineComment(s string) int {
+	if i := strings.IndexAny(s, "\r\n"); i >= 0 {
+		return i + 1
+	}
+	return len(s)
+}
+
 func isWord(b byte) bool {
 	return b == '_' || b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= 0x80
 }
@@ -149,10 +240,10 @@
 // with, 0 for none.
 func skip(s string) int {
 	switch {
-	case s[0] == ' ' || s[0] == '\t' || s[0] == '\n' || s[0] == '\r':
+	case isSpace(s[0]):
 		return 1
 	case strings.HasPrefix(s, "--"):
-		return through(s, "\n", 2)
+		return lineComment(s)
 	case strings.HasPrefix(s, "/*"):
 		return skipComment(s)
 	case s[0] == '\'' || s[0] == '"':
