Relay sessions to the hosts that serve a group; purge request records

Cause: every host probed every database and held connections to all, which 4,100 hosts before 7,600 databases cannot; messages to hosts outside the bounded peer set were dropped; request records were never deleted. Ruled out: relaying single statements, which would need each session's state sent along. Change: per data centre a few hosts serve a group, the others relay the caller's stream over yamux; connections on demand to hosts with something to say; a purge by the first-ranked host every ten minutes.

--- a/datacentre/duties.go
+++ b/datacentre/duties.go
@@ -14,14 +14,7 @@
 // platform, best first. Hosts may differ in this for a while: then some more or
 // fewer watch, and the configuration still spreads by digests.
 func (t *Table) Watchers(now time.Time) []string {
-	list := t.candidates(watchDuty, now)
-	slices.SortFunc(list, first)
-	list = list[:min(len(list), t.watcherCount(now))]
-	addresses := make([]string, len(list))
-	for i, c := range list {
-		addresses[i] = c.name
-	}
-	return addresses
+	return t.Servers(watchDuty, t.watcherCount(now), now)
 }
 
 // IsWatcher reports whether this host should watch the platform.
--- a/host/apply.go
+++ b/host/apply.go
@@ -34,6 +34,7 @@
 	h.retries.keep(func(id string) bool { return id == "" || snap.Customer(id) != nil })
 	h.view.Store(h.newView(snap))
 	h.members.followRoster(snap.Roster)
+	h.members.configured.Store(true)
 	h.log.Info("Configuration in force.", "part", "config", "version", snap.Version)
 }
 
@@ -48,7 +49,7 @@
 		for _, db := range svc.Databases {
 			v.databases[db.ID] = h.databaseState(svc, db, len(snap.Roster.Hosts))
 		}
-		v.services[svc.Name] = &service{terms: svc, group: h.groupRunner(svc.Group)}
+		v.services[svc.Name] = &service{terms: svc, group: h.groups[svc.Group]}
 	}
 	for name, g := range h.groups {
 		if dbs, ok := groups[name]; ok {
--- a/host/callers.go
+++ b/host/callers.go
@@ -173,13 +173,25 @@
 		h.refuseStartup(conn, err)
 		return
 	}
+	if h.view.Load().services[s.service].group == nil && h.relay(conn, s) {
+		return
+	}
+	h.serveSession(conn, s)
+}
+
+// serveSession runs a session whose caller has shown its key.
+func (h *Host) serveSession(conn *caller.Conn, s *session) {
+	if h.served(s.service) == nil {
+		h.refuseStartup(conn, errkind.New(errkind.UnknownDatabase, "%q", s.service))
+		return
+	}
 	key, err := h.callers.add(s)
 	if err != nil {
 		h.refuseStartup(conn, err)
 		return
 	}
 	defer h.callers.remove(key)
-	if conn.Welcome(key.pid, binary.BigEndian.AppendUint32(nil, key.secret), start.Token) == nil {
+	if conn.Welcome(key.pid, binary.BigEndian.AppendUint32(nil, key.secret), s.token.Encode()) == nil {
 		s.run()
 	}
 }
--- a/host/groups.go
+++ b/host/groups.go
@@ -316,6 +316,9 @@
 	g.mu.Unlock()
 }
 
+// rank returns this host's promoter rank.
+func (g *groupRunner) rank() int { return g.status().Rank }
+
 // ageFloor returns the position that data within the accepted age has reached,
 // and when it was sampled.
 func (g *groupRunner) ageFloor(age time.Duration) (position.Position, time.Time, bool) {
--- a/host/host.go
+++ b/host/host.go
@@ -53,16 +53,17 @@
 	stop    context.CancelFunc
 	metrics *hostMetrics
 
-	view    atomic.Pointer[view]
-	keys    *keys.Table
-	rates   *rates
-	retries *retryBudget
-	members *members
-	mesh    *peer.Mesh
-	callers *registry
-	admin   *adminServer
-	burn    *report.Recorder
-	fetcher *contract.Fetcher // nil without a platform
+	view     atomic.Pointer[view]
+	keys     *keys.Table
+	rates    *rates
+	retries  *retryBudget
+	members  *members
+	mesh     *peer.Mesh
+	callers  *registry
+	admin    *adminServer
+	burn     *report.Recorder
+	fetcher  *contract.Fetcher // nil without a platform
+	contacts *contacts
 
 	applyMu sync.Mutex // guards groups and dbs, and serialises apply
 	groups  map[string]*groupRunner
@@ -71,6 +72,7 @@
 	callerListener net.Listener
 	peerListener   net.Listener
 	left           atomic.Bool
+	started        time.Time
 	workers        sync.WaitGroup
 }
 
@@ -81,7 +83,8 @@
 	databases map[string]*databaseState
 }
 
-// service is one published service and its group.
+// service is one published service and its group; group is nil where this host
+// does not serve it.
 type service struct {
 	terms *contract.Service
 	group *groupRunner
@@ -96,16 +99,17 @@
 		opt.Now = time.Now
 	}
 	h := &Host{
-		opt:     opt,
-		set:     opt.Settings,
-		log:     opt.Logger.With("host", opt.Settings.Host.ID),
-		now:     opt.Now,
-		bootID:  uuid.NewString(),
-		keys:    keys.NewTable(),
-		retries: newRetryBudget(),
-		callers: newRegistry(),
-		groups:  map[string]*groupRunner{},
-		dbs:     map[string]*databaseState{},
+		opt:      opt,
+		set:      opt.Settings,
+		log:      opt.Logger.With("host", opt.Settings.Host.ID),
+		now:      opt.Now,
+		bootID:   uuid.NewString(),
+		keys:     keys.NewTable(),
+		retries:  newRetryBudget(),
+		callers:  newRegistry(),
+		contacts: newContacts(),
+		groups:   map[string]*groupRunner{},
+		dbs:      map[string]*databaseState{},
 	}
 	if opt.Platform != nil {
 		h.fetcher = contract.NewFetcher(opt.Platform)
@@ -139,7 +143,9 @@
 		Handler:    h,
 		Metrics:    h.metrics.set,
 		OnPeer:     h.onPeer,
+		OnSession:  h.serveRelayed,
 	})
+	h.started = h.now()
 	h.callers.prefix = hostPrefix(self)
 	h.members = newMembers(h, self)
 	h.rates = newRates(rate.Config{
@@ -156,6 +162,7 @@
 	h.work(func() { h.rates.run(h.ctx) })
 	h.work(h.members.run)
 	h.work(h.maintain)
+	h.work(h.purgeRecords)
 	if h.opt.Platform != nil {
 		h.work(h.watchConfiguration)
 		h.work(h.watchHosts)
@@ -188,6 +195,7 @@
 func (h *Host) post(to string, env *peerpb.Envelope) {
 	if err := h.mesh.Send(to, env); err != nil {
 		h.metrics.unsent.Inc()
+		h.contacts.use(to, h.now())
 	}
 }
 
@@ -200,6 +208,17 @@
 	return !h.leaving() && h.view.Load().snap.Version > 0 && h.rates.settled()
 }
 
+// defaultServingHosts is how many hosts of a data centre serve one group when
+// the settings do not say.
+const defaultServingHosts = 8
+
+func (h *Host) servingHosts() int {
+	if n := h.set.Peers.ServingHosts; n > 0 {
+		return n
+	}
+	return defaultServingHosts
+}
+
 // maintain closes connections that were idle for long.
 func (h *Host) maintain() {
 	ticker := time.NewTicker(5 * time.Second)
--- a/host/lease.go
+++ b/host/lease.go
@@ -39,6 +39,19 @@
 	if r.customer != nil {
 		item.Customer = r.customer.ID
 	}
+	l, err := h.lease(ctx, db, item)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.checkKey(r); err != nil {
+		l.release(false)
+		return nil, err
+	}
+	return l, nil
+}
+
+// lease waits for a slot and a connection of db.
+func (h *Host) lease(ctx context.Context, db *databaseState, item fair.Item) (*lease, error) {
 	slot, err := db.slots.acquire(ctx, item)
 	if err != nil {
 		return nil, err
@@ -48,12 +61,7 @@
 		db.slots.release(slot)
 		return nil, connectFailure(err)
 	}
-	l := &lease{db: db, conn: conn, slot: slot}
-	if err := h.checkKey(r); err != nil {
-		l.release(false)
-		return nil, err
-	}
-	return l, nil
+	return &lease{db: db, conn: conn, slot: slot}, nil
 }
 
 // checkKey checks the caller's key against the configuration in force, before
--- a/host/members.go
+++ b/host/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract"
@@ -16,6 +18,7 @@
 // Timing of the work with other hosts.
 const (
 	membersTick   = 100 * time.Millisecond
+	rankEvery     = 500 * time.Millisecond
 	snapshotLimit = 2 * time.Second // for a peer's snapshot
 	reachLimit    = 300 * time.Millisecond
 	// maxAsked bounds the peers that are asked about one database.
@@ -28,6 +31,10 @@
 	self    string
 	inForce *datacentre.Configuration
 
+	serving    *serving    // used by run alone
+	configured atomic.Bool // the configuration changed since the last look at serving
+	ranked     time.Time   // used by run alone
+
 	mu    sync.Mutex // guards table and the changing methods of inForce
 	table *datacentre.Table
 }
@@ -38,6 +45,7 @@
 		host:    h,
 		self:    self,
 		inForce: inForce,
+		serving: &serving{host: h, unused: map[string]time.Time{}},
 		table: datacentre.New(datacentre.Config{
 			Self:       self,
 			DataCentre: h.set.Host.DataCentre,
@@ -69,20 +77,51 @@
 			m.observeGroup(g.name, v)
 		}
 	}
+	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.Tick(now) })
+	m.connect()
+	m.serving.check(m.configured.Swap(false))
+	m.rank(groups)
+}
+
+// connect keeps connections to the peers that the table chooses and to the
+// contacts in use.
+func (m *members) connect() {
 	m.mu.Lock()
 	now := m.host.now()
-	out := m.table.Tick(now)
 	peers := m.table.Peers(now)
-	ranks := make(map[string]int, len(groups))
-	for _, g := range groups {
-		ranks[g.name] = m.table.Rank(g.name, now)
-	}
 	m.mu.Unlock()
-	m.host.mesh.SetPeers(peers)
+	m.host.mesh.SetPeers(append(peers, m.host.contacts.wanted(now)...))
+}
+
+// rank tells each group this host's place among its promoters.
+func (m *members) rank(groups []*groupRunner) {
+	now := m.host.now()
+	if now.Sub(m.ranked) < rankEvery {
+		return
+	}
+	m.ranked = now
 	for _, g := range groups {
-		g.setRank(ranks[g.name])
+		m.mu.Lock()
+		rank := m.table.Rank(g.name, now)
+		m.mu.Unlock()
+		g.setRank(rank)
 	}
-	m.carryOut(out)
+}
+
+// servers returns the other hosts of this data centre that serve a group, best
+// first.
+func (m *members) servers(name string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := m.table.Servers(name, m.host.servingHosts(), m.host.now())
+	return slices.DeleteFunc(all, func(a string) bool { return a == m.self })
+}
+
+// serves reports whether this host is one of those that serve a group.
+func (m *members) serves(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.table.Servers(name, m.host.servingHosts(), m.host.now()), m.self)
 }
 
 // carryOut does what the table asks for. No lock is held.
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -16,6 +16,7 @@
 	readRetries  *metrics.Counter
 	writeRetries *metrics.Counter
 	unsent       *metrics.Counter
+	relayed      *metrics.Counter
 }
 
 func newHostMetrics(h *Host) *hostMetrics {
@@ -25,6 +26,7 @@
 		readRetries:  set.NewCounter("bronzeloft_read_retries_total"),
 		writeRetries: set.NewCounter("bronzeloft_write_retries_total"),
 		unsent:       set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+		relayed:      set.NewCounter("bronzeloft_sessions_relayed_total"),
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(h.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(h.view.Load().snap.Version) })
--- a/host/once.go
+++ b/host/once.go
@@ -32,10 +32,10 @@
 	createRecords = `CREATE TABLE IF NOT EXISTS bronzeloft_requests (
 customer TEXT NOT NULL, id TEXT NOT NULL, digest TEXT NOT NULL, created BIGINT NOT NULL, answer TEXT,
 PRIMARY KEY (customer, id))`
-	insertRecord = `INSERT INTO bronzeloft_requests (customer, id, digest, created) VALUES ($1, $2, $3, $4)`
-	keepAnswer   = `UPDATE bronzeloft_requests SET answer = $3 WHERE customer = $1 AND id = $2`
-	readRecord   = `SELECT digest, answer FROM bronzeloft_requests WHERE customer = $1 AND id = $2`
-	purgeRecords = `DELETE FROM bronzeloft_requests WHERE created < $1`
+	insertRecord  = `INSERT INTO bronzeloft_requests (customer, id, digest, created) VALUES ($1, $2, $3, $4)`
+	keepAnswer    = `UPDATE bronzeloft_requests SET answer = $3 WHERE customer = $1 AND id = $2`
+	readRecord    = `SELECT digest, answer FROM bronzeloft_requests WHERE customer = $1 AND id = $2`
+	deleteRecords = `DELETE FROM bronzeloft_requests WHERE created < $1`
 )
 
 // SQLSTATEs that the record's own statements meet.
--- a/host/peers.go
+++ b/host/peers.go
@@ -32,6 +32,7 @@
 		h.learnGroup(body.GroupView)
 	case *peerpb.Envelope_Leaving:
 		h.members.leaving(from.Address)
+		go h.endRelayed(from.Address)
 	}
 	return nil
 }
@@ -118,19 +119,19 @@
 
 func (h *Host) group(name string) *groupRunner {
 	for _, svc := range h.view.Load().services {
-		if svc.group.name == name {
+		if svc.terms.Group == name {
 			return svc.group
 		}
 	}
 	return nil
 }
 
-// groupRunners returns the groups of the configuration in force, each once.
+// groupRunners returns the groups that this host serves, each once.
 func (h *Host) groupRunners() []*groupRunner {
 	seen := map[string]bool{}
 	var all []*groupRunner
 	for _, svc := range h.view.Load().services {
-		if !seen[svc.group.name] {
+		if svc.group != nil && !seen[svc.group.name] {
 			seen[svc.group.name] = true
 			all = append(all, svc.group)
 		}
--- /dev/null
+++ b/host/purge.go
@@ -0,0 +1,60 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// Timing of the purge of request records.
+const (
+	purgeInterval = 10 * time.Minute
+	purgeLimit    = 30 * time.Second // for one group
+)
+
+// purgeRecords deletes request records past their retention, on the groups for
+// which this host is first in rank. Two hosts may do it at once, harmlessly.
+func (h *Host) purgeRecords() {
+	for pause(h.ctx, purgeInterval) {
+		for _, g := range h.groupRunners() {
+			if g.rank() != 0 {
+				continue
+			}
+			if err := h.purge(g); err != nil && serverState(err) != stateNoTable {
+				h.log.Warn("Request records were not purged.", "part", "group", "group", g.name, "error", err)
+			}
+		}
+	}
+}
+
+func (h *Host) purge(g *groupRunner) error {
+	ctx, cancel := context.WithTimeout(h.ctx, purgeLimit)
+	defer cancel()
+	id, _, err := g.primary(ctx)
+	if err != nil {
+		return err
+	}
+	db := h.view.Load().databases[id]
+	if db == nil {
+		return errkind.New(errkind.DatabaseUnavailable, "database %s left", id)
+	}
+	l, err := h.lease(ctx, db, fair.Item{Weight: 1, Deadline: h.now().Add(purgeLimit)})
+	if err != nil {
+		return err
+	}
+	l.conn.SetDeadline(h.now().Add(purgeLimit))
+	cutoff := unixMillis(h.now().Add(-RecordRetention))
+	if _, err := l.conn.Send(extended(deleteRecords, cutoff)...); err != nil {
+		l.abandon()
+		return err
+	}
+	_, err = l.conn.Await()
+	if err != nil && !isServerError(err) {
+		l.abandon()
+		return err
+	}
+	l.release(false)
+	return err
+}
--- /dev/null
+++ b/host/relay_test.go
@@ -0,0 +1,84 @@
+package host_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+	"github.com/bronzeloft/bronzeloft/settings"
+)
+
+// oneServer puts all hosts into one data centre of which one host serves the
+// group and the others relay to it.
+func oneServer(c *loopback.Config) {
+	c.Settings = func(_ int, set *settings.Host) {
+		set.Host.DataCentre = "dc-1"
+		set.Peers.ServingHosts = 1
+	}
+}
+
+var _ = Describe("hosts that do not serve a group", func() {
+	It("relay sessions to one that does, with writes, transactions, cancels and withdrawn keys", func(ctx SpecContext) {
+		site, key := startSite(ctx, oneServer)
+		Eventually(func() int { return serving(site) }).WithTimeout(10 * time.Second).Should(Equal(1))
+		createOrders(ctx, site, key)
+		for i := range 3 {
+			conn := connect(ctx, site, i, key)
+			tx, err := conn.Begin(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = tx.Exec(ctx, "INSERT INTO orders VALUES ($1, 1)", fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(tx.Commit(ctx)).To(Succeed())
+			Expect(countOrders(ctx, conn, "order.read")).To(Equal(i + 1))
+			time.AfterFunc(200*time.Millisecond, func() { conn.PgConn().CancelRequest(ctx) })
+			start := time.Now()
+			_, err = conn.Exec(ctx, endless)
+			Expect(err).To(HaveOccurred())
+			Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+		}
+		held := connect(ctx, site, 2, key)
+		offer(ctx, site, func(s *contract.Snapshot) { s.Customers[0].Keys[0].Withdrawn = true })
+		_, err := held.Exec(ctx, "/*request='order.read'*/ SELECT 1")
+		kind, notRun := refusal(err)
+		Expect(kind).To(Equal("key_withdrawn"))
+		Expect(notRun).To(BeTrue())
+	}, SpecTimeout(testLimit))
+
+	It("lose no request when the serving host is shut down", func(ctx SpecContext) {
+		site, key := startSite(ctx, oneServer)
+		Eventually(func() int { return serving(site) }).WithTimeout(10 * time.Second).Should(Equal(1))
+		createOrders(ctx, site, key)
+		stop := make(chan struct{})
+		failures := make(chan error, 100)
+		acked := make(chan int, 4)
+		for i := range 4 {
+			go func() {
+				acked <- orderUntil(ctx, site, key, i, stop, func(err error) { failures <- err })
+			}()
+		}
+		for i := range 3 {
+			Expect(site.ReplaceHost(ctx, i)).To(Succeed())
+			Eventually(func() bool { return site.Hosts[i].Ready() }).WithTimeout(10 * time.Second).Should(BeTrue())
+		}
+		close(stop)
+		total := 0
+		for range 4 {
+			total += <-acked
+		}
+		Expect(failures).To(BeEmpty())
+		Expect(countOrders(ctx, connect(ctx, site, 0, key), "order.read")).To(Equal(total))
+	}, SpecTimeout(60*time.Second))
+})
+
+// serving returns how many hosts run the group.
+func serving(site *loopback.Site) int {
+	n := 0
+	for _, h := range site.Hosts {
+		n += len(h.Status().Groups)
+	}
+	return n
+}
--- a/host/request.go
+++ b/host/request.go
@@ -46,8 +46,8 @@
 func (s *session) newRequest(b *caller.Batch) (*request, error) {
 	now := s.host.now()
 	v := s.host.view.Load()
-	svc := v.services[s.service]
-	if svc == nil {
+	svc := s.host.served(s.service)
+	if svc == nil || svc.group == nil {
 		return nil, errkind.New(errkind.UnknownDatabase, "%s was withdrawn", s.service)
 	}
 	r := &request{batch: b, service: svc, arrived: now, keyID: s.keyID, customer: v.snap.Customer(s.customer)}
--- a/host/session.go
+++ b/host/session.go
@@ -44,6 +44,8 @@
 	tx       *transaction // pinned connection, nil outside a transaction
 	busy     atomic.Bool
 	pinned   atomic.Bool // tx is set
+	via      string      // host that relays the session here, empty for none
+	viaLeft  atomic.Bool // that host is leaving
 
 	mu        sync.Mutex // guards running and idleSince
 	running   *database.Conn
@@ -89,7 +91,7 @@
 		if s.tx != nil {
 			return nil, errkind.New(errkind.DeadlineNotRun, "transaction idle for over %s", idleInTransaction)
 		}
-		if s.host.leaving() {
+		if s.host.leaving() || s.viaLeft.Load() {
 			return nil, errkind.New(errkind.Leaving, "")
 		}
 		s.conn.SetReadDeadline(time.Time{})
--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -33,6 +33,38 @@
 // writeTimeout is how long a caller may leave an answer unread.
 const writeTimeout = 30 * time.Second
 
+// Attach returns the connection of a caller whose startup another host has
+// done: what follows on nc is what comes after the password.
+func Attach(nc net.Conn) *Conn {
+	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	return c
+}
+
+// Relay copies bytes both ways between the caller and stream, through buffers
+// of the given size, until either side ends. It closes both.
+func (c *Conn) Relay(stream net.Conn, buffer int) {
+	c.net.SetDeadline(time.Time{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		io.CopyBuffer(onlyWriter{stream}, onlyReader{c.net}, make([]byte, buffer))
+		stream.Close()
+	}()
+	io.CopyBuffer(onlyWriter{c.net}, onlyReader{stream}, make([]byte, buffer))
+	c.Linger()
+	c.net.Close()
+	stream.Close()
+	<-done
+}
+
+// onlyReader and onlyWriter hide the methods by which io.CopyBuffer would pass
+// over its buffer.
+type (
+	onlyReader struct{ io.Reader }
+	onlyWriter struct{ io.Writer }
+)
+
 // Startup is what a caller said first. Cancel is set when it only asked to
 // cancel a statement.
 type Startup struct {
--- a/link/peer/config.go
+++ b/link/peer/config.go
@@ -47,6 +47,10 @@
 	// time. It must not call Close.
 	OnPeer func(info Info, connected bool)
 
+	// OnSession serves the stream of a caller's session that a peer opened, and
+	// returns when it ends. Nil refuses such streams.
+	OnSession func(from Info, open *peerpb.OpenSession, stream net.Conn)
+
 	// Dial opens a TCP connection; net.Dialer when nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
--- a/link/peer/ownstream.go
+++ b/link/peer/ownstream.go
@@ -66,26 +66,34 @@
 		if err != nil {
 			return err
 		}
-		select {
-		case slots <- struct{}{}:
-		case <-c.done:
-			return ErrClosed
-		}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			c.serveOwnStream(stream)
-		})
+		wg.Go(func() { c.serveOwnStream(stream, slots) })
 	}
 }
 
-func (c *conn) serveOwnStream(stream *yamux.Stream) {
+// serveOwnStream reads a stream's first message and serves it: a caller's
+// session for as long as it lasts, a request in one of the slots.
+func (c *conn) serveOwnStream(stream *yamux.Stream, slots chan struct{}) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(ownStreamLimit))
 	env, err := (&frameReader{r: stream}).next()
-	if err != nil || !hasOwnStream(env) {
+	if err != nil {
 		return
 	}
 	c.mesh.stats.receivedMessages.Add(1)
+	if open := env.GetOpenSession(); open != nil && c.mesh.cfg.OnSession != nil {
+		_ = stream.SetDeadline(time.Time{})
+		c.mesh.cfg.OnSession(c.describe(), open, stream)
+		return
+	}
+	if !hasOwnStream(env) {
+		return
+	}
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-c.done:
+		return
+	}
 	reply := c.mesh.cfg.Handler.HandlePeer(c.describe(), env)
 	if reply == nil {
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,9 +44,12 @@
 	Listen    string   // IP:port
 	Advertise string   // IP:port that other hosts dial; Listen when not set
 	Seeds     []string // IP:port
-	TLSCert   string   // PEM file; empty means plain TCP, on loopback only
-	TLSKey    string   // PEM file
-	TLSCA     string   // PEM file of the authority that signs every host
+	// ServingHosts is how many hosts of a data centre serve one database group;
+	// the others relay sessions to them.
+	ServingHosts int
+	TLSCert      string // PEM file; empty means plain TCP, on loopback only
+	TLSKey       string // PEM file
+	TLSCA        string // PEM file of the authority that signs every host
 }
 
 // Platform is the object API.
