End the connection after a message over its size limit

The body of a refused message was left unread and then taken for messages, so bytes of a caller's value could run as a query. The refusal was not fatal. It is now a protocol violation, which closes the connection.

--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -244,7 +244,8 @@
 	}
 	var large *pgproto3.ExceededMaxBodyLenErr
 	if errors.As(err, &large) {
-		return &errkind.Error{Kind: errkind.TooLarge, Detail: "message", Err: err}
+		// Fatal: the body is unread, and must not be taken for messages.
+		return errkind.Wrap(errkind.Protocol, err, "message over its size limit")
 	}
 	return errkind.Wrap(errkind.Protocol, err, "")
 }
