Keep a late cancel away from other callers' statements

A cancel request was written and its connection closed without waiting for the server to take it. The connection that it named went back to the pool, so a cancel that came late could stop another caller's statement. Cancel now waits until the server has taken the request, and a connection that was cancelled closes when it comes back.

--- a/database/conn.go
+++ b/database/conn.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -53,6 +54,7 @@
 	served   position.Position
 	status   byte
 	broken   bool
+	retired  bool // usable, but not by others
 	idleAt   time.Time
 }
 
@@ -187,9 +189,12 @@
 // MarkBroken makes Put close the connection.
 func (c *Conn) MarkBroken() { c.broken = true }
 
+// Retire makes Put close the connection, which may be used until then.
+func (c *Conn) Retire() { c.retired = true }
+
 // reusable reports whether the connection's state is known to be clean.
 func (c *Conn) reusable() bool {
-	return !c.broken && c.status == 'I' && len(c.prepared) <= maxPrepared
+	return !c.broken && !c.retired && c.status == 'I' && len(c.prepared) <= maxPrepared
 }
 
 // Close ends the connection. A server rolls back what was open on it.
@@ -202,7 +207,8 @@
 }
 
 // Cancel asks the server, on a connection of its own, to stop the statement
-// that runs on c.
+// that runs on c. It waits until the server has taken the request or ctx ends;
+// the server may still act on it later, when c runs another statement.
 func (c *Conn) Cancel(ctx context.Context) error {
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", c.Address)
@@ -215,8 +221,14 @@
 	if err != nil {
 		return eris.Wrap(err, "encode cancel")
 	}
-	_, err = nc.Write(buf)
-	return err
+	if deadline, ok := ctx.Deadline(); ok {
+		nc.SetDeadline(deadline)
+	}
+	if _, err := nc.Write(buf); err != nil {
+		return eris.Wrap(err, "send cancel")
+	}
+	io.Copy(io.Discard, nc)
+	return nil
 }
 
 // Stop ends whatever runs on c and waits, until ctx ends, for the server to
--- a/host/session.go
+++ b/host/session.go
@@ -45,8 +45,9 @@
 	busy     atomic.Bool
 	pinned   atomic.Bool // tx is set
 
-	mu        sync.Mutex // guards running and idleSince
+	mu        sync.Mutex // guards all below
 	running   *database.Conn
+	cancelled bool // a cancel request was sent for running
 	idleSince time.Time
 }
 
@@ -129,9 +130,14 @@
 	s.conn.Close()
 }
 
-// setRunning names the connection that a cancel request would reach.
+// setRunning names the connection that a cancel request would reach. One that
+// was reached is not used by other sessions: the cancel may still be to come.
 func (s *session) setRunning(c *database.Conn) {
 	s.mu.Lock()
+	if s.cancelled {
+		s.running.Retire()
+		s.cancelled = false
+	}
 	s.running = c
 	s.mu.Unlock()
 }
@@ -143,6 +149,7 @@
 	if s.running == nil {
 		return
 	}
+	s.cancelled = true
 	if err := s.running.Cancel(ctx); err != nil {
 		s.host.log.Warn("Cancel did not reach the database.", "part", "session", "error", err)
 	}
@@ -177,8 +184,11 @@
 	return s.write(rest)
 }
 
-func (s *session) write(buf []byte) error {
-	if err := s.conn.Write(buf); err != nil {
+func (s *session) write(buf []byte) error { return s.writeBy(buf, time.Time{}) }
+
+// writeBy is write with a deadline, zero for none.
+func (s *session) writeBy(buf []byte, deadline time.Time) error {
+	if err := s.conn.WriteBy(buf, deadline); err != nil {
 		return errors.Join(errCaller, err)
 	}
 	return nil
