Acknowledge a commit that a new transaction follows

An answer that left a transaction open was given once the term was confirmed, also where the same query had committed before, as in COMMIT; BEGIN. A replica need not have held that commit. Such an answer now waits for a majority. A portal bound by an earlier batch counts as one that may commit.

--- a/host/transaction.go
+++ b/host/transaction.go
@@ -19,9 +19,9 @@
 
 // beginTransaction pins the connection on which a request opened a transaction.
 func (s *session) beginTransaction(ctx context.Context, r *request, rep *reply, l *lease, term uint64) error {
-	if err := s.confirmTerm(ctx, r, term); err != nil {
+	if err := s.confirmOpen(ctx, r, l, term); err != nil {
 		l.abandon()
-		return startedFailure(rep, errkind.New(errkind.PrimaryReplaced, "term %d is not confirmed", term))
+		return startedFailure(rep, err)
 	}
 	s.tx = &transaction{lease: l, conn: l.conn, term: term, dirty: r.dirty}
 	s.pinned.Store(true)
@@ -47,9 +47,9 @@
 		return s.failTransaction(r, rep, sent, err)
 	}
 	if rep.status != 'I' {
-		if err := s.confirmTerm(ctx, r, tx.term); err != nil {
+		if err := s.confirmOpen(ctx, r, tx.lease, tx.term); err != nil {
 			s.dropTransaction()
-			return startedFailure(rep, errkind.New(errkind.PrimaryReplaced, "transaction was rolled back: term %d is not confirmed", tx.term))
+			return startedFailure(rep, err)
 		}
 		return s.finish(rep.buf, rep.status)
 	}
@@ -62,10 +62,22 @@
 	return s.finish(rep.buf, 'I')
 }
 
+// confirmOpen confirms an answer that leaves a transaction open. One that also
+// committed, as "COMMIT; BEGIN" does, is acknowledged as a write is.
+func (s *session) confirmOpen(ctx context.Context, r *request, l *lease, term uint64) error {
+	if mayCommit(r) {
+		return s.settle(ctx, r, l, term)
+	}
+	if err := s.confirmTerm(ctx, r, term); err != nil {
+		return errkind.New(errkind.PrimaryReplaced, "transaction was rolled back: term %d is not confirmed", term)
+	}
+	return nil
+}
+
 // settleEnd acknowledges the end of a transaction. A rollback needs no
 // majority.
 func (s *session) settleEnd(ctx context.Context, r *request, rep *reply, tx *transaction) error {
-	if rep.tag == "ROLLBACK" || rep.failed != "" && rep.tag == "" {
+	if rep.tag == "ROLLBACK" && len(r.words) == 1 || rep.failed != "" && rep.tag == "" {
 		return nil
 	}
 	return s.settle(ctx, r, tx.lease, tx.term)
@@ -117,23 +129,24 @@
 	return false
 }
 
-// holdsCommit reports whether any statement commits. Only the first statement
-// of an extended batch is known, so a longer batch counts as one.
+// holdsCommit reports whether any statement commits. The statement of a portal
+// that an earlier batch bound is not known and counts as one that does.
 func holdsCommit(r *request) bool {
 	for _, st := range r.words {
 		if st.Is("COMMIT") || st.Is("END") || st.Is("PREPARE") {
 			return true
 		}
 	}
-	return !r.batch.Simple && executes(r.batch.Messages) > 1
-}
-
-func executes(msgs []pgproto3.FrontendMessage) int {
-	n := 0
-	for _, m := range msgs {
-		if _, ok := m.(*pgproto3.Execute); ok {
-			n++
+	bound := map[string]bool{}
+	for _, m := range r.batch.Messages {
+		switch m := m.(type) {
+		case *pgproto3.Bind:
+			bound[m.DestinationPortal] = true
+		case *pgproto3.Execute:
+			if !bound[m.Portal] {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
