Judge every statement of a batch, and test the wire protocol with drivers

Only the first executed statement of an extended batch was looked at. A later one could set session state on a shared connection, run without a key under an open request's name, or write where reads go. A contract that calls a write a read did so too: the write was answered without a majority. All statements of a batch are now judged, and one that does not look like a read goes to the primary as a write.

A batch that closed a prepared statement did not find it when tried again. A caller that did not read its answer held a connection for 30 s; now until the request's deadline. The digest of a request id covers all statements.

--- a/host/once.go
+++ b/host/once.go
@@ -191,7 +191,7 @@
 // recordAndRun sends BEGIN, the record and the request in one go. state is the
 // SQLSTATE that the record's insert failed with.
 func (o *onceTry) recordAndRun() (rep *reply, state string, err error) {
-	p, err := o.s.stmts.newPlan(o.r.batch, o.conn)
+	p, err := o.s.newPlan(o.r, o.conn)
 	if err != nil {
 		o.clean = true
 		return nil, "", err
@@ -348,7 +348,9 @@
 // digest identifies the request's statement and parameters.
 func (o *onceTry) digest() string {
 	h := sha256.New()
-	h.Write([]byte(o.r.sql))
+	for _, text := range o.r.texts {
+		h.Write([]byte(text))
+	}
 	for _, msg := range o.r.batch.Messages {
 		if b, ok := msg.(*pgproto3.Bind); ok {
 			c := *b
--- a/host/plan.go
+++ b/host/plan.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -64,6 +65,31 @@
 	return sql, false
 }
 
+// batchTexts returns the text of each statement that the batch names, once.
+func (s statements) batchTexts(b *caller.Batch) []string {
+	if b.Simple {
+		return []string{b.SQL}
+	}
+	var texts []string
+	seen := map[string]bool{}
+	parsed := map[string]string{}
+	for _, msg := range b.Messages {
+		text := ""
+		switch m := msg.(type) {
+		case *pgproto3.Parse:
+			parsed[m.Name] = m.Query
+			text = m.Query
+		case *pgproto3.Bind:
+			text = s.text(m.PreparedStatement, parsed)
+		}
+		if text != "" && !seen[text] {
+			seen[text] = true
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
 func (s statements) text(name string, parsed map[string]string) string {
 	if sql, ok := parsed[name]; ok {
 		return sql
@@ -97,6 +123,25 @@
 	steps    []step
 }
 
+// newPlan rewrites the request's batch for conn. A second try starts from the
+// statements that the first one found.
+func (s *session) newPlan(r *request, conn *database.Conn) (*plan, error) {
+	if r.before != nil {
+		s.stmts = maps.Clone(r.before)
+	}
+	return s.stmts.newPlan(r.batch, conn)
+}
+
+// closesStatement reports whether the batch closes a prepared statement.
+func closesStatement(b *caller.Batch) bool {
+	for _, msg := range b.Messages {
+		if m, ok := msg.(*pgproto3.Close); ok && m.ObjectType == 'S' {
+			return true
+		}
+	}
+	return false
+}
+
 // newPlan rewrites a batch for conn: statement names become those on the
 // connection, and statements that conn does not hold yet are parsed first.
 func (s statements) newPlan(b *caller.Batch, conn *database.Conn) (*plan, error) {
--- a/host/request.go
+++ b/host/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -19,7 +20,9 @@
 	batch    *caller.Batch
 	tags     caller.Tags
 	sql      string
-	words    []caller.Statement
+	texts    []string           // of the statements that the batch names, sql among them
+	words    []caller.Statement // of all texts
+	before   statements         // as the batch found them; nil when it closes none
 	executes bool
 	terms    contract.Request // what the contract says of it
 	service  *service
@@ -61,7 +64,16 @@
 	r.tags = caller.ParseTags(r.sql)
 	r.terms = svc.terms.Request(r.tags.Request)
 	r.deadline = now.Add(r.terms.Deadline)
-	r.words = caller.Split(r.sql)
+	r.texts = s.stmts.batchTexts(b)
+	if closesStatement(b) {
+		r.before = maps.Clone(s.stmts)
+	}
+	for _, text := range r.texts {
+		r.words = append(r.words, caller.Split(text)...)
+	}
+	if r.terms.Access == contract.Read && !readsOnly(r.words) {
+		r.terms.Access, r.terms.MaxAge, r.terms.Open = contract.Write, 0, false
+	}
 	if err := s.checkOpen(r); err != nil {
 		return nil, err
 	}
@@ -107,7 +119,23 @@
 		st.Is("CREATE", "TEMPORARY") || st.Is("CREATE", "LOCAL") {
 		return true
 	}
-	return st.Is("SELECT") && len(st.Words) > 2 && st.Words[1] == "INTO" && st.Words[2] == "TEMP"
+	return st.Is("CREATE", "GLOBAL") || st.Is("CREATE", "OR", "REPLACE", "TEMP") || st.Is("CREATE", "OR", "REPLACE", "TEMPORARY")
+}
+
+// readsOnly reports whether the statements look like reads, so that a contract
+// that calls a write a read does not send it where reads go.
+func readsOnly(list []caller.Statement) bool {
+	for _, st := range list {
+		switch st.Words[0] {
+		case "SELECT", "VALUES", "TABLE", "WITH", "SHOW", "EXPLAIN", "(":
+		default:
+			return false
+		}
+		if st.Writes {
+			return false
+		}
+	}
+	return true
 }
 
 // dispatch admits the request and sends it on its route.
@@ -137,11 +165,13 @@
 // exchange sends the batch on conn and collects its answer. sent is false only
 // when no byte of it can have reached the database.
 func (s *session) exchange(conn *database.Conn, r *request, check func() error) (rep *reply, sent bool, err error) {
-	p, err := s.stmts.newPlan(r.batch, conn)
+	p, err := s.newPlan(r, conn)
 	if err != nil {
 		return nil, false, err
 	}
-	rep = &reply{conn: conn, steps: p.steps, check: check, write: s.write, copyIn: s.copyIn}
+	rep = &reply{conn: conn, steps: p.steps, check: check, copyIn: s.copyIn}
+	// A caller that does not read must not hold the connection for longer.
+	rep.write = func(buf []byte) error { return s.writeBy(buf, r.deadline) }
 	conn.SetDeadline(r.deadline)
 	s.setRunning(conn)
 	defer s.setRunning(nil)
--- /dev/null
+++ b/host/wire_test.go
@@ -0,0 +1,570 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgxpool"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/host"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+)
+
+// longQuery runs for as long as it is let.
+const longQuery = "/*request='order.read'*/ WITH RECURSIVE c(x) AS (SELECT 1 UNION ALL SELECT x+1 FROM c WHERE x < 2000000000) SELECT count(*) FROM c"
+
+var _ = Describe("the wire protocol", Ordered, ContinueOnFailure, func() {
+	var site *loopback.Site
+	var key string
+	BeforeAll(func(ctx SpecContext) {
+		site, key = startSite(ctx)
+		createOrders(ctx, site, key)
+	})
+	open := func(ctx context.Context) *pgx.Conn {
+		GinkgoHelper()
+		return connectURL(ctx, url(site, 0, key))
+	}
+
+	DescribeTable("serves a driver in each of its modes", func(ctx SpecContext, mode pgx.QueryExecMode) {
+		cfg, err := pgx.ParseConfig(url(site, 1, key))
+		Expect(err).NotTo(HaveOccurred())
+		cfg.DefaultQueryExecMode = mode
+		conn, err := pgx.ConnectConfig(ctx, cfg)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close(ctx)
+		id := "mode " + mode.String()
+		for range 3 {
+			_, err = conn.Exec(ctx, "INSERT INTO orders VALUES ($1, $2)", id, "7")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var n string
+		Expect(conn.QueryRow(ctx, "/*request='order.read'*/ SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n)).To(Succeed())
+		Expect(n).To(Equal("3"))
+		_, err = conn.Exec(ctx, "SELECT nothing FROM nowhere WHERE a = $1", "1")
+		Expect(err).To(HaveOccurred())
+		Expect(conn.Ping(ctx)).To(Succeed())
+	},
+		Entry("cached statements", pgx.QueryExecModeCacheStatement),
+		Entry("cached descriptions", pgx.QueryExecModeCacheDescribe),
+		Entry("describe and execute", pgx.QueryExecModeDescribeExec),
+		Entry("execute", pgx.QueryExecModeExec),
+		Entry("simple protocol", pgx.QueryExecModeSimpleProtocol),
+	)
+
+	It("serves a driver's pool", func(ctx SpecContext) {
+		pool, err := pgxpool.New(ctx, url(site, 2, key))
+		Expect(err).NotTo(HaveOccurred())
+		defer pool.Close()
+		results := make(chan error, 50)
+		for i := range 50 {
+			go func() {
+				var got string
+				err := pool.QueryRow(ctx, "/*request='order.read'*/ SELECT $1", fmt.Sprint(i)).Scan(&got)
+				if err == nil && got != fmt.Sprint(i) {
+					err = fmt.Errorf("got %s for %d", got, i)
+				}
+				results <- err
+			}()
+		}
+		for range 50 {
+			Expect(<-results).NotTo(HaveOccurred())
+		}
+	}, SpecTimeout(testLimit))
+
+	It("keeps callers' prepared statements apart on shared connections", func(ctx SpecContext) {
+		a, b := open(ctx), open(ctx)
+		for range 3 {
+			_, err := a.PgConn().Prepare(ctx, "s", "/*request='order.read'*/ SELECT 'a' || $1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = b.PgConn().Prepare(ctx, "s", "/*request='order.read'*/ SELECT 'b' || $1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			for range 5 {
+				Expect(prepared(ctx, a, "s", "1")).To(Equal("a1"))
+				Expect(prepared(ctx, b, "s", "2")).To(Equal("b2"))
+			}
+		}
+		_, err := a.PgConn().Prepare(ctx, "s", "/*request='order.read'*/ SELECT 'new' || $1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(prepared(ctx, a, "s", "1")).To(Equal("new1"))
+		Expect(prepared(ctx, b, "s", "2")).To(Equal("b2"))
+		Expect(a.PgConn().Deallocate(ctx, "s")).To(Succeed())
+		res := a.PgConn().ExecPrepared(ctx, "s", [][]byte{[]byte("1")}, nil, nil).Read()
+		kind, notRun := refusal(res.Err)
+		Expect(kind).To(Equal("unknown_statement"))
+		Expect(notRun).To(BeTrue())
+		Expect(prepared(ctx, b, "s", "2")).To(Equal("b2"))
+	}, SpecTimeout(testLimit))
+
+	It("answers each statement of a batch, and stops it at an error", func(ctx SpecContext) {
+		conn := open(ctx)
+		batch := &pgx.Batch{}
+		batch.Queue("INSERT INTO orders VALUES ('batch', 1)")
+		batch.Queue("SELECT $1", "two")
+		batch.Queue("SELECT bad FROM nowhere")
+		batch.Queue("INSERT INTO orders VALUES ('batch', 2)")
+		cfgConn := conn.SendBatch(ctx, batch)
+		_, err := cfgConn.Exec()
+		Expect(err).To(HaveOccurred()) // the driver describes all statements first
+		Expect(cfgConn.Close()).NotTo(Succeed())
+		Expect(countWhere(ctx, conn, "batch")).To(BeZero())
+		batch = &pgx.Batch{}
+		for i := range 20 {
+			batch.Queue("INSERT INTO orders VALUES ('batch', $1) RETURNING tiles", fmt.Sprint(i))
+		}
+		answers := conn.SendBatch(ctx, batch)
+		for i := range 20 {
+			var got string
+			Expect(answers.QueryRow().Scan(&got)).To(Succeed())
+			Expect(got).To(Equal(fmt.Sprint(i)))
+		}
+		Expect(answers.Close()).To(Succeed())
+		Expect(countWhere(ctx, conn, "batch")).To(Equal(20))
+	}, SpecTimeout(testLimit))
+
+	It("undoes what came before an error in one batch", func(ctx SpecContext) {
+		raw := dialRaw(ctx, site, 0, key)
+		raw.send(parseBindExecute("INSERT INTO orders VALUES ('undone', 1)")...)
+		raw.send(parseBindExecute("INSERT INTO nowhere VALUES (1)")...)
+		raw.send(parseBindExecute("INSERT INTO orders VALUES ('undone', 2)")...)
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.untilReady()).To(ContainElement(BeAssignableToTypeOf(&pgproto3.ErrorResponse{})))
+		Expect(countWhere(ctx, open(ctx), "undone")).To(BeZero())
+	}, SpecTimeout(testLimit))
+
+	It("runs several statements of one query, an empty query and a lone Sync", func(ctx SpecContext) {
+		conn := open(ctx)
+		results, err := conn.PgConn().Exec(ctx, "SELECT 1; SELECT 2; ; SELECT 3").ReadAll()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(results).To(HaveLen(3))
+		Expect(string(results[2].Rows[0][0])).To(Equal("3"))
+		for _, empty := range []string{"", " ; ", "/* nothing */ -- at all"} {
+			_, err = conn.PgConn().Exec(ctx, empty).ReadAll()
+			Expect(err).NotTo(HaveOccurred())
+		}
+		raw := dialRaw(ctx, site, 0, key)
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.untilReady()).NotTo(ContainElement(BeAssignableToTypeOf(&pgproto3.ErrorResponse{})))
+	}, SpecTimeout(testLimit))
+
+	It("serves a pipeline that needs no Flush, and refuses Flush clearly", func(ctx SpecContext) {
+		raw := dialRaw(ctx, site, 0, key)
+		for range 3 {
+			raw.send(parseBindExecute("/*request='order.read'*/ SELECT 'p'")...)
+			raw.send(&pgproto3.Sync{})
+		}
+		for range 3 {
+			Expect(raw.untilReady()).To(ContainElement(BeAssignableToTypeOf(&pgproto3.DataRow{})))
+		}
+		raw.send(&pgproto3.Parse{Query: "SELECT 1"}, &pgproto3.Flush{})
+		msg, err := raw.front.Receive()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(msg.(*pgproto3.ErrorResponse).ConstraintName).To(Equal("not_supported"))
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.untilReady()).To(HaveLen(1))
+		Expect(open(ctx).Ping(ctx)).To(Succeed())
+	}, SpecTimeout(testLimit))
+
+	It("cancels the statement that is meant, and no other", func(ctx SpecContext) {
+		a, b := open(ctx), open(ctx)
+		ends := make(chan error, 2)
+		go func() {
+			_, err := a.Exec(ctx, longQuery)
+			ends <- err
+		}()
+		other := make(chan error, 1)
+		_, err := b.Exec(ctx, "BEGIN") // the stand-in runs reads outside transactions one at a time
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			_, err := b.Exec(ctx, longQuery)
+			other <- err
+		}()
+		Consistently(ends).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
+		cancelRaw(ctx, site, &pgproto3.CancelRequest{ProcessID: a.PgConn().PID(), SecretKey: []byte{1, 2, 3, 4}})
+		Consistently(ends).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
+		Expect(a.PgConn().CancelRequest(ctx)).To(Succeed())
+		Eventually(ends).WithTimeout(2 * time.Second).Should(Receive(&err))
+		var pe *pgconn.PgError
+		Expect(errors.As(err, &pe)).To(BeTrue())
+		Expect(pe.Code).To(Equal("57014"))
+		Consistently(other).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
+		Expect(b.PgConn().CancelRequest(ctx)).To(Succeed())
+		Eventually(other).WithTimeout(2 * time.Second).Should(Receive())
+		_, err = b.Exec(ctx, "ROLLBACK")
+		Expect(err).NotTo(HaveOccurred())
+		for range 20 {
+			Expect(a.Ping(ctx)).To(Succeed())
+			Expect(countOrders(ctx, b, "order.read")).To(BeNumerically(">=", 0))
+		}
+	}, SpecTimeout(testLimit))
+
+	It("copies in and out as simple queries", func(ctx SpecContext) {
+		conn := open(ctx)
+		_, err := conn.PgConn().CopyFrom(ctx, strings.NewReader("copied\t1\ncopied\t2\n"), "COPY orders FROM STDIN")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(countWhere(ctx, conn, "copied")).To(Equal(2))
+		var out bytes.Buffer
+		_, err = conn.PgConn().CopyTo(ctx, &out, "COPY (SELECT id, tiles FROM orders WHERE id = 'copied' ORDER BY tiles) TO STDOUT")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out.String()).To(Equal("copied\t1\ncopied\t2\n"))
+		_, err = conn.PgConn().CopyFrom(ctx, failingReader{}, "COPY orders FROM STDIN")
+		Expect(err).To(HaveOccurred())
+		Expect(countWhere(ctx, conn, "copied")).To(Equal(2))
+		_, err = conn.Exec(ctx, "COPY orders TO STDOUT; SELECT 1")
+		kind, _ := refusal(err)
+		Expect(kind).To(Equal("not_supported"))
+	}, SpecTimeout(testLimit))
+
+	DescribeTable("refuses session state outside a transaction, however it is put", func(ctx SpecContext, sql string, kind string) {
+		conn := open(ctx)
+		_, err := conn.PgConn().Exec(ctx, sql).ReadAll()
+		got, notRun := refusal(err)
+		Expect(got).To(Equal(kind))
+		Expect(notRun).To(BeTrue())
+		Expect(conn.Ping(ctx)).To(Succeed())
+	},
+		Entry("SET", "SET search_path TO evil", "session_state"),
+		Entry("SET SESSION", "set session search_path = evil", "session_state"),
+		Entry("second statement", "SELECT 1; SET search_path TO evil", "session_state"),
+		Entry("in a block of one query", "BEGIN; SET search_path TO evil; COMMIT", "session_state"),
+		Entry("behind a nested comment", "/* /* */ ; */ SET search_path TO evil", "session_state"),
+		Entry("behind an escape string", `SELECT E'\'; --'; SET search_path TO evil`, "session_state"),
+		Entry("behind a continued escape string", "SELECT E'a'\n'\\''; SET search_path TO evil; SELECT E'b'\n'\\''", "session_state"),
+		Entry("behind dollar signs of a name", "SELECT 1 AS a$x$; SET search_path TO evil; SELECT 2 AS b$x$", "session_state"),
+		Entry("named as a read", "/*request='order.read'*/ SET search_path TO evil", "session_state"),
+		Entry("set_config", "SELECT set_config('search_path', 'evil', false)", "session_state"),
+		Entry("quoted set_config", `SELECT "set_config"('search_path', 'evil', false)`, "session_state"),
+		Entry("advisory lock", "SELECT pg_advisory_lock(1)", "session_state"),
+		Entry("temporary table", "CREATE TEMP TABLE t (a INT)", "session_state"),
+		Entry("temporary view", "CREATE OR REPLACE TEMP VIEW t AS SELECT 1", "session_state"),
+		Entry("into a temporary table", "SELECT 1 AS a INTO TEMPORARY t", "session_state"),
+		Entry("PREPARE", "PREPARE p AS SELECT 1", "session_state"),
+		Entry("DECLARE", "DECLARE c CURSOR WITH HOLD FOR SELECT 1", "session_state"),
+		Entry("LISTEN", "LISTEN x", "not_supported"),
+	)
+
+	It("refuses session state anywhere in an extended batch", func(ctx SpecContext) {
+		raw := dialRaw(ctx, site, 0, key)
+		raw.send(parseBindExecute("/*request='order.read'*/ SELECT 1")...)
+		raw.send(parseBindExecute("SET search_path TO evil")...)
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.errorKind()).To(Equal("session_state"))
+	}, SpecTimeout(testLimit))
+
+	It("never lets session state reach another caller", func(ctx SpecContext) {
+		conn := open(ctx)
+		tx, err := conn.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(ctx, "SET search_path TO evil")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tx.Commit(ctx)).To(Succeed())
+		tx, err = conn.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(ctx, "SET LOCAL search_path TO mine")
+		Expect(err).NotTo(HaveOccurred())
+		var shown string
+		Expect(tx.QueryRow(ctx, "SHOW search_path").Scan(&shown)).To(Succeed())
+		Expect(shown).To(Equal("mine"))
+		Expect(tx.Commit(ctx)).To(Succeed())
+		for range 20 {
+			Expect(open(ctx).QueryRow(ctx, "SHOW search_path").Scan(&shown)).To(Succeed())
+			Expect(shown).NotTo(Or(Equal("evil"), Equal("mine")))
+		}
+	}, SpecTimeout(testLimit))
+
+	It("treats a write as one whatever its name says", func(ctx SpecContext) {
+		conn := open(ctx)
+		_, err := conn.Exec(ctx, "/*request='order.read'*/ INSERT INTO orders VALUES ('misnamed', 1)")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(countWhere(ctx, conn, "misnamed")).To(Equal(1))
+		nobody := fmt.Sprintf("postgres://nobody:@%s/orders?sslmode=disable", site.Hosts[0].CallerAddr())
+		_, err = connectURL(ctx, nobody).Exec(ctx, "/*request='catalogue.read'*/ INSERT INTO orders VALUES ('misnamed', 1)")
+		kind, _ := refusal(err)
+		Expect(kind).To(Equal("bad_key"))
+		raw := dialRawAs(ctx, site, 0, "nobody", "")
+		raw.send(parseBindExecute("/*request='catalogue.read'*/ SELECT 1")...)
+		raw.send(parseBindExecute("INSERT INTO orders VALUES ('misnamed', 2)")...)
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.errorKind()).To(Equal("bad_key"))
+		Expect(countWhere(ctx, conn, "misnamed")).To(Equal(1))
+	}, SpecTimeout(testLimit))
+
+	It("passes a result of several megabytes whole", func(ctx SpecContext) {
+		const rows, width = 40_000, 200
+		conn := open(ctx)
+		sql := fmt.Sprintf("/*request='order.read'*/ WITH RECURSIVE c(x) AS (SELECT 1 UNION ALL SELECT x+1 FROM c WHERE x < %d) SELECT x, '%s' FROM c", rows, strings.Repeat("y", width))
+		results, err := conn.PgConn().Exec(ctx, sql).ReadAll()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(results[0].Rows).To(HaveLen(rows))
+		for i, row := range results[0].Rows {
+			if string(row[0]) != fmt.Sprint(i+1) || len(row[1]) != width {
+				Fail(fmt.Sprintf("row %d is %s", i, row))
+			}
+		}
+	}, SpecTimeout(testLimit))
+
+	It("refuses only the caller that sends thousands of statements", func(ctx SpecContext) {
+		raw := dialRaw(ctx, site, 0, key)
+		for i := range 1200 {
+			raw.send(&pgproto3.Parse{Name: fmt.Sprint(i), Query: fmt.Sprintf("/*request='order.read'*/ SELECT %d", i)})
+		}
+		raw.send(&pgproto3.Sync{})
+		Expect(raw.errorKind()).To(Equal("too_large"))
+		Expect(open(ctx).Ping(ctx)).To(Succeed())
+	}, SpecTimeout(testLimit))
+
+	DescribeTable("ends the connection of a caller that breaks the protocol, and no other",
+		func(ctx SpecContext, garbage []byte) {
+			neighbour := open(ctx)
+			raw := dialRaw(ctx, site, 0, key)
+			raw.conn.Write(garbage)
+			Expect(raw.errorKind()).To(Equal("protocol"))
+			_, err := io.Copy(io.Discard, raw.conn)
+			var ne net.Error
+			Expect(errors.As(err, &ne) && ne.Timeout()).To(BeFalse())
+			Expect(neighbour.Ping(ctx)).To(Succeed())
+		},
+		Entry("unknown message", []byte{'~', 0, 0, 0, 4}),
+		Entry("length below its own size", []byte{'Q', 0, 0, 0, 1}),
+		Entry("huge message", []byte{'Q', 0x7f, 0, 0, 0}),
+		Entry("truncated Bind", []byte{'B', 0, 0, 0, 6, 0, 0}),
+	)
+
+	It("serves others while callers do not read", func(ctx SpecContext) {
+		sql := "/*request='order.read'*/ WITH RECURSIVE c(x) AS (SELECT 1 UNION ALL SELECT x+1 FROM c WHERE x < 60000) SELECT '" + strings.Repeat("y", 200) + "' FROM c"
+		for range 40 {
+			raw := dialRaw(ctx, site, 0, key)
+			Expect(raw.conn.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+			raw.send(&pgproto3.Query{String: sql})
+		}
+		conn := open(ctx)
+		Eventually(func() error {
+			_, err := conn.Exec(ctx, "/*request='order.read'*/ SELECT 1")
+			return err
+		}).WithTimeout(12 * time.Second).Should(Succeed())
+		start := time.Now()
+		Expect(conn.Ping(ctx)).To(Succeed())
+		Expect(time.Since(start)).To(BeNumerically("<", 6*time.Second))
+	}, SpecTimeout(testLimit))
+})
+
+var _ = Describe("a caller's connection", func() {
+	It("finds its statement also when a batch that closes it is tried again", func(ctx SpecContext) {
+		site, key := startSite(ctx)
+		createOrders(ctx, site, key)
+		conn := connectURL(ctx, url(site, 0, key))
+		for round := range 6 {
+			for range 20 {
+				countOrders(ctx, conn, "order.read")
+			}
+			raw := dialRaw(ctx, site, 0, key)
+			raw.send(&pgproto3.Parse{Name: "s", Query: "/*request='order.read'*/ SELECT 1"}, &pgproto3.Sync{})
+			raw.untilReady()
+			Expect(site.Databases["orders-2"].Restart()).To(Succeed())
+			Expect(site.Databases["orders-3"].Restart()).To(Succeed())
+			raw.send(&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{})
+			Expect(raw.errorKind()).To(Equal("none"), "round %d", round)
+		}
+	}, SpecTimeout(testLimit))
+
+	It("is not told of a commit that no replica holds, also when a transaction follows at once", func(ctx SpecContext) {
+		site, key := startSite(ctx)
+		conn := createOrders(ctx, site, key)
+		other := connectURL(ctx, url(site, 1, key))
+		_, err := other.Exec(ctx, "BEGIN")
+		Expect(err).NotTo(HaveOccurred())
+		for _, db := range site.Databases {
+			db.SetReplicationCut(true)
+		}
+		_, err = other.PgConn().Exec(ctx, "INSERT INTO orders VALUES ('chained', 1); COMMIT; BEGIN").ReadAll()
+		kind, notRun := refusal(err)
+		Expect(kind).To(Equal("outcome_unknown"))
+		Expect(notRun).To(BeFalse())
+		_, err = conn.PgConn().Exec(ctx, "BEGIN; INSERT INTO orders VALUES ('cut off', 1); COMMIT; BEGIN").ReadAll()
+		kind, notRun = refusal(err)
+		Expect(kind).To(Or(Equal("outcome_unknown"), Equal("no_primary"), Equal("deadline")))
+		Expect(notRun).To(Equal(kind != "outcome_unknown"))
+	}, SpecTimeout(testLimit))
+
+	It("is encrypted where the host says so, and refused without", func(ctx SpecContext) {
+		site, key := startSite(ctx)
+		createOrders(ctx, site, key)
+		set := *site.Hosts[0].Settings()
+		set.Host.ID = "host-tls"
+		set.Peers.Seeds = []string{site.Hosts[0].PeerAddr()}
+		cert, pool := selfSigned()
+		h := host.New(host.Options{
+			Settings: &set, Logger: slog.New(slog.DiscardHandler),
+			CallerTLS: &tls.Config{Certificates: []tls.Certificate{cert}},
+		})
+		Expect(h.Start()).To(Succeed())
+		DeferCleanup(h.Close)
+		Eventually(func() bool { return h.Status().ConfigVersion > 0 && h.Status().Groups[0].Established }).WithTimeout(10 * time.Second).Should(BeTrue())
+		cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=require", key, h.CallerAddr()))
+		Expect(err).NotTo(HaveOccurred())
+		cfg.TLSConfig = &tls.Config{RootCAs: pool, ServerName: "localhost"}
+		conn, err := pgx.ConnectConfig(ctx, cfg)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close(ctx)
+		Eventually(func() error {
+			_, err := conn.Exec(ctx, "/*request='order.read'*/ SELECT 1")
+			return err
+		}).WithTimeout(5 * time.Second).Should(Succeed())
+		_, err = pgx.Connect(ctx, fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=disable", key, h.CallerAddr()))
+		kind, notRun := refusal(err)
+		Expect(kind).To(Equal("bad_key"))
+		Expect(notRun).To(BeTrue())
+	}, SpecTimeout(testLimit))
+
+	DescribeTable("is refused at its startup with a reason", func(ctx SpecContext, user, key, database, kind string) {
+		site, right := startSite(ctx)
+		if key == "" {
+			key = right
+		}
+		_, err := pgx.Connect(ctx, fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", user, key, site.Hosts[0].CallerAddr(), database))
+		got, notRun := refusal(err)
+		Expect(got).To(Equal(kind))
+		Expect(notRun).To(BeTrue())
+	},
+		Entry("wrong key", "shop", "wrong", "orders", "bad_key"),
+		Entry("another's name", "other", "", "orders", "bad_key"),
+		Entry("unknown service", "shop", "", "nothing", "unknown_database"),
+	)
+})
+
+// selfSigned returns a certificate for localhost and the pool that trusts it.
+func selfSigned() (tls.Certificate, *x509.CertPool) {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"localhost"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	Expect(err).NotTo(HaveOccurred())
+	leaf, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, pool
+}
+
+// failingReader is the data of a COPY that its caller breaks off.
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("broken off") }
+
+func prepared(ctx context.Context, conn *pgx.Conn, name, arg string) string {
+	GinkgoHelper()
+	res := conn.PgConn().ExecPrepared(ctx, name, [][]byte{[]byte(arg)}, nil, nil).Read()
+	Expect(res.Err).NotTo(HaveOccurred())
+	return string(res.Rows[0][0])
+}
+
+func countWhere(ctx context.Context, conn *pgx.Conn, id string) int {
+	GinkgoHelper()
+	var n int
+	Expect(conn.QueryRow(ctx, "/*request='order.read'*/ SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n)).To(Succeed())
+	return n
+}
+
+// rawCaller sends single messages of the protocol.
+type rawCaller struct {
+	conn  net.Conn
+	front *pgproto3.Frontend
+}
+
+func dialRaw(ctx context.Context, site *loopback.Site, host int, key string) *rawCaller {
+	GinkgoHelper()
+	return dialRawAs(ctx, site, host, "shop", key)
+}
+
+func dialRawAs(ctx context.Context, site *loopback.Site, host int, user, key string) *rawCaller {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", site.Hosts[host].CallerAddr())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	raw := &rawCaller{conn: conn, front: pgproto3.NewFrontend(conn, conn)}
+	raw.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": user, "database": "orders"}},
+		&pgproto3.PasswordMessage{Password: key})
+	raw.untilReady()
+	return raw
+}
+
+func (r *rawCaller) send(msgs ...pgproto3.FrontendMessage) {
+	GinkgoHelper()
+	for _, m := range msgs {
+		buf, err := m.Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = r.conn.Write(buf)
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// untilReady returns the types of messages up to ReadyForQuery.
+func (r *rawCaller) untilReady() []pgproto3.BackendMessage {
+	GinkgoHelper()
+	var all []pgproto3.BackendMessage
+	for {
+		msg, err := r.front.Receive()
+		Expect(err).NotTo(HaveOccurred())
+		all = append(all, msg)
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			return all
+		}
+	}
+}
+
+// errorKind returns the kind of the next error, "closed" for a connection that
+// was closed without one.
+func (r *rawCaller) errorKind() string {
+	GinkgoHelper()
+	for {
+		msg, err := r.front.Receive()
+		if err != nil {
+			return "closed"
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ErrorResponse:
+			return m.ConstraintName
+		case *pgproto3.ReadyForQuery:
+			return "none"
+		}
+	}
+}
+
+func parseBindExecute(sql string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+}
+
+func cancelRaw(ctx context.Context, site *loopback.Site, req *pgproto3.CancelRequest) {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", site.Hosts[0].CallerAddr())
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	buf, err := req.Encode(nil)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Write(buf)
+	Expect(err).NotTo(HaveOccurred())
+	conn.SetDeadline(time.Now().Add(3 * time.Second))
+	io.Copy(io.Discard, conn)
+}
