--- a/customer/rate/rate_test.go
+++ b/customer/rate/rate_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
 func TestRate(t *testing.T) {
@@ -47,6 +49,20 @@
 		GinkgoWriter.Println("messages", w.messages)
 	})
 
+	It("accrues what a loan held from its end, though nobody looks", func() {
+		w := fleet(1, whole, 2, 1, 10, 20)
+		n := w.nodes[1]
+		req := &peerpb.TokenRequest{Customer: "shop", RequestId: "x", Wanted: 100, WantedRate: 100}
+		env := &peerpb.Envelope{Body: &peerpb.Envelope_TokenRequest{TokenRequest: req}}
+		out := n.table.Handle(w.nodes[0].address, env, w.now)
+		Expect(out.Send[0].Msg.GetTokenGrant().Tokens).To(BeNumerically("~", 10, tolerance))
+		w.now = w.now.Add(hold(DefaultLoanTerm) + time.Second)
+		n.table.Handle(w.nodes[0].address, &peerpb.Envelope{}, w.now)
+		a := n.table.accounts["shop"]
+		a.advance(w.now, n.table.accrueFrom)
+		Expect(a.level).To(BeNumerically("~", 5, tolerance))
+	})
+
 	It("admits a burst smaller than the number of hosts", func() {
 		w := fleet(1, whole, 15, 4, 1, 3)
 		for range 3 {
--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -15,19 +15,19 @@
 // promotion of one term to one database only; where that may have been lost it
 // repeats it there or claims a newer term.
 type claim struct {
-	state     State // Fencing, Promoting or Marking; empty when none
-	cause     Cause
-	term      uint64
-	id        string // unique claimant id
-	times     ClaimTimes
-	stepAt    time.Time // start of the present step
-	sentAt    time.Time // last send of the present step
-	majorAt   time.Time // when a majority was fenced
-	fenced    map[string]groupsql.Report
-	refused   map[string]bool
-	chosen    string
-	attempts  int       // lost claims in a row
-	notBefore time.Time // backoff
+	state    State // Fencing, Promoting or Marking; empty when none
+	cause    Cause
+	term     uint64
+	id       string // unique claimant id
+	times    ClaimTimes
+	stepAt   time.Time // start of the present step
+	sentAt   time.Time // last send of the present step
+	majorAt  time.Time // when a majority was fenced
+	fenced   map[string]groupsql.Report
+	refused  map[string]bool
+	chosen   string
+	attempts int           // lost claims in a row
+	backoff  time.Duration // random wait after lost claims, on top of the turn
 }
 
 // ClaimTimes are the moments of a claim; those not reached are zero.
@@ -80,7 +80,7 @@
 		return nil
 	}
 	if t.claimExpired(now) || t.overtaken() {
-		t.loseClaim(now)
+		t.loseClaim()
 		return nil
 	}
 	if c.state == Fencing && t.fencingDone(now) {
@@ -116,7 +116,7 @@
 // overtaken reports whether a newer claim makes this one hopeless.
 func (t *Table) overtaken() bool {
 	c := &t.claim
-	if t.established && t.view.Term >= c.term || t.fencedAbove(c.term) >= t.majority() {
+	if t.established && t.view.Term >= c.term || t.blocked(c.term) {
 		return true
 	}
 	if c.state == Fencing {
@@ -126,12 +126,13 @@
 	return target == nil || target.known && target.report.Accepted > c.term
 }
 
-// loseClaim gives the claim up and waits for a random time before another.
-func (t *Table) loseClaim(now time.Time) {
+// loseClaim gives the claim up. The next one waits for a random time besides
+// its turn: hosts that duel see the same signs, and so have the same turn.
+func (t *Table) loseClaim() {
 	attempts := t.claim.attempts + 1
 	span := min(t.t.BackoffMin<<min(attempts, maxBackoffShift), t.t.BackoffMax)
 	wait := t.t.BackoffMin + time.Duration(t.cfg.Rand.Int64N(int64(span)))
-	t.claim = claim{attempts: attempts, notBefore: now.Add(wait)}
+	t.claim = claim{attempts: attempts, backoff: wait}
 	t.det = detection{}
 }
 
@@ -274,7 +275,7 @@
 		c.times.Promoted = now
 		t.lastClaim = c.times
 	case op.Kind == groupsql.OpPromote && c.state == Promoting:
-		t.loseClaim(now)
+		t.loseClaim()
 	}
 	return nil
 }
@@ -287,7 +288,7 @@
 	if p.Leaving {
 		t.switchAt = now
 	}
-	own := t.claim.active() && t.claim.term == t.view.Term
+	own := t.claim.active() && t.claim.term == t.view.Term && p.report.Claimant == t.claim.id
 	if own {
 		t.claim.times.Confirmed = now
 		t.lastClaim = t.claim.times
--- a/database/group/confirm.go
+++ b/database/group/confirm.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -25,11 +26,15 @@
 	acks     time.Time // latest request for acknowledgements
 }
 
-// ackPatience bounds how long one WantAck keeps probes going back to back.
-const ackPatience = 20 * time.Millisecond
+// Bounds of how long a request keeps rounds going.
+const (
+	ackPatience     = 20 * time.Millisecond // one WantAck
+	confirmPatience = 2 * time.Second       // one WantConfirm
+)
 
 // WantConfirm asks for a round of probes sent at or after now. One round is in
 // flight at a time; one that was sent before now does not serve this request.
+// The request lapses after confirmPatience; a host that waits longer repeats it.
 func (t *Table) WantConfirm(now time.Time) []Action {
 	t.round.wanted = later(t.round.wanted, now)
 	return t.pumpRound(now)
@@ -109,7 +114,8 @@
 	if len(held) < t.majority() {
 		return position.Position{}, false
 	}
-	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	slices.Sort(held)
+	slices.Reverse(held)
 	return position.Position{Term: t.view.Term, Index: held[t.majority()-1]}, true
 }
 
@@ -142,7 +148,7 @@
 			out = append(out, m)
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].sentAt.After(out[j].sentAt) })
+	slices.SortStableFunc(out, func(a, b *member) int { return b.sentAt.Compare(a.sentAt) })
 	return out
 }
 
@@ -155,7 +161,8 @@
 			held = append(held, m.report.Position.Index)
 		}
 	}
-	sort.Slice(held, func(i, j int) bool { return held[i] > held[j] })
+	slices.Sort(held)
+	slices.Reverse(held)
 	need := t.majority() - (len(t.members) - len(counted))
 	if need < 1 || need > len(held) {
 		return position.Position{}, false
@@ -163,10 +170,10 @@
 	return position.Position{Term: t.view.Term, Index: held[need-1]}, true
 }
 
-// addSample keeps s unless one that is as fresh and as low is kept already.
+// addSample keeps s unless one of the last few is as fresh and as low.
 func (t *Table) addSample(s sample) {
-	for _, old := range t.recent {
-		if !old.start.Before(s.start) && !s.pos.Before(old.pos) {
+	for i := len(t.recent) - 1; i >= max(0, len(t.recent)-2*len(t.members)); i-- {
+		if old := t.recent[i]; !old.start.Before(s.start) && !s.pos.Before(old.pos) {
 			return
 		}
 	}
@@ -230,7 +237,7 @@
 
 // roundWanted reports whether a confirmation or a writer waits for a round.
 func (t *Table) roundWanted(now time.Time) bool {
-	confirm := !t.round.wanted.IsZero() && t.latest.start.Before(t.round.wanted)
+	confirm := !t.round.wanted.IsZero() && now.Sub(t.round.wanted) < confirmPatience && t.latest.start.Before(t.round.wanted)
 	acks := !t.round.acks.IsZero() && now.Sub(t.round.acks) < ackPatience
 	return confirm || acks
 }
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -21,6 +21,7 @@
 	progressAt   time.Time         // last advance of report.Position
 	followAt     time.Time         // last follow order
 	strayAt      time.Time         // since when it does not follow the established term
+	follows      int               // follow orders since the last advance
 	lagging      bool
 	load         float64
 }
@@ -99,13 +100,13 @@
 
 // Learn takes a hint from a peer or the platform. A hint of a newer term makes
 // the table probe at once; it is never authority.
-func (t *Table) Learn(view View, now time.Time) {
+func (t *Table) Learn(view View, now time.Time) []Action {
 	t.peersTerm = max(t.peersTerm, view.Term)
 	if view.Term <= t.hint.Term || view.Term <= t.view.Term {
-		return
+		return nil
 	}
 	t.hint = view
-	t.round.wanted = later(t.round.wanted, now)
+	return t.WantConfirm(now)
 }
 
 // View returns the established primary: its marker is on a majority.
@@ -114,7 +115,7 @@
 // Primary returns the database to which writes go now. It is not ok while no
 // primary is established, and for the moments of a planned switchover.
 func (t *Table) Primary() (id string, term uint64, ok bool) {
-	if !t.established || t.draining || t.claim.active() || t.fencedAbove(t.view.Term) >= t.majority() {
+	if !t.established || t.draining || t.claim.active() || t.blocked(t.view.Term) {
 		return "", 0, false
 	}
 	p := t.member(t.view.Primary)
@@ -151,6 +152,12 @@
 	return n
 }
 
+// blocked reports whether too many members promised a term above term for a
+// majority to be left in it.
+func (t *Table) blocked(term uint64) bool {
+	return len(t.members)-t.fencedAbove(term) < t.majority()
+}
+
 // OpResult takes the result of an operation on database id that was sent at
 // sentAt, or the error that ended it.
 func (t *Table) OpResult(id string, op groupsql.Op, sentAt time.Time, r groupsql.Report, err error, now time.Time) []Action {
@@ -184,7 +191,7 @@
 		return
 	}
 	if !m.known || m.report.Position.Before(r.Position) {
-		m.progressAt = now
+		m.progressAt, m.follows = now, 0
 	}
 	m.known, m.unansweredAt = true, time.Time{}
 	m.report, m.sentAt, m.heardAt = r, sentAt, now
--- a/host/admin.go
+++ b/host/admin.go
@@ -30,7 +30,8 @@
 }
 
 // adminServer is the operators' HTTP listener: /healthz, /readyz, /metrics,
-// /status, POST /drain and /burn.
+// /status, /burn (this host's counts), /burn.html (its data centre's burn) and
+// POST /drain.
 type adminServer struct {
 	host     *Host
 	listener net.Listener
@@ -48,6 +49,8 @@
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.metrics.write(w) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) })
+	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.burn.Counts(h.now())) })
+	mux.HandleFunc("GET /burn.html", a.burnPage)
 	mux.HandleFunc("POST /drain", a.drain)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	h.work(func() { a.server.Serve(l) })
@@ -60,7 +63,7 @@
 
 // ready answers 200 while the host takes callers.
 func (a *adminServer) ready(w http.ResponseWriter, _ *http.Request) {
-	if !a.host.ready() {
+	if !a.host.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -88,7 +91,7 @@
 		DataCentre:    h.set.Host.DataCentre,
 		Address:       h.members.self,
 		BootID:        h.bootID,
-		Ready:         h.ready(),
+		Ready:         h.Ready(),
 		Leaving:       h.leaving(),
 		ConfigVersion: h.view.Load().snap.Version,
 		ConfigAge:     h.members.inForce.Fresh(h.now()).String(),
--- a/host/groups.go
+++ b/host/groups.go
@@ -15,6 +15,10 @@
 // opTimeout bounds one group operation on a control connection.
 const opTimeout = 400 * time.Millisecond
 
+// wantAgain is how often a waiting request repeats what it wants: a table lets
+// a wish lapse whose owner may have gone.
+const wantAgain = 500 * time.Millisecond
+
 // groupIO is what a groupRunner needs from its host.
 type groupIO interface {
 	// AskPeers asks other hosts whether they hear a database and feeds each
@@ -195,20 +199,33 @@
 	}
 	w := &waiter{ready: ready, done: make(chan struct{})}
 	g.waiters[w] = struct{}{}
-	if want != nil {
-		g.act(want(g.now()))
-	}
+	g.want(want)
 	g.mu.Unlock()
 	g.kickRun()
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
+	again := time.NewTicker(wantAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-w.done:
+			return nil
+		case <-ctx.Done():
+			g.mu.Lock()
+			delete(g.waiters, w)
+			g.mu.Unlock()
+			return ctx.Err()
+		case <-again.C:
+			g.mu.Lock()
+			g.want(want)
+			g.mu.Unlock()
+		}
+	}
+}
+
+// want starts what a waiter waits for. mu is held.
+func (g *groupRunner) want(want func(now time.Time) []group.Action) {
+	if want != nil {
+		g.act(want(g.now()))
 	}
-	g.mu.Lock()
-	delete(g.waiters, w)
-	g.mu.Unlock()
-	return ctx.Err()
 }
 
 // primary waits for a primary that takes writes.
@@ -299,6 +316,9 @@
 	g.mu.Unlock()
 }
 
+// rank returns this host's promoter rank.
+func (g *groupRunner) rank() int { return g.status().Rank }
+
 // ageFloor returns the position that data within the accepted age has reached,
 // and when it was sampled.
 func (g *groupRunner) ageFloor(age time.Duration) (position.Position, time.Time, bool) {
@@ -314,6 +334,19 @@
 	return g.table.Readers(floor, g.now())
 }
 
+// describers returns the databases to ask for the form of a statement, the
+// primary first.
+func (g *groupRunner) describers() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	readers := g.table.Readers(position.Position{}, g.now())
+	id, _, ok := g.table.Primary()
+	if !ok {
+		return readers
+	}
+	return append([]string{id}, readers...)
+}
+
 // checkFloor tells a session token that can never be reached.
 func (g *groupRunner) checkFloor(floor, confirmed position.Position) error {
 	g.mu.Lock()
--- a/host/host.go
+++ b/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/report"
 	"github.com/bronzeloft/bronzeloft/settings"
 )
 
@@ -52,15 +53,17 @@
 	stop    context.CancelFunc
 	metrics *hostMetrics
 
-	view    atomic.Pointer[view]
-	keys    *keys.Table
-	rates   *rates
-	retries *retryBudget
-	members *members
-	mesh    *peer.Mesh
-	callers *registry
-	admin   *adminServer
-	fetcher *contract.Fetcher // nil without a platform
+	view     atomic.Pointer[view]
+	keys     *keys.Table
+	rates    *rates
+	retries  *retryBudget
+	members  *members
+	mesh     *peer.Mesh
+	callers  *registry
+	admin    *adminServer
+	burn     *report.Recorder
+	fetcher  *contract.Fetcher // nil without a platform
+	contacts *contacts
 
 	applyMu sync.Mutex // guards groups and dbs, and serialises apply
 	groups  map[string]*groupRunner
@@ -69,6 +72,7 @@
 	callerListener net.Listener
 	peerListener   net.Listener
 	left           atomic.Bool
+	started        time.Time
 	workers        sync.WaitGroup
 }
 
@@ -79,7 +83,8 @@
 	databases map[string]*databaseState
 }
 
-// service is one published service and its group.
+// service is one published service and its group; group is nil where this host
+// does not serve it.
 type service struct {
 	terms *contract.Service
 	group *groupRunner
@@ -94,16 +99,17 @@
 		opt.Now = time.Now
 	}
 	h := &Host{
-		opt:     opt,
-		set:     opt.Settings,
-		log:     opt.Logger.With("host", opt.Settings.Host.ID),
-		now:     opt.Now,
-		bootID:  uuid.NewString(),
-		keys:    keys.NewTable(),
-		retries: newRetryBudget(),
-		callers: newRegistry(),
-		groups:  map[string]*groupRunner{},
-		dbs:     map[string]*databaseState{},
+		opt:      opt,
+		set:      opt.Settings,
+		log:      opt.Logger.With("host", opt.Settings.Host.ID),
+		now:      opt.Now,
+		bootID:   uuid.NewString(),
+		keys:     keys.NewTable(),
+		retries:  newRetryBudget(),
+		callers:  newRegistry(),
+		contacts: newContacts(),
+		groups:   map[string]*groupRunner{},
+		dbs:      map[string]*databaseState{},
 	}
 	if opt.Platform != nil {
 		h.fetcher = contract.NewFetcher(opt.Platform)
@@ -137,7 +143,10 @@
 		Handler:    h,
 		Metrics:    h.metrics.set,
 		OnPeer:     h.onPeer,
+		OnSession:  h.serveRelayed,
 	})
+	h.started = h.now()
+	h.callers.prefix = hostPrefix(self)
 	h.members = newMembers(h, self)
 	h.rates = newRates(rate.Config{
 		Self:       self,
@@ -145,6 +154,7 @@
 		BootID:     h.bootID,
 		Started:    h.now(),
 	}, h.now, h.post)
+	h.burn = report.NewRecorder(self, h.bootID, h.now())
 	if h.admin, err = startAdmin(h); err != nil {
 		return err
 	}
@@ -152,6 +162,7 @@
 	h.work(func() { h.rates.run(h.ctx) })
 	h.work(h.members.run)
 	h.work(h.maintain)
+	h.work(h.purgeRecords)
 	if h.opt.Platform != nil {
 		h.work(h.watchConfiguration)
 		h.work(h.watchHosts)
@@ -184,15 +195,30 @@
 func (h *Host) post(to string, env *peerpb.Envelope) {
 	if err := h.mesh.Send(to, env); err != nil {
 		h.metrics.unsent.Inc()
+		h.contacts.use(to, h.now())
 	}
 }
 
-// ready reports whether the host should get callers: it has a configuration,
+// Settings returns the settings that the host runs by.
+func (h *Host) Settings() *settings.Host { return h.set }
+
+// Ready reports whether the host should get callers: it has a configuration,
 // its standing shares of rates accrue, and it is not leaving.
-func (h *Host) ready() bool {
+func (h *Host) Ready() bool {
 	return !h.leaving() && h.view.Load().snap.Version > 0 && h.rates.settled()
 }
 
+// defaultServingHosts is how many hosts of a data centre serve one group when
+// the settings do not say.
+const defaultServingHosts = 8
+
+func (h *Host) servingHosts() int {
+	if n := h.set.Peers.ServingHosts; n > 0 {
+		return n
+	}
+	return defaultServingHosts
+}
+
 // maintain closes connections that were idle for long.
 func (h *Host) maintain() {
 	ticker := time.NewTicker(5 * time.Second)
@@ -235,6 +261,8 @@
 		Login:          database.Login{User: h.set.Databases.User, Password: h.set.Databases.Password.Reveal(), Database: "main"},
 		MaxOpen:        maxOpen,
 		ConnectTimeout: h.set.Databases.ConnectTimeout,
+		IdleProbeAfter: h.set.Databases.IdleProbeAfter,
+		IdleTimeout:    h.set.Databases.IdleTimeout,
 		Now:            h.now,
 	}
 }
--- a/host/lease.go
+++ b/host/lease.go
@@ -39,6 +39,19 @@
 	if r.customer != nil {
 		item.Customer = r.customer.ID
 	}
+	l, err := h.lease(ctx, db, item)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.checkKey(r); err != nil {
+		l.release(false)
+		return nil, err
+	}
+	return l, nil
+}
+
+// lease waits for a slot and a connection of db.
+func (h *Host) lease(ctx context.Context, db *databaseState, item fair.Item) (*lease, error) {
 	slot, err := db.slots.acquire(ctx, item)
 	if err != nil {
 		return nil, err
@@ -51,6 +64,15 @@
 	return &lease{db: db, conn: conn, slot: slot}, nil
 }
 
+// checkKey checks the caller's key against the configuration in force, before
+// the request is looked at and again after it waited.
+func (h *Host) checkKey(r *request) error {
+	if r.keyID == "" {
+		return nil
+	}
+	return h.keys.ValidFor(r.customerID(), r.keyID)
+}
+
 // connectFailure says that nothing was sent for want of a connection.
 func connectFailure(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/host/plan.go
+++ b/host/plan.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -64,6 +65,31 @@
 	return sql, false
 }
 
+// batchTexts returns the text of each statement that the batch names, once.
+func (s statements) batchTexts(b *caller.Batch) []string {
+	if b.Simple {
+		return []string{b.SQL}
+	}
+	var texts []string
+	seen := map[string]bool{}
+	parsed := map[string]string{}
+	for _, msg := range b.Messages {
+		text := ""
+		switch m := msg.(type) {
+		case *pgproto3.Parse:
+			parsed[m.Name] = m.Query
+			text = m.Query
+		case *pgproto3.Bind:
+			text = s.text(m.PreparedStatement, parsed)
+		}
+		if text != "" && !seen[text] {
+			seen[text] = true
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
 func (s statements) text(name string, parsed map[string]string) string {
 	if sql, ok := parsed[name]; ok {
 		return sql
@@ -84,8 +110,8 @@
 	stepParse                 // as stepPass, and the connection now holds the statement
 )
 
-// step is the answer to one message of an extended batch.
-type step struct {
+// answerStep is the answer to one message of an extended batch.
+type answerStep struct {
 	kind   stepKind
 	name   string                  // statement on the connection: stepDrop, stepParse
 	answer pgproto3.BackendMessage // stepMake
@@ -94,7 +120,26 @@
 // plan is a batch as sent on one database connection.
 type plan struct {
 	messages []pgproto3.FrontendMessage
-	steps    []step
+	steps    []answerStep
+}
+
+// newPlan rewrites the request's batch for conn. A second try starts from the
+// statements that the first one found.
+func (s *session) newPlan(r *request, conn *database.Conn) (*plan, error) {
+	if r.before != nil {
+		s.stmts = maps.Clone(r.before)
+	}
+	return s.stmts.newPlan(r.batch, conn)
+}
+
+// closesStatement reports whether the batch closes a prepared statement.
+func closesStatement(b *caller.Batch) bool {
+	for _, msg := range b.Messages {
+		if m, ok := msg.(*pgproto3.Close); ok && m.ObjectType == 'S' {
+			return true
+		}
+	}
+	return false
 }
 
 // newPlan rewrites a batch for conn: statement names become those on the
@@ -125,28 +170,28 @@
 		}
 		bind := *m
 		bind.PreparedStatement = st.name
-		p.add(&bind, step{kind: stepPass})
+		p.add(&bind, answerStep{kind: stepPass})
 	case *pgproto3.Describe:
 		if m.ObjectType != 'S' {
-			p.add(m, step{kind: stepPass})
+			p.add(m, answerStep{kind: stepPass})
 			return nil
 		}
 		st, err := s.ensure(p, m.Name, conn, fresh)
 		if err != nil {
 			return err
 		}
-		p.add(&pgproto3.Describe{ObjectType: 'S', Name: st.name}, step{kind: stepPass})
+		p.add(&pgproto3.Describe{ObjectType: 'S', Name: st.name}, answerStep{kind: stepPass})
 	case *pgproto3.Close:
 		if m.ObjectType != 'S' {
-			p.add(m, step{kind: stepPass})
+			p.add(m, answerStep{kind: stepPass})
 			return nil
 		}
 		delete(s, m.Name)
-		p.steps = append(p.steps, step{kind: stepMake, answer: &pgproto3.CloseComplete{}})
+		p.steps = append(p.steps, answerStep{kind: stepMake, answer: &pgproto3.CloseComplete{}})
 	case *pgproto3.Sync:
 		p.messages = append(p.messages, m)
 	default:
-		p.add(msg, step{kind: stepPass})
+		p.add(msg, answerStep{kind: stepPass})
 	}
 	return nil
 }
@@ -158,11 +203,11 @@
 	st := newStatement(m.Query, m.ParameterOIDs)
 	s[m.Name] = st
 	if conn.Prepared(st.name) || fresh[st.name] {
-		p.steps = append(p.steps, step{kind: stepMake, answer: &pgproto3.ParseComplete{}})
+		p.steps = append(p.steps, answerStep{kind: stepMake, answer: &pgproto3.ParseComplete{}})
 		return nil
 	}
 	fresh[st.name] = true
-	p.add(st.parse(), step{kind: stepParse, name: st.name})
+	p.add(st.parse(), answerStep{kind: stepParse, name: st.name})
 	return nil
 }
 
@@ -171,16 +216,16 @@
 func (s statements) ensure(p *plan, name string, conn *database.Conn, fresh map[string]bool) (*statement, error) {
 	st := s[name]
 	if st == nil {
-		return nil, errkind.New(errkind.Protocol, "prepared statement %q does not exist", name)
+		return nil, errkind.New(errkind.UnknownStatement, "%q", name)
 	}
 	if !conn.Prepared(st.name) && !fresh[st.name] {
 		fresh[st.name] = true
-		p.add(st.parse(), step{kind: stepDrop, name: st.name})
+		p.add(st.parse(), answerStep{kind: stepDrop, name: st.name})
 	}
 	return st, nil
 }
 
-func (p *plan) add(msg pgproto3.FrontendMessage, st step) {
+func (p *plan) add(msg pgproto3.FrontendMessage, st answerStep) {
 	p.messages = append(p.messages, msg)
 	p.steps = append(p.steps, st)
 }
--- a/host/request.go
+++ b/host/request.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/database"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -17,13 +20,16 @@
 	batch    *caller.Batch
 	tags     caller.Tags
 	sql      string
-	words    []caller.Statement
+	texts    []string           // of the statements that the batch names, sql among them
+	words    []caller.Statement // of all texts
+	before   statements         // as the batch found them; nil when it closes none
 	executes bool
 	terms    contract.Request // what the contract says of it
 	service  *service
 	customer *contract.Customer // nil for a caller with no key
 	arrived  time.Time
 	deadline time.Time
+	keyID    string
 	dirty    bool // leaves state on its connection: never pool that again
 }
 
@@ -42,22 +48,32 @@
 
 func (s *session) newRequest(b *caller.Batch) (*request, error) {
 	now := s.host.now()
-	if s.keyID != "" {
-		if err := s.host.keys.Valid(s.keyID); err != nil {
-			return nil, err
-		}
-	}
 	v := s.host.view.Load()
-	svc := v.services[s.service]
-	if svc == nil {
+	svc := s.host.served(s.service)
+	if svc == nil || svc.group == nil {
 		return nil, errkind.New(errkind.UnknownDatabase, "%s was withdrawn", s.service)
 	}
-	r := &request{batch: b, service: svc, arrived: now, customer: v.snap.Customer(s.customer)}
+	r := &request{batch: b, service: svc, arrived: now, keyID: s.keyID, customer: v.snap.Customer(s.customer)}
+	if s.keyID != "" && r.customer == nil {
+		return nil, errkind.New(errkind.KeyWithdrawn, "customer was withdrawn")
+	}
+	if err := s.host.checkKey(r); err != nil {
+		return nil, err
+	}
 	r.sql, r.executes = s.stmts.batchSQL(b)
 	r.tags = caller.ParseTags(r.sql)
 	r.terms = svc.terms.Request(r.tags.Request)
 	r.deadline = now.Add(r.terms.Deadline)
-	r.words = caller.Split(r.sql)
+	r.texts = s.stmts.batchTexts(b)
+	if closesStatement(b) {
+		r.before = maps.Clone(s.stmts)
+	}
+	for _, text := range r.texts {
+		r.words = append(r.words, caller.Split(text)...)
+	}
+	if r.terms.Access == contract.Read && !readsOnly(r.words) {
+		r.terms.Access, r.terms.MaxAge, r.terms.Open = contract.Write, 0, false
+	}
 	if err := s.checkOpen(r); err != nil {
 		return nil, err
 	}
@@ -69,9 +85,6 @@
 	if s.customer == "" && r.executes && !r.terms.Open {
 		return errkind.New(errkind.BadKey, "request needs a key")
 	}
-	if s.customer != "" && r.customer == nil {
-		return errkind.New(errkind.KeyWithdrawn, "customer was withdrawn")
-	}
 	return nil
 }
 
@@ -81,7 +94,10 @@
 	for _, st := range r.words {
 		switch {
 		case st.Is("COPY"):
-			return errkind.New(errkind.NotSupported, "COPY")
+			if !r.batch.Simple || len(r.words) > 1 || r.tags.RequestID != "" {
+				return errkind.New(errkind.NotSupported, "COPY other than as a simple query of its own, with no request id")
+			}
+			r.deadline = r.arrived.Add(copyDeadline)
 		case st.Is("LISTEN"), st.Is("UNLISTEN"), st.Is("NOTIFY"):
 			return errkind.New(errkind.NotSupported, "%s", st.Words[0])
 		case st.Is("DO"), st.Is("CALL"):
@@ -103,7 +119,23 @@
 		st.Is("CREATE", "TEMPORARY") || st.Is("CREATE", "LOCAL") {
 		return true
 	}
-	return st.Is("SELECT") && len(st.Words) > 2 && st.Words[1] == "INTO" && st.Words[2] == "TEMP"
+	return st.Is("CREATE", "GLOBAL") || st.Is("CREATE", "OR", "REPLACE", "TEMP") || st.Is("CREATE", "OR", "REPLACE", "TEMPORARY")
+}
+
+// readsOnly reports whether the statements look like reads, so that a contract
+// that calls a write a read does not send it where reads go.
+func readsOnly(list []caller.Statement) bool {
+	for _, st := range list {
+		switch st.Words[0] {
+		case "SELECT", "VALUES", "TABLE", "WITH", "SHOW", "EXPLAIN", "(":
+		default:
+			return false
+		}
+		if st.Writes {
+			return false
+		}
+	}
+	return true
 }
 
 // dispatch admits the request and sends it on its route.
@@ -114,12 +146,13 @@
 	if r.empty() {
 		return s.answerEmpty(r)
 	}
+	if !r.executes {
+		return s.describe(ctx, r)
+	}
 	if err := s.admit(ctx, r); err != nil {
 		return err
 	}
 	switch {
-	case !r.executes:
-		return s.describe(ctx, r)
 	case r.terms.Access == contract.Read:
 		return s.read(ctx, r)
 	case r.tags.RequestID != "":
@@ -132,11 +165,13 @@
 // exchange sends the batch on conn and collects its answer. sent is false only
 // when no byte of it can have reached the database.
 func (s *session) exchange(conn *database.Conn, r *request, check func() error) (rep *reply, sent bool, err error) {
-	p, err := s.stmts.newPlan(r.batch, conn)
+	p, err := s.newPlan(r, conn)
 	if err != nil {
 		return nil, false, err
 	}
-	rep = &reply{conn: conn, steps: p.steps, check: check, write: s.write}
+	rep = &reply{conn: conn, steps: p.steps, check: check, copyIn: s.copyIn}
+	// A caller that does not read must not hold the connection for longer.
+	rep.write = func(buf []byte) error { return s.writeBy(buf, r.deadline) }
 	conn.SetDeadline(r.deadline)
 	s.setRunning(conn)
 	defer s.setRunning(nil)
@@ -180,6 +215,26 @@
 	return position.Max(own, confirmed), sampled, nil
 }
 
+// copyDeadline bounds one COPY, from its arrival to its answer.
+const copyDeadline = 10 * time.Minute
+
+// copyIn passes COPY data from the caller to the database.
+func (s *session) copyIn(conn *database.Conn) error {
+	for {
+		msg, err := s.conn.ReceiveCopy()
+		if err != nil {
+			return errors.Join(errCaller, err)
+		}
+		if _, err := conn.Send(msg); err != nil {
+			return err
+		}
+		switch msg.(type) {
+		case *pgproto3.CopyDone, *pgproto3.CopyFail:
+			return nil
+		}
+	}
+}
+
 // errBehind reports that a database read at a position before the floor.
 var errBehind = errors.New("host: database is behind the read's floor")
 
--- a/host/session.go
+++ b/host/session.go
@@ -43,9 +43,13 @@
 	stmts    statements
 	tx       *transaction // pinned connection, nil outside a transaction
 	busy     atomic.Bool
+	pinned   atomic.Bool // tx is set
+	via      string      // host that relays the session here, empty for none
+	viaLeft  atomic.Bool // that host is leaving
 
-	mu        sync.Mutex // guards running and idleSince
+	mu        sync.Mutex // guards all below
 	running   *database.Conn
+	cancelled bool // a cancel request was sent for running
 	idleSince time.Time
 }
 
@@ -88,7 +92,7 @@
 		if s.tx != nil {
 			return nil, errkind.New(errkind.DeadlineNotRun, "transaction idle for over %s", idleInTransaction)
 		}
-		if s.host.leaving() {
+		if s.host.leaving() || s.viaLeft.Load() {
 			return nil, errkind.New(errkind.Leaving, "")
 		}
 		s.conn.SetReadDeadline(time.Time{})
@@ -106,7 +110,11 @@
 		s.dropTransaction()
 	}
 	s.host.metrics.refused(known.Kind)
-	if s.conn.Refuse(known, s.txStatus()) != nil || known.Kind.Answer().Fatal {
+	if s.conn.Refuse(known, s.txStatus()) != nil {
+		return errCaller
+	}
+	if known.Kind.Answer().Fatal {
+		s.conn.Linger()
 		return errCaller
 	}
 	return nil
@@ -124,9 +132,14 @@
 	s.conn.Close()
 }
 
-// setRunning names the connection that a cancel request would reach.
+// setRunning names the connection that a cancel request would reach. One that
+// was reached is not used by other sessions: the cancel may still be to come.
 func (s *session) setRunning(c *database.Conn) {
 	s.mu.Lock()
+	if s.cancelled {
+		s.running.Retire()
+		s.cancelled = false
+	}
 	s.running = c
 	s.mu.Unlock()
 }
@@ -138,17 +151,19 @@
 	if s.running == nil {
 		return
 	}
+	s.cancelled = true
 	if err := s.running.Cancel(ctx); err != nil {
 		s.host.log.Warn("Cancel did not reach the database.", "part", "session", "error", err)
 	}
 }
 
-// expire wakes an idle session of a leaving host so that it ends.
+// expire wakes an idle session of a leaving host so that it ends. A session
+// with an open transaction is left alone: the end of the grace cuts it off.
 func (s *session) expire(now time.Time, force bool) {
 	s.mu.Lock()
 	idle := now.Sub(s.idleSince)
 	s.mu.Unlock()
-	if s.busy.Load() || (!force && idle < idleBeforeLeaving) {
+	if s.busy.Load() || s.pinned.Load() || (!force && idle < idleBeforeLeaving) {
 		return
 	}
 	s.conn.SetReadDeadline(now)
@@ -171,8 +186,11 @@
 	return s.write(rest)
 }
 
-func (s *session) write(buf []byte) error {
-	if err := s.conn.Write(buf); err != nil {
+func (s *session) write(buf []byte) error { return s.writeBy(buf, time.Time{}) }
+
+// writeBy is write with a deadline, zero for none.
+func (s *session) writeBy(buf []byte, deadline time.Time) error {
+	if err := s.conn.WriteBy(buf, deadline); err != nil {
 		return errors.Join(errCaller, err)
 	}
 	return nil
--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -21,12 +21,50 @@
 	TokenParameter = "bronzeloft.token" // startup option, and ParameterStatus after a write
 )
 
+// maxKeyBytes bounds the messages of a caller that has not shown a key yet.
+const maxKeyBytes = 4 << 10
+
 // maxStartupTries bounds the encryption requests before the startup message.
 const maxStartupTries = 3
 
+// lingerTime bounds the wait for a refused caller to close its side.
+const lingerTime = 500 * time.Millisecond
+
 // writeTimeout is how long a caller may leave an answer unread.
 const writeTimeout = 30 * time.Second
 
+// Attach returns the connection of a caller whose startup another host has
+// done: what follows on nc is what comes after the password.
+func Attach(nc net.Conn) *Conn {
+	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	return c
+}
+
+// Relay copies bytes both ways between the caller and stream, through buffers
+// of the given size, until either side ends. It closes both.
+func (c *Conn) Relay(stream net.Conn, buffer int) {
+	c.net.SetDeadline(time.Time{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		io.CopyBuffer(onlyWriter{stream}, onlyReader{c.net}, make([]byte, buffer))
+		stream.Close()
+	}()
+	io.CopyBuffer(onlyWriter{c.net}, onlyReader{stream}, make([]byte, buffer))
+	c.Linger()
+	c.net.Close()
+	stream.Close()
+	<-done
+}
+
+// onlyReader and onlyWriter hide the methods by which io.CopyBuffer would pass
+// over its buffer.
+type (
+	onlyReader struct{ io.Reader }
+	onlyWriter struct{ io.Writer }
+)
+
 // Startup is what a caller said first. Cancel is set when it only asked to
 // cancel a statement.
 type Startup struct {
@@ -43,6 +81,7 @@
 	net     net.Conn
 	backend *pgproto3.Backend
 	out     []byte
+	told    bool // of the error of the batch that is being read
 }
 
 // Accept reads the startup, over TLS when config is set. A caller that does
@@ -50,7 +89,7 @@
 func Accept(nc net.Conn, config *tls.Config, timeout time.Duration) (*Conn, Startup, error) {
 	nc.SetDeadline(time.Now().Add(timeout))
 	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	c.backend.SetMaxBodyLen(maxKeyBytes)
 	secure := false
 	for range maxStartupTries {
 		msg, err := c.backend.ReceiveStartupMessage()
@@ -93,7 +132,7 @@
 	}
 	c.net = tc
 	c.backend = pgproto3.NewBackend(tc, tc)
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	c.backend.SetMaxBodyLen(maxKeyBytes)
 	return nil
 }
 
@@ -130,7 +169,7 @@
 	}
 	msg, err := c.backend.Receive()
 	if err != nil {
-		return "", err
+		return "", receiveError(err)
 	}
 	m, ok := msg.(*pgproto3.PasswordMessage)
 	if !ok {
@@ -155,6 +194,7 @@
 	}
 	err := c.Send(msgs...)
 	c.net.SetDeadline(time.Time{})
+	c.backend.SetMaxBodyLen(MaxMessageBytes)
 	return err
 }
 
@@ -189,6 +229,39 @@
 			if bad == nil {
 				bad = b.add(msg)
 			}
+			if _, ok := msg.(*pgproto3.Flush); ok {
+				if err := c.tell(bad); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+}
+
+// tell answers err ahead of Sync, since a caller that sent Flush may wait for
+// an answer before it sends more.
+func (c *Conn) tell(err error) error {
+	if c.told {
+		return nil
+	}
+	c.told = true
+	return c.Send(ErrorMessage(err))
+}
+
+// ReceiveCopy returns the next message of a COPY: data, its end, or its
+// failure. It is valid until the next call.
+func (c *Conn) ReceiveCopy() (pgproto3.FrontendMessage, error) {
+	for {
+		msg, err := c.backend.Receive()
+		if err != nil {
+			return nil, receiveError(err)
+		}
+		switch msg.(type) {
+		case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+			return msg, nil
+		case *pgproto3.Sync, *pgproto3.Flush: // without meaning during a COPY
+		default:
+			return nil, errkind.New(errkind.Protocol, "%T during COPY", msg)
 		}
 	}
 }
@@ -203,7 +276,8 @@
 	}
 	var large *pgproto3.ExceededMaxBodyLenErr
 	if errors.As(err, &large) {
-		return &errkind.Error{Kind: errkind.TooLarge, Detail: "message", Err: err}
+		// Fatal: the body is unread, and must not be taken for messages.
+		return errkind.Wrap(errkind.Protocol, err, "message over its size limit")
 	}
 	return errkind.Wrap(errkind.Protocol, err, "")
 }
@@ -221,8 +295,16 @@
 }
 
 // Write writes messages that are already encoded.
-func (c *Conn) Write(buf []byte) error {
-	c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+func (c *Conn) Write(buf []byte) error { return c.WriteBy(buf, time.Time{}) }
+
+// WriteBy is Write with a deadline, for a writer that holds what others wait
+// for. The zero time sets none.
+func (c *Conn) WriteBy(buf []byte, deadline time.Time) error {
+	limit := time.Now().Add(writeTimeout)
+	if !deadline.IsZero() && deadline.Before(limit) {
+		limit = deadline
+	}
+	c.net.SetWriteDeadline(limit)
 	_, err := c.net.Write(buf)
 	return err
 }
@@ -230,7 +312,11 @@
 // Refuse tells the caller of err by its kind, and that it may go on with the
 // given transaction status unless the kind is fatal.
 func (c *Conn) Refuse(err error, txStatus byte) error {
-	msgs := []pgproto3.BackendMessage{ErrorMessage(err)}
+	var msgs []pgproto3.BackendMessage
+	if !c.told {
+		msgs = append(msgs, ErrorMessage(err))
+	}
+	c.told = false
 	if !errkind.Of(err).Answer().Fatal {
 		msgs = append(msgs, &pgproto3.ReadyForQuery{TxStatus: txStatus})
 	}
@@ -262,6 +348,18 @@
 	}
 }
 
+// Linger closes the sending side and discards what still comes in for a
+// moment: closing with unread data would reset the connection, and the caller
+// might lose the last answer.
+func (c *Conn) Linger() {
+	type writeCloser interface{ CloseWrite() error }
+	if wc, ok := c.net.(writeCloser); ok {
+		wc.CloseWrite()
+	}
+	c.net.SetReadDeadline(time.Now().Add(lingerTime))
+	io.Copy(io.Discard, c.net)
+}
+
 // SetReadDeadline bounds the wait for the next request.
 func (c *Conn) SetReadDeadline(t time.Time) { c.net.SetReadDeadline(t) }
 
