--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -125,9 +125,14 @@
 		Expect(err).To(MatchError(os.ErrNotExist))
 	})
 
-	It("accepts the example", func() {
-		_, err := settings.Load("../examples/host.toml")
+	It("accepts the examples", func() {
+		paths, err := filepath.Glob("../examples/hosts/*.toml")
 		Expect(err).NotTo(HaveOccurred())
+		Expect(paths).NotTo(BeEmpty())
+		for _, path := range paths {
+			_, err := settings.Load(path)
+			Expect(err).NotTo(HaveOccurred())
+		}
 	})
 
 	It("describes every setting once, with defaults that pass", func() {
