Read callers through a buffer that only busy ones hold

Cause: an idle caller cost 15.2 KB at both ends of its connection, of which a bare TCP connection is 1.9 KB; the wire codec keeps an 8 KB buffer for each. Ruled out: the codec's own buffer pool, which it fills again before it blocks. Change: messages are framed here and decoded by the codec's types; the buffer comes from a pool with a message's first byte. A message cut by a timeout ends the connection, and bytes sent ahead of a TLS handshake are refused. A host is ready once it knows which groups it serves; the TLS spec waits for that instead of the configuration alone, which is stricter.

--- a/host/bench_test.go
+++ b/host/bench_test.go
@@ -71,7 +71,7 @@
 func BenchmarkStatement(b *testing.B) {
 	site, key := benchSite(b)
 	primary := site.Databases["orders-1"].Addr()
-	direct := fmt.Sprintf("postgres://bronzeloft:%s@%s/main?sslmode=disable", "database-login", primary)
+	direct := fmt.Sprintf("postgres://bronzeloft:%s@%s/main?sslmode=disable", loopback.DatabasePassword, primary)
 	b.Run("direct", func(b *testing.B) { benchQuery(b, direct, selectOrder) })
 	b.Run("aged", func(b *testing.B) {
 		benchQuery(b, proxyURL(site, key, "&bronzeloft.token="), "/*request='order.browse'*/ "+selectOrder)
--- a/host/host.go
+++ b/host/host.go
@@ -203,9 +203,9 @@
 func (h *Host) Settings() *settings.Host { return h.set }
 
 // Ready reports whether the host should get callers: it has a configuration,
-// its standing shares of rates accrue, and it is not leaving.
+// knows what to serve, its standing shares of rates accrue, and it is not leaving.
 func (h *Host) Ready() bool {
-	return !h.leaving() && h.view.Load().snap.Version > 0 && h.rates.settled()
+	return !h.leaving() && h.view.Load().snap.Version > 0 && h.members.serving.looked.Load() && h.rates.settled()
 }
 
 // defaultServingHosts is how many hosts of a data centre serve one group when
--- a/host/relay.go
+++ b/host/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -163,11 +164,12 @@
 	return next
 }
 
-// serving keeps the runners in step with the groups that this host serves.
+// serving keeps the runners in step with the groups that this host serves. Its
+// fields are used by the goroutine that calls check, but for looked.
 type serving struct {
 	host    *Host
 	checked time.Time
-	waited  bool                 // the first look was made
+	looked  atomic.Bool          // the first look was made
 	unused  map[string]time.Time // since when a group is neither served nor used
 }
 
@@ -184,10 +186,10 @@
 // whenever the configuration changed.
 func (s *serving) check(changed bool) {
 	now := s.host.now()
-	if !s.host.membersKnown() || !changed && s.waited && now.Sub(s.checked) < servingEvery {
+	if !s.host.membersKnown() || !changed && s.looked.Load() && now.Sub(s.checked) < servingEvery {
 		return
 	}
-	s.waited = true
+	defer s.looked.Store(true)
 	s.checked = now
 	used := s.used()
 	var start, stop []string
--- a/host/wire_test.go
+++ b/host/wire_test.go
@@ -416,7 +416,7 @@
 		})
 		Expect(h.Start()).To(Succeed())
 		DeferCleanup(h.Close)
-		Eventually(func() bool { return h.Status().ConfigVersion > 0 && h.Status().Groups[0].Established }).WithTimeout(10 * time.Second).Should(BeTrue())
+		Eventually(func() bool { return h.Ready() && h.Status().Groups[0].Established }).WithTimeout(10 * time.Second).Should(BeTrue())
 		cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=require", key, h.CallerAddr()))
 		Expect(err).NotTo(HaveOccurred())
 		cfg.TLSConfig = &tls.Config{RootCAs: pool, ServerName: "localhost"}
--- a/internal/loopback/site.go
+++ b/internal/loopback/site.go
@@ -19,8 +19,8 @@
 	"github.com/bronzeloft/bronzeloft/settings"
 )
 
-// databasePassword is what hosts present to the stand-in databases.
-const databasePassword = "database-login"
+// DatabasePassword is what hosts present to the stand-in databases.
+const DatabasePassword = "database-login"
 
 // Config says what a Site holds.
 type Config struct {
@@ -116,7 +116,7 @@
 			}
 			cfg := dbserver.Config{
 				ID:         db.ID,
-				Password:   databasePassword,
+				Password:   DatabasePassword,
 				MaxConns:   svc.MaxConns,
 				Slots:      svc.Slots,
 				Primary:    j == 0,
@@ -156,7 +156,7 @@
 		Host:      settings.Identity{ID: fmt.Sprintf("host-%d", i+1), DataCentre: centres[i%len(centres)]},
 		Callers:   settings.Callers{Listen: "127.0.0.1:0", MaxConnections: 10_000, StartupTimeout: 5 * time.Second},
 		Peers:     settings.Peers{Listen: "127.0.0.1:0"},
-		Databases: settings.Databases{User: "bronzeloft", Password: databasePassword, ConnectTimeout: time.Second},
+		Databases: settings.Databases{User: "bronzeloft", Password: DatabasePassword, ConnectTimeout: time.Second},
 		Admin:     settings.Admin{Listen: "127.0.0.1:0"},
 		Shutdown:  settings.Shutdown{Grace: 5 * time.Second},
 	}
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,113 @@
+// Package measure runs the measurements that docs/CAPACITY.md and
+// docs/PROMISES.md cite, each with its baselines in the same run.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
+)
+
+// quiet keeps the hosts of a measurement from logging.
+var quiet = slog.New(slog.DiscardHandler)
+
+// bareSite starts one host, with no rate limit in its way, before the given
+// number of groups of three databases.
+func bareSite(ctx context.Context, groups int, tap func([]byte)) (*loopback.Site, loopback.Key, error) {
+	key := loopback.MustKey("shop")
+	snap := loopback.OneService(key.Stored)
+	snap.Version = 1
+	snap.Customers[0].Rate = 1e9
+	snap.Customers[0].Burst = 1e9
+	snap.Services[0].MaxConns = 300
+	snap.Services[0].Slots = 200
+	first := snap.Services[0]
+	for g := 1; g < groups; g++ {
+		snap.Services = append(snap.Services, renamed(first, g))
+	}
+	site, err := loopback.Start(loopback.Config{
+		Hosts:    1,
+		Snapshot: snap,
+		Logger:   quiet,
+		Database: func(_ string, cfg *dbserver.Config) { cfg.Tap = tap },
+	})
+	if err != nil {
+		return nil, key, err
+	}
+	site.Hosts[0].Offer(site.Snapshot, "measure")
+	if err := site.WaitReady(ctx, 1); err != nil {
+		site.Close()
+		return nil, key, err
+	}
+	return site, key, nil
+}
+
+// renamed returns a copy of svc as another service on databases of its own.
+func renamed(svc contract.Service, n int) contract.Service {
+	svc.Name = fmt.Sprintf("%s%d", svc.Name, n)
+	svc.Group = svc.Name
+	dbs := make([]contract.Database, len(svc.Databases))
+	for i, db := range svc.Databases {
+		dbs[i] = contract.Database{ID: fmt.Sprintf("%s-%d", svc.Name, i+1), DataCentre: db.DataCentre}
+	}
+	svc.Databases = dbs
+	return svc
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memoryInUse returns the bytes of heap and stacks in use after a collection.
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// slope returns the least-squares slope of y over x.
+func slope(x, y []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(x))
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+func connectURL(site *loopback.Site, key, options string) string {
+	return fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=disable%s", key, site.Hosts[0].CallerAddr(), options)
+}
+
+func prepareOrders(ctx context.Context, url string) error {
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	for _, sql := range []string{"CREATE TABLE orders (id INTEGER PRIMARY KEY, tiles INTEGER)", "INSERT INTO orders VALUES (1, 10)"} {
+		if _, err := conn.Exec(ctx, sql); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/link/caller/batch.go
+++ b/link/caller/batch.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"bytes"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -24,36 +22,13 @@
 	bytes    int
 }
 
-// add copies msg into the batch, since the decoder reuses its messages.
-func (b *Batch) add(msg pgproto3.FrontendMessage) error {
+// add appends a message whose body has the given size.
+func (b *Batch) add(msg pgproto3.FrontendMessage, size int) error {
 	if len(b.Messages) >= MaxBatchMessages {
 		return errkind.New(errkind.TooLarge, "over %d messages before Sync", MaxBatchMessages)
 	}
-	var size int
-	switch m := msg.(type) {
-	case *pgproto3.Parse:
-		c := *m
-		c.ParameterOIDs = append([]uint32(nil), m.ParameterOIDs...)
-		size = len(c.Name) + len(c.Query) + 4*len(c.ParameterOIDs)
-		msg = &c
-	case *pgproto3.Bind:
-		c := copyBind(m)
-		size = bindBytes(c)
-		msg = c
-	case *pgproto3.Describe:
-		c := *m
-		size = len(c.Name)
-		msg = &c
-	case *pgproto3.Execute:
-		c := *m
-		size = len(c.Portal)
-		msg = &c
-	case *pgproto3.Close:
-		c := *m
-		size = len(c.Name)
-		msg = &c
-	case *pgproto3.Sync:
-		msg = &pgproto3.Sync{}
+	switch msg.(type) {
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close, *pgproto3.Sync:
 	default:
 		return errkind.New(errkind.NotSupported, "message %T", msg)
 	}
@@ -64,22 +39,3 @@
 	b.Messages = append(b.Messages, msg)
 	return nil
 }
-
-func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
-	c := *m
-	c.ParameterFormatCodes = append([]int16(nil), m.ParameterFormatCodes...)
-	c.ResultFormatCodes = append([]int16(nil), m.ResultFormatCodes...)
-	c.Parameters = make([][]byte, len(m.Parameters))
-	for i, p := range m.Parameters {
-		c.Parameters[i] = bytes.Clone(p)
-	}
-	return &c
-}
-
-func bindBytes(m *pgproto3.Bind) int {
-	n := len(m.DestinationPortal) + len(m.PreparedStatement) + 2*len(m.ParameterFormatCodes) + 2*len(m.ResultFormatCodes)
-	for _, p := range m.Parameters {
-		n += len(p)
-	}
-	return n
-}
--- a/link/caller/conn.go
+++ b/link/caller/conn.go
@@ -36,9 +36,7 @@
 // Attach returns the connection of a caller whose startup another host has
 // done: what follows on nc is what comes after the password.
 func Attach(nc net.Conn) *Conn {
-	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
-	return c
+	return &Conn{net: nc, in: messageReader{src: nc, max: MaxMessageBytes}}
 }
 
 // Relay copies bytes both ways between the caller and stream, through buffers
@@ -78,21 +76,20 @@
 // Conn is a caller's connection. Reads and writes are each used by one
 // goroutine at a time.
 type Conn struct {
-	net     net.Conn
-	backend *pgproto3.Backend
-	out     []byte
-	told    bool // of the error of the batch that is being read
+	net  net.Conn
+	in   messageReader
+	out  []byte
+	told bool // of the error of the batch that is being read
 }
 
 // Accept reads the startup, over TLS when config is set. A caller that does
 // not ask for TLS is then refused.
 func Accept(nc net.Conn, config *tls.Config, timeout time.Duration) (*Conn, Startup, error) {
 	nc.SetDeadline(time.Now().Add(timeout))
-	c := &Conn{net: nc, backend: pgproto3.NewBackend(nc, nc)}
-	c.backend.SetMaxBodyLen(maxKeyBytes)
+	c := &Conn{net: nc, in: messageReader{src: nc, max: maxKeyBytes}}
 	secure := false
 	for range maxStartupTries {
-		msg, err := c.backend.ReceiveStartupMessage()
+		msg, err := c.in.startup()
 		if err != nil {
 			return c, Startup{}, err
 		}
@@ -123,6 +120,9 @@
 		_, err := c.net.Write([]byte{'N'})
 		return err
 	}
+	if c.in.buf != nil {
+		return errkind.New(errkind.Protocol, "bytes ahead of the TLS handshake")
+	}
 	if _, err := c.net.Write([]byte{'S'}); err != nil {
 		return err
 	}
@@ -131,8 +131,7 @@
 		return eris.Wrap(err, "TLS handshake")
 	}
 	c.net = tc
-	c.backend = pgproto3.NewBackend(tc, tc)
-	c.backend.SetMaxBodyLen(maxKeyBytes)
+	c.in.src = tc
 	return nil
 }
 
@@ -164,12 +163,9 @@
 	if err := c.Send(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
 		return "", err
 	}
-	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
-		return "", err
-	}
-	msg, err := c.backend.Receive()
+	msg, _, err := c.in.next()
 	if err != nil {
-		return "", receiveError(err)
+		return "", err
 	}
 	m, ok := msg.(*pgproto3.PasswordMessage)
 	if !ok {
@@ -194,7 +190,7 @@
 	}
 	err := c.Send(msgs...)
 	c.net.SetDeadline(time.Time{})
-	c.backend.SetMaxBodyLen(MaxMessageBytes)
+	c.in.max = MaxMessageBytes
 	return err
 }
 
@@ -205,9 +201,9 @@
 	b := &Batch{}
 	var bad error
 	for {
-		msg, err := c.backend.Receive()
+		msg, size, err := c.in.next()
 		if err != nil {
-			return nil, receiveError(err)
+			return nil, receiveError(b, err)
 		}
 		switch m := msg.(type) {
 		case *pgproto3.Terminate:
@@ -218,16 +214,16 @@
 			}
 			b.Simple = true
 			b.SQL = m.String
-			b.Messages = []pgproto3.FrontendMessage{&pgproto3.Query{String: m.String}}
+			b.Messages = []pgproto3.FrontendMessage{m}
 			return b, nil
 		case *pgproto3.Sync:
 			if bad != nil {
 				return nil, bad
 			}
-			return b, b.add(m)
+			return b, b.add(m, size)
 		default:
 			if bad == nil {
-				bad = b.add(msg)
+				bad = b.add(msg, size)
 			}
 			if _, ok := msg.(*pgproto3.Flush); ok {
 				if err := c.tell(bad); err != nil {
@@ -249,12 +245,12 @@
 }
 
 // ReceiveCopy returns the next message of a COPY: data, its end, or its
-// failure. It is valid until the next call.
+// failure.
 func (c *Conn) ReceiveCopy() (pgproto3.FrontendMessage, error) {
 	for {
-		msg, err := c.backend.Receive()
+		msg, _, err := c.in.next()
 		if err != nil {
-			return nil, receiveError(err)
+			return nil, err
 		}
 		switch msg.(type) {
 		case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
@@ -266,20 +262,16 @@
 	}
 }
 
-func receiveError(err error) error {
+// receiveError is what Receive returns after it has read part of a batch. A
+// timeout is passed on only where nothing was read.
+func receiveError(b *Batch, err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return io.EOF
 	}
-	var ne net.Error
-	if errors.As(err, &ne) {
-		return err
-	}
-	var large *pgproto3.ExceededMaxBodyLenErr
-	if errors.As(err, &large) {
-		// Fatal: the body is unread, and must not be taken for messages.
-		return errkind.Wrap(errkind.Protocol, err, "message over its size limit")
+	if len(b.Messages) > 0 {
+		return brokeOff(err)
 	}
-	return errkind.Wrap(errkind.Protocol, err, "")
+	return err
 }
 
 // Send encodes and writes the messages.
