--- a/internal/matrix/cases.go
+++ b/internal/matrix/cases.go
@@ -8,9 +8,9 @@
 
 // Phases of a case.
 const (
-	warmUp    = 600 * time.Millisecond  // the first primary is promoted
-	faultTime = 1200 * time.Millisecond // from the fault to its end
-	recovery  = 1500 * time.Millisecond // within which service must be back
+	warmUp    = 450 * time.Millisecond  // the first primary is promoted
+	faultTime = 1000 * time.Millisecond // from the fault to its end
+	recovery  = 1400 * time.Millisecond // within which service must be back
 	lastSpell = 400 * time.Millisecond  // reads and writes must succeed in it
 )
 
