Repeat claim steps less often, and count control operations

Cause: a frozen database gathered many repeats of one fence. Change: a step of a claim is repeated after half a probe time-out, or soon after an error; quiet spells report control operations per host.

--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -86,7 +86,7 @@
 	if c.state == Fencing && t.fencingDone(now) {
 		return t.promote(now)
 	}
-	if now.Sub(c.sentAt) < 4*t.t.RetryInterval {
+	if now.Sub(c.sentAt) < t.t.ProbeTimeout/2 {
 		return nil
 	}
 	switch c.state {
@@ -261,7 +261,11 @@
 // claimResult takes the answer to an operation of the claim.
 func (t *Table) claimResult(m *member, op groupsql.Op, r groupsql.Report, err error, now time.Time) []Action {
 	c := &t.claim
-	if err != nil || !c.active() || op.Term != c.term || op.Claimant != c.id {
+	if !c.active() || op.Term != c.term || op.Claimant != c.id {
+		return nil
+	}
+	if err != nil {
+		c.sentAt = now.Add(t.t.RetryInterval - t.t.ProbeTimeout/2) // sent again soon
 		return nil
 	}
 	ours := r.OK && r.Accepted == c.term && r.Claimant == c.id
--- a/internal/matrix/host.go
+++ b/internal/matrix/host.go
@@ -24,15 +24,16 @@
 // host models an entry host: a table, and callers' operations that wait on it.
 type host struct {
 	node
-	w       *World
-	rank    int
-	table   *group.Table
-	tickAt  time.Time
-	waiting []*operation
-	views   map[uint64]time.Time // when this host first held each term
-	claims  []group.ClaimTimes
-	polling bool
-	ends    []logEnd // latest reports of primaries, oldest first
+	w        *World
+	rank     int
+	table    *group.Table
+	tickAt   time.Time
+	waiting  []*operation
+	views    map[uint64]time.Time // when this host first held each term
+	claims   []group.ClaimTimes
+	polling  bool
+	controls int      // control operations sent
+	ends     []logEnd // latest reports of primaries, oldest first
 }
 
 // logEnd is a position that a primary reported to a probe.
@@ -156,6 +157,7 @@
 	if d == nil {
 		return
 	}
+	h.controls++
 	h.w.step(sendSteps[s.Op.Kind], h, d)
 	sentAt, done := h.w.now, false
 	finish := func(r groupsql.Report, err error) {
--- a/internal/matrix/quiet.go
+++ b/internal/matrix/quiet.go
@@ -14,6 +14,8 @@
 	Pauses     int     `json:"pauses"` // of databases, hosts and paths
 	Claims     int     `json:"claims"` // besides the first
 	Promotions int     `json:"falsePromotions"`
+	BusiestOps float64 `json:"busiestHostOps"` // control operations a second
+	MeanOps    float64 `json:"meanHostOps"`
 	Violation  string  `json:"violation,omitempty"`
 }
 
@@ -44,6 +46,12 @@
 	out.Claims = w.oracle.counts.Claims - claims
 	out.Promotions = w.oracle.counts.Promotions - promotions
 	out.Violation = w.oracle.violation
+	sum := 0
+	for _, h := range w.hosts {
+		sum += h.controls
+		out.BusiestOps = max(out.BusiestOps, float64(h.controls)/w.Elapsed().Seconds())
+	}
+	out.MeanOps = float64(sum) / float64(len(w.hosts)) / w.Elapsed().Seconds()
 	return out
 }
 
