--- a/database/group/table.go
+++ b/database/group/table.go
@@ -68,7 +68,7 @@
 }
 
 // SetMembers replaces the group's members; what is known of those that stay is
-// kept. Members change by one database at a time.
+// kept. Members change by one database at a time. The host calls Tick next.
 func (t *Table) SetMembers(members []Member, now time.Time) {
 	if len(members) > MaxMembers {
 		members = members[:MaxMembers]
