--- /dev/null
+++ b/internal/live/rig.go
@@ -0,0 +1,210 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/host"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
+	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
+)
+
+// Limits of a rig.
+const (
+	readyLimit      = 20 * time.Second
+	requestDeadline = 1500 * time.Millisecond
+	connectLimit    = 2 * time.Second
+	keyPartBytes    = 16 // of a secret, by which it is known in a stream
+)
+
+// Rig is a running site with the switches that faults need. Cells use it one
+// after another.
+type Rig struct {
+	Site      *loopback.Site
+	Platform  *platformserver.Server
+	Addresses []string // of hosts, for callers; a replaced host keeps its own
+	key       string
+
+	hosts   sync.Mutex // held while a host is replaced
+	secrets atomic.Pointer[[][]byte]
+	leaked  atomic.Bool // a database saw part of a key
+}
+
+// StartRig starts three hosts, three databases and a platform.
+func StartRig(ctx context.Context) (*Rig, error) {
+	r := &Rig{}
+	r.secrets.Store(&[][]byte{})
+	var err error
+	if r.Platform, err = platformserver.Start(platformserver.Config{}); err != nil {
+		return nil, err
+	}
+	key := loopback.MustKey("shop-key")
+	r.key = key.Plaintext
+	r.guard(key.Plaintext)
+	snap := loopback.OneService(key.Stored)
+	for i := range snap.Services[0].Requests {
+		snap.Services[0].Requests[i].Deadline = requestDeadline
+	}
+	r.Site, err = loopback.Start(loopback.Config{
+		Snapshot:    snap,
+		Hosts:       3,
+		PlatformURL: r.Platform.URL(),
+		Logger:      slog.New(slog.DiscardHandler),
+		Database:    func(_ string, cfg *dbserver.Config) { cfg.Tap = r.tap },
+	})
+	if err != nil {
+		r.Platform.Close()
+		return nil, err
+	}
+	if err := r.prepare(ctx); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Rig) prepare(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	res, err := contract.Publish(ctx, r.Site.Client(), r.Site.Snapshot, contract.PublishOptions{Operator: "live"})
+	if err != nil {
+		return eris.Wrap(err, "publish")
+	}
+	if err := r.Site.WaitReady(ctx, res.Version); err != nil {
+		return err
+	}
+	for _, h := range r.Site.Hosts {
+		r.Addresses = append(r.Addresses, h.CallerAddr())
+	}
+	conn, err := r.Connect(ctx, 0, r.key)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	_, err = conn.Exec(ctx, "CREATE TABLE orders (id TEXT, part INTEGER)")
+	return eris.Wrap(err, "create table")
+}
+
+// Close stops the rig.
+func (r *Rig) Close() {
+	r.Site.Close()
+	r.Platform.Close()
+}
+
+// guard makes the databases' taps look for the secret of a key.
+func (r *Rig) guard(key string) {
+	_, secret, _ := bytes.Cut([]byte(key), []byte("."))
+	all := append([][]byte{secret[:keyPartBytes], secret[len(secret)-keyPartBytes:]}, *r.secrets.Load()...)
+	r.secrets.Store(&all)
+}
+
+func (r *Rig) tap(b []byte) {
+	for _, s := range *r.secrets.Load() {
+		if bytes.Contains(b, s) {
+			r.leaked.Store(true)
+		}
+	}
+}
+
+// Connect connects to a host as the customer.
+func (r *Rig) Connect(ctx context.Context, host int, key string) (*pgx.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	defer cancel()
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://shop:%s@%s/orders?sslmode=disable", key, r.Addresses[host]))
+}
+
+// Primary returns the primary that the first host knows.
+func (r *Rig) Primary() *dbserver.Server {
+	if db := r.Site.Databases[r.primaryID()]; db != nil {
+		return db
+	}
+	return r.Site.Databases["orders-1"]
+}
+
+func (r *Rig) primaryID() string { return r.Site.Hosts[0].Status().Groups[0].Primary }
+
+// Replicas returns the databases that the first host does not know as primary.
+func (r *Rig) Replicas() []*dbserver.Server {
+	primary := r.Primary()
+	var list []*dbserver.Server
+	for i := range len(r.Site.Databases) {
+		if db := r.Site.Databases[fmt.Sprintf("orders-%d", i+1)]; db != primary {
+			list = append(list, db)
+		}
+	}
+	return list
+}
+
+// Host returns host i; no replacement may be under way.
+func (r *Rig) Host(i int) *host.Host {
+	r.hosts.Lock()
+	defer r.hosts.Unlock()
+	return r.Site.Hosts[i]
+}
+
+// KillHost ends host i at once, Replace starts another in its place; one that
+// still runs is drained first.
+func (r *Rig) KillHost(i int) { r.Host(i).Close() }
+
+// Replace starts another host at the addresses of host i, after that has left.
+func (r *Rig) Replace(ctx context.Context, i int) error {
+	r.hosts.Lock()
+	defer r.hosts.Unlock()
+	return r.Site.ReplaceHost(ctx, i)
+}
+
+// WaitReady waits until writes are answered through every host.
+func (r *Rig) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for i := range r.Addresses {
+		if err := r.probe(ctx, i); err != nil {
+			return eris.Wrapf(err, "host %d does not serve again", i)
+		}
+	}
+	return r.Site.WaitReady(ctx, 0)
+}
+
+func (r *Rig) probe(ctx context.Context, i int) error {
+	for {
+		conn, err := r.Connect(ctx, i, r.key)
+		if err == nil {
+			_, err = conn.Exec(ctx, "/*request='order.place'*/ INSERT INTO orders VALUES ('probe', 1)")
+			conn.Close(ctx)
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// trace says where the databases' logs hold an order.
+func (r *Rig) trace(id string) []string {
+	var lines []string
+	for name, db := range r.Site.Databases {
+		report := db.Report()
+		lines = append(lines, fmt.Sprintf("%s: %+v", name, report))
+		for _, e := range db.Entries() {
+			if text := fmt.Sprintf("%+v", e); strings.Contains(text, id) {
+				lines = append(lines, fmt.Sprintf("%s: holds %s", name, text))
+			}
+		}
+	}
+	return lines
+}
