Never call a write done that was rolled back, or not run that may have run

The fault matrix on real sockets found both in "write with request id under cut replication of all replicas".

A request with an id was acknowledged although its transaction had failed: the error of the statement that keeps the answer was dropped, and the COMMIT of a failed transaction succeeds and rolls back. Such a try now counts as rolled back.

A write that is tried again was answered by its last try. Where an earlier one may have run, a refusal such as no_primary was wrong to say that the request did not run. It now says that the outcome is unknown.

--- /dev/null
+++ b/host/export_test.go
@@ -0,0 +1,11 @@
+package host
+
+// JoinTries returns what a caller is told after tries that ended in errs.
+func JoinTries(errs ...error) error {
+	var tries outcome
+	var err error
+	for _, e := range errs {
+		err = tries.add(e)
+	}
+	return err
+}
--- a/host/once.go
+++ b/host/once.go
@@ -57,8 +57,9 @@
 		return err
 	}
 	var wait backoff
+	var tries outcome
 	for {
-		err := s.onceOnPrimary(ctx, r)
+		err := tries.add(s.onceOnPrimary(ctx, r))
 		switch errkind.Of(err) {
 		case errkind.PrimaryReplaced, errkind.DatabaseUnavailable, errkind.OutcomeUnknown:
 		default:
@@ -178,13 +179,18 @@
 	if err := o.simple(append(extended(keepAnswer, o.r.customerID(), o.r.tags.RequestID, kept(answer)), &pgproto3.Query{String: "COMMIT"})...); err != nil {
 		return nil, err
 	}
-	if _, err := o.conn.Await(); err != nil && !isServerError(err) {
-		return nil, err
+	_, keepErr := o.conn.Await()
+	if keepErr != nil && !isServerError(keepErr) {
+		return nil, keepErr
 	}
 	if _, err := o.conn.Await(); err != nil {
 		return nil, o.commitFailure(err)
 	}
 	o.clean = o.conn.TxStatus() == 'I'
+	if keepErr != nil {
+		// COMMIT of a failed transaction succeeds and rolls back.
+		return nil, errkind.Wrap(errkind.PrimaryReplaced, keepErr, "transaction was rolled back")
+	}
 	return answer, nil
 }
 
--- a/host/wire_test.go
+++ b/host/wire_test.go
@@ -24,6 +24,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/host"
 	"github.com/bronzeloft/bronzeloft/internal/loopback"
 )
@@ -403,6 +404,27 @@
 		Expect(notRun).To(Equal(kind != "outcome_unknown"))
 	}, SpecTimeout(testLimit))
 
+	It("is not told of a request with an id whose transaction was rolled back at its end", func(ctx SpecContext) {
+		site, key := startSite(ctx)
+		conn := createOrders(ctx, site, key)
+		_, err := conn.Exec(ctx, `CREATE TABLE bronzeloft_requests (customer TEXT NOT NULL, id TEXT NOT NULL,
+			digest TEXT NOT NULL, created BIGINT NOT NULL, answer TEXT CHECK (answer IS NULL), PRIMARY KEY (customer, id))`)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Exec(ctx, "/*request='order.place',request_id='r'*/ INSERT INTO orders VALUES ('rolled back', 1)")
+		_, notRun := refusal(err)
+		Expect(notRun).To(BeTrue())
+		Expect(countWhere(ctx, conn, "rolled back")).To(BeZero())
+	}, SpecTimeout(testLimit))
+
+	It("is told that an outcome is unknown whatever a later try met", func() {
+		unknown, refused := errkind.New(errkind.OutcomeUnknown, ""), errkind.New(errkind.NoPrimary, "")
+		Expect(host.JoinTries(refused)).To(MatchError(refused))
+		Expect(host.JoinTries(unknown, refused)).To(MatchError(unknown))
+		Expect(host.JoinTries(unknown, refused, errkind.New(errkind.DeadlineNotRun, ""))).To(MatchError(unknown))
+		Expect(host.JoinTries(unknown, nil)).NotTo(HaveOccurred())
+		Expect(host.JoinTries(unknown, errkind.New(errkind.AnswerNotKept, ""))).NotTo(MatchError(unknown))
+	})
+
 	It("is encrypted where the host says so, and refused without", func(ctx SpecContext) {
 		site, key := startSite(ctx)
 		createOrders(ctx, site, key)
--- a/host/write.go
+++ b/host/write.go
@@ -25,8 +25,9 @@
 func (s *session) writeRequest(ctx context.Context, r *request) error {
 	s.host.retries.earn(s.customer)
 	var wait backoff
+	var tries outcome
 	for {
-		err := s.writeOnPrimary(ctx, r)
+		err := tries.add(s.writeOnPrimary(ctx, r))
 		if err == nil || !s.mayRepeat(r, err) {
 			return err
 		}
