--- a/internal/live/worker.go
+++ b/internal/live/worker.go
@@ -143,7 +143,10 @@
 			return notRun
 		}
 	}
-	_, err := w.conn.Exec(ctx, "/*request='order.place'*/ COMMIT")
+	tag, err := w.conn.Exec(ctx, "/*request='order.place'*/ COMMIT")
+	if err == nil && tag.String() != "COMMIT" {
+		return notRun // the transaction had failed
+	}
 	o.token = w.token()
 	if err != nil {
 		defer w.close()
