Keep connections and slots under a database's limits over the fleet

Cause: connections are scarce across all hosts, and a frozen host's sessions still count at the server. Ruled out: loans without an end, which a lost message or a restarted lender would leak; asking every holder what it holds. Loans have a term, renewed while in use, and the lender waits besides until the server has closed what a silent borrower left open. Change: database/budget, with a fuzzer against a server that counts sessions and six broken variants.

--- /dev/null
+++ b/database/budget/world_test.go
@@ -0,0 +1,322 @@
+package budget
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+)
+
+// mutant breaks one mechanism, to show that the oracle notices.
+type mutant string
+
+const (
+	whole             mutant = ""
+	creditBeforeDebit mutant = "credit before debit"
+	noExpiry          mutant = "no expiry"
+	noDuplicateCheck  mutant = "no duplicate check"
+	noRestartWait     mutant = "no restart wait"
+	oneStepRoster     mutant = "one-step roster"
+	noServerClose     mutant = "no time for the server to close"
+)
+
+// Timing of the fake fleet.
+const (
+	testLoanTerm    = time.Second
+	testServerClose = 2 * time.Second
+	testConfirmTerm = 3 * time.Second
+)
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	key   = poolKey{"db", Conns}
+)
+
+type node struct {
+	address, dc string
+	table       *Table
+	boot        int
+	frozen      bool
+	queue       []packet
+	open        int // sessions that the server counts for this process
+	snap        int
+}
+
+type packet struct {
+	at       time.Time
+	from, to string
+	msg      *peerpb.Envelope
+	copied   bool
+}
+
+// closing is a set of sessions that the server closes by itself.
+type closing struct {
+	at    time.Time
+	node  *node // nil when the process is gone
+	count int
+}
+
+// world is a fleet with fake links and time, and one server that counts its
+// sessions.
+type world struct {
+	rng      *rand.Rand
+	mutant   mutant
+	now      time.Time
+	nodes    []*node
+	packets  []packet
+	closings []closing
+	cut      map[[2]string]bool
+	loss     float64
+	dup      float64
+	rosters  []contract.Roster
+	nextID   uint64
+	open     int // sessions at the server
+	limit    int
+	worst    int // most sessions above the limit
+	messages int
+	refused  int
+	pending  map[uint64]*node
+}
+
+func fleet(seed uint64, m mutant, hosts, dcs, limit int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), mutant: m, now: epoch, limit: limit,
+		cut: map[[2]string]bool{}, pending: map[uint64]*node{}}
+	for i := range hosts {
+		w.addNode(fmt.Sprintf("10.0.%d.%d:7000", i%dcs, i), fmt.Sprintf("dc%d", i%dcs))
+	}
+	w.rosters = append(w.rosters, w.roster(w.nodes))
+	for _, n := range w.nodes {
+		w.apply(n)
+	}
+	w.run(2 * time.Second)
+	return w
+}
+
+func (w *world) roster(nodes []*node) contract.Roster {
+	r := contract.Roster{Version: uint64(len(w.rosters) + 1)}
+	for _, n := range nodes {
+		r.Hosts = append(r.Hosts, contract.RosterHost{Address: n.address, DataCentre: n.dc})
+	}
+	return r
+}
+
+func (w *world) addNode(address, dc string) *node {
+	n := &node{address: address, dc: dc}
+	w.nodes = append(w.nodes, n)
+	w.boot(n)
+	return n
+}
+
+// boot starts a new process at the node's address. The server goes on counting
+// the sessions of the old one for a while.
+func (w *world) boot(n *node) {
+	if n.open > 0 {
+		w.closings = append(w.closings, closing{w.now.Add(testServerClose), nil, n.open})
+	}
+	n.boot++
+	n.open, n.frozen, n.queue = 0, false, nil
+	cfg := Config{Self: n.address, DataCentre: n.dc, BootID: fmt.Sprintf("%s/%d", n.address, n.boot),
+		Started: w.now, LoanTerm: testLoanTerm, ServerClose: testServerClose, ConfirmTerm: testConfirmTerm}
+	if w.mutant == noRestartWait && n.boot > 1 {
+		cfg.Started = w.now.Add(-time.Hour)
+	}
+	if w.mutant == noServerClose {
+		cfg.ServerClose = time.Nanosecond
+	}
+	n.table = New(cfg)
+	if len(w.rosters) > 0 {
+		w.apply(n)
+	}
+}
+
+func (w *world) apply(n *node) {
+	n.snap = len(w.rosters) - 1
+	w.emit(n, n.table.Apply(w.rosters[n.snap], []Database{{ID: "db", Conns: w.limit}}, w.now))
+}
+
+func (w *world) find(address string) *node {
+	for _, n := range w.nodes {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) acquire(n *node, wait time.Duration) {
+	w.nextID++
+	id := w.nextID
+	v, out := n.table.Acquire(id, "db", Conns, w.now.Add(wait), w.now)
+	switch v {
+	case Admitted:
+		w.opened(n)
+	case Waiting:
+		w.pending[id] = n
+	case Refused:
+		w.refused++
+	}
+	w.emit(n, out)
+}
+
+func (w *world) opened(n *node) {
+	n.open++
+	w.open++
+	w.worst = max(w.worst, w.open-w.limit)
+}
+
+// release closes sessions of a node at both sides.
+func (w *world) release(n *node, count int) {
+	for range min(count, n.open) {
+		n.open--
+		w.open--
+		w.emit(n, n.table.Release("db", Conns, w.now))
+	}
+}
+
+func (w *world) emit(n *node, out Output) {
+	for _, id := range out.Admitted {
+		delete(w.pending, id)
+		w.opened(n)
+	}
+	for _, id := range out.Refused {
+		delete(w.pending, id)
+		w.refused++
+	}
+	for _, s := range out.Send {
+		w.send(n, s)
+	}
+	for _, c := range out.Close {
+		w.release(n, c.Count)
+	}
+}
+
+func (w *world) send(n *node, s Send) {
+	w.messages++
+	if q := s.Msg.GetRosterAck(); w.mutant == oneStepRoster && q != nil && q.Query {
+		a := &peerpb.RosterAck{RosterVersion: q.RosterVersion, QueryId: q.QueryId, Settled: true, Resource: resource}
+		w.packets = append(w.packets, packet{at: w.now, from: s.To, to: n.address,
+			msg: &peerpb.Envelope{Body: &peerpb.Envelope_RosterAck{RosterAck: a}}})
+		return
+	}
+	if w.rng.Float64() < w.loss {
+		return
+	}
+	w.post(n, s, false)
+	for w.rng.Float64() < w.dup {
+		w.post(n, s, true)
+	}
+}
+
+func (w *world) post(n *node, s Send, copied bool) {
+	delay := time.Duration(200+w.rng.IntN(2000)) * time.Microsecond
+	if w.loss > 0 && w.rng.IntN(20) == 0 {
+		delay += time.Duration(w.rng.IntN(3000)) * time.Millisecond
+	}
+	w.packets = append(w.packets, packet{w.now.Add(delay), n.address, s.To, s.Msg, copied})
+}
+
+func (w *world) deliver(p packet) {
+	from, to := w.find(p.from), w.find(p.to)
+	if to == nil || w.cut[[2]string{from.dc, to.dc}] || w.cut[[2]string{p.from, p.to}] {
+		return
+	}
+	if to.frozen {
+		to.queue = append(to.queue, p)
+		return
+	}
+	w.handle(to, p)
+}
+
+func (w *world) handle(to *node, p packet) {
+	pool := to.table.pools[key]
+	if g := p.msg.GetPermitGrant(); w.mutant == noDuplicateCheck && p.copied && g != nil && !g.Returned && g.Attempt == 0 {
+		pool.asks = append(pool.asks, &ask{to: p.from, id: g.RequestId, sent: w.now, until: w.now.Add(testLoanTerm)})
+	}
+	w.emit(to, to.table.Handle(p.from, p.msg, w.now))
+	for _, l := range pool.loans {
+		if w.mutant == creditBeforeDebit {
+			l.count = 0
+		}
+	}
+	for _, h := range pool.held {
+		if w.mutant == noExpiry {
+			h.until = w.now.Add(time.Hour)
+		}
+	}
+}
+
+func (w *world) freeze(n *node) {
+	n.frozen = true
+	w.closings = append(w.closings, closing{w.now.Add(testServerClose), n, n.open})
+}
+
+// wake runs a frozen node again, which first finds the sessions that the server
+// has closed.
+func (w *world) wake(n *node) {
+	n.frozen = false
+	for range n.table.pools[key].used - n.open {
+		w.emit(n, n.table.Release("db", Conns, w.now))
+	}
+	queue := n.queue
+	n.queue = nil
+	for _, p := range queue {
+		w.handle(n, p)
+	}
+}
+
+// closeDue lets the server close what silent clients left open.
+func (w *world) closeDue() {
+	w.closings = slices.DeleteFunc(w.closings, func(c closing) bool {
+		if c.at.After(w.now) {
+			return false
+		}
+		if c.node == nil {
+			w.open -= c.count
+		} else if c.node.frozen {
+			w.open -= c.node.open
+			c.node.open = 0
+		}
+		return true
+	})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		at, step := w.nextEvent()
+		if step == nil || at.After(end) {
+			w.now = end
+			w.closeDue()
+			return
+		}
+		if at.After(w.now) {
+			w.now = at
+		}
+		w.closeDue()
+		step()
+	}
+}
+
+func (w *world) nextEvent() (time.Time, func()) {
+	var at time.Time
+	var step func()
+	for i, p := range w.packets {
+		if step == nil || p.at.Before(at) {
+			at = p.at
+			step = func() {
+				w.packets = slices.Delete(w.packets, i, i+1)
+				w.deliver(p)
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		if next := n.table.Next(); !n.frozen && !next.IsZero() && (step == nil || next.Before(at)) {
+			at = next
+			step = func() { w.emit(n, n.table.Tick(w.now)) }
+		}
+	}
+	return at, step
+}
