Count running statements over the fleet; probe idle connections

Cause: each host let as many statements run on a database as the whole fleet may, so a database's own first-come queue undid the fair queues; idle connections could go silent unnoticed until a request met them. Ruled out for now: connections by the same permits. A restarted process must leave its share unused for as long as a server may keep a frozen host's sessions, 19 s, and a fleet that starts host by host was left with one host's share: a rolling replacement refused requests. Connections stay an even split of the limit. Change: slots move between hosts as permits with terms of 1 s; a host is ready when it may use its share; idle connections are probed every few seconds, and servers are told to close silent sessions after 15 s, so a transaction may idle for 10 s.

--- a/database/conn.go
+++ b/database/conn.go
@@ -24,6 +24,13 @@
 // TCP before the connection counts as broken.
 const userTimeout = 5 * time.Second
 
+// ServerClose is how long a server keeps the session of a client that is
+// silent: a frozen host's connections are gone after it.
+const ServerClose = 15 * time.Second
+
+// serverOptions make the server close the sessions of a silent host.
+var serverOptions = fmt.Sprintf("-c idle_session_timeout=%[1]d -c idle_in_transaction_session_timeout=%[1]d", ServerClose.Milliseconds())
+
 // Login is how the proxy logs into databases: credentials of its own, never a
 // caller's key.
 type Login struct {
@@ -47,15 +54,16 @@
 	ID      string // the database's id
 	Address string
 
-	net      net.Conn
-	frontend *pgproto3.Frontend
-	key      pgproto3.BackendKeyData
-	prepared map[string]bool
-	served   position.Position
-	status   byte
-	broken   bool
-	retired  bool // usable, but not by others
-	idleAt   time.Time
+	net       net.Conn
+	frontend  *pgproto3.Frontend
+	key       pgproto3.BackendKeyData
+	prepared  map[string]bool
+	served    position.Position
+	status    byte
+	broken    bool
+	retired   bool      // usable, but not by others
+	idleAt    time.Time // last used by a request
+	checkedAt time.Time // last known to answer
 }
 
 // Dial connects and logs in. The error is a *ServerError where the server
@@ -90,7 +98,12 @@
 func (c *Conn) login(login Login) error {
 	c.frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": login.User, "database": login.Database, "application_name": "bronzeloft"},
+		Parameters: map[string]string{
+			"user":             login.User,
+			"database":         login.Database,
+			"application_name": "bronzeloft",
+			"options":          serverOptions,
+		},
 	})
 	if err := c.frontend.Flush(); err != nil {
 		return eris.Wrap(err, "send startup")
@@ -238,11 +251,16 @@
 	if err := c.Cancel(ctx); err != nil {
 		return
 	}
+	deadline, _ := ctx.Deadline()
+	c.net.SetDeadline(deadline)
+	c.drain()
+}
+
+// drain closes the sending side and reads until the server closes its own.
+func (c *Conn) drain() {
 	if tc, ok := c.net.(*net.TCPConn); ok {
 		tc.CloseWrite()
 	}
-	deadline, _ := ctx.Deadline()
-	c.net.SetDeadline(deadline)
 	for {
 		if _, err := c.frontend.Receive(); err != nil {
 			return
--- a/database/pool.go
+++ b/database/pool.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 )
@@ -15,6 +17,9 @@
 	DefaultIdleTimeout = 60 * time.Second
 	// idleProbeTimeout bounds the probe of an idle connection.
 	idleProbeTimeout = 100 * time.Millisecond
+	// keepAliveAfter is the silence after which KeepAlive probes an idle
+	// connection; a server may close one that is silent for ServerClose.
+	keepAliveAfter = 4 * time.Second
 )
 
 // ErrPoolClosed reports a pool whose database left or was removed.
@@ -122,11 +127,13 @@
 // alive probes a connection that was idle for long, so that a silent one never
 // gets a request.
 func (p *Pool) alive(c *Conn) bool {
-	if p.cfg.Now().Sub(c.idleAt) < p.cfg.IdleProbeAfter {
+	now := p.cfg.Now()
+	if now.Sub(c.checkedAt) < p.cfg.IdleProbeAfter {
 		return true
 	}
-	c.SetDeadline(p.cfg.Now().Add(idleProbeTimeout))
+	c.SetDeadline(now.Add(idleProbeTimeout))
 	defer c.SetDeadline(time.Time{})
+	c.checkedAt = now
 	return c.probe() == nil
 }
 
@@ -138,6 +145,7 @@
 	}
 	c.SetDeadline(time.Time{})
 	c.idleAt = p.cfg.Now()
+	c.checkedAt = c.idleAt
 	p.mu.Lock()
 	if p.closed || p.open > p.max {
 		p.mu.Unlock()
@@ -197,6 +205,51 @@
 	}
 }
 
+// KeepAlive probes idle connections that were silent for long, so that the
+// server keeps them and silent ones are found before a request needs them.
+func (p *Pool) KeepAlive() {
+	cutoff := p.cfg.Now().Add(-keepAliveAfter)
+	for {
+		c := p.takeSilent(cutoff)
+		if c == nil {
+			return
+		}
+		c.checkedAt = time.Time{}
+		if p.alive(c) {
+			p.putBack(c)
+		} else {
+			p.discard(c)
+		}
+	}
+}
+
+// takeSilent takes an idle connection that was last heard before cutoff.
+func (p *Pool) takeSilent(cutoff time.Time) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range p.idle {
+		if c.checkedAt.Before(cutoff) {
+			p.idle = append(p.idle[:i:i], p.idle[i+1:]...)
+			return c
+		}
+	}
+	return nil
+}
+
+// putBack returns a probed connection to its place among the idle ones.
+func (p *Pool) putBack(c *Conn) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		p.discard(c)
+		return
+	}
+	i := sort.Search(len(p.idle), func(i int) bool { return p.idle[i].idleAt.After(c.idleAt) })
+	p.idle = slices.Insert(p.idle, i, c)
+	p.wake()
+	p.mu.Unlock()
+}
+
 // Close closes idle connections and refuses new work; connections in use close
 // as they come back.
 func (p *Pool) Close() {
--- a/host/apply.go
+++ b/host/apply.go
@@ -30,6 +30,7 @@
 	// Keys first: a withdrawn key must not outlive any other change.
 	h.keys.Apply(snap)
 	h.rates.apply(snap)
+	h.permits.apply(snap)
 	h.burn.Apply(snap)
 	h.retries.keep(func(id string) bool { return id == "" || snap.Customer(id) != nil })
 	h.view.Store(h.newView(snap))
@@ -47,7 +48,7 @@
 		svc := &snap.Services[i]
 		groups[svc.Group] = svc.Databases
 		for _, db := range svc.Databases {
-			v.databases[db.ID] = h.databaseState(svc, db, len(snap.Roster.Hosts))
+			v.databases[db.ID] = h.databaseState(svc, db, h.serversOf(snap.Roster))
 		}
 		v.services[svc.Name] = &service{terms: svc, group: h.groups[svc.Group]}
 	}
@@ -78,8 +79,8 @@
 }
 
 // databaseState keeps the state of a database whose address did not change.
-func (h *Host) databaseState(svc *contract.Service, db contract.Database, hosts int) *databaseState {
-	conns := connShare(svc.MaxConns, hosts, h.set.Databases.MaxConnsPerDatabase)
+func (h *Host) databaseState(svc *contract.Service, db contract.Database, servers int) *databaseState {
+	conns := connShare(svc.MaxConns, servers, h.set.Databases.MaxConnsPerDatabase)
 	old := h.dbs[db.ID]
 	if old != nil && old.terms.Address == db.Address {
 		old.pool.SetMax(conns)
@@ -94,11 +95,24 @@
 }
 
 // connShare is this host's part of a database's connections, without the one
-// that every host keeps for control.
-func connShare(limit, hosts, own int) int {
-	share := limit/max(hosts, 1) - 1
+// that every serving host keeps for control.
+func connShare(limit, servers, own int) int {
+	share := limit/max(servers, 1) - 1
 	if own > 0 {
 		share = min(share, own)
 	}
 	return max(share, 1)
 }
+
+// serversOf returns how many hosts may serve one group under a roster.
+func (h *Host) serversOf(roster contract.Roster) int {
+	here := map[string]int{}
+	n := 0
+	for _, r := range roster.Hosts {
+		if here[r.DataCentre] < h.servingHosts() {
+			here[r.DataCentre]++
+			n++
+		}
+	}
+	return n
+}
--- a/host/drain.go
+++ b/host/drain.go
@@ -33,6 +33,7 @@
 	h.announceLeaving()
 	err := h.endSessions(ctx)
 	h.rates.leave()
+	h.permits.leave()
 	pause(ctx, drainTick)
 	return err
 }
--- a/host/host.go
+++ b/host/host.go
@@ -3,7 +3,7 @@
 // other hosts.
 //
 // Lock order: Host.applyMu, then members.mu, then any one of groupRunner.mu,
-// rates.mu, slotQueue.mu, session.mu and registry.mu, which are leaves.
+// sharedTable.mu, slotQueue.mu, session.mu and registry.mu, which are leaves.
 package host
 
 import (
@@ -23,6 +23,7 @@
 	"github.com/bronzeloft/bronzeloft/customer/keys"
 	"github.com/bronzeloft/bronzeloft/customer/rate"
 	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/database/budget"
 	"github.com/bronzeloft/bronzeloft/database/group"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
@@ -56,6 +57,7 @@
 	view     atomic.Pointer[view]
 	keys     *keys.Table
 	rates    *rates
+	permits  *permits
 	retries  *retryBudget
 	members  *members
 	mesh     *peer.Mesh
@@ -152,14 +154,21 @@
 		Self:       self,
 		DataCentre: h.set.Host.DataCentre,
 		BootID:     h.bootID,
-		Started:    h.now(),
+		Started:    h.started,
 	}, h.now, h.post)
 	h.burn = report.NewRecorder(self, h.bootID, h.now())
+	h.permits = newPermits(budget.Config{
+		Self:       self,
+		DataCentre: h.set.Host.DataCentre,
+		BootID:     h.bootID,
+		Started:    h.started,
+	}, h.now, h.post)
 	if h.admin, err = startAdmin(h); err != nil {
 		return err
 	}
 	h.work(func() { h.mesh.Serve(h.peerListener) })
 	h.work(func() { h.rates.run(h.ctx) })
+	h.work(func() { h.permits.run(h.ctx) })
 	h.work(h.members.run)
 	h.work(h.maintain)
 	h.work(h.purgeRecords)
@@ -203,9 +212,11 @@
 func (h *Host) Settings() *settings.Host { return h.set }
 
 // Ready reports whether the host should get callers: it has a configuration,
-// knows what to serve, its standing shares of rates accrue, and it is not leaving.
+// knows what to serve, may use its shares of
+// slots, its standing shares of rates accrue, and it is not leaving.
 func (h *Host) Ready() bool {
-	return !h.leaving() && h.view.Load().snap.Version > 0 && h.members.serving.looked.Load() && h.rates.settled()
+	return !h.leaving() && h.view.Load().snap.Version > 0 && h.members.serving.looked.Load() &&
+		h.now().Sub(h.started) >= slotWarmUp && h.rates.settled()
 }
 
 // defaultServingHosts is how many hosts of a data centre serve one group when
@@ -219,9 +230,13 @@
 	return defaultServingHosts
 }
 
-// maintain closes connections that were idle for long.
+// maintainEvery is the time between looks at idle connections.
+const maintainEvery = 3 * time.Second
+
+// maintain closes connections that were idle for long and probes those that
+// were silent.
 func (h *Host) maintain() {
-	ticker := time.NewTicker(5 * time.Second)
+	ticker := time.NewTicker(maintainEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -231,6 +246,7 @@
 		}
 		for _, db := range h.view.Load().databases {
 			db.pool.CloseIdle()
+			db.pool.KeepAlive()
 		}
 	}
 }
--- a/host/lease.go
+++ b/host/lease.go
@@ -24,6 +24,7 @@
 
 // lease is the right to use one connection and one slot of a database.
 type lease struct {
+	host *Host
 	db   *databaseState
 	conn *database.Conn
 	slot uint64
@@ -56,12 +57,22 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := db.pool.Get(ctx)
-	if err != nil {
+	l := &lease{host: h, db: db, slot: slot}
+	if err := h.permits.acquire(ctx, db.terms.ID); err != nil {
 		db.slots.release(slot)
+		return nil, err
+	}
+	if l.conn, err = db.pool.Get(ctx); err != nil {
+		l.freeSlot()
 		return nil, connectFailure(err)
 	}
-	return &lease{db: db, conn: conn, slot: slot}, nil
+	return l, nil
+}
+
+// freeSlot gives the slot back: nothing runs on it any more.
+func (l *lease) freeSlot() {
+	l.host.permits.release(l.db.terms.ID)
+	l.db.slots.release(l.slot)
 }
 
 // checkKey checks the caller's key against the configuration in force, before
@@ -87,7 +98,7 @@
 		l.conn.MarkBroken()
 	}
 	l.db.pool.Put(l.conn)
-	l.db.slots.release(l.slot)
+	l.freeSlot()
 }
 
 // abandon gives up a connection that may still be running a statement. Its
@@ -101,5 +112,5 @@
 	defer cancel()
 	l.conn.Stop(ctx)
 	l.db.pool.Put(l.conn)
-	l.db.slots.release(l.slot)
+	l.freeSlot()
 }
--- a/host/peers.go
+++ b/host/peers.go
@@ -20,8 +20,13 @@
 		})
 	case *peerpb.Envelope_SnapshotRequest:
 		return h.snapshotReply(body.SnapshotRequest)
-	case *peerpb.Envelope_TokenRequest, *peerpb.Envelope_TokenGrant, *peerpb.Envelope_RosterAck:
+	case *peerpb.Envelope_TokenRequest, *peerpb.Envelope_TokenGrant:
 		h.rates.handle(from.Address, env)
+	case *peerpb.Envelope_PermitRequest, *peerpb.Envelope_PermitGrant:
+		h.permits.handle(from.Address, env)
+	case *peerpb.Envelope_RosterAck:
+		h.rates.handle(from.Address, env)
+		h.permits.handle(from.Address, env)
 	case *peerpb.Envelope_ReachabilityRequest:
 		return h.reachabilityReply(body.ReachabilityRequest)
 	case *peerpb.Envelope_BurnRequest:
--- a/host/session.go
+++ b/host/session.go
@@ -20,7 +20,7 @@
 // Timing of callers' sessions.
 const (
 	// idleInTransaction is how long a transaction may wait for its caller.
-	idleInTransaction = 60 * time.Second
+	idleInTransaction = 10 * time.Second
 	// idleBeforeLeaving is how long a session must be idle before a leaving
 	// host ends it during the first half of its grace.
 	idleBeforeLeaving = 500 * time.Millisecond
