Suspect a primary sooner that refuses connections

Ruled out: a shorter time for silence as such; a database may pause for 250 ms. Change: three failures in a row that come at once make a primary suspect after 150 ms; peers still are asked. The baselines keep their fixed times.

--- a/database/group/detect.go
+++ b/database/group/detect.go
@@ -72,7 +72,7 @@
 	}
 	due := now.Add(t.interval())
 	if p := t.member(t.view.Primary); p != nil && !p.unansweredAt.IsZero() {
-		if at := p.unansweredAt.Add(t.t.SuspectAfter); at.After(now) && at.Before(due) {
+		if at := p.unansweredAt.Add(t.suspectAfter(p)); at.After(now) && at.Before(due) {
 			due = at
 		}
 	}
@@ -148,7 +148,7 @@
 		return CauseNoPrimary
 	case !isPrimary(p, t.view.Term), t.blocked(t.view.Term):
 		return CauseDemoted
-	case p.silence(now) >= t.t.SuspectAfter && !t.replicasProgress(p, now):
+	case p.silence(now) >= t.suspectAfter(p) && !t.replicasProgress(p, now):
 		return CauseSilent
 	case t.stalled(p, now):
 		return CauseStalled
@@ -160,6 +160,18 @@
 	return CauseNone
 }
 
+// minRefusals is the number of refusals in a row that say that nothing listens.
+const minRefusals = 3
+
+// suspectAfter returns the silence that makes m suspect. A database whose
+// machine refuses connections is down, not slow.
+func (t *Table) suspectAfter(m *member) time.Duration {
+	if m.refusals >= minRefusals {
+		return min(t.t.RefusedAfter, t.t.SuspectAfter)
+	}
+	return t.t.SuspectAfter
+}
+
 // replicasProgress reports whether a replica advanced after p fell silent: p
 // lives and this host's path to it is broken. It holds p up for a bounded
 // time, since a primary that no host can reach serves nobody.
@@ -283,6 +295,7 @@
 		return nil
 	}
 	m.probing = false
+	m.refusals++
 	if m.unansweredAt.IsZero() {
 		m.unansweredAt = now
 	}
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -56,6 +56,7 @@
 	Promoters     int           // ranks that probe at ProbeInterval
 	ProbeTimeout  time.Duration // after which an unanswered probe is sent again
 	SuspectAfter  time.Duration // silence that makes a primary suspect
+	RefusedAfter  time.Duration // refusals in a row for so long make it suspect sooner
 	AskWindow     time.Duration // time given to peers to say that they hear it
 	AloneDelay    time.Duration // extra wait when no peer answers
 	RankDelay     time.Duration // extra wait of each promoter rank
@@ -85,6 +86,7 @@
 		Promoters:     3,
 		ProbeTimeout:  100 * time.Millisecond,
 		SuspectAfter:  300 * time.Millisecond,
+		RefusedAfter:  150 * time.Millisecond,
 		AskWindow:     40 * time.Millisecond,
 		AloneDelay:    200 * time.Millisecond,
 		RankDelay:     150 * time.Millisecond,
@@ -119,6 +121,7 @@
 	fill(&t.IdleInterval, d.IdleInterval)
 	fill(&t.ProbeTimeout, d.ProbeTimeout)
 	fill(&t.SuspectAfter, d.SuspectAfter)
+	fill(&t.RefusedAfter, d.RefusedAfter)
 	fill(&t.AskWindow, d.AskWindow)
 	fill(&t.AloneDelay, d.AloneDelay)
 	fill(&t.RankDelay, d.RankDelay)
--- a/database/group/peers.go
+++ b/database/group/peers.go
@@ -67,11 +67,12 @@
 // PeerReply takes a peer's answer to AskPeers: whether it hears database, and
 // for how long it has not.
 func (t *Table) PeerReply(peer string, database string, reachable bool, silent time.Duration, now time.Time) []Action {
-	if t.det.cause == CauseNone || t.det.askedAt.IsZero() || t.member(database) == nil {
+	m := t.member(database)
+	if t.det.cause == CauseNone || t.det.askedAt.IsZero() || m == nil {
 		return nil
 	}
 	t.det.replies++
-	if reachable && silent < t.t.SuspectAfter/2 {
+	if reachable && silent < t.suspectAfter(m)/2 {
 		t.det.vetoed = true
 	}
 	return t.Tick(now)
--- a/database/group/promotion_test.go
+++ b/database/group/promotion_test.go
@@ -105,6 +105,28 @@
 		Expect(fences(r.quiet(3*time.Second, map[string]groupsql.Report{"b": replica(10)}))).To(BeEmpty())
 	})
 
+	It("is sooner for a primary that refuses connections", func() {
+		r := newRig().healthy()
+		for range 4 {
+			r.quiet(50*ms, alive)
+			r.Unreachable("a", r.now)
+		}
+		r.quiet(10*ms, alive)
+		Expect(r.State()).To(Equal(group.AskingPeers))
+		r.PeerReply("h9", "a", false, 200*ms, r.now)
+		Expect(fences(r.quiet(60*ms, alive))).NotTo(BeEmpty())
+	})
+
+	It("does not take errors that come late for refusals", func() {
+		r := newRig().healthy()
+		for range 4 {
+			sent := r.now
+			r.quiet(110*ms/2, alive)
+			r.OpResult("a", groupsql.Op{}, sent.Add(-time.Second), groupsql.Report{}, errTimeout, r.now)
+		}
+		Expect(r.Status().Cause).To(Equal(group.CauseNone))
+	})
+
 	It("discounts this host's own pause", func() {
 		r := newRig().healthy()
 		r.quiet(60*ms, alive)
--- a/database/group/table.go
+++ b/database/group/table.go
@@ -15,6 +15,7 @@
 	sentAt       time.Time         // when that operation was sent
 	heardAt      time.Time         // last answer
 	unansweredAt time.Time         // first probe since then, zero when none
+	refusals     int               // failures in a row that came at once
 	probing      bool              // a probe is out
 	probedAt     time.Time         // when it was asked for
 	held         position.Position // highest position stored in the term promised
@@ -168,8 +169,11 @@
 	if op.Kind == groupsql.OpPosition && !sentAt.Before(m.probedAt) {
 		m.probing = false
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		t.learnReport(m, sentAt, r, now)
+	case now.Sub(sentAt) < t.t.ProbeTimeout:
+		m.refusals++
 	}
 	out := t.claimResult(m, op, r, err, now)
 	t.establish(now)
@@ -193,7 +197,7 @@
 	if !m.known || m.report.Position.Before(r.Position) {
 		m.progressAt, m.follows = now, 0
 	}
-	m.known, m.unansweredAt = true, time.Time{}
+	m.known, m.unansweredAt, m.refusals = true, time.Time{}, 0
 	m.report, m.sentAt, m.heardAt = r, sentAt, now
 }
 
--- a/internal/matrix/host.go
+++ b/internal/matrix/host.go
@@ -19,7 +19,11 @@
 	pollGap      = 2 * time.Millisecond // an operation that waits is looked at this often
 )
 
-var errTimeout = errors.New("matrix: no answer")
+// Errors of control operations.
+var (
+	errTimeout = errors.New("matrix: no answer")
+	errRefused = errors.New("matrix: connection refused")
+)
 
 // host models an entry host: a table, and callers' operations that wait on it.
 type host struct {
@@ -168,6 +172,10 @@
 		h.noteEnd(sentAt, r)
 		h.take(h.table.OpResult(d.name, s.Op, sentAt, r, err, h.w.now))
 	}
+	if !d.alive && h.w.reaches(&h.node, &d.node) {
+		h.w.timer(&h.node, 2*h.w.delay(&h.node, &d.node), func() { finish(groupsql.Report{}, errRefused) })
+		return
+	}
 	h.w.send(&h.node, &d.node, func() {
 		r := d.do(s.Op)
 		h.w.step(doneSteps[s.Op.Kind], h, d)
--- a/internal/matrix/measure.go
+++ b/internal/matrix/measure.go
@@ -26,8 +26,8 @@
 
 // The losses.
 const (
-	Killed  Loss = "killed"
-	Frozen  Loss = "frozen"
+	Killed  Loss = "killed"         // its machine refuses connections
+	Frozen  Loss = "frozen"         // connections stay and are silent
 	Cut     Loss = "cut"            // from everything
 	Stalled Loss = "cut from peers" // from its replicas, not from hosts
 	Leaves  Loss = "leaving"        // a planned switchover
@@ -84,7 +84,7 @@
 // Detectors are the present one and the baselines.
 func Detectors() []Detector {
 	fixed := func(name string, after time.Duration) Detector {
-		return Detector{Name: name, Alone: true, Timing: group.Timing{SuspectAfter: after, AskWindow: time.Nanosecond}}
+		return Detector{Name: name, Alone: true, Timing: group.Timing{SuspectAfter: after, RefusedAfter: after, AskWindow: time.Nanosecond}}
 	}
 	return []Detector{
 		{Name: "ask peers"},
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -252,6 +252,12 @@
 	})
 }
 
+// reaches reports whether messages pass between two nodes both ways.
+func (w *World) reaches(a, b *node) bool {
+	there, back := w.path(a.name, b.name), w.path(b.name, a.name)
+	return !there.cut && !back.cut && !there.silent && !back.silent
+}
+
 func (w *World) delay(from, to *node) time.Duration {
 	base := withinDelay
 	if from.dc != to.dc {
