--- a/internal/experiment/fleet/measure/main.go
+++ b/internal/experiment/fleet/measure/main.go
@@ -22,6 +22,7 @@
 	Settle    time.Duration `long:"settle" default:"8s" description:"before the steady window"`
 	Window    time.Duration `long:"window" default:"10s" description:"the steady window"`
 	Seed      uint64        `long:"seed" default:"1" description:"seed of the digests' jitter"`
+	PeersOnly bool          `long:"peers-only" description:"without the baseline"`
 	PlainText bool          `long:"plaintext" description:"without TLS"`
 }
 
@@ -45,6 +46,9 @@
 	var r report
 	for _, hosts := range opts.Hosts {
 		for _, baseline := range []bool{false, true} {
+			if baseline && opts.PeersOnly {
+				continue
+			}
 			result, err := fleet.Run(fleet.Config{
 				Hosts:        hosts,
 				Centres:      opts.Centres,
--- a/internal/experiment/fleet/run.go
+++ b/internal/experiment/fleet/run.go
@@ -63,7 +63,10 @@
 	GoroutinesTotal int     `json:"goroutines"`
 }
 
-const platformDelay = 5 * time.Millisecond
+const (
+	platformDelay = 5 * time.Millisecond
+	startGap      = 20 * time.Millisecond // between hosts, whose handshakes share this machine
+)
 
 func (c Config) withDefaults() Config {
 	if c.Hosts == 0 {
@@ -139,6 +142,7 @@
 	}
 	for _, n := range f.nodes {
 		n.run(ctx, hosts)
+		time.Sleep(startGap)
 	}
 	return f, nil
 }
