Test connections, pools and control connections of databases

Pool: bound, waiters, discard of unclean connections, the probe of idle ones, changes of the bound, closing. Conn: what Send is sure of, Cancel, Stop. Control: timeouts, replacement of a silent connection, a full queue.

--- /dev/null
+++ b/database/database_test.go
@@ -0,0 +1,431 @@
+package database_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/database"
+	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
+)
+
+func TestDatabase(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "database")
+}
+
+const (
+	password = "secret"
+	limit    = 10 * time.Second
+	// idle is longer than a connection may rest without a probe.
+	idle = time.Minute / 2
+	// slowSQL runs for as long as it is let.
+	slowSQL = "WITH RECURSIVE c(x) AS (SELECT 1 UNION ALL SELECT x+1 FROM c WHERE x < 2000000000) SELECT count(*) FROM c"
+)
+
+func login() database.Login {
+	return database.Login{User: "bronzeloft", Password: password, Database: "main"}
+}
+
+func startServer() *dbserver.Server {
+	GinkgoHelper()
+	srv, err := dbserver.Start(dbserver.Config{ID: "a", Password: password, Primary: true})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(srv.Close)
+	return srv
+}
+
+// startStuck starts a server that reads nothing after the login, and returns
+// its address.
+func startStuck() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	over := make(chan struct{})
+	DeferCleanup(func() {
+		close(over)
+		listener.Close()
+	})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		back := pgproto3.NewBackend(conn, conn)
+		if _, err := back.ReceiveStartupMessage(); err == nil {
+			back.Send(&pgproto3.AuthenticationOk{})
+			back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+			back.Flush()
+		}
+		<-over
+		conn.Close()
+	}()
+	return listener.Addr().String()
+}
+
+func newPool(srv *dbserver.Server, maxOpen int, now func() time.Time) *database.Pool {
+	pool := database.NewPool(database.PoolConfig{
+		ID: "a", Address: srv.Addr(), Login: login(), MaxOpen: maxOpen, ConnectTimeout: time.Second, Now: now,
+	})
+	DeferCleanup(pool.Close)
+	return pool
+}
+
+func get(ctx context.Context, pool *database.Pool) *database.Conn {
+	GinkgoHelper()
+	c, err := pool.Get(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func query(c *database.Conn, sql string) ([][]string, error) {
+	if _, err := c.Send(&pgproto3.Query{String: sql}); err != nil {
+		return nil, err
+	}
+	return c.Await()
+}
+
+func short(ctx context.Context) context.Context {
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+var _ = Describe("Pool", func() {
+	It("opens no more than its bound, and a waiter gets what comes back", func(ctx SpecContext) {
+		srv := startServer()
+		pool := newPool(srv, 2, time.Now)
+		a, b := get(ctx, pool), get(ctx, pool)
+		_, err := pool.Get(short(ctx))
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		got := make(chan *database.Conn)
+		go func() {
+			c, _ := pool.Get(ctx)
+			got <- c
+		}()
+		Consistently(got).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		pool.Put(a)
+		var c *database.Conn
+		Eventually(got).Should(Receive(&c))
+		Expect(c).To(BeIdenticalTo(a))
+		pool.Put(b)
+		pool.Put(c)
+		Expect(pool.Open()).To(Equal(2))
+		Expect(srv.PeakConns()).To(Equal(2))
+	}, SpecTimeout(limit))
+
+	DescribeTable("closes a connection whose state is not clean", func(ctx SpecContext, spoil func(*database.Conn)) {
+		pool := newPool(startServer(), 1, time.Now)
+		c := get(ctx, pool)
+		spoil(c)
+		pool.Put(c)
+		Expect(pool.Open()).To(BeZero())
+		fresh := get(ctx, pool)
+		Expect(fresh).NotTo(BeIdenticalTo(c))
+		Expect(query(fresh, "SELECT 1")).To(Equal([][]string{{"1"}}))
+		pool.Put(fresh)
+	},
+		Entry("marked broken", func(c *database.Conn) { c.MarkBroken() }),
+		Entry("retired", func(c *database.Conn) {
+			c.Retire()
+			_, err := query(c, "SELECT 1")
+			Expect(err).NotTo(HaveOccurred())
+		}),
+		Entry("in a transaction", func(c *database.Conn) {
+			_, err := query(c, "BEGIN")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.TxStatus()).To(Equal(byte('T')))
+		}),
+		Entry("too many statements", func(c *database.Conn) {
+			for i := range 600 {
+				c.NotePrepared(string(rune('a' + i)))
+			}
+		}),
+		Entry("after a failed read", func(c *database.Conn) {
+			c.SetDeadline(time.Now().Add(-time.Second))
+			_, err := c.Receive()
+			Expect(err).To(HaveOccurred())
+		}),
+	)
+
+	It("gives its right back when a connection cannot be opened", func(ctx SpecContext) {
+		srv := startServer()
+		pool := newPool(srv, 1, time.Now)
+		srv.Kill()
+		for range 3 {
+			_, err := pool.Get(ctx)
+			Expect(err).To(HaveOccurred())
+			Expect(pool.Open()).To(BeZero())
+		}
+		Expect(srv.Restart()).To(Succeed())
+		pool.Put(get(ctx, pool))
+	}, SpecTimeout(limit))
+
+	It("bounds a connection attempt to a server that does not answer", func(ctx SpecContext) {
+		srv := startServer()
+		pool := newPool(srv, 1, time.Now)
+		srv.Freeze()
+		start := time.Now()
+		_, err := pool.Get(ctx)
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
+		srv.Thaw()
+	}, SpecTimeout(limit))
+
+	It("probes a connection that was idle for long, and replaces a silent one", func(ctx SpecContext) {
+		srv := startServer()
+		var ahead time.Duration
+		pool := newPool(srv, 4, func() time.Time { return time.Now().Add(ahead) })
+		silent := get(ctx, pool)
+		pool.Put(silent)
+		srv.SetSilent(true)
+		ahead = 3 * time.Second
+		fresh := get(ctx, pool)
+		Expect(fresh).NotTo(BeIdenticalTo(silent))
+		fresh.SetDeadline(time.Now().Add(time.Second))
+		Expect(query(fresh, "SELECT 1")).To(Equal([][]string{{"1"}}))
+		pool.Put(fresh)
+		ahead *= 2
+		Expect(get(ctx, pool)).To(BeIdenticalTo(fresh))
+		Expect(pool.Open()).To(Equal(1))
+	}, SpecTimeout(limit))
+
+	It("follows a change of its bound", func(ctx SpecContext) {
+		pool := newPool(startServer(), 1, time.Now)
+		a := get(ctx, pool)
+		got := make(chan *database.Conn)
+		go func() {
+			c, _ := pool.Get(ctx)
+			got <- c
+		}()
+		Consistently(got).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		pool.SetMax(2)
+		var b *database.Conn
+		Eventually(got).Should(Receive(&b))
+		pool.SetMax(1)
+		pool.Put(a)
+		Expect(pool.Open()).To(Equal(1))
+		pool.Put(b)
+		Expect(pool.Open()).To(Equal(1))
+	}, SpecTimeout(limit))
+
+	It("closes what was idle for long", func(ctx SpecContext) {
+		var ahead time.Duration
+		pool := newPool(startServer(), 2, func() time.Time { return time.Now().Add(ahead) })
+		pool.Put(get(ctx, pool))
+		ahead = idle
+		pool.CloseIdle()
+		Expect(pool.Open()).To(Equal(1))
+		ahead = 3 * idle
+		pool.CloseIdle()
+		Expect(pool.Open()).To(BeZero())
+	}, SpecTimeout(limit))
+
+	It("ends its waiters when it closes, and what is in use when that comes back", func(ctx SpecContext) {
+		srv := startServer()
+		pool := newPool(srv, 1, time.Now)
+		a := get(ctx, pool)
+		ended := make(chan error)
+		go func() {
+			_, err := pool.Get(ctx)
+			ended <- err
+		}()
+		Consistently(ended).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		pool.Close()
+		Eventually(ended).Should(Receive(MatchError(database.ErrPoolClosed)))
+		Expect(query(a, "SELECT 1")).To(Equal([][]string{{"1"}}))
+		pool.Put(a)
+		Expect(pool.Open()).To(BeZero())
+		Eventually(srv.OpenConns).Should(BeZero())
+	}, SpecTimeout(limit))
+})
+
+var _ = Describe("Conn", func() {
+	dial := func(ctx context.Context, srv *dbserver.Server) *database.Conn {
+		GinkgoHelper()
+		c, err := database.Dial(ctx, "a", srv.Addr(), login())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+
+	It("reports the server's refusal", func(ctx SpecContext) {
+		srv := startServer()
+		wrong := login()
+		wrong.Password = "wrong"
+		_, err := database.Dial(ctx, "a", srv.Addr(), wrong)
+		var refused *database.ServerError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Code).To(Equal("28P01"))
+		_, err = query(dial(ctx, srv), "SELECT nothing FROM nowhere")
+		Expect(errors.As(err, &refused)).To(BeTrue())
+	}, SpecTimeout(limit))
+
+	It("keeps the position of its last commit", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		before := c.Position()
+		_, err := query(c, "CREATE TABLE t (a INTEGER)")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(before.Before(c.Position())).To(BeTrue())
+		Expect(c.Position()).To(Equal(srv.Report().Position))
+	}, SpecTimeout(limit))
+
+	It("is sure that nothing was sent only when no byte was written", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		c.SetDeadline(time.Now().Add(-time.Second))
+		sent, err := c.Send(&pgproto3.Query{String: "SELECT 1"})
+		Expect(err).To(HaveOccurred())
+		Expect(sent).To(BeFalse())
+		sent, err = c.Send(&pgproto3.Query{String: "SELECT 1"})
+		Expect(err).To(MatchError(net.ErrClosed))
+		Expect(sent).To(BeFalse())
+
+		stuck, err := database.Dial(ctx, "stuck", startStuck(), login())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(stuck.Close)
+		large := &pgproto3.Query{String: strings.Repeat(" ", 64<<20)}
+		stuck.SetDeadline(time.Now().Add(time.Second))
+		sent, err = stuck.Send(large)
+		Expect(err).To(HaveOccurred())
+		Expect(sent).To(BeTrue())
+	}, SpecTimeout(limit))
+
+	It("cancels its statement and goes on", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		ended := make(chan error)
+		go func() {
+			_, err := query(c, slowSQL)
+			ended <- err
+		}()
+		Consistently(ended).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		Expect(c.Cancel(ctx)).To(Succeed())
+		var err error
+		Eventually(ended).WithTimeout(2 * time.Second).Should(Receive(&err))
+		var refused *database.ServerError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Code).To(Equal("57014"))
+		Expect(query(c, "SELECT 1")).To(Equal([][]string{{"1"}}))
+	}, SpecTimeout(limit))
+
+	It("has its cancel taken by the server when Cancel returns, but waits no longer than asked", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		for range 50 {
+			Expect(c.Cancel(ctx)).To(Succeed())
+			Expect(query(c, "SELECT 1")).To(Equal([][]string{{"1"}}))
+		}
+		srv.Freeze()
+		DeferCleanup(srv.Thaw)
+		start := time.Now()
+		c.Cancel(short(ctx))
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+	}, SpecTimeout(limit))
+
+	It("stops what runs, and returns when the server is done with it", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		_, err := c.Send(&pgproto3.Query{String: slowSQL})
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		c.Stop(ctx)
+		Eventually(srv.OpenConns).WithTimeout(time.Second).Should(BeZero())
+		sent, err := c.Send(&pgproto3.Query{String: "SELECT 1"})
+		Expect(err).To(HaveOccurred())
+		Expect(sent).To(BeFalse())
+	}, SpecTimeout(limit))
+
+	It("gives up stopping a frozen server in time", func(ctx SpecContext) {
+		srv := startServer()
+		c := dial(ctx, srv)
+		srv.Freeze()
+		DeferCleanup(srv.Thaw)
+		start := time.Now()
+		c.Stop(short(ctx))
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+	}, SpecTimeout(limit))
+})
+
+var _ = Describe("Control", func() {
+	newControl := func(srv *dbserver.Server) *database.Control {
+		c := database.NewControl(database.PoolConfig{ID: "a", Address: srv.Addr(), Login: login(), Now: time.Now})
+		DeferCleanup(c.Close)
+		return c
+	}
+	run := func(c *database.Control, timeout time.Duration) database.Result {
+		GinkgoHelper()
+		done := make(chan database.Result, 1)
+		c.Run(groupsql.Op{Kind: groupsql.OpPosition}, timeout, func(r database.Result) { done <- r })
+		var r database.Result
+		Eventually(done).WithTimeout(3 * time.Second).Should(Receive(&r))
+		return r
+	}
+
+	It("runs operations and notes when they left", func() {
+		srv := startServer()
+		c := newControl(srv)
+		before := time.Now()
+		r := run(c, time.Second)
+		Expect(r.Err).NotTo(HaveOccurred())
+		Expect(r.Report.Role).To(Equal(groupsql.Primary))
+		Expect(r.SentAt).To(BeTemporally(">=", before))
+		for range 5 {
+			Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+		}
+		Expect(srv.PeakConns()).To(Equal(1))
+	})
+
+	It("times an operation out, and replaces the connection that went silent", func() {
+		srv := startServer()
+		c := newControl(srv)
+		Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+		srv.SetSilent(true)
+		start := time.Now()
+		Expect(run(c, 100*time.Millisecond).Err).To(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+	})
+
+	It("finds a server that came back", func() {
+		srv := startServer()
+		c := newControl(srv)
+		Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+		srv.Kill()
+		Expect(run(c, time.Second).Err).To(HaveOccurred())
+		Expect(srv.Restart()).To(Succeed())
+		Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+	})
+
+	It("reports a full queue at once", func() {
+		srv := startServer()
+		c := newControl(srv)
+		srv.Freeze()
+		results := make(chan error, 64)
+		for range 40 {
+			c.Run(groupsql.Op{Kind: groupsql.OpPosition}, 50*time.Millisecond, func(r database.Result) { results <- r.Err })
+		}
+		var err error
+		Eventually(results).WithTimeout(30 * time.Millisecond).Should(Receive(&err))
+		Expect(err).To(MatchError(database.ErrBusy))
+		busy := 1
+		for range 39 {
+			Eventually(results).WithTimeout(2 * time.Second).Should(Receive(&err))
+			if errors.Is(err, database.ErrBusy) {
+				busy++
+			}
+		}
+		Expect(busy).To(BeNumerically(">=", 40-16-1))
+		srv.Thaw()
+		Expect(run(c, time.Second).Err).NotTo(HaveOccurred())
+	})
+})
