--- a/database/database_test.go
+++ b/database/database_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +43,34 @@
 	return srv
 }
 
+// startStuck starts a server that reads nothing after the login, and returns
+// its address.
+func startStuck() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	over := make(chan struct{})
+	DeferCleanup(func() {
+		close(over)
+		listener.Close()
+	})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		back := pgproto3.NewBackend(conn, conn)
+		if _, err := back.ReceiveStartupMessage(); err == nil {
+			back.Send(&pgproto3.AuthenticationOk{})
+			back.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+			back.Flush()
+		}
+		<-over
+		conn.Close()
+	}()
+	return listener.Addr().String()
+}
+
 func newPool(srv *dbserver.Server, maxOpen int, now func() time.Time) *database.Pool {
 	pool := database.NewPool(database.PoolConfig{
 		ID: "a", Address: srv.Addr(), Login: login(), MaxOpen: maxOpen, ConnectTimeout: time.Second, Now: now,
@@ -261,15 +290,12 @@
 		Expect(err).To(MatchError(net.ErrClosed))
 		Expect(sent).To(BeFalse())
 
-		stuck := dial(ctx, srv)
-		srv.Freeze()
-		DeferCleanup(srv.Thaw)
-		stuck.SetDeadline(time.Now().Add(200 * time.Millisecond))
-		large := make([]byte, 64<<20)
-		for i := range large {
-			large[i] = ' '
-		}
-		sent, err = stuck.Send(&pgproto3.Query{String: string(large)})
+		stuck, err := database.Dial(ctx, "stuck", startStuck(), login())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(stuck.Close)
+		large := &pgproto3.Query{String: strings.Repeat(" ", 64<<20)}
+		stuck.SetDeadline(time.Now().Add(time.Second))
+		sent, err = stuck.Send(large)
 		Expect(err).To(HaveOccurred())
 		Expect(sent).To(BeTrue())
 	}, SpecTimeout(limit))
