Confirm a share under every plan that binds it

A host that waited to rise confirmed itself by a plan which the others had skipped, in which it was alone in its data centre; they judged by the older plan that it had lapsed. Ruled out: letting hosts wait for every version in between, which a host cannot fetch afterwards. Change: a share is confirmed under all plans that it is the least of; a host whose confirmation ran out forgets the plans it passed and rises like one that started afresh; such a host does not judge whether others have lapsed.

--- a/customer/rate/fuzz_test.go
+++ b/customer/rate/fuzz_test.go
@@ -225,6 +225,14 @@
 		})
 	})
 
+	It("does not raise hosts on one that skipped other rosters than they did", func() {
+		s := newScenario(0x62a4, whole)
+		for _, kind := range []int{1, 0, 1, 1, 4, 0, 9, 7, 0, 9, 2, 11, 7, 1, 4, 0, 2, 11, 11, 9, 10, 6} {
+			s.step(kind)
+		}
+		Expect(s.overshoot()).To(BeNumerically("<", tolerance))
+	})
+
 	It("admits again after all faults are over", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			s := newScenario(rapid.Uint64Range(0, 1<<32).Draw(t, "seed"), whole)
--- a/database/budget/budget_test.go
+++ b/database/budget/budget_test.go
@@ -216,6 +216,14 @@
 		})
 	})
 
+	It("does not raise hosts on one that skipped other rosters than they did", func() {
+		w, rng := newScenario(0x100000000, whole)
+		for _, kind := range []int{0, 3, 0, 5, 0, 0, 0, 0, 0, 7, 0, 7, 0, 0, 0, 0, 5, 0, 8, 0} {
+			w.step(rng, kind)
+		}
+		Expect(w.worst).To(BeZero())
+	})
+
 	DescribeTable("goes over the limit when a mechanism is broken", func(m mutant) {
 		for seed := range uint64(300) {
 			w, rng := newScenario(seed, m)
--- a/internal/standing/confirm.go
+++ b/internal/standing/confirm.go
@@ -71,8 +71,10 @@
 func (k *Keeper) checkConfirm() {
 	c := &k.confirm
 	follows := func(a string) bool { return a == k.self || c.answered[a] }
-	if !k.plan.carried(k.self, follows) {
-		return
+	for _, p := range k.binding() {
+		if !p.carried(k.self, follows) {
+			return
+		}
 	}
 	if until := c.sent.Add(k.term); until.After(c.until) {
 		c.until = until
@@ -81,6 +83,30 @@
 	}
 }
 
+// binding returns the plans that this host's share is the least of. Others may
+// know only the oldest of them, so each has to be confirmed.
+func (k *Keeper) binding() []*Plan {
+	plans := append([]*Plan{k.plan}, k.lows...)
+	if k.base != nil && k.base != k.plan {
+		plans = append(plans, k.base)
+	}
+	return plans
+}
+
+// expire forgets the plans that this host has passed when its confirmation has
+// run out: others may have gone on to rosters that it never saw.
+func (k *Keeper) expire(now time.Time) {
+	if k.base == nil || k.Confirmed(now) || now.Before(k.roseAt.Add(k.term)) {
+		return
+	}
+	k.base, k.lows = nil, nil
+	k.settled, k.othersHeld = false, true
+	k.outvotedAt = map[string]time.Time{}
+	k.expect()
+	k.round = 0
+	k.startRound(now)
+}
+
 // carried reports whether the hosts that follow suffice to confirm the share of
 // address: most of its data centre's members, or most of all.
 func (p *Plan) carried(address string, follows func(string) bool) bool {
@@ -119,9 +145,13 @@
 
 // outvoted reports whether the hosts that have not acknowledged are too few, in
 // every older plan that names address, to confirm its share. A host that knows
-// no older plan judges by the newest.
+// no older plan judges by the newest if no host has held a share before, else it
+// leaves the judgement to those that have.
 func (k *Keeper) outvoted(address string) bool {
 	older := func(a string) bool { return a != k.self && k.need[a] == 0 }
+	if k.base == nil && k.othersHeld {
+		return false
+	}
 	named := false
 	plans := k.former
 	if len(plans) == 0 {
--- a/internal/standing/keeper.go
+++ b/internal/standing/keeper.go
@@ -58,6 +58,7 @@
 	cursor        int
 	settledCursor int
 
+	roseAt     time.Time
 	term       time.Duration // of a confirmation
 	drain      time.Duration // after which nothing of a lapsed share is in use
 	confirm    confirmation
@@ -96,6 +97,7 @@
 	if k.plan != nil && r.Version <= k.plan.Version {
 		return false
 	}
+	k.expire(now)
 	k.pass()
 	k.plan = NewPlan(r)
 	k.settled = false
@@ -210,6 +212,7 @@
 // lent or in use beyond its share of the newest plan. It reports whether the
 // share rose.
 func (k *Keeper) Handle(from string, m *peerpb.RosterAck, ready bool, now time.Time) ([]Send, bool) {
+	k.expire(now)
 	if m.Query {
 		return []Send{{from, k.answer(m, ready, now)}}, false
 	}
@@ -219,7 +222,7 @@
 		return nil, false
 	}
 	if m.Settled {
-		k.rise()
+		k.rise(now)
 		return nil, true
 	}
 	for _, a := range m.Pending {
@@ -276,11 +279,12 @@
 		return false
 	}
 	k.cold = k.base == nil && !k.othersHeld || k.cold
-	k.rise()
+	k.rise(now)
 	return true
 }
 
-func (k *Keeper) rise() {
+func (k *Keeper) rise(now time.Time) {
+	k.roseAt = now
 	k.settled = true
 	k.base = k.plan
 	k.lows = nil
@@ -299,6 +303,7 @@
 	if k.plan == nil {
 		return nil, false
 	}
+	k.expire(now)
 	out := k.askConfirm(now)
 	if k.settled || now.Before(k.pollAt) {
 		return out, false
