Ask the hosts of former rosters before taking up a share

Cause: with more checks the fuzzer of permits found two ways over the limit. A restarted host that was alone in a new roster rose without asking anybody, while hosts of the old roster still held sessions. And a restarted host returned a late grant of its predecessor, whose sessions the server still counted. Ruled out: judging a fresh fleet by its age; a roster of fresh hosts looks the same after a change as at the first start. Change: contract.Roster.Former, asked by hosts that started since; a host returns only loans that its own process asked for. The fuzzer's ColdWait is as long as its server takes to close sessions after a loss of power. The test for a roster of one host now fails without its fix.

--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -82,6 +82,9 @@
 type Roster struct {
 	Version uint64       `json:"version"`
 	Hosts   []RosterHost `json:"hosts"`
+	// Former names hosts of earlier rosters that may still hold shares. Hosts
+	// that started since ask them too before they take up a share.
+	Former []RosterHost `json:"former,omitempty"`
 }
 
 // RosterHost is one address of the roster.
--- a/customer/rate/world_test.go
+++ b/customer/rate/world_test.go
@@ -371,9 +371,23 @@
 	for _, n := range nodes {
 		r.Hosts = append(r.Hosts, contract.RosterHost{Address: n.address, DataCentre: n.dc})
 	}
+	r.Former = w.former()
 	return r
 }
 
+// former names the hosts of all rosters so far, as the publishing step does.
+func (w *world) former() []contract.RosterHost {
+	var out []contract.RosterHost
+	for _, s := range w.snaps {
+		for _, h := range s.roster.Hosts {
+			if !slices.Contains(out, h) {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
+
 // fleet is a world of n hosts in dcs data centres with one customer, settled
 // and with full buckets.
 func fleet(seed uint64, m mutant, hosts, dcs int, rate, burst float64) *world {
--- a/database/budget/budget.go
+++ b/database/budget/budget.go
@@ -113,7 +113,10 @@
 
 	LoanTerm    time.Duration // of a loan; the same on every host
 	ServerClose time.Duration // after which a server has closed a silent client's session
-	ColdWait    time.Duration // before shares are used when the whole fleet starts
+	// ColdWait is how long shares are not used when the whole fleet starts. The
+	// default suits processes that end, whose sessions the server closes at once;
+	// after a loss of power everywhere only ServerClose is long enough.
+	ColdWait    time.Duration
 	AskTimeout  time.Duration // a silent peer is passed over after this
 	Pause       time.Duration // between rounds of asking in vain
 	IdleConns   time.Duration // a borrowed connection permit unused this long is returned
--- a/database/budget/budget_test.go
+++ b/database/budget/budget_test.go
@@ -101,6 +101,7 @@
 		w.run(100 * time.Millisecond)
 		w.rosters = append(w.rosters, w.roster(w.nodes[:1]))
 		w.apply(w.nodes[0])
+		w.now = w.now.Add(time.Second)
 		w.emit(w.nodes[0], w.nodes[0].table.Tick(w.now))
 		Expect(w.nodes[0].table.Next()).To(BeTemporally(">", w.now))
 	})
@@ -224,6 +225,22 @@
 		Expect(w.worst).To(BeZero())
 	})
 
+	It("lets a restarted host of a new roster ask those of the former one", func() {
+		w, rng := newScenario(0x100000000, whole)
+		for _, kind := range []int{0, 0, 0, 5, 0, 0, 0, 0, 0, 7, 0, 7, 0, 0, 5, 8, 0, 0, 0, 0} {
+			w.step(rng, kind)
+		}
+		Expect(w.worst).To(BeZero())
+	})
+
+	It("does not let a restarted host return its predecessor's loans", func() {
+		w, rng := newScenario(0x2ef, whole)
+		for _, kind := range []int{0, 0, 8, 7, 0, 3, 5, 0, 0, 0, 0} {
+			w.step(rng, kind)
+		}
+		Expect(w.worst).To(BeZero())
+	})
+
 	DescribeTable("goes over the limit when a mechanism is broken", func(m mutant) {
 		for seed := range uint64(300) {
 			w, rng := newScenario(seed, m)
--- a/database/budget/handle.go
+++ b/database/budget/handle.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"strings"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
@@ -105,8 +106,14 @@
 	}
 }
 
-// take credits a grant that answers an ask, once. A loan that this host will
-// never hold is returned.
+// own reports whether this process asked for a loan, not a predecessor at its
+// address, whose sessions may still be open at the server.
+func (t *Table) own(id string) bool {
+	return strings.HasPrefix(id, t.cfg.BootID+"-")
+}
+
+// take credits a grant that answers an ask, once. A loan that this process asked
+// for and will never hold is returned.
 func (t *Table) take(p *pool, from string, m *peerpb.PermitGrant, out *Output) {
 	count := int(m.Conns)
 	if p.key.kind == Slots {
@@ -118,7 +125,7 @@
 	}
 	a := p.takeAsk(from, m.RequestId)
 	if a == nil {
-		if p.findHeld(from, m.RequestId) == nil {
+		if p.findHeld(from, m.RequestId) == nil && t.own(m.RequestId) {
 			sendGrant(p, from, m.RequestId, 0, 0, true, out)
 		}
 		return
--- a/database/budget/world_test.go
+++ b/database/budget/world_test.go
@@ -91,7 +91,7 @@
 	for _, n := range w.nodes {
 		w.apply(n)
 	}
-	w.run(2 * time.Second)
+	w.run(2*time.Second + testServerClose)
 	return w
 }
 
@@ -100,9 +100,23 @@
 	for _, n := range nodes {
 		r.Hosts = append(r.Hosts, contract.RosterHost{Address: n.address, DataCentre: n.dc})
 	}
+	r.Former = w.former()
 	return r
 }
 
+// former names the hosts of all rosters so far, as the publishing step does.
+func (w *world) former() []contract.RosterHost {
+	var out []contract.RosterHost
+	for _, r := range w.rosters {
+		for _, h := range r.Hosts {
+			if !slices.Contains(out, h) {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
+
 func (w *world) addNode(address, dc string) *node {
 	n := &node{address: address, dc: dc}
 	w.nodes = append(w.nodes, n)
@@ -111,7 +125,8 @@
 }
 
 // boot starts a new process at the node's address. The server goes on counting
-// the sessions of the old one for a while.
+// the sessions of the old one for testServerClose, as after a loss of power, so
+// ColdWait is as long.
 func (w *world) boot(n *node) {
 	if n.open > 0 {
 		w.closings = append(w.closings, closing{w.now.Add(testServerClose), nil, n.open})
@@ -119,7 +134,8 @@
 	n.boot++
 	n.open, n.frozen, n.queue = 0, false, nil
 	cfg := Config{Self: n.address, DataCentre: n.dc, BootID: fmt.Sprintf("%s/%d", n.address, n.boot),
-		Started: w.now, LoanTerm: testLoanTerm, ServerClose: testServerClose, ConfirmTerm: testConfirmTerm}
+		Started: w.now, LoanTerm: testLoanTerm, ServerClose: testServerClose,
+		ColdWait: testServerClose, ConfirmTerm: testConfirmTerm}
 	if w.mutant == noRestartWait && n.boot > 1 {
 		cfg.Started = w.now.Add(-time.Hour)
 	}
--- a/internal/standing/keeper.go
+++ b/internal/standing/keeper.go
@@ -140,6 +140,11 @@
 			k.await(a)
 		}
 	}
+	if k.base == nil {
+		for _, a := range k.plan.former {
+			k.await(a)
+		}
+	}
 }
 
 // await adds address to the hosts whose acknowledgement is needed.
--- a/internal/standing/plan.go
+++ b/internal/standing/plan.go
@@ -33,6 +33,7 @@
 type Plan struct {
 	Version uint64
 	members []contract.RosterHost // sorted by address
+	former  []string              // addresses of earlier rosters
 	byDC    map[string][]string   // addresses by data centre, sorted
 	dcs     []string              // sorted
 }
@@ -41,6 +42,9 @@
 // same roster agree.
 func NewPlan(r contract.Roster) *Plan {
 	p := &Plan{Version: r.Version, members: members(r)}
+	for _, h := range r.Former {
+		p.former = append(p.former, h.Address)
+	}
 	p.byDC = map[string][]string{}
 	for _, m := range p.members {
 		p.byDC[m.DataCentre] = append(p.byDC[m.DataCentre], m.Address)
