Settle fresh answers, wait for a replica, and notice refused connections

Cause: the group tables ask four things of their host that it did not do: a fresh answer may show what only some databases hold and what a failover then cuts off; a read went to the primary where a replica was a millisecond behind; a refused connection was treated as silence; peers heard of a new primary only by the next digest. Ruled out: taking the primary's end as the floor. Change: a fresh answer waits until a majority holds its position; the four are done.

--- a/database/control.go
+++ b/database/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -51,6 +52,9 @@
 	SentAt time.Time // when the operation left, by the proxy's clock
 	Report groupsql.Report
 	Err    error
+	// Refused says that the server's machine refused the connection: nothing
+	// listens there.
+	Refused bool
 }
 
 // Control is the control connection to one database. It dials on demand, runs
@@ -114,6 +118,7 @@
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		conn, res.Err = Dial(ctx, c.cfg.ID, c.cfg.Address, c.cfg.Login)
 		cancel()
+		res.Refused = errors.Is(res.Err, syscall.ECONNREFUSED)
 	}
 	if res.Err == nil {
 		conn.SetDeadline(deadline)
--- a/host/config.go
+++ b/host/config.go
@@ -82,6 +82,7 @@
 // PublishGroup records a promotion in the platform. The record is publication:
 // the databases' fences are the authority, so a failure only costs news.
 func (h *Host) PublishGroup(act group.Publish) {
+	h.tellPeers(act.State)
 	if h.opt.Platform == nil {
 		return
 	}
--- a/host/groups.go
+++ b/host/groups.go
@@ -15,6 +15,10 @@
 // opTimeout bounds one group operation on a control connection.
 const opTimeout = 400 * time.Millisecond
 
+// replicaPatience bounds the wait for a replica that is about to reach a read's
+// floor; the table itself gives up earlier.
+const replicaPatience = 10 * time.Millisecond
+
 // wantAgain is how often a waiting request repeats what it wants: a table lets
 // a wish lapse whose owner may have gone.
 const wantAgain = 500 * time.Millisecond
@@ -159,6 +163,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.act(g.table.OpResult(id, res.Op, res.SentAt, res.Report, res.Err, g.now()))
+	if res.Refused {
+		g.act(g.table.Unreachable(id, g.now()))
+	}
 	g.kickRun()
 }
 
@@ -327,11 +334,41 @@
 	return g.table.AgeFloor(g.now(), age)
 }
 
-// readers returns the databases to try for a read, best first.
-func (g *groupRunner) readers(floor position.Position) []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.table.Readers(floor, g.now())
+// readers returns the databases to try for a read that was asked for at asked,
+// best first. It waits a moment where a replica is about to reach the floor.
+func (g *groupRunner) readers(ctx context.Context, floor position.Position, asked time.Time) []string {
+	ctx, cancel := context.WithTimeout(ctx, replicaPatience)
+	defer cancel()
+	var ids []string
+	ready := func() bool {
+		now := g.now()
+		ids = g.table.Readers(floor, now)
+		return !g.table.AwaitReplica(ids, asked, now)
+	}
+	want := func(time.Time) []group.Action { return g.table.WantConfirm(asked) }
+	if g.wait(ctx, want, ready) != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.table.Readers(floor, g.now())
+	}
+	return ids
+}
+
+// settled waits until a majority holds the position that a fresh read was done
+// at, since what only some databases hold may still vanish. It returns false
+// when it did: the read has to be done again.
+func (g *groupRunner) settled(ctx context.Context, p position.Position) (bool, error) {
+	state := group.AckPending
+	ready := func() bool {
+		state = g.table.Acked(p)
+		return state != group.AckPending
+	}
+	g.countAcks(1)
+	defer g.countAcks(-1)
+	if g.wait(ctx, g.table.WantAck, ready) != nil {
+		return false, errkind.New(errkind.NoMajority, "position %s of group %s is not settled", p, g.name)
+	}
+	return state == group.AckYes, nil
 }
 
 // describers returns the databases to ask for the form of a statement, the
@@ -347,16 +384,16 @@
 	return append([]string{id}, readers...)
 }
 
-// checkFloor tells a session token that can never be reached.
-func (g *groupRunner) checkFloor(floor, confirmed position.Position) error {
+// checkToken tells a session token's position that can never be reached, for a
+// request that arrived at since and took a confirmation.
+func (g *groupRunner) checkToken(p position.Position, since time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	view, ok := g.table.View()
-	switch {
-	case ok && floor.Term < view.Term && floor.Index >= view.Marker:
-		return errkind.New(errkind.TokenCut, "%s", floor)
-	case confirmed.Before(floor):
-		return errkind.New(errkind.TokenAhead, "%s", floor)
+	switch g.table.CheckToken(p, since) {
+	case group.TokenCut:
+		return errkind.New(errkind.TokenCut, "%s", p)
+	case group.TokenAhead:
+		return errkind.New(errkind.TokenAhead, "%s", p)
 	}
 	return nil
 }
@@ -364,7 +401,7 @@
 // learn takes a hint from a peer or the platform.
 func (g *groupRunner) learn(v group.View) {
 	g.mu.Lock()
-	g.table.Learn(v, g.now())
+	g.act(g.table.Learn(v, g.now()))
 	g.mu.Unlock()
 	g.kickRun()
 }
--- a/host/peers.go
+++ b/host/peers.go
@@ -8,6 +8,7 @@
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/platform"
 )
 
 // HandlePeer handles one message of another host.
@@ -115,6 +116,15 @@
 	return asked
 }
 
+// tellPeers tells connected hosts of a new primary at once; the next digest
+// makes a lost message good.
+func (h *Host) tellPeers(state platform.GroupState) {
+	view := &peerpb.GroupView{Group: state.Group, Term: state.Term, Primary: state.Primary}
+	for _, p := range h.mesh.Peers() {
+		h.post(p.Address, &peerpb.Envelope{Body: &peerpb.Envelope_GroupView{GroupView: view}})
+	}
+}
+
 // learnGroup passes a hint about a group's primary to its table.
 func (h *Host) learnGroup(v *peerpb.GroupView) {
 	if g := h.group(v.Group); g != nil {
--- a/host/read.go
+++ b/host/read.go
@@ -19,7 +19,7 @@
 		if err != nil {
 			return err
 		}
-		for _, id := range r.service.group.readers(floor) {
+		for _, id := range r.service.group.readers(ctx, floor, r.arrived) {
 			last = s.readOn(ctx, r, id, floor, sampled)
 			if last == nil || !retryRead(last) {
 				return last
@@ -63,15 +63,7 @@
 	if err != nil {
 		return err
 	}
-	check := func() error {
-		if lease.conn.Position().Before(floor) {
-			return errBehind
-		}
-		if !sampled.IsZero() && s.host.now().Sub(sampled) > r.terms.MaxAge {
-			return errBehind
-		}
-		return nil
-	}
+	check := func() error { return s.checkRead(ctx, r, lease.conn.Position(), floor, sampled) }
 	rep, _, err := s.exchange(lease.conn, r, check)
 	if err != nil {
 		lease.abandon()
@@ -95,6 +87,26 @@
 	return s.finish(rep.buf, 'I')
 }
 
+// checkRead decides whether an answer that was read at pos may be told.
+func (s *session) checkRead(ctx context.Context, r *request, pos, floor position.Position, sampled time.Time) error {
+	switch {
+	case !r.executes:
+		return nil
+	case pos.Before(floor):
+		return errBehind
+	case !sampled.IsZero():
+		if s.host.now().Sub(sampled) > r.terms.MaxAge {
+			return errBehind
+		}
+		return nil
+	}
+	ok, err := r.service.group.settled(ctx, pos)
+	if err == nil && !ok {
+		return errBehind
+	}
+	return err
+}
+
 // describe runs a batch that executes nothing. It changes and reads no data,
 // so it is not counted; it goes to the primary first, whose schema is current,
 // and to a replica where there is none.
--- a/host/request.go
+++ b/host/request.go
@@ -209,8 +209,10 @@
 		}
 		return floor, sampled, err
 	}
-	if err := g.checkFloor(own, confirmed); err != nil {
-		return floor, sampled, err
+	if confirmed.Before(own) {
+		if err := g.checkToken(own, r.arrived); err != nil {
+			return floor, sampled, err
+		}
 	}
 	return position.Max(own, confirmed), sampled, nil
 }
