Measure what users weigh by one command

The four measures stood in separate tests, with baselines in some of them and no table or picture to judge them by.

bronzeloft-measure users runs them at both deployments' sizes in simulated time with fixed seeds, baselines in the same run, and writes one JSON document, a table and charts.

--- /dev/null
+++ b/cmd/bronzeloft-measure/main.go
@@ -0,0 +1,62 @@
+// Command bronzeloft-measure runs the project's measurements, with baselines in
+// the same run.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/bronzeloft/bronzeloft/internal/measure/fourmeasures"
+)
+
+// usersCommand is the subcommand users.
+type usersCommand struct {
+	Out   string `long:"out" value-name:"DIR" description:"write results.json, table.txt and the charts to DIR"`
+	Quick bool   `long:"quick" description:"make shorter runs"`
+	PNG   bool   `long:"png" description:"write the charts as PNG, too"`
+}
+
+// Execute measures in simulated time and prints the table.
+func (c *usersCommand) Execute([]string) error {
+	plan := fourmeasures.Full()
+	if c.Quick {
+		plan = fourmeasures.Quick()
+	}
+	results := fourmeasures.Run(plan)
+	if err := results.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if c.Out == "" {
+		return nil
+	}
+	formats := []string{"svg"}
+	if c.PNG {
+		formats = append(formats, "png")
+	}
+	return results.Save(c.Out, formats...)
+}
+
+type options struct {
+	Users usersCommand `command:"users" description:"measure reads on replicas, failover, customers' waits and wrongful refusals"`
+}
+
+func main() {
+	var opts options
+	p := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := p.Parse()
+	var fe *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Println(err)
+	case errors.As(err, &fe):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/experiment/rate/sim.go
@@ -0,0 +1,326 @@
+package rate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/rate"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// host is one simulated entry host.
+type host struct {
+	index   int
+	address string
+	dc      int
+	down    bool // dead or paused: handles nothing
+	boot    int
+	limiter limiter
+	queue   []func() // deliveries while paused
+}
+
+// limiter is one host's part of a way.
+type limiter interface {
+	ask(id uint64, customer int, now time.Time)
+	deliver(from *host, msg any, now time.Time)
+	tick(now time.Time)
+	next() time.Time // the zero time when no tick is needed
+}
+
+// event happens at a simulated time.
+type event struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// sim is one run.
+type sim struct {
+	cfg     Config
+	rng     *rand.Rand
+	now     time.Time
+	queue   events
+	order   uint64
+	hosts   []*host
+	cut     bool // the first data centre is cut off
+	nextID  uint64
+	pending map[uint64]int // customer of a request without an answer
+	wakeAt  map[*host]time.Time
+
+	buckets  []bucket // true to what was admitted: must not go below zero
+	central  []bucket
+	worst    float64
+	asked    int
+	admitted int
+	ideal    int
+	messages int
+	bytes    int
+	cpu      time.Duration
+}
+
+// bucket is a token bucket for the whole fleet.
+type bucket struct {
+	tokens, rate, burst float64
+	at                  time.Time
+}
+
+func (b *bucket) advance(now time.Time) {
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
+func newSim(cfg Config) *sim {
+	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 3)), now: epoch,
+		pending: map[uint64]int{}, wakeAt: map[*host]time.Time{}}
+	for _, c := range cfg.Customers {
+		b := bucket{tokens: c.Burst, rate: c.Rate, burst: c.Burst, at: epoch}
+		s.buckets = append(s.buckets, b)
+		s.central = append(s.central, b)
+	}
+	for i := range cfg.Hosts {
+		h := &host{index: i, address: fmt.Sprintf("10.0.0.%d:7000", i), dc: i % cfg.DCs}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	for i := range cfg.Customers {
+		s.at(epoch.Add(warmUp), func() { s.arrive(i) })
+	}
+	s.plan()
+	return s
+}
+
+// plan schedules the fault of the case.
+func (s *sim) plan() {
+	victim := s.hosts[0]
+	switch s.cfg.Case {
+	case HostLoss:
+		s.at(epoch.Add(faultAt), func() { victim.down = true; victim.queue = nil })
+		s.at(epoch.Add(replacedAt), func() { s.start(victim) })
+	case PausedHost:
+		s.at(epoch.Add(faultAt), func() { victim.down = true })
+		s.at(epoch.Add(pauseEnd), func() { s.resume(victim) })
+	case Cut:
+		s.at(epoch.Add(faultAt), func() { s.cut = true })
+		s.at(epoch.Add(faultEnd), func() { s.cut = false })
+	}
+}
+
+// platformOut reports whether the platform answers nothing.
+func (s *sim) platformOut() bool {
+	since := s.now.Sub(epoch)
+	return s.cfg.Case == Outage && since >= faultAt && since < faultAt+10*time.Minute
+}
+
+func (s *sim) start(h *host) {
+	h.boot++
+	h.down, h.queue = false, nil
+	switch s.cfg.Way {
+	case EvenSplit:
+		h.limiter = newEven(s)
+	case HomeHost:
+		h.limiter = newHome(s, h)
+	default:
+		h.limiter = newShares(s, h)
+	}
+	s.schedule(h)
+}
+
+func (s *sim) resume(h *host) {
+	h.down = false
+	queue := h.queue
+	h.queue = nil
+	for _, do := range queue {
+		do()
+	}
+	s.schedule(h)
+}
+
+func (s *sim) at(t time.Time, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{t, s.order, do})
+}
+
+// schedule makes sure that a host ticks when it next needs to.
+func (s *sim) schedule(h *host) {
+	next := h.limiter.next()
+	if next.IsZero() {
+		return
+	}
+	if next.Before(s.now) {
+		next = s.now
+	}
+	if at, ok := s.wakeAt[h]; ok && !at.After(next) && !at.Before(s.now) {
+		return
+	}
+	s.wakeAt[h] = next
+	s.at(next, func() {
+		if !s.wakeAt[h].Equal(next) {
+			return
+		}
+		delete(s.wakeAt, h)
+		if h.down {
+			return
+		}
+		h.limiter.tick(s.now)
+		s.schedule(h)
+	})
+}
+
+func (s *sim) run() {
+	end := epoch.Add(s.cfg.Time)
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		if e.at.After(end) {
+			return
+		}
+		s.now = e.at
+		e.do()
+	}
+}
+
+// arrive sends one request of a customer and schedules its next.
+func (s *sim) arrive(customer int) {
+	load := usualLoad
+	if s.cfg.Case == Tenfold && customer == 0 {
+		load = tenfold
+	}
+	gap := s.rng.ExpFloat64() / (s.cfg.Customers[customer].Rate * load)
+	s.at(s.now.Add(time.Duration(gap*float64(time.Second))), func() { s.arrive(customer) })
+	h := s.choose()
+	s.asked++
+	s.nextID++
+	s.pending[s.nextID] = customer
+	b := &s.central[customer]
+	b.advance(s.now)
+	if b.tokens >= 1 {
+		b.tokens--
+		s.ideal++
+	}
+	h.limiter.ask(s.nextID, customer, s.now)
+	s.schedule(h)
+}
+
+// choose picks the host that a request reaches: a live one.
+func (s *sim) choose() *host {
+	if s.cfg.Case == Skew {
+		return s.hosts[len(s.hosts)-1]
+	}
+	for {
+		if h := s.hosts[s.rng.IntN(len(s.hosts))]; !h.down {
+			return h
+		}
+	}
+}
+
+// admit notes that a request was admitted.
+func (s *sim) admit(id uint64) {
+	b := &s.buckets[s.pending[id]]
+	delete(s.pending, id)
+	b.advance(s.now)
+	b.tokens--
+	s.worst = min(s.worst, b.tokens)
+	s.admitted++
+}
+
+func (s *sim) refuse(id uint64) { delete(s.pending, id) }
+
+// send carries a message, with some jitter, unless a cut is in the way.
+func (s *sim) send(from, to *host, msg any) {
+	s.messages++
+	s.bytes += size(msg)
+	delay := s.cfg.OneWay / 4
+	if from.dc != to.dc {
+		delay = s.cfg.OneWay
+	}
+	delay += time.Duration(s.rng.Int64N(int64(delay)/2 + 1))
+	boot := to.boot
+	s.at(s.now.Add(delay), func() {
+		if s.cut && (from.dc == 0) != (to.dc == 0) || boot != to.boot {
+			return
+		}
+		do := func() {
+			to.limiter.deliver(from, msg, s.now)
+			s.schedule(to)
+		}
+		if to.down {
+			to.queue = append(to.queue, do)
+			return
+		}
+		do()
+	})
+}
+
+func size(msg any) int {
+	if m, ok := msg.(proto.Message); ok {
+		return proto.Size(m)
+	}
+	return messageSize
+}
+
+func (s *sim) find(address string) *host {
+	for _, h := range s.hosts {
+		if h.address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+// timed adds a table call's time to the run's processor time.
+func (s *sim) timed(call func() rate.Output) rate.Output {
+	began := time.Now()
+	out := call()
+	s.cpu += time.Since(began)
+	return out
+}
+
+func (s *sim) roster() contract.Roster {
+	r := contract.Roster{Version: 1}
+	for _, h := range s.hosts {
+		r.Hosts = append(r.Hosts, contract.RosterHost{Address: h.address, DataCentre: fmt.Sprint(h.dc)})
+	}
+	return r
+}
+
+func (s *sim) result() Result {
+	seconds := s.cfg.Time.Seconds() * float64(s.cfg.Hosts)
+	r := Result{
+		Way: s.cfg.Way, Case: s.cfg.Case, Hosts: s.cfg.Hosts,
+		Asked: s.asked, Admitted: s.admitted, Central: s.ideal,
+		MessagesPerSec: float64(s.messages) / seconds,
+		BytesPerSec:    float64(s.bytes) / seconds,
+		CPUPercent:     100 * s.cpu.Seconds() / seconds,
+	}
+	if s.worst < -1e-6 {
+		r.Overshoot = -s.worst
+	}
+	if s.ideal > s.admitted {
+		r.WrongfulPercent = 100 * float64(s.ideal-s.admitted) / float64(s.ideal)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/measure/fourmeasures/customers.go
@@ -0,0 +1,185 @@
+package fourmeasures
+
+import (
+	"slices"
+	"time"
+)
+
+// Shape of the customers' load. The databases are alike and independent.
+const (
+	usualLoad       = 0.7 // of all slots, while every customer keeps its rate
+	tenfold         = 10
+	meanService     = 10 * time.Millisecond
+	requestDeadline = 2 * time.Second
+	largeWeight     = 5
+	largeEvery      = 4 // every fourth customer is large, the first one too
+	expireEvery     = 50 * time.Millisecond
+)
+
+// Queueing is a way to share a database's slots.
+type Queueing string
+
+// The ways.
+const (
+	DeficitRoundRobin Queueing = "deficit round robin"
+	FirstCome         Queueing = "first come first served"
+)
+
+// Mix is how customers' weights, and with them their rates, differ.
+type Mix string
+
+// The mixes.
+const (
+	Alike    Mix = "alike"
+	FewLarge Mix = "few large"
+)
+
+// weight returns the weight of customer i.
+func (m Mix) weight(i int) int {
+	if m == FewLarge && i%largeEvery == 0 {
+		return largeWeight
+	}
+	return 1
+}
+
+// CustomerRun is how customers fared at one deployment. The first customer
+// sends Factor times its rate; among a few large ones it is large.
+type CustomerRun struct {
+	Site          string    `json:"site"`
+	Mix           Mix       `json:"mix"`
+	Queueing      Queueing  `json:"queueing"`
+	Factor        float64   `json:"factor"`
+	Databases     int       `json:"databases"`
+	Slots         int       `json:"slotsPerDatabase"`
+	WorstRatio    float64   `json:"worstRatioToFairShare"` // of slot time
+	Ratios        []float64 `json:"ratiosToFairShare"`     // by customer
+	OthersP99Ms   float64   `json:"othersP99WaitMs"`       // over all customers but the first
+	WorstP99Ms    float64   `json:"worstP99WaitMs"`        // of one customer but the first
+	OthersRefused float64   `json:"othersRefusedPercent"`
+}
+
+var mixes = []Mix{Alike, FewLarge}
+
+// load is one run of the customers' load.
+type load struct {
+	size   Size
+	mix    Mix
+	way    Queueing
+	factor float64
+	spell  time.Duration
+	seed   uint64
+}
+
+func (r *Results) customerTasks(size Size) []func() {
+	p := r.Plan
+	var out []func()
+	for _, mix := range mixes {
+		for _, way := range []Queueing{DeficitRoundRobin, FirstCome} {
+			for _, factor := range []float64{1, tenfold} {
+				l := load{size: size, mix: mix, way: way, factor: factor, spell: p.CustomerTime, seed: p.Seed}
+				out = append(out, addTask(&r.Customers, l.measure))
+			}
+		}
+	}
+	return out
+}
+
+// tally is what one customer asked for and got.
+type tally struct {
+	weight   int
+	asked    int
+	refused  int
+	demanded time.Duration // slot time
+	served   time.Duration // slot time
+	waits    []time.Duration
+}
+
+// measure runs every database of the deployment.
+func (l load) measure() CustomerRun {
+	databases := l.size.Services * l.size.Databases
+	totals := make([]tally, l.size.Customers)
+	for i := range totals {
+		totals[i].weight = l.mix.weight(i)
+	}
+	for d := range databases {
+		s := newSlotSim(l, l.seed+uint64(d)<<32)
+		s.run()
+		for i, t := range s.tallies {
+			totals[i].add(t)
+		}
+	}
+	capacity := time.Duration(databases*l.size.Slots) * l.spell
+	out := CustomerRun{
+		Site: l.size.Name, Mix: l.mix, Queueing: l.way, Factor: l.factor,
+		Databases: databases, Slots: l.size.Slots, Ratios: ratios(totals, capacity),
+	}
+	out.WorstRatio = slices.Min(out.Ratios)
+	out.others(totals[1:])
+	return out
+}
+
+// others notes the waits and refusals of the customers that keep their rate.
+func (c *CustomerRun) others(all []tally) {
+	var waits []time.Duration
+	asked, refused := 0, 0
+	for _, t := range all {
+		waits = append(waits, t.waits...)
+		c.WorstP99Ms = max(c.WorstP99Ms, p99(t.waits))
+		asked += t.asked
+		refused += t.refused
+	}
+	c.OthersP99Ms = p99(waits)
+	c.OthersRefused = 100 * float64(refused) / float64(max(asked, 1))
+}
+
+func (t *tally) add(o tally) {
+	t.asked += o.asked
+	t.refused += o.refused
+	t.demanded += o.demanded
+	t.served += o.served
+	t.waits = append(t.waits, o.waits...)
+}
+
+// p99 sorts waits and returns their 99th percentile in milliseconds.
+func p99(waits []time.Duration) float64 {
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return float64(waits[len(waits)*99/100].Microseconds()) / 1000
+}
+
+// ratios returns each customer's slot time over its fair share: the weighted
+// max-min share of the capacity, no more than it demanded.
+func ratios(all []tally, capacity time.Duration) []float64 {
+	shares := fairShares(all, capacity)
+	out := make([]float64, len(all))
+	for i, t := range all {
+		out[i] = t.served.Seconds() / shares[i].Seconds()
+	}
+	return out
+}
+
+func fairShares(all []tally, capacity time.Duration) []time.Duration {
+	out := make([]time.Duration, len(all))
+	open := make([]int, len(all))
+	weights := 0
+	for i, t := range all {
+		open[i] = i
+		weights += t.weight
+	}
+	perWeight := func(i int) float64 { return all[i].demanded.Seconds() / float64(all[i].weight) }
+	slices.SortFunc(open, func(a, b int) int {
+		if perWeight(a) < perWeight(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, i := range open {
+		part := capacity * time.Duration(all[i].weight) / time.Duration(weights)
+		out[i] = min(part, all[i].demanded)
+		capacity -= out[i]
+		weights -= all[i].weight
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/fourmeasures/reads.go
@@ -0,0 +1,54 @@
+package fourmeasures
+
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/matrix"
+)
+
+// replicationLags are the delays of replication besides the network's.
+var replicationLags = []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond}
+
+// readTasks measure the share of reads on replicas, by the floor of a fresh
+// read: the position that a majority holds, or the primary's end.
+func (r *Results) readTasks(size Size) []func() {
+	p := r.Plan
+	var out []func()
+	for _, lag := range replicationLags {
+		out = append(out, addTask(&r.Reads, func() matrix.ReplicaShare {
+			return matrix.MeasureReplicaShare(size.Site, lag, matrix.FloorHeld, p.ReplicaWait, p.ReadTime, p.Seed)
+		}), addTask(&r.Reads, func() matrix.ReplicaShare {
+			return matrix.MeasureReplicaShare(size.Site, lag, matrix.FloorPrimary, time.Nanosecond, p.ReadTime, p.Seed)
+		}))
+	}
+	return out
+}
+
+// losses are the ways to lose a primary.
+var losses = []matrix.Loss{matrix.Killed, matrix.Frozen, matrix.Cut, matrix.Stalled, matrix.Leaves}
+
+// failoverTasks measure the gap after every loss, that of fixed time-outs after
+// a kill, and promotions that nothing called for.
+func (r *Results) failoverTasks(size Size) []func() {
+	p := r.Plan
+	detectors := matrix.Detectors()
+	var out []func()
+	gap := func(loss matrix.Loss, down bool, d matrix.Detector) {
+		out = append(out, addTask(&r.Failovers, func() matrix.Failover {
+			return matrix.MeasureFailover(size.Site, loss, down, d, p.FailoverRuns)
+		}))
+	}
+	for _, loss := range losses {
+		gap(loss, false, detectors[0])
+		gap(loss, true, detectors[0])
+	}
+	for _, d := range detectors[1:] {
+		gap(matrix.Killed, false, d)
+	}
+	for _, d := range detectors {
+		out = append(out, addTask(&r.Quiet, func() matrix.Quiet {
+			return matrix.MeasureQuiet(size.Site, d, p.QuietTime, p.Seed)
+		}))
+	}
+	return out
+}
