--- a/cmd/bronzeloft-measure/main.go
+++ b/cmd/bronzeloft-measure/main.go
@@ -3,12 +3,17 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/bronzeloft/bronzeloft/internal/measure"
 	"github.com/bronzeloft/bronzeloft/internal/measure/fourmeasures"
 )
 
@@ -39,8 +44,26 @@
 	return results.Save(c.Out, formats...)
 }
 
+// capacityCommand is the subcommand capacity.
+type capacityCommand struct{}
+
+// Execute measures one host on this machine and prints, as JSON, the slopes that
+// docs/CAPACITY.md is worked out from.
+func (*capacityCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	c, err := measure.MeasureCapacity(ctx)
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(c)
+}
+
 type options struct {
-	Users usersCommand `command:"users" description:"measure reads on replicas, failover, customers' waits and wrongful refusals"`
+	Users    usersCommand    `command:"users" description:"measure reads on replicas, failover, customers' waits and wrongful refusals"`
+	Capacity capacityCommand `command:"capacity" description:"measure what one host carries"`
 }
 
 func main() {
