--- a/internal/measure/fourmeasures/fourmeasures_test.go
+++ b/internal/measure/fourmeasures/fourmeasures_test.go
@@ -99,6 +99,14 @@
 	})
 })
 
+var _ = Describe("the table", func() {
+	It("takes no target as met without figures", func() {
+		for _, row := range (Results{Plan: Full(), Sizes: Sizes()}).Rows() {
+			Expect(row.met()).NotTo(Equal("yes"), row.Measure)
+		}
+	})
+})
+
 var _ = Describe("fairShares", func() {
 	It("leaves to others what a customer does not demand", func() {
 		all := []tally{
--- a/internal/measure/fourmeasures/table.go
+++ b/internal/measure/fourmeasures/table.go
@@ -165,10 +165,11 @@
 
 func (r Results) refusalRows(site string) []Row {
 	var out []Row
-	overshoot := 0.0
+	overshoot, ran := 0.0, true
 	for _, c := range refusalCases(r.Plan) {
 		ours, base := r.refusal(site, rate.Shares, c), r.refusal(site, rate.EvenSplit, c)
 		overshoot = max(overshoot, ours.Overshoot)
+		ran = ran && ours.Asked > 0
 		most := mostWrongfulUsual
 		if faulty(c) {
 			most = mostWrongfulFault
@@ -181,7 +182,7 @@
 	}
 	return append(out, Row{
 		Measure: "requests over rate and burst, all cases", Site: site,
-		Ours: fmt.Sprintf("%g", overshoot), Baseline: "-", Target: "0", Met: overshoot == 0,
+		Ours: fmt.Sprintf("%g", overshoot), Baseline: "-", Target: "0", Met: ran && overshoot == 0,
 	})
 }
 
