End sessions whose transaction waits too long; end busy ones of a leaving host

Cause: found by reading. A transaction idle for too long was answered with an error that the caller had not asked for and a session that went on, so its next answer could be taken for another request's. A leaving host ended a session in steady use only if it happened to look between two requests. The customer of each request was searched for in the whole list.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -42,6 +42,7 @@
 	PrimaryReplaced                 // the database refused: it is fenced or a replica
 	ConnectionLimit                 // too many caller connections on this host
 	UnknownStatement                // a prepared statement that the caller did not prepare
+	IdleTransaction                 // the transaction waited too long for its caller and was rolled back
 	numKinds
 )
 
@@ -102,6 +103,7 @@
 	DatabaseUnavailable: {"database_unavailable", "57P03", NotRun, false, "no database can be reached", "retry"},
 	PrimaryReplaced:     {"primary_replaced", "57P03", NotRun, false, "primary was replaced", "retry"},
 	ConnectionLimit:     {"connection_limit", "53300", NotRun, true, "host has too many caller connections", "reconnect later"},
+	IdleTransaction:     {"idle_transaction", "25P03", NotRun, true, "transaction was idle for too long and was rolled back", "reconnect"},
 	UnknownStatement:    {"unknown_statement", "26000", NotRun, false, "prepared statement does not exist", "prepare it on this connection"},
 }
 
--- a/host/apply.go
+++ b/host/apply.go
@@ -42,7 +42,10 @@
 // newView makes what snap needs and closes what it no longer names. applyMu is
 // held.
 func (h *Host) newView(snap *contract.Snapshot) *view {
-	v := &view{snap: snap, services: map[string]*service{}, databases: map[string]*databaseState{}}
+	v := &view{snap: snap, services: map[string]*service{}, databases: map[string]*databaseState{}, customers: map[string]*contract.Customer{}}
+	for i := range snap.Customers {
+		v.customers[snap.Customers[i].ID] = &snap.Customers[i]
+	}
 	groups := map[string][]contract.Database{}
 	for i := range snap.Services {
 		svc := &snap.Services[i]
--- a/host/host.go
+++ b/host/host.go
@@ -81,10 +81,14 @@
 // view is the configuration in force as requests use it. It is immutable.
 type view struct {
 	snap      *contract.Snapshot
+	customers map[string]*contract.Customer
 	services  map[string]*service
 	databases map[string]*databaseState
 }
 
+// customer returns the customer with the given id, nil when there is none.
+func (v *view) customer(id string) *contract.Customer { return v.customers[id] }
+
 // service is one published service and its group; group is nil where this host
 // does not serve it.
 type service struct {
@@ -219,6 +223,17 @@
 		h.now().Sub(h.started) >= slotWarmUp && h.rates.settled()
 }
 
+// defaultIdleInTransaction is how long a transaction may wait for its caller
+// when the settings do not say. It is shorter than database.ServerClose.
+const defaultIdleInTransaction = 10 * time.Second
+
+func (h *Host) idleInTransaction() time.Duration {
+	if d := h.set.Callers.IdleInTransaction; d > 0 {
+		return d
+	}
+	return defaultIdleInTransaction
+}
+
 // defaultServingHosts is how many hosts of a data centre serve one group when
 // the settings do not say.
 const defaultServingHosts = 8
--- a/host/leaving_test.go
+++ b/host/leaving_test.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/internal/loopback"
 	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
+	"github.com/bronzeloft/bronzeloft/settings"
 )
 
 var _ = Describe("a leaving database", func() {
@@ -66,3 +67,41 @@
 		}, SpecTimeout(testLimit))
 	}
 })
+
+var _ = Describe("a transaction whose caller waits", func() {
+	It("is rolled back and its session ended, so that no later answer is taken for another", func(ctx SpecContext) {
+		site, key := startSite(ctx, func(c *loopback.Config) {
+			c.Settings = func(_ int, set *settings.Host) { set.Callers.IdleInTransaction = 300 * time.Millisecond }
+		})
+		conn := createOrders(ctx, site, key)
+		_, err := conn.Exec(ctx, "BEGIN; INSERT INTO orders VALUES ('waits', 1)")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		_, err = conn.Exec(ctx, "SELECT 1")
+		kind, _ := refusal(err)
+		Expect(kind).To(Equal("idle_transaction"))
+		Expect(conn.IsClosed()).To(BeTrue())
+		Expect(countOrders(ctx, connect(ctx, site, 0, key), "order.read")).To(BeZero())
+	}, SpecTimeout(testLimit))
+})
+
+var _ = Describe("a leaving host's busy session", func() {
+	It("ends between two requests once half of the grace has passed", func(ctx SpecContext) {
+		site, key := startSite(ctx, func(c *loopback.Config) {
+			c.Settings = func(_ int, set *settings.Host) { set.Shutdown.Grace = 2 * time.Second }
+		})
+		conn := createOrders(ctx, site, key)
+		drained := make(chan error, 1)
+		go func() { drained <- site.Hosts[0].Drain(ctx) }()
+		start := time.Now()
+		var err error
+		for err == nil && time.Since(start) < 5*time.Second {
+			_, err = conn.Exec(ctx, "/*request='order.read'*/ SELECT 1")
+		}
+		kind, notRun := refusal(err)
+		Expect(kind).To(Equal("leaving"))
+		Expect(notRun).To(BeTrue())
+		Expect(time.Since(start)).To(BeNumerically("<", 1500*time.Millisecond))
+		Expect(<-drained).To(Succeed())
+	}, SpecTimeout(testLimit))
+})
--- a/host/members.go
+++ b/host/members.go
@@ -31,9 +31,10 @@
 	self    string
 	inForce *datacentre.Configuration
 
-	serving    *serving    // used by run alone
-	configured atomic.Bool // the configuration changed since the last look at serving
-	ranked     time.Time   // used by run alone
+	serving    *serving          // used by run alone
+	configured atomic.Bool       // the configuration changed since the last look at serving
+	ranked     time.Time         // used by run alone
+	logged     map[string]uint64 // term last logged by group; used by run alone
 
 	mu    sync.Mutex // guards table and the changing methods of inForce
 	table *datacentre.Table
@@ -45,6 +46,7 @@
 		host:    h,
 		self:    self,
 		inForce: inForce,
+		logged:  map[string]uint64{},
 		serving: &serving{host: h, unused: map[string]time.Time{}},
 		table: datacentre.New(datacentre.Config{
 			Self:       self,
@@ -75,6 +77,7 @@
 	for _, g := range groups {
 		if v, ok := g.view(); ok {
 			m.observeGroup(g.name, v)
+			m.logPrimary(g.name, v)
 		}
 	}
 	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.Tick(now) })
@@ -83,6 +86,15 @@
 	m.rank(groups)
 }
 
+// logPrimary logs a change of a group's primary.
+func (m *members) logPrimary(name string, v group.View) {
+	if m.logged[name] == v.Term {
+		return
+	}
+	m.logged[name] = v.Term
+	m.host.log.Info("Primary established.", "part", "group", "group", name, "term", v.Term, "database", v.Primary)
+}
+
 // connect keeps connections to the peers that the table chooses and to the
 // contacts in use.
 func (m *members) connect() {
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -48,4 +48,8 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`bronzeloft_request_seconds{service=%q,access=%q}`, service, access)).Update(took.Seconds())
 }
 
-func (m *hostMetrics) write(w io.Writer) { m.set.WritePrometheus(w) }
+// write writes all metrics, those of the process included.
+func (m *hostMetrics) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/host/rates.go
+++ b/host/rates.go
@@ -79,7 +79,7 @@
 	customer := s.customer
 	if customer == "" {
 		customer = OpenCustomer
-		if s.host.view.Load().snap.Customer(OpenCustomer) == nil {
+		if s.host.view.Load().customer(OpenCustomer) == nil {
 			return nil
 		}
 	}
--- a/host/relay.go
+++ b/host/relay.go
@@ -157,7 +157,7 @@
 
 // withGroups returns a copy of v whose services have the given runners.
 func (v *view) withGroups(groups map[string]*groupRunner) *view {
-	next := &view{snap: v.snap, databases: v.databases, services: make(map[string]*service, len(v.services))}
+	next := &view{snap: v.snap, databases: v.databases, customers: v.customers, services: make(map[string]*service, len(v.services))}
 	for name, svc := range v.services {
 		next.services[name] = &service{terms: svc.terms, group: groups[svc.terms.Group]}
 	}
--- a/host/request.go
+++ b/host/request.go
@@ -53,7 +53,7 @@
 	if svc == nil || svc.group == nil {
 		return nil, errkind.New(errkind.UnknownDatabase, "%s was withdrawn", s.service)
 	}
-	r := &request{batch: b, service: svc, arrived: now, keyID: s.keyID, customer: v.snap.Customer(s.customer)}
+	r := &request{batch: b, service: svc, arrived: now, keyID: s.keyID, customer: v.customer(s.customer)}
 	if s.keyID != "" && r.customer == nil {
 		return nil, errkind.New(errkind.KeyWithdrawn, "customer was withdrawn")
 	}
--- a/host/session.go
+++ b/host/session.go
@@ -17,14 +17,9 @@
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// Timing of callers' sessions.
-const (
-	// idleInTransaction is how long a transaction may wait for its caller.
-	idleInTransaction = 10 * time.Second
-	// idleBeforeLeaving is how long a session must be idle before a leaving
-	// host ends it during the first half of its grace.
-	idleBeforeLeaving = 500 * time.Millisecond
-)
+// idleBeforeLeaving is how long a session must be idle before a leaving host
+// ends it during the first half of its grace.
+const idleBeforeLeaving = 500 * time.Millisecond
 
 // errCaller marks an error of the caller's own connection: nobody is left to
 // be told.
@@ -46,6 +41,7 @@
 	pinned   atomic.Bool // tx is set
 	via      string      // host that relays the session here, empty for none
 	viaLeft  atomic.Bool // that host is leaving
+	forced   atomic.Bool // the session must end at the next boundary of its requests
 
 	mu        sync.Mutex // guards all below
 	running   *database.Conn
@@ -82,7 +78,9 @@
 func (s *session) receive() (*caller.Batch, error) {
 	for {
 		if s.tx != nil {
-			s.conn.SetReadDeadline(s.host.now().Add(idleInTransaction))
+			s.conn.SetReadDeadline(s.host.now().Add(s.host.idleInTransaction()))
+		} else if s.mustLeave() {
+			return nil, errkind.New(errkind.Leaving, "")
 		}
 		b, err := s.conn.Receive()
 		var ne net.Error
@@ -90,7 +88,7 @@
 			return b, err
 		}
 		if s.tx != nil {
-			return nil, errkind.New(errkind.DeadlineNotRun, "transaction idle for over %s", idleInTransaction)
+			return nil, errkind.New(errkind.IdleTransaction, "after %s", s.host.idleInTransaction())
 		}
 		if s.host.leaving() || s.viaLeft.Load() {
 			return nil, errkind.New(errkind.Leaving, "")
@@ -106,9 +104,6 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, errCaller) || !errors.As(err, &known) {
 		return errCaller
 	}
-	if known.Kind == errkind.DeadlineNotRun && s.tx != nil {
-		s.dropTransaction()
-	}
 	s.host.metrics.refused(known.Kind)
 	if s.conn.Refuse(known, s.txStatus()) != nil {
 		return errCaller
@@ -157,9 +152,13 @@
 	}
 }
 
+// mustLeave reports whether a session in steady use has to end now.
+func (s *session) mustLeave() bool { return s.forced.Load() }
+
 // expire wakes an idle session of a leaving host so that it ends. A session
 // with an open transaction is left alone: the end of the grace cuts it off.
 func (s *session) expire(now time.Time, force bool) {
+	s.forced.Store(force)
 	s.mu.Lock()
 	idle := now.Sub(s.idleSince)
 	s.mu.Unlock()
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -61,6 +61,8 @@
 	{key: "callers.startup_timeout", unit: "duration", doc: "Time for a caller to finish TLS and present its key.",
 		duration: func(h *Host) *time.Duration { return &h.Callers.StartupTimeout }, durDef: 5 * time.Second, durLo: 100 * time.Millisecond, durH: time.Minute},
 
+	{key: "callers.idle_in_transaction", unit: "duration", doc: "Time that a transaction may wait for its caller; it is rolled back then.",
+		duration: func(h *Host) *time.Duration { return &h.Callers.IdleInTransaction }, durDef: 10 * time.Second, durLo: 100 * time.Millisecond, durH: 14 * time.Second},
 	{key: "peers.listen", unit: "IP:port", doc: "Address for other hosts.",
 		text: func(h *Host) *string { return &h.Peers.Listen }, textDef: "127.0.0.1:7432", textRule: listenRule},
 	{key: "peers.advertise", unit: "IP:port", doc: "Address that other hosts dial. Not set, it is peers.listen.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,8 @@
 	TLSKey         string // PEM file
 	MaxConnections int
 	StartupTimeout time.Duration
+	// IdleInTransaction is how long a transaction may wait for its caller.
+	IdleInTransaction time.Duration
 }
 
 // Peers is the listener for other hosts, and where to find the first ones.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -92,7 +92,7 @@
 			`:5: callers.listen: found "localhost:6432", allowed: IP:port`,
 			`:6: callers.max_connections: found 0, allowed: a whole number from 1 to 60000`,
 			`:7: callers.startup_timeout: found "5", allowed: a duration such as "250ms", from 100ms to 1m0s`,
-			`:8: callers.speed: found an unknown key, allowed: one of listen, max_connections, startup_timeout, tls_cert, tls_key`,
+			`:8: callers.speed: found an unknown key, allowed: one of idle_in_transaction, listen, max_connections, startup_timeout, tls_cert, tls_key`,
 			`:10: platform.url: found "ftp://x", allowed: http:// or https:// URL`,
 			`:13: nowhere: found an unknown key, allowed: one of admin, callers, databases, host, log, peers, platform, shutdown`,
 		}))
