--- a/customer/rate/config.go
+++ b/customer/rate/config.go
@@ -1,6 +1,10 @@
 package rate
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
+)
 
 // Sizes of a Table.
 const (
@@ -52,21 +56,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.LoanTerm, DefaultLoanTerm)
-	setDefault(&c.AskTimeout, DefaultAskTimeout)
-	setDefault(&c.MaxWait, DefaultMaxWait)
-	setDefault(&c.IdleReturn, DefaultIdleReturn)
-	setDefault(&c.MinPause, DefaultMinPause)
-	setDefault(&c.MaxPause, DefaultMaxPause)
+	defaults.Set(&c.LoanTerm, DefaultLoanTerm)
+	defaults.Set(&c.AskTimeout, DefaultAskTimeout)
+	defaults.Set(&c.MaxWait, DefaultMaxWait)
+	defaults.Set(&c.IdleReturn, DefaultIdleReturn)
+	defaults.Set(&c.MinPause, DefaultMinPause)
+	defaults.Set(&c.MaxPause, DefaultMaxPause)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // hold is how long a lender counts a loan of the given term as out.
 func hold(term time.Duration) time.Duration {
 	return term + term/marginParts
--- a/database/budget/budget.go
+++ b/database/budget/budget.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/internal/standing"
 )
 
@@ -125,22 +126,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.LoanTerm, DefaultLoanTerm)
-	setDefault(&c.ServerClose, DefaultServerClose)
-	setDefault(&c.ColdWait, DefaultColdWait)
-	setDefault(&c.AskTimeout, DefaultAskTimeout)
-	setDefault(&c.Pause, DefaultPause)
-	setDefault(&c.IdleConns, DefaultIdleConns)
-	setDefault(&c.IdleSlots, DefaultIdleSlots)
+	defaults.Set(&c.LoanTerm, DefaultLoanTerm)
+	defaults.Set(&c.ServerClose, DefaultServerClose)
+	defaults.Set(&c.ColdWait, DefaultColdWait)
+	defaults.Set(&c.AskTimeout, DefaultAskTimeout)
+	defaults.Set(&c.Pause, DefaultPause)
+	defaults.Set(&c.IdleConns, DefaultIdleConns)
+	defaults.Set(&c.IdleSlots, DefaultIdleSlots)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // hold is how long a lender counts a loan as out after it gave or renewed it.
 func (c Config) hold() time.Duration {
 	return c.LoanTerm + c.LoanTerm/marginParts + c.ServerClose
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/platform"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -112,38 +113,31 @@
 // withDefaults fills the zero fields of t.
 func (t Timing) withDefaults() Timing {
 	d := DefaultTiming()
-	fill := func(v *time.Duration, def time.Duration) {
-		if *v <= 0 {
-			*v = def
-		}
-	}
-	fill(&t.ProbeInterval, d.ProbeInterval)
-	fill(&t.IdleInterval, d.IdleInterval)
-	fill(&t.ProbeTimeout, d.ProbeTimeout)
-	fill(&t.SuspectAfter, d.SuspectAfter)
-	fill(&t.RefusedAfter, d.RefusedAfter)
-	fill(&t.AskWindow, d.AskWindow)
-	fill(&t.AloneDelay, d.AloneDelay)
-	fill(&t.RankDelay, d.RankDelay)
-	fill(&t.ClaimTimeout, d.ClaimTimeout)
-	fill(&t.FenceGrace, d.FenceGrace)
-	fill(&t.RetryInterval, d.RetryInterval)
-	fill(&t.BackoffMin, d.BackoffMin)
-	fill(&t.BackoffMax, d.BackoffMax)
-	fill(&t.StallAfter, d.StallAfter)
-	fill(&t.StrandedAfter, d.StrandedAfter)
-	fill(&t.DrainMax, d.DrainMax)
-	fill(&t.SwitchRetry, d.SwitchRetry)
-	fill(&t.FollowRetry, d.FollowRetry)
-	fill(&t.ConfirmRetry, d.ConfirmRetry)
-	fill(&t.SampleEvery, d.SampleEvery)
-	fill(&t.LagOut, d.LagOut)
-	fill(&t.LagIn, d.LagIn)
-	fill(&t.ReplicaWait, d.ReplicaWait)
-	fill(&t.SilentReader, d.SilentReader)
-	if t.Promoters <= 0 {
-		t.Promoters = d.Promoters
-	}
+	defaults.Set(&t.ProbeInterval, d.ProbeInterval)
+	defaults.Set(&t.IdleInterval, d.IdleInterval)
+	defaults.Set(&t.ProbeTimeout, d.ProbeTimeout)
+	defaults.Set(&t.SuspectAfter, d.SuspectAfter)
+	defaults.Set(&t.RefusedAfter, d.RefusedAfter)
+	defaults.Set(&t.AskWindow, d.AskWindow)
+	defaults.Set(&t.AloneDelay, d.AloneDelay)
+	defaults.Set(&t.RankDelay, d.RankDelay)
+	defaults.Set(&t.ClaimTimeout, d.ClaimTimeout)
+	defaults.Set(&t.FenceGrace, d.FenceGrace)
+	defaults.Set(&t.RetryInterval, d.RetryInterval)
+	defaults.Set(&t.BackoffMin, d.BackoffMin)
+	defaults.Set(&t.BackoffMax, d.BackoffMax)
+	defaults.Set(&t.StallAfter, d.StallAfter)
+	defaults.Set(&t.StrandedAfter, d.StrandedAfter)
+	defaults.Set(&t.DrainMax, d.DrainMax)
+	defaults.Set(&t.SwitchRetry, d.SwitchRetry)
+	defaults.Set(&t.FollowRetry, d.FollowRetry)
+	defaults.Set(&t.ConfirmRetry, d.ConfirmRetry)
+	defaults.Set(&t.SampleEvery, d.SampleEvery)
+	defaults.Set(&t.LagOut, d.LagOut)
+	defaults.Set(&t.LagIn, d.LagIn)
+	defaults.Set(&t.ReplicaWait, d.ReplicaWait)
+	defaults.Set(&t.SilentReader, d.SilentReader)
+	defaults.Set(&t.Promoters, d.Promoters)
 	return t
 }
 
--- a/database/pool.go
+++ b/database/pool.go
@@ -7,6 +7,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 )
 
 // Timing of pooled connections.
@@ -58,12 +60,8 @@
 
 // NewPool returns an empty pool.
 func NewPool(cfg PoolConfig) *Pool {
-	if cfg.IdleProbeAfter == 0 {
-		cfg.IdleProbeAfter = DefaultIdleProbeAfter
-	}
-	if cfg.IdleTimeout == 0 {
-		cfg.IdleTimeout = DefaultIdleTimeout
-	}
+	defaults.Set(&cfg.IdleProbeAfter, DefaultIdleProbeAfter)
+	defaults.Set(&cfg.IdleTimeout, DefaultIdleTimeout)
 	return &Pool{cfg: cfg, max: cfg.MaxOpen, freed: make(chan struct{})}
 }
 
--- a/datacentre/settings.go
+++ b/datacentre/settings.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 )
 
 // Config is the settings of a Table. Zero values take the defaults.
@@ -73,31 +75,31 @@
 )
 
 func (t Timing) withDefaults() Timing {
-	defaultTo(&t.DigestEvery, DefaultDigestEvery)
-	defaultTo(&t.SilentAfter, DefaultSilentAfter)
-	defaultTo(&t.VouchedFor, DefaultVouchedFor)
-	defaultTo(&t.ForgetAfter, DefaultForgetAfter)
-	defaultTo(&t.HopeFor, DefaultHopeFor)
-	defaultTo(&t.ProbeEvery, DefaultProbeEvery)
-	defaultTo(&t.FetchTimeout, DefaultFetchTimeout)
-	defaultTo(&t.SettleFor, DefaultSettleFor)
-	defaultTo(&t.EscalateEvery, DefaultEscalateEvery)
+	defaults.Set(&t.DigestEvery, DefaultDigestEvery)
+	defaults.Set(&t.SilentAfter, DefaultSilentAfter)
+	defaults.Set(&t.VouchedFor, DefaultVouchedFor)
+	defaults.Set(&t.ForgetAfter, DefaultForgetAfter)
+	defaults.Set(&t.HopeFor, DefaultHopeFor)
+	defaults.Set(&t.ProbeEvery, DefaultProbeEvery)
+	defaults.Set(&t.FetchTimeout, DefaultFetchTimeout)
+	defaults.Set(&t.SettleFor, DefaultSettleFor)
+	defaults.Set(&t.EscalateEvery, DefaultEscalateEvery)
 	return t
 }
 
 func (l Limits) withDefaults() Limits {
-	defaultTo(&l.Members, DefaultMembers)
-	defaultTo(&l.Groups, DefaultGroups)
-	defaultTo(&l.FullMesh, DefaultFullMesh)
-	defaultTo(&l.LocalMesh, DefaultLocalMesh)
-	defaultTo(&l.RemoteCentres, DefaultRemoteCentres)
-	defaultTo(&l.RemotePeers, DefaultRemotePeers)
-	defaultTo(&l.Probes, DefaultProbes)
-	defaultTo(&l.DigestPeers, DefaultDigestPeers)
-	defaultTo(&l.MembersPerDigest, DefaultMembersPerDigest)
-	defaultTo(&l.GroupsPerDigest, DefaultGroupsPerDigest)
-	defaultTo(&l.Watchers, DefaultWatchers)
-	defaultTo(&l.MaxWatchers, DefaultMaxWatchers)
+	defaults.Set(&l.Members, DefaultMembers)
+	defaults.Set(&l.Groups, DefaultGroups)
+	defaults.Set(&l.FullMesh, DefaultFullMesh)
+	defaults.Set(&l.LocalMesh, DefaultLocalMesh)
+	defaults.Set(&l.RemoteCentres, DefaultRemoteCentres)
+	defaults.Set(&l.RemotePeers, DefaultRemotePeers)
+	defaults.Set(&l.Probes, DefaultProbes)
+	defaults.Set(&l.DigestPeers, DefaultDigestPeers)
+	defaults.Set(&l.MembersPerDigest, DefaultMembersPerDigest)
+	defaults.Set(&l.GroupsPerDigest, DefaultGroupsPerDigest)
+	defaults.Set(&l.Watchers, DefaultWatchers)
+	defaults.Set(&l.MaxWatchers, DefaultMaxWatchers)
 	return l
 }
 
@@ -112,10 +114,3 @@
 	}
 	return c
 }
-
-func defaultTo[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -45,24 +46,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Listen == "" {
-		c.Listen = defaultListen
-	}
-	if c.Term == 0 {
-		c.Term = defaultTerm
-	}
-	if c.MaxConns == 0 {
-		c.MaxConns = defaultMaxConns
-	}
-	if c.Slots == 0 {
-		c.Slots = defaultSlots
-	}
-	if c.LockTimeout == 0 {
-		c.LockTimeout = defaultLockTimeout
-	}
-	if c.IdleTx == 0 {
-		c.IdleTx = defaultIdleTx
-	}
+	defaults.Set(&c.Listen, defaultListen)
+	defaults.Set(&c.Term, defaultTerm)
+	defaults.Set(&c.MaxConns, defaultMaxConns)
+	defaults.Set(&c.Slots, defaultSlots)
+	defaults.Set(&c.LockTimeout, defaultLockTimeout)
+	defaults.Set(&c.IdleTx, defaultIdleTx)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/platform"
 )
 
@@ -35,15 +36,9 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Listen == "" {
-		c.Listen = defaultListen
-	}
-	if c.KeepEvents == 0 {
-		c.KeepEvents = defaultKeepEvents
-	}
-	if c.MaxWait == 0 {
-		c.MaxWait = defaultMaxWait
-	}
+	defaults.Set(&c.Listen, defaultListen)
+	defaults.Set(&c.KeepEvents, defaultKeepEvents)
+	defaults.Set(&c.MaxWait, defaultMaxWait)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/internal/loopback"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
 )
@@ -91,12 +92,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Shops == 0 {
-		c.Shops = DefaultShops
-	}
-	if c.Duration == 0 {
-		c.Duration = DefaultDuration
-	}
+	defaults.Set(&c.Shops, DefaultShops)
+	defaults.Set(&c.Duration, DefaultDuration)
 	if c.Out == nil {
 		c.Out = io.Discard
 	}
--- a/link/peer/config.go
+++ b/link/peer/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
@@ -92,15 +93,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	defaultTo(&c.DialTimeout, DefaultDialTimeout)
-	defaultTo(&c.HandshakeTimeout, DefaultHandshakeTimeout)
-	defaultTo(&c.ProbeAfter, DefaultProbeAfter)
-	defaultTo(&c.WriteTimeout, DefaultWriteTimeout)
-	defaultTo(&c.BackoffMin, DefaultBackoffMin)
-	defaultTo(&c.BackoffMax, DefaultBackoffMax)
-	defaultTo(&c.QueueLen, DefaultQueueLen)
-	defaultTo(&c.Workers, DefaultWorkers)
-	defaultTo(&c.MaxConns, DefaultMaxConns)
+	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	defaults.Set(&c.ProbeAfter, DefaultProbeAfter)
+	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&c.BackoffMin, DefaultBackoffMin)
+	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&c.QueueLen, DefaultQueueLen)
+	defaults.Set(&c.Workers, DefaultWorkers)
+	defaults.Set(&c.MaxConns, DefaultMaxConns)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -117,13 +118,6 @@
 	return c
 }
 
-func defaultTo[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
