Serve a group only in its own data centres; pause longer before a switchover

Cause: with serving hosts in each of 16 data centres a group would have more hosts than its databases take connections, and a host far from a group crosses between data centres for each step of a request. Ruled out: relaying only in large fleets, two ways for one thing. Change: hosts of a group's own data centres serve it, the others relay to them or serve alone when cut off; writes pause for at least 250 ms before a planned switchover, so that all hosts have heard.

--- a/database/group/group.go
+++ b/database/group/group.go
@@ -68,6 +68,7 @@
 	BackoffMax    time.Duration // longest wait after a lost claim
 	StallAfter    time.Duration // no replica progress while the primary is ahead
 	StrandedAfter time.Duration // a member fenced above the established term
+	DrainMin      time.Duration // shortest pause before it: hosts hear of a leaving database at different times
 	DrainMax      time.Duration // longest pause of new writes before a planned switchover
 	SwitchRetry   time.Duration // between planned switchovers that did not succeed
 	FollowRetry   time.Duration // between follow orders to one member
@@ -98,7 +99,8 @@
 		BackoffMax:    200 * time.Millisecond,
 		StallAfter:    500 * time.Millisecond,
 		StrandedAfter: 3 * time.Second,
-		DrainMax:      300 * time.Millisecond,
+		DrainMin:      250 * time.Millisecond,
+		DrainMax:      600 * time.Millisecond,
 		SwitchRetry:   2 * time.Second,
 		FollowRetry:   50 * time.Millisecond,
 		ConfirmRetry:  5 * time.Millisecond,
@@ -128,6 +130,7 @@
 	defaults.Set(&t.BackoffMax, d.BackoffMax)
 	defaults.Set(&t.StallAfter, d.StallAfter)
 	defaults.Set(&t.StrandedAfter, d.StrandedAfter)
+	defaults.Set(&t.DrainMin, d.DrainMin)
 	defaults.Set(&t.DrainMax, d.DrainMax)
 	defaults.Set(&t.SwitchRetry, d.SwitchRetry)
 	defaults.Set(&t.FollowRetry, d.FollowRetry)
--- a/database/group/switchover.go
+++ b/database/group/switchover.go
@@ -47,10 +47,11 @@
 	return false
 }
 
-// level reports whether a successor holds all that p had a moment after the
-// pause began.
+// level reports whether a successor holds all that p had once every host has
+// had DrainMin to hear of the pause: a write that another host still sent could
+// be cut off otherwise, and its outcome stay unknown.
 func (t *Table) level(p *member, now time.Time) bool {
-	from := t.det.since.Add(t.t.RetryInterval)
+	from := t.det.since.Add(t.t.DrainMin)
 	if !p.sentAt.After(from) {
 		return false
 	}
--- a/datacentre/duties.go
+++ b/datacentre/duties.go
@@ -14,7 +14,7 @@
 // platform, best first. Hosts may differ in this for a while: then some more or
 // fewer watch, and the configuration still spreads by digests.
 func (t *Table) Watchers(now time.Time) []string {
-	return t.Servers(watchDuty, t.watcherCount(now), now)
+	return t.Servers(watchDuty, nil, t.watcherCount(now), now)
 }
 
 // IsWatcher reports whether this host should watch the platform.
@@ -50,12 +50,17 @@
 
 // candidates returns the live hosts of this data centre, in no order.
 func (t *Table) candidates(key string, now time.Time) []candidate {
+	return t.candidatesIn(t.cfg.DataCentre, key, now)
+}
+
+// candidatesIn returns the live hosts of a data centre, in no order.
+func (t *Table) candidatesIn(centre, key string, now time.Time) []candidate {
 	list := make([]candidate, 0, len(t.order)+1)
-	if !t.leaving {
+	if !t.leaving && centre == t.cfg.DataCentre {
 		list = append(list, candidate{t.cfg.Self, score(key, t.cfg.Self)})
 	}
 	for _, m := range t.order {
-		if m.dataCentre == t.cfg.DataCentre && m.live(t.cfg.Timing, now) {
+		if m.dataCentre == centre && m.live(t.cfg.Timing, now) {
 			list = append(list, candidate{m.address, score(key, m.address)})
 		}
 	}
@@ -79,13 +84,14 @@
 }
 
 // Rank returns this host's rank for a duty, 0 for the first; one that is
-// leaving comes after all others. Ranks alternate
-// between the data centres that are alive, so that the second rank is held in
-// another one than the first; within one they follow a rendezvous hash over its
-// live hosts. Hosts that see different members may hold the same rank. The cost is
-// linear in the number of members.
-func (t *Table) Rank(key string, now time.Time) int {
-	centres := t.liveCentres(key, now)
+// leaving, or stands in none of the named data centres, comes after all others.
+// Ranks alternate between those data centres, all where none is named, that are
+// alive, so that the second rank is held in another one than the first; within
+// one they follow a rendezvous hash over its live hosts. Hosts that see
+// different members may hold the same rank. The cost is linear in the number of
+// members.
+func (t *Table) Rank(key string, among []string, now time.Time) int {
+	centres := t.liveAmong(among, key, now)
 	hosts := t.candidates(key, now)
 	own, host := place(centres, t.cfg.DataCentre), place(hosts, t.cfg.Self)
 	if own < 0 || host < 0 {
--- a/datacentre/member_test.go
+++ b/datacentre/member_test.go
@@ -225,7 +225,7 @@
 		s.run(5 * time.Second)
 		centreOf := make(map[int]string)
 		for _, h := range s.hosts {
-			centreOf[h.table.Rank("group-1", s.now)] = h.centre
+			centreOf[h.table.Rank("group-1", nil, s.now)] = h.centre
 		}
 		Expect(centreOf).To(HaveLen(12))
 		for rank := range 12 {
@@ -234,11 +234,33 @@
 		}
 	})
 
+	It("of a duty that some data centres can hold are theirs alone", func() {
+		s := settled(32, 3, 4, today)
+		s.run(5 * time.Second)
+		some := []string{s.hosts[0].centre}
+		served := make(map[string]int)
+		ranks := make(map[int]bool)
+		for _, h := range s.hosts {
+			servers := h.table.Servers("group-1", some, 2, s.now)
+			Expect(servers).To(HaveLen(2))
+			for _, address := range servers {
+				served[address]++
+			}
+			if h.centre == some[0] {
+				ranks[h.table.Rank("group-1", some, s.now)] = true
+			} else {
+				Expect(h.table.Rank("group-1", some, s.now)).To(BeNumerically(">=", 4))
+			}
+		}
+		Expect(served).To(HaveLen(2))
+		Expect(ranks).To(And(HaveLen(4), HaveKey(0), HaveKey(3)))
+	})
+
 	It("move up when the first dies", func() {
 		s := settled(30, 2, 4, today)
 		first := func() *simHost {
 			for _, h := range s.hosts {
-				if !h.down && h.table.Rank("group-1", s.now) == 0 {
+				if !h.down && h.table.Rank("group-1", nil, s.now) == 0 {
 					return h
 				}
 			}
--- a/host/apply.go
+++ b/host/apply.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"slices"
+
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/database"
@@ -42,7 +44,7 @@
 // newView makes what snap needs and closes what it no longer names. applyMu is
 // held.
 func (h *Host) newView(snap *contract.Snapshot) *view {
-	v := &view{snap: snap, services: map[string]*service{}, databases: map[string]*databaseState{}, customers: map[string]*contract.Customer{}}
+	v := &view{snap: snap, services: map[string]*service{}, databases: map[string]*databaseState{}, customers: map[string]*contract.Customer{}, centres: map[string][]string{}}
 	for i := range snap.Customers {
 		v.customers[snap.Customers[i].ID] = &snap.Customers[i]
 	}
@@ -51,7 +53,10 @@
 		svc := &snap.Services[i]
 		groups[svc.Group] = svc.Databases
 		for _, db := range svc.Databases {
-			v.databases[db.ID] = h.databaseState(svc, db, h.serversOf(snap.Roster))
+			if !slices.Contains(v.centres[svc.Group], db.DataCentre) {
+				v.centres[svc.Group] = append(v.centres[svc.Group], db.DataCentre)
+			}
+			v.databases[db.ID] = h.databaseState(svc, db, h.serversOf(snap.Roster, svc))
 		}
 		v.services[svc.Name] = &service{terms: svc, group: h.groups[svc.Group]}
 	}
@@ -107,12 +112,16 @@
 	return max(share, 1)
 }
 
-// serversOf returns how many hosts may serve one group under a roster.
-func (h *Host) serversOf(roster contract.Roster) int {
+// serversOf returns how many hosts may serve a service's group under a roster.
+func (h *Host) serversOf(roster contract.Roster, svc *contract.Service) int {
+	holds := map[string]bool{}
+	for _, db := range svc.Databases {
+		holds[db.DataCentre] = true
+	}
 	here := map[string]int{}
 	n := 0
 	for _, r := range roster.Hosts {
-		if here[r.DataCentre] < h.servingHosts() {
+		if holds[r.DataCentre] && here[r.DataCentre] < h.servingHosts() {
 			here[r.DataCentre]++
 			n++
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -84,6 +84,7 @@
 	customers map[string]*contract.Customer
 	services  map[string]*service
 	databases map[string]*databaseState
+	centres   map[string][]string // data centres of a group's databases
 }
 
 // customer returns the customer with the given id, nil when there is none.
--- a/host/members.go
+++ b/host/members.go
@@ -113,27 +113,29 @@
 	}
 	m.ranked = now
 	for _, g := range groups {
+		centres := m.host.centresOf(g.name)
 		m.mu.Lock()
-		rank := m.table.Rank(g.name, now)
+		rank := m.table.Rank(g.name, centres, now)
 		m.mu.Unlock()
 		g.setRank(rank)
 	}
 }
 
-// servers returns the other hosts of this data centre that serve a group, best
-// first.
+// servers returns the other hosts that serve a group for this one, best first.
 func (m *members) servers(name string) []string {
+	return slices.DeleteFunc(m.allServers(name), func(a string) bool { return a == m.self })
+}
+
+func (m *members) allServers(name string) []string {
+	centres := m.host.centresOf(name)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := m.table.Servers(name, m.host.servingHosts(), m.host.now())
-	return slices.DeleteFunc(all, func(a string) bool { return a == m.self })
+	return m.table.Servers(name, centres, m.host.servingHosts(), m.host.now())
 }
 
 // serves reports whether this host is one of those that serve a group.
 func (m *members) serves(name string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.Contains(m.table.Servers(name, m.host.servingHosts(), m.host.now()), m.self)
+	return slices.Contains(m.allServers(name), m.self)
 }
 
 // carryOut does what the table asks for. No lock is held.
--- a/host/relay.go
+++ b/host/relay.go
@@ -114,6 +114,9 @@
 	return ""
 }
 
+// centresOf returns the data centres that hold a group's databases.
+func (h *Host) centresOf(name string) []string { return h.view.Load().centres[name] }
+
 // served makes sure that this host has a runner for the service's group.
 func (h *Host) served(name string) *service {
 	svc := h.view.Load().services[name]
@@ -157,7 +160,7 @@
 
 // withGroups returns a copy of v whose services have the given runners.
 func (v *view) withGroups(groups map[string]*groupRunner) *view {
-	next := &view{snap: v.snap, databases: v.databases, customers: v.customers, services: make(map[string]*service, len(v.services))}
+	next := &view{snap: v.snap, databases: v.databases, customers: v.customers, centres: v.centres, services: make(map[string]*service, len(v.services))}
 	for name, svc := range v.services {
 		next.services[name] = &service{terms: svc.terms, group: groups[svc.terms.Group]}
 	}
--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -82,3 +83,35 @@
 	}
 	return n
 }
+
+var _ = Describe("a data centre with no database of a group", func() {
+	It("relays to one that has, and serves alone when cut off from all", func(ctx SpecContext) {
+		site, key := startSite(ctx, func(c *loopback.Config) {
+			c.Settings = func(i int, set *settings.Host) {
+				if i == 2 {
+					set.Host.DataCentre = "dc-far"
+				}
+			}
+		})
+		createOrders(ctx, site, key)
+		far := site.Hosts[2]
+		Expect(far.Status().Groups).To(BeEmpty())
+		conn := connect(ctx, site, 2, key)
+		_, err := conn.Exec(ctx, "INSERT INTO orders VALUES ('far', 1)")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(countOrders(ctx, conn, "order.read")).To(Equal(1))
+		Expect(far.Status().Groups).To(BeEmpty())
+		site.Hosts[0].Close()
+		site.Hosts[1].Close()
+		Eventually(func() error {
+			again, err := pgx.Connect(ctx, url(site, 2, key))
+			if err != nil {
+				return err
+			}
+			defer again.Close(ctx)
+			_, err = again.Exec(ctx, "INSERT INTO orders VALUES ('alone', 1)")
+			return err
+		}).WithTimeout(10 * time.Second).Should(Succeed())
+		Expect(far.Status().Groups).To(HaveLen(1))
+	}, SpecTimeout(testLimit))
+})
--- a/internal/experiment/fleet/members.go
+++ b/internal/experiment/fleet/members.go
@@ -50,7 +50,7 @@
 	}
 	began = time.Now()
 	for i := range turns {
-		table.Rank(fmt.Sprint("group-", i), now)
+		table.Rank(fmt.Sprint("group-", i), nil, now)
 	}
 	result.RankSeconds = time.Since(began).Seconds() / turns
 	return result
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -69,7 +69,7 @@
 		text: func(h *Host) *string { return &h.Peers.Advertise }, textRule: dialRule},
 	{key: "peers.seeds", unit: "IP:port", doc: "Hosts to ask first, before the platform's list is read.",
 		list: func(h *Host) *[]string { return &h.Peers.Seeds }, listRule: dialRule},
-	{key: "peers.serving_hosts", unit: "hosts", doc: "Hosts of a data centre that serve one database group; the others relay sessions to them. The same on every host.",
+	{key: "peers.serving_hosts", unit: "hosts", doc: "Hosts that serve one database group in each data centre that holds its databases; the others relay sessions to them. The same on every host.",
 		number: func(h *Host) *int { return &h.Peers.ServingHosts }, numDef: 8, lo: 1, hi: 64},
 	{key: "peers.tls_cert", unit: "PEM file", doc: "Certificate shown to other hosts. Without one, hosts use plain TCP, which is allowed on loopback only.",
 		text: func(h *Host) *string { return &h.Peers.TLSCert }, textRule: fileRule},
