--- a/cmd/standin-database/main.go
+++ b/cmd/standin-database/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -12,8 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/bronzeloft/bronzeloft/internal/standin/daemon"
 	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
 )
 
@@ -40,24 +38,9 @@
 // run serves until ctx ends and returns the exit code.
 func run(ctx context.Context, args []string, stderr io.Writer) int {
 	var opts options
-	parser := flags.NewNamedParser("standin-database", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		return fail(stderr, err)
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		return fail(stderr, err)
-	}
-	logger := slog.New(slog.NewTextHandler(stderr, nil))
-	server, err := dbserver.Start(opts.config(logger))
-	if err != nil {
-		return fail(stderr, err)
-	}
-	defer server.Close()
-	logger = logger.With("part", "standin-database", "id", opts.ID)
-	logger.Info("Listening.", "address", server.Addr())
-	<-ctx.Done()
-	logger.Info("Stopping.")
-	return 0
+	return daemon.Run(ctx, "standin-database", args, stderr, &opts, func(logger *slog.Logger) (daemon.Server, error) {
+		return dbserver.Start(opts.config(logger.With("id", opts.ID)))
+	})
 }
 
 func (o options) config(logger *slog.Logger) dbserver.Config {
@@ -75,13 +58,3 @@
 		Logger:       logger,
 	}
 }
-
-// fail prints err and returns the exit code, 0 for a request for help.
-func fail(w io.Writer, err error) int {
-	_, _ = io.WriteString(w, err.Error()+"\n")
-	var e *flags.Error
-	if errors.As(err, &e) && e.Type == flags.ErrHelp {
-		return 0
-	}
-	return 1
-}
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -13,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"github.com/bronzeloft/bronzeloft/internal/standin/daemon"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
 	"github.com/bronzeloft/bronzeloft/platform"
 )
@@ -38,35 +37,24 @@
 // run serves until ctx ends and returns the exit code.
 func run(ctx context.Context, args []string, stderr io.Writer) int {
 	var opts options
-	parser := flags.NewNamedParser("standin-platform", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		return fail(stderr, err)
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		return fail(stderr, err)
-	}
-	hosts, err := parseHosts(opts.Hosts)
-	if err != nil {
-		return fail(stderr, err)
-	}
-	logger := slog.New(slog.NewTextHandler(stderr, nil))
-	server, err := platformserver.Start(platformserver.Config{
-		Listen:     opts.Listen,
-		KeepEvents: opts.Keep,
-		HostsLag:   opts.HostsLag,
-		Hosts:      hosts,
-		Logger:     logger,
+	return daemon.Run(ctx, "standin-platform", args, stderr, &opts, func(logger *slog.Logger) (daemon.Server, error) {
+		hosts, err := parseHosts(opts.Hosts)
+		if err != nil {
+			return nil, err
+		}
+		server, err := platformserver.Start(platformserver.Config{
+			Listen:     opts.Listen,
+			KeepEvents: opts.Keep,
+			HostsLag:   opts.HostsLag,
+			Hosts:      hosts,
+			Logger:     logger,
+		})
+		if err != nil {
+			return nil, err
+		}
+		server.SetSlow(opts.Slow)
+		return server, nil
 	})
-	if err != nil {
-		return fail(stderr, err)
-	}
-	defer server.Close()
-	server.SetSlow(opts.Slow)
-	logger = logger.With("part", "standin-platform")
-	logger.Info("Listening.", "address", server.Addr())
-	<-ctx.Done()
-	logger.Info("Stopping.")
-	return 0
 }
 
 // parseHosts reads entries of the form "datacentre=IP:port[,leaving]".
@@ -82,13 +70,3 @@
 	}
 	return hosts, nil
 }
-
-// fail prints err and returns the exit code, 0 for a request for help.
-func fail(w io.Writer, err error) int {
-	_, _ = io.WriteString(w, err.Error()+"\n")
-	var e *flags.Error
-	if errors.As(err, &e) && e.Type == flags.ErrHelp {
-		return 0
-	}
-	return 1
-}
