--- a/contract/load.go
+++ b/contract/load.go
@@ -24,17 +24,34 @@
 // keys and no versions yet; Publish adds both. When there are faults, all are
 // returned, in order of file and line, and the snapshot must not be used.
 func Load(dirs ...string) (*Snapshot, []Fault) {
+	return load(source{filepath.WalkDir, os.ReadFile}, dirs)
+}
+
+// LoadFS is Load for directories of fsys.
+func LoadFS(fsys fs.FS, dirs ...string) (*Snapshot, []Fault) {
+	walk := func(root string, fn fs.WalkDirFunc) error { return fs.WalkDir(fsys, root, fn) }
+	read := func(name string) ([]byte, error) { return fs.ReadFile(fsys, name) }
+	return load(source{walk, read}, dirs)
+}
+
+// source is where team files are read from.
+type source struct {
+	walk func(root string, fn fs.WalkDirFunc) error
+	read func(name string) ([]byte, error)
+}
+
+func load(src source, dirs []string) (*Snapshot, []Fault) {
 	c := newCompiler()
 	for _, dir := range dirs {
-		c.readDir(dir)
+		c.readDir(src, dir)
 	}
 	return c.finish()
 }
 
 // readDir reads the files under dir, in order of their names.
-func (c *compiler) readDir(dir string) {
+func (c *compiler) readDir(src source, dir string) {
 	var paths []string
-	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+	err := src.walk(dir, func(path string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
@@ -48,12 +65,12 @@
 	}
 	slices.Sort(paths)
 	for _, path := range paths {
-		c.readFile(path)
+		c.readFile(src, path)
 	}
 }
 
-func (c *compiler) readFile(path string) {
-	data, err := os.ReadFile(path)
+func (c *compiler) readFile(src source, path string) {
+	data, err := src.read(path)
 	if err != nil {
 		c.fault(Fault{File: path, Found: err.Error(), Allowed: "a file that can be read"})
 		return
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -124,7 +124,7 @@
 // lookUp reads an acknowledged order back.
 func (l *load) lookUp(ctx context.Context, conn *pgx.Conn, id string) {
 	var n int
-	err := conn.QueryRow(ctx, "/*request='order.read'*/ SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n)
+	err := conn.QueryRow(ctx, "/*request='order.show'*/ SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/examples"
 	"github.com/bronzeloft/bronzeloft/internal/defaults"
 	"github.com/bronzeloft/bronzeloft/internal/loopback"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
@@ -72,10 +73,16 @@
 	if t.Platform, err = platformserver.Start(platformserver.Config{}); err != nil {
 		return nil, eris.Wrap(err, "start platform")
 	}
+	snap, faults := contract.LoadFS(examples.Files, examples.TrialDir)
+	if len(faults) > 0 {
+		t.Platform.Close()
+		return nil, eris.Errorf("example set: %v", faults[0])
+	}
 	key := loopback.MustKey("shop-key")
 	t.Key = key.Plaintext
+	snap.Customers[0].Keys = []contract.Key{key.Stored}
 	t.Site, err = loopback.Start(loopback.Config{
-		Snapshot:    loopback.OneService(key.Stored),
+		Snapshot:    snap,
 		Hosts:       3,
 		PlatformURL: t.Platform.URL(),
 		Logger:      cfg.Logger,
@@ -110,7 +117,7 @@
 	if err != nil {
 		return eris.Wrap(err, "publish")
 	}
-	t.say("configuration %d published", res.Version)
+	t.say("example set published as version %d", res.Version)
 	return t.Site.WaitReady(ctx, res.Version)
 }
 
