Follow a database to a new address; announce a configuration at once

Cause: found by reading. The control connection to a database kept the address that it was made with, so a database that moved was never heard again; a new configuration waited for the next tick before it was announced. Result: the spec of a moved database failed before and passes.

--- a/database/control.go
+++ b/database/control.go
@@ -79,6 +79,9 @@
 	return c
 }
 
+// Address returns the database's address.
+func (c *Control) Address() string { return c.cfg.Address }
+
 // Run queues an operation; done is called once, from another goroutine. A full
 // queue is reported at once as ErrBusy.
 func (c *Control) Run(op groupsql.Op, timeout time.Duration, done func(Result)) {
--- a/host/apply.go
+++ b/host/apply.go
@@ -18,6 +18,7 @@
 		return false
 	}
 	h.apply()
+	h.members.advance()
 	return true
 }
 
--- a/host/groups.go
+++ b/host/groups.go
@@ -69,9 +69,7 @@
 	for i, db := range dbs {
 		members[i] = group.Member{ID: db.ID, Address: db.Address, DataCentre: db.DataCentre, Leaving: db.Leaving}
 		keep[db.ID] = true
-		if g.controls[db.ID] == nil {
-			g.controls[db.ID] = g.io.NewControl(db)
-		}
+		g.setControl(db)
 	}
 	for id, c := range g.controls {
 		if !keep[id] {
@@ -81,6 +79,20 @@
 	}
 	g.table.SetMembers(members, g.now())
 	g.wakeLocked()
+	g.kickRun()
+}
+
+// setControl keeps a control connection to a database at its present address.
+// mu is held.
+func (g *groupRunner) setControl(db contract.Database) {
+	old := g.controls[db.ID]
+	if old != nil && old.Address() == db.Address {
+		return
+	}
+	if old != nil {
+		old.Close()
+	}
+	g.controls[db.ID] = g.io.NewControl(db)
 }
 
 func (g *groupRunner) close() {
--- a/host/leaving_test.go
+++ b/host/leaving_test.go
@@ -105,3 +105,21 @@
 		Expect(<-drained).To(Succeed())
 	}, SpecTimeout(testLimit))
 })
+
+var _ = Describe("a database that moved to another address", func() {
+	It("is followed there", func(ctx SpecContext) {
+		site, key := startSite(ctx)
+		createOrders(ctx, site, key)
+		moved, err := dbserver.Start(dbserver.Config{
+			ID: "orders-3", Password: loopback.DatabasePassword, FollowAddr: site.Databases["orders-1"].Addr(),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(moved.Close)
+		site.Databases["orders-3"].Kill()
+		offer(ctx, site, func(s *contract.Snapshot) { s.Services[0].Databases[2].Address = moved.Addr() })
+		for _, h := range site.Hosts {
+			Eventually(func() string { return h.Status().Groups[0].Members[2].BootID }).
+				WithTimeout(5 * time.Second).Should(Equal(moved.Report().BootID))
+		}
+	}, SpecTimeout(testLimit))
+})
--- a/host/members.go
+++ b/host/members.go
@@ -19,7 +19,7 @@
 const (
 	membersTick   = 100 * time.Millisecond
 	rankEvery     = 500 * time.Millisecond
-	snapshotLimit = 2 * time.Second // for a peer's snapshot
+	snapshotLimit = 5 * time.Second // for a peer's snapshot
 	reachLimit    = 300 * time.Millisecond
 	// maxAsked bounds the peers that are asked about one database.
 	maxAsked = 6
@@ -80,7 +80,7 @@
 			m.logPrimary(g.name, v)
 		}
 	}
-	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.Tick(now) })
+	m.advance()
 	m.connect()
 	m.serving.check(m.configured.Swap(false))
 	m.rank(groups)
@@ -95,6 +95,12 @@
 	m.host.log.Info("Primary established.", "part", "group", "group", name, "term", v.Term, "database", v.Primary)
 }
 
+// advance brings time into the table; after a new configuration it announces
+// that at once.
+func (m *members) advance() {
+	m.with(func(t *datacentre.Table, now time.Time) datacentre.Output { return t.Tick(now) })
+}
+
 // connect keeps connections to the peers that the table chooses and to the
 // contacts in use.
 func (m *members) connect() {
