Keep one pool for a database that two services name

Cause: found by reading. Services that share a group made two pools and two queues for each of its databases, of which one was lost. Change: the first is kept. Result: a spec of two services on one group passes; it did not fail before, since the lost pool holds no connection.

--- a/host/apply.go
+++ b/host/apply.go
@@ -57,7 +57,9 @@
 			if !slices.Contains(v.centres[svc.Group], db.DataCentre) {
 				v.centres[svc.Group] = append(v.centres[svc.Group], db.DataCentre)
 			}
-			v.databases[db.ID] = h.databaseState(svc, db, h.serversOf(snap.Roster, svc))
+			if v.databases[db.ID] == nil { // services may share a group
+				v.databases[db.ID] = h.databaseState(svc, db, h.serversOf(snap.Roster, svc))
+			}
 		}
 		v.services[svc.Name] = &service{terms: svc, group: h.groups[svc.Group]}
 	}
--- a/host/relay_test.go
+++ b/host/relay_test.go
@@ -115,3 +115,19 @@
 		Expect(far.Status().Groups).To(HaveLen(1))
 	}, SpecTimeout(testLimit))
 })
+
+var _ = Describe("two services of one group", func() {
+	It("share its databases", func(ctx SpecContext) {
+		site, key := startSite(ctx, func(c *loopback.Config) {
+			second := c.Snapshot.Services[0]
+			second.Name = "billing"
+			c.Snapshot.Services = append(c.Snapshot.Services, second)
+		})
+		conn := createOrders(ctx, site, key)
+		_, err := conn.Exec(ctx, "INSERT INTO orders VALUES ('one', 1)")
+		Expect(err).NotTo(HaveOccurred())
+		billing := connectURL(ctx, fmt.Sprintf("postgres://shop:%s@%s/billing?sslmode=disable", key, site.Hosts[1].CallerAddr()))
+		Expect(countOrders(ctx, billing, "order.read")).To(Equal(1))
+		Expect(site.Hosts[1].Status().Groups).To(HaveLen(1))
+	}, SpecTimeout(testLimit))
+})
