--- a/cmd/bronzeloft/main.go
+++ b/cmd/bronzeloft/main.go
@@ -45,15 +45,19 @@
 		fmt.Printf("%s: ok\n", opts.Config)
 		return
 	}
-	if err := run(set); err != nil {
+	run := runHost
+	if set.Site.Callers != "" {
+		run = runSite
+	}
+	if err := run(set, opts.Config); err != nil {
 		slog.Error("Host failed.", "part", "host", "error", err)
 		os.Exit(exitFailed)
 	}
 }
 
-// run serves until a signal or an operator stops the host, then shuts down
-// gracefully.
-func run(set *settings.Host) error {
+// runHost serves a site whose teams publish contracts, until a signal or an
+// operator stops the host, then shuts down gracefully.
+func runHost(set *settings.Host, _ string) error {
 	logger := host.NewLogger(set.Log, os.Stderr)
 	slog.SetDefault(logger)
 	opt, err := host.FromSettings(set, logger)
--- a/cmd/bronzeloftctl/main.go
+++ b/cmd/bronzeloftctl/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/internal/ctl"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Budget of platform calls of one command.
@@ -37,6 +37,6 @@
 	os.Exit(code)
 }
 
-func newAPI(baseURL string) platform.API {
-	return platform.NewClient(platform.ClientConfig{BaseURL: baseURL, CallsPerSecond: callsPerSecond, Burst: callBurst})
+func newAPI(baseURL string) objectapi.API {
+	return objectapi.NewClient(objectapi.ClientConfig{BaseURL: baseURL, CallsPerSecond: callsPerSecond, Burst: callBurst})
 }
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/bronzeloft/bronzeloft/internal/standin/daemon"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // options are the flags of the command.
@@ -58,15 +58,15 @@
 }
 
 // parseHosts reads entries of the form "datacentre=IP:port[,leaving]".
-func parseHosts(entries []string) ([]platform.HostState, error) {
-	var hosts []platform.HostState
+func parseHosts(entries []string) ([]objectapi.HostState, error) {
+	var hosts []objectapi.HostState
 	for _, entry := range entries {
 		dc, rest, ok := strings.Cut(entry, "=")
 		address, mark, marked := strings.Cut(rest, ",")
 		if !ok || dc == "" || address == "" || marked && mark != "leaving" {
 			return nil, eris.Errorf("host %q is not datacentre=IP:port[,leaving]", entry)
 		}
-		hosts = append(hosts, platform.HostState{Address: address, DataCentre: dc, Leaving: marked})
+		hosts = append(hosts, objectapi.HostState{Address: address, DataCentre: dc, Leaving: marked})
 	}
 	return hosts, nil
 }
--- a/cmd/standin-platform/main_test.go
+++ b/cmd/standin-platform/main_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 func TestStandinPlatform(t *testing.T) {
@@ -29,8 +29,8 @@
 		Eventually(out, 5*time.Second).Should(gbytes.Say(`Listening.*address=127`))
 		match := regexp.MustCompile(`address=(\S+)`).FindSubmatch(out.Contents())
 		Expect(match).To(HaveLen(2))
-		client := platform.NewClient(platform.ClientConfig{BaseURL: "http://" + string(match[1])})
-		Expect(client.Hosts(ctx)).To(Equal([]platform.HostState{
+		client := objectapi.NewClient(objectapi.ClientConfig{BaseURL: "http://" + string(match[1])})
+		Expect(client.Hosts(ctx)).To(Equal([]objectapi.HostState{
 			{Address: "10.0.0.1:7000", DataCentre: "dc1"},
 			{Address: "10.0.0.2:7000", DataCentre: "dc2", Leaving: true},
 		}))
--- a/contract/fakeapi_test.go
+++ b/contract/fakeapi_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 var errLost = errors.New("answer lost")
@@ -15,7 +15,7 @@
 // fakeAPI is the platform in memory. Its hooks bring about failures.
 type fakeAPI struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object // by kind and name
+	objects map[string]objectapi.Object // by kind and name
 	version uint64
 	calls   map[string]int // by operation and kind
 
@@ -27,7 +27,7 @@
 }
 
 func newFakeAPI() *fakeAPI {
-	return &fakeAPI{objects: map[string]platform.Object{}, calls: map[string]int{}}
+	return &fakeAPI{objects: map[string]objectapi.Object{}, calls: map[string]int{}}
 }
 
 // do runs one call between the hooks.
@@ -50,25 +50,25 @@
 	return err
 }
 
-func (f *fakeAPI) put(kind, name string, value []byte) platform.Object {
+func (f *fakeAPI) put(kind, name string, value []byte) objectapi.Object {
 	f.version++
-	o := platform.Object{Kind: kind, Name: name, Version: f.version, Value: slices.Clone(value)}
+	o := objectapi.Object{Kind: kind, Name: name, Version: f.version, Value: slices.Clone(value)}
 	f.objects[kind+"/"+name] = o
 	return o
 }
 
-func (f *fakeAPI) Get(ctx context.Context, kind, name string) (o platform.Object, err error) {
+func (f *fakeAPI) Get(ctx context.Context, kind, name string) (o objectapi.Object, err error) {
 	err = f.do(ctx, "get", kind, name, func() error {
 		var ok bool
 		if o, ok = f.objects[kind+"/"+name]; !ok {
-			return platform.ErrNotFound
+			return objectapi.ErrNotFound
 		}
 		return nil
 	})
 	return o, err
 }
 
-func (f *fakeAPI) List(ctx context.Context, kind string) (all []platform.Object, version uint64, err error) {
+func (f *fakeAPI) List(ctx context.Context, kind string) (all []objectapi.Object, version uint64, err error) {
 	err = f.do(ctx, "list", kind, "", func() error {
 		for _, o := range f.objects {
 			if o.Kind == kind {
@@ -81,10 +81,10 @@
 	return all, version, err
 }
 
-func (f *fakeAPI) Create(ctx context.Context, kind, name string, value []byte) (o platform.Object, err error) {
+func (f *fakeAPI) Create(ctx context.Context, kind, name string, value []byte) (o objectapi.Object, err error) {
 	err = f.do(ctx, "create", kind, name, func() error {
 		if _, ok := f.objects[kind+"/"+name]; ok {
-			return platform.ErrExists
+			return objectapi.ErrExists
 		}
 		o = f.put(kind, name, value)
 		return nil
@@ -92,14 +92,14 @@
 	return o, err
 }
 
-func (f *fakeAPI) Update(ctx context.Context, kind, name string, version uint64, value []byte) (o platform.Object, err error) {
+func (f *fakeAPI) Update(ctx context.Context, kind, name string, version uint64, value []byte) (o objectapi.Object, err error) {
 	err = f.do(ctx, "update", kind, name, func() error {
 		old, ok := f.objects[kind+"/"+name]
 		if !ok {
-			return platform.ErrNotFound
+			return objectapi.ErrNotFound
 		}
 		if old.Version != version {
-			return platform.ErrConflict
+			return objectapi.ErrConflict
 		}
 		o = f.put(kind, name, value)
 		return nil
@@ -107,12 +107,12 @@
 	return o, err
 }
 
-func (f *fakeAPI) Watch(context.Context, string, uint64) ([]platform.Event, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (f *fakeAPI) Watch(context.Context, string, uint64) ([]objectapi.Event, uint64, error) {
+	return nil, 0, objectapi.ErrUnavailable
 }
 
-func (f *fakeAPI) Hosts(context.Context) ([]platform.HostState, error) {
-	return nil, platform.ErrUnavailable
+func (f *fakeAPI) Hosts(context.Context) ([]objectapi.HostState, error) {
+	return nil, objectapi.ErrUnavailable
 }
 
 // once returns a hook that runs fn at the first call of op on kind. Calls that
--- a/contract/fetch.go
+++ b/contract/fetch.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // fetchesAtOnce bounds the chunk reads that one Fetcher has in flight.
@@ -19,21 +19,21 @@
 // that a change costs only the chunks that changed. It is safe for concurrent
 // use. It keeps at most the chunks of one snapshot.
 type Fetcher struct {
-	api platform.API
+	api objectapi.API
 
 	mu    sync.Mutex        // guards known
 	known map[string]*chunk // by hash; never changed once stored
 }
 
 // NewFetcher returns a fetcher that knows no chunk.
-func NewFetcher(api platform.API) *Fetcher {
+func NewFetcher(api objectapi.API) *Fetcher {
 	return &Fetcher{api: api, known: map[string]*chunk{}}
 }
 
 // Fetch reads the snapshot in force and verifies every chunk against the hash
 // that the head names. It returns ErrNotPublished, ErrChunkMissing, ErrCorrupt,
 // or the platform's error.
-func Fetch(ctx context.Context, api platform.API) (*Snapshot, error) {
+func Fetch(ctx context.Context, api objectapi.API) (*Snapshot, error) {
 	return NewFetcher(api).Fetch(ctx)
 }
 
@@ -73,9 +73,9 @@
 
 // ReadHead reads the head object and the object's version, which a conditional
 // update of it must name.
-func ReadHead(ctx context.Context, api platform.API) (*Head, uint64, error) {
-	obj, err := api.Get(ctx, platform.KindHead, platform.HeadName)
-	if errors.Is(err, platform.ErrNotFound) {
+func ReadHead(ctx context.Context, api objectapi.API) (*Head, uint64, error) {
+	obj, err := api.Get(ctx, objectapi.KindHead, objectapi.HeadName)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil, 0, ErrNotPublished
 	}
 	if err != nil {
@@ -107,8 +107,8 @@
 	if c := f.lookup(part.Hash); c != nil {
 		return c, nil
 	}
-	obj, err := f.api.Get(ctx, platform.KindChunk, part.Hash)
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := f.api.Get(ctx, objectapi.KindChunk, part.Hash)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil, eris.Wrapf(ErrChunkMissing, "%s %s", part.Name, part.Hash)
 	}
 	if err != nil {
@@ -151,7 +151,7 @@
 // names what its operators may remove. A chunk that is newer than the head may
 // belong to a publishing under way and is not listed; remove a chunk only when
 // it is listed twice, an hour apart.
-func Unreferenced(ctx context.Context, api platform.API) ([]string, error) {
+func Unreferenced(ctx context.Context, api objectapi.API) ([]string, error) {
 	head, headVersion, err := ReadHead(ctx, api)
 	if err != nil {
 		return nil, err
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	objects, _, err := api.List(ctx, platform.KindChunk)
+	objects, _, err := api.List(ctx, objectapi.KindChunk)
 	if err != nil {
 		return nil, eris.Wrap(err, "contract: list chunks")
 	}
@@ -174,7 +174,7 @@
 }
 
 // referenced returns the hashes that head and its memory name.
-func referenced(ctx context.Context, api platform.API, head *Head) (map[string]bool, error) {
+func referenced(ctx context.Context, api objectapi.API, head *Head) (map[string]bool, error) {
 	used := map[string]bool{}
 	for _, p := range head.Parts {
 		used[p.Hash] = true
--- a/contract/fetch_test.go
+++ b/contract/fetch_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 var _ = Describe("fetching", func() {
@@ -36,17 +36,17 @@
 		snap.Customer("cluj").Rate++
 		_, err = publish("ana", 1)
 		Expect(err).NotTo(HaveOccurred())
-		before := api.calls["get "+platform.KindChunk]
+		before := api.calls["get "+objectapi.KindChunk]
 		got, err := f.Fetch(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.Customer("cluj").Rate).To(Equal(251.0))
-		Expect(api.calls["get "+platform.KindChunk] - before).To(Equal(1))
+		Expect(api.calls["get "+objectapi.KindChunk] - before).To(Equal(1))
 	})
 
 	It("does not list a chunk of a publishing under way", func() {
 		_, err := publish("ana", 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = api.Create(ctx, platform.KindChunk, "stray", []byte("{}"))
+		_, err = api.Create(ctx, objectapi.KindChunk, "stray", []byte("{}"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(contract.Unreferenced(ctx, api)).To(BeEmpty())
 		snap.Customer("cluj").Rate++
--- a/contract/head.go
+++ b/contract/head.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Bounds of the published form.
@@ -81,7 +81,7 @@
 	if err != nil {
 		return blob{}, eris.Wrap(err, "contract: encode chunk")
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectapi.MaxValueBytes {
 		return blob{}, eris.Wrapf(ErrTooLarge, "chunk %s of %d bytes", name, len(value))
 	}
 	return blob{part: Part{Name: name, Hash: hashOf(value)}, value: value}, nil
@@ -94,7 +94,7 @@
 
 // split cuts a snapshot into chunks: the fleet, each service, and customers by
 // the hundred, so that a change rewrites little. Whatever Check allows fits
-// platform.MaxValueBytes.
+// objectapi.MaxValueBytes.
 func split(s *Snapshot) ([]blob, error) {
 	chunks := map[string]chunk{"fleet": {DataCentres: s.DataCentres, Roster: &s.Roster}}
 	for i := range s.Services {
--- a/contract/publish.go
+++ b/contract/publish.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeloft/bronzeloft/internal/tomlread"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // DefaultAttempts is how often a publishing is tried before it gives up.
@@ -96,7 +96,7 @@
 // It returns tomlread.Faults for a snapshot at fault; *ConflictError when what
 // is in force differs from Base in more than keys; *UnknownError; or the
 // platform's error, when nothing was published.
-func Publish(ctx context.Context, api platform.API, snap *Snapshot, opts PublishOptions) (Result, error) {
+func Publish(ctx context.Context, api objectapi.API, snap *Snapshot, opts PublishOptions) (Result, error) {
 	p := newPublisher(api, opts)
 	return p.run(ctx, func(ctx context.Context, cur *current) (*Snapshot, error) {
 		next := Preview(cur.snap, snap)
@@ -120,7 +120,7 @@
 // Edit changes the snapshot in force by a conditional update: change gets a
 // copy of it, and gets the newest copy again when somebody else was faster. An
 // error of change is returned as it is. Base is not used.
-func Edit(ctx context.Context, api platform.API, opts PublishOptions, change func(*Snapshot) error) (Result, error) {
+func Edit(ctx context.Context, api objectapi.API, opts PublishOptions, change func(*Snapshot) error) (Result, error) {
 	p := newPublisher(api, opts)
 	return p.run(ctx, func(_ context.Context, cur *current) (*Snapshot, error) {
 		if cur.snap == nil {
@@ -147,14 +147,14 @@
 
 // publisher is one run of Publish or Edit.
 type publisher struct {
-	api     platform.API
+	api     objectapi.API
 	fetch   *Fetcher
 	opts    PublishOptions
 	id      string
 	unknown error // of a head update whose answer was lost
 }
 
-func newPublisher(api platform.API, opts PublishOptions) *publisher {
+func newPublisher(api objectapi.API, opts PublishOptions) *publisher {
 	if opts.Attempts == 0 {
 		opts.Attempts = DefaultAttempts
 	}
@@ -195,7 +195,7 @@
 			return res, err
 		}
 		last = err
-		if !errors.Is(err, platform.ErrBudget) {
+		if !errors.Is(err, objectapi.ErrBudget) {
 			attempts++
 		}
 		if p.opts.Pause(ctx) != nil {
--- a/contract/publish_test.go
+++ b/contract/publish_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/internal/tomlread"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // options returns those of an operator who saw version base and never waits.
@@ -148,7 +148,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		other, _ := contract.Load("../examples/pluta")
 		other.Customer("cluj").Rate = 300
-		api.before = once("update", platform.KindHead, func() error {
+		api.before = once("update", objectapi.KindHead, func() error {
 			_, err := contract.Publish(ctx, api, other, options("bogdan", 1))
 			return err
 		})
@@ -163,7 +163,7 @@
 	It("lets one of two win the very first version", func() {
 		other, _ := contract.Load("../examples/pluta")
 		other.Customer("cluj").Rate = 300
-		api.before = once("create", platform.KindHead, func() error {
+		api.before = once("create", objectapi.KindHead, func() error {
 			_, err := contract.Publish(ctx, api, other, options("bogdan", 0))
 			return err
 		})
@@ -218,7 +218,7 @@
 
 		It("keeps a key withdrawn when the withdrawal races a publishing", func() {
 			snap.Customer("cluj").Rate++
-			api.before = once("update", platform.KindHead, func() error {
+			api.before = once("update", objectapi.KindHead, func() error {
 				_, err := contract.Edit(ctx, api, options("bogdan", 0), withdraw("cluj"))
 				return err
 			})
@@ -229,7 +229,7 @@
 		})
 
 		It("withdraws a key also when a publishing is faster", func() {
-			api.before = once("update", platform.KindHead, func() error {
+			api.before = once("update", objectapi.KindHead, func() error {
 				snap.Customer("cluj").Rate++
 				_, err := contract.Publish(ctx, api, snap, options("bogdan", 2))
 				return err
@@ -251,7 +251,7 @@
 		})
 
 		It("knows its own head after a lost answer, and publishes once", func() {
-			api.after = once("update", platform.KindHead, lose)
+			api.after = once("update", objectapi.KindHead, lose)
 			res, err := publish("ana", 1)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Recovered).To(BeTrue())
@@ -261,7 +261,7 @@
 		})
 
 		It("knows its own head under that of an operator who was next", func() {
-			api.after = once("update", platform.KindHead, func() error {
+			api.after = once("update", objectapi.KindHead, func() error {
 				_, err := contract.Edit(ctx, api, options("bogdan", 0), addKey("cluj", "k1"))
 				Expect(err).NotTo(HaveOccurred())
 				return errLost
@@ -273,7 +273,7 @@
 		})
 
 		It("publishes once when the update did not take effect", func() {
-			api.before = once("update", platform.KindHead, lose)
+			api.before = once("update", objectapi.KindHead, lose)
 			res, err := publish("ana", 1)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Recovered).To(BeFalse())
@@ -281,7 +281,7 @@
 		})
 
 		It("goes on after the lost answer of a chunk", func() {
-			api.after = once("create", platform.KindChunk, lose)
+			api.after = once("create", objectapi.KindChunk, lose)
 			_, err := publish("ana", 1)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(fetch().Customer("cluj").Rate).To(Equal(300.0))
@@ -291,7 +291,7 @@
 			var refused sync.Map
 			api.before = func(op, kind, name string) error {
 				if _, before := refused.LoadOrStore(op+kind+name, true); !before {
-					return platform.ErrBudget
+					return objectapi.ErrBudget
 				}
 				return nil
 			}
@@ -304,10 +304,10 @@
 
 		It("says unknown when the head can't be read back, and the next try finds it done", func() {
 			down := false
-			api.after = once("update", platform.KindHead, func() error { down = true; return errLost })
+			api.after = once("update", objectapi.KindHead, func() error { down = true; return errLost })
 			api.before = func(string, string, string) error {
 				if down {
-					return platform.ErrUnavailable
+					return objectapi.ErrUnavailable
 				}
 				return nil
 			}
@@ -324,9 +324,9 @@
 		})
 
 		It("says unavailable, and changes nothing, in an outage", func() {
-			api.before = func(string, string, string) error { return platform.ErrUnavailable }
+			api.before = func(string, string, string) error { return objectapi.ErrUnavailable }
 			_, err := publish("ana", 1)
-			Expect(err).To(MatchError(platform.ErrUnavailable))
+			Expect(err).To(MatchError(objectapi.ErrUnavailable))
 			var unknown *contract.UnknownError
 			Expect(errors.As(err, &unknown)).To(BeFalse())
 			api.before = nil
@@ -337,7 +337,7 @@
 			head, _, err := contract.ReadHead(ctx, api)
 			Expect(err).NotTo(HaveOccurred())
 			for _, part := range head.Parts {
-				key := platform.KindChunk + "/" + part.Hash
+				key := objectapi.KindChunk + "/" + part.Hash
 				o := api.objects[key]
 				delete(api.objects, key)
 				_, err = contract.Fetch(ctx, api)
@@ -354,8 +354,8 @@
 
 		It("does not call the outcome unknown when the budget refused the update", func() {
 			api.before = func(op, kind, _ string) error {
-				if op == "update" && kind == platform.KindHead {
-					return platform.ErrBudget
+				if op == "update" && kind == objectapi.KindHead {
+					return objectapi.ErrBudget
 				}
 				return nil
 			}
@@ -363,7 +363,7 @@
 			opts := options("ana", 1)
 			opts.Pause = func(context.Context) error { cancel(); return short.Err() }
 			_, err := contract.Publish(short, api, snap, opts)
-			Expect(err).To(MatchError(platform.ErrBudget))
+			Expect(err).To(MatchError(objectapi.ErrBudget))
 			var unknown *contract.UnknownError
 			Expect(errors.As(err, &unknown)).To(BeFalse())
 		})
--- a/contract/race_test.go
+++ b/contract/race_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bronzeloft/bronzeloft/contract"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // operators is a random run of operators against one platform, and the oracle:
@@ -94,19 +94,19 @@
 	switch rapid.SampledFrom([]string{"none", "none", "rival", "lost", "failed", "lost and down", "lost and rival"}).Draw(o.t, "fault") {
 	case "rival":
 		rival := o.draw("rival")
-		o.api.before = once("update", platform.KindHead, func() error { o.finish(&rival, base); return nil })
+		o.api.before = once("update", objectapi.KindHead, func() error { o.finish(&rival, base); return nil })
 	case "lost":
-		o.api.after = once("update", platform.KindHead, func() error { return errLost })
+		o.api.after = once("update", objectapi.KindHead, func() error { return errLost })
 	case "failed":
-		o.api.before = once("update", platform.KindHead, func() error { return errLost })
+		o.api.before = once("update", objectapi.KindHead, func() error { return errLost })
 	case "lost and down":
-		o.api.after = once("update", platform.KindHead, func() error {
-			o.api.before = func(string, string, string) error { return platform.ErrUnavailable }
+		o.api.after = once("update", objectapi.KindHead, func() error {
+			o.api.before = func(string, string, string) error { return objectapi.ErrUnavailable }
 			return errLost
 		})
 	case "lost and rival":
 		rival := o.edit(addKey("oradea", fmt.Sprintf("rival%d", o.version)), func() {})
-		o.api.after = once("update", platform.KindHead, func() error {
+		o.api.after = once("update", objectapi.KindHead, func() error {
 			mine.oracle()
 			mine.oracle = func() {}
 			o.version++
--- a/contract/scale_test.go
+++ b/contract/scale_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // name returns a name of length bytes that ends in n.
@@ -59,7 +59,7 @@
 		_, err := contract.Publish(ctx, api, snap, options(strings.Repeat("é", 100), 0))
 		Expect(err).NotTo(HaveOccurred())
 		for _, o := range api.objects {
-			Expect(len(o.Value)).To(BeNumerically("<=", platform.MaxValueBytes))
+			Expect(len(o.Value)).To(BeNumerically("<=", objectapi.MaxValueBytes))
 		}
 		got, err := contract.Fetch(ctx, api)
 		Expect(err).NotTo(HaveOccurred())
@@ -128,7 +128,7 @@
 			b.ReportMetric(float64(writes(api)-before), "writes/op")
 			b.ReportMetric(float64(res.Chunks), "chunks/op")
 		}
-		b.ReportMetric(float64(len(api.objects[platform.KindHead+"/"+platform.HeadName].Value)), "head-bytes")
+		b.ReportMetric(float64(len(api.objects[objectapi.KindHead+"/"+objectapi.HeadName].Value)), "head-bytes")
 	})
 	b.Run("fetch one change", func(b *testing.B) {
 		f := contract.NewFetcher(api)
@@ -141,10 +141,10 @@
 				s.Customers[i%len(s.Customers)].Rate++
 				return nil
 			})
-			before := api.calls["get "+platform.KindChunk]
+			before := api.calls["get "+objectapi.KindChunk]
 			b.StartTimer()
 			f.Fetch(ctx)
-			b.ReportMetric(float64(api.calls["get "+platform.KindChunk]-before+1), "reads/op")
+			b.ReportMetric(float64(api.calls["get "+objectapi.KindChunk]-before+1), "reads/op")
 		}
 	})
 }
--- a/contract/write.go
+++ b/contract/write.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // write stores the chunks that are new, then the head, and returns the number
@@ -46,11 +46,11 @@
 // writeChunk creates a chunk, waiting for the budget of calls. One that exists
 // already has the same content, for its name is its hash.
 func (p *publisher) writeChunk(ctx context.Context, b blob) error {
-	_, err := p.api.Create(ctx, platform.KindChunk, b.part.Hash, b.value)
-	for errors.Is(err, platform.ErrBudget) && p.opts.Pause(ctx) == nil {
-		_, err = p.api.Create(ctx, platform.KindChunk, b.part.Hash, b.value)
+	_, err := p.api.Create(ctx, objectapi.KindChunk, b.part.Hash, b.value)
+	for errors.Is(err, objectapi.ErrBudget) && p.opts.Pause(ctx) == nil {
+		_, err = p.api.Create(ctx, objectapi.KindChunk, b.part.Hash, b.value)
 	}
-	if err == nil || errors.Is(err, platform.ErrExists) {
+	if err == nil || errors.Is(err, objectapi.ErrExists) {
 		return nil
 	}
 	return retryable{eris.Wrapf(err, "contract: write chunk %s", b.part.Name)}
@@ -81,13 +81,13 @@
 	if err != nil {
 		return eris.Wrap(err, "contract: encode head")
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectapi.MaxValueBytes {
 		return eris.Wrapf(ErrTooLarge, "head of %d bytes", len(value))
 	}
 	if cur.head == nil {
-		_, err = p.api.Create(ctx, platform.KindHead, platform.HeadName, value)
+		_, err = p.api.Create(ctx, objectapi.KindHead, objectapi.HeadName, value)
 	} else {
-		_, err = p.api.Update(ctx, platform.KindHead, platform.HeadName, cur.objectVersion, value)
+		_, err = p.api.Update(ctx, objectapi.KindHead, objectapi.HeadName, cur.objectVersion, value)
 	}
 	if err == nil {
 		return nil
@@ -100,8 +100,8 @@
 
 // isRefusal reports whether err says for certain that nothing took effect.
 func isRefusal(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) ||
-		errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrBudget)
+	return errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrExists) ||
+		errors.Is(err, objectapi.ErrNotFound) || errors.Is(err, objectapi.ErrBudget)
 }
 
 // normalised returns a deep enough copy of s to change, in the order in which
--- a/customer/keys/ops.go
+++ b/customer/keys/ops.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // MaxValid is how many valid keys a rotation may leave: the old and the new.
@@ -45,7 +45,7 @@
 // Ops changes the keys of the published snapshot, each by one conditional
 // update.
 type Ops struct {
-	API     platform.API
+	API     objectapi.API
 	Random  io.Reader // source of secrets, such as crypto/rand.Reader
 	Options contract.PublishOptions
 }
--- a/customer/keys/ops_test.go
+++ b/customer/keys/ops_test.go
@@ -11,44 +11,44 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/keys"
 	"github.com/bronzeloft/bronzeloft/errkind"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // memory is the part of the platform that publishing uses, without concurrency.
 type memory struct {
-	platform.API
-	objects map[string]platform.Object
+	objectapi.API
+	objects map[string]objectapi.Object
 	version uint64
 	loseOne bool // the next update takes effect, but its answer is lost
 }
 
-func (m *memory) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (m *memory) Get(_ context.Context, kind, name string) (objectapi.Object, error) {
 	o, ok := m.objects[kind+name]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objectapi.ErrNotFound
 	}
 	return o, nil
 }
 
-func (m *memory) Create(_ context.Context, kind, name string, value []byte) (platform.Object, error) {
+func (m *memory) Create(_ context.Context, kind, name string, value []byte) (objectapi.Object, error) {
 	if _, ok := m.objects[kind+name]; ok {
-		return platform.Object{}, platform.ErrExists
+		return objectapi.Object{}, objectapi.ErrExists
 	}
 	m.version++
-	o := platform.Object{Kind: kind, Name: name, Version: m.version, Value: value}
+	o := objectapi.Object{Kind: kind, Name: name, Version: m.version, Value: value}
 	m.objects[kind+name] = o
 	return o, nil
 }
 
-func (m *memory) Update(ctx context.Context, kind, name string, version uint64, value []byte) (platform.Object, error) {
+func (m *memory) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
 	if m.objects[kind+name].Version != version {
-		return platform.Object{}, platform.ErrConflict
+		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	delete(m.objects, kind+name)
 	o, err := m.Create(ctx, kind, name, value)
 	if m.loseOne {
 		m.loseOne = false
-		return platform.Object{}, errors.New("answer lost")
+		return objectapi.Object{}, errors.New("answer lost")
 	}
 	return o, err
 }
@@ -72,7 +72,7 @@
 
 	BeforeEach(func() {
 		ctx = context.Background()
-		api = &memory{objects: map[string]platform.Object{}}
+		api = &memory{objects: map[string]objectapi.Object{}}
 		options := contract.PublishOptions{Operator: "ana", Pause: func(context.Context) error { return nil }}
 		ops = &keys.Ops{API: api, Random: rand.Reader, Options: options}
 		table = keys.NewTable()
--- a/host/slots.go
+++ b/customer/turn/turn.go
@@ -1,4 +1,5 @@
-package host
+// Package turn lets requests wait for their turn in a fair queue.
+package turn
 
 import (
 	"context"
@@ -7,25 +8,27 @@
 
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/waiting"
 )
 
-// slotQueue lets requests wait for their turn in a fair queue.
-type slotQueue struct {
+// Queue lets requests wait for their turn in a fair queue.
+type Queue struct {
 	now func() time.Time
 
 	mu      sync.Mutex // guards all below; no other lock is taken under it
 	queue   *fair.Queue
-	waiting waiting
+	waiting waiting.List
 }
 
-func newSlotQueue(cfg fair.Config, now func() time.Time) *slotQueue {
-	return &slotQueue{now: now, queue: fair.New(cfg), waiting: newWaiting()}
+// New returns an empty queue that reads the time from now.
+func New(cfg fair.Config, now func() time.Time) *Queue {
+	return &Queue{now: now, queue: fair.New(cfg), waiting: waiting.New()}
 }
 
-// acquire waits for a slot. A request that gets none has not run.
-func (s *slotQueue) acquire(ctx context.Context, item fair.Item) (uint64, error) {
+// Acquire waits for a slot. A request that gets none has not run.
+func (s *Queue) Acquire(ctx context.Context, item fair.Item) (uint64, error) {
 	s.mu.Lock()
-	item.ID = s.waiting.id()
+	item.ID = s.waiting.ID()
 	verdict := s.queue.Enqueue(item, s.now())
 	if verdict.State == fair.Run {
 		s.mu.Unlock()
@@ -35,7 +38,7 @@
 		s.mu.Unlock()
 		return 0, errkind.New(verdict.Kind, "")
 	}
-	turn := s.waiting.add(item.ID)
+	turn := s.waiting.Add(item.ID)
 	s.mu.Unlock()
 	select {
 	case run := <-turn:
@@ -50,14 +53,14 @@
 
 // leave takes a request out of the queue, or gives its slot back if its turn
 // came at the same moment.
-func (s *slotQueue) leave(id uint64, turn <-chan bool) error {
+func (s *Queue) leave(id uint64, turn <-chan bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting.remove(id)
+	s.waiting.Remove(id)
 	select {
 	case run := <-turn:
 		if run {
-			s.waiting.answer(s.queue.Done(id, s.now()), true)
+			s.waiting.Answer(s.queue.Done(id, s.now()), true)
 		}
 	default:
 		s.queue.Cancel(id)
@@ -65,15 +68,16 @@
 	return errkind.New(errkind.DeadlineNotRun, "in the database's queue")
 }
 
-// release frees a slot; the database is known to have stopped.
-func (s *slotQueue) release(id uint64) {
+// Release frees a slot; the database is known to have stopped.
+func (s *Queue) Release(id uint64) {
 	s.mu.Lock()
-	s.waiting.answer(s.queue.Done(id, s.now()), true)
+	s.waiting.Answer(s.queue.Done(id, s.now()), true)
 	s.mu.Unlock()
 }
 
-func (s *slotQueue) setSlots(n int) {
+// SetSlots changes the number of slots.
+func (s *Queue) SetSlots(n int) {
 	s.mu.Lock()
-	s.waiting.answer(s.queue.SetSlots(n, s.now()), true)
+	s.waiting.Answer(s.queue.SetSlots(n, s.now()), true)
 	s.mu.Unlock()
 }
--- a/database/group/claim.go
+++ b/database/group/claim.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // maxBackoffShift bounds the doublings of the backoff after lost claims.
@@ -301,7 +301,7 @@
 		t.claim = claim{}
 	}
 	if own || t.rank == 0 {
-		t.pending = append(t.pending, Publish{State: platform.GroupState{
+		t.pending = append(t.pending, Publish{State: objectapi.GroupState{
 			Group: t.cfg.Group, Term: t.view.Term, Primary: p.ID, Claim: p.report.Claimant,
 		}})
 	}
--- a/database/group/group.go
+++ b/database/group/group.go
@@ -19,7 +19,7 @@
 
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
 	"github.com/bronzeloft/bronzeloft/internal/defaults"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -160,7 +160,7 @@
 
 // Publish records a promotion in the platform. The host retries it; a record
 // of a higher term wins.
-type Publish struct{ State platform.GroupState }
+type Publish struct{ State objectapi.GroupState }
 
 func (Send) action()     {}
 func (AskPeers) action() {}
--- /dev/null
+++ b/database/succession/succession.go
@@ -0,0 +1,151 @@
+// Package succession decides when a service's primary is replaced and by which
+// database.
+//
+// A commit is acknowledged when the primary and one replica hold it. So the
+// replica that is named must hold whatever any replica holds: first every
+// replica is stopped from receiving, then each one's log end is read, and the
+// longest log wins. A replica whose log end cannot be read may hold the only
+// copy of an acknowledged commit; without it, the others may only be named
+// where their logs reach the last commit that any host has acknowledged.
+package succession
+
+import (
+	"errors"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// ErrRefused reports an order with an outdated fence, or for a database that
+// does not run.
+var ErrRefused = errors.New("succession: order refused")
+
+// Order makes a database lead a service.
+type Order struct {
+	Service  string
+	Database string
+	Holder   string // the host that acts
+	Fence    uint64 // rises with each change of the holder
+}
+
+// Reason says why a primary is replaced.
+type Reason string
+
+// The reasons.
+const (
+	None    Reason = ""
+	Silent  Reason = "silent"  // most hosts get no answer
+	Absent  Reason = "absent"  // no database leads
+	Leaving Reason = "leaving" // it ends soon
+	Stuck   Reason = "stuck"   // it answers, but commits are not acknowledged
+)
+
+// Opinion is what one host finds of a service's primary.
+type Opinion struct {
+	Primary     string // the database that it believes to lead; empty for none
+	Unreachable bool
+	Stuck       bool
+}
+
+// Judge returns the reason to replace the primary, given this host's opinion
+// and those of the hosts that it heard lately. Most of the hosts that speak of
+// the same primary must agree that it is of no use, so that one host's broken
+// path does not cost a working primary.
+func Judge(own Opinion, leaving bool, others []Opinion) Reason {
+	if own.Primary == "" {
+		return agreed(Absent, others, func(o Opinion) bool { return o.Primary == "" || o.Unreachable })
+	}
+	if leaving {
+		return Leaving
+	}
+	same := others[:0:0]
+	for _, o := range others {
+		if o.Primary == own.Primary || o.Primary == "" {
+			same = append(same, o)
+		}
+	}
+	switch {
+	case own.Unreachable:
+		return agreed(Silent, same, func(o Opinion) bool { return o.Unreachable || o.Primary == "" })
+	case own.Stuck:
+		return agreed(Stuck, same, func(o Opinion) bool { return o.Stuck })
+	}
+	return None
+}
+
+// agreed returns the reason if at least half of the others hold it.
+func agreed(reason Reason, others []Opinion, holds func(Opinion) bool) Reason {
+	n := 0
+	for _, o := range others {
+		if holds(o) {
+			n++
+		}
+	}
+	if 2*n < len(others) {
+		return None
+	}
+	return reason
+}
+
+// Candidate is a replica as the successor's choice sees it.
+type Candidate struct {
+	ID       string
+	Answered bool // its log end is known and it receives nothing more
+	Listed   bool // the platform lists it as alive
+	Leaving  bool
+	Received position.Position
+}
+
+// Choose names the successor among all replicas of a service. acked is the
+// last commit that any host has acknowledged. ok is false while an
+// acknowledged commit could be lost.
+func Choose(all []Candidate, acked position.Position) (best Candidate, ok bool) {
+	missing := false
+	for _, c := range all {
+		if !c.Answered {
+			missing = true
+			continue
+		}
+		if best.ID == "" || better(c, best) {
+			best = c
+		}
+	}
+	if best.ID == "" {
+		return Candidate{}, false
+	}
+	if missing && (unread(all) || best.Received.Before(acked)) {
+		return Candidate{}, false
+	}
+	return best, true
+}
+
+// unread reports whether a replica that is alive has not been read.
+func unread(all []Candidate) bool {
+	for _, c := range all {
+		if c.Listed && !c.Answered {
+			return true
+		}
+	}
+	return false
+}
+
+// better prefers the longer log, then a database that stays.
+func better(a, b Candidate) bool {
+	if cmp := a.Received.Compare(b.Received); cmp != 0 {
+		return cmp > 0
+	}
+	return !a.Leaving && b.Leaving
+}
+
+// Timing of promotions.
+const (
+	// RankDelay is how long each host waits for the one ranked before it: a
+	// lease and a round of questions to the replicas take less.
+	RankDelay = 300 * time.Millisecond
+	// RetryDelay is the time between two attempts of one host.
+	RetryDelay = 300 * time.Millisecond
+	// StuckAgain keeps a primary that was made the leader for another's being
+	// stuck from being replaced for the same reason at once: then it is the
+	// replicas that do not receive.
+	StuckAgain = 8 * time.Second
+)
--- a/datacentre/member_test.go
+++ b/datacentre/member_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // knows reports whether every running host of the centre has exactly the
@@ -86,7 +86,7 @@
 	It("are neither made nor unmade by a lagging list", func() {
 		s := settled(23, 1, 5, today)
 		h := s.hosts[0]
-		stale := []platform.HostState{{Address: "10.0.7.7:7000", DataCentre: "dc0"}}
+		stale := []objectapi.HostState{{Address: "10.0.7.7:7000", DataCentre: "dc0"}}
 		h.table.ObserveList(stale, s.now)
 		s.run(10 * time.Second)
 		Expect(liveAddresses(h, s.now)).To(HaveLen(5))
@@ -168,9 +168,9 @@
 		table := datacentre.New(datacentre.Config{
 			Self: "10.9.9.9:7000", DataCentre: "dc0", BootID: "b", Limits: datacentre.Limits{Members: 3},
 		})
-		var list []platform.HostState
+		var list []objectapi.HostState
 		for i := range 10 {
-			list = append(list, platform.HostState{Address: peerAddress(i), DataCentre: "dc0"})
+			list = append(list, objectapi.HostState{Address: peerAddress(i), DataCentre: "dc0"})
 		}
 		table.ObserveList(list, epoch)
 		Expect(table.Peers(epoch)).To(HaveLen(3))
--- a/datacentre/sim_test.go
+++ b/datacentre/sim_test.go
@@ -11,7 +11,7 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 const (
@@ -137,9 +137,9 @@
 
 // list gives every running host the platform's list, which names all hosts.
 func (s *sim) list() {
-	var list []platform.HostState
+	var list []objectapi.HostState
 	for _, h := range s.hosts {
-		list = append(list, platform.HostState{Address: h.address, DataCentre: h.centre})
+		list = append(list, objectapi.HostState{Address: h.address, DataCentre: h.centre})
 	}
 	for _, h := range s.hosts {
 		if !h.down {
--- a/datacentre/table.go
+++ b/datacentre/table.go
@@ -7,7 +7,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Output is what the host has to do.
@@ -129,7 +129,7 @@
 
 // ObserveList takes in the platform's list of hosts. It lags, so it only names
 // candidates: it makes nobody alive and nobody dead.
-func (t *Table) ObserveList(list []platform.HostState, now time.Time) {
+func (t *Table) ObserveList(list []objectapi.HostState, now time.Time) {
 	t.started(now)
 	for _, m := range t.order {
 		m.listed, m.listedLeaving = false, false
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -43,6 +43,14 @@
 	ConnectionLimit                 // too many caller connections on this host
 	UnknownStatement                // a prepared statement that the caller did not prepare
 	IdleTransaction                 // the transaction waited too long for its caller and was rolled back
+	DatabaseBusy                    // the database refused: it is overloaded
+	DatabaseBehind                  // the database's log has not reached the position asked for
+	DatabaseFull                    // the database refused a connection: it has too many
+	WrongDatabase                   // another database answers at the address
+	TransactionAborted              // the transaction was rolled back before its commit
+	StatementFailed                 // the database ran the statement and it failed
+	StatementTimeout                // the database gave no answer within the statement's time
+	OutOfPlace                      // a statement that the session's state does not allow
 	numKinds
 )
 
@@ -104,6 +112,14 @@
 	PrimaryReplaced:     {"primary_replaced", "57P03", NotRun, false, "primary was replaced", "retry"},
 	ConnectionLimit:     {"connection_limit", "53300", NotRun, true, "host has too many caller connections", "reconnect later"},
 	IdleTransaction:     {"idle_transaction", "25P03", NotRun, true, "transaction was idle for too long and was rolled back", "reconnect"},
+	DatabaseBusy:        {"database_busy", "53300", NotRun, false, "database is overloaded", "retry later with backoff"},
+	DatabaseBehind:      {"database_behind", "57P03", NotRun, false, "database has not caught up", "retry"},
+	DatabaseFull:        {"database_full", "53300", NotRun, false, "database has too many connections", "retry later with backoff"},
+	WrongDatabase:       {"wrong_database", "57P03", NotRun, false, "another database answers at the address", "retry"},
+	TransactionAborted:  {"transaction_aborted", "40001", NotRun, false, "transaction was rolled back", "retry the whole transaction"},
+	StatementFailed:     {"statement_failed", "XX000", Unknown, false, "statement failed", ""},
+	StatementTimeout:    {"statement_timeout", "57014", Unknown, false, "no answer within the statement's time", ""},
+	OutOfPlace:          {"out_of_place", "25P02", NotRun, false, "statement is not allowed now", "end the transaction"},
 	UnknownStatement:    {"unknown_statement", "26000", NotRun, false, "prepared statement does not exist", "prepare it on this connection"},
 }
 
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,251 @@
+// Package gateway is one entry host of a site whose operator publishes routes
+// and whose databases replicate and acknowledge commits themselves.
+//
+// It takes callers' sessions, brings each statement to a database connection
+// that has the session's state, and answers for freshness and outcome. It
+// watches the store for the configuration and the databases, shares rates and
+// findings with the other hosts by datagrams, and replaces primaries under a
+// lease in the store.
+//
+// Lock order: Gateway.mu, then service.mu, then pool.mu or turn.Queue's. The
+// locks of rates, peers and registry are leaves: no other lock is taken under
+// them. None is held during input or output.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/share"
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// Options is what a Gateway is made of.
+type Options struct {
+	Name       string // of this host, unique in the fleet
+	DataCentre string
+	Callers    string // IP:port to listen on for callers
+	Ready      string // IP:port of the ready probe
+	Peers      string // IP:port for other hosts, TCP and UDP
+	Metrics    string // IP:port of the metrics page; empty for none
+	Grace      time.Duration
+	MaxCallers int // sessions at once
+	Platform   Platform
+	Logger     *slog.Logger
+	Now        func() time.Time // a clock that goes on while the machine is suspended
+}
+
+// Gateway is one running entry host.
+type Gateway struct {
+	opt      Options
+	log      *slog.Logger
+	now      func() time.Time
+	platform Platform
+	metrics  *gatewayMetrics
+	decision *decisionLog
+	rates    *rates
+	peers    *peers
+	callers  *registry
+	started  time.Time
+
+	config  atomic.Pointer[published]
+	leaving atomic.Bool
+
+	mu        sync.Mutex // guards services and listed
+	services  map[string]*service
+	databases map[string]routes.Database // the store's list, by id
+	listed    bool
+
+	ctx      context.Context // ends when the host stops
+	stop     context.CancelFunc
+	workers  sync.WaitGroup
+	listener net.Listener
+	servers  []*http.Server
+}
+
+// published is a configuration and the bytes that it was read from, which
+// other hosts may ask for.
+type published struct {
+	*routes.Configuration
+	raw []byte
+}
+
+// New returns a gateway that does not listen yet.
+func New(opt Options) *Gateway {
+	g := &Gateway{
+		opt:       opt,
+		log:       opt.Logger.With("host", opt.Name),
+		now:       opt.Now,
+		platform:  opt.Platform,
+		services:  map[string]*service{},
+		databases: map[string]routes.Database{},
+		callers:   newRegistry(),
+	}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.started = g.now()
+	g.rates = &rates{table: share.New(1)}
+	g.decision = newDecisionLog(g.log, g.now)
+	g.config.Store(&published{Configuration: &routes.Configuration{}})
+	g.metrics = newMetrics(g)
+	return g
+}
+
+// Start listens and begins to serve.
+func (g *Gateway) Start() error {
+	var err error
+	if g.peers, err = listenPeers(g); err != nil {
+		return err
+	}
+	if g.listener, err = net.Listen("tcp", g.opt.Callers); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	if err := g.serveHTTP(g.opt.Ready, g.platform.ReadyHandler(g.Ready)); err != nil {
+		return eris.Wrap(err, "listen for the ready probe")
+	}
+	if g.opt.Metrics != "" {
+		if err := g.serveHTTP(g.opt.Metrics, g.metrics.handler()); err != nil {
+			return eris.Wrap(err, "listen for metrics")
+		}
+	}
+	g.work(g.watchConfiguration)
+	g.work(g.watchDatabases)
+	g.work(g.peers.run)
+	g.work(g.tick)
+	g.work(g.acceptCallers)
+	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre)
+	return nil
+}
+
+// serveHTTP serves a small page until the gateway closes.
+func (g *Gateway) serveHTTP(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	g.serveOn(l, handler)
+	return nil
+}
+
+// Bounds of the small HTTP pages, whose callers are the platform and other
+// hosts.
+const (
+	pageHeaderTimeout = 2 * time.Second
+	pageIdleTimeout   = 30 * time.Second
+)
+
+func (g *Gateway) serveOn(l net.Listener, handler http.Handler) {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: pageHeaderTimeout, IdleTimeout: pageIdleTimeout}
+	g.servers = append(g.servers, srv)
+	g.work(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("Page stopped.", "part", "host", "address", l.Addr(), "error", err)
+		}
+	})
+}
+
+// work runs f as one of the gateway's workers.
+func (g *Gateway) work(f func()) {
+	g.workers.Add(1)
+	go func() {
+		defer g.workers.Done()
+		f()
+	}()
+}
+
+// Ready reports whether the host should get callers.
+func (g *Gateway) Ready() bool {
+	return !g.leaving.Load() && g.config.Load().Version > 0 && g.hasDatabases()
+}
+
+func (g *Gateway) hasDatabases() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed
+}
+
+// Close stops the gateway at once.
+func (g *Gateway) Close() {
+	g.stop()
+	if g.listener != nil {
+		g.listener.Close()
+	}
+	for _, s := range g.servers {
+		s.Close()
+	}
+	if g.peers != nil {
+		g.peers.close()
+	}
+	g.callers.closeAll()
+	g.decision.close()
+}
+
+// service returns the named service's databases, nil where nothing is known of
+// them.
+func (g *Gateway) service(name string) *service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[name]
+}
+
+// allServices returns every service.
+func (g *Gateway) allServices() []*service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		all = append(all, s)
+	}
+	return all
+}
+
+// tickEvery is the time between looks at each service's primary.
+const tickEvery = 100 * time.Millisecond
+
+// tick drives what happens by itself: samples, expiry and promotions.
+func (g *Gateway) tick() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, s := range g.allServices() {
+			s.tick()
+		}
+	}
+}
+
+// acceptCallers accepts sessions until the listener closes.
+func (g *Gateway) acceptCallers() {
+	for {
+		conn, err := g.listener.Accept()
+		if err != nil {
+			if g.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			g.log.Error("Accept failed.", "part", "session", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		s := newSession(g, g.platform.Accept(conn))
+		if !g.callers.add(s, g.opt.MaxCallers) {
+			s.reject(errkind.New(errkind.ConnectionLimit, "%d sessions", g.opt.MaxCallers))
+			continue
+		}
+		go s.run()
+	}
+}
+
+// acceptPause keeps a host that is out of descriptors from spinning.
+const acceptPause = 20 * time.Millisecond
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// gatewayMetrics are the metrics of one host. Labels never hold a key.
+type gatewayMetrics struct {
+	set           *metrics.Set
+	dialled       *metrics.Counter
+	storeFailures *metrics.Counter
+	unsent        *metrics.Counter
+}
+
+func newMetrics(g *Gateway) *gatewayMetrics {
+	set := metrics.NewSet()
+	m := &gatewayMetrics{
+		set:           set,
+		dialled:       set.NewCounter("bronzeloft_database_connections_opened_total"),
+		storeFailures: set.NewCounter("bronzeloft_store_failures_total"),
+		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+	}
+	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
+	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
+	return m
+}
+
+// refused counts a refusal by kind.
+func (m *gatewayMetrics) refused(k errkind.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_refused_total{kind=%q}`, k)).Inc()
+}
+
+// observe records the time of one answered request.
+func (m *gatewayMetrics) observe(op *operation, took time.Duration) {
+	access := "read"
+	if op.writes() {
+		access = "write"
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`bronzeloft_request_seconds{service=%q,access=%q}`, op.route.Service, access)).Update(took.Seconds())
+}
+
+// handler serves the metrics as text.
+func (m *gatewayMetrics) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/customer/turn"
+	"github.com/bronzeloft/bronzeloft/database/sessionstate"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Timing of connections to databases.
+const (
+	// dialTimeout is many times the set-up time of a connection, 30 ms at most.
+	dialTimeout = 700 * time.Millisecond
+	// fullPause keeps reads off a database that has too many connections.
+	fullPause = 300 * time.Millisecond
+)
+
+// pool holds this host's connections to one database. A connection belongs to
+// one customer. There are at most max; when one more customer needs one, the
+// connection that was idle for longest is closed.
+type pool struct {
+	g     *Gateway
+	svc   *service
+	turns *turn.Queue
+
+	mu     sync.Mutex // guards all below; a leaf
+	db     routes.Database
+	idle   []*conn // the one used last is last
+	open   int
+	max    int
+	closed bool
+}
+
+// conn is a connection in use or idle.
+type conn struct {
+	Connection
+	pool     *pool
+	customer string
+	state    sessionstate.Connection
+	turn     uint64
+	usedAt   time.Time
+	broken   bool // of no use any more
+}
+
+func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
+	return &pool{g: g, svc: svc, db: db, max: size, turns: turn.New(fair.Config{Slots: size}, g.now)}
+}
+
+// setMax changes the bound.
+func (p *pool) setMax(n int) {
+	p.mu.Lock()
+	changed := p.max != n
+	p.max = n
+	p.mu.Unlock()
+	if changed {
+		p.turns.SetSlots(n)
+	}
+}
+
+// acquire waits for the customer's turn and a connection.
+func (p *pool) acquire(ctx context.Context, item fair.Item) (*conn, error) {
+	id, err := p.turns.Acquire(ctx, item)
+	if err != nil {
+		return nil, err
+	}
+	c, err := p.take(ctx, item.Customer)
+	if err != nil {
+		p.turns.Release(id)
+		return nil, err
+	}
+	c.turn = id
+	return c, nil
+}
+
+// take returns an idle connection of the customer's, or a new one.
+func (p *pool) take(ctx context.Context, customer string) (*conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s left", p.db.ID)
+	}
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.customer == customer {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			p.mu.Unlock()
+			return c, nil
+		}
+	}
+	evicted := p.makeRoom()
+	p.open++
+	db := p.db
+	p.mu.Unlock()
+	if evicted != nil {
+		evicted.Close()
+	}
+	return p.dial(ctx, db, customer)
+}
+
+// makeRoom takes the connection that was idle for longest out of a full pool.
+// mu is held.
+func (p *pool) makeRoom() *conn {
+	if p.open < p.max || len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	p.open--
+	return c
+}
+
+func (p *pool) dial(ctx context.Context, db routes.Database, customer string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	asked := p.g.now()
+	raw, err := p.g.platform.Dial(ctx, db, customer)
+	if err != nil {
+		p.forget()
+		return nil, p.dialFailed(err, asked)
+	}
+	p.g.metrics.dialled.Inc()
+	p.svc.answered(db.ID, asked)
+	return &conn{Connection: raw, pool: p, customer: customer, usedAt: p.g.now()}, nil
+}
+
+// dialFailed records what a failed dial tells of the database.
+func (p *pool) dialFailed(err error, asked time.Time) error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		p.svc.shun(p.db.ID, p.g.now().Add(fullPause))
+		p.g.log.Warn("Database refused a connection.", "part", "pool", "database", p.db.ID, "kind", known.Kind.String())
+		return known
+	}
+	p.svc.failed(p.db.ID, asked, errors.Is(err, syscall.ECONNREFUSED))
+	return errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+p.db.ID)
+}
+
+func (p *pool) forget() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// release gives a connection back with the customer's turn.
+func (p *pool) release(c *conn) {
+	p.giveBack(c)
+	p.turns.Release(c.turn)
+}
+
+func (p *pool) giveBack(c *conn) {
+	c.usedAt = p.g.now()
+	p.mu.Lock()
+	if c.broken || p.closed || p.open > p.max || c.state.Full() {
+		p.open--
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// borrow returns an idle connection of any customer, or a new one where there
+// is room, outside of the customers' turns. It returns nil where all are in use.
+func (p *pool) borrow(ctx context.Context, customer string) (*conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s left", p.db.ID)
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		return c, nil
+	}
+	if p.open >= p.max {
+		p.mu.Unlock()
+		return nil, nil
+	}
+	p.open++
+	db := p.db
+	p.mu.Unlock()
+	return p.dial(ctx, db, customer)
+}
+
+// close closes the idle connections; those in use close as they come back.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// run sends requests and records what that tells of the database. After an
+// error the connection is of no use.
+func (c *conn) run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
+	g, svc, id := c.pool.g, c.pool.svc, c.pool.db.ID
+	asked := g.now()
+	// The gateway's clock and the network's may have different origins.
+	answers, err := c.Run(time.Now().Add(deadline.Sub(asked)), requests...)
+	if err != nil {
+		c.broken = true
+		if len(answers) == 0 {
+			svc.failed(id, asked, false)
+		}
+		return answers, err
+	}
+	svc.answered(id, asked)
+	return answers, nil
+}
--- /dev/null
+++ b/gateway/rates.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/share"
+	"github.com/bronzeloft/bronzeloft/errkind"
+)
+
+// rates admits operations by their customer's part of its rate.
+type rates struct {
+	mu    sync.Mutex // guards table; a leaf
+	table *share.Table
+}
+
+// admit returns nil when the operation may run.
+func (r *rates) admit(customer string, now time.Time) *errkind.Error {
+	r.mu.Lock()
+	ok, wait := r.table.Ask(customer, now)
+	r.mu.Unlock()
+	if ok {
+		return nil
+	}
+	return errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds()+1)
+}
+
+func (r *rates) apply(c *routes.Configuration, now time.Time) {
+	limits := make(map[string]share.Limit, len(c.Customers))
+	for name, customer := range c.Customers {
+		limits[name] = share.Limit{Rate: customer.Rate, Burst: customer.Burst}
+	}
+	r.mu.Lock()
+	r.table.SetLimits(limits, now)
+	r.mu.Unlock()
+}
+
+func (r *rates) setHosts(n int) {
+	r.mu.Lock()
+	r.table.SetHosts(n)
+	r.mu.Unlock()
+}
+
+func (r *rates) heard(host string, demands share.Demands, now time.Time) {
+	r.mu.Lock()
+	r.table.Heard(host, demands, now)
+	r.mu.Unlock()
+}
+
+func (r *rates) demands(now time.Time) share.Demands {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Demands(now)
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,303 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/floor"
+	"github.com/bronzeloft/bronzeloft/database/lead"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// service is what this host knows of one service's databases.
+type service struct {
+	g    *Gateway
+	name string
+
+	mu      sync.Mutex // guards all below; pool.mu may be taken under it
+	table   *lead.Table
+	samples floor.Samples
+	acked   position.Position // last commit that this host acknowledged
+	pools   map[string]*pool
+	changed chan struct{} // closed when a primary or a sample is found
+	used    time.Time     // last operation
+	sampled time.Time     // when the last question for a sample was sent
+	asking  bool          // such a question is in flight
+	commits commits
+	duty    duty
+}
+
+func newService(g *Gateway, name string) *service {
+	return &service{
+		g: g, name: name,
+		table:   lead.New(),
+		pools:   map[string]*pool{},
+		changed: make(chan struct{}),
+		commits: commits{sent: map[uint64]time.Time{}},
+	}
+}
+
+// setDatabases takes the store's list of the service's databases.
+func (s *service) setDatabases(list []routes.Database, size int) {
+	now := s.g.now()
+	s.mu.Lock()
+	reborn := s.table.SetDatabases(list, now)
+	var closing []*pool
+	for _, id := range reborn {
+		if p := s.pools[id]; p != nil {
+			closing = append(closing, p)
+			delete(s.pools, id)
+		}
+	}
+	for _, db := range list {
+		if s.pools[db.ID] == nil {
+			s.pools[db.ID] = newPool(s.g, s, db, size)
+		}
+	}
+	closing = append(closing, s.dropPools()...)
+	s.wake()
+	s.mu.Unlock()
+	for _, p := range closing {
+		p.close()
+	}
+}
+
+// dropPools takes out the pools of databases that are forgotten. mu is held.
+func (s *service) dropPools() []*pool {
+	var out []*pool
+	for id, p := range s.pools {
+		if _, ok := s.table.Get(id); !ok {
+			out = append(out, p)
+			delete(s.pools, id)
+		}
+	}
+	return out
+}
+
+// setPoolSize changes the connections of each database.
+func (s *service) setPoolSize(n int) {
+	s.mu.Lock()
+	pools := make([]*pool, 0, len(s.pools))
+	for _, p := range s.pools {
+		pools = append(pools, p)
+	}
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.setMax(n)
+	}
+}
+
+// wake lets those that wait for a change look again. mu is held.
+func (s *service) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// wait calls look, with mu held, now and at each change until it returns true.
+func (s *service) wait(ctx context.Context, look func() bool) error {
+	for {
+		s.mu.Lock()
+		if look() {
+			s.mu.Unlock()
+			return nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// leader waits for a primary that can be reached.
+func (s *service) leader(ctx context.Context) (*pool, error) {
+	var p *pool
+	err := s.wait(ctx, func() bool {
+		db, ok := s.table.Leader()
+		if !ok || s.table.Unreachable(db.ID, s.g.now()) {
+			return false
+		}
+		p = s.pools[db.ID]
+		return p != nil
+	})
+	if err != nil {
+		return nil, errkind.New(errkind.NoPrimary, "service %s", s.name)
+	}
+	return p, nil
+}
+
+// readers returns the databases that may serve a customer's read, best first.
+func (s *service) readers(customer string) []*pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*pool
+	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, s.g.now()) {
+		if p := s.pools[id]; p != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// sampleSince waits for a sample taken at or after t.
+func (s *service) sampleSince(ctx context.Context, t time.Time) (floor.Sample, error) {
+	var sample floor.Sample
+	err := s.wait(ctx, func() bool {
+		var ok bool
+		if sample, ok = s.samples.Since(t); !ok {
+			s.askSample()
+		}
+		return ok
+	})
+	if err != nil {
+		return sample, errkind.New(errkind.TooStale, "service %s: newest sample is %d ms too old", s.name, t.Sub(s.newestSample()).Milliseconds())
+	}
+	return sample, nil
+}
+
+func (s *service) newestSample() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.samples.Newest().At
+}
+
+// proved records that a database led, with the end of its log.
+func (s *service) proved(id string, end position.Position, asked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Proved(id, end.Term, asked)
+	if !end.IsZero() {
+		s.samples.Add(floor.Sample{Position: end, At: asked})
+	}
+	s.wake()
+}
+
+// denied records that a database does not lead.
+func (s *service) denied(id string, asked time.Time) {
+	s.mu.Lock()
+	s.table.Denied(id, asked)
+	s.wake()
+	s.mu.Unlock()
+	s.g.log.Info("Database does not lead.", "part", "service", "service", s.name, "database", id)
+}
+
+func (s *service) answered(id string, asked time.Time) {
+	s.mu.Lock()
+	was := s.table.Unreachable(id, s.g.now())
+	s.table.Answered(id, asked)
+	if was {
+		s.wake()
+	}
+	s.mu.Unlock()
+	if was {
+		s.g.log.Info("Database answers again.", "part", "service", "service", s.name, "database", id)
+	}
+}
+
+func (s *service) failed(id string, asked time.Time, refused bool) {
+	now := s.g.now()
+	s.mu.Lock()
+	was := s.table.Unreachable(id, now)
+	s.table.Failed(id, asked, refused)
+	is := s.table.Unreachable(id, now)
+	s.mu.Unlock()
+	if is && !was {
+		s.g.log.Warn("Database is unreachable.", "part", "service", "service", s.name, "database", id, "refused", refused)
+	}
+}
+
+func (s *service) shun(id string, until time.Time) {
+	s.mu.Lock()
+	s.table.Shun(id, until)
+	s.mu.Unlock()
+}
+
+// committed records a commit that is about to be acknowledged to a caller.
+func (s *service) committed(at position.Position) {
+	s.mu.Lock()
+	s.acked = position.Max(s.acked, at)
+	s.mu.Unlock()
+}
+
+// opinion is what this host finds of the primary. mu is held.
+func (s *service) opinion(now time.Time) succession.Opinion {
+	db, ok := s.table.Leader()
+	if !ok {
+		return succession.Opinion{}
+	}
+	return succession.Opinion{
+		Primary:     db.ID,
+		Unreachable: s.table.Unreachable(db.ID, now),
+		Stuck:       s.commits.stuck(now),
+	}
+}
+
+// commits follows the writes that a primary has not yet acknowledged.
+type commits struct {
+	last uint64
+	sent map[uint64]time.Time
+	done time.Time // sending time of the newest acknowledged one
+}
+
+// stuckAfter is the age of a commit that shows that the primary reaches no
+// replica, if none sent after it was acknowledged: ten times the longest work
+// of a statement and of a replica's delay.
+const stuckAfter = 800 * time.Millisecond
+
+func (c *commits) start(now time.Time) uint64 {
+	c.last++
+	c.sent[c.last] = now
+	return c.last
+}
+
+func (c *commits) end(id uint64, acknowledged bool) {
+	at := c.sent[id]
+	delete(c.sent, id)
+	if acknowledged && c.done.Before(at) {
+		c.done = at
+	}
+}
+
+func (c *commits) stuck(now time.Time) bool {
+	for _, at := range c.sent {
+		if now.Sub(at) >= stuckAfter && c.done.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// startCommit notes that a write was sent; the returned function ends it.
+func (s *service) startCommit() func(acknowledged bool) {
+	now := s.g.now()
+	s.mu.Lock()
+	id := s.commits.start(now)
+	s.mu.Unlock()
+	return func(acknowledged bool) {
+		s.mu.Lock()
+		s.commits.end(id, acknowledged)
+		s.mu.Unlock()
+	}
+}
+
+// tick does what is due.
+func (s *service) tick() {
+	now := s.g.now()
+	s.mu.Lock()
+	s.table.Expire(now)
+	closing := s.dropPools()
+	if s.samples.Newest().At.Add(sampleEvery).Before(now) {
+		s.askSample()
+	}
+	s.mu.Unlock()
+	for _, p := range closing {
+		p.close()
+	}
+	s.considerSuccession(now)
+}
--- /dev/null
+++ b/gateway/session.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/database/sessionstate"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Timing of sessions.
+const (
+	// startupTimeout is what a caller has to say what it wants; callers
+	// themselves wait 2 s for the answer.
+	startupTimeout = 5 * time.Second
+	// defaultStatementTimeout stands in for a route without a timeout.
+	defaultStatementTimeout = 2 * time.Second
+)
+
+// session is one caller's connection. Its fields are used by the session's
+// goroutine only, but for caller's deadline and ending.
+type session struct {
+	g        *Gateway
+	caller   Caller
+	database string // the route's name
+	key      string
+	customer string
+	state    sessionstate.Session
+	own      position.Position // of its last commit
+	tx       *transaction
+	ending   atomic.Bool // ends when it is idle
+	cut      atomic.Bool // its open transaction ends when it rests
+	woken    atomic.Bool // leave was called and receive has not seen it
+}
+
+func newSession(g *Gateway, caller Caller) *session { return &session{g: g, caller: caller} }
+
+// run serves the session until either side ends it.
+func (s *session) run() {
+	defer s.end()
+	s.caller.SetReadDeadline(time.Now().Add(startupTimeout))
+	if err := s.login(); err != nil {
+		s.reject(err)
+		return
+	}
+	for {
+		req, err := s.receive()
+		if err != nil {
+			s.refuseLine(err)
+			return
+		}
+		a := s.serve(req)
+		if err := s.caller.Answer(a); err != nil {
+			return
+		}
+		if a.Err != nil && a.Err.Kind.Answer().Fatal {
+			return
+		}
+	}
+}
+
+func (s *session) end() {
+	s.dropTransaction()
+	s.caller.Close()
+	s.g.callers.remove(s)
+}
+
+// login reads the startup and accepts it.
+func (s *session) login() error {
+	var err error
+	if s.database, s.key, err = s.caller.Startup(); err != nil {
+		return err
+	}
+	if _, err := s.route(); err != nil {
+		return err
+	}
+	return s.caller.Welcome()
+}
+
+// route returns the session's route in the configuration in force, and finds
+// who its customer is.
+func (s *session) route() (routes.Route, error) {
+	config := s.g.config.Load()
+	route, ok := config.Routes[s.database]
+	if !ok {
+		return route, errkind.New(errkind.UnknownDatabase, "version %d", config.Version)
+	}
+	holder, ok := config.Holder(s.key)
+	if !ok && !route.Open {
+		kind := errkind.BadKey
+		if s.customer != "" {
+			kind = errkind.KeyWithdrawn
+		}
+		return route, errkind.New(kind, "version %d", config.Version)
+	}
+	s.customer = holder
+	return route, nil
+}
+
+// reject ends the session with an error, if the caller can still be told.
+func (s *session) reject(err error) {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		s.g.decision.refused(s, "", known)
+		if err := s.caller.Reject(known); err != nil {
+			s.g.log.Debug("Caller was gone before its refusal.", "part", "session", "error", err)
+		}
+	}
+	s.caller.Close()
+	s.g.callers.remove(s)
+}
+
+// refuseLine answers a line that cannot be read; other errors mean that the
+// caller is gone.
+func (s *session) refuseLine(err error) {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		s.reject(err)
+	}
+}
+
+// receive waits for the next request. A session that is to end returns
+// net.ErrClosed when it is idle.
+func (s *session) receive() (statement.Request, error) {
+	for {
+		if s.tx == nil && s.ending.Load() && !s.caller.Buffered() {
+			return statement.Request{}, net.ErrClosed
+		}
+		s.caller.SetReadDeadline(s.readDeadline())
+		if s.woken.Swap(false) {
+			continue // leave came before the deadline was set
+		}
+		req, err := s.caller.Receive()
+		var ne net.Error
+		if err == nil || !errors.As(err, &ne) || !ne.Timeout() {
+			return req, err
+		}
+		s.restTransaction()
+	}
+}
+
+// readDeadline is when the session stops waiting for its caller.
+func (s *session) readDeadline() time.Time {
+	if s.tx == nil {
+		return time.Time{}
+	}
+	return s.tx.idleDeadline()
+}
+
+// restTransaction ends the database's part of a transaction that has waited
+// too long for its caller, or longer than a leaving host allows.
+func (s *session) restTransaction() {
+	if s.tx == nil || s.tx.conn == nil {
+		return
+	}
+	if s.cut.Load() || !time.Now().Before(s.tx.idleDeadline()) {
+		s.tx.rest()
+	}
+}
+
+// leave makes the session end as soon as it is idle. With cut, its open
+// transaction is ended too.
+func (s *session) leave(cut bool) {
+	first := !s.ending.Swap(true)
+	if cut {
+		first = !s.cut.Swap(true) || first
+	}
+	if first {
+		s.woken.Store(true)
+		s.caller.SetReadDeadline(time.Now())
+	}
+}
+
+// operation is one statement in the making.
+type operation struct {
+	statement.Request
+	route    routes.Route
+	svc      *service
+	customer string
+	arrived  time.Time
+	deadline time.Time // of the statement
+	tries    int       // databases that were asked
+	database string    // the last of them
+	floor    position.Position
+	state    sessionstate.Session // the session's, as of this statement
+	own      position.Position    // the session's last commit
+}
+
+// serve answers one request.
+func (s *session) serve(req statement.Request) statement.Answer {
+	if a, ok := s.serveLocally(req); ok {
+		return a
+	}
+	op, err := s.newOperation(req)
+	if err != nil {
+		return s.failure(&operation{Request: req}, err)
+	}
+	ctx, cancel := context.WithTimeout(s.g.ctx, op.deadline.Sub(op.arrived))
+	defer cancel()
+	var a statement.Answer
+	if s.tx != nil {
+		a, err = s.inTransaction(ctx, op)
+	} else {
+		a, err = s.single(ctx, op)
+	}
+	if err != nil {
+		return s.failure(op, err)
+	}
+	s.g.decision.served(s, op, a)
+	return a
+}
+
+// newOperation checks the session's right to run a statement now.
+func (s *session) newOperation(req statement.Request) (*operation, error) {
+	now := s.g.now()
+	op := &operation{Request: req, arrived: now, state: s.state, own: s.own}
+	route, err := s.route()
+	if s.tx != nil {
+		if errkind.Of(err) == errkind.UnknownDatabase || err == nil {
+			route, err = s.tx.route, nil // a change of a route applies from the next transaction
+		}
+	}
+	if err != nil {
+		s.dropTransaction()
+		return nil, err
+	}
+	op.route, op.customer = route, s.customer
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultStatementTimeout
+	}
+	op.deadline = now.Add(timeout)
+	if op.svc = s.g.service(route.Service); op.svc == nil {
+		return nil, errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", route.Service)
+	}
+	if s.tx == nil {
+		if err := s.g.rates.admit(s.customer, now); err != nil {
+			return nil, err
+		}
+	}
+	return op, nil
+}
+
+// failure makes the answer to a statement that did not succeed.
+func (s *session) failure(op *operation, err error) statement.Answer {
+	var known *errkind.Error
+	if !errors.As(err, &known) {
+		known = errkind.Wrap(errkind.Internal, err, "")
+	}
+	s.g.decision.failed(s, op, known)
+	return statement.Answer{Err: known, State: s.txState()}
+}
+
+func (s *session) txState() statement.State {
+	switch {
+	case s.tx == nil:
+		return statement.Idle
+	case s.tx.failed:
+		return statement.Failed
+	}
+	return statement.Open
+}
+
+// item is the operation's place in a database's queue.
+func (op *operation) item() fair.Item {
+	return fair.Item{Customer: op.customer, Urgent: op.route.Urgency <= urgentUpTo, Deadline: op.deadline}
+}
+
+// urgentUpTo is the greatest urgency number that goes ahead of a customer's
+// other requests. Routes number from 0, the most urgent.
+const urgentUpTo = 1
+
+// writes reports whether the statement changes data.
+func (op *operation) writes() bool {
+	if op.Kind == statement.Execute {
+		return op.state.Prepared[op.Name].Writes
+	}
+	return op.Kind == statement.Write
+}
+
+// bring returns the statements that give a connection the session's state, and
+// the request as the connection knows it.
+func (op *operation) bring(c *conn, req statement.Request) (before []statement.Request, main statement.Request) {
+	steps := c.state.Bring(op.state)
+	if req.Kind == statement.Execute {
+		name, prepare := c.state.Name(op.state.Prepared[req.Name])
+		req.Name = name
+		steps = append(steps, prepare...)
+	}
+	for _, step := range steps {
+		before = append(before, statement.Request{Statement: step})
+	}
+	return before, req
+}
+
+// serveLocally answers the statements that need no database.
+func (s *session) serveLocally(req statement.Request) (statement.Answer, bool) {
+	if s.tx != nil && s.tx.failed {
+		return s.serveFailed(req), true
+	}
+	var err *errkind.Error
+	switch req.Kind {
+	case statement.Set:
+		if !s.state.Set(req.Name, req.Args) {
+			err = errkind.New(errkind.TooLarge, "a session holds %d values at most", sessionstate.MaxValues)
+		}
+	case statement.Prepare:
+		if !s.state.Prepare(req.Name, sessionstate.Form{Writes: req.Writes, Shape: req.Shape}) {
+			err = errkind.New(errkind.TooLarge, "a session holds %d prepared statements at most", sessionstate.MaxPrepared)
+		}
+	case statement.Deallocate:
+		s.state.Deallocate(req.Name)
+	case statement.Execute:
+		if _, ok := s.state.Prepared[req.Name]; ok {
+			return statement.Answer{}, false
+		}
+		err = errkind.New(errkind.UnknownStatement, "%q", req.Name)
+	case statement.Begin, statement.BeginRead:
+		return s.begin(req), true
+	case statement.Rollback:
+		s.dropTransaction()
+	case statement.Read, statement.Write:
+		return statement.Answer{}, false
+	case statement.Commit:
+		if s.tx != nil {
+			return statement.Answer{}, false
+		}
+		err = errkind.New(errkind.OutOfPlace, "no transaction is open")
+	default:
+		err = errkind.New(errkind.Protocol, "unknown statement")
+	}
+	if err != nil {
+		return s.failure(&operation{Request: req}, err), true
+	}
+	return statement.Answer{State: s.txState()}, true
+}
+
+// serveFailed answers statements in a transaction that has failed.
+func (s *session) serveFailed(req statement.Request) statement.Answer {
+	switch req.Kind {
+	case statement.Rollback:
+		s.dropTransaction()
+		return statement.Answer{}
+	case statement.Commit:
+		s.dropTransaction()
+		return s.failure(&operation{Request: req}, errkind.New(errkind.TransactionAborted, "an earlier statement failed"))
+	}
+	return s.failure(&operation{Request: req}, errkind.New(errkind.OutOfPlace, "the transaction has failed"))
+}
--- /dev/null
+++ b/gateway/single.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/floor"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Timing of tries.
+const (
+	// firstPause and lastPause bound the growing pause between tries.
+	firstPause = 4 * time.Millisecond
+	lastPause  = 60 * time.Millisecond
+	// behindPause keeps reads off a replica that has not caught up: the delay
+	// of a replica is some ten milliseconds.
+	behindPause = 60 * time.Millisecond
+	// busyPause keeps reads off a database that is overloaded.
+	busyPause = 100 * time.Millisecond
+	// proofAge is the idle time after which a connection is tried, and its
+	// database asked whether it leads, before a write is trusted to it.
+	proofAge = 150 * time.Millisecond
+)
+
+// pause waits between tries; it reports false when the time is up.
+type pause struct{ next time.Duration }
+
+func (p *pause) wait(ctx context.Context) bool {
+	if p.next == 0 {
+		p.next = firstPause
+	}
+	d := p.next/2 + rand.N(p.next)
+	p.next = min(2*p.next, lastPause)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// single runs a statement outside of a transaction.
+func (s *session) single(ctx context.Context, op *operation) (statement.Answer, error) {
+	switch {
+	case op.writes():
+		return s.write(ctx, op)
+	case op.route.Freshness == routes.Current:
+		return s.hedged(ctx, op, s.tryCurrent)
+	}
+	return s.hedged(ctx, op, s.tryReplica)
+}
+
+// write runs a write on the primary. It is sent again only where the database
+// says that it did not run.
+func (s *session) write(ctx context.Context, op *operation) (statement.Answer, error) {
+	var again pause
+	for {
+		a, err := s.writeOnce(ctx, op)
+		if err == nil && a.Err == nil {
+			s.own = position.Max(s.own, a.Position)
+			op.svc.committed(a.Position)
+			return a, nil
+		}
+		if err == nil {
+			err = a.Err
+		}
+		if !neverRan(err) || !again.wait(ctx) {
+			return statement.Answer{}, err
+		}
+	}
+}
+
+// neverRan reports whether a statement that failed with err has certainly not
+// run and may do so elsewhere or later.
+func neverRan(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.DatabaseBusy, errkind.PrimaryReplaced, errkind.DatabaseBehind, errkind.DatabaseFull,
+		errkind.WrongDatabase, errkind.DatabaseUnavailable, errkind.UnknownStatement:
+		return true
+	}
+	return false
+}
+
+// writeOnce sends a write to the primary once.
+func (s *session) writeOnce(ctx context.Context, op *operation) (statement.Answer, error) {
+	c, err := s.primaryConn(ctx, op)
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	defer c.pool.release(c)
+	before, main := op.bring(c, op.Request)
+	if s.g.now().Sub(c.usedAt) >= proofAge {
+		if err := op.svc.prove(c, op.tryDeadline(s.g.now(), proofTimeout), before...); err != nil {
+			return statement.Answer{}, err
+		}
+		before = nil
+	}
+	end := op.svc.startCommit()
+	answers, err := c.run(op.deadline, append(before, main)...)
+	end(err == nil && last(answers).Err == nil)
+	if err != nil {
+		return statement.Answer{}, errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)
+	}
+	return op.judge(c, answers)
+}
+
+// proofTimeout bounds a question that takes no slot of the database.
+const proofTimeout = 250 * time.Millisecond
+
+// primaryConn waits for the primary and a connection to it.
+func (s *session) primaryConn(ctx context.Context, op *operation) (*conn, error) {
+	p, err := op.svc.leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.conn(ctx, op, p)
+}
+
+func (s *session) conn(ctx context.Context, op *operation, p *pool) (*conn, error) {
+	c, err := p.acquire(ctx, op.item())
+	if err != nil {
+		return nil, err
+	}
+	op.tries++
+	op.database = p.db.ID
+	return c, nil
+}
+
+// tryDeadline is the deadline of one step that may take d.
+func (op *operation) tryDeadline(now time.Time, d time.Duration) time.Time {
+	if t := now.Add(d); t.Before(op.deadline) {
+		return t
+	}
+	return op.deadline
+}
+
+// judge reads the answers to a statement and to those before it that gave the
+// connection the session's state.
+func (op *operation) judge(c *conn, answers []statement.Answer) (statement.Answer, error) {
+	main := last(answers)
+	for _, a := range answers[:len(answers)-1] {
+		if a.Err != nil {
+			c.broken = true
+			if main.Err == nil {
+				return main, errkind.Wrap(errkind.OutcomeUnknown, a.Err, "session state was not set")
+			}
+		}
+	}
+	if main.Err == nil {
+		if main.State == statement.Idle && main.Signature == "" {
+			return main, errkind.New(errkind.OutcomeUnknown, "answer without a signature")
+		}
+		return main, nil
+	}
+	op.learn(c, main.Err)
+	return main, main.Err
+}
+
+// learn records what a database's refusal tells of it.
+func (op *operation) learn(c *conn, err *errkind.Error) {
+	now := op.svc.g.now()
+	id := c.pool.db.ID
+	switch err.Kind {
+	case errkind.PrimaryReplaced:
+		op.svc.denied(id, now)
+	case errkind.DatabaseBehind:
+		op.svc.shun(id, now.Add(behindPause))
+	case errkind.DatabaseBusy:
+		op.svc.shun(id, now.Add(busyPause))
+	case errkind.UnknownStatement:
+		c.broken = true // the connection does not hold what it should
+	}
+}
+
+// maxTries bounds the databases that are asked at once for one read.
+const maxTries = 2
+
+// hedgeAfter is the part of the route's objective after which a read that has
+// no answer is sent to a second database: late enough to double few reads,
+// early enough for the second to meet the objective.
+const hedgeAfter = 0.5
+
+// attempt is the outcome of one try of a read.
+type attempt struct {
+	answer statement.Answer
+	err    error
+}
+
+// hedged runs a read until one try succeeds. Another try starts when one fails
+// without having run, and when the first takes long: its answer may be lost.
+func (s *session) hedged(ctx context.Context, op *operation, try func(context.Context, *operation, int) attempt) (statement.Answer, error) {
+	results := make(chan attempt, maxTries)
+	running, started := 0, 0
+	start := func() {
+		n, copied := started, *op
+		started++
+		running++
+		go func() { results <- try(ctx, &copied, n) }()
+	}
+	start()
+	late := time.NewTimer(time.Duration(float64(op.route.Objective) * hedgeAfter))
+	defer late.Stop()
+	var again pause
+	for {
+		select {
+		case got := <-results:
+			running--
+			if got.err == nil {
+				op.tries = started
+				return got.answer, nil
+			}
+			if !readAgain(got.err) {
+				return statement.Answer{}, got.err
+			}
+			if running > 0 {
+				continue
+			}
+			if started >= maxTries+2 && !again.wait(ctx) || ctx.Err() != nil {
+				return statement.Answer{}, got.err
+			}
+			start()
+		case <-late.C:
+			if running < maxTries {
+				start()
+			}
+		case <-ctx.Done():
+			return statement.Answer{}, errkind.New(errkind.StatementTimeout, "after %d tries", started)
+		}
+	}
+}
+
+// readAgain reports whether a read that failed with err may be tried again.
+func readAgain(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.DatabaseBusy, errkind.PrimaryReplaced, errkind.DatabaseBehind, errkind.DatabaseFull, errkind.WrongDatabase,
+		errkind.DatabaseUnavailable, errkind.UnknownStatement, errkind.OutcomeUnknown, errkind.QueueFull:
+		return true
+	}
+	return false
+}
+
+// tryCurrent reads in a transaction that may write, on the primary: the
+// database refuses the read if it no longer leads.
+func (s *session) tryCurrent(ctx context.Context, op *operation, _ int) attempt {
+	c, err := s.primaryConn(ctx, op)
+	if err != nil {
+		return attempt{err: err}
+	}
+	defer c.pool.release(c)
+	before, main := op.bring(c, op.Request)
+	asked := s.g.now()
+	answers, err := c.run(op.tryDeadline(asked, proofTimeout), append(before, own(statement.Begin))...)
+	if err != nil {
+		return attempt{err: errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+op.database)}
+	}
+	if err := op.svc.judgeProof(c, answers, asked); err != nil {
+		return attempt{err: err}
+	}
+	answers, err = c.run(op.deadline, main, own(statement.Rollback))
+	if err != nil {
+		return attempt{err: errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)}
+	}
+	if last(answers).State != statement.Idle {
+		c.broken = true
+	}
+	a, err := op.judge(c, answers[:1])
+	a.State = statement.Idle
+	return attempt{a, err}
+}
+
+// tryReplica reads on a database whose log has reached the read's floor.
+func (s *session) tryReplica(ctx context.Context, op *operation, n int) attempt {
+	at, err := op.floorAt(ctx, op.route, op.arrived)
+	if err != nil {
+		return attempt{err: err}
+	}
+	op.floor = at
+	pools := op.svc.readers(op.customer)
+	if len(pools) == 0 {
+		return attempt{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
+	}
+	c, err := s.conn(ctx, op, pools[n%len(pools)])
+	if err != nil {
+		return attempt{err: err}
+	}
+	defer c.pool.release(c)
+	before, main := op.bring(c, op.Request)
+	main.After = at
+	answers, err := c.run(op.deadline, append(before, main)...)
+	if err != nil {
+		return attempt{err: errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)}
+	}
+	a, err := op.judge(c, answers)
+	return attempt{a, err}
+}
+
+// floorAt returns the position that a read, or a transaction that reads, must
+// have reached if it arrived at the given time.
+func (op *operation) floorAt(ctx context.Context, route routes.Route, arrived time.Time) (position.Position, error) {
+	sample, err := op.svc.sampleSince(ctx, arrived.Add(-route.MaxAge))
+	if err != nil {
+		return position.Position{}, err
+	}
+	if route.Freshness != routes.ReadYourWrites {
+		return sample.Position, nil
+	}
+	return floor.For(sample, op.own), nil
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,245 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+)
+
+// Pauses after a call of the store that failed.
+const (
+	storeFirstPause = 100 * time.Millisecond
+	storeLastPause  = 1500 * time.Millisecond
+)
+
+// watcher follows the objects of one kind in the store.
+type watcher struct {
+	g      *Gateway
+	kind   string
+	listed func([]objectapi.Object)
+	event  func(objectapi.Event)
+	pause  time.Duration
+	lost   bool
+}
+
+// run lists the kind and follows its changes until the gateway stops. After a
+// failure it goes on watching from where it was, and lists anew where the
+// store has dropped the changes in between.
+func (w *watcher) run() {
+	for w.g.ctx.Err() == nil {
+		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
+		if err != nil {
+			w.failed(err)
+			continue
+		}
+		w.answered()
+		w.listed(objects)
+		w.follow(version)
+	}
+}
+
+// follow watches from a version until the changes after it are gone.
+func (w *watcher) follow(version uint64) {
+	for w.g.ctx.Err() == nil {
+		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
+		if errors.Is(err, objectapi.ErrCompacted) {
+			w.g.log.Info("Changes were dropped, listing anew.", "part", "store", "kind", w.kind, "version", version)
+			return
+		}
+		if err != nil {
+			w.failed(err)
+			continue
+		}
+		w.answered()
+		for _, e := range events {
+			w.event(e)
+		}
+		version = max(version, next)
+	}
+}
+
+func (w *watcher) failed(err error) {
+	if w.g.ctx.Err() != nil {
+		return
+	}
+	w.g.metrics.storeFailures.Inc()
+	if !w.lost {
+		w.lost = true
+		w.g.log.Warn("Store does not answer.", "part", "store", "kind", w.kind, "error", err)
+	}
+	w.pause = min(max(2*w.pause, storeFirstPause), storeLastPause)
+	sleep(w.g.ctx, w.pause/2+rand.N(w.pause))
+}
+
+func (w *watcher) answered() {
+	w.pause = 0
+	if w.lost {
+		w.lost = false
+		w.g.log.Info("Store answers again.", "part", "store", "kind", w.kind)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// watchConfiguration follows the operator's configuration.
+func (g *Gateway) watchConfiguration() {
+	take := func(o objectapi.Object) {
+		if o.Name == g.platform.ConfigurationName() {
+			g.offer(o.Value, "store")
+		}
+	}
+	w := &watcher{g: g, kind: g.platform.ConfigurationKind(),
+		listed: func(objects []objectapi.Object) {
+			for _, o := range objects {
+				take(o)
+			}
+		},
+		event: func(e objectapi.Event) {
+			if e.Type == objectapi.Put {
+				take(e.Object)
+			}
+		},
+	}
+	w.run()
+}
+
+// offer takes a configuration that may be new. An older one than that in force
+// is ignored.
+func (g *Gateway) offer(raw []byte, from string) {
+	config, err := g.platform.DecodeConfiguration(raw)
+	if err != nil {
+		g.log.Error("Configuration cannot be read.", "part", "configuration", "from", from, "error", err)
+		return
+	}
+	g.mu.Lock()
+	if config.Version <= g.config.Load().Version {
+		g.mu.Unlock()
+		return
+	}
+	g.config.Store(&published{Configuration: config, raw: raw})
+	g.rates.apply(config, g.now())
+	g.mu.Unlock()
+	g.log.Info("Configuration in force.", "part", "configuration", "version", config.Version, "from", from,
+		"routes", len(config.Routes), "customers", len(config.Customers))
+	g.sizePools()
+}
+
+// anyCustomer returns a customer's name for connections that serve no
+// customer's statement.
+func (g *Gateway) anyCustomer() string {
+	names := slices.Sorted(maps.Keys(g.config.Load().Customers))
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// watchDatabases follows what databases announce of themselves.
+func (g *Gateway) watchDatabases() {
+	w := &watcher{g: g, kind: g.platform.DatabasesKind(),
+		listed: func(objects []objectapi.Object) {
+			databases := map[string]routes.Database{}
+			for _, o := range objects {
+				g.decodeDatabase(databases, o)
+			}
+			g.setDatabases(databases)
+		},
+		event: func(e objectapi.Event) {
+			g.mu.Lock()
+			databases := maps.Clone(g.databases)
+			g.mu.Unlock()
+			delete(databases, e.Object.Name)
+			if e.Type == objectapi.Put {
+				g.decodeDatabase(databases, e.Object)
+			}
+			g.setDatabases(databases)
+		},
+	}
+	w.run()
+}
+
+// decodeDatabase adds an announced database. An entry that cannot be read
+// names none.
+func (g *Gateway) decodeDatabase(into map[string]routes.Database, o objectapi.Object) {
+	db, err := g.platform.DecodeDatabase(o.Name, o.Value)
+	if err != nil {
+		g.log.Warn("Database entry cannot be used.", "part", "store", "name", o.Name, "error", err)
+		return
+	}
+	into[o.Name] = db
+}
+
+// setDatabases takes the store's list.
+func (g *Gateway) setDatabases(databases map[string]routes.Database) {
+	byService := map[string][]routes.Database{}
+	for _, db := range databases {
+		byService[db.Service] = append(byService[db.Service], db)
+	}
+	g.mu.Lock()
+	g.logChanges(g.databases, databases)
+	g.databases, g.listed = databases, true
+	for name := range byService {
+		if g.services[name] == nil {
+			g.services[name] = newService(g, name)
+		}
+	}
+	services := maps.Clone(g.services)
+	g.mu.Unlock()
+	for name, s := range services {
+		s.setDatabases(byService[name], g.poolSize(name))
+	}
+}
+
+// logChanges logs what changed between two lists.
+func (g *Gateway) logChanges(before, after map[string]routes.Database) {
+	for id, db := range after {
+		if old, ok := before[id]; !ok || old != db {
+			g.log.Info("Database announced.", "part", "store", "database", id, "service", db.Service, "data_centre", db.DataCentre,
+				"leaving", db.Leaving, "primary", db.Primary, "born", db.Born, "known", ok)
+		}
+	}
+	for id := range before {
+		if _, ok := after[id]; !ok {
+			g.log.Info("Database is no longer listed.", "part", "store", "database", id)
+		}
+	}
+}
+
+// Bounds of the connections that a host holds to one database.
+const (
+	// reservedConns of each database stay free for connections that a dead
+	// host left behind and for promotions.
+	reservedConns = 4
+	leastConns    = 2
+	// unlimitedConns is the size where the configuration gives none.
+	unlimitedConns = 8
+)
+
+// poolSize is this host's even part of a database's connections.
+func (g *Gateway) poolSize(service string) int {
+	limit := g.config.Load().Services[service].MaxConns
+	if limit <= 0 {
+		return unlimitedConns
+	}
+	return max(leastConns, (limit-reservedConns)/g.peers.hosts())
+}
+
+// sizePools follows a change of the configuration or of the number of hosts.
+func (g *Gateway) sizePools() {
+	for _, s := range g.allServices() {
+		s.setPoolSize(g.poolSize(s.name))
+	}
+}
--- a/host/apply.go
+++ b/host/apply.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/customer/turn"
 	"github.com/bronzeloft/bronzeloft/database"
 )
 
@@ -95,13 +96,13 @@
 	old := h.dbs[db.ID]
 	if old != nil && old.terms.Address == db.Address {
 		old.pool.SetMax(conns)
-		old.slots.setSlots(min(conns, svc.Slots))
+		old.slots.SetSlots(min(conns, svc.Slots))
 		return &databaseState{terms: db, pool: old.pool, slots: old.slots}
 	}
 	return &databaseState{
 		terms: db,
 		pool:  database.NewPool(h.poolConfig(db, conns)),
-		slots: newSlotQueue(fair.Config{Slots: min(conns, svc.Slots), MaxQueued: maxQueued}, h.now),
+		slots: turn.New(fair.Config{Slots: min(conns, svc.Slots), MaxQueued: maxQueued}, h.now),
 	}
 }
 
--- a/host/config.go
+++ b/host/config.go
@@ -10,7 +10,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/database/group"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Timing of the work with the platform.
@@ -34,7 +34,7 @@
 			pause(h.ctx, dutyCheck)
 			continue
 		}
-		if _, _, err := h.opt.Platform.Watch(h.ctx, platform.KindHead, version); err != nil {
+		if _, _, err := h.opt.Platform.Watch(h.ctx, objectapi.KindHead, version); err != nil {
 			pause(h.ctx, dutyCheck/5)
 		}
 	}
@@ -44,8 +44,8 @@
 // object version to watch from.
 func (h *Host) readConfiguration() (uint64, error) {
 	asked := h.now()
-	head, err := h.opt.Platform.Get(h.ctx, platform.KindHead, platform.HeadName)
-	if errors.Is(err, platform.ErrNotFound) {
+	head, err := h.opt.Platform.Get(h.ctx, objectapi.KindHead, objectapi.HeadName)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -106,23 +106,23 @@
 }
 
 // recordGroup makes one try. A record of the same or a higher term wins.
-func (h *Host) recordGroup(ctx context.Context, state platform.GroupState) error {
+func (h *Host) recordGroup(ctx context.Context, state objectapi.GroupState) error {
 	value, err := json.Marshal(state)
 	if err != nil {
 		return err
 	}
-	obj, err := h.opt.Platform.Get(ctx, platform.KindGroup, state.Group)
-	if errors.Is(err, platform.ErrNotFound) {
-		_, err = h.opt.Platform.Create(ctx, platform.KindGroup, state.Group, value)
+	obj, err := h.opt.Platform.Get(ctx, objectapi.KindGroup, state.Group)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		_, err = h.opt.Platform.Create(ctx, objectapi.KindGroup, state.Group, value)
 		return err
 	}
 	if err != nil {
 		return err
 	}
-	var old platform.GroupState
+	var old objectapi.GroupState
 	if json.Unmarshal(obj.Value, &old) == nil && old.Term >= state.Term {
 		return nil
 	}
-	_, err = h.opt.Platform.Update(ctx, platform.KindGroup, state.Group, obj.Version, value)
+	_, err = h.opt.Platform.Update(ctx, objectapi.KindGroup, state.Group, obj.Version, value)
 	return err
 }
--- a/host/host.go
+++ b/host/host.go
@@ -3,7 +3,7 @@
 // other hosts.
 //
 // Lock order: Host.applyMu, then members.mu, then any one of groupRunner.mu,
-// sharedTable.mu, slotQueue.mu, session.mu and registry.mu, which are leaves.
+// sharedTable.mu, turn.Queue.mu, session.mu and registry.mu, which are leaves.
 package host
 
 import (
@@ -27,7 +27,7 @@
 	"github.com/bronzeloft/bronzeloft/database/group"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/report"
 	"github.com/bronzeloft/bronzeloft/settings"
 )
@@ -35,8 +35,8 @@
 // Options is what a Host is made of.
 type Options struct {
 	Settings *settings.Host
-	Platform platform.API // nil: the configuration comes from peers or Offer
-	Logger   *slog.Logger // slog.Default when nil
+	Platform objectapi.API // nil: the configuration comes from peers or Offer
+	Logger   *slog.Logger  // slog.Default when nil
 	Now      func() time.Time
 	// CallerTLS and PeerTLS are nil for plain TCP.
 	CallerTLS *tls.Config
--- a/host/lease.go
+++ b/host/lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/customer/turn"
 	"github.com/bronzeloft/bronzeloft/database"
 	"github.com/bronzeloft/bronzeloft/errkind"
 )
@@ -19,7 +20,7 @@
 type databaseState struct {
 	terms contract.Database
 	pool  *database.Pool
-	slots *slotQueue
+	slots *turn.Queue
 }
 
 // lease is the right to use one connection and one slot of a database.
@@ -53,13 +54,13 @@
 
 // lease waits for a slot and a connection of db.
 func (h *Host) lease(ctx context.Context, db *databaseState, item fair.Item) (*lease, error) {
-	slot, err := db.slots.acquire(ctx, item)
+	slot, err := db.slots.Acquire(ctx, item)
 	if err != nil {
 		return nil, err
 	}
 	l := &lease{host: h, db: db, slot: slot}
 	if err := h.permits.acquire(ctx, db.terms.ID); err != nil {
-		db.slots.release(slot)
+		db.slots.Release(slot)
 		return nil, err
 	}
 	if l.conn, err = db.pool.Get(ctx); err != nil {
@@ -72,7 +73,7 @@
 // freeSlot gives the slot back: nothing runs on it any more.
 func (l *lease) freeSlot() {
 	l.host.permits.release(l.db.terms.ID)
-	l.db.slots.release(l.slot)
+	l.db.slots.Release(l.slot)
 }
 
 // checkKey checks the caller's key against the configuration in force, before
--- a/host/members.go
+++ b/host/members.go
@@ -12,7 +12,7 @@
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Timing of the work with other hosts.
@@ -207,7 +207,7 @@
 	m.mu.Unlock()
 }
 
-func (m *members) observeList(list []platform.HostState) {
+func (m *members) observeList(list []objectapi.HostState) {
 	m.mu.Lock()
 	m.table.ObserveList(list, m.host.now())
 	m.mu.Unlock()
--- a/host/options.go
+++ b/host/options.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/settings"
 )
 
@@ -18,7 +18,7 @@
 func FromSettings(set *settings.Host, logger *slog.Logger) (Options, error) {
 	opt := Options{Settings: set, Logger: logger}
 	if set.Platform.URL != "" {
-		opt.Platform = platform.NewClient(platform.ClientConfig{
+		opt.Platform = objectapi.NewClient(objectapi.ClientConfig{
 			BaseURL:        set.Platform.URL,
 			Timeout:        set.Platform.Timeout,
 			CallsPerSecond: set.Platform.CallsPerSecond,
--- a/host/peers.go
+++ b/host/peers.go
@@ -8,7 +8,7 @@
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // HandlePeer handles one message of another host.
@@ -118,7 +118,7 @@
 
 // tellPeers tells connected hosts of a new primary at once; the next digest
 // makes a lost message good.
-func (h *Host) tellPeers(state platform.GroupState) {
+func (h *Host) tellPeers(state objectapi.GroupState) {
 	view := &peerpb.GroupView{Group: state.Group, Term: state.Term, Primary: state.Primary}
 	for _, p := range h.mesh.Peers() {
 		h.post(p.Address, &peerpb.Envelope{Body: &peerpb.Envelope_GroupView{GroupView: view}})
--- a/host/waiting.go
+++ b/host/waiting.go
@@ -5,44 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/internal/waiting"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
-// waiting holds the requests that wait for a table's later answer. The owner's
-// lock guards it.
-type waiting struct {
-	last    uint64
-	answers map[uint64]chan bool
-}
-
-func newWaiting() waiting { return waiting{answers: map[uint64]chan bool{}} }
-
-// id returns the id of a new request.
-func (w *waiting) id() uint64 {
-	w.last++
-	return w.last
-}
-
-// add lets request id wait; the channel gets true when it may go on.
-func (w *waiting) add(id uint64) <-chan bool {
-	answer := make(chan bool, 1)
-	w.answers[id] = answer
-	return answer
-}
-
-// remove forgets request id.
-func (w *waiting) remove(id uint64) { delete(w.answers, id) }
-
-// answer tells the named requests whether they may go on.
-func (w *waiting) answer(ids []uint64, ok bool) {
-	for _, id := range ids {
-		if a := w.answers[id]; a != nil {
-			delete(w.answers, id)
-			a <- ok
-		}
-	}
-}
-
 // message is one message that a shared table wants sent to a peer.
 type message struct {
 	to  string
@@ -66,11 +32,11 @@
 	kick chan struct{}
 
 	mu      sync.Mutex // guards the table and waiting; no other lock is taken under it
-	waiting waiting
+	waiting waiting.List
 }
 
 func newSharedTable(now func() time.Time, send func(string, *peerpb.Envelope)) *sharedTable {
-	return &sharedTable{now: now, send: send, kick: make(chan struct{}, 1), waiting: newWaiting()}
+	return &sharedTable{now: now, send: send, kick: make(chan struct{}, 1), waiting: waiting.New()}
 }
 
 // do runs one call of the table and carries out what it asks for.
@@ -84,8 +50,8 @@
 
 // settle answers the requests that out decides. mu is held.
 func (s *sharedTable) settle(out step) {
-	s.waiting.answer(out.admitted, true)
-	s.waiting.answer(out.refused, false)
+	s.waiting.Answer(out.admitted, true)
+	s.waiting.Answer(out.refused, false)
 }
 
 // post sends messages and makes run look at next again.
@@ -112,11 +78,11 @@
 // giveUp withdraws it, with mu held; done tells whether it had been admitted.
 func (s *sharedTable) ask(ctx context.Context, call func(id uint64, now time.Time) (verdict, step), giveUp func(id uint64, admitted bool, now time.Time) step) (bool, error) {
 	s.mu.Lock()
-	id := s.waiting.id()
+	id := s.waiting.ID()
 	v, out := call(id, s.now())
 	var answer <-chan bool
 	if v == held {
-		answer = s.waiting.add(id)
+		answer = s.waiting.Add(id)
 	}
 	s.settle(out)
 	s.mu.Unlock()
@@ -132,7 +98,7 @@
 	case <-ctx.Done():
 	}
 	s.do(func(now time.Time) step {
-		s.waiting.remove(id)
+		s.waiting.Remove(id)
 		select {
 		case ok := <-answer:
 			return giveUp(id, ok, now)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -17,7 +17,7 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/keys"
 	"github.com/bronzeloft/bronzeloft/internal/tomlread"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Exit codes.
@@ -40,10 +40,10 @@
 	Out    io.Writer
 	Err    io.Writer
 	Now    func() time.Time
-	Random io.Reader                         // source of keys
-	API    func(baseURL string) platform.API // the platform at a URL
-	HTTP   *http.Client                      // for the hosts' admin listeners
-	Pause  func(context.Context) error       // between tries; nil for the usual ones
+	Random io.Reader                          // source of keys
+	API    func(baseURL string) objectapi.API // the platform at a URL
+	HTTP   *http.Client                       // for the hosts' admin listeners
+	Pause  func(context.Context) error        // between tries; nil for the usual ones
 }
 
 // globals are the flags of every command.
@@ -147,7 +147,7 @@
 	switch {
 	case errors.As(err, &flagsErr), errors.As(err, &usage):
 		return ExitUsage
-	case errors.As(err, &conflict), errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+	case errors.As(err, &conflict), errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrExists):
 		return ExitConflict
 	case errors.As(err, &faults):
 		return ExitRefused
@@ -161,7 +161,7 @@
 }
 
 // api returns the platform that the command line names.
-func (a *app) api() (platform.API, error) {
+func (a *app) api() (objectapi.API, error) {
 	if a.Platform == "" {
 		return nil, usageError{"--platform or BRONZELOFT_PLATFORM must name the platform"}
 	}
@@ -174,7 +174,7 @@
 }
 
 // published returns the platform and what is in force there, nil for nothing.
-func (a *app) published() (platform.API, *contract.Snapshot, error) {
+func (a *app) published() (objectapi.API, *contract.Snapshot, error) {
 	api, err := a.api()
 	if err != nil {
 		return nil, nil, err
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,7 +22,7 @@
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/ctl"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/report"
 )
 
@@ -49,8 +49,8 @@
 		Err:    &errs,
 		Now:    func() time.Time { return noon },
 		Random: rand.Reader,
-		API: func(url string) platform.API {
-			return platform.NewClient(platform.ClientConfig{BaseURL: url, Timeout: 300 * time.Millisecond, CallsPerSecond: 1000, Burst: 1000})
+		API: func(url string) objectapi.API {
+			return objectapi.NewClient(objectapi.ClientConfig{BaseURL: url, Timeout: 300 * time.Millisecond, CallsPerSecond: 1000, Burst: 1000})
 		},
 		HTTP:  &http.Client{Timeout: time.Second},
 		Pause: func(ctx context.Context) error { return ctx.Err() },
@@ -165,7 +165,7 @@
 			Expect(list).To(MatchRegexp(`cluj +%s +withdrawn`, first.ID))
 			Expect(list).To(ContainSubstring("valid"))
 			Expect(list).NotTo(ContainSubstring(plaintext))
-			snap, err := contract.Fetch(context.Background(), platform.NewClient(platform.ClientConfig{BaseURL: url}))
+			snap, err := contract.Fetch(context.Background(), objectapi.NewClient(objectapi.ClientConfig{BaseURL: url}))
 			Expect(err).NotTo(HaveOccurred())
 			table := keys.NewTable()
 			table.Apply(snap)
--- a/internal/experiment/fleet/members.go
+++ b/internal/experiment/fleet/members.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/datacentre"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // TableResult is what one table costs at a given size.
@@ -20,9 +20,9 @@
 // MeasureTable measures a table that knows members hosts, all alive, in the
 // given number of data centres.
 func MeasureTable(members, centres int) TableResult {
-	list := make([]platform.HostState, members)
+	list := make([]objectapi.HostState, members)
 	for i := range list {
-		list[i] = platform.HostState{
+		list[i] = objectapi.HostState{
 			Address:    fmt.Sprintf("10.%d.%d.%d:7000", i%centres, i/250, i%250),
 			DataCentre: fmt.Sprintf("dc%d", i%centres),
 		}
--- a/internal/experiment/fleet/node.go
+++ b/internal/experiment/fleet/node.go
@@ -14,7 +14,7 @@
 	"github.com/bronzeloft/bronzeloft/datacentre"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 const (
@@ -74,7 +74,7 @@
 }
 
 // run serves until ctx ends.
-func (n *node) run(ctx context.Context, hosts []platform.HostState) {
+func (n *node) run(ctx context.Context, hosts []objectapi.HostState) {
 	n.mu.Lock()
 	n.table.ObserveList(hosts, time.Now())
 	for i := range n.groups {
--- a/internal/experiment/fleet/run.go
+++ b/internal/experiment/fleet/run.go
@@ -12,7 +12,7 @@
 
 	"github.com/bronzeloft/bronzeloft/link/peer"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Config says what to measure. Zero values take the defaults.
@@ -129,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var hosts []platform.HostState
+	var hosts []objectapi.HostState
 	for i := range cfg.Hosts {
 		centre := fmt.Sprintf("dc%d", i%cfg.Centres)
 		n, err := newNode(f.store, centre, i, cfg, config)
@@ -138,7 +138,7 @@
 			return nil, eris.Wrap(err, "start host")
 		}
 		f.nodes = append(f.nodes, n)
-		hosts = append(hosts, platform.HostState{Address: n.address, DataCentre: centre})
+		hosts = append(hosts, objectapi.HostState{Address: n.address, DataCentre: centre})
 	}
 	for _, n := range f.nodes {
 		n.run(ctx, hosts)
--- a/internal/loopback/site.go
+++ b/internal/loopback/site.go
@@ -15,7 +15,7 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/host"
 	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/settings"
 )
 
@@ -248,6 +248,6 @@
 }
 
 // Client returns a client of the site's platform.
-func (s *Site) Client() *platform.Client {
-	return platform.NewClient(platform.ClientConfig{BaseURL: s.Config.PlatformURL})
+func (s *Site) Client() *objectapi.Client {
+	return objectapi.NewClient(objectapi.ClientConfig{BaseURL: s.Config.PlatformURL})
 }
--- a/internal/matrix/host.go
+++ b/internal/matrix/host.go
@@ -8,7 +8,7 @@
 
 	"github.com/bronzeloft/bronzeloft/database/group"
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -235,7 +235,7 @@
 	}
 }
 
-func (h *host) publish(s platform.GroupState) {
+func (h *host) publish(s objectapi.GroupState) {
 	h.w.step(stepPublish, h, h.w.db(s.Primary))
 	h.tellPeers()
 	if h.w.record.down {
--- a/internal/standin/platformserver/handlers.go
+++ b/internal/standin/platformserver/handlers.go
@@ -8,19 +8,19 @@
 	"strconv"
 	"time"
 
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // handler returns the API over HTTP.
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	object := platform.PathObjects + "/{kind}/{name}"
+	object := objectapi.PathObjects + "/{kind}/{name}"
 	mux.HandleFunc("GET "+object, s.counted(&s.calls.Reads, s.get))
-	mux.HandleFunc("GET "+platform.PathObjects+"/{kind}", s.counted(&s.calls.Reads, s.list))
+	mux.HandleFunc("GET "+objectapi.PathObjects+"/{kind}", s.counted(&s.calls.Reads, s.list))
 	mux.HandleFunc("POST "+object, s.counted(&s.calls.Writes, s.create))
 	mux.HandleFunc("PUT "+object, s.counted(&s.calls.Writes, s.update))
-	mux.HandleFunc("GET "+platform.PathWatch+"/{kind}", s.counted(&s.calls.Watches, s.watch))
-	mux.HandleFunc("GET "+platform.PathHosts, s.counted(&s.calls.Reads, s.listHosts))
+	mux.HandleFunc("GET "+objectapi.PathWatch+"/{kind}", s.counted(&s.calls.Watches, s.watch))
+	mux.HandleFunc("GET "+objectapi.PathHosts, s.counted(&s.calls.Reads, s.listHosts))
 	return mux
 }
 
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	objects, version := s.readStore().list(r.PathValue("kind"))
 	s.mu.Unlock()
-	answer(w, platform.ListAnswer{Objects: objects, Version: version}, nil)
+	answer(w, objectapi.ListAnswer{Objects: objects, Version: version}, nil)
 }
 
 func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
@@ -62,26 +62,26 @@
 }
 
 func (s *Server) create(w http.ResponseWriter, r *http.Request) {
-	s.write(w, r, func(value []byte) (platform.Object, error) {
+	s.write(w, r, func(value []byte) (objectapi.Object, error) {
 		return s.store.create(r.PathValue("kind"), r.PathValue("name"), value)
 	})
 }
 
 func (s *Server) update(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseUint(r.URL.Query().Get(platform.ParamVersion), 10, 64)
+	version, err := strconv.ParseUint(r.URL.Query().Get(objectapi.ParamVersion), 10, 64)
 	if err != nil {
 		badRequest(w, "version is not a number")
 		return
 	}
-	s.write(w, r, func(value []byte) (platform.Object, error) {
+	s.write(w, r, func(value []byte) (objectapi.Object, error) {
 		return s.store.update(r.PathValue("kind"), r.PathValue("name"), version, value)
 	})
 }
 
 // write carries out change with the body as value, and loses the answer when
 // asked to.
-func (s *Server) write(w http.ResponseWriter, r *http.Request, change func([]byte) (platform.Object, error)) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+func (s *Server) write(w http.ResponseWriter, r *http.Request, change func([]byte) (objectapi.Object, error)) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		answer(w, nil, errTooLarge)
@@ -104,12 +104,12 @@
 // watch answers with the events after a version, waiting for the first one.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	version, err := strconv.ParseUint(query.Get(platform.ParamVersion), 10, 64)
+	version, err := strconv.ParseUint(query.Get(objectapi.ParamVersion), 10, 64)
 	if err != nil {
 		badRequest(w, "version is not a number")
 		return
 	}
-	wait, _ := strconv.Atoi(query.Get(platform.ParamWait))
+	wait, _ := strconv.Atoi(query.Get(objectapi.ParamWait))
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, s.cfg.MaxWait))
 	defer timer.Stop()
 	for expired := false; ; {
@@ -118,7 +118,7 @@
 		now, changed, cut := s.store.version, s.changed, s.faults.cut
 		s.mu.Unlock()
 		if err != nil || len(events) > 0 || expired {
-			answer(w, platform.WatchAnswer{Events: events, Version: now}, err)
+			answer(w, objectapi.WatchAnswer{Events: events, Version: now}, err)
 			return
 		}
 		select {
@@ -140,11 +140,11 @@
 	status := http.StatusOK
 	switch {
 	case errors.Is(err, errTooLarge):
-		status, v = http.StatusRequestEntityTooLarge, platform.ErrorAnswer{Code: "too_large", Message: err.Error()}
+		status, v = http.StatusRequestEntityTooLarge, objectapi.ErrorAnswer{Code: "too_large", Message: err.Error()}
 	case err != nil:
 		code := ""
-		status, code = platform.HTTPError(err)
-		v = platform.ErrorAnswer{Code: code, Message: err.Error()}
+		status, code = objectapi.HTTPError(err)
+		v = objectapi.ErrorAnswer{Code: code, Message: err.Error()}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -153,5 +153,5 @@
 
 func badRequest(w http.ResponseWriter, message string) {
 	w.WriteHeader(http.StatusBadRequest)
-	_ = json.NewEncoder(w).Encode(platform.ErrorAnswer{Code: "bad_request", Message: message})
+	_ = json.NewEncoder(w).Encode(objectapi.ErrorAnswer{Code: "bad_request", Message: message})
 }
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/internal/defaults"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // Defaults of Config.
@@ -31,7 +31,7 @@
 	KeepEvents int           // events kept for watches; older versions are compacted
 	MaxWait    time.Duration // longest wait of a watch
 	HostsLag   time.Duration // from SetHosts to its showing
-	Hosts      []platform.HostState
+	Hosts      []objectapi.HostState
 	Logger     *slog.Logger
 }
 
@@ -49,7 +49,7 @@
 // hostList is a list of hosts and when it was set.
 type hostList struct {
 	at    time.Time
-	hosts []platform.HostState
+	hosts []objectapi.HostState
 }
 
 // Server is a running stand-in. All methods are safe for concurrent use.
@@ -119,7 +119,7 @@
 }
 
 // SetHosts replaces the list of hosts; callers see it after the lag.
-func (s *Server) SetHosts(hosts []platform.HostState) {
+func (s *Server) SetHosts(hosts []objectapi.HostState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append(s.hosts, hostList{at: time.Now(), hosts: slices.Clone(hosts)})
@@ -134,7 +134,7 @@
 
 // visibleHosts returns the newest list that is older than the lag. The caller
 // holds mu.
-func (s *Server) visibleHosts(now time.Time) []platform.HostState {
+func (s *Server) visibleHosts(now time.Time) []objectapi.HostState {
 	newest := 0
 	for i, l := range s.hosts {
 		if now.Sub(l.at) >= s.hostsLag {
@@ -142,18 +142,18 @@
 		}
 	}
 	s.hosts = s.hosts[newest:]
-	return append([]platform.HostState{}, s.hosts[0].hosts...)
+	return append([]objectapi.HostState{}, s.hosts[0].hosts...)
 }
 
 // Get reads an object directly, without a call.
-func (s *Server) Get(kind, name string) (platform.Object, error) {
+func (s *Server) Get(kind, name string) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.store.get(kind, name)
 }
 
 // Put stores a value directly, whatever was there.
-func (s *Server) Put(kind, name string, value []byte) (platform.Object, error) {
+func (s *Server) Put(kind, name string, value []byte) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.notify()
--- a/platform/api.go
+++ b/objectapi/api.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API, the only place
+// Package objectapi is the client of the platform's object API, the only place
 // where the system keeps anything.
-package platform
+package objectapi
 
 import (
 	"context"
@@ -53,6 +53,13 @@
 
 // API is the platform as the system uses it. Every call is bounded by ctx.
 type API interface {
+	Objects
+	// Hosts returns the list of live and leaving hosts.
+	Hosts(ctx context.Context) ([]HostState, error)
+}
+
+// Objects is the object store. Every call is bounded by ctx.
+type Objects interface {
 	// Get returns one object, or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns all objects of a kind and the version that the list shows.
@@ -66,8 +73,6 @@
 	// one or the server's wait ends (no events). It returns ErrCompacted when
 	// the version is too old: list again.
 	Watch(ctx context.Context, kind string, version uint64) ([]Event, uint64, error)
-	// Hosts returns the list of live and leaving hosts.
-	Hosts(ctx context.Context) ([]HostState, error)
 }
 
 // Kinds of objects that the system stores.
--- a/platform/client.go
+++ b/objectapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"bytes"
--- a/platform/own.go
+++ b/objectapi/own.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 //
 // It goes on until ctx ends and then returns an error that wraps
 // ErrUnavailable: the outcome is unknown.
-func UpdateOwn(ctx context.Context, api API, kind, name string, version uint64, value []byte, isMine func([]byte) bool) (Object, error) {
+func UpdateOwn(ctx context.Context, api Objects, kind, name string, version uint64, value []byte, isMine func([]byte) bool) (Object, error) {
 	o := &ownUpdate{api: api, kind: kind, name: name, version: version, value: value, isMine: isMine}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = ownMinBackoff, ownMaxBackoff
@@ -45,7 +45,7 @@
 
 // ownUpdate is one run of UpdateOwn.
 type ownUpdate struct {
-	api        API
+	api        Objects
 	kind, name string
 	version    uint64
 	value      []byte
--- a/platform/platform_test.go
+++ b/objectapi/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
-	"github.com/bronzeloft/bronzeloft/platform"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 func TestPlatform(t *testing.T) {
@@ -22,12 +22,12 @@
 
 var _ = Describe("Client", func() {
 	var server *platformserver.Server
-	var client *platform.Client
+	var client *objectapi.Client
 	ctx := context.Background()
 
-	newClient := func(cfg platform.ClientConfig) *platform.Client {
+	newClient := func(cfg objectapi.ClientConfig) *objectapi.Client {
 		cfg.BaseURL = server.URL()
-		return platform.NewClient(cfg)
+		return objectapi.NewClient(cfg)
 	}
 
 	BeforeEach(func() {
@@ -35,7 +35,7 @@
 		server, err = platformserver.Start(platformserver.Config{KeepEvents: 10})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Close)
-		client = newClient(platform.ClientConfig{
+		client = newClient(objectapi.ClientConfig{
 			Timeout: 500 * time.Millisecond, AttemptTimeout: 100 * time.Millisecond, WatchWait: 200 * time.Millisecond,
 			MinBackoff: 5 * time.Millisecond, CallsPerSecond: 10000, Burst: 10000,
 		})
@@ -48,26 +48,26 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(b.Version).To(BeNumerically(">", a.Version))
 		_, err = client.Create(ctx, "group", "b", nil)
-		Expect(err).To(MatchError(platform.ErrExists))
+		Expect(err).To(MatchError(objectapi.ErrExists))
 		Expect(client.Get(ctx, "group", "a/1 ?")).To(Equal(a))
 		a2, err := client.Update(ctx, "group", "a/1 ?", a.Version, []byte("three"))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = client.Update(ctx, "group", "a/1 ?", a.Version, []byte("four"))
-		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(err).To(MatchError(objectapi.ErrConflict))
 		_, err = client.Get(ctx, "group", "none")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(objectapi.ErrNotFound))
 		list, version, err := client.List(ctx, "group")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(list).To(Equal([]platform.Object{a2, b}))
+		Expect(list).To(Equal([]objectapi.Object{a2, b}))
 		Expect(version).To(Equal(a2.Version))
 		Expect(server.Calls()).To(Equal(platformserver.Calls{Reads: 3, Writes: 5}))
 	})
 
 	It("refuses values beyond the limit without an unknown outcome", func() {
-		patient := newClient(platform.ClientConfig{AttemptTimeout: 5 * time.Second})
-		_, err := patient.Create(ctx, "k", "big", make([]byte, platform.MaxValueBytes+1))
+		patient := newClient(objectapi.ClientConfig{AttemptTimeout: 5 * time.Second})
+		_, err := patient.Create(ctx, "k", "big", make([]byte, objectapi.MaxValueBytes+1))
 		Expect(err).To(MatchError(ContainSubstring("413")))
-		_, err = patient.Create(ctx, "k", "big", make([]byte, platform.MaxValueBytes))
+		_, err = patient.Create(ctx, "k", "big", make([]byte, objectapi.MaxValueBytes))
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -83,25 +83,25 @@
 		events, version, err = client.Watch(ctx, "k", version)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(events).To(HaveLen(1))
-		Expect(events[0].Type).To(Equal(platform.Put))
+		Expect(events[0].Type).To(Equal(objectapi.Put))
 		Expect(server.Delete("k", "x")).To(Succeed())
 		events, _, err = client.Watch(ctx, "k", version)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(events).To(HaveLen(1))
-		Expect(events[0].Type).To(Equal(platform.Delete))
+		Expect(events[0].Type).To(Equal(objectapi.Delete))
 		server.Compact()
 		_, _, err = client.Watch(ctx, "k", version)
-		Expect(err).To(MatchError(platform.ErrCompacted))
+		Expect(err).To(MatchError(objectapi.ErrCompacted))
 		_, _, err = client.Watch(ctx, "k", version+100)
-		Expect(err).To(MatchError(platform.ErrCompacted))
+		Expect(err).To(MatchError(objectapi.ErrCompacted))
 	})
 
 	It("shows the list of hosts with its lag", func() {
 		server.SetHostsLag(50 * time.Millisecond)
-		hosts := []platform.HostState{{Address: "127.0.0.1:1", DataCentre: "dc1"}}
+		hosts := []objectapi.HostState{{Address: "127.0.0.1:1", DataCentre: "dc1"}}
 		server.SetHosts(hosts)
 		Expect(client.Hosts(ctx)).To(BeEmpty())
-		Eventually(func() ([]platform.HostState, error) { return client.Hosts(ctx) }).Should(Equal(hosts))
+		Eventually(func() ([]objectapi.HostState, error) { return client.Hosts(ctx) }).Should(Equal(hosts))
 	})
 
 	It("rides out a short outage on reads and never repeats a write", func() {
@@ -115,7 +115,7 @@
 		Expect(server.Calls().Reads).To(BeNumerically(">", 1))
 		server.SetDown(true)
 		_, err = client.Update(ctx, "k", "x", obj.Version, nil)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		Expect(server.Calls().Writes).To(Equal(1))
 	})
 
@@ -123,11 +123,11 @@
 		disturb()
 		begin := time.Now()
 		_, err := client.Get(ctx, "k", "x")
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		_, _, err = client.Watch(ctx, "k", 0)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		_, err = client.Create(ctx, "k", "x", nil)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		Expect(time.Since(begin)).To(BeNumerically("<", 2*time.Second))
 	},
 		Entry("down", func() { server.SetDown(true) }),
@@ -135,12 +135,12 @@
 	)
 
 	It("spends no more calls than its budget, retries included", func() {
-		tight := newClient(platform.ClientConfig{CallsPerSecond: 1, Burst: 5, MinBackoff: time.Millisecond, Timeout: 200 * time.Millisecond})
+		tight := newClient(objectapi.ClientConfig{CallsPerSecond: 1, Burst: 5, MinBackoff: time.Millisecond, Timeout: 200 * time.Millisecond})
 		server.SetDown(true)
 		_, err := tight.Get(ctx, "k", "x")
-		Expect(err).To(MatchError(platform.ErrBudget))
+		Expect(err).To(MatchError(objectapi.ErrBudget))
 		_, err = tight.Create(ctx, "k", "x", nil)
-		Expect(err).To(MatchError(platform.ErrBudget))
+		Expect(err).To(MatchError(objectapi.ErrBudget))
 		Expect(server.Calls().Reads + server.Calls().Writes).To(Equal(5))
 	})
 
@@ -162,10 +162,10 @@
 
 		It("recognises its own value after a lost answer", func() {
 			server.LoseAnswers(1)
-			obj, err := platform.UpdateOwn(ctx, client, "k", "x", 0, []byte("id-1"), own("id-1"))
+			obj, err := objectapi.UpdateOwn(ctx, client, "k", "x", 0, []byte("id-1"), own("id-1"))
 			Expect(err).NotTo(HaveOccurred())
 			server.LoseAnswers(1)
-			next, err := platform.UpdateOwn(ctx, client, "k", "x", obj.Version, []byte("id-2"), own("id-2"))
+			next, err := objectapi.UpdateOwn(ctx, client, "k", "x", obj.Version, []byte("id-2"), own("id-2"))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(next.Version).To(Equal(obj.Version + 1))
 			Expect(server.Calls().Writes).To(Equal(2))
@@ -177,7 +177,7 @@
 			server.ServeStale(true)
 			server.LoseAnswers(1)
 			time.AfterFunc(100*time.Millisecond, func() { server.ServeStale(false) })
-			next, err := platform.UpdateOwn(ctx, client, "k", "x", obj.Version, []byte("id-1"), own("id-1"))
+			next, err := objectapi.UpdateOwn(ctx, client, "k", "x", obj.Version, []byte("id-1"), own("id-1"))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(next.Version).To(Equal(obj.Version + 1))
 		})
@@ -186,8 +186,8 @@
 			server.SetDown(true)
 			short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 			defer cancel()
-			_, err := platform.UpdateOwn(short, client, "k", "x", 0, []byte("id"), own("id"))
-			Expect(err).To(MatchError(platform.ErrUnavailable))
+			_, err := objectapi.UpdateOwn(short, client, "k", "x", 0, []byte("id"), own("id"))
+			Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		})
 
 		It("lets one of many racing writers win each version, answers lost or not", func() {
@@ -199,14 +199,14 @@
 			for i := range results {
 				wg.Go(func() {
 					id := fmt.Sprintf("id-%d", i)
-					_, results[i] = platform.UpdateOwn(ctx, client, "k", "x", base.Version, []byte(id), own(id))
+					_, results[i] = objectapi.UpdateOwn(ctx, client, "k", "x", base.Version, []byte(id), own(id))
 				})
 			}
 			wg.Wait()
 			winners := 0
 			for i, err := range results {
 				if err != nil {
-					Expect(err).To(MatchError(platform.ErrConflict))
+					Expect(err).To(MatchError(objectapi.ErrConflict))
 					continue
 				}
 				winners++
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -112,4 +112,21 @@
 
 	{key: "shutdown.grace", unit: "duration", doc: "Time that running requests and transactions get in a planned stop.",
 		duration: func(h *Host) *time.Duration { return &h.Shutdown.Grace }, durDef: 30 * time.Second, durLo: 0, durH: time.Hour},
+
+	{key: "site.callers", unit: "IP:port", doc: "Address for callers of a site whose operator publishes routes. Where it is set, the host serves such a site, and the sections callers, peers and databases do not count.",
+		text: func(h *Host) *string { return &h.Site.Callers }, textRule: listenRule},
+	{key: "site.ready", unit: "IP:port", doc: "Address of the platform's ready probe.",
+		text: func(h *Host) *string { return &h.Site.Ready }, textDef: "127.0.0.1:6460", textRule: listenRule},
+	{key: "site.peers", unit: "IP:port", doc: "Address for the site's other hosts, TCP and UDP.",
+		text: func(h *Host) *string { return &h.Site.Peers }, textDef: "127.0.0.1:6560", textRule: dialRule},
+	{key: "site.metrics", unit: "IP:port", doc: "Address of the metrics page; none where it is not set.",
+		text: func(h *Host) *string { return &h.Site.Metrics }, textRule: listenRule},
+	{key: "site.promotion_url", unit: "URL", doc: "Base URL of the platform's promotion calls.",
+		text: func(h *Host) *string { return &h.Site.PromotionURL }, textRule: urlRule},
+	{key: "site.max_callers", unit: "sessions", doc: "Sessions at once; more are refused.",
+		number: func(h *Host) *int { return &h.Site.MaxCallers }, numDef: 2000, lo: 1, hi: 60000},
+	{key: "site.watch_wait", unit: "duration", doc: "Time that the store holds a watch open; half of the time within which a configuration is to be in force, or more where hosts hear each other.",
+		duration: func(h *Host) *time.Duration { return &h.Site.WatchWait }, durDef: 5 * time.Second, durLo: 100 * time.Millisecond, durH: 30 * time.Second},
+	{key: "site.memory_mb", unit: "MB", doc: "Memory that the process may use; the collector works harder near it. 0 for no limit.",
+		number: func(h *Host) *int { return &h.Site.MemoryMB }, numDef: 0, lo: 0, hi: 1 << 20},
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Admin     Admin
 	Log       Log
 	Shutdown  Shutdown
+	Site      Site
 }
 
 // Identity says which host this is.
@@ -89,6 +90,20 @@
 	Grace time.Duration // for requests and transactions that run
 }
 
+// Site is a host of a site whose operator publishes routes to the platform's
+// store. Where Callers is set, the process serves such a site, and the sections
+// callers, peers and databases do not count.
+type Site struct {
+	Callers      string // IP:port
+	Ready        string // IP:port
+	Peers        string // IP:port, TCP and UDP
+	Metrics      string // IP:port; empty for none
+	PromotionURL string
+	MaxCallers   int
+	WatchWait    time.Duration
+	MemoryMB     int // of the process; 0 for no limit
+}
+
 // Secret is a text that is neither printed nor logged.
 type Secret string
 
