Hold connections on one home host a data centre

Cause: 14 hosts each held 4 connections to a database for 8 customers, so a quarter of the statements opened a new one, which takes a slot for 12 or 27 ms; under load that took the databases' slots. Change: statements run on the service's home in the data centre over the existing mesh; statements at once are bounded by an adaptive window. A late second try of a read ran after its caller had gone on, and a connection whose state was noted but not sent ran with other values (PINNED): tries now end before the answer, and state is brought only once the slot is held.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -56,9 +56,11 @@
 	return gateway.Options{
 		Name:       set.Host.ID,
 		DataCentre: set.Host.DataCentre,
+		Centres:    set.Site.DataCentres,
 		Callers:    set.Site.Callers,
 		Ready:      set.Site.Ready,
 		Peers:      set.Site.Peers,
+		Access:     set.Site.Access,
 		Metrics:    set.Site.Metrics,
 		Grace:      set.Shutdown.Grace,
 		MaxCallers: set.Site.MaxCallers,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,21 +22,25 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/peer"
 )
 
 // Options is what a Gateway is made of.
 type Options struct {
 	Name       string // of this host, unique in the fleet
 	DataCentre string
-	Callers    string // IP:port to listen on for callers
-	Ready      string // IP:port of the ready probe
-	Peers      string // IP:port for other hosts, TCP and UDP
-	Metrics    string // IP:port of the metrics page; empty for none
+	Centres    []string // the site's data centres; those with hosts are found in any case
+	Callers    string   // IP:port to listen on for callers
+	Ready      string   // IP:port of the ready probe
+	Peers      string   // IP:port for other hosts, TCP and UDP
+	Access     string   // IP:port for statements that other hosts send
+	Metrics    string   // IP:port of the metrics page; empty for none
 	Grace      time.Duration
 	MaxCallers int // sessions at once
 	Platform   Platform
@@ -54,6 +58,9 @@
 	decision *decisionLog
 	rates    *rates
 	peers    *peers
+	streams  *streams
+	stalls   stalls
+	access   string // IP:port of the access listener
 	callers  *registry
 	started  time.Time
 
@@ -89,9 +96,11 @@
 		services:  map[string]*service{},
 		databases: map[string]routes.Database{},
 		callers:   newRegistry(),
+		streams:   newStreams(),
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.started = g.now()
+	g.stalls.beat = g.started
 	g.rates = &rates{table: share.New(1)}
 	g.decision = newDecisionLog(g.log, g.now)
 	g.config.Store(&published{Configuration: &routes.Configuration{}})
@@ -105,6 +114,9 @@
 	if g.peers, err = listenPeers(g); err != nil {
 		return err
 	}
+	if err := g.listenAccess(); err != nil {
+		return err
+	}
 	if g.listener, err = net.Listen("tcp", g.opt.Callers); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -120,11 +132,40 @@
 	g.work(g.watchDatabases)
 	g.work(g.peers.run)
 	g.work(g.tick)
+	g.work(g.watchStalls)
 	g.work(g.acceptCallers)
 	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre)
 	return nil
 }
 
+// listenAccess serves the statements that other hosts send.
+func (g *Gateway) listenAccess() error {
+	l, err := net.Listen("tcp", g.opt.Access)
+	if err != nil {
+		return eris.Wrap(err, "listen for access")
+	}
+	g.access = l.Addr().String()
+	g.streams.mesh = peer.New(peer.Config{
+		Self:       g.access,
+		DataCentre: g.opt.DataCentre,
+		BootID:     uuid.NewString(),
+		Logger:     g.log,
+		Metrics:    g.metrics.set,
+		OnSession:  g.serveJobs,
+		OnPeer: func(info peer.Info, connected bool) {
+			if !connected {
+				g.streams.forget(info.Address)
+			}
+		},
+	})
+	g.work(func() {
+		if err := g.streams.mesh.Serve(l); err != nil {
+			g.log.Error("Access listener stopped.", "part", "access", "error", err)
+		}
+	})
+	return nil
+}
+
 // serveHTTP serves a small page until the gateway closes.
 func (g *Gateway) serveHTTP(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
@@ -184,6 +225,9 @@
 	if g.peers != nil {
 		g.peers.close()
 	}
+	if g.streams.mesh != nil {
+		go g.streams.mesh.Close() // waits for streams that run statements
+	}
 	g.callers.closeAll()
 	g.decision.close()
 }
--- /dev/null
+++ b/gateway/homes.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A service's databases have few connections, and a connection serves one
+// customer. Were every host to hold its own, most statements would find none
+// that is theirs. So in each data centre one host, the home, holds the
+// connections to a service's databases, and the others send it their sessions'
+// statements. Homes follow by rendezvous hashing from who is heard, so hosts
+// may differ on them for a moment: two homes cost connections, nothing else.
+
+// home is a host that may run a service's statements.
+type home struct {
+	name   string
+	access string // IP:port; empty for this host
+	score  uint64
+}
+
+// homes returns the hosts of this data centre that may run a service's
+// statements, the home first.
+func (p *peers) homes(service string) []home {
+	now := p.g.now()
+	duty := "home/" + service
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []home
+	if !p.g.leaving.Load() {
+		out = append(out, home{name: p.g.opt.Name, score: dutyScore(duty, p.g.opt.Name)})
+	}
+	for name, h := range p.known {
+		if h.dataCentre != p.g.opt.DataCentre || h.leaving || h.access == "" || now.Sub(h.heard) >= heardWithin || now.Before(h.avoid) {
+			continue
+		}
+		out = append(out, home{name: name, access: h.access, score: dutyScore(duty, name)})
+	}
+	slices.SortFunc(out, func(a, b home) int { return cmp.Compare(b.score, a.score) })
+	return out
+}
+
+// homeRank is this host's place among a service's homes, 0 for the home.
+func (p *peers) homeRank(service string) int {
+	list := p.homes(service)
+	i := slices.IndexFunc(list, func(h home) bool { return h.access == "" })
+	if i < 0 {
+		return len(list)
+	}
+	return i
+}
+
+// avoidFor keeps statements off a host that did not answer.
+const avoidFor = time.Second
+
+// avoid passes a host over for a while.
+func (p *peers) avoid(name string) {
+	now := p.g.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.known[name]; h != nil {
+		h.avoid = now.Add(avoidFor)
+	}
+}
+
+// dataCentres is the number of data centres with hosts.
+func (p *peers) dataCentres() int {
+	now := p.g.now()
+	seen := map[string]bool{p.g.opt.DataCentre: true}
+	for _, centre := range p.g.opt.Centres {
+		seen[centre] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.known {
+		if h.dataCentre != "" && p.counts(h, now) {
+			seen[h.dataCentre] = true
+		}
+	}
+	return len(seen)
+}
+
+// counts reports whether a host counts when something is divided among hosts.
+// mu is held.
+func (p *peers) counts(h *peerHost, now time.Time) bool {
+	if h.heard.IsZero() {
+		return now.Sub(p.g.started) < aliveWithin
+	}
+	return now.Sub(h.heard) < aliveWithin
+}
+
+// runnerFor returns where a service's statements run: on its home in this data
+// centre, here where that is this host or none is heard.
+func (g *Gateway) runnerFor(svc *service) runner {
+	list := g.peers.homes(svc.name)
+	if len(list) == 0 || list[0].access == "" {
+		return newLocal(g)
+	}
+	return &remote{g: g, home: list[0]}
+}
--- /dev/null
+++ b/gateway/job.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/sessionstate"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/accesspb"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// job is the operation as another host gets it. Times travel as durations, so
+// that no clocks are compared; the way between the hosts makes a statement look
+// younger than it is, which asks for fresher data than needed.
+func (op *operation) job(now time.Time) *accesspb.Job {
+	j := &accesspb.Job{
+		Id: op.ID, Kind: uint32(op.Kind), Text: op.Text, Name: op.Name, Args: op.Args,
+		Values: op.state.Values, Service: op.svc.name, Customer: op.customer,
+		Freshness: uint32(op.route.Freshness), MaxAgeUs: micros(op.route.MaxAge), ObjectiveUs: micros(op.route.Objective),
+		Urgency: uint32(max(0, op.route.Urgency)), OwnTerm: op.own.Term, OwnIndex: op.own.Index,
+		ElapsedUs: micros(now.Sub(op.arrived)), LeftUs: micros(op.deadline.Sub(now)),
+		InTransaction: op.inTransaction, ReadOnly: op.readOnly,
+	}
+	if op.inTransaction {
+		j.BeganUs = micros(now.Sub(op.began))
+	}
+	if op.Kind == statement.Execute {
+		form := op.state.Prepared[op.Name]
+		j.FormWrites, j.FormShape = form.Writes, form.Shape
+	}
+	return j
+}
+
+func micros(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
+
+func duration(micros uint64) time.Duration { return time.Duration(micros) * time.Microsecond }
+
+// newJobOperation is the operation that a Job asks for.
+func (g *Gateway) newJobOperation(j *accesspb.Job) (*operation, error) {
+	now := g.now()
+	op := &operation{
+		Request: statement.Request{ID: j.Id, Statement: statement.Statement{
+			Kind: statement.Kind(j.Kind), Text: j.Text, Name: j.Name, Args: j.Args}},
+		route: routes.Route{Service: j.Service, Freshness: routes.Freshness(j.Freshness), MaxAge: duration(j.MaxAgeUs),
+			Objective: duration(j.ObjectiveUs), Urgency: int(j.Urgency)},
+		svc: g.service(j.Service), customer: j.Customer,
+		arrived: now.Add(-duration(j.ElapsedUs)), deadline: now.Add(duration(j.LeftUs)),
+		state: sessionstate.Session{Values: j.Values}, own: position.Position{Term: j.OwnTerm, Index: j.OwnIndex},
+		inTransaction: j.InTransaction, readOnly: j.ReadOnly, began: now.Add(-duration(j.BeganUs)),
+	}
+	if op.Kind == statement.Execute {
+		op.state.Prepared = map[string]sessionstate.Form{j.Name: {Writes: j.FormWrites, Shape: j.FormShape}}
+	}
+	if op.svc == nil {
+		return op, errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", j.Service)
+	}
+	return op, nil
+}
+
+// result is what another host is told of an operation.
+func (op *operation) result(a statement.Answer, err error) *accesspb.Result {
+	r := &accesspb.Result{
+		Rows: a.Rows, Signature: a.Signature, PositionTerm: a.Position.Term, PositionIndex: a.Position.Index,
+		Database: op.database, Tries: uint32(op.tries), FloorTerm: op.floor.Term, FloorIndex: op.floor.Index,
+	}
+	if err != nil {
+		r.Rows, r.Signature = nil, ""
+		r.Failed, r.ErrorKind, r.Detail = true, uint32(errkind.Of(err)), err.Error()
+	}
+	return r
+}
+
+// takeResult reads what another host tells of the operation.
+func (op *operation) takeResult(r *accesspb.Result) (statement.Answer, error) {
+	op.database, op.tries = r.Database, int(r.Tries)
+	op.floor = position.Position{Term: r.FloorTerm, Index: r.FloorIndex}
+	if r.Failed {
+		return statement.Answer{}, &errkind.Error{Kind: errkind.Kind(r.ErrorKind), Detail: r.Detail}
+	}
+	return statement.Answer{
+		Rows: r.Rows, Signature: r.Signature,
+		Position: position.Position{Term: r.PositionTerm, Index: r.PositionIndex},
+	}, nil
+}
+
+// serveJobs runs the statements that another host sends on one stream.
+func (g *Gateway) serveJobs(from peer.Info, _ *peerpb.OpenSession, raw net.Conn) {
+	defer raw.Close()
+	l := newLocal(g)
+	defer func() { l.drop() }()
+	ctx, cancel := context.WithCancel(g.ctx)
+	defer cancel()
+	jobs := make(chan *accesspb.Job)
+	go g.readJobs(ctx, cancel, from, raw, jobs)
+	for j := range jobs {
+		if statement.Kind(j.Kind) == statement.Rollback {
+			l.drop()
+			l = newLocal(g)
+			if err := writeFrame(raw, &accesspb.Result{}); err != nil {
+				return
+			}
+			continue
+		}
+		if err := writeFrame(raw, g.runJob(ctx, l, j)); err != nil {
+			return
+		}
+		if !j.InTransaction {
+			l = newLocal(g)
+		}
+	}
+}
+
+// readJobs passes on what a stream brings until it ends, and then ends what
+// runs for it: its host has given up.
+func (g *Gateway) readJobs(ctx context.Context, cancel func(), from peer.Info, raw net.Conn, jobs chan<- *accesspb.Job) {
+	defer close(jobs)
+	defer cancel()
+	r := bufio.NewReader(raw)
+	for {
+		j := &accesspb.Job{}
+		if err := readFrame(r, j); err != nil {
+			if !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
+				g.log.Debug("Stream of a host ended.", "part", "access", "host", from.Address, "error", err)
+			}
+			return
+		}
+		select {
+		case jobs <- j:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) runJob(ctx context.Context, l *local, j *accesspb.Job) *accesspb.Result {
+	op, err := g.newJobOperation(j)
+	if err == nil && g.stalls.recent(g.now()) {
+		err = errkind.New(errkind.DatabaseUnavailable, "the host stood still; the statement may be out of date")
+	}
+	if err != nil {
+		return op.result(statement.Answer{}, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, op.deadline.Sub(g.now()))
+	defer cancel()
+	a, err := l.run(ctx, op)
+	if err != nil && j.InTransaction {
+		*l = local{g: g} // its transaction is over
+	}
+	return op.result(a, err)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -77,6 +77,10 @@
 	heard   time.Time // zero before the first message
 	leaving bool
 	groups  []*gossippb.Group
+
+	dataCentre string
+	access     string    // IP:port of its access listener
+	avoid      time.Time // passed over as a home until then
 }
 
 func listenPeers(g *Gateway) (*peers, error) {
@@ -107,7 +111,7 @@
 	defer p.mu.Unlock()
 	n := 1
 	for _, h := range p.known {
-		if now.Sub(h.heard) < aliveWithin || h.heard.IsZero() && now.Sub(p.g.started) < aliveWithin {
+		if p.counts(h, now) {
 			n++
 		}
 	}
@@ -120,7 +124,7 @@
 	p.g.work(p.keepHosts)
 	ticker := time.NewTicker(gossipEvery)
 	defer ticker.Stop()
-	hosts := 1
+	var hosts, centres int
 	for {
 		select {
 		case <-p.g.ctx.Done():
@@ -128,14 +132,30 @@
 		case <-ticker.C:
 		}
 		p.send()
-		if n := p.hosts(); n != hosts {
-			hosts = n
-			p.g.rates.setHosts(n)
+		p.connect()
+		if h, c := p.hosts(), p.dataCentres(); h != hosts || c != centres {
+			hosts, centres = h, c
+			p.g.rates.setHosts(h)
 			p.g.sizePools()
 		}
 	}
 }
 
+// connect keeps connections to the hosts of this data centre, which may be
+// homes.
+func (p *peers) connect() {
+	now := p.g.now()
+	p.mu.Lock()
+	var wanted []string
+	for _, h := range p.known {
+		if h.access != "" && h.dataCentre == p.g.opt.DataCentre && p.counts(h, now) {
+			wanted = append(wanted, h.access)
+		}
+	}
+	p.mu.Unlock()
+	p.g.streams.mesh.SetPeers(wanted)
+}
+
 // send tells every known host what this one finds.
 func (p *peers) send() {
 	msg := p.message()
@@ -163,7 +183,7 @@
 	now := p.g.now()
 	msg := &gossippb.Gossip{
 		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
-		Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
+		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
 	}
 	for customer, perSecond := range p.g.rates.demands(now) {
 		msg.Demands = append(msg.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
@@ -181,7 +201,7 @@
 	o := s.opinion(now)
 	return &gossippb.Group{
 		Service: s.name, Primary: o.Primary, Unreachable: o.Unreachable, Stuck: o.Stuck,
-		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index,
+		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index, Watching: s.watching(now),
 	}
 }
 
@@ -224,6 +244,7 @@
 		return // overtaken by a later one
 	}
 	h.address, h.boot, h.seq, h.heard, h.leaving, h.groups = address, msg.Boot, msg.Sequence, now, msg.Leaving, msg.Groups
+	h.dataCentre, h.access = msg.DataCentre, msg.Access
 	newer := msg.Configuration > p.g.config.Load().Version && !p.fetching
 	if newer {
 		p.fetching = true
@@ -253,7 +274,7 @@
 				continue
 			}
 			acked = position.Max(acked, position.Position{Term: group.AckedTerm, Index: group.AckedIndex})
-			if now.Sub(h.heard) < heardWithin && !h.leaving {
+			if group.Watching && now.Sub(h.heard) < heardWithin && !h.leaving {
 				out = append(out, succession.Opinion{Primary: group.Primary, Unreachable: group.Unreachable, Stuck: group.Stuck})
 			}
 		}
@@ -261,7 +282,19 @@
 	return out, acked
 }
 
-// rank is this host's place among those that are alive for a duty, 0 first.
+// watches reports whether a host asks the service's primary several times a
+// second.
+func (h *peerHost) watches(service string) bool {
+	for _, group := range h.groups {
+		if group.Service == service {
+			return group.Watching
+		}
+	}
+	return false
+}
+
+// rank is this host's place among those that are alive and watch a service,
+// 0 first.
 func (p *peers) rank(duty string) int {
 	now := p.g.now()
 	own := dutyScore(duty, p.g.opt.Name)
@@ -269,7 +302,7 @@
 	defer p.mu.Unlock()
 	rank := 0
 	for name, h := range p.known {
-		if now.Sub(h.heard) < heardWithin && !h.leaving && dutyScore(duty, name) > own {
+		if now.Sub(h.heard) < heardWithin && !h.leaving && h.watches(duty) && dutyScore(duty, name) > own {
 			rank++
 		}
 	}
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -58,7 +58,11 @@
 	Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error)
 	// Report reads what the database says of itself from an answer.
 	Report(a statement.Answer) (statement.Report, error)
+	// Close ends the connection; what was sent may still run.
 	Close() error
+	// Reset ends the connection so that what was sent and has not reached the
+	// database never does. It may be called while Run is under way.
+	Reset()
 }
 
 // last returns the last of a batch's answers.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,7 +11,9 @@
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/customer/turn"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
+	"github.com/bronzeloft/bronzeloft/database/window"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -29,13 +31,15 @@
 type pool struct {
 	g     *Gateway
 	svc   *service
-	turns *turn.Queue
+	turns *turn.Queue // for connections
+	slots *turn.Queue // for statements
 
 	mu     sync.Mutex // guards all below; a leaf
 	db     routes.Database
 	idle   []*conn // the one used last is last
 	open   int
 	max    int
+	window window.Window // statements at once
 	closed bool
 }
 
@@ -51,7 +55,27 @@
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
-	return &pool{g: g, svc: svc, db: db, max: size, turns: turn.New(fair.Config{Slots: size}, g.now)}
+	p := &pool{g: g, svc: svc, db: db, max: size, window: window.New(db.Slots, g.peers.dataCentres())}
+	p.turns = turn.New(fair.Config{Slots: size}, g.now)
+	p.slots = turn.New(fair.Config{Slots: p.window.Size()}, g.now)
+	return p
+}
+
+// overloaded makes the window smaller.
+func (p *pool) overloaded(now time.Time) {
+	p.resize(func() { p.window.Refused(now) })
+}
+
+// resize changes the window and follows it.
+func (p *pool) resize(change func()) {
+	p.mu.Lock()
+	before := p.window.Size()
+	change()
+	after := p.window.Size()
+	p.mu.Unlock()
+	if before != after {
+		p.slots.SetSlots(after)
+	}
 }
 
 // setMax changes the bound.
@@ -59,7 +83,16 @@
 	p.mu.Lock()
 	changed := p.max != n
 	p.max = n
+	var extra []*conn
+	for p.open > p.max && len(p.idle) > 0 {
+		extra = append(extra, p.idle[0])
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
 	p.mu.Unlock()
+	for _, c := range extra {
+		c.Close()
+	}
 	if changed {
 		p.turns.SetSlots(n)
 	}
@@ -71,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := p.take(ctx, item.Customer)
+	c, err := p.take(ctx, item)
 	if err != nil {
 		p.turns.Release(id)
 		return nil, err
@@ -81,14 +114,14 @@
 }
 
 // take returns an idle connection of the customer's, or a new one.
-func (p *pool) take(ctx context.Context, customer string) (*conn, error) {
+func (p *pool) take(ctx context.Context, item fair.Item) (*conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s left", p.db.ID)
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.customer == customer {
+		if c := p.idle[i]; c.customer == item.Customer {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			p.mu.Unlock()
 			return c, nil
@@ -101,7 +134,13 @@
 	if evicted != nil {
 		evicted.Close()
 	}
-	return p.dial(ctx, db, customer)
+	id, err := p.slots.Acquire(ctx, item) // a new connection takes a slot of the database
+	if err != nil {
+		p.forget()
+		return nil, err
+	}
+	defer p.slots.Release(id)
+	return p.dial(ctx, db, item.Customer)
 }
 
 // makeRoom takes the connection that was idle for longest out of a full pool.
@@ -160,7 +199,7 @@
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
 		p.open--
 		p.mu.Unlock()
-		c.Close()
+		c.end()
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -204,6 +243,39 @@
 	}
 }
 
+// end closes a connection that is not kept. A broken one may have statements
+// under way that must not run after their caller has gone on.
+func (c *conn) end() {
+	if c.broken {
+		c.Reset()
+		return
+	}
+	c.Close()
+}
+
+// work runs the operation's statement, which takes a slot of the database, after
+// those that give the connection the session's state. An errkind.Error means
+// that nothing was sent.
+func (c *conn) work(ctx context.Context, op *operation, after position.Position, then ...statement.Request) ([]statement.Answer, error) {
+	id, err := c.pool.slots.Acquire(ctx, op.item())
+	if err != nil {
+		return nil, err
+	}
+	defer c.pool.slots.Release(id)
+	requests, main := op.bring(c, op.Request)
+	main.After = after
+	requests = append(append(requests, main), then...)
+	stop := context.AfterFunc(ctx, c.Reset)
+	answers, err := c.run(op.deadline, requests...)
+	if !stop() {
+		c.broken = true
+	}
+	if err == nil {
+		c.pool.resize(c.pool.window.Answered)
+	}
+	return answers, err
+}
+
 // run sends requests and records what that tells of the database. After an
 // error the connection is of no use.
 func (c *conn) run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -74,6 +74,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leader, known := s.table.Leader()
+	if !s.watching(now) {
+		return
+	}
 	reason := succession.Judge(s.opinion(now), known && leader.Leaving, others)
 	d := &s.duty
 	if reason != d.reason {
--- /dev/null
+++ b/gateway/remote.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/accesspb"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/link/peerpb"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+const (
+	// resultSlack is how much longer than its deadline a statement's result may
+	// take on its way between hosts of one data centre.
+	resultSlack = 60 * time.Millisecond
+	// maxFrame bounds a Job or a Result: a line and its session's values.
+	maxFrame = 4 << 20
+	// maxIdleStreams bounds the streams kept to one host.
+	maxIdleStreams = 32
+)
+
+// errLost marks a statement whose host did not answer.
+var errLost = errors.New("gateway: the home did not answer")
+
+// lost reports whether a statement failed because its home did not answer.
+func lost(err error) bool { return errors.Is(err, errLost) }
+
+// remote runs statements on another host's connections.
+type remote struct {
+	g      *Gateway
+	home   home
+	stream *stream // of the open transaction; nil between
+}
+
+// stream is a stream to another host on which Jobs and Results follow each
+// other.
+type stream struct {
+	net.Conn
+	r    *bufio.Reader
+	home string
+}
+
+// run implements runner.
+func (r *remote) run(ctx context.Context, op *operation) (statement.Answer, error) {
+	fresh := r.stream == nil
+	if fresh {
+		var err error
+		if r.stream, err = r.g.streams.take(r.home); err != nil {
+			r.g.peers.avoid(r.home.name)
+			return statement.Answer{}, errkind.Wrap(errkind.DatabaseUnavailable, errors.Join(errLost, err), "host "+r.home.name)
+		}
+	}
+	stream := r.stream
+	// Past its deadline the exchange fails; closing the stream then ends the
+	// home's part.
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	result, err := r.exchange(op)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		r.close()
+		if ctx.Err() == nil {
+			r.g.peers.avoid(r.home.name)
+		}
+		return statement.Answer{}, errkind.Wrap(errkind.OutcomeUnknown, errors.Join(errLost, err), "host "+r.home.name)
+	}
+	a, err := op.takeResult(result)
+	if !op.inTransaction || err != nil || op.Kind == statement.Commit {
+		r.g.streams.put(r.stream)
+		r.stream = nil
+	}
+	return a, err
+}
+
+// exchange sends the statement and reads its result.
+func (r *remote) exchange(op *operation) (*accesspb.Result, error) {
+	left := op.deadline.Sub(r.g.now()) + resultSlack
+	if err := r.stream.SetDeadline(time.Now().Add(left)); err != nil {
+		return nil, err
+	}
+	if err := writeFrame(r.stream, op.job(r.g.now())); err != nil {
+		return nil, err
+	}
+	var result accesspb.Result
+	err := readFrame(r.stream.r, &result)
+	return &result, err
+}
+
+// drop implements runner.
+func (r *remote) drop() {
+	s := r.stream
+	if s == nil {
+		return
+	}
+	r.stream = nil
+	go func() {
+		err := s.SetDeadline(time.Now().Add(rollbackTimeout))
+		if err == nil {
+			err = writeFrame(s, &accesspb.Job{Kind: uint32(statement.Rollback)})
+		}
+		if err == nil {
+			err = readFrame(s.r, &accesspb.Result{})
+		}
+		if err != nil {
+			s.Close() // the home rolls back when the stream ends
+			return
+		}
+		r.g.streams.put(s)
+	}()
+}
+
+func (r *remote) close() {
+	r.stream.Close()
+	r.stream = nil
+}
+
+// streams keeps idle streams to other hosts.
+type streams struct {
+	mesh *peer.Mesh
+
+	mu   sync.Mutex // guards idle; a leaf
+	idle map[string][]*stream
+}
+
+func newStreams() *streams { return &streams{idle: map[string][]*stream{}} }
+
+// take returns an idle stream to a host, or opens one.
+func (s *streams) take(to home) (*stream, error) {
+	s.mu.Lock()
+	if list := s.idle[to.access]; len(list) > 0 {
+		st := list[len(list)-1]
+		s.idle[to.access] = list[:len(list)-1]
+		s.mu.Unlock()
+		return st, nil
+	}
+	s.mu.Unlock()
+	raw, err := s.mesh.OpenSession(to.access, &peerpb.OpenSession{})
+	if err != nil {
+		return nil, err
+	}
+	return &stream{Conn: raw, r: bufio.NewReader(raw), home: to.access}, nil
+}
+
+// put keeps a stream that is between two statements.
+func (s *streams) put(st *stream) {
+	s.mu.Lock()
+	list := s.idle[st.home]
+	keep := len(list) < maxIdleStreams
+	if keep {
+		s.idle[st.home] = append(list, st)
+	}
+	s.mu.Unlock()
+	if !keep {
+		st.Close()
+	}
+}
+
+// forget closes the idle streams to a host whose connection is gone.
+func (s *streams) forget(access string) {
+	s.mu.Lock()
+	list := s.idle[access]
+	delete(s.idle, access)
+	s.mu.Unlock()
+	for _, st := range list {
+		st.Close()
+	}
+}
+
+// writeFrame writes a message with its length in front.
+func writeFrame(w io.Writer, m proto.Message) error {
+	size := proto.Size(m)
+	if size > maxFrame {
+		return eris.Errorf("message of %d bytes", size)
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+size), uint32(size))
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(buf)
+	return err
+}
+
+// readFrame reads what writeFrame wrote.
+func readFrame(r io.Reader, m proto.Message) error {
+	var header [4]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxFrame {
+		return eris.Errorf("message of %d bytes", size)
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return err
+	}
+	return proto.Unmarshal(buf, m)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,15 +29,18 @@
 	asking  bool          // such a question is in flight
 	commits commits
 	duty    duty
+
+	homeRank int // this host's place among the service's homes
 }
 
 func newService(g *Gateway, name string) *service {
 	return &service{
 		g: g, name: name,
-		table:   lead.New(),
-		pools:   map[string]*pool{},
-		changed: make(chan struct{}),
-		commits: commits{sent: map[uint64]time.Time{}},
+		table:    lead.New(),
+		pools:    map[string]*pool{},
+		changed:  make(chan struct{}),
+		commits:  commits{sent: map[uint64]time.Time{}},
+		homeRank: g.peers.homeRank(name),
 	}
 }
 
@@ -286,18 +289,42 @@
 	}
 }
 
+// use notes that this host runs the service's statements.
+func (s *service) use() {
+	now := s.g.now()
+	s.mu.Lock()
+	s.used = now
+	s.mu.Unlock()
+}
+
+// watchFor is how long after its last statement this host goes on asking the
+// primary.
+const watchFor = 3 * time.Second
+
+// watching reports whether this host asks the primary several times a second:
+// as the home or the one after it, or since it runs statements. mu is held.
+func (s *service) watching(now time.Time) bool {
+	return s.homeRank <= 1 || now.Sub(s.used) < watchFor
+}
+
 // tick does what is due.
 func (s *service) tick() {
 	now := s.g.now()
+	rank := s.g.peers.homeRank(s.name)
 	s.mu.Lock()
+	moved := rank != s.homeRank
+	s.homeRank = rank
 	s.table.Expire(now)
 	closing := s.dropPools()
-	if s.samples.Newest().At.Add(sampleEvery).Before(now) {
+	if s.watching(now) && s.samples.Newest().At.Add(sampleEvery).Before(now) {
 		s.askSample()
 	}
 	s.mu.Unlock()
 	for _, p := range closing {
 		p.close()
 	}
+	if moved {
+		s.setPoolSize(s.g.poolSize(s))
+	}
 	s.considerSuccession(now)
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -157,7 +157,7 @@
 // restTransaction ends the database's part of a transaction that has waited
 // too long for its caller, or longer than a leaving host allows.
 func (s *session) restTransaction() {
-	if s.tx == nil || s.tx.conn == nil {
+	if s.tx == nil || s.tx.runner == nil {
 		return
 	}
 	if s.cut.Load() || !time.Now().Before(s.tx.idleDeadline()) {
@@ -191,6 +191,10 @@
 	floor    position.Position
 	state    sessionstate.Session // the session's, as of this statement
 	own      position.Position    // the session's last commit
+
+	inTransaction bool
+	readOnly      bool      // the transaction only reads
+	began         time.Time // when the transaction arrived
 }
 
 // serve answers one request.
@@ -217,6 +221,86 @@
 	return a
 }
 
+// single runs a statement outside of a transaction, on the service's home or,
+// where that does not answer, here.
+func (s *session) single(ctx context.Context, op *operation) (statement.Answer, error) {
+	run := s.g.runnerFor(op.svc)
+	if op.writes() {
+		return s.singleWrite(ctx, op, run)
+	}
+	if _, here := run.(*local); here {
+		return run.run(ctx, op)
+	}
+	return s.singleRead(ctx, op, run)
+}
+
+// singleWrite runs a write; it is run a second time only if the first was not
+// sent.
+func (s *session) singleWrite(ctx context.Context, op *operation, run runner) (statement.Answer, error) {
+	a, err := run.run(ctx, op)
+	if lost(err) && neverRan(err) {
+		a, err = newLocal(s.g).run(ctx, op)
+	}
+	if err == nil {
+		s.own = position.Max(s.own, a.Position)
+	}
+	return a, err
+}
+
+// homeHedgeAfter is the part of the objective after which a read that its home
+// has not answered is run here too: after the home's own second try.
+const homeHedgeAfter = 0.75
+
+// singleRead runs a read on its home, and here when the home is late or lost.
+func (s *session) singleRead(ctx context.Context, op *operation, run runner) (statement.Answer, error) {
+	type outcome struct {
+		op  operation
+		a   statement.Answer
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan outcome, 2)
+	running, both := 0, false
+	// As in hedged, no run outlives the answer.
+	defer func() {
+		cancel()
+		for ; running > 0; running-- {
+			<-results
+		}
+	}()
+	start := func(run runner) {
+		running++
+		copied := *op
+		go func() {
+			a, err := run.run(ctx, &copied)
+			results <- outcome{copied, a, err}
+		}()
+	}
+	start(run)
+	late := time.NewTimer(time.Duration(float64(op.route.Objective) * homeHedgeAfter))
+	defer late.Stop()
+	for {
+		select {
+		case got := <-results:
+			running--
+			if got.err != nil && lost(got.err) && !both {
+				both = true
+				start(newLocal(s.g))
+				continue
+			}
+			if got.err == nil || running == 0 {
+				op.database, op.tries, op.floor = got.op.database, got.op.tries, got.op.floor
+				return got.a, got.err
+			}
+		case <-late.C:
+			if !both {
+				both = true
+				start(newLocal(s.g))
+			}
+		}
+	}
+}
+
 // newOperation checks the session's right to run a statement now.
 func (s *session) newOperation(req statement.Request) (*operation, error) {
 	now := s.g.now()
@@ -244,7 +328,9 @@
 		if err := s.g.rates.admit(s.customer, now); err != nil {
 			return nil, err
 		}
+		return op, nil
 	}
+	op.inTransaction, op.readOnly, op.began = true, s.tx.readOnly, s.tx.began
 	return op, nil
 }
 
@@ -270,7 +356,8 @@
 
 // item is the operation's place in a database's queue.
 func (op *operation) item() fair.Item {
-	return fair.Item{Customer: op.customer, Urgent: op.route.Urgency <= urgentUpTo, Deadline: op.deadline}
+	urgent := op.route.Urgency <= urgentUpTo || op.inTransaction // a transaction holds a connection
+	return fair.Item{Customer: op.customer, Urgent: urgent, Deadline: op.deadline}
 }
 
 // urgentUpTo is the greatest urgency number that goes ahead of a customer's
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -47,24 +48,23 @@
 }
 
 // single runs a statement outside of a transaction.
-func (s *session) single(ctx context.Context, op *operation) (statement.Answer, error) {
+func (l *local) single(ctx context.Context, op *operation) (statement.Answer, error) {
 	switch {
 	case op.writes():
-		return s.write(ctx, op)
+		return l.write(ctx, op)
 	case op.route.Freshness == routes.Current:
-		return s.hedged(ctx, op, s.tryCurrent)
+		return l.hedged(ctx, op, l.tryCurrent)
 	}
-	return s.hedged(ctx, op, s.tryReplica)
+	return l.hedged(ctx, op, l.tryReplica)
 }
 
 // write runs a write on the primary. It is sent again only where the database
 // says that it did not run.
-func (s *session) write(ctx context.Context, op *operation) (statement.Answer, error) {
+func (l *local) write(ctx context.Context, op *operation) (statement.Answer, error) {
 	var again pause
 	for {
-		a, err := s.writeOnce(ctx, op)
+		a, err := l.writeOnce(ctx, op)
 		if err == nil && a.Err == nil {
-			s.own = position.Max(s.own, a.Position)
 			op.svc.committed(a.Position)
 			return a, nil
 		}
@@ -89,41 +89,49 @@
 }
 
 // writeOnce sends a write to the primary once.
-func (s *session) writeOnce(ctx context.Context, op *operation) (statement.Answer, error) {
-	c, err := s.primaryConn(ctx, op)
+func (l *local) writeOnce(ctx context.Context, op *operation) (statement.Answer, error) {
+	c, err := l.primaryConn(ctx, op)
 	if err != nil {
 		return statement.Answer{}, err
 	}
 	defer c.pool.release(c)
-	before, main := op.bring(c, op.Request)
-	if s.g.now().Sub(c.usedAt) >= proofAge {
-		if err := op.svc.prove(c, op.tryDeadline(s.g.now(), proofTimeout), before...); err != nil {
+	if l.g.now().Sub(c.usedAt) >= proofAge {
+		if err := op.svc.prove(c, op.tryDeadline(l.g.now(), proofTimeout)); err != nil {
 			return statement.Answer{}, err
 		}
-		before = nil
 	}
 	end := op.svc.startCommit()
-	answers, err := c.run(op.deadline, append(before, main)...)
+	answers, err := c.work(ctx, op, position.Position{})
 	end(err == nil && last(answers).Err == nil)
 	if err != nil {
-		return statement.Answer{}, errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)
+		return statement.Answer{}, unanswered(err, op.database)
 	}
 	return op.judge(c, answers)
 }
 
+// unanswered is the error of a statement without an answer: its outcome is
+// unknown, unless it was never sent.
+func unanswered(err error, database string) error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, err, "database "+database)
+}
+
 // proofTimeout bounds a question that takes no slot of the database.
 const proofTimeout = 250 * time.Millisecond
 
 // primaryConn waits for the primary and a connection to it.
-func (s *session) primaryConn(ctx context.Context, op *operation) (*conn, error) {
+func (l *local) primaryConn(ctx context.Context, op *operation) (*conn, error) {
 	p, err := op.svc.leader(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return s.conn(ctx, op, p)
+	return l.acquire(ctx, op, p)
 }
 
-func (s *session) conn(ctx context.Context, op *operation, p *pool) (*conn, error) {
+func (l *local) acquire(ctx context.Context, op *operation, p *pool) (*conn, error) {
 	c, err := p.acquire(ctx, op.item())
 	if err != nil {
 		return nil, err
@@ -173,6 +181,7 @@
 	case errkind.DatabaseBehind:
 		op.svc.shun(id, now.Add(behindPause))
 	case errkind.DatabaseBusy:
+		c.pool.overloaded(now)
 		op.svc.shun(id, now.Add(busyPause))
 	case errkind.UnknownStatement:
 		c.broken = true // the connection does not hold what it should
@@ -195,9 +204,18 @@
 
 // hedged runs a read until one try succeeds. Another try starts when one fails
 // without having run, and when the first takes long: its answer may be lost.
-func (s *session) hedged(ctx context.Context, op *operation, try func(context.Context, *operation, int) attempt) (statement.Answer, error) {
+func (l *local) hedged(ctx context.Context, op *operation, try func(context.Context, *operation, int) attempt) (statement.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan attempt, maxTries)
 	running, started := 0, 0
+	// A try that is still under way must end before the caller is answered: its
+	// statement belongs to the session's state of now.
+	defer func() {
+		cancel()
+		for ; running > 0; running-- {
+			<-results
+		}
+	}()
 	start := func() {
 		n, copied := started, *op
 		started++
@@ -248,14 +266,14 @@
 
 // tryCurrent reads in a transaction that may write, on the primary: the
 // database refuses the read if it no longer leads.
-func (s *session) tryCurrent(ctx context.Context, op *operation, _ int) attempt {
-	c, err := s.primaryConn(ctx, op)
+func (l *local) tryCurrent(ctx context.Context, op *operation, _ int) attempt {
+	c, err := l.primaryConn(ctx, op)
 	if err != nil {
 		return attempt{err: err}
 	}
 	defer c.pool.release(c)
-	before, main := op.bring(c, op.Request)
-	asked := s.g.now()
+	before, _ := op.bring(c, statement.Request{})
+	asked := l.g.now()
 	answers, err := c.run(op.tryDeadline(asked, proofTimeout), append(before, own(statement.Begin))...)
 	if err != nil {
 		return attempt{err: errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+op.database)}
@@ -263,20 +281,21 @@
 	if err := op.svc.judgeProof(c, answers, asked); err != nil {
 		return attempt{err: err}
 	}
-	answers, err = c.run(op.deadline, main, own(statement.Rollback))
+	answers, err = c.work(ctx, op, position.Position{}, own(statement.Rollback))
 	if err != nil {
-		return attempt{err: errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)}
+		c.broken = true // its transaction is open
+		return attempt{err: unanswered(err, op.database)}
 	}
 	if last(answers).State != statement.Idle {
 		c.broken = true
 	}
-	a, err := op.judge(c, answers[:1])
+	a, err := op.judge(c, answers[:len(answers)-1])
 	a.State = statement.Idle
 	return attempt{a, err}
 }
 
 // tryReplica reads on a database whose log has reached the read's floor.
-func (s *session) tryReplica(ctx context.Context, op *operation, n int) attempt {
+func (l *local) tryReplica(ctx context.Context, op *operation, n int) attempt {
 	at, err := op.floorAt(ctx, op.route, op.arrived)
 	if err != nil {
 		return attempt{err: err}
@@ -286,16 +305,14 @@
 	if len(pools) == 0 {
 		return attempt{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
 	}
-	c, err := s.conn(ctx, op, pools[n%len(pools)])
+	c, err := l.acquire(ctx, op, pools[n%len(pools)])
 	if err != nil {
 		return attempt{err: err}
 	}
 	defer c.pool.release(c)
-	before, main := op.bring(c, op.Request)
-	main.After = at
-	answers, err := c.run(op.deadline, append(before, main)...)
+	answers, err := c.work(ctx, op, at)
 	if err != nil {
-		return attempt{err: errkind.Wrap(errkind.OutcomeUnknown, err, "database "+op.database)}
+		return attempt{err: unanswered(err, op.database)}
 	}
 	a, err := op.judge(c, answers)
 	return attempt{a, err}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -199,7 +199,7 @@
 	services := maps.Clone(g.services)
 	g.mu.Unlock()
 	for name, s := range services {
-		s.setDatabases(byService[name], g.poolSize(name))
+		s.setDatabases(byService[name], g.poolSize(s))
 	}
 }
 
@@ -220,26 +220,35 @@
 
 // Bounds of the connections that a host holds to one database.
 const (
-	// reservedConns of each database stay free for connections that a dead
-	// host left behind and for promotions.
-	reservedConns = 4
-	leastConns    = 2
+	// reservedConns of each database stay free for hosts that are not homes,
+	// for connections that a dead host left behind and for promotions.
+	reservedConns = 14
+	// spareConns is what a host holds that is not the home: for statements
+	// while the home is away, and to ask the primary.
+	spareConns = 2
 	// unlimitedConns is the size where the configuration gives none.
 	unlimitedConns = 8
 )
 
-// poolSize is this host's even part of a database's connections.
-func (g *Gateway) poolSize(service string) int {
-	limit := g.config.Load().Services[service].MaxConns
+// poolSize is the connections that this host may hold to each of a service's
+// databases: the home's even part among data centres, or the spare ones.
+func (g *Gateway) poolSize(s *service) int {
+	s.mu.Lock()
+	rank := s.homeRank
+	s.mu.Unlock()
+	limit := g.config.Load().Services[s.name].MaxConns
 	if limit <= 0 {
-		return unlimitedConns
+		limit = unlimitedConns * g.peers.dataCentres()
 	}
-	return max(leastConns, (limit-reservedConns)/g.peers.hosts())
+	if rank > 0 {
+		return spareConns
+	}
+	return max(spareConns, (limit-reservedConns)/g.peers.dataCentres())
 }
 
 // sizePools follows a change of the configuration or of the number of hosts.
 func (g *Gateway) sizePools() {
 	for _, s := range g.allServices() {
-		s.setPoolSize(g.poolSize(s.name))
+		s.setPoolSize(g.poolSize(s))
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -97,8 +97,10 @@
 	Callers      string // IP:port
 	Ready        string // IP:port
 	Peers        string // IP:port, TCP and UDP
+	Access       string // IP:port
 	Metrics      string // IP:port; empty for none
 	PromotionURL string
+	DataCentres  []string
 	MaxCallers   int
 	WatchWait    time.Duration
 	MemoryMB     int // of the process; 0 for no limit
