Bound the reads that are sent twice

Change: a budget of 0.08 a read by customer and service, the budget of the PostgreSQL path moved to customer/retry.

--- a/gateway/local.go
+++ b/gateway/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -70,7 +71,7 @@
 // inTransaction runs a statement of the transaction, again where the database
 // did not run it or where nothing of the transaction has been answered yet.
 func (l *local) inTransaction(ctx context.Context, op *operation) (statement.Answer, error) {
-	var again pause
+	var again retry.Backoff
 	for {
 		a, err := l.tryInTransaction(ctx, op)
 		if err == nil {
@@ -79,7 +80,7 @@
 		if l.conn != nil && (l.conn.broken || errkind.Of(err) == errkind.PrimaryReplaced) {
 			l.drop()
 		}
-		if !l.mayRepeat(op, err) || !again.wait(ctx) {
+		if !l.mayRepeat(op, err) || !again.Pause(ctx) {
 			return a, err
 		}
 	}
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -294,7 +295,7 @@
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	q.answered = false
-	var again pause
+	var again retry.Backoff
 	for {
 		err := a.exchange(ctx, q, st)
 		if err == nil {
@@ -308,7 +309,7 @@
 			q.conn.Close()
 			q.conn = nil
 		}
-		if !again.wait(ctx) {
+		if !again.Pause(ctx) {
 			g.log.Info("Replica does not answer.", "part", "promotion", "service", a.s.name, "database", q.db.ID, "error", err)
 			return
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/floor"
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
@@ -17,6 +18,9 @@
 type service struct {
 	g    *Gateway
 	name string
+	// hedges bounds the reads that are sent twice, so that an overloaded
+	// database is not met with twice its load.
+	hedges *retry.Budget
 
 	mu      sync.Mutex // guards all below; pool.mu may be taken under it
 	table   *lead.Table
@@ -33,9 +37,18 @@
 	homeRank int // this host's place among the service's homes
 }
 
+// Budget of reads that are sent twice, by customer.
+const (
+	// hedgeShare covers the answers that a failing path loses, some in a
+	// hundred.
+	hedgeShare = 0.08
+	hedgeBurst = 4
+)
+
 func newService(g *Gateway, name string) *service {
 	return &service{
 		g: g, name: name,
+		hedges:   retry.NewBudget(hedgeShare, hedgeBurst),
 		table:    lead.New(),
 		pools:    map[string]*pool{},
 		changed:  make(chan struct{}),
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -277,6 +277,7 @@
 		}()
 	}
 	start(run)
+	op.svc.hedges.Earn(op.customer)
 	late := time.NewTimer(time.Duration(float64(op.route.Objective) * homeHedgeAfter))
 	defer late.Stop()
 	for {
@@ -293,7 +294,7 @@
 				return got.a, got.err
 			}
 		case <-late.C:
-			if !both {
+			if !both && op.svc.hedges.Take(op.customer) {
 				both = true
 				start(newLocal(s.g))
 			}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/floor"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -15,9 +15,6 @@
 
 // Timing of tries.
 const (
-	// firstPause and lastPause bound the growing pause between tries.
-	firstPause = 4 * time.Millisecond
-	lastPause  = 60 * time.Millisecond
 	// behindPause keeps reads off a replica that has not caught up: the delay
 	// of a replica is some ten milliseconds.
 	behindPause = 60 * time.Millisecond
@@ -28,25 +25,6 @@
 	proofAge = 150 * time.Millisecond
 )
 
-// pause waits between tries; it reports false when the time is up.
-type pause struct{ next time.Duration }
-
-func (p *pause) wait(ctx context.Context) bool {
-	if p.next == 0 {
-		p.next = firstPause
-	}
-	d := p.next/2 + rand.N(p.next)
-	p.next = min(2*p.next, lastPause)
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // single runs a statement outside of a transaction.
 func (l *local) single(ctx context.Context, op *operation) (statement.Answer, error) {
 	switch {
@@ -61,7 +39,7 @@
 // write runs a write on the primary. It is sent again only where the database
 // says that it did not run.
 func (l *local) write(ctx context.Context, op *operation) (statement.Answer, error) {
-	var again pause
+	var again retry.Backoff
 	for {
 		a, err := l.writeOnce(ctx, op)
 		if err == nil && a.Err == nil {
@@ -71,7 +49,7 @@
 		if err == nil {
 			err = a.Err
 		}
-		if !neverRan(err) || !again.wait(ctx) {
+		if !neverRan(err) || !again.Pause(ctx) {
 			return statement.Answer{}, err
 		}
 	}
@@ -223,9 +201,10 @@
 		go func() { results <- try(ctx, &copied, n) }()
 	}
 	start()
+	op.svc.hedges.Earn(op.customer)
 	late := time.NewTimer(time.Duration(float64(op.route.Objective) * hedgeAfter))
 	defer late.Stop()
-	var again pause
+	var again retry.Backoff
 	for {
 		select {
 		case got := <-results:
@@ -240,12 +219,12 @@
 			if running > 0 {
 				continue
 			}
-			if started >= maxTries+2 && !again.wait(ctx) || ctx.Err() != nil {
+			if started >= maxTries+2 && !again.Pause(ctx) || ctx.Err() != nil {
 				return statement.Answer{}, got.err
 			}
 			start()
 		case <-late.C:
-			if running < maxTries {
+			if running < maxTries && op.svc.hedges.Take(op.customer) {
 				start()
 			}
 		case <-ctx.Done():
--- a/host/callers.go
+++ b/host/callers.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/caller"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
@@ -144,7 +145,7 @@
 			return
 		}
 		if err != nil {
-			pause(h.ctx, 10*time.Millisecond)
+			retry.Wait(h.ctx, 10*time.Millisecond)
 			continue
 		}
 		go h.serveCaller(nc)
--- a/host/config.go
+++ b/host/config.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bronzeloft/bronzeloft/contract"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/group"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
@@ -25,17 +26,17 @@
 func (h *Host) watchConfiguration() {
 	for h.ctx.Err() == nil {
 		if !h.members.isWatcher() {
-			pause(h.ctx, dutyCheck)
+			retry.Wait(h.ctx, dutyCheck)
 			continue
 		}
 		version, err := h.readConfiguration()
 		if err != nil {
 			h.log.Warn("Configuration could not be read.", "part", "config", "error", err)
-			pause(h.ctx, dutyCheck)
+			retry.Wait(h.ctx, dutyCheck)
 			continue
 		}
 		if _, _, err := h.opt.Platform.Watch(h.ctx, objectapi.KindHead, version); err != nil {
-			pause(h.ctx, dutyCheck/5)
+			retry.Wait(h.ctx, dutyCheck/5)
 		}
 	}
 }
@@ -75,7 +76,7 @@
 				h.members.observeList(list)
 			}
 		}
-		pause(h.ctx, hostsInterval)
+		retry.Wait(h.ctx, hostsInterval)
 	}
 }
 
@@ -92,13 +93,13 @@
 	if state.Claim == "" {
 		state.Claim = uuid.NewString()
 	}
-	var wait backoff
+	var wait retry.Backoff
 	for {
 		err := h.recordGroup(ctx, state)
 		if err == nil {
 			return
 		}
-		if !wait.pause(ctx) {
+		if !wait.Pause(ctx) {
 			h.log.Warn("Promotion was not recorded.", "part", "group", "group", state.Group, "term", state.Term, "error", err)
 			return
 		}
--- a/host/drain.go
+++ b/host/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
@@ -34,7 +35,7 @@
 	err := h.endSessions(ctx)
 	h.rates.leave()
 	h.permits.leave()
-	pause(ctx, drainTick)
+	retry.Wait(ctx, drainTick)
 	return err
 }
 
@@ -55,7 +56,7 @@
 		for _, s := range h.callers.all() {
 			s.expire(now, now.After(force))
 		}
-		if !pause(ctx, drainTick) {
+		if !retry.Wait(ctx, drainTick) {
 			return ctx.Err()
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/bronzeloft/bronzeloft/contract"
 	"github.com/bronzeloft/bronzeloft/customer/keys"
 	"github.com/bronzeloft/bronzeloft/customer/rate"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database"
 	"github.com/bronzeloft/bronzeloft/database/budget"
 	"github.com/bronzeloft/bronzeloft/database/group"
@@ -58,7 +59,7 @@
 	keys     *keys.Table
 	rates    *rates
 	permits  *permits
-	retries  *retryBudget
+	retries  *retry.Budget
 	members  *members
 	mesh     *peer.Mesh
 	callers  *registry
@@ -112,7 +113,7 @@
 		now:      opt.Now,
 		bootID:   uuid.NewString(),
 		keys:     keys.NewTable(),
-		retries:  newRetryBudget(),
+		retries:  retry.NewBudget(retryShare, retryBurst),
 		callers:  newRegistry(),
 		contacts: newContacts(),
 		groups:   map[string]*groupRunner{},
--- a/host/once.go
+++ b/host/once.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 )
 
@@ -51,7 +52,7 @@
 	if err := checkOnce(r, s.host.now()); err != nil {
 		return err
 	}
-	var wait backoff
+	var wait retry.Backoff
 	var tries outcome
 	for {
 		err := tries.add(s.onceOnPrimary(ctx, r))
@@ -64,7 +65,7 @@
 			return err
 		}
 		s.host.metrics.writeRetries.Inc()
-		if !wait.pause(ctx) {
+		if !wait.Pause(ctx) {
 			return err
 		}
 	}
--- a/host/purge.go
+++ b/host/purge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 )
 
@@ -17,7 +18,7 @@
 // purgeRecords deletes request records past their retention, on the groups for
 // which this host is first in rank. Two hosts may do it at once, harmlessly.
 func (h *Host) purgeRecords() {
-	for pause(h.ctx, purgeInterval) {
+	for retry.Wait(h.ctx, purgeInterval) {
 		for _, g := range h.groupRunners() {
 			if g.rank() != 0 {
 				continue
--- a/host/read.go
+++ b/host/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -13,7 +14,7 @@
 // may be tried again as long as nothing of an answer went to the caller.
 func (s *session) read(ctx context.Context, r *request) error {
 	var last error
-	var wait backoff
+	var wait retry.Backoff
 	for {
 		floor, sampled, err := s.readFloor(ctx, r)
 		if err != nil {
@@ -26,7 +27,7 @@
 			}
 			s.host.metrics.readRetries.Inc()
 		}
-		if !wait.pause(ctx) {
+		if !wait.Pause(ctx) {
 			return readFailure(last)
 		}
 	}
@@ -112,14 +113,14 @@
 // and to a replica where there is none.
 func (s *session) describe(ctx context.Context, r *request) error {
 	var last error
-	var wait backoff
+	var wait retry.Backoff
 	for {
 		for _, id := range r.service.group.describers() {
 			if last = s.readOn(ctx, r, id, position.Position{}, time.Time{}); last == nil || !retryRead(last) {
 				return last
 			}
 		}
-		if !wait.pause(ctx) {
+		if !wait.Pause(ctx) {
 			return readFailure(last)
 		}
 	}
--- a/host/relay.go
+++ b/host/relay.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/caller"
 	"github.com/bronzeloft/bronzeloft/link/peer"
@@ -53,7 +54,7 @@
 			}
 		}
 		h.members.connect()
-		if !pause(ctx, relayPoll) {
+		if !retry.Wait(ctx, relayPoll) {
 			return nil
 		}
 	}
@@ -100,7 +101,7 @@
 				s.expire(now, now.After(force))
 			}
 		}
-		if left == 0 || !pause(h.ctx, drainTick) {
+		if left == 0 || !retry.Wait(h.ctx, drainTick) {
 			return
 		}
 	}
--- a/host/write.go
+++ b/host/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
 )
 
@@ -24,8 +25,8 @@
 // writeRequest runs a request on the primary. It is sent again only when it
 // certainly did not run, or when its contract calls it idempotent.
 func (s *session) writeRequest(ctx context.Context, r *request) error {
-	s.host.retries.earn(s.customer)
-	var wait backoff
+	s.host.retries.Earn(s.customer)
+	var wait retry.Backoff
 	var tries outcome
 	for {
 		err := tries.add(s.writeOnPrimary(ctx, r))
@@ -33,7 +34,7 @@
 			return err
 		}
 		s.host.metrics.writeRetries.Inc()
-		if !wait.pause(ctx) {
+		if !wait.Pause(ctx) {
 			return err
 		}
 	}
@@ -45,7 +46,7 @@
 	case errkind.PrimaryReplaced, errkind.DatabaseUnavailable:
 		return true
 	case errkind.OutcomeUnknown:
-		return r.terms.Idempotent && s.host.retries.take(s.customer)
+		return r.terms.Idempotent && s.host.retries.Take(s.customer)
 	}
 	return false
 }
@@ -81,7 +82,7 @@
 // acquirePrimary waits for a primary and a connection to it. A statement that
 // waits has certainly not run.
 func (s *session) acquirePrimary(ctx context.Context, r *request) (*lease, uint64, error) {
-	var wait backoff
+	var wait retry.Backoff
 	for {
 		id, term, err := r.service.group.primary(ctx)
 		if err != nil {
@@ -91,7 +92,7 @@
 		if err == nil {
 			return lease, term, nil
 		}
-		if errkind.Of(err) != errkind.DatabaseUnavailable || !wait.pause(ctx) {
+		if errkind.Of(err) != errkind.DatabaseUnavailable || !wait.Pause(ctx) {
 			return nil, 0, err
 		}
 	}
