Look at the databases again before replacing a primary

Change: with the lease held, every database is asked for its role and term; a newer term or another primary ends the attempt. An order without an answer is recorded in the lease, and the replicas stay stopped until an order with a later fence is answered. A primary that leaves serves on while its successor alone acknowledges.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -144,8 +144,8 @@
 	RankDelay = 300 * time.Millisecond
 	// RetryDelay is the time between two attempts of one host.
 	RetryDelay = 300 * time.Millisecond
-	// StuckAgain keeps a primary that was made the leader for another's being
-	// stuck from being replaced for the same reason at once: then it is the
-	// replicas that do not receive.
-	StuckAgain = 8 * time.Second
+	// StuckAgain keeps a primary that has just begun to lead from being replaced
+	// for being stuck: if its predecessor was stuck too, it is the replicas that
+	// do not receive.
+	StuckAgain = 5 * time.Second
 )
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -48,7 +49,8 @@
 	since     time.Time // of reason
 	running   bool
 	next      time.Time // earliest next attempt
-	stuckNext time.Time // earliest next attempt because of Stuck
+	leader    string    // that was seen last
+	stuckNext time.Time // earliest attempt because of Stuck
 	seen      leaseSeen
 }
 
@@ -61,8 +63,11 @@
 // lease is the value of a lease object. Its version is the fence.
 type lease struct {
 	Holder   string `json:"holder"`
-	Claim    string `json:"claim"` // unique to one attempt
+	Claim    string `json:"claim"` // unique to one write
 	Released bool   `json:"released"`
+	// Ordered is the database whose promotion was ordered and may still take
+	// effect, unless an order with a later fence is answered.
+	Ordered string `json:"ordered,omitempty"`
 }
 
 func dutyScore(duty, host string) uint64 { return xxhash.Sum64String(duty + "\x00" + host) }
@@ -80,6 +85,9 @@
 	}
 	reason := succession.Judge(s.opinion(now), known && leader.Leaving, others)
 	d := &s.duty
+	if leader.ID != d.leader {
+		d.leader, d.stuckNext = leader.ID, now.Add(succession.StuckAgain)
+	}
 	if reason != d.reason {
 		d.reason, d.since = reason, now
 		if reason != succession.None {
@@ -100,10 +108,10 @@
 		return
 	}
 	d.running = true
-	if reason == succession.Stuck {
-		d.stuckNext = now.Add(succession.StuckAgain)
+	a := &attemptRun{
+		s: s, reason: reason, primary: leader.ID, term: s.table.Term(), acked: position.Max(acked, s.acked), started: now,
+		log: s.g.log.With("part", "promotion", "service", s.name, "primary", leader.ID, "reason", string(reason)),
 	}
-	a := &attemptRun{s: s, reason: reason, primary: leader.ID, acked: position.Max(acked, s.acked), started: now}
 	go func() {
 		a.run()
 		s.mu.Lock()
@@ -116,16 +124,19 @@
 // attemptRun is one attempt to replace a primary.
 type attemptRun struct {
 	s       *service
+	log     *slog.Logger
 	reason  succession.Reason
 	primary string // the present one; empty for none
+	term    uint64 // the newest that was known when the attempt was decided
 	acked   position.Position
 	started time.Time
-	fence   uint64
-	claim   string
-	paused  []*question
+
+	held      objectapi.Object // the lease
+	pending   bool             // an earlier order may still take effect
+	questions []*question
 }
 
-// question is a connection to one replica for the attempt.
+// question is a connection to one database for the attempt.
 type question struct {
 	db       routes.Database
 	conn     Connection
@@ -133,34 +144,32 @@
 	answered bool
 }
 
-// run makes the attempt.
+// run makes the attempt: lease, look, stop the replicas, choose, order, await.
 func (a *attemptRun) run() {
-	g := a.s.g
-	log := g.log.With("part", "promotion", "service", a.s.name, "primary", a.primary, "reason", string(a.reason))
-	ctx, cancel := context.WithTimeout(g.ctx, attemptLimit)
+	ctx, cancel := context.WithTimeout(a.s.g.ctx, attemptLimit)
 	defer cancel()
 	if err := a.takeLease(ctx); err != nil {
-		log.Info("Lease was not taken.", "error", err)
+		a.log.Info("Lease was not taken.", "error", err)
 		return
 	}
-	log.Info("Lease taken.", "fence", a.fence)
-	defer a.giveLeaseBack()
+	a.log.Info("Lease taken.", "fence", a.held.Version, "pending", a.pending)
 	defer a.closeQuestions()
 	successor, err := a.choose(ctx)
 	if err != nil {
-		log.Warn("No successor can be named.", "error", err)
-		a.resumeAll()
+		a.log.Warn("No successor is named.", "error", err)
+		if err := a.settle(ctx); err == nil {
+			a.resumeAll()
+			a.giveLeaseBack("")
+		}
 		return
 	}
-	order := succession.Order{Service: a.s.name, Database: successor.ID, Holder: g.opt.Name, Fence: a.fence}
-	err = g.platform.Promote(ctx, order)
-	log.Info("Promotion ordered.", "database", successor.ID, "received", successor.Received.String(), "fence", a.fence, "error", errorText(err))
-	if errors.Is(err, succession.ErrRefused) {
+	err = a.order(ctx, successor.ID)
+	refused := errors.Is(err, succession.ErrRefused) && !a.pending
+	if refused || err == nil && a.awaitLeader(successor.ID) {
 		a.resumeAll()
-		return
+		a.giveLeaseBack("")
 	}
-	a.awaitLeader(successor.ID)
-	a.resumeAll()
+	// Otherwise the replicas stay stopped: an order may still take effect.
 }
 
 func errorText(err error) string {
@@ -170,29 +179,57 @@
 	return err.Error()
 }
 
-var errLeaseHeld = errors.New("gateway: another host holds the lease")
+// Reasons to give an attempt up.
+var (
+	errLeaseHeld   = errors.New("gateway: another host holds the lease")
+	errNoSuccessor = errors.New("gateway: an acknowledged commit could be lost")
+	errLeads       = errors.New("gateway: a database leads")
+	errNewerTerm   = errors.New("gateway: the databases have gone on to a newer term")
+	errNotCaughtUp = errors.New("gateway: the successor has not caught up")
+)
 
 // takeLease writes this host into the service's lease object.
 func (a *attemptRun) takeLease(ctx context.Context) error {
-	store := a.s.g.platform.Objects()
-	var version uint64
-	old, err := store.Get(ctx, kindLeases, a.s.name)
+	old, err := a.s.g.platform.Objects().Get(ctx, kindLeases, a.s.name)
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
 	case err != nil:
 		return err
 	default:
-		if version = old.Version; !a.mayTake(old) {
+		if !a.mayTake(old) {
 			return errLeaseHeld
 		}
 	}
-	a.claim = uuid.NewString()
-	value, err := json.Marshal(lease{Holder: a.s.g.opt.Name, Claim: a.claim})
+	a.held = old
+	return a.writeLease(ctx, lease{Ordered: a.pendingOrder(old)})
+}
+
+// pendingOrder returns the order that a lease's former holder left unanswered.
+func (a *attemptRun) pendingOrder(old objectapi.Object) string {
+	var held lease
+	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
+		return "unknown" // a lease that cannot be read may hide an order
+	}
+	a.pending = held.Ordered != ""
+	return held.Ordered
+}
+
+// writeLease replaces the lease that this attempt holds. Its new version is the
+// fence from then on.
+func (a *attemptRun) writeLease(ctx context.Context, l lease) error {
+	l.Holder, l.Claim = a.s.g.opt.Name, uuid.NewString()
+	value, err := json.Marshal(l)
 	if err != nil {
 		return err
 	}
-	taken, err := objectapi.UpdateOwn(ctx, store, kindLeases, a.s.name, version, value, a.isMine)
-	a.fence = taken.Version
+	isMine := func(value []byte) bool {
+		var held lease
+		return json.Unmarshal(value, &held) == nil && held.Claim == l.Claim
+	}
+	held, err := objectapi.UpdateOwn(ctx, a.s.g.platform.Objects(), kindLeases, a.s.name, a.held.Version, value, isMine)
+	if err == nil {
+		a.held = held
+	}
 	return err
 }
 
@@ -201,7 +238,7 @@
 func (a *attemptRun) mayTake(old objectapi.Object) bool {
 	var held lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
-		a.s.g.log.Warn("Lease cannot be read.", "part", "promotion", "service", a.s.name, "error", err)
+		a.log.Warn("Lease cannot be read.", "error", err)
 	}
 	if held.Released || held.Holder == a.s.g.opt.Name {
 		return true
@@ -216,82 +253,203 @@
 	return now.Sub(seen.at) >= leaseTerm
 }
 
-func (a *attemptRun) isMine(value []byte) bool {
-	var held lease
-	return json.Unmarshal(value, &held) == nil && held.Claim == a.claim
-}
-
 // giveLeaseBack frees the lease for the next holder.
-func (a *attemptRun) giveLeaseBack() {
-	g := a.s.g
-	value, err := json.Marshal(lease{Holder: g.opt.Name, Claim: a.claim, Released: true})
-	if err == nil {
-		_, err = g.platform.Objects().Update(g.ctx, kindLeases, a.s.name, a.fence, value)
-	}
-	if err != nil {
-		g.log.Info("Lease was not given back, it runs out.", "part", "promotion", "service", a.s.name, "error", err)
+func (a *attemptRun) giveLeaseBack(ordered string) {
+	ctx, cancel := context.WithTimeout(a.s.g.ctx, questionTimeout)
+	defer cancel()
+	if err := a.writeLease(ctx, lease{Released: true, Ordered: ordered}); err != nil {
+		a.log.Info("Lease was not given back, it runs out.", "error", err)
 	}
 }
 
-var errNoSuccessor = errors.New("gateway: an acknowledged commit could be lost")
-
-// choose stops the replicas from receiving, reads their logs' ends and names
-// the successor.
+// choose names the successor, after making sure that the attempt's view of the
+// service still holds and that no other replica receives more than it.
 func (a *attemptRun) choose(ctx context.Context) (succession.Candidate, error) {
 	a.s.mu.Lock()
-	replicas := a.s.table.Replicas(a.primary)
-	term := a.s.table.Term() + 1
+	all := a.s.table.All()
 	a.s.mu.Unlock()
-	questions := a.ask(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: term})
-	if newest := newestTerm(questions); newest >= term {
-		questions = a.askAgain(ctx, questions, statement.Statement{Kind: statement.Pause, Term: newest + 1})
+	a.questions = make([]*question, len(all))
+	for i, db := range all {
+		a.questions[i] = &question{db: db}
 	}
-	candidates := make([]succession.Candidate, len(questions))
-	for i, q := range questions {
-		a.s.mu.Lock()
-		listed := a.s.table.Listed(q.db.ID)
-		a.s.mu.Unlock()
-		candidates[i] = succession.Candidate{ID: q.db.ID, Answered: q.answered, Listed: listed, Leaving: q.db.Leaving, Received: q.report.Received}
-		a.s.g.log.Info("Replica asked.", "part", "promotion", "service", a.s.name, "database", q.db.ID, "answered", q.answered,
-			"listed", listed, "received", q.report.Received.String(), "term", q.report.Term, "acked", a.acked.String())
+	a.ask(ctx, a.questions, statement.Statement{Kind: statement.Status})
+	if err := a.checkView(); err != nil {
+		return succession.Candidate{}, err
+	}
+	if a.reason == succession.Leaving {
+		return a.choosePlanned(ctx)
 	}
-	best, ok := succession.Choose(candidates, a.acked)
+	replicas := a.replicas()
+	a.ask(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
+	best, ok := succession.Choose(a.candidates(replicas), a.acked)
 	if !ok {
 		return best, errNoSuccessor
 	}
 	return best, nil
 }
 
-func newestTerm(questions []*question) uint64 {
-	var newest uint64
-	for _, q := range questions {
+// checkView compares what the databases say with what the attempt was decided
+// upon: another host may have replaced the primary meanwhile.
+func (a *attemptRun) checkView() error {
+	expected := a.reason == succession.Leaving || a.reason == succession.Stuck
+	for _, q := range a.questions {
+		if !q.answered {
+			continue
+		}
+		if q.report.Term > a.term {
+			return errNewerTerm
+		}
+		if q.report.Primary && !(expected && q.db.ID == a.primary) {
+			a.s.proved(q.db.ID, position.Position{}, a.s.g.now())
+			return errLeads
+		}
+	}
+	return nil
+}
+
+// replicas are the databases that do not lead.
+func (a *attemptRun) replicas() []*question {
+	var out []*question
+	for _, q := range a.questions {
+		if q.answered && q.report.Primary || q.db.ID == a.primary && !q.answered {
+			continue
+		}
+		out = append(out, q)
+	}
+	return out
+}
+
+func (a *attemptRun) newestTerm() uint64 {
+	newest := a.term
+	for _, q := range a.questions {
 		newest = max(newest, q.report.Term)
 	}
 	return newest
 }
 
-// ask sends a statement to each database on a connection of its own.
-func (a *attemptRun) ask(ctx context.Context, databases []routes.Database, st statement.Statement) []*question {
-	questions := make([]*question, len(databases))
-	for i, db := range databases {
-		questions[i] = &question{db: db}
+// candidates are the replicas as succession sees them.
+func (a *attemptRun) candidates(replicas []*question) []succession.Candidate {
+	out := make([]succession.Candidate, len(replicas))
+	for i, q := range replicas {
+		a.s.mu.Lock()
+		listed := a.s.table.Listed(q.db.ID)
+		a.s.mu.Unlock()
+		out[i] = succession.Candidate{ID: q.db.ID, Answered: q.answered, Listed: listed, Leaving: q.db.Leaving, Received: q.report.Received}
+		a.log.Info("Replica asked.", "database", q.db.ID, "answered", q.answered, "listed", listed,
+			"received", q.report.Received.String(), "term", q.report.Term, "acked", a.acked.String())
+	}
+	return out
+}
+
+// choosePlanned names the successor of a primary that still serves. The other
+// replicas are stopped, so that every commit from then on is acknowledged by
+// the successor, and the primary serves on until it takes over.
+func (a *attemptRun) choosePlanned(ctx context.Context) (succession.Candidate, error) {
+	var staying []*question
+	for _, q := range a.replicas() {
+		if !q.db.Leaving {
+			staying = append(staying, q)
+		}
+	}
+	best, ok := succession.Choose(a.candidates(staying), position.Position{})
+	if !ok {
+		return best, errNoSuccessor
+	}
+	var next *question
+	var others []*question
+	for _, q := range a.replicas() {
+		if q.db.ID == best.ID {
+			next = q
+			continue
+		}
+		others = append(others, q)
+	}
+	a.ask(ctx, others, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
+	goal, err := a.goal(others)
+	if err != nil {
+		return best, err
+	}
+	return best, a.catchUp(ctx, next, goal)
+}
+
+// goal is what the successor of a primary that still serves must have
+// received: the primary's log as it was when the other replicas had stopped.
+func (a *attemptRun) goal(others []*question) (position.Position, error) {
+	var goal position.Position
+	for _, q := range a.questions {
+		if q.db.ID == a.primary {
+			goal = position.Max(goal, q.report.Received)
+		}
+	}
+	for _, q := range others {
+		a.s.mu.Lock()
+		listed := a.s.table.Listed(q.db.ID)
+		a.s.mu.Unlock()
+		if !q.answered && listed {
+			return goal, errNoSuccessor
+		}
+		goal = position.Max(goal, q.report.Received)
+	}
+	return goal, nil
+}
+
+// catchUp waits until a replica has received what others hold.
+func (a *attemptRun) catchUp(ctx context.Context, q *question, goal position.Position) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	for q.report.Received.Before(goal) {
+		sleep(ctx, catchUpPause)
+		if ctx.Err() != nil {
+			return errNotCaughtUp
+		}
+		a.ask(ctx, []*question{q}, statement.Statement{Kind: statement.Status})
+	}
+	return nil
+}
+
+// order makes the promotion call until its outcome is known. Before each call
+// the lease says that it may take effect.
+func (a *attemptRun) order(ctx context.Context, database string) error {
+	var again retry.Backoff
+	for {
+		if err := a.writeLease(ctx, lease{Ordered: database}); err != nil {
+			a.log.Warn("Order is not recorded, so it is not given.", "database", database, "error", err)
+			return err
+		}
+		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.held.Version}
+		err := a.s.g.platform.Promote(ctx, order)
+		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
+		if err == nil || errors.Is(err, succession.ErrRefused) || !again.Pause(ctx) {
+			return err
+		}
 	}
-	a.paused = questions
-	return a.askAgain(ctx, questions, st)
 }
 
-func (a *attemptRun) askAgain(ctx context.Context, questions []*question, st statement.Statement) []*question {
+// settle makes sure that no earlier order takes effect any more, by an order
+// for the present primary, which changes nothing but the fence.
+func (a *attemptRun) settle(ctx context.Context) error {
+	if !a.pending {
+		return nil
+	}
+	for _, q := range a.questions {
+		if q.answered && q.report.Primary {
+			return a.order(ctx, q.db.ID)
+		}
+	}
+	return errNoSuccessor
+}
+
+// ask sends a statement to each database on a connection of its own.
+func (a *attemptRun) ask(ctx context.Context, questions []*question, st statement.Statement) {
 	var all sync.WaitGroup
 	for _, q := range questions {
 		all.Go(func() { a.askOne(ctx, q, st) })
 	}
 	all.Wait()
-	return questions
 }
 
 // askOne asks one database, more than once where it is overloaded.
 func (a *attemptRun) askOne(ctx context.Context, q *question, st statement.Statement) {
-	g := a.s.g
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	q.answered = false
@@ -310,7 +468,7 @@
 			q.conn = nil
 		}
 		if !again.Pause(ctx) {
-			g.log.Info("Replica does not answer.", "part", "promotion", "service", a.s.name, "database", q.db.ID, "error", err)
+			a.log.Info("Database does not answer.", "database", q.db.ID, "error", err)
 			return
 		}
 	}
@@ -334,7 +492,7 @@
 }
 
 // awaitLeader waits until the successor leads.
-func (a *attemptRun) awaitLeader(id string) {
+func (a *attemptRun) awaitLeader(id string) bool {
 	g := a.s.g
 	ctx, cancel := context.WithTimeout(g.ctx, takeOverLimit)
 	defer cancel()
@@ -344,26 +502,27 @@
 		leader, ok := a.s.table.Leader()
 		a.s.mu.Unlock()
 		if ok && leader.ID == id {
-			g.log.Info("Successor leads.", "part", "promotion", "service", a.s.name, "database", id, "after_ms", g.now().Sub(a.started).Milliseconds())
-			return
+			a.log.Info("Successor leads.", "database", id, "after_ms", g.now().Sub(a.started).Milliseconds())
+			return true
 		}
 		if p != nil {
 			a.s.sample(p)
 		}
 		sleep(ctx, catchUpPause)
 	}
-	g.log.Warn("Successor does not lead.", "part", "promotion", "service", a.s.name, "database", id)
+	a.log.Warn("Successor does not lead.", "database", id)
+	return false
 }
 
 // resumeAll lets the replicas receive again.
 func (a *attemptRun) resumeAll() {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, questionTimeout)
 	defer cancel()
-	a.askAgain(ctx, a.paused, statement.Statement{Kind: statement.Resume})
+	a.ask(ctx, a.questions, statement.Statement{Kind: statement.Resume})
 }
 
 func (a *attemptRun) closeQuestions() {
-	for _, q := range a.paused {
+	for _, q := range a.questions {
 		if q.conn != nil {
 			q.conn.Close()
 		}
