Name no successor while a replica may be cut off with the primary

Change: databases that are no longer listed are remembered and asked; where no host of their data centre is heard, none is promoted. The spec fails without the change. A statement that waits for a primary looks for it at once; a connection's turn is read before it is given back (a data race).

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -19,8 +19,13 @@
 	leader  string
 	since   time.Time // of the evidence for leader
 	term    uint64    // the newest seen
+	former  []routes.Database
 }
 
+// maxFormer bounds the former databases that are remembered; a service has a
+// handful at a time.
+const maxFormer = 16
+
 type member struct {
 	routes.Database
 	missing  time.Time // since when it is not listed; zero while it is
@@ -89,8 +94,22 @@
 		if !m.missing.IsZero() && now.Sub(m.missing) >= MissingFor {
 			delete(t.members, id)
 			t.forgetLeader(id)
+			t.former = append(t.former, m.Database)
+			t.former = t.former[max(0, len(t.former)-maxFormer):]
+		}
+	}
+}
+
+// Former returns databases that are no longer listed. One may still serve where
+// it is cut off from the store.
+func (t *Table) Former() []routes.Database {
+	var out []routes.Database
+	for _, db := range t.former {
+		if _, back := t.members[db.ID]; !back {
+			out = append(out, db)
 		}
 	}
+	return out
 }
 
 func (t *Table) forgetLeader(id string) {
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -5,8 +5,10 @@
 // replica that is named must hold whatever any replica holds: first every
 // replica is stopped from receiving, then each one's log end is read, and the
 // longest log wins. A replica whose log end cannot be read may hold the only
-// copy of an acknowledged commit; without it, the others may only be named
-// where their logs reach the last commit that any host has acknowledged.
+// copy of an acknowledged commit. Without it, the others may only be named where
+// it is no longer listed, where hosts of its data centre are heard, so that it
+// is gone and not cut off together with the primary and hosts that acknowledge,
+// and where a log reaches the last commit that any host has acknowledged.
 package succession
 
 import (
@@ -92,6 +94,7 @@
 	ID       string
 	Answered bool // its log end is known and it receives nothing more
 	Listed   bool // the platform lists it as alive
+	CutOff   bool // no host of its data centre is heard
 	Leaving  bool
 	Received position.Position
 }
@@ -113,16 +116,16 @@
 	if best.ID == "" {
 		return Candidate{}, false
 	}
-	if missing && (unread(all) || best.Received.Before(acked)) {
+	if missing && (unsure(all) || best.Received.Before(acked)) {
 		return Candidate{}, false
 	}
 	return best, true
 }
 
-// unread reports whether a replica that is alive has not been read.
-func unread(all []Candidate) bool {
+// unsure reports whether a replica that may be alive has not been read.
+func unsure(all []Candidate) bool {
 	for _, c := range all {
-		if c.Listed && !c.Answered {
+		if !c.Answered && (c.Listed || c.CutOff) {
 			return true
 		}
 	}
--- /dev/null
+++ b/gateway/model_test.go
@@ -0,0 +1,424 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// group is a stand-in of one service's databases. A commit is acknowledged
+// when one replica has it.
+type group struct {
+	mu        sync.Mutex
+	term      uint64
+	leader    string
+	databases map[string]*standin
+	fence     uint64
+	orders    []succession.Order
+	lateOrder func(succession.Order) error // answers in place of the group
+	ran       []string                     // ids of writes that took effect
+}
+
+// standin is one database of a group.
+type standin struct {
+	group    *group
+	id       string
+	end      position.Position
+	paused   bool
+	dark     bool // does not answer
+	deaf     bool // receives nothing
+	asked    []statement.Kind
+	reads    int
+	hold     chan struct{} // reads wait for it; nil for none
+	loseNext bool          // the answer to the next write is lost
+	resets   int
+}
+
+func newGroup(ids ...string) *group {
+	g := &group{term: 1, leader: ids[0], databases: map[string]*standin{}}
+	for _, id := range ids {
+		g.databases[id] = &standin{group: g, id: id, end: position.Position{Term: 1, Index: 10}}
+	}
+	return g
+}
+
+// link is a connection to a standin.
+type link struct {
+	db     *standin
+	values map[string]string
+	shapes map[string]string
+	open   bool // a transaction
+	reader bool // it only reads
+	wrote  int
+	cut    chan struct{}
+	once   sync.Once
+}
+
+func (g *group) dial(id string) (*link, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	db := g.databases[id]
+	if db == nil || db.dark {
+		return nil, errors.New("no route to host")
+	}
+	return &link{db: db, values: map[string]string{}, shapes: map[string]string{}, cut: make(chan struct{})}, nil
+}
+
+func (l *link) Close() error { l.once.Do(func() { close(l.cut) }); return nil }
+
+func (l *link) Reset() {
+	l.once.Do(func() {
+		l.db.group.mu.Lock()
+		l.db.resets++
+		l.db.group.mu.Unlock()
+		close(l.cut)
+	})
+}
+
+func (l *link) Report(a statement.Answer) (statement.Report, error) {
+	if a.Err != nil {
+		return statement.Report{}, a.Err
+	}
+	g := l.db.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return statement.Report{Primary: g.leader == l.db.id, Term: g.term, Received: l.db.end}, nil
+}
+
+func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
+	var out []statement.Answer
+	for _, r := range requests {
+		a, err := l.one(deadline, r)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+var errStandinTimeout = errors.New("i/o timeout")
+
+func (l *link) one(deadline time.Time, r statement.Request) (statement.Answer, error) {
+	if r.Kind == statement.Read || r.Kind == statement.Execute {
+		if err := l.wait(deadline); err != nil {
+			return statement.Answer{}, err
+		}
+	}
+	g := l.db.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-l.cut:
+		return statement.Answer{}, io.ErrClosedPipe
+	default:
+	}
+	if l.db.dark {
+		return statement.Answer{}, errStandinTimeout
+	}
+	l.db.asked = append(l.db.asked, r.Kind)
+	return l.execute(r)
+}
+
+// wait holds a read back while the database is told to.
+func (l *link) wait(deadline time.Time) error {
+	l.db.group.mu.Lock()
+	hold := l.db.hold
+	l.db.group.mu.Unlock()
+	if hold == nil {
+		return nil
+	}
+	select {
+	case <-hold:
+		return nil
+	case <-l.cut:
+		return io.ErrClosedPipe
+	case <-time.After(time.Until(deadline)):
+		return errStandinTimeout
+	}
+}
+
+func (l *link) refuse(kind errkind.Kind) (statement.Answer, error) {
+	state := statement.Idle
+	if l.open {
+		state = statement.Failed
+	}
+	return statement.Answer{Err: errkind.New(kind, "%s", l.db.id), State: state, Position: l.db.end}, nil
+}
+
+func (l *link) done(rows ...string) (statement.Answer, error) {
+	state := statement.Idle
+	if l.open {
+		state = statement.Open
+	}
+	return statement.Answer{Rows: rows, Signature: "signed-" + l.db.id, State: state, Position: l.db.end}, nil
+}
+
+// execute runs a statement. The group's mutex is held.
+func (l *link) execute(r statement.Request) (statement.Answer, error) {
+	g, leads := l.db.group, l.db.group.leader == l.db.id
+	switch r.Kind {
+	case statement.Begin:
+		if !leads {
+			return l.refuse(errkind.PrimaryReplaced)
+		}
+		l.open, l.reader, l.wrote = true, false, 0
+	case statement.BeginRead:
+		if l.db.end.Before(r.After) {
+			return l.refuse(errkind.DatabaseBehind)
+		}
+		l.open, l.reader, l.wrote = true, true, 0
+	case statement.Rollback:
+		l.open = false
+	case statement.Set:
+		l.values[r.Name] = r.Args
+	case statement.Reset:
+		l.values, l.shapes = map[string]string{}, map[string]string{}
+	case statement.Prepare:
+		l.shapes[r.Name] = r.Shape
+	case statement.Pause:
+		l.db.paused = !leads
+	case statement.Resume:
+		l.db.paused = false
+	case statement.Read, statement.Execute:
+		return l.read(r, leads)
+	case statement.Write:
+		return l.write(r, leads)
+	case statement.Commit:
+		l.open = false
+		if l.wrote > 0 {
+			return l.commit(r)
+		}
+	}
+	_ = g
+	return l.done()
+}
+
+func (l *link) read(r statement.Request, leads bool) (statement.Answer, error) {
+	if r.Kind == statement.Execute && l.shapes[r.Name] == "" {
+		return l.refuse(errkind.UnknownStatement)
+	}
+	if l.db.end.Before(r.After) {
+		return l.refuse(errkind.DatabaseBehind)
+	}
+	if l.open && !l.reader && !leads {
+		return l.refuse(errkind.PrimaryReplaced)
+	}
+	l.db.reads++
+	var values []string
+	for _, name := range slices.Sorted(maps.Keys(l.values)) {
+		values = append(values, name+"="+l.values[name])
+	}
+	return l.done(strings.Join(values, ",") + " " + l.shapes[r.Name])
+}
+
+func (l *link) write(r statement.Request, leads bool) (statement.Answer, error) {
+	if !leads {
+		return l.refuse(errkind.PrimaryReplaced)
+	}
+	if l.open {
+		l.wrote++
+		return l.done()
+	}
+	return l.commit(r)
+}
+
+// commit appends to the log and waits for one replica.
+func (l *link) commit(r statement.Request) (statement.Answer, error) {
+	g := l.db.group
+	if g.leader != l.db.id {
+		return l.refuse(errkind.PrimaryReplaced)
+	}
+	l.db.end = position.Position{Term: g.term, Index: l.db.end.Index + 1}
+	g.ran = append(g.ran, r.ID)
+	held := 0
+	for _, other := range g.databases {
+		if other != l.db && !other.paused && !other.deaf && !other.dark {
+			other.end = l.db.end
+			held++
+		}
+	}
+	if held == 0 {
+		return statement.Answer{}, errStandinTimeout
+	}
+	if l.db.loseNext {
+		l.db.loseNext = false
+		return statement.Answer{}, errStandinTimeout
+	}
+	return l.done()
+}
+
+// promote makes a database lead the next term.
+func (g *group) promote(o succession.Order) error {
+	g.mu.Lock()
+	g.orders = append(g.orders, o)
+	late := g.lateOrder
+	g.mu.Unlock()
+	if late != nil {
+		return late(o)
+	}
+	return g.take(o)
+}
+
+// take carries an order out.
+func (g *group) take(o succession.Order) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	db := g.databases[o.Database]
+	if o.Fence < g.fence || db == nil || db.dark {
+		return succession.ErrRefused
+	}
+	g.fence = o.Fence
+	if g.leader == o.Database {
+		return nil
+	}
+	g.term++
+	g.leader = o.Database
+	db.paused = false
+	for _, other := range g.databases {
+		if db.end.Before(other.end) {
+			other.end = db.end
+		}
+	}
+	return nil
+}
+
+// with runs f under the group's lock.
+func (g *group) with(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
+// fakePlatform is a platform with one group and a stand-in of the store.
+type fakePlatform struct {
+	group *group
+	store *platformserver.Server
+	api   objectapi.Objects
+}
+
+func newFakePlatform(g *group) *fakePlatform {
+	store, err := platformserver.Start(platformserver.Config{Listen: "127.0.0.1:0"})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(store.Close)
+	api := objectapi.NewClient(objectapi.ClientConfig{BaseURL: store.URL(), CallsPerSecond: 1e4, Burst: 1e4, WatchWait: 200 * time.Millisecond})
+	return &fakePlatform{group: g, store: store, api: api}
+}
+
+func (p *fakePlatform) Objects() objectapi.Objects { return p.api }
+func (*fakePlatform) ConfigurationKind() string    { return "config" }
+func (*fakePlatform) ConfigurationName() string    { return "main" }
+func (*fakePlatform) DatabasesKind() string        { return "databases" }
+func (*fakePlatform) Accept(net.Conn) Caller       { return nil }
+
+func (*fakePlatform) DecodeConfiguration([]byte) (*routes.Configuration, error) {
+	return nil, errors.New("not used")
+}
+
+func (*fakePlatform) DecodeDatabase(string, []byte) (routes.Database, error) {
+	return routes.Database{}, errors.New("not used")
+}
+
+func (p *fakePlatform) Dial(_ context.Context, db routes.Database, _ string) (Connection, error) {
+	l, err := p.group.dial(db.ID)
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (p *fakePlatform) Promote(_ context.Context, o succession.Order) error {
+	return p.group.promote(o)
+}
+
+func (*fakePlatform) ReadyHandler(func() bool) http.Handler { return http.NotFoundHandler() }
+
+// Names in the tests' configuration.
+const (
+	testService  = "orders-db"
+	testCustomer = "shop"
+	testKey      = "key-1"
+)
+
+// newTestGateway returns a gateway that knows the group's databases. It
+// listens to other hosts but not to callers.
+func newTestGateway(p *fakePlatform) *Gateway {
+	g := New(Options{
+		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
+		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+	})
+	var err error
+	g.peers, err = listenPeers(g)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(g.Close)
+	config := &routes.Configuration{
+		Version: 1,
+		Routes: map[string]routes.Route{
+			"current": {Database: "current", Service: testService, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond},
+			"own":     {Database: "own", Service: testService, Freshness: routes.ReadYourWrites, MaxAge: 2 * time.Second, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond},
+			"bounded": {Database: "bounded", Service: testService, Freshness: routes.Bounded, MaxAge: time.Second, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond},
+		},
+		Services:  map[string]routes.Service{testService: {Name: testService, MaxConns: 40, SyncReplicas: 1}},
+		Customers: map[string]routes.Customer{testCustomer: {Name: testCustomer, Keys: []string{testKey}}},
+	}
+	config.Index()
+	g.config.Store(&published{Configuration: config})
+	databases := map[string]routes.Database{}
+	p.group.with(func() {
+		for id := range p.group.databases {
+			databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: p.group.leader == id}
+		}
+	})
+	g.setDatabases(databases)
+	return g
+}
+
+// newTestSession returns a session that has logged in.
+func newTestSession(g *Gateway, database string) *session {
+	s := newSession(g, nil)
+	s.database, s.key = database, testKey
+	_, err := s.route()
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+var testRequests int
+
+// request returns a caller's request with a new id.
+func request(kind statement.Kind, fields ...string) statement.Request {
+	testRequests++
+	st := statement.Statement{Kind: kind, Text: "text"}
+	if len(fields) > 0 {
+		st.Name = fields[0]
+	}
+	if len(fields) > 1 {
+		st.Args = fields[1]
+	}
+	return statement.Request{ID: fmt.Sprintf("r%d", testRequests), Statement: st}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -189,8 +189,9 @@
 
 // release gives a connection back with the customer's turn.
 func (p *pool) release(c *conn) {
+	id := c.turn // another session may have the connection as soon as it is back
 	p.giveBack(c)
-	p.turns.Release(c.turn)
+	p.turns.Release(id)
 }
 
 func (p *pool) giveBack(c *conn) {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,9 @@
 	attemptLimit = 2500 * time.Millisecond
 	// questionTimeout bounds one question to a replica.
 	questionTimeout = 400 * time.Millisecond
+	// formerTimeout bounds a question to a database that is no longer listed and
+	// most often does not run.
+	formerTimeout = 150 * time.Millisecond
 	// catchUpLimit bounds the wait for a successor to receive what another
 	// replica holds, several times the delay of a replica's network.
 	catchUpLimit = 600 * time.Millisecond
@@ -142,6 +146,7 @@
 	conn     Connection
 	report   statement.Report
 	answered bool
+	former   bool // no longer listed
 }
 
 // run makes the attempt: lease, look, stop the replicas, choose, order, await.
@@ -266,11 +271,13 @@
 // service still holds and that no other replica receives more than it.
 func (a *attemptRun) choose(ctx context.Context) (succession.Candidate, error) {
 	a.s.mu.Lock()
-	all := a.s.table.All()
+	present, former := a.s.table.All(), a.s.table.Former()
 	a.s.mu.Unlock()
-	a.questions = make([]*question, len(all))
-	for i, db := range all {
-		a.questions[i] = &question{db: db}
+	for _, db := range present {
+		a.questions = append(a.questions, &question{db: db})
+	}
+	for _, db := range former {
+		a.questions = append(a.questions, &question{db: db, former: true})
 	}
 	a.ask(ctx, a.questions, statement.Statement{Kind: statement.Status})
 	if err := a.checkView(); err != nil {
@@ -329,13 +336,15 @@
 
 // candidates are the replicas as succession sees them.
 func (a *attemptRun) candidates(replicas []*question) []succession.Candidate {
+	heard := a.s.g.peers.heardCentres()
 	out := make([]succession.Candidate, len(replicas))
 	for i, q := range replicas {
 		a.s.mu.Lock()
 		listed := a.s.table.Listed(q.db.ID)
 		a.s.mu.Unlock()
-		out[i] = succession.Candidate{ID: q.db.ID, Answered: q.answered, Listed: listed, Leaving: q.db.Leaving, Received: q.report.Received}
-		a.log.Info("Replica asked.", "database", q.db.ID, "answered", q.answered, "listed", listed,
+		out[i] = succession.Candidate{ID: q.db.ID, Answered: q.answered, Listed: listed, Leaving: q.db.Leaving, Received: q.report.Received,
+			CutOff: !heard[q.db.DataCentre]}
+		a.log.Info("Replica asked.", "database", q.db.ID, "answered", q.answered, "listed", listed, "cut_off", out[i].CutOff,
 			"received", q.report.Received.String(), "term", q.report.Term, "acked", a.acked.String())
 	}
 	return out
@@ -375,6 +384,7 @@
 // goal is what the successor of a primary that still serves must have
 // received: the primary's log as it was when the other replicas had stopped.
 func (a *attemptRun) goal(others []*question) (position.Position, error) {
+	heard := a.s.g.peers.heardCentres()
 	var goal position.Position
 	for _, q := range a.questions {
 		if q.db.ID == a.primary {
@@ -385,7 +395,7 @@
 		a.s.mu.Lock()
 		listed := a.s.table.Listed(q.db.ID)
 		a.s.mu.Unlock()
-		if !q.answered && listed {
+		if !q.answered && (listed || !heard[q.db.DataCentre]) {
 			return goal, errNoSuccessor
 		}
 		goal = position.Max(goal, q.report.Received)
@@ -450,7 +460,11 @@
 
 // askOne asks one database, more than once where it is overloaded.
 func (a *attemptRun) askOne(ctx context.Context, q *question, st statement.Statement) {
-	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	limit := questionTimeout
+	if q.former {
+		limit = formerTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	q.answered = false
 	var again retry.Backoff
@@ -467,13 +481,19 @@
 			q.conn.Close()
 			q.conn = nil
 		}
-		if !again.Pause(ctx) {
+		if isGone(err) || !again.Pause(ctx) {
 			a.log.Info("Database does not answer.", "database", q.db.ID, "error", err)
 			return
 		}
 	}
 }
 
+// isGone reports whether an error shows that the database does not run where it
+// was announced.
+func isGone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errkind.Of(err) == errkind.WrongDatabase
+}
+
 func (a *attemptRun) exchange(ctx context.Context, q *question, st statement.Statement) error {
 	if q.conn == nil {
 		conn, err := a.s.g.platform.Dial(ctx, q.db, a.s.g.anyCustomer())
--- /dev/null
+++ b/gateway/promotion_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+var _ = Describe("replacing a primary", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+	})
+
+	attempt := func(reason succession.Reason) {
+		svc.mu.Lock()
+		term := svc.table.Term()
+		svc.mu.Unlock()
+		a := &attemptRun{s: svc, log: g.log, reason: reason, primary: "a", term: max(1, term), started: time.Now()}
+		a.run()
+	}
+	leader := func() (id string) {
+		dbs.with(func() { id = dbs.leader })
+		return id
+	}
+
+	It("names the replica with the longest log", func() {
+		dbs.with(func() {
+			dbs.databases["a"].dark = true
+			dbs.databases["c"].end = position.Position{Term: 1, Index: 12}
+		})
+		attempt(succession.Silent)
+		Expect(leader()).To(Equal("c"))
+		dbs.with(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
+	})
+
+	It("names none while a replica that is listed does not answer", func() {
+		dbs.with(func() { dbs.databases["a"].dark, dbs.databases["c"].dark = true, true })
+		attempt(succession.Silent)
+		Expect(leader()).To(Equal("a"))
+		dbs.with(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
+	})
+
+	It("names none while a replica may be cut off together with the primary", func() {
+		// The primary and one replica stand in a data centre that nobody hears;
+		// their entries have lapsed, and they go on acknowledging commits.
+		dbs.with(func() { dbs.databases["a"].dark, dbs.databases["c"].dark = true, true })
+		far := func(id string) routes.Database {
+			return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-b", Slots: 4}
+		}
+		near := routes.Database{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4}
+		g.setDatabases(map[string]routes.Database{"a": far("a"), "b": near, "c": far("c")})
+		g.setDatabases(map[string]routes.Database{"b": near})
+		svc.mu.Lock()
+		svc.table.Expire(time.Now().Add(time.Minute))
+		svc.mu.Unlock()
+		attempt(succession.Absent)
+		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+	})
+
+	It("leaves a primary alone that another host has made meanwhile", func() {
+		dbs.with(func() { dbs.term, dbs.leader = 2, "b" })
+		attempt(succession.Silent)
+		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+		Expect(leader()).To(Equal("b"))
+	})
+
+	It("leaves a primary alone that answers after all", func() {
+		attempt(succession.Silent)
+		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+	})
+
+	It("lets a leaving primary acknowledge through its successor alone", func() {
+		var paused []string
+		dbs.with(func() {
+			dbs.lateOrder = func(o succession.Order) error {
+				dbs.with(func() {
+					for id, db := range dbs.databases {
+						if db.paused {
+							paused = append(paused, id)
+						}
+					}
+				})
+				return dbs.take(o)
+			}
+		})
+		attempt(succession.Leaving)
+		Expect(leader()).NotTo(Equal("a"))
+		Expect(paused).To(HaveLen(1))
+		Expect(paused).NotTo(ContainElement(leader()))
+	})
+
+	It("keeps the replicas stopped while an order may still take effect", func() {
+		dbs.with(func() {
+			dbs.databases["a"].dark = true
+			dbs.lateOrder = func(succession.Order) error { return errors.New("no answer") }
+		})
+		attempt(succession.Silent)
+		dbs.with(func() {
+			Expect(dbs.databases["b"].paused).To(BeTrue())
+			Expect(dbs.databases["c"].paused).To(BeTrue())
+			dbs.lateOrder = nil
+			dbs.databases["a"].dark = false // the former primary is back
+		})
+		late := dbs.orders[0]
+
+		attempt(succession.Stuck)
+		Expect(dbs.take(late)).To(MatchError(succession.ErrRefused))
+		dbs.with(func() {
+			for _, db := range dbs.databases {
+				Expect(db.paused).To(BeFalse())
+			}
+		})
+	})
+
+	It("makes a late order void before it lets replicas receive under the present primary", func() {
+		dbs.with(func() {
+			dbs.databases["a"].dark = true
+			dbs.lateOrder = func(succession.Order) error { return errors.New("no answer") }
+		})
+		attempt(succession.Silent)
+		late := dbs.orders[0]
+		dbs.with(func() {
+			dbs.lateOrder = nil
+			dbs.databases["a"].dark = false
+		})
+		attempt(succession.Silent) // finds that the primary leads
+		Expect(leader()).To(Equal("a"))
+		Expect(dbs.take(late)).To(MatchError(succession.ErrRefused))
+		dbs.with(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
+	})
+
+	It("acts only under the lease, whose version is a fence that rises", func() {
+		other, err := json.Marshal(lease{Holder: "host-2", Claim: "x"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.api.Create(context.Background(), kindLeases, testService, other)
+		Expect(err).NotTo(HaveOccurred())
+		dbs.with(func() { dbs.databases["a"].dark = true })
+		attempt(succession.Silent)
+		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+		svc.mu.Lock()
+		svc.duty.seen.at = time.Now().Add(-leaseTerm)
+		svc.mu.Unlock()
+		attempt(succession.Silent)
+		dbs.with(func() { Expect(dbs.orders).To(HaveLen(1)) })
+	})
+
+	It("orders nothing while the store is down", func() {
+		dbs.with(func() { dbs.databases["a"].dark = true })
+		p.store.SetDown(true)
+		attempt(succession.Silent)
+		dbs.with(func() {
+			Expect(dbs.orders).To(BeEmpty())
+			Expect(dbs.databases["b"].asked).NotTo(ContainElement(statement.Pause))
+		})
+	})
+})
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -53,9 +54,11 @@
 		pools = append(pools, p)
 	}
 	go func() {
+		var all sync.WaitGroup
 		for _, p := range pools {
-			s.sample(p)
+			all.Go(func() { s.sample(p) })
 		}
+		all.Wait()
 		s.mu.Lock()
 		s.asking = false
 		s.mu.Unlock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -136,7 +136,11 @@
 	var p *pool
 	err := s.wait(ctx, func() bool {
 		db, ok := s.table.Leader()
-		if !ok || s.table.Unreachable(db.ID, s.g.now()) {
+		if !ok {
+			s.askSample()
+			return false
+		}
+		if s.table.Unreachable(db.ID, s.g.now()) {
 			return false
 		}
 		p = s.pools[db.ID]
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -228,11 +229,33 @@
 				start()
 			}
 		case <-ctx.Done():
-			return statement.Answer{}, errkind.New(errkind.StatementTimeout, "after %d tries", started)
+			err := ctx.Err()
+			for ; running > 0; running-- {
+				err = worse(err, (<-results).err)
+			}
+			return statement.Answer{}, timedOut(err, started)
 		}
 	}
 }
 
+// worse returns the one of two errors that says less of whether the read ran.
+func worse(a, b error) error {
+	if b == nil || errkind.Of(a).Answer().Outcome == errkind.Unknown && errors.As(a, new(*errkind.Error)) {
+		return a
+	}
+	return b
+}
+
+// timedOut is the error of a read whose time is up: a database may have run it,
+// unless the last tries were never sent.
+func timedOut(err error, tries int) error {
+	var known *errkind.Error
+	if errors.As(err, &known) && known.Kind.Answer().Outcome == errkind.NotRun {
+		return known
+	}
+	return errkind.Wrap(errkind.StatementTimeout, err, fmt.Sprintf("after %d tries", tries))
+}
+
 // readAgain reports whether a read that failed with err may be tried again.
 func readAgain(err error) bool {
 	switch errkind.Of(err) {
