--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -50,6 +50,7 @@
 	customer string
 	state    sessionstate.Connection
 	turn     uint64
+	slot     uint64 // held for the next statement; 0 for none
 	usedAt   time.Time
 	broken   bool // of no use any more
 }
@@ -98,30 +99,46 @@
 	}
 }
 
-// acquire waits for the customer's turn and a connection.
+// acquire waits for the customer's turn, then for a slot of the database, and
+// only then takes a connection: statements that wait must not keep connections
+// from the customers whose they are.
 func (p *pool) acquire(ctx context.Context, item fair.Item) (*conn, error) {
 	id, err := p.turns.Acquire(ctx, item)
 	if err != nil {
 		return nil, err
 	}
-	c, err := p.take(ctx, item)
+	slot, err := p.slots.Acquire(ctx, item)
 	if err != nil {
 		p.turns.Release(id)
 		return nil, err
 	}
-	c.turn = id
+	c, err := p.take(ctx, item.Customer)
+	if err != nil {
+		p.slots.Release(slot)
+		p.turns.Release(id)
+		return nil, err
+	}
+	c.turn, c.slot = id, slot
 	return c, nil
 }
 
+// freeSlot gives back the slot that the connection holds.
+func (c *conn) freeSlot() {
+	if c.slot != 0 {
+		c.pool.slots.Release(c.slot)
+		c.slot = 0
+	}
+}
+
 // take returns an idle connection of the customer's, or a new one.
-func (p *pool) take(ctx context.Context, item fair.Item) (*conn, error) {
+func (p *pool) take(ctx context.Context, customer string) (*conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s left", p.db.ID)
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.customer == item.Customer {
+		if c := p.idle[i]; c.customer == customer {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			p.mu.Unlock()
 			return c, nil
@@ -134,13 +151,7 @@
 	if evicted != nil {
 		evicted.Close()
 	}
-	id, err := p.slots.Acquire(ctx, item) // a new connection takes a slot of the database
-	if err != nil {
-		p.forget()
-		return nil, err
-	}
-	defer p.slots.Release(id)
-	return p.dial(ctx, db, item.Customer)
+	return p.dial(ctx, db, customer)
 }
 
 // makeRoom takes the connection that was idle for longest out of a full pool.
@@ -189,6 +200,7 @@
 
 // release gives a connection back with the customer's turn.
 func (p *pool) release(c *conn) {
+	c.freeSlot()
 	id := c.turn // another session may have the connection as soon as it is back
 	p.giveBack(c)
 	p.turns.Release(id)
@@ -258,11 +270,13 @@
 // those that give the connection the session's state. An errkind.Error means
 // that nothing was sent.
 func (c *conn) work(ctx context.Context, op *operation, after position.Position, then ...statement.Request) ([]statement.Answer, error) {
-	id, err := c.pool.slots.Acquire(ctx, op.item())
-	if err != nil {
-		return nil, err
+	if c.slot == 0 {
+		var err error
+		if c.slot, err = c.pool.slots.Acquire(ctx, op.item()); err != nil {
+			return nil, err
+		}
 	}
-	defer c.pool.slots.Release(id)
+	defer c.freeSlot()
 	requests, main := op.bring(c, op.Request)
 	main.After = after
 	requests = append(append(requests, main), then...)
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -139,6 +139,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		gone, cancel := context.WithCancel(context.Background())
 		cancel()
+		c.freeSlot()
 		p.slots.SetSlots(0)
 		_, err = c.work(gone, op, position.Position{})
 		Expect(err).To(HaveOccurred())
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -177,8 +177,10 @@
 
 // attempt is the outcome of one try of a read.
 type attempt struct {
-	answer statement.Answer
-	err    error
+	answer   statement.Answer
+	err      error
+	database string
+	floor    position.Position
 }
 
 // hedged runs a read until one try succeeds. Another try starts when one fails
@@ -199,7 +201,11 @@
 		n, copied := started, *op
 		started++
 		running++
-		go func() { results <- try(ctx, &copied, n) }()
+		go func() {
+			got := try(ctx, &copied, n)
+			got.database, got.floor = copied.database, copied.floor
+			results <- got
+		}()
 	}
 	start()
 	op.svc.hedges.Earn(op.customer)
@@ -211,7 +217,7 @@
 		case got := <-results:
 			running--
 			if got.err == nil {
-				op.tries = started
+				op.tries, op.database, op.floor = started, got.database, got.floor
 				return got.answer, nil
 			}
 			if !readAgain(got.err) {
@@ -293,7 +299,7 @@
 	}
 	a, err := op.judge(c, answers[:len(answers)-1])
 	a.State = statement.Idle
-	return attempt{a, err}
+	return attempt{answer: a, err: err}
 }
 
 // tryReplica reads on a database whose log has reached the read's floor.
@@ -317,7 +323,7 @@
 		return attempt{err: unanswered(err, op.database)}
 	}
 	a, err := op.judge(c, answers)
-	return attempt{a, err}
+	return attempt{answer: a, err: err}
 }
 
 // floorAt returns the position that a read, or a transaction that reads, must
