--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -56,6 +56,7 @@
 }
 
 type peer struct {
+	hosts   int // that it stands for
 	demands Demands
 	heard   time.Time
 }
@@ -116,9 +117,9 @@
 	return out
 }
 
-// Heard takes another host's demand.
-func (t *Table) Heard(host string, demands Demands, now time.Time) {
-	t.peers[host] = &peer{demands: demands, heard: now}
+// Heard takes the demand of another host, or that of several hosts together.
+func (t *Table) Heard(name string, hosts int, demands Demands, now time.Time) {
+	t.peers[name] = &peer{hosts: hosts, demands: demands, heard: now}
 	t.forget(now)
 }
 
@@ -133,15 +134,18 @@
 
 // part is this host's part of a customer's rate, 0 to 1.
 func (t *Table) part(customer string, a *account) float64 {
-	hosts := max(t.hosts, len(t.peers)+1)
+	heard := 1
+	for _, p := range t.peers {
+		heard += p.hosts
+	}
+	hosts := max(t.hosts, heard)
 	floor := base * a.limit.Rate / float64(hosts)
+	own := a.demand + floor
 	sum := 0.0
 	for _, p := range t.peers {
-		sum += p.demands[customer] + floor
+		sum += p.demands[customer] + floor*float64(p.hosts)
 	}
-	own := a.demand + floor
-	unheard := float64(hosts - 1 - len(t.peers))
-	sum += unheard * (own + sum) / float64(1+len(t.peers))
+	sum += float64(hosts-heard) * (own + sum) / float64(heard)
 	return own / (own + sum)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -70,8 +71,12 @@
 	mu        sync.Mutex // guards services and listed
 	services  map[string]*service
 	databases map[string]routes.Database // the store's list, by id
+	entries   map[string]json.RawMessage // the same as it was read
+	answering map[string]time.Time       // when the store last answered the watch of a kind
 	listed    bool
 
+	listVersion atomic.Uint64 // of entries; changed with mu held
+
 	ctx      context.Context // ends when the host stops
 	stop     context.CancelFunc
 	workers  sync.WaitGroup
@@ -95,6 +100,8 @@
 		platform:  opt.Platform,
 		services:  map[string]*service{},
 		databases: map[string]routes.Database{},
+		entries:   map[string]json.RawMessage{},
+		answering: map[string]time.Time{},
 		callers:   newRegistry(),
 		streams:   newStreams(),
 	}
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -99,20 +99,6 @@
 	return len(seen)
 }
 
-// heardCentres are the data centres of which a host was heard lately.
-func (p *peers) heardCentres() map[string]bool {
-	now := p.g.now()
-	heard := map[string]bool{p.g.opt.DataCentre: true}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, h := range p.known {
-		if now.Sub(h.heard) < heardWithin {
-			heard[h.dataCentre] = true
-		}
-	}
-	return heard
-}
-
 // counts reports whether a host counts when something is divided among hosts.
 // mu is held.
 func (p *peers) counts(h *peerHost, now time.Time) bool {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,23 +1,16 @@
 package gateway
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bronzeloft/bronzeloft/customer/share"
-	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
-	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -37,25 +30,11 @@
 	// listHostsSoon is the time until the second reading: hosts that start
 	// together miss each other in the first.
 	listHostsSoon = 2 * time.Second
-	fetchTimeout  = time.Second
 )
 
-const (
-	// kindHosts holds an entry for each host that ever served.
-	kindHosts = "bronzeloft-hosts"
-	// configurationPath serves the configuration in force to other hosts.
-	configurationPath = "/configuration"
-	// maxDatagram is the largest message; one host's findings take under 2 KB.
-	maxDatagram = 32 << 10
-	// maxConfigurationBytes is the largest object of the store.
-	maxConfigurationBytes = 1 << 20
-)
-
-// hostEntry is a host's entry in the store.
-type hostEntry struct {
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
-}
+// maxDatagram is the largest message; the sums of a few data centres with a
+// hundred customers take under 10 KB.
+const maxDatagram = 60 << 10
 
 // peers exchanges findings with the other hosts.
 type peers struct {
@@ -65,6 +44,9 @@
 
 	mu       sync.Mutex // guards all below; a leaf
 	known    map[string]*peerHost
+	centres  map[string]*centre           // the other data centres
+	acked    map[string]position.Position // by service
+	contacts map[string]contact           // by data centre
 	sequence uint64
 	fetching bool
 }
@@ -77,6 +59,9 @@
 	heard   time.Time // zero before the first message
 	leaving bool
 	groups  []*gossippb.Group
+	demands []*gossippb.Demand
+
+	storeAnswers bool // it watches the store and is answered
 
 	dataCentre string
 	access     string    // IP:port of its access listener
@@ -92,9 +77,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
-	p := &peers{g: g, conn: conn, boot: uint64(time.Now().UnixMilli()), known: map[string]*peerHost{}}
+	p := &peers{g: g, conn: conn, boot: uint64(time.Now().UnixMilli()), known: map[string]*peerHost{},
+		centres: map[string]*centre{}, acked: map[string]position.Position{}, contacts: map[string]contact{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, p.serveConfiguration)
+	mux.HandleFunc("GET "+databasesPath, p.serveDatabases)
 	if err := g.serveHTTP(conn.LocalAddr().String(), mux); err != nil {
 		conn.Close()
 		return nil, eris.Wrap(err, "listen for peers")
@@ -115,6 +102,22 @@
 			n++
 		}
 	}
+	for name, c := range p.centres {
+		if now.Sub(c.at) < aliveWithin {
+			n += max(0, c.hosts-p.heardFrom(name, now))
+		}
+	}
+	return n
+}
+
+// heardFrom is the hosts of a data centre that count themselves. mu is held.
+func (p *peers) heardFrom(dataCentre string, now time.Time) int {
+	n := 0
+	for _, h := range p.known {
+		if h.dataCentre == dataCentre && p.counts(h, now) {
+			n++
+		}
+	}
 	return n
 }
 
@@ -156,17 +159,34 @@
 	p.g.streams.mesh.SetPeers(wanted)
 }
 
-// send tells every known host what this one finds.
+// send tells the hosts of this data centre what this one finds and, where it
+// speaks for them, the other data centres the sum.
 func (p *peers) send() {
-	msg := p.message()
+	now := p.g.now()
+	msg := p.message(now)
 	p.mu.Lock()
 	p.sequence++
 	msg.Sequence = p.sequence
-	targets := make([]*net.UDPAddr, 0, len(p.known))
+	var near, far []*net.UDPAddr
 	for _, h := range p.known {
-		targets = append(targets, h.address)
+		if h.dataCentre == p.g.opt.DataCentre {
+			near = append(near, h.address)
+		}
+	}
+	if p.speaks(now) {
+		far = p.farTargets(now)
+		msg.Centres = p.otherCentres(now)
 	}
 	p.mu.Unlock()
+	p.sendTo(msg, near)
+	if len(far) > 0 {
+		msg.Centres = []*gossippb.Centre{p.sum(msg, now)}
+		msg.Demands, msg.Groups = nil, nil
+		p.sendTo(msg, far)
+	}
+}
+
+func (p *peers) sendTo(msg *gossippb.Gossip, targets []*net.UDPAddr) {
 	data, err := proto.Marshal(msg)
 	if err != nil || len(data) > maxDatagram {
 		p.g.log.Error("Message to hosts cannot be sent.", "part", "peers", "bytes", len(data), "error", err)
@@ -179,11 +199,11 @@
 	}
 }
 
-func (p *peers) message() *gossippb.Gossip {
-	now := p.g.now()
+func (p *peers) message(now time.Time) *gossippb.Gossip {
 	msg := &gossippb.Gossip{
 		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
 		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
+		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
 	}
 	for customer, perSecond := range p.g.rates.demands(now) {
 		msg.Demands = append(msg.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
@@ -226,6 +246,10 @@
 	}
 }
 
+// restartGap is the silence after which a message of another process of a host
+// is that of its successor and not a late one of its predecessor.
+const restartGap = 2 * gossipEvery
+
 // heard takes one message.
 func (p *peers) heard(msg *gossippb.Gossip) {
 	now := p.g.now()
@@ -233,194 +257,33 @@
 	if err != nil || msg.Host == "" || msg.Host == p.g.opt.Name {
 		return
 	}
+	near := msg.DataCentre == p.g.opt.DataCentre
 	p.mu.Lock()
 	h := p.known[msg.Host]
 	if h == nil {
 		h = &peerHost{}
 		p.known[msg.Host] = h
 	}
-	if msg.Boot < h.boot || msg.Boot == h.boot && msg.Sequence <= h.seq {
+	if msg.Boot == h.boot && msg.Sequence <= h.seq || msg.Boot != h.boot && now.Sub(h.heard) < restartGap {
 		p.mu.Unlock()
 		return // overtaken by a later one
 	}
-	h.address, h.boot, h.seq, h.heard, h.leaving, h.groups = address, msg.Boot, msg.Sequence, now, msg.Leaving, msg.Groups
-	h.dataCentre, h.access = msg.DataCentre, msg.Access
-	newer := msg.Configuration > p.g.config.Load().Version && !p.fetching
-	if newer {
-		p.fetching = true
+	h.address, h.boot, h.seq, h.heard, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
+	h.dataCentre, h.access, h.storeAnswers = msg.DataCentre, msg.Access, msg.StoreAnswers
+	h.groups, h.demands = msg.Groups, msg.Demands
+	p.noteContact(msg.DataCentre, now)
+	for _, g := range msg.Groups {
+		p.noteAcked(g)
 	}
 	p.mu.Unlock()
-	demands := make(share.Demands, len(msg.Demands))
-	for _, d := range msg.Demands {
-		demands[d.Customer] = float64(d.PerSecond)
+	if near {
+		p.g.rates.heard(msg.Host, 1, demandsOf(msg.Demands), now)
 	}
-	p.g.rates.heard(msg.Host, demands, now)
-	if newer {
-		go p.fetchConfiguration(address.String())
+	for _, c := range msg.Centres {
+		p.takeCentre(c, now)
 	}
-}
-
-// opinions returns what the hosts that were heard lately find of a service's
-// primary, and the last commit that any of them acknowledged.
-func (p *peers) opinions(service string) ([]succession.Opinion, position.Position) {
-	now := p.g.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []succession.Opinion
-	var acked position.Position
-	for _, h := range p.known {
-		for _, group := range h.groups {
-			if group.Service != service {
-				continue
-			}
-			acked = position.Max(acked, position.Position{Term: group.AckedTerm, Index: group.AckedIndex})
-			if group.Watching && now.Sub(h.heard) < heardWithin && !h.leaving {
-				out = append(out, succession.Opinion{Primary: group.Primary, Unreachable: group.Unreachable, Stuck: group.Stuck})
-			}
-		}
-	}
-	return out, acked
-}
-
-// watches reports whether a host asks the service's primary several times a
-// second.
-func (h *peerHost) watches(service string) bool {
-	for _, group := range h.groups {
-		if group.Service == service {
-			return group.Watching
-		}
-	}
-	return false
-}
-
-// rank is this host's place among those that are alive and watch a service,
-// 0 first.
-func (p *peers) rank(duty string) int {
-	now := p.g.now()
-	own := dutyScore(duty, p.g.opt.Name)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	rank := 0
-	for name, h := range p.known {
-		if now.Sub(h.heard) < heardWithin && !h.leaving && h.watches(duty) && dutyScore(duty, name) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-// fetchConfiguration asks another host for the configuration that it has.
-func (p *peers) fetchConfiguration(address string) {
-	defer func() {
-		p.mu.Lock()
-		p.fetching = false
-		p.mu.Unlock()
-	}()
-	raw, err := fetch(p.g.ctx, "http://"+address+configurationPath)
-	if err != nil {
-		p.g.log.Warn("Host did not give its configuration.", "part", "peers", "address", address, "error", err)
-		return
-	}
-	p.g.offer(raw, "host")
-}
-
-func fetch(ctx context.Context, url string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Close = true
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("status %d", res.StatusCode)
-	}
-	return io.ReadAll(io.LimitReader(res.Body, maxConfigurationBytes))
-}
-
-func (p *peers) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
-	config := p.g.config.Load()
-	if config.Version == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if _, err := w.Write(config.raw); err != nil {
-		p.g.log.Debug("Host left while it was given the configuration.", "part", "peers", "error", err)
-	}
-}
-
-// keepHosts stores this host's entry and reads the others' from time to time.
-func (p *peers) keepHosts() {
-	stored := false
-	for wait := listHostsSoon; ; wait = listHostsEvery {
-		if !stored {
-			stored = p.storeEntry()
-		}
-		if !p.listHosts() || !stored {
-			wait = listHostsSoon
-		}
-		sleep(p.g.ctx, wait)
-		if p.g.ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// storeEntry creates or replaces this host's entry.
-func (p *peers) storeEntry() bool {
-	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre})
-	if err != nil {
-		p.g.log.Error("Host entry cannot be written.", "part", "peers", "error", err)
-		return false
-	}
-	store := p.g.platform.Objects()
-	_, err = store.Create(p.g.ctx, kindHosts, p.g.opt.Name, value)
-	if errors.Is(err, objectapi.ErrExists) {
-		old, getErr := store.Get(p.g.ctx, kindHosts, p.g.opt.Name)
-		if err = getErr; err == nil && !slices.Equal(old.Value, value) {
-			_, err = store.Update(p.g.ctx, kindHosts, p.g.opt.Name, old.Version, value)
-		}
-	}
-	if err != nil && p.g.ctx.Err() == nil {
-		p.g.log.Warn("Host entry is not stored.", "part", "peers", "error", err)
-	}
-	return err == nil
-}
-
-// listHosts reads the hosts' entries.
-func (p *peers) listHosts() bool {
-	entries, _, err := p.g.platform.Objects().List(p.g.ctx, kindHosts)
-	if err != nil {
-		if p.g.ctx.Err() == nil {
-			p.g.log.Warn("Hosts are not listed.", "part", "peers", "error", err)
-		}
-		return false
-	}
-	for _, o := range entries {
-		var entry hostEntry
-		if err := json.Unmarshal(o.Value, &entry); err != nil {
-			p.g.log.Warn("Host entry cannot be read.", "part", "peers", "name", o.Name, "error", err)
-			continue
-		}
-		p.learn(o.Name, entry.Address)
-	}
-	return true
-}
-
-// learn adds a host that was not heard yet.
-func (p *peers) learn(name, address string) {
-	to, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil || name == p.g.opt.Name {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.known[name] == nil {
-		p.known[name] = &peerHost{address: to}
+	if !near {
+		msg.Databases = 0 // hosts of this data centre read the list themselves
 	}
+	p.newer(address.String(), msg.Configuration, msg.Databases)
 }
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -79,8 +79,7 @@
 // considerSuccession replaces the primary if most hosts find it of no use and
 // it is this host's turn.
 func (s *service) considerSuccession(now time.Time) {
-	others, acked := s.g.peers.opinions(s.name)
-	rank := s.g.peers.rank(s.name)
+	others, acked, rank := s.g.peers.opinions(s.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leader, known := s.table.Leader()
@@ -288,7 +287,8 @@
 	}
 	replicas := a.replicas()
 	a.ask(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	best, ok := succession.Choose(a.candidates(replicas), a.acked)
+	_, acked, _ := a.s.g.peers.opinions(a.s.name) // hosts may have told of commits meanwhile
+	best, ok := succession.Choose(a.candidates(replicas), position.Max(a.acked, acked))
 	if !ok {
 		return best, errNoSuccessor
 	}
@@ -336,7 +336,7 @@
 
 // candidates are the replicas as succession sees them.
 func (a *attemptRun) candidates(replicas []*question) []succession.Candidate {
-	heard := a.s.g.peers.heardCentres()
+	heard := a.s.g.peers.inContact(a.started)
 	out := make([]succession.Candidate, len(replicas))
 	for i, q := range replicas {
 		a.s.mu.Lock()
@@ -384,7 +384,7 @@
 // goal is what the successor of a primary that still serves must have
 // received: the primary's log as it was when the other replicas had stopped.
 func (a *attemptRun) goal(others []*question) (position.Position, error) {
-	heard := a.s.g.peers.heardCentres()
+	heard := a.s.g.peers.inContact(a.started)
 	var goal position.Position
 	for _, q := range a.questions {
 		if q.db.ID == a.primary {
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -74,6 +74,20 @@
 		svc.mu.Unlock()
 		attempt(succession.Absent)
 		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+
+		By("hearing the data centre again a moment ago")
+		g.peers.mu.Lock()
+		g.peers.noteContact("dc-b", time.Now())
+		g.peers.mu.Unlock()
+		attempt(succession.Absent)
+		dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+
+		By("having heard it for long")
+		g.peers.mu.Lock()
+		g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now()}
+		g.peers.mu.Unlock()
+		attempt(succession.Absent)
+		dbs.with(func() { Expect(dbs.orders).To(HaveLen(1)) })
 	})
 
 	It("leaves a primary alone that another host has made meanwhile", func() {
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -42,9 +42,9 @@
 	r.mu.Unlock()
 }
 
-func (r *rates) heard(host string, demands share.Demands, now time.Time) {
+func (r *rates) heard(host string, hosts int, demands share.Demands, now time.Time) {
 	r.mu.Lock()
-	r.table.Heard(host, demands, now)
+	r.table.Heard(host, hosts, demands, now)
 	r.mu.Unlock()
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"math/rand/v2"
@@ -22,8 +24,8 @@
 type watcher struct {
 	g      *Gateway
 	kind   string
-	listed func([]objectapi.Object)
-	event  func(objectapi.Event)
+	listed func(objects []objectapi.Object, version uint64)
+	events func(events []objectapi.Event, version uint64)
 	pause  time.Duration
 	lost   bool
 }
@@ -33,20 +35,30 @@
 // store has dropped the changes in between.
 func (w *watcher) run() {
 	for w.g.ctx.Err() == nil {
+		if !w.g.peers.readsStore() && w.g.Ready() {
+			w.g.noteStore(w.kind, false)
+			sleep(w.g.ctx, readerCheckEvery)
+			continue
+		}
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
 		if err != nil {
 			w.failed(err)
 			continue
 		}
 		w.answered()
-		w.listed(objects)
+		w.listed(objects, version)
 		w.follow(version)
 	}
 }
 
-// follow watches from a version until the changes after it are gone.
+// readerCheckEvery is the time between looks at whether this host has to watch
+// the store.
+const readerCheckEvery = 300 * time.Millisecond
+
+// follow watches from a version until the changes after it are gone, or other
+// hosts watch.
 func (w *watcher) follow(version uint64) {
-	for w.g.ctx.Err() == nil {
+	for w.g.ctx.Err() == nil && w.g.peers.readsStore() {
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			w.g.log.Info("Changes were dropped, listing anew.", "part", "store", "kind", w.kind, "version", version)
@@ -57,8 +69,8 @@
 			continue
 		}
 		w.answered()
-		for _, e := range events {
-			w.event(e)
+		if len(events) > 0 {
+			w.events(events, next)
 		}
 		version = max(version, next)
 	}
@@ -69,6 +81,7 @@
 		return
 	}
 	w.g.metrics.storeFailures.Inc()
+	w.g.noteStore(w.kind, false)
 	if !w.lost {
 		w.lost = true
 		w.g.log.Warn("Store does not answer.", "part", "store", "kind", w.kind, "error", err)
@@ -79,6 +92,7 @@
 
 func (w *watcher) answered() {
 	w.pause = 0
+	w.g.noteStore(w.kind, true)
 	if w.lost {
 		w.lost = false
 		w.g.log.Info("Store answers again.", "part", "store", "kind", w.kind)
@@ -102,14 +116,16 @@
 		}
 	}
 	w := &watcher{g: g, kind: g.platform.ConfigurationKind(),
-		listed: func(objects []objectapi.Object) {
+		listed: func(objects []objectapi.Object, _ uint64) {
 			for _, o := range objects {
 				take(o)
 			}
 		},
-		event: func(e objectapi.Event) {
-			if e.Type == objectapi.Put {
-				take(e.Object)
+		events: func(events []objectapi.Event, _ uint64) {
+			for _, e := range events {
+				if e.Type == objectapi.Put {
+					take(e.Object)
+				}
 			}
 		},
 	}
@@ -150,38 +166,88 @@
 // watchDatabases follows what databases announce of themselves.
 func (g *Gateway) watchDatabases() {
 	w := &watcher{g: g, kind: g.platform.DatabasesKind(),
-		listed: func(objects []objectapi.Object) {
-			databases := map[string]routes.Database{}
+		listed: func(objects []objectapi.Object, version uint64) {
+			list := databaseList{Version: version, Entries: map[string]json.RawMessage{}}
 			for _, o := range objects {
-				g.decodeDatabase(databases, o)
+				list.Entries[o.Name] = o.Value
 			}
-			g.setDatabases(databases)
+			g.offerDatabases(list)
 		},
-		event: func(e objectapi.Event) {
-			g.mu.Lock()
-			databases := maps.Clone(g.databases)
-			g.mu.Unlock()
-			delete(databases, e.Object.Name)
-			if e.Type == objectapi.Put {
-				g.decodeDatabase(databases, e.Object)
+		events: func(events []objectapi.Event, version uint64) {
+			list := g.databaseList()
+			list.Version = max(version, list.Version)
+			for _, e := range events {
+				delete(list.Entries, e.Object.Name)
+				if e.Type == objectapi.Put {
+					list.Entries[e.Object.Name] = e.Object.Value
+				}
 			}
-			g.setDatabases(databases)
+			g.offerDatabases(list)
 		},
 	}
 	w.run()
 }
 
-// decodeDatabase adds an announced database. An entry that cannot be read
-// names none.
-func (g *Gateway) decodeDatabase(into map[string]routes.Database, o objectapi.Object) {
-	db, err := g.platform.DecodeDatabase(o.Name, o.Value)
-	if err != nil {
-		g.log.Warn("Database entry cannot be used.", "part", "store", "name", o.Name, "error", err)
+// databaseList returns the list that the host has.
+func (g *Gateway) databaseList() databaseList {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return databaseList{Version: g.listVersion.Load(), Entries: maps.Clone(g.entries)}
+}
+
+// offerDatabases takes a list of databases unless it is older than the one that
+// the host has.
+func (g *Gateway) offerDatabases(list databaseList) {
+	g.mu.Lock()
+	if list.Version < g.listVersion.Load() {
+		g.mu.Unlock()
 		return
 	}
-	into[o.Name] = db
+	g.listVersion.Store(list.Version)
+	former := g.entries
+	g.entries = list.Entries
+	g.mu.Unlock()
+	databases := map[string]routes.Database{}
+	for name, value := range list.Entries {
+		db, err := g.platform.DecodeDatabase(name, value)
+		if err == nil {
+			databases[name] = db
+		} else if old, known := former[name]; !known || !bytes.Equal(old, value) {
+			// Another writer's entry names no database.
+			g.log.Warn("Database entry cannot be used.", "part", "store", "name", name, "error", err)
+		}
+	}
+	g.setDatabases(databases)
+}
+
+// noteStore records whether the store answers this host's watch of a kind.
+func (g *Gateway) noteStore(kind string, answers bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if answers {
+		g.answering[kind] = g.now()
+	} else {
+		delete(g.answering, kind)
+	}
 }
 
+// storeAnswers reports whether this host watches the store and was answered
+// within the time that a watch may take.
+func (g *Gateway) storeAnswers(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, kind := range []string{g.platform.ConfigurationKind(), g.platform.DatabasesKind()} {
+		at, ok := g.answering[kind]
+		if !ok || now.Sub(at) > storeAnswerWithin {
+			return false
+		}
+	}
+	return true
+}
+
+// storeAnswerWithin is longer than a watch is held open.
+const storeAnswerWithin = 8 * time.Second
+
 // setDatabases takes the store's list.
 func (g *Gateway) setDatabases(databases map[string]routes.Database) {
 	byService := map[string][]routes.Database{}
