Test the tables, the adapter and the log writer

The log writer's spec found that closing it waited for ever on a stuck reader: one timer was awaited twice; a context takes its place.

--- /dev/null
+++ b/customer/share/share_test.go
@@ -0,0 +1,152 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/customer/share"
+)
+
+func TestShare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "customer/share")
+}
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+const customer = "shop"
+
+// fleet is hosts that exchange their demands every 300 ms.
+type fleet struct {
+	tables []*share.Table
+	cut    map[int]bool
+	now    time.Time
+	rand   *rand.Rand
+}
+
+func newFleet(hosts int, limit share.Limit) *fleet {
+	f := &fleet{cut: map[int]bool{}, now: noon, rand: rand.New(rand.NewPCG(1, 2))}
+	for range hosts {
+		t := share.New(hosts)
+		t.SetLimits(map[string]share.Limit{customer: limit}, f.now)
+		f.tables = append(f.tables, t)
+	}
+	return f
+}
+
+// run lets each host be asked at its rate for some time. It returns what was
+// asked and admitted.
+func (f *fleet) run(perSecond []float64, d time.Duration) (asked, admitted int) {
+	const step = 10 * time.Millisecond
+	for passed := time.Duration(0); passed < d; passed += step {
+		f.now = f.now.Add(step)
+		for i, t := range f.tables {
+			if f.rand.Float64() >= perSecond[i]*step.Seconds() {
+				continue
+			}
+			asked++
+			if ok, wait := t.Ask(customer, f.now); ok {
+				admitted++
+			} else {
+				Expect(wait).To(BeNumerically(">", 0))
+			}
+		}
+		if passed%(300*time.Millisecond) == 0 {
+			f.exchange()
+		}
+	}
+	return asked, admitted
+}
+
+func (f *fleet) exchange() {
+	for i, from := range f.tables {
+		for j, to := range f.tables {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Heard(fmt.Sprint(i), 1, from.Demands(f.now), f.now)
+			}
+		}
+	}
+}
+
+func even(hosts int, perSecond float64) []float64 {
+	out := make([]float64, hosts)
+	for i := range out {
+		out[i] = perSecond / float64(hosts)
+	}
+	return out
+}
+
+// allowed is the platform's bound for a window of 5 s.
+func allowed(l share.Limit) float64 { return (l.Rate*5+l.Burst)*1.1 + 20 }
+
+var _ = Describe("a customer's rate over all hosts", func() {
+	limit := share.Limit{Rate: 100, Burst: 100}
+
+	It("refuses next to nothing below the limit, also where hosts are asked unevenly", func() {
+		f := newFleet(14, limit)
+		uneven := even(14, 30)
+		uneven[3] += 30
+		f.run(uneven, 3*time.Second)
+		asked, admitted := f.run(uneven, 20*time.Second)
+		Expect(float64(asked-admitted) / float64(asked)).To(BeNumerically("<", 0.01))
+	})
+
+	It("keeps a customer that sends nine times its usual within every window", func() {
+		f := newFleet(14, limit)
+		f.run(even(14, 60), 3*time.Second)
+		for range 4 {
+			_, admitted := f.run(even(14, 540), 5*time.Second)
+			Expect(float64(admitted)).To(BeNumerically("<=", allowed(limit)))
+			Expect(float64(admitted)).To(BeNumerically(">=", 0.9*limit.Rate*5))
+		}
+	})
+
+	It("keeps it there while a third of the hosts are cut off", func() {
+		f := newFleet(14, limit)
+		f.run(even(14, 540), 5*time.Second)
+		for i := range 5 {
+			f.cut[i] = true
+		}
+		_, admitted := f.run(even(14, 540), 5*time.Second)
+		Expect(float64(admitted)).To(BeNumerically("<=", allowed(limit)))
+	})
+
+	It("follows a limit that falls", func() {
+		f := newFleet(14, limit)
+		f.run(even(14, 300), 3*time.Second)
+		low := share.Limit{Rate: 20, Burst: 20}
+		for _, t := range f.tables {
+			t.SetLimits(map[string]share.Limit{customer: low}, f.now)
+		}
+		_, admitted := f.run(even(14, 300), 5*time.Second)
+		Expect(float64(admitted)).To(BeNumerically("<=", allowed(low)))
+	})
+
+	It("counts hosts that are summed up like hosts that speak for themselves", func() {
+		one := share.New(10)
+		one.SetLimits(map[string]share.Limit{customer: limit}, noon)
+		admitted := 0
+		for i := range 1000 {
+			now := noon.Add(time.Duration(i) * 10 * time.Millisecond)
+			if i%30 == 0 {
+				one.Heard("far", 9, share.Demands{customer: 90}, now)
+			}
+			if ok, _ := one.Ask(customer, now); ok && i >= 500 {
+				admitted++
+			}
+		}
+		// It asks for 100 of 190 a second, and each host counts for 2.5 more.
+		Expect(float64(admitted)).To(BeNumerically("~", 5*limit.Rate*102.5/215, 30))
+	})
+
+	It("does not count customers without a limit", func() {
+		t := share.New(3)
+		ok, _ := t.Ask("nobody", noon)
+		Expect(ok).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/database/sessionstate/sessionstate_test.go
@@ -0,0 +1,104 @@
+package sessionstate_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bronzeloft/bronzeloft/database/sessionstate"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+func TestSessionstate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "database/sessionstate")
+}
+
+// server carries out what a connection is brought to.
+type server struct {
+	values   map[string]string
+	prepared map[string]string
+}
+
+func (s *server) run(steps []statement.Statement) {
+	for _, st := range steps {
+		switch st.Kind {
+		case statement.Reset:
+			s.values, s.prepared = map[string]string{}, map[string]string{}
+		case statement.Set:
+			s.values[st.Name] = st.Args
+		case statement.Prepare:
+			s.prepared[st.Name] = fmt.Sprint(st.Writes, st.Shape)
+		}
+	}
+}
+
+var _ = Describe("a connection that serves one session after another", func() {
+	It("has exactly the session's values and forms, whatever it served before", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			db := &server{values: map[string]string{}, prepared: map[string]string{}}
+			var conn sessionstate.Connection
+			sessions := make([]sessionstate.Session, 3)
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				s := &sessions[rapid.IntRange(0, 2).Draw(t, "session")]
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				switch rapid.IntRange(0, 3).Draw(t, "kind") {
+				case 0:
+					s.Set(name, rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value"))
+				case 1:
+					s.Prepare(name, sessionstate.Form{Writes: rapid.Bool().Draw(t, "writes"), Shape: rapid.SampledFrom([]string{"q1", "q2"}).Draw(t, "shape")})
+				case 2:
+					s.Deallocate(name)
+				default:
+					db.run(conn.Bring(*s))
+					if !maps.Equal(db.values, s.Values) {
+						t.Fatalf("connection has %v, session %v", db.values, s.Values)
+					}
+					form, ok := s.Prepared[name]
+					if !ok {
+						continue
+					}
+					called, steps := conn.Name(form)
+					db.run(steps)
+					if db.prepared[called] != fmt.Sprint(form.Writes, form.Shape) {
+						t.Fatalf("%s is %q", called, db.prepared[called])
+					}
+				}
+			}
+		})
+	})
+
+	It("sends nothing where the connection is as it should be", func() {
+		var conn sessionstate.Connection
+		var s sessionstate.Session
+		s.Set("a", "1")
+		Expect(conn.Bring(s)).To(HaveLen(1))
+		Expect(conn.Bring(s)).To(BeEmpty())
+		_, first := conn.Name(sessionstate.Form{Shape: "q"})
+		_, second := conn.Name(sessionstate.Form{Shape: "q"})
+		Expect(first).To(HaveLen(1))
+		Expect(second).To(BeEmpty())
+	})
+
+	It("leaves a copy of a session as it was", func() {
+		var s sessionstate.Session
+		s.Set("a", "1")
+		before := s
+		s.Set("a", "2")
+		s.Set("b", "2")
+		Expect(before.Values).To(Equal(map[string]string{"a": "1"}))
+	})
+
+	It("bounds what a caller may keep", func() {
+		var s sessionstate.Session
+		for i := range sessionstate.MaxValues {
+			Expect(s.Set(fmt.Sprint(i), "")).To(BeTrue())
+		}
+		Expect(s.Set("more", "")).To(BeFalse())
+		Expect(s.Set("0", "changed")).To(BeTrue())
+	})
+})
--- a/internal/asyncwriter/asyncwriter.go
+++ b/internal/asyncwriter/asyncwriter.go
@@ -2,6 +2,7 @@
 package asyncwriter
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -61,16 +62,16 @@
 // Close writes what waits, unless the reader is stuck. Lines written later are
 // dropped.
 func (w *Writer) Close() {
-	limit := time.NewTimer(closeLimit)
-	defer limit.Stop()
+	limit, cancel := context.WithTimeout(context.Background(), closeLimit)
+	defer cancel()
 	w.once.Do(func() {
 		select {
 		case w.lines <- nil:
-		case <-limit.C:
+		case <-limit.Done():
 		}
 	})
 	select {
 	case <-w.done:
-	case <-limit.C:
+	case <-limit.Done():
 	}
 }
