--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -41,6 +41,9 @@
 	max    int
 	window window.Window // statements at once
 	closed bool
+	// fullUntil is until when the database is taken to have too many
+	// connections; a new one is then opened only in place of an idle one.
+	fullUntil time.Time
 }
 
 // conn is a connection in use or idle.
@@ -145,7 +148,12 @@
 			return c, nil
 		}
 	}
-	evicted := p.makeRoom()
+	full := p.g.now().Before(p.fullUntil)
+	evicted := p.makeRoom(full)
+	if full && evicted == nil {
+		p.mu.Unlock()
+		return nil, errkind.New(errkind.DatabaseFull, "database %s refused a connection a moment ago", p.db.ID)
+	}
 	p.open++
 	db := p.db
 	p.mu.Unlock()
@@ -156,10 +164,10 @@
 	return p.dial(ctx, db, customer)
 }
 
-// makeRoom takes the connection that was idle for longest out of a full pool.
-// mu is held.
-func (p *pool) makeRoom() *conn {
-	if p.open < p.max || len(p.idle) == 0 {
+// makeRoom takes the connection that was idle for longest out of a pool that is
+// full, or whose database is. mu is held.
+func (p *pool) makeRoom(databaseFull bool) *conn {
+	if p.open < p.max && !databaseFull || len(p.idle) == 0 {
 		return nil
 	}
 	c := p.idle[0]
@@ -186,7 +194,13 @@
 func (p *pool) dialFailed(err error, asked time.Time) error {
 	var known *errkind.Error
 	if errors.As(err, &known) {
-		p.svc.shun(p.db.ID, p.g.now().Add(fullPause))
+		until := p.g.now().Add(fullPause)
+		p.svc.shun(p.db.ID, until)
+		if known.Kind == errkind.DatabaseFull {
+			p.mu.Lock()
+			p.fullUntil = until
+			p.mu.Unlock()
+		}
 		p.g.log.Warn("Database refused a connection.", "part", "pool", "database", p.db.ID, "kind", known.Kind.String())
 		return known
 	}
@@ -235,7 +249,7 @@
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.open >= p.max {
+	if p.open >= p.max || p.g.now().Before(p.fullUntil) {
 		p.mu.Unlock()
 		return nil, nil
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -286,9 +286,10 @@
 
 // Bounds of the connections that a host holds to one database.
 const (
-	// reservedConns of each database stay free for hosts that are not homes,
-	// for connections that a dead host left behind and for promotions.
-	reservedConns = 14
+	// homesPart is the part of a database's connections that all homes together
+	// hold. When hosts die together their connections stay for seconds, and as
+	// many new ones must fit beside them.
+	homesPart = 0.5
 	// spareConns is what a host holds that is not the home: for statements
 	// while the home is away, and to ask the primary.
 	spareConns = 2
@@ -309,7 +310,7 @@
 	if rank > 0 {
 		return spareConns
 	}
-	return max(spareConns, (limit-reservedConns)/g.peers.dataCentres())
+	return max(spareConns, int(homesPart*float64(limit))/g.peers.dataCentres())
 }
 
 // sizePools follows a change of the configuration or of the number of hosts.
