Watch the store on a leaving host only where it is its turn

The spec fails without the change. Data centres of which only sums are heard count when connections are divided.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,9 +211,13 @@
 
 // Ready reports whether the host should get callers.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.config.Load().Version > 0 && g.hasDatabases()
+	return !g.leaving.Load() && g.informed()
 }
 
+// informed reports whether the host has a configuration and a list of
+// databases.
+func (g *Gateway) informed() bool { return g.config.Load().Version > 0 && g.hasDatabases() }
+
 func (g *Gateway) hasDatabases() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -96,6 +96,11 @@
 			seen[h.dataCentre] = true
 		}
 	}
+	for name, c := range p.centres {
+		if now.Sub(c.at) < aliveWithin {
+			seen[name] = true
+		}
+	}
 	return len(seen)
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,7 +35,7 @@
 // store has dropped the changes in between.
 func (w *watcher) run() {
 	for w.g.ctx.Err() == nil {
-		if !w.g.peers.readsStore() && w.g.Ready() {
+		if !w.g.peers.readsStore() && w.g.informed() {
 			w.g.noteStore(w.kind, false)
 			sleep(w.g.ctx, readerCheckEvery)
 			continue
--- /dev/null
+++ b/gateway/watch_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+)
+
+// countedStore counts the calls of a store that has nothing to tell.
+type countedStore struct {
+	objectapi.Objects
+	lists, watches atomic.Int64
+}
+
+func (s *countedStore) List(context.Context, string) ([]objectapi.Object, uint64, error) {
+	s.lists.Add(1)
+	return nil, 5, nil
+}
+
+func (s *countedStore) Watch(ctx context.Context, _ string, version uint64) ([]objectapi.Event, uint64, error) {
+	s.watches.Add(1)
+	select {
+	case <-ctx.Done():
+	case <-time.After(50 * time.Millisecond):
+	}
+	return nil, version, nil
+}
+
+var _ = Describe("watching the store", func() {
+	var (
+		g     *Gateway
+		store *countedStore
+	)
+
+	BeforeEach(func() {
+		p := newFakePlatform(newGroup("a", "b"))
+		store = &countedStore{}
+		p.api = store
+		g = newTestGateway(p)
+	})
+
+	// hear makes other hosts of the data centre known, which are answered by the
+	// store.
+	hear := func(answers bool, names ...string) {
+		for i, name := range names {
+			g.peers.heard(&gossippb.Gossip{Host: name, Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: 1, Sequence: uint64(time.Now().UnixNano()) + uint64(i), StoreAnswers: answers})
+		}
+	}
+	many := []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}
+
+	It("is left to two hosts of the data centre", func() {
+		Expect(g.peers.readsStore()).To(BeTrue())
+		hear(true, many...)
+		Expect(g.peers.readsStore()).To(BeFalse())
+		hear(false, many...)
+		Expect(g.peers.readsStore()).To(BeTrue(), "when the store does not answer them")
+	})
+
+	It("does not list again and again on a host that leaves", func() {
+		hear(true, many...)
+		g.leaving.Store(true)
+		go g.watchConfiguration()
+		time.Sleep(200 * time.Millisecond)
+		Expect(store.lists.Load()).To(BeNumerically("<=", 1))
+	})
+
+	It("takes a list from another host only if it is newer", func() {
+		entries := map[string]json.RawMessage{}
+		g.offerDatabases(databaseList{Version: 9, Entries: entries})
+		g.offerDatabases(databaseList{Version: 8, Entries: map[string]json.RawMessage{"x": nil}})
+		Expect(g.databaseList().Version).To(BeEquivalentTo(9))
+		Expect(g.databaseList().Entries).To(BeEmpty())
+	})
+})
+
+var _ = Describe("sums of data centres", func() {
+	It("carry findings and demands, and say what was acknowledged anywhere", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a", "b")))
+		sum := &gossippb.Centre{Name: "dc-b", Hosts: 3, AgeMs: 100,
+			Demands: []*gossippb.Demand{{Customer: testCustomer, PerSecond: 5}},
+			Groups:  []*gossippb.Group{{Service: testService, Primary: "a", Unreachable: true, Watching: true, Host: "far-1", AckedTerm: 1, AckedIndex: 44}}}
+		g.peers.takeCentre(sum, g.now())
+		others, acked, _ := g.peers.opinions(testService)
+		Expect(others).To(HaveLen(1))
+		Expect(others[0].Unreachable).To(BeTrue())
+		Expect(acked.Index).To(BeEquivalentTo(44))
+		Expect(g.peers.hosts()).To(Equal(4))
+		Expect(g.peers.dataCentres()).To(Equal(2))
+
+		older := &gossippb.Centre{Name: "dc-b", Hosts: 9, AgeMs: 900}
+		g.peers.takeCentre(older, g.now())
+		Expect(g.peers.hosts()).To(Equal(4))
+	})
+
+	It("hears a host again whose clock went back while it restarted", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		msg := func(boot, seq, version uint64) *gossippb.Gossip {
+			return &gossippb.Gossip{Host: "h1", Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: boot, Sequence: seq, Access: "x"}
+		}
+		g.peers.heard(msg(100, 50, 0))
+		g.peers.heard(msg(90, 1, 0)) // a late one of the process before
+		Expect(g.peers.known["h1"].boot).To(BeEquivalentTo(100))
+		g.peers.known["h1"].heard = time.Now().Add(-time.Second)
+		g.peers.heard(msg(90, 1, 0))
+		Expect(g.peers.known["h1"].boot).To(BeEquivalentTo(90))
+	})
+})
