Refuse at once when no primary was reached for three seconds

Cause: statements of a data centre that was cut off waited a second each for a primary that nothing would bring back. Change: after three seconds without one they are refused at once, not run, with a time to come back. Logs name statements by kind.

--- a/gateway/decision.go
+++ b/gateway/decision.go
@@ -27,7 +27,6 @@
 	failures   int
 	successes  int
 	suppressed int
-	closed     bool
 }
 
 func newDecisionLog(log *slog.Logger, now func() time.Time) *decisionLog {
@@ -60,12 +59,6 @@
 	return d.successes <= successesPerSecond
 }
 
-func (d *decisionLog) close() {
-	d.mu.Lock()
-	d.closed = true
-	d.mu.Unlock()
-}
-
 // served records a request that was answered.
 func (d *decisionLog) served(s *session, op *operation, a statement.Answer) {
 	took := d.now().Sub(op.arrived)
@@ -96,7 +89,7 @@
 // attrs describes a request by what decided it.
 func (op *operation) attrs(s *session, took time.Duration, more ...any) []any {
 	return append([]any{
-		"id", op.ID, "route", s.database, "customer", s.customer, "statement", int(op.Kind),
+		"id", op.ID, "route", s.database, "customer", s.customer, "statement", op.Kind.String(),
 		"version", s.g.config.Load().Version, "database", op.database, "tries", op.tries,
 		"floor", op.floor.String(), "in_transaction", s.tx != nil, "took_ms", took.Milliseconds(),
 	}, more...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,7 +240,6 @@
 		go g.streams.mesh.Close() // waits for streams that run statements
 	}
 	g.callers.closeAll()
-	g.decision.close()
 }
 
 // service returns the named service's databases, nil where nothing is known of
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -33,6 +33,7 @@
 	asking  bool          // such a question is in flight
 	commits commits
 	duty    duty
+	lost    time.Time // since when no primary can be reached; zero while one can
 
 	homeRank int // this host's place among the service's homes
 }
@@ -133,23 +134,49 @@
 	}
 }
 
+// lostForLong is how long no primary can be reached before statements that need
+// one are refused at once: detection, choice and take-over of a successor take
+// less, so nothing is known then that would bring one within a statement's time.
+const lostForLong = 3 * time.Second
+
+// retryAfterLoss is when a caller that was refused for want of a primary may
+// come back: cuts end and successors come in seconds.
+const retryAfterLoss = 500 * time.Millisecond
+
+// reachable returns the primary if it can be reached, and notes since when it
+// cannot. mu is held.
+func (s *service) reachable() (*pool, bool) {
+	now := s.g.now()
+	db, ok := s.table.Leader()
+	if ok && !s.table.Unreachable(db.ID, now) {
+		s.lost = time.Time{}
+		p := s.pools[db.ID]
+		return p, p != nil
+	}
+	if s.lost.IsZero() {
+		s.lost = now
+	}
+	if !ok {
+		s.askSample()
+	}
+	return nil, false
+}
+
+// hopeless reports whether no primary has been reached for long. mu is held.
+func (s *service) hopeless() bool {
+	return !s.lost.IsZero() && s.g.now().Sub(s.lost) >= lostForLong
+}
+
 // leader waits for a primary that can be reached.
 func (s *service) leader(ctx context.Context) (*pool, error) {
 	var p *pool
+	var ok bool
 	err := s.wait(ctx, func() bool {
-		db, ok := s.table.Leader()
-		if !ok {
-			s.askSample()
-			return false
-		}
-		if s.table.Unreachable(db.ID, s.g.now()) {
-			return false
-		}
-		p = s.pools[db.ID]
-		return p != nil
+		p, ok = s.reachable()
+		return ok || s.hopeless()
 	})
-	if err != nil {
-		return nil, errkind.New(errkind.NoPrimary, "service %s", s.name)
+	if err != nil || !ok {
+		return nil, errkind.New(errkind.NoPrimary, "service %s, retry after %d ms", s.name, retryAfterLoss.Milliseconds())
 	}
 	return p, nil
 }
@@ -170,23 +197,30 @@
 // sampleSince waits for a sample taken at or after t.
 func (s *service) sampleSince(ctx context.Context, t time.Time) (floor.Sample, error) {
 	var sample floor.Sample
+	var ok bool
 	err := s.wait(ctx, func() bool {
-		var ok bool
-		if sample, ok = s.samples.Since(t); !ok {
-			s.askSample()
+		if sample, ok = s.samples.Since(t); ok {
+			return true
 		}
-		return ok
+		s.askSample()
+		_, led := s.reachable()
+		return !led && s.hopeless()
 	})
-	if err != nil {
-		return sample, errkind.New(errkind.TooStale, "service %s: newest sample is %d ms too old", s.name, t.Sub(s.newestSample()).Milliseconds())
+	if err != nil || !ok {
+		return sample, s.tooStale(t)
 	}
 	return sample, nil
 }
 
-func (s *service) newestSample() time.Time {
+// tooStale is the error of a read for whose age no primary can vouch.
+func (s *service) tooStale(t time.Time) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.samples.Newest().At
+	newest := s.samples.Newest().At
+	s.mu.Unlock()
+	if newest.IsZero() {
+		return errkind.New(errkind.TooStale, "service %s: no primary was heard yet", s.name)
+	}
+	return errkind.New(errkind.TooStale, "service %s: newest sample is %d ms too old, retry after %d ms", s.name, t.Sub(newest).Milliseconds(), retryAfterLoss.Milliseconds())
 }
 
 // proved records that a database led, with the end of its log.
@@ -335,6 +369,7 @@
 	s.homeRank = rank
 	s.table.Expire(now)
 	closing := s.dropPools()
+	s.reachable()
 	if s.watching(now) && s.samples.Newest().At.Add(sampleEvery).Before(now) {
 		s.askSample()
 	}
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -222,6 +222,27 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 1200*time.Millisecond))
 	})
 
+	It("refuses at once, with a time to come back, when no primary was reached for long", func() {
+		dbs.with(func() { dbs.databases["a"].dark = true })
+		svc := g.service(testService)
+		svc.mu.Lock()
+		svc.table.Failed("a", time.Now().Add(-time.Minute), true)
+		svc.table.Failed("a", time.Now().Add(-time.Minute), true)
+		svc.lost = time.Now().Add(-lostForLong)
+		svc.mu.Unlock()
+		for _, route := range []string{"own", "bounded", "current"} {
+			s := newTestSession(g, route)
+			began := time.Now()
+			a := s.serve(request(statement.Read))
+			Expect(a.Err).NotTo(BeNil())
+			Expect(a.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+			Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+		}
+		w := newTestSession(g, "own").serve(request(statement.Write))
+		Expect(w.Err.Kind).To(Equal(errkind.NoPrimary))
+		Expect(w.Err.Detail).To(ContainSubstring("retry after"))
+	})
+
 	It("drops a statement that waits when its caller has no time left", func() {
 		op := &operation{svc: g.service(testService), customer: testCustomer}
 		p := g.service(testService).pools["b"]
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -30,6 +30,21 @@
 	Demote                 // makes a primary of a term below Term a replica
 )
 
+// names are the kinds' names in logs.
+var names = [...]string{
+	Unknown: "unknown", Begin: "begin", BeginRead: "begin read", Commit: "commit", Rollback: "rollback", Read: "read", Write: "write",
+	Set: "set", Prepare: "prepare", Execute: "execute", Deallocate: "deallocate", Reset: "reset", Status: "status",
+	Pause: "pause", Resume: "resume", Demote: "demote",
+}
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	if int(k) >= len(names) {
+		return names[Unknown]
+	}
+	return names[k]
+}
+
 // Statement is one statement. Which fields count depends on its Kind.
 type Statement struct {
 	Kind   Kind
