--- a/settings/read.go
+++ b/settings/read.go
@@ -67,6 +67,9 @@
 	if !isDial(h.Peers.Advertise) {
 		r.sections["peers"].Fault("advertise", fmt.Sprintf("%q", h.Peers.Advertise), "an address that other hosts can dial, since peers.listen names none")
 	}
+	if h.Site.Callers != "" && h.Site.PromotionURL == "" {
+		r.sections["site"].Fault("promotion_url", "nothing", urlRule.Allowed+", since site.callers is set")
+	}
 	if h.Databases.SuspectAfter <= h.Databases.ProbeInterval {
 		r.sections["databases"].Fault("suspect_after", h.Databases.SuspectAfter.String(), "longer than probe_interval, "+h.Databases.ProbeInterval.String())
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -94,7 +94,7 @@
 			`:7: callers.startup_timeout: found "5", allowed: a duration such as "250ms", from 100ms to 1m0s`,
 			`:8: callers.speed: found an unknown key, allowed: one of idle_in_transaction, listen, max_connections, startup_timeout, tls_cert, tls_key`,
 			`:10: platform.url: found "ftp://x", allowed: http:// or https:// URL`,
-			`:13: nowhere: found an unknown key, allowed: one of admin, callers, databases, host, log, peers, platform, shutdown`,
+			`:13: nowhere: found an unknown key, allowed: one of admin, callers, databases, host, log, peers, platform, shutdown, site`,
 		}))
 	})
 
@@ -109,9 +109,27 @@
 		Entry("suspicion before a probe", "suspect_after=\"50ms\"", "longer than probe_interval"),
 		Entry("a wrong type", "[peers]\nseeds=\"127.0.0.1:1\"", "an array of strings"),
 		Entry("a wrong element", "[peers]\nseeds=[\"127.0.0.1:1\", 3]", "peers.seeds[1]: found 3"),
+		Entry("a platform site without promotion calls", "[site]\ncallers=\"10.0.0.1:1\"", "site.promotion_url: found nothing"),
 		Entry("a section that is no table", "[shutdown]\ngrace=\"99h\"", "from 0s to 1h0m0s"),
 	)
 
+	It("accepts the template of a platform site's hosts once it is filled in", func() {
+		template, err := os.ReadFile("../deploy/host.toml")
+		Expect(err).NotTo(HaveOccurred())
+		filled := strings.NewReplacer(
+			"{{nodeName}}", "edge-a-1", "{{zone}}", "centru-a", "{{listen.front}}", "10.1.0.26:8465", "{{listen.ready}}", "10.1.0.26:8460",
+			"{{ip}}", "10.1.0.26", "{{internalPorts.0}}", "7560", "{{internalPorts.1}}", "7561", "{{internalPorts.2}}", "7562",
+			`{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"centru-a","centru-b"`, "{{cloud.address}}", "10.200.0.2:8466",
+			"{{limits.memoryMb}}", "206", "{{platform.address}}", "10.200.1.7:8466", "{{bounds.graceS}}", "6",
+		).Replace(string(template))
+		Expect(filled).NotTo(ContainSubstring("{{"))
+		h, err := settings.Parse("host.toml", []byte(filled))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Site.Callers).To(Equal("10.1.0.26:8465"))
+		Expect(h.Site.DataCentres).To(Equal([]string{"centru-a", "centru-b"}))
+		Expect(h.Shutdown.Grace).To(Equal(6 * time.Second))
+	})
+
 	It("names the line of a syntax error", func() {
 		Expect(faults("[host]\nid = \n")).To(ConsistOf(HavePrefix(":2:")))
 	})
