Replace a leaving primary while one of its replicas is cut off

Change: where a replica cannot be stopped, the primary is demoted first, and its successor must have all of its log; otherwise the former primary leads on.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -103,25 +103,36 @@
 // last commit that any host has acknowledged. ok is false while an
 // acknowledged commit could be lost.
 func Choose(all []Candidate, acked position.Position) (best Candidate, ok bool) {
-	missing := false
-	for _, c := range all {
-		if !c.Answered {
-			missing = true
-			continue
-		}
-		if best.ID == "" || better(c, best) {
-			best = c
-		}
-	}
-	if best.ID == "" {
+	best, ok = Longest(all)
+	if !ok {
 		return Candidate{}, false
 	}
-	if missing && (unsure(all) || best.Received.Before(acked)) {
+	if missing(all) && (unsure(all) || best.Received.Before(acked)) {
 		return Candidate{}, false
 	}
 	return best, true
 }
 
+// Longest returns the candidate with the longest log among those that answered.
+func Longest(all []Candidate) (best Candidate, ok bool) {
+	for _, c := range all {
+		if c.Answered && (best.ID == "" || better(c, best)) {
+			best = c
+		}
+	}
+	return best, best.ID != ""
+}
+
+// missing reports whether a replica has not been read.
+func missing(all []Candidate) bool {
+	for _, c := range all {
+		if !c.Answered {
+			return true
+		}
+	}
+	return false
+}
+
 // unsure reports whether a replica that may be alive has not been read.
 func unsure(all []Candidate) bool {
 	for _, c := range all {
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -206,6 +206,10 @@
 		l.db.paused = !leads
 	case statement.Resume:
 		l.db.paused = false
+	case statement.Demote:
+		if leads && r.Term > g.term {
+			g.leader = ""
+		}
 	case statement.Read, statement.Execute:
 		return l.read(r, leads)
 	case statement.Write:
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -360,7 +360,7 @@
 			staying = append(staying, q)
 		}
 	}
-	best, ok := succession.Choose(a.candidates(staying), position.Position{})
+	best, ok := succession.Longest(a.candidates(staying))
 	if !ok {
 		return best, errNoSuccessor
 	}
@@ -374,33 +374,65 @@
 		others = append(others, q)
 	}
 	a.ask(ctx, others, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	goal, err := a.goal(others)
-	if err != nil {
-		return best, err
+	if a.unread(others) {
+		return a.demoteFirst(ctx, best, next)
 	}
-	return best, a.catchUp(ctx, next, goal)
+	return best, a.catchUp(ctx, next, a.goal(others))
 }
 
-// goal is what the successor of a primary that still serves must have
-// received: the primary's log as it was when the other replicas had stopped.
-func (a *attemptRun) goal(others []*question) (position.Position, error) {
-	heard := a.s.g.peers.inContact(a.started)
-	var goal position.Position
+// demoteFirst ends the reign of a primary that leaves while another replica
+// cannot be stopped: the primary might acknowledge commits that only that one
+// has. Its log then stands still, and the successor must have all of it; if not,
+// the primary leads on.
+func (a *attemptRun) demoteFirst(ctx context.Context, best succession.Candidate, next *question) (succession.Candidate, error) {
+	var primary *question
 	for _, q := range a.questions {
 		if q.db.ID == a.primary {
-			goal = position.Max(goal, q.report.Received)
+			primary = q
 		}
 	}
-	for _, q := range others {
+	if primary == nil || !primary.answered {
+		return best, errNoSuccessor
+	}
+	a.ask(ctx, []*question{primary}, statement.Statement{Kind: statement.Demote, Term: a.newestTerm() + 1})
+	if !primary.answered {
+		return best, errNoSuccessor
+	}
+	a.log.Info("Primary demoted.", "end", primary.report.Received.String())
+	if err := a.catchUp(ctx, next, primary.report.Received); err != nil {
+		a.log.Warn("Successor lacks commits, the former primary leads on.", "received", next.report.Received.String())
+		return succession.Candidate{ID: a.primary, Received: primary.report.Received}, nil
+	}
+	return best, nil
+}
+
+// unread reports whether a replica that may be alive has not answered.
+func (a *attemptRun) unread(replicas []*question) bool {
+	heard := a.s.g.peers.inContact(a.started)
+	for _, q := range replicas {
 		a.s.mu.Lock()
 		listed := a.s.table.Listed(q.db.ID)
 		a.s.mu.Unlock()
 		if !q.answered && (listed || !heard[q.db.DataCentre]) {
-			return goal, errNoSuccessor
+			return true
 		}
+	}
+	return false
+}
+
+// goal is what the successor of a primary that still serves must have
+// received: the primary's log as it was when the other replicas had stopped.
+func (a *attemptRun) goal(others []*question) position.Position {
+	var goal position.Position
+	for _, q := range a.questions {
+		if q.db.ID == a.primary {
+			goal = position.Max(goal, q.report.Received)
+		}
+	}
+	for _, q := range others {
 		goal = position.Max(goal, q.report.Received)
 	}
-	return goal, nil
+	return goal
 }
 
 // catchUp waits until a replica has received what others hold.
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -122,6 +122,22 @@
 		Expect(paused).NotTo(ContainElement(leader()))
 	})
 
+	It("replaces a leaving primary also while a replica is cut off, which may have commits of its own", func() {
+		dbs.with(func() { dbs.databases["c"].dark = true })
+		attempt(succession.Leaving)
+		Expect(leader()).To(Equal("b"))
+		dbs.with(func() { Expect(dbs.databases["a"].asked).To(ContainElement(statement.Demote)) })
+	})
+
+	It("lets a leaving primary lead on where its successor lacks a commit", func() {
+		dbs.with(func() {
+			dbs.databases["c"].dark = true
+			dbs.databases["a"].end = position.Position{Term: 1, Index: 12}
+		})
+		attempt(succession.Leaving)
+		Expect(leader()).To(Equal("a"))
+	})
+
 	It("keeps the replicas stopped while an order may still take effect", func() {
 		dbs.with(func() {
 			dbs.databases["a"].dark = true
