--- a/database/conn.go
+++ b/database/conn.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/database/groupsql"
+	"github.com/bronzeloft/bronzeloft/internal/sockopt"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", id)
 	}
-	setUserTimeout(nc, userTimeout)
+	sockopt.SetUserTimeout(nc, userTimeout)
 	c := &Conn{
 		ID:       id,
 		Address:  address,
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 )
 
 // Timing of a planned stop.
@@ -22,7 +24,7 @@
 	started := time.Now()
 	g.leaving.Store(true)
 	g.log.Info("Host leaves.", "part", "host", "sessions", g.callers.count(), "grace_ms", g.opt.Grace.Milliseconds())
-	sleep(ctx, rotationDelay)
+	retry.Wait(ctx, rotationDelay)
 	end := started.Add(g.opt.Grace - exitMargin)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		for _, s := range g.callers.all() {
@@ -31,7 +33,7 @@
 		if g.callers.count() == 0 {
 			break
 		}
-		sleep(ctx, drainPoll)
+		retry.Wait(ctx, drainPoll)
 	}
 	g.log.Info("Host stops.", "part", "host", "sessions", g.callers.count(), "after_ms", time.Since(started).Milliseconds())
 }
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
@@ -28,7 +29,7 @@
 		if !p.listHosts() || !stored {
 			wait = listHostsSoon
 		}
-		sleep(p.g.ctx, wait)
+		retry.Wait(p.g.ctx, wait)
 		if p.g.ctx.Err() != nil {
 			return
 		}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -105,12 +105,12 @@
 		if statement.Kind(j.Kind) == statement.Rollback {
 			l.drop()
 			l = newLocal(g)
-			if err := writeFrame(raw, &accesspb.Result{}); err != nil {
+			if err := writeMessage(raw, &accesspb.Result{}); err != nil {
 				return
 			}
 			continue
 		}
-		if err := writeFrame(raw, g.runJob(ctx, l, j)); err != nil {
+		if err := writeMessage(raw, g.runJob(ctx, l, j)); err != nil {
 			return
 		}
 		if !j.InTransaction {
@@ -127,7 +127,7 @@
 	r := bufio.NewReader(raw)
 	for {
 		j := &accesspb.Job{}
-		if err := readFrame(r, j); err != nil {
+		if err := readMessage(r, j); err != nil {
 			if !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
 				g.log.Debug("Stream of a host ended.", "part", "access", "host", from.Address, "error", err)
 			}
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -2,15 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -24,8 +24,8 @@
 	// resultSlack is how much longer than its deadline a statement's result may
 	// take on its way between hosts of one data centre.
 	resultSlack = 60 * time.Millisecond
-	// maxFrame bounds a Job or a Result: a line and its session's values.
-	maxFrame = 4 << 20
+	// maxMessage bounds a Job or a Result: a line and its session's values.
+	maxMessage = 4 << 20
 	// maxIdleStreams bounds the streams kept to one host.
 	maxIdleStreams = 32
 )
@@ -90,11 +90,11 @@
 	if err := r.stream.SetDeadline(time.Now().Add(left)); err != nil {
 		return nil, err
 	}
-	if err := writeFrame(r.stream, op.job(r.g.now())); err != nil {
+	if err := writeMessage(r.stream, op.job(r.g.now())); err != nil {
 		return nil, err
 	}
 	var result accesspb.Result
-	err := readFrame(r.stream.r, &result)
+	err := readMessage(r.stream.r, &result)
 	return &result, err
 }
 
@@ -108,10 +108,10 @@
 	go func() {
 		err := s.SetDeadline(time.Now().Add(rollbackTimeout))
 		if err == nil {
-			err = writeFrame(s, &accesspb.Job{Kind: uint32(statement.Rollback)})
+			err = writeMessage(s, &accesspb.Job{Kind: uint32(statement.Rollback)})
 		}
 		if err == nil {
-			err = readFrame(s.r, &accesspb.Result{})
+			err = readMessage(s.r, &accesspb.Result{})
 		}
 		if err != nil {
 			s.Close() // the home rolls back when the stream ends
@@ -178,34 +178,17 @@
 	}
 }
 
-// writeFrame writes a message with its length in front.
-func writeFrame(w io.Writer, m proto.Message) error {
-	size := proto.Size(m)
-	if size > maxFrame {
-		return eris.Errorf("message of %d bytes", size)
-	}
-	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+size), uint32(size))
-	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
-	if err != nil {
+// writeMessage writes a message with its length in front, at once.
+func writeMessage(w io.Writer, m proto.Message) error {
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
 		return err
 	}
-	_, err = w.Write(buf)
+	_, err := w.Write(buf.Bytes())
 	return err
 }
 
-// readFrame reads what writeFrame wrote.
-func readFrame(r io.Reader, m proto.Message) error {
-	var header [4]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrame {
-		return eris.Errorf("message of %d bytes", size)
-	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
-		return err
-	}
-	return proto.Unmarshal(buf, m)
+// readMessage reads what writeMessage wrote.
+func readMessage(r *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(r, m)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
@@ -37,7 +37,7 @@
 	for w.g.ctx.Err() == nil {
 		if !w.g.peers.readsStore() && w.g.informed() {
 			w.g.noteStore(w.kind, false)
-			sleep(w.g.ctx, readerCheckEvery)
+			retry.Wait(w.g.ctx, readerCheckEvery)
 			continue
 		}
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
@@ -87,7 +87,7 @@
 		w.g.log.Warn("Store does not answer.", "part", "store", "kind", w.kind, "error", err)
 	}
 	w.pause = min(max(2*w.pause, storeFirstPause), storeLastPause)
-	sleep(w.g.ctx, w.pause/2+rand.N(w.pause))
+	retry.Wait(w.g.ctx, w.pause/2+rand.N(w.pause))
 }
 
 func (w *watcher) answered() {
@@ -99,15 +99,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // watchConfiguration follows the operator's configuration.
 func (g *Gateway) watchConfiguration() {
 	take := func(o objectapi.Object) {
--- a/database/tcp.go
+++ b/internal/sockopt/sockopt.go
@@ -1,4 +1,6 @@
-package database
+// Package sockopt sets options of TCP connections that the standard library
+// does not reach.
+package sockopt
 
 import (
 	"net"
@@ -7,9 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// setUserTimeout makes the kernel break a connection whose sent data stays
+// SetUserTimeout makes the kernel break a connection whose sent data stays
 // unacknowledged for d. A connection of another type is left as it is.
-func setUserTimeout(nc net.Conn, d time.Duration) {
+func SetUserTimeout(nc net.Conn, d time.Duration) {
 	tc, ok := nc.(*net.TCPConn)
 	if !ok {
 		return
