Stop replicas that appear while a primary is replaced

Change: databases announced since are asked and stopped before the choice and while the order is carried out, the view is checked once more, and a question dials again within its time. The spec of a new replica fails without the change. A port for peers that is left open is chosen free for TCP and UDP: two specs failed once with the port in use.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -68,24 +68,44 @@
 	avoid      time.Time // passed over as a home until then
 }
 
-func listenPeers(g *Gateway) (*peers, error) {
-	addr, err := net.ResolveUDPAddr("udp4", g.opt.Peers)
+// pairTries bounds the search for a port that is free for TCP and UDP where the
+// settings leave the choice open.
+const pairTries = 20
+
+// listenPair listens for TCP and UDP at one address. Port 0 stands for any port
+// that is free for both.
+func listenPair(address string) (net.Listener, *net.UDPConn, error) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
-		return nil, eris.Wrap(err, "address for peers")
+		return nil, nil, eris.Wrap(err, "address for peers")
 	}
-	conn, err := net.ListenUDP("udp4", addr)
+	for try := 1; ; try++ {
+		conn, err := net.ListenUDP("udp4", addr)
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "listen for peers")
+		}
+		l, err := net.Listen("tcp4", conn.LocalAddr().String())
+		if err == nil {
+			return l, conn, nil
+		}
+		conn.Close()
+		if addr.Port != 0 || try == pairTries {
+			return nil, nil, eris.Wrap(err, "listen for peers")
+		}
+	}
+}
+
+func listenPeers(g *Gateway) (*peers, error) {
+	l, conn, err := listenPair(g.opt.Peers)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for peers")
+		return nil, err
 	}
 	p := &peers{g: g, conn: conn, boot: uint64(time.Now().UnixMilli()), known: map[string]*peerHost{},
 		centres: map[string]*centre{}, acked: map[string]position.Position{}, contacts: map[string]contact{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, p.serveConfiguration)
 	mux.HandleFunc("GET "+databasesPath, p.serveDatabases)
-	if err := g.serveHTTP(conn.LocalAddr().String(), mux); err != nil {
-		conn.Close()
-		return nil, eris.Wrap(err, "listen for peers")
-	}
+	g.serveOn(l, mux)
 	return p, nil
 }
 
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -12,6 +12,7 @@
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
 )
 
 // Timing of promotions.
@@ -23,6 +24,9 @@
 	attemptLimit = 2500 * time.Millisecond
 	// questionTimeout bounds one question to a replica.
 	questionTimeout = 400 * time.Millisecond
+	// questionDialTimeout lets a database be reached within a question whose
+	// first packet was lost in a cut that has just ended.
+	questionDialTimeout = 130 * time.Millisecond
 	// formerTimeout bounds a question to a database that is no longer listed and
 	// most often does not run.
 	formerTimeout = 150 * time.Millisecond
@@ -203,6 +207,10 @@
 			a.log.Info("Successor leads.", "database", id, "after_ms", g.now().Sub(a.started).Milliseconds())
 			return true
 		}
+		// A new replica would let the former primary go on acknowledging.
+		if fresh := a.newcomers(); len(fresh) > 0 {
+			a.ask(ctx, fresh, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
+		}
 		if p != nil {
 			a.s.sample(p)
 		}
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -90,6 +90,33 @@
 		dbs.with(func() { Expect(dbs.orders).To(HaveLen(1)) })
 	})
 
+	It("stops a replica that appears while the order is carried out", func() {
+		dbs.with(func() {
+			dbs.databases["a"].dark = true
+			dbs.lateOrder = func(o succession.Order) error {
+				go func() {
+					dbs.with(func() { dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}} })
+					databases := map[string]routes.Database{}
+					for id := range map[string]bool{"a": true, "b": true, "c": true, "d": true} {
+						databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
+					}
+					g.setDatabases(databases)
+					time.Sleep(300 * time.Millisecond)
+					_ = dbs.take(o)
+				}()
+				return nil
+			}
+		})
+		stopped := make(chan bool, 1)
+		go func() {
+			time.Sleep(250 * time.Millisecond)
+			dbs.with(func() { stopped <- dbs.databases["d"] != nil && dbs.databases["d"].paused })
+		}()
+		attempt(succession.Silent)
+		Expect(<-stopped).To(BeTrue())
+		dbs.with(func() { Expect(dbs.databases["d"].paused).To(BeFalse()) })
+	})
+
 	It("leaves a primary alone that another host has made meanwhile", func() {
 		dbs.with(func() { dbs.term, dbs.leader = 2, "b" })
 		attempt(succession.Silent)
--- a/gateway/question.go
+++ b/gateway/question.go
@@ -21,6 +21,31 @@
 	former   bool // no longer listed
 }
 
+// newcomers returns questions for the databases that have been announced since
+// the last call, and keeps them with the others.
+func (a *replacement) newcomers() []*question {
+	known := map[string]bool{}
+	for _, q := range a.questions {
+		known[q.db.ID] = true
+	}
+	a.s.mu.Lock()
+	present, former := a.s.table.All(), a.s.table.Former()
+	a.s.mu.Unlock()
+	var out []*question
+	for _, db := range present {
+		if !known[db.ID] {
+			out = append(out, &question{db: db})
+		}
+	}
+	for _, db := range former {
+		if !known[db.ID] {
+			out = append(out, &question{db: db, former: true})
+		}
+	}
+	a.questions = append(a.questions, out...)
+	return out
+}
+
 // ask sends a statement to each database on a connection of its own.
 func (a *replacement) ask(ctx context.Context, questions []*question, st statement.Statement) {
 	var all sync.WaitGroup
@@ -68,7 +93,9 @@
 
 func (a *replacement) exchange(ctx context.Context, q *question, st statement.Statement) error {
 	if q.conn == nil {
-		conn, err := a.s.g.platform.Dial(ctx, q.db, a.s.g.anyCustomer())
+		dialCtx, cancel := context.WithTimeout(ctx, questionDialTimeout)
+		defer cancel()
+		conn, err := a.s.g.platform.Dial(dialCtx, q.db, a.s.g.anyCustomer())
 		if err != nil {
 			return err
 		}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -12,16 +12,7 @@
 // choose names the successor, after making sure that the attempt's view of the
 // service still holds and that no other replica receives more than it.
 func (a *replacement) choose(ctx context.Context) (succession.Candidate, error) {
-	a.s.mu.Lock()
-	present, former := a.s.table.All(), a.s.table.Former()
-	a.s.mu.Unlock()
-	for _, db := range present {
-		a.questions = append(a.questions, &question{db: db})
-	}
-	for _, db := range former {
-		a.questions = append(a.questions, &question{db: db, former: true})
-	}
-	a.ask(ctx, a.questions, statement.Statement{Kind: statement.Status})
+	a.ask(ctx, a.newcomers(), statement.Statement{Kind: statement.Status})
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
@@ -30,6 +21,13 @@
 	}
 	replicas := a.replicas()
 	a.ask(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
+	for fresh := a.newcomers(); len(fresh) > 0; fresh = a.newcomers() {
+		a.ask(ctx, fresh, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
+	}
+	if err := a.checkView(); err != nil {
+		return succession.Candidate{}, err
+	}
+	replicas = a.replicas()
 	_, acked, _ := a.s.g.peers.opinions(a.s.name) // hosts may have told of commits meanwhile
 	best, ok := succession.Choose(a.candidates(replicas), position.Max(a.acked, acked))
 	if !ok {
