--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -91,6 +91,7 @@
 	})
 
 	It("stops a replica that appears while the order is carried out", func() {
+		stopped := make(chan bool, 1)
 		dbs.with(func() {
 			dbs.databases["a"].dark = true
 			dbs.lateOrder = func(o succession.Order) error {
@@ -102,16 +103,12 @@
 					}
 					g.setDatabases(databases)
 					time.Sleep(300 * time.Millisecond)
+					dbs.with(func() { stopped <- dbs.databases["d"].paused })
 					_ = dbs.take(o)
 				}()
 				return nil
 			}
 		})
-		stopped := make(chan bool, 1)
-		go func() {
-			time.Sleep(250 * time.Millisecond)
-			dbs.with(func() { stopped <- dbs.databases["d"] != nil && dbs.databases["d"].paused })
-		}()
 		attempt(succession.Silent)
 		Expect(<-stopped).To(BeTrue())
 		dbs.with(func() { Expect(dbs.databases["d"].paused).To(BeFalse()) })
