--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -30,7 +30,7 @@
 	routes.Database
 	missing  time.Time // since when it is not listed; zero while it is
 	contact  contact
-	shunned  time.Time // not chosen before, while others are there
+	avoided  time.Time // not chosen before, while others are there
 	announce time.Time // when it last began to announce itself as the primary
 }
 
@@ -53,14 +53,14 @@
 // SetDatabases takes the platform's list of the service's databases. It
 // returns the ids of databases that started anew, of which nothing that was
 // known holds.
-func (t *Table) SetDatabases(list []routes.Database, now time.Time) (reborn []string) {
+func (t *Table) SetDatabases(list []routes.Database, now time.Time) (restarted []string) {
 	listed := map[string]bool{}
 	for _, db := range list {
 		listed[db.ID] = true
 		m := t.members[db.ID]
 		if m == nil || m.Born != db.Born || m.Address != db.Address {
 			if m != nil {
-				reborn = append(reborn, db.ID)
+				restarted = append(restarted, db.ID)
 				t.forgetLeader(db.ID)
 			}
 			m = &member{}
@@ -77,7 +77,7 @@
 		}
 	}
 	t.Expire(now)
-	return reborn
+	return restarted
 }
 
 // announced takes a database's word that it has begun to lead.
@@ -203,9 +203,9 @@
 	c.refused = refused
 }
 
-// Shun makes other databases preferred until a time.
-func (t *Table) Shun(id string, until time.Time) {
-	if m := t.members[id]; m != nil && m.shunned.Before(until) {
-		m.shunned = until
+// Avoid makes other databases preferred until a time.
+func (t *Table) Avoid(id string, until time.Time) {
+	if m := t.members[id]; m != nil && m.avoided.Before(until) {
+		m.avoided = until
 	}
 }
--- a/database/lead/lead_test.go
+++ b/database/lead/lead_test.go
@@ -115,7 +115,7 @@
 
 	It("orders readers: near replicas, far ones, the primary, those in trouble", func() {
 		Expect(table.Readers("shop", "y", at(0))).To(Equal([]string{"b", "c", "a"}))
-		table.Shun("b", at(100))
+		table.Avoid("b", at(100))
 		Expect(table.Readers("shop", "y", at(50))).To(Equal([]string{"c", "a", "b"}))
 		Expect(table.Readers("shop", "y", at(150))).To(Equal([]string{"b", "c", "a"}))
 		leaving := list()
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -51,7 +51,7 @@
 	near        = iota // a replica in this data centre
 	far                // another replica
 	leading            // the primary: writes need it, so reads keep off it
-	shunned            // it refused or failed lately
+	avoided            // it refused or failed lately
 	unreachable        // it does not answer
 )
 
@@ -79,8 +79,8 @@
 	switch {
 	case t.Unreachable(id, now) || !m.missing.IsZero():
 		return unreachable
-	case now.Before(m.shunned):
-		return shunned
+	case now.Before(m.avoided):
+		return avoided
 	case id == t.leader:
 		return leading
 	case m.DataCentre == dataCentre:
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -10,20 +10,19 @@
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// Within a data centre every host tells every other what it finds. Between data
-// centres only the spokesmen do, two of each, and they tell sums: so what
-// crosses does not grow with the hosts. The others hear the sums from their
-// spokesmen, one round of messages later.
+// Within a data centre every host sends its findings to every other. Between data
+// centres only the delegates exchange messages, two of each, and these hold sums:
+// so the traffic between data centres does not grow with the hosts. The others
+// hear the sums from their delegates, one round of messages later.
 
-// spokesmen is the hosts of each data centre that speak for it.
-const spokesmen = 2
+// delegates is the hosts of each data centre that send its sums.
+const delegates = 2
 
-// strangers is the hosts of a data centre of which nobody was heard that are
-// tried with each message.
-const strangers = 2
+// unheardTargets is how many hosts of a silent data centre get each message.
+const unheardTargets = 2
 
-// spokesmanDuty ranks hosts for speaking for their data centre.
-const spokesmanDuty = "spokesman"
+// delegateDuty ranks hosts for speaking for their data centre.
+const delegateDuty = "delegate"
 
 // centre is what is known of another data centre.
 type centre struct {
@@ -70,19 +69,19 @@
 	return out
 }
 
-// speaks reports whether this host speaks for its data centre. mu is held.
-func (p *peers) speaks(now time.Time) bool {
-	own := dutyScore(spokesmanDuty, p.g.opt.Name)
+// isDelegate reports whether this host speaks for its data centre. mu is held.
+func (p *peers) isDelegate(now time.Time) bool {
+	own := dutyScore(delegateDuty, p.g.opt.Name)
 	before := 0
 	for name, h := range p.known {
-		if h.dataCentre == p.g.opt.DataCentre && !h.leaving && now.Sub(h.heard) < heardWithin && dutyScore(spokesmanDuty, name) > own {
+		if h.dataCentre == p.g.opt.DataCentre && !h.leaving && now.Sub(h.heard) < heardWithin && dutyScore(delegateDuty, name) > own {
 			before++
 		}
 	}
-	return before < spokesmen
+	return before < delegates
 }
 
-// farTargets are the hosts of other data centres to tell the sum: the spokesmen
+// farTargets are the hosts of other data centres to tell the sum: the delegates
 // that were heard, and a few others where there are none. mu is held.
 func (p *peers) farTargets(now time.Time) []*net.UDPAddr {
 	heard := map[string]int{}
@@ -93,9 +92,9 @@
 			out = append(out, h.address)
 		}
 	}
-	// Maps are walked in random order, so that strangers change by turns.
+	// Maps are walked in random order, so each message goes to others.
 	for _, h := range p.known {
-		if h.dataCentre != p.g.opt.DataCentre && now.Sub(h.heard) >= heardWithin && heard[h.dataCentre] < strangers {
+		if h.dataCentre != p.g.opt.DataCentre && now.Sub(h.heard) >= heardWithin && heard[h.dataCentre] < unheardTargets {
 			heard[h.dataCentre]++
 			out = append(out, h.address)
 		}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -193,7 +193,7 @@
 			near = append(near, h.address)
 		}
 	}
-	if p.speaks(now) {
+	if p.isDelegate(now) {
 		far = p.farTargets(now)
 		msg.Centres = p.otherCentres(now)
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -195,7 +195,7 @@
 	var known *errkind.Error
 	if errors.As(err, &known) {
 		until := p.g.now().Add(fullPause)
-		p.svc.shun(p.db.ID, until)
+		p.svc.avoid(p.db.ID, until)
 		if known.Kind == errkind.DatabaseFull {
 			p.mu.Lock()
 			p.fullUntil = until
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -208,7 +208,7 @@
 			return true
 		}
 		// A new replica would let the former primary go on acknowledging.
-		if fresh := a.newcomers(); len(fresh) > 0 {
+		if fresh := a.newDatabases(); len(fresh) > 0 {
 			a.ask(ctx, fresh, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
 		}
 		if p != nil {
--- a/gateway/question.go
+++ b/gateway/question.go
@@ -21,9 +21,9 @@
 	former   bool // no longer listed
 }
 
-// newcomers returns questions for the databases that have been announced since
+// newDatabases returns questions for the databases that have been announced since
 // the last call, and keeps them with the others.
-func (a *replacement) newcomers() []*question {
+func (a *replacement) newDatabases() []*question {
 	known := map[string]bool{}
 	for _, q := range a.questions {
 		known[q.db.ID] = true
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -64,9 +64,9 @@
 func (s *service) setDatabases(list []routes.Database, size int) {
 	now := s.g.now()
 	s.mu.Lock()
-	reborn := s.table.SetDatabases(list, now)
+	restarted := s.table.SetDatabases(list, now)
 	var closing []*pool
-	for _, id := range reborn {
+	for _, id := range restarted {
 		if p := s.pools[id]; p != nil {
 			closing = append(closing, p)
 			delete(s.pools, id)
@@ -162,8 +162,8 @@
 	return nil, false
 }
 
-// hopeless reports whether no primary has been reached for long. mu is held.
-func (s *service) hopeless() bool {
+// longLost reports whether no primary has been reached for long. mu is held.
+func (s *service) longLost() bool {
 	return !s.lost.IsZero() && s.g.now().Sub(s.lost) >= lostForLong
 }
 
@@ -173,7 +173,7 @@
 	var ok bool
 	err := s.wait(ctx, func() bool {
 		p, ok = s.reachable()
-		return ok || s.hopeless()
+		return ok || s.longLost()
 	})
 	if err != nil || !ok {
 		return nil, errkind.New(errkind.NoPrimary, "service %s, retry after %d ms", s.name, retryAfterLoss.Milliseconds())
@@ -204,7 +204,7 @@
 		}
 		s.askSample()
 		_, led := s.reachable()
-		return !led && s.hopeless()
+		return !led && s.longLost()
 	})
 	if err != nil || !ok {
 		return sample, s.tooStale(t)
@@ -268,9 +268,9 @@
 	}
 }
 
-func (s *service) shun(id string, until time.Time) {
+func (s *service) avoid(id string, until time.Time) {
 	s.mu.Lock()
-	s.table.Shun(id, until)
+	s.table.Avoid(id, until)
 	s.mu.Unlock()
 }
 
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -159,10 +159,10 @@
 	case errkind.PrimaryReplaced:
 		op.svc.denied(id, now)
 	case errkind.DatabaseBehind:
-		op.svc.shun(id, now.Add(behindPause))
+		op.svc.avoid(id, now.Add(behindPause))
 	case errkind.DatabaseBusy:
 		c.pool.overloaded(now)
-		op.svc.shun(id, now.Add(busyPause))
+		op.svc.avoid(id, now.Add(busyPause))
 	case errkind.UnknownStatement:
 		c.broken = true // the connection does not hold what it should
 	}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -12,7 +12,7 @@
 // choose names the successor, after making sure that the attempt's view of the
 // service still holds and that no other replica receives more than it.
 func (a *replacement) choose(ctx context.Context) (succession.Candidate, error) {
-	a.ask(ctx, a.newcomers(), statement.Statement{Kind: statement.Status})
+	a.ask(ctx, a.newDatabases(), statement.Statement{Kind: statement.Status})
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
@@ -21,7 +21,7 @@
 	}
 	replicas := a.replicas()
 	a.ask(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	for fresh := a.newcomers(); len(fresh) > 0; fresh = a.newcomers() {
+	for fresh := a.newDatabases(); len(fresh) > 0; fresh = a.newDatabases() {
 		a.ask(ctx, fresh, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
 	}
 	if err := a.checkView(); err != nil {
