Remove what nothing calls

Found in reading the whole change; behaviour stays. Specs of gateway and platform, vet and staticcheck pass.

--- a/gateway/decision.go
+++ b/gateway/decision.go
@@ -81,11 +81,6 @@
 	d.log.Info("Failed.", op.attrs(s, took, "kind", err.Kind.String(), "outcome", err.Kind.Answer().Outcome.String(), "cause", err.Error())...)
 }
 
-// refused records a session that was not accepted.
-func (d *decisionLog) refused(s *session, id string, err *errkind.Error) {
-	d.failed(s, &operation{Request: statement.Request{ID: id}}, err)
-}
-
 // attrs describes a request by what decided it.
 func (op *operation) attrs(s *session, took time.Duration, more ...any) []any {
 	return append([]any{
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -53,8 +53,7 @@
 
 // run implements runner.
 func (r *remote) run(ctx context.Context, op *operation) (statement.Answer, error) {
-	fresh := r.stream == nil
-	if fresh {
+	if r.stream == nil {
 		var err error
 		if r.stream, err = r.g.streams.take(r.home); err != nil {
 			r.g.peers.avoid(r.home.name)
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -79,10 +79,9 @@
 }
 
 // prove finds out whether a connection's database leads. It returns nil if so.
-func (s *service) prove(c *conn, deadline time.Time, before ...statement.Request) error {
+func (s *service) prove(c *conn, deadline time.Time) error {
 	asked := s.g.now()
-	requests := append(before, own(statement.Begin), own(statement.Rollback))
-	answers, err := c.run(deadline, requests...)
+	answers, err := c.run(deadline, own(statement.Begin), own(statement.Rollback))
 	if err != nil {
 		return errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+c.pool.db.ID)
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -107,7 +107,7 @@
 func (s *session) reject(err error) {
 	var known *errkind.Error
 	if errors.As(err, &known) {
-		s.g.decision.refused(s, "", known)
+		s.g.decision.failed(s, &operation{}, known)
 		if err := s.caller.Reject(known); err != nil {
 			s.g.log.Debug("Caller was gone before its refusal.", "part", "session", "error", err)
 		}
