Refuse a request with an id at once when its record breaks a constraint

A record that cannot be kept fails the same way at each try, and the host tried until the request's 5 s were over. Ruled out: a refusal that says "not run" for that try, which nobody could know. Change: a constraint violation of the record ends the request at once as rolled back. The spec holds it to half of the deadline, and a second one holds the commit past the deadline and expects "unknown". Unused SQLSTATEs are removed.

--- a/host/connection_test.go
+++ b/host/connection_test.go
@@ -1,6 +1,8 @@
 package host_test
 
 import (
+	"bytes"
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -9,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"math/big"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -18,6 +21,8 @@
 
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/host"
+	"github.com/bronzeloft/bronzeloft/internal/loopback"
+	"github.com/bronzeloft/bronzeloft/internal/standin/dbserver"
 )
 
 var _ = Describe("a caller's connection", func() {
@@ -61,15 +66,36 @@
 	It("is not told of a request with an id whose transaction was rolled back at its end", func(ctx SpecContext) {
 		site, key := startSite(ctx)
 		conn := createOrders(ctx, site, key)
-		_, err := conn.Exec(ctx, `CREATE TABLE bronzeloft_requests (customer TEXT NOT NULL, id TEXT NOT NULL,
-			digest TEXT NOT NULL, created BIGINT NOT NULL, answer TEXT CHECK (answer IS NULL), PRIMARY KEY (customer, id))`)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = conn.Exec(ctx, "/*request='order.place',request_id='r'*/ INSERT INTO orders VALUES ('rolled back', 1)")
+		createUnkeptRecords(ctx, conn)
+		asked := time.Now()
+		_, err := conn.Exec(ctx, "/*request='order.place',request_id='r'*/ INSERT INTO orders VALUES ('rolled back', 1)")
 		_, notRun := refusal(err)
 		Expect(notRun).To(BeTrue())
+		// No further try can succeed, so none is made until the request's 5 s are over.
+		Expect(time.Since(asked)).To(BeNumerically("<", 2500*time.Millisecond))
 		Expect(countWhere(ctx, conn, "rolled back")).To(BeZero())
 	}, SpecTimeout(testLimit))
 
+	It("is told that the outcome is unknown when its time ends while the commit is under way", func(ctx SpecContext) {
+		var held atomic.Bool
+		site, key := startSite(ctx, func(c *loopback.Config) {
+			c.Database = func(_ string, cfg *dbserver.Config) {
+				cfg.Tap = func(p []byte) {
+					if bytes.Contains(p, []byte("UPDATE bronzeloft_requests")) && held.CompareAndSwap(false, true) {
+						time.Sleep(5500 * time.Millisecond) // longer than the request's deadline
+					}
+				}
+			}
+		})
+		conn := createOrders(ctx, site, key)
+		createUnkeptRecords(ctx, conn)
+		_, err := conn.Exec(ctx, "/*request='order.place',request_id='r'*/ INSERT INTO orders VALUES ('held', 1)")
+		kind, notRun := refusal(err)
+		Expect(held.Load()).To(BeTrue())
+		Expect(kind).To(Equal("outcome_unknown"))
+		Expect(notRun).To(BeFalse())
+	}, SpecTimeout(testLimit))
+
 	It("is told that an outcome is unknown whatever a later try met", func() {
 		unknown, refused := errkind.New(errkind.OutcomeUnknown, ""), errkind.New(errkind.NoPrimary, "")
 		Expect(host.JoinTries(refused)).To(MatchError(refused))
@@ -125,6 +151,15 @@
 	)
 })
 
+// createUnkeptRecords makes a table of request records that refuses to keep an
+// answer, so that the transaction of a request with an id fails at its end.
+func createUnkeptRecords(ctx context.Context, conn *pgx.Conn) {
+	GinkgoHelper()
+	_, err := conn.Exec(ctx, `CREATE TABLE bronzeloft_requests (customer TEXT NOT NULL, id TEXT NOT NULL,
+		digest TEXT NOT NULL, created BIGINT NOT NULL, answer TEXT CHECK (answer IS NULL), PRIMARY KEY (customer, id))`)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // selfSigned returns a certificate for localhost and the pool that trusts it.
 func selfSigned() (tls.Certificate, *x509.CertPool) {
 	GinkgoHelper()
--- a/host/once.go
+++ b/host/once.go
@@ -38,9 +38,7 @@
 const (
 	stateUnique       = "23505"
 	stateNoTable      = "42P01"
-	stateLockTimeout  = "55P03"
-	stateSerialize    = "40001"
-	stateDeadlock     = "40P01"
+	classIntegrity    = "23" // first characters of every constraint violation
 	notKept           = "-"
 	transactionDigest = "transaction"
 )
--- a/host/oncetry.go
+++ b/host/oncetry.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -76,7 +77,7 @@
 	o.clean = o.conn.TxStatus() == 'I'
 	if keepErr != nil {
 		// COMMIT of a failed transaction succeeds and rolls back.
-		return nil, errkind.Wrap(errkind.PrimaryReplaced, keepErr, "transaction was rolled back")
+		return nil, errkind.Wrap(rolledBack(serverState(keepErr)), keepErr, "transaction was rolled back")
 	}
 	o.recorded = true
 	return answer, nil
@@ -201,6 +202,15 @@
 	return errkind.Wrap(errkind.PrimaryReplaced, err, "commit was refused")
 }
 
+// rolledBack is the error of a transaction that a statement of its own made
+// fail. A further try can succeed unless the record breaks a constraint.
+func rolledBack(state string) errkind.Kind {
+	if strings.HasPrefix(state, classIntegrity) {
+		return errkind.TransactionAborted
+	}
+	return errkind.PrimaryReplaced
+}
+
 // begin opens a transaction that carries the id: a second one finds it done.
 func (o *onceTry) begin(ctx context.Context) error {
 	o.conn.SetDeadline(o.r.deadline)
