Resume replicas that a dead attempt has left stopped

The host that had stopped the other replicas was cut off before the answer to its order. The order took effect, so a primary led and no host had a reason to act: the replicas stayed stopped. When that primary was lost, only the leaving database had its commits, and led again. Ruled out: reads sent to a leaving database; a wrong choice, the log was the longest. Change: the first host in rank asks the databases each second whether one is stopped; where no host holds the lease it makes any earlier order void and resumes them. A host whose order is unanswered gives the lease back with the order named in it, and a lease that cannot be read counts as one that hides an order. Lines about who leads are written when the belief changes, not at each answer.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -40,6 +40,7 @@
 	Absent  Reason = "absent"  // no database leads
 	Leaving Reason = "leaving" // it ends soon
 	Stuck   Reason = "stuck"   // it answers, but commits are not acknowledged
+	Stopped Reason = "stopped" // it stays; replicas that no host has resumed receive nothing
 )
 
 // Opinion is what one host finds of a service's primary.
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -46,13 +46,17 @@
 	return a.writeLease(ctx, lease{Ordered: a.pendingOrder(old)})
 }
 
+// unknownOrder stands for the order that a lease that cannot be read may hide.
+const unknownOrder = "unknown"
+
 // pendingOrder returns the order that a lease's former holder left unanswered.
 func (a *replacement) pendingOrder(old objectapi.Object) string {
 	var held lease
 	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
-		return "unknown" // a lease that cannot be read may hide an order
+		a.pending, a.ordered = true, unknownOrder
+		return unknownOrder
 	}
-	a.pending = held.Ordered != ""
+	a.pending, a.ordered = held.Ordered != "", held.Ordered
 	return held.Ordered
 }
 
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -108,7 +108,11 @@
 	g := l.db.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return statement.Report{Primary: g.leader == l.db.id, Term: g.term, Received: l.db.end}, nil
+	report := statement.Report{Primary: g.leader == l.db.id, Term: g.term, Received: l.db.end}
+	if l.db.paused {
+		report.Paused = g.term + 1
+	}
+	return report, nil
 }
 
 func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -50,6 +50,8 @@
 	leader    string    // that was seen last
 	stuckNext time.Time // earliest attempt because of Stuck
 	seen      leaseSeen
+	looking   bool      // for stopped replicas
+	nextLook  time.Time // earliest next look for them
 }
 
 func dutyScore(duty, host string) uint64 { return xxhash.Sum64String(duty + "\x00" + host) }
@@ -75,7 +77,13 @@
 			s.g.log.Info("Primary should be replaced.", "part", "promotion", "service", s.name, "primary", leader.ID, "reason", string(reason), "rank", rank, "hosts", len(others)+1)
 		}
 	}
-	if reason == succession.None || d.running || now.Before(d.next) || s.g.leaving.Load() {
+	if d.running || s.g.leaving.Load() {
+		return
+	}
+	if reason == succession.None && known && rank == 0 {
+		s.lookForStopped(now)
+	}
+	if reason == succession.None || now.Before(d.next) {
 		return
 	}
 	if reason == succession.Stuck && now.Before(d.stuckNext) {
@@ -89,10 +97,7 @@
 		return
 	}
 	d.running = true
-	a := &replacement{
-		s: s, reason: reason, primary: leader.ID, term: s.table.Term(), acked: position.Max(acked, s.acked), started: now,
-		log: s.g.log.With("part", "promotion", "service", s.name, "primary", leader.ID, "reason", string(reason)),
-	}
+	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
 	go func() {
 		a.run()
 		s.mu.Lock()
@@ -102,6 +107,16 @@
 	}()
 }
 
+// newReplacement returns an attempt for the databases as they are known now. mu
+// is held.
+func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
+	leader, _ := s.table.Leader()
+	return &replacement{
+		s: s, reason: reason, primary: leader.ID, term: s.table.Term(), acked: acked, started: now,
+		log: s.g.log.With("part", "promotion", "service", s.name, "primary", leader.ID, "reason", string(reason)),
+	}
+}
+
 // replacement is one attempt to replace a service's primary.
 type replacement struct {
 	s       *service
@@ -113,7 +128,8 @@
 	started time.Time
 
 	held      objectapi.Object // the lease
-	pending   bool             // an earlier order may still take effect
+	pending   bool             // an unanswered order may still take effect
+	ordered   string           // the database that it is for
 	questions []*question
 }
 
@@ -130,19 +146,20 @@
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.log.Warn("No successor is named.", "error", err)
-		if err := a.settle(ctx); err == nil {
-			a.resumeAll()
-			a.giveLeaseBack("")
-		}
+		a.giveUp(ctx)
 		return
 	}
 	err = a.order(ctx, successor.ID)
-	refused := errors.Is(err, succession.ErrRefused) && !a.pending
-	if refused || err == nil && a.awaitLeader(successor.ID) {
+	switch {
+	case err == nil && !a.awaitLeader(successor.ID):
+		// The lease runs out: the successor may take longer.
+	case err == nil || !a.pending:
 		a.resumeAll()
 		a.giveLeaseBack("")
+	default:
+		a.log.Warn("Replicas stay stopped, an order may take effect.", "database", a.ordered)
+		a.giveLeaseBack(a.ordered)
 	}
-	// Otherwise the replicas stay stopped: an order may still take effect.
 }
 
 func errorText(err error) string {
@@ -173,7 +190,11 @@
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.held.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
-		if err == nil || errors.Is(err, succession.ErrRefused) || !again.Pause(ctx) {
+		if err == nil || errors.Is(err, succession.ErrRefused) {
+			return err
+		}
+		a.pending, a.ordered = true, database
+		if !again.Pause(ctx) {
 			return err
 		}
 	}
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -202,6 +202,72 @@
 		dbs.with(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
 	})
 
+	Context("with replicas that an attempt has left stopped", func() {
+		var order succession.Order // of the attempt that ended, unanswered
+
+		leave := func(l lease) {
+			value, err := json.Marshal(l)
+			Expect(err).NotTo(HaveOccurred())
+			held, err := p.api.Create(context.Background(), kindLeases, testService, value)
+			Expect(err).NotTo(HaveOccurred())
+			order = succession.Order{Service: testService, Database: "b", Holder: l.Holder, Fence: held.Version}
+			dbs.with(func() { dbs.databases["b"].paused, dbs.databases["c"].paused = true, true })
+			svc.proved("a", position.Position{Term: 1, Index: 10}, time.Now())
+			svc.mu.Lock()
+			svc.homeRank = 0
+			svc.mu.Unlock()
+		}
+		stopped := func() bool {
+			svc.considerSuccession(time.Now())
+			still := false
+			dbs.with(func() { still = dbs.databases["b"].paused || dbs.databases["c"].paused })
+			return still
+		}
+
+		It("lets them receive again once no host holds the lease, and makes the attempt's order void", func() {
+			leave(lease{Holder: "host-2", Claim: "x", Released: true, Ordered: "b"})
+			Eventually(stopped).WithTimeout(5 * time.Second).Should(BeFalse())
+			Expect(dbs.take(order)).To(MatchError(succession.ErrRefused))
+			Expect(leader()).To(Equal("a"))
+		})
+
+		It("leaves them to the host that holds the lease", func() {
+			leave(lease{Holder: "host-2", Claim: "x"})
+			Consistently(stopped).WithTimeout(2 * time.Second).Should(BeTrue())
+			dbs.with(func() { Expect(dbs.orders).To(BeEmpty()) })
+			svc.mu.Lock()
+			svc.duty.seen.at = time.Now().Add(-leaseTerm)
+			svc.mu.Unlock()
+			Eventually(stopped).WithTimeout(5 * time.Second).Should(BeFalse())
+		})
+	})
+
+	It("gives the lease back when its order is not answered, and names the order in it", func() {
+		dbs.with(func() {
+			dbs.databases["a"].dark = true
+			dbs.lateOrder = func(succession.Order) error { return errors.New("no answer") }
+		})
+		attempt(succession.Silent)
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		var l lease
+		Expect(json.Unmarshal(held.Value, &l)).To(Succeed())
+		Expect(l.Released).To(BeTrue())
+		Expect(l.Ordered).To(Equal(dbs.orders[0].Database))
+	})
+
+	It("keeps the replicas stopped after a lease that cannot be read, which may hide an order", func() {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte("7"))
+		Expect(err).NotTo(HaveOccurred())
+		dbs.with(func() { dbs.databases["a"].dark, dbs.databases["c"].dark = true, true })
+		attempt(succession.Silent)
+		svc.mu.Lock()
+		svc.duty.seen.at = time.Now().Add(-leaseTerm)
+		svc.mu.Unlock()
+		attempt(succession.Silent)
+		dbs.with(func() { Expect(dbs.databases["b"].paused).To(BeTrue()) })
+	})
+
 	It("acts only under the lease, whose version is a fence that rises", func() {
 		other, err := json.Marshal(lease{Holder: "host-2", Claim: "x"})
 		Expect(err).NotTo(HaveOccurred())
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -237,21 +237,26 @@
 // denied records that a database does not lead.
 func (s *service) denied(id string, asked time.Time) {
 	s.mu.Lock()
+	before, _ := s.table.Leader()
 	s.table.Denied(id, asked)
+	after, _ := s.table.Leader()
 	s.wake()
 	s.mu.Unlock()
-	s.g.log.Info("Database does not lead.", "part", "service", "service", s.name, "database", id)
+	if before.ID == id && after.ID != id {
+		s.g.log.Info("Database does not lead.", "part", "service", "service", s.name, "database", id)
+	}
 }
 
 func (s *service) answered(id string, asked time.Time) {
 	s.mu.Lock()
 	was := s.table.Unreachable(id, s.g.now())
 	s.table.Answered(id, asked)
-	if was {
+	back := was && !s.table.Unreachable(id, s.g.now())
+	if back {
 		s.wake()
 	}
 	s.mu.Unlock()
-	if was {
+	if back {
 		s.g.log.Info("Database answers again.", "part", "service", "service", s.name, "database", id)
 	}
 }
