Take a host's own demand for its part of a rate as all others know it

Hosts weighed their own demand of now against the others' of up to a second ago, so while demand rises all parts add up to more than one. Change: a host's own demand counts as it told it two rounds ago, plus two operations. Buckets hold the burst and the platform's slack of 20 over all hosts instead of two each, 1.2 at least. One spec now tells its demand, as hosts do each round; its bound is the same.

--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -1,7 +1,8 @@
-// Package share divides a customer's rate and burst among hosts by demand.
+// Package share divides a customer's rate and burst among the hosts that admit
+// its operations, by demand.
 //
-// Every host tells the others, several times a second, how many operations a
-// second each customer asks of it. A host admits its part of the customer's
+// Every such host tells the others, several times a second, how many operations
+// a second each customer asks of it. A host admits its part of the customer's
 // rate and burst: its own demand over that of all hosts. A host that was not
 // heard for a while keeps its last demand in the others' sums, and, when it
 // hears nobody, keeps the others' in its own, so that a cut changes nobody's
@@ -24,9 +25,16 @@
 	// base is the demand that every host is taken to have at least, as a part
 	// of the customer's rate spread over all hosts.
 	base = 0.25
-	// leastBurst is the least bucket of one host: a customer's operations come
-	// in ones and twos. 15 hosts add 1.2 each to the quota's slack of 20.
-	leastBurst = 2.0
+	// spare is the operations that the buckets of all hosts hold together beyond
+	// the customer's burst: the platform's quotaSlack.
+	spare = 20.0
+	// leastBurst is the least bucket of one host. At 1 a bucket would be full as
+	// soon as it admits one operation, and would gain nothing while it waits.
+	leastBurst = 1.2
+	// unknownOperations is how many operations a host counts for itself before
+	// the others were told of them. Demand that rises faster is known to this
+	// host only, and would raise its part at nobody's cost.
+	unknownOperations = 2
 )
 
 // Limit is what a customer may send over all hosts.
@@ -44,7 +52,7 @@
 type Table struct {
 	accounts map[string]*account
 	peers    map[string]*peer
-	hosts    int // that are believed to serve, this one included
+	hosts    int // that are believed to admit operations, this one included
 }
 
 type account struct {
@@ -52,11 +60,13 @@
 	tokens float64
 	at     time.Time // tokens are as of then
 	demand float64
+	told   float64   // demand as the other hosts were told last
+	known  float64   // demand as they were told the time before: all know it
 	seen   time.Time // demand is as of then
 }
 
 type peer struct {
-	hosts   int // that it stands for
+	hosts   int // that it stands for and that admit operations
 	demands Demands
 	heard   time.Time
 }
@@ -66,7 +76,7 @@
 	return &Table{accounts: map[string]*account{}, peers: map[string]*peer{}, hosts: max(1, hosts)}
 }
 
-// SetHosts says how many hosts are believed to serve.
+// SetHosts says how many hosts are believed to admit operations.
 func (t *Table) SetHosts(n int) { t.hosts = max(1, n) }
 
 // SetLimits takes the customers of a configuration.
@@ -105,12 +115,18 @@
 	return false, time.Duration(wait * float64(time.Second))
 }
 
-// Demands returns this host's demand, for the other hosts.
+// leastDemand is the demand, in operations per second, that is worth a line to
+// the other hosts.
+const leastDemand = 0.05
+
+// Demands returns this host's demand, for the other hosts. They are taken to be
+// told of it.
 func (t *Table) Demands(now time.Time) Demands {
 	out := Demands{}
 	for name, a := range t.accounts {
 		a.decay(now)
-		if a.demand > 0.05 {
+		a.known, a.told = a.told, a.demand
+		if a.demand > leastDemand {
 			out[name] = a.demand
 		}
 	}
@@ -118,6 +134,7 @@
 }
 
 // Heard takes the demand of another host, or that of several hosts together.
+// hosts is how many of them admit operations.
 func (t *Table) Heard(name string, hosts int, demands Demands, now time.Time) {
 	t.peers[name] = &peer{hosts: hosts, demands: demands, heard: now}
 	t.forget(now)
@@ -140,7 +157,7 @@
 	}
 	hosts := max(t.hosts, heard)
 	floor := base * a.limit.Rate / float64(hosts)
-	own := a.demand + floor
+	own := min(a.demand, a.known+unknownOperations/memory.Seconds()) + floor
 	sum := 0.0
 	for _, p := range t.peers {
 		sum += p.demands[customer] + floor*float64(p.hosts)
@@ -151,7 +168,7 @@
 
 // burst is the bucket of a host with a part of the limit.
 func (t *Table) burst(limit Limit, part float64) float64 {
-	return max(leastBurst, limit.Burst*part)
+	return max(leastBurst, limit.Burst*part+spare/float64(t.hosts))
 }
 
 func (a *account) accrue(rate, burst float64, now time.Time) {
--- a/customer/share/share_test.go
+++ b/customer/share/share_test.go
@@ -73,6 +73,100 @@
 	}
 }
 
+// centres is hosts in data centres. Hosts of one data centre tell each other
+// their demands every 300 ms, each at a moment of its own. The first host of
+// each tells the sum to the first hosts of the others, which pass it on in their
+// next round.
+type centres struct {
+	fleet
+	perCentre int
+	phase     []time.Duration
+	told      []share.Demands // by each host, last
+	sums      []share.Demands // by each data centre, last
+}
+
+func newCentres(count, perCentre int, limit share.Limit) *centres {
+	c := &centres{fleet: *newFleet(count*perCentre, limit), perCentre: perCentre, sums: make([]share.Demands, count)}
+	for range c.tables {
+		c.phase = append(c.phase, time.Duration(c.rand.IntN(30))*10*time.Millisecond)
+		c.told = append(c.told, nil)
+	}
+	return c
+}
+
+// ask lets the hosts be asked at a rate together. It returns what was admitted
+// in each step of 10 ms.
+func (c *centres) ask(perSecond float64, d time.Duration) (asked int, admitted []int) {
+	const step, round = 10 * time.Millisecond, 300 * time.Millisecond
+	each := perSecond / float64(len(c.tables)) * step.Seconds()
+	for passed := time.Duration(0); passed < d; passed += step {
+		c.now = c.now.Add(step)
+		n := 0
+		for i, t := range c.tables {
+			if c.rand.Float64() < each {
+				asked++
+				if ok, _ := t.Ask(customer, c.now); ok {
+					n++
+				}
+			}
+			if c.phase[i] == passed%round {
+				c.tell(i)
+			}
+		}
+		admitted = append(admitted, n)
+	}
+	return asked, admitted
+}
+
+// tell sends one host's round of messages.
+func (c *centres) tell(i int) {
+	own := i / c.perCentre
+	first := own * c.perCentre
+	c.told[i] = c.tables[i].Demands(c.now)
+	for j := first; j < first+c.perCentre; j++ {
+		if j == i {
+			continue
+		}
+		c.tables[j].Heard(fmt.Sprint(i), 1, c.told[i], c.now)
+		for other, sum := range c.sums {
+			if i == first && other != own && sum != nil {
+				c.tables[j].Heard(fmt.Sprint("centre ", other), c.perCentre, sum, c.now)
+			}
+		}
+	}
+	if i == first {
+		c.tellSum(own)
+	}
+}
+
+func (c *centres) tellSum(own int) {
+	first := own * c.perCentre
+	sum := share.Demands{}
+	for j := first; j < first+c.perCentre; j++ {
+		sum[customer] += c.told[j][customer]
+	}
+	c.sums[own] = sum
+	for other := range c.sums {
+		if other != own {
+			c.tables[other*c.perCentre].Heard(fmt.Sprint("centre ", own), c.perCentre, sum, c.now)
+		}
+	}
+}
+
+// most returns the most that was admitted in any 5 s.
+func most(admitted []int) float64 {
+	const window = 500 // steps of 10 ms
+	sum, out := 0, 0
+	for i, n := range admitted {
+		sum += n
+		if i >= window {
+			sum -= admitted[i-window]
+		}
+		out = max(out, sum)
+	}
+	return float64(out)
+}
+
 func even(hosts int, perSecond float64) []float64 {
 	out := make([]float64, hosts)
 	for i := range out {
@@ -127,6 +221,41 @@
 		Expect(float64(admitted)).To(BeNumerically("<=", allowed(low)))
 	})
 
+	DescribeTable("holds in every window of data centres that hear each other late",
+		func(perCentre int, rate, first, then float64) {
+			limit := share.Limit{Rate: rate, Burst: rate}
+			c := newCentres(4, perCentre, limit)
+			_, before := c.ask(first*rate, 6*time.Second)
+			_, after := c.ask(then*rate, 12*time.Second)
+			got := most(append(before, after...))
+			Expect(got).To(BeNumerically("<=", allowed(limit)))
+		},
+		Entry("a large customer that starts far beyond its rate", 8, 262.0, 2.1, 2.1),
+		Entry("the same where few hosts count", 3, 262.0, 2.1, 2.1),
+		Entry("a large customer that rises to five times its rate", 8, 262.0, 0.6, 5.0),
+		Entry("the same where few hosts count", 3, 100.0, 0.6, 5.0),
+		Entry("a small customer that rises to five times its rate", 8, 24.0, 0.6, 5.0),
+		Entry("a very small one", 8, 10.0, 0.6, 5.0),
+		Entry("the same where few hosts count", 3, 24.0, 0.6, 5.0),
+	)
+
+	DescribeTable("refuses little below the limit",
+		func(perCentre int, rate, asks, most float64) {
+			c := newCentres(4, perCentre, share.Limit{Rate: rate, Burst: rate})
+			c.ask(asks*rate, 3*time.Second)
+			asked, admitted := c.ask(asks*rate, 40*time.Second)
+			got := 0
+			for _, n := range admitted {
+				got += n
+			}
+			Expect(float64(asked-got) / float64(asked)).To(BeNumerically("<", most))
+		},
+		Entry("large customer, many hosts", 8, 262.0, 0.62, 0.01),
+		Entry("small customer, many hosts", 8, 24.0, 0.62, 0.05),
+		Entry("small customer, few hosts", 3, 24.0, 0.62, 0.03),
+		Entry("large customer, few hosts", 3, 100.0, 0.62, 0.01),
+	)
+
 	It("counts hosts that are summed up like hosts that speak for themselves", func() {
 		one := share.New(10)
 		one.SetLimits(map[string]share.Limit{customer: limit}, noon)
@@ -135,6 +264,7 @@
 			now := noon.Add(time.Duration(i) * 10 * time.Millisecond)
 			if i%30 == 0 {
 				one.Heard("far", 9, share.Demands{customer: 90}, now)
+				one.Demands(now) // which the others are told of
 			}
 			if ok, _ := one.Ask(customer, now); ok && i >= 500 {
 				admitted++
