Count rates at homes, and let no message between hosts overrun a link

Traced by the parts of all hosts: their sum was 1.2 to 1.4 in steady state, since sums of data centres were 3 to 5 s old. Delegates sent 14 times 7 KB at once on links of 10 Mbit/s, and what they sent last was dropped: their brief messages, so that others took themselves for delegates and sent sums of the few hosts that they heard. Change: the home counts a customer's rate, 32 hosts instead of 121, once for a transaction at its first statement. Messages are paced to 800 KB/s and start at a moment of their own; demands go to delegates and watchers only, sums to watchers only and last. A silent data centre is told through those that would speak for it.

--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/share"
@@ -18,7 +21,8 @@
 // delegates is the hosts of each data centre that send its sums.
 const delegates = 2
 
-// unheardTargets is how many hosts of a silent data centre get each message.
+// unheardTargets is how many hosts of a silent data centre get each message
+// besides those that would speak for it if all of its hosts lived.
 const unheardTargets = 2
 
 // delegateDuty ranks hosts for speaking for their data centre.
@@ -69,34 +73,50 @@
 	return out
 }
 
-// isDelegate reports whether this host speaks for its data centre. mu is held.
-func (p *peers) isDelegate(now time.Time) bool {
-	own := dutyScore(delegateDuty, p.g.opt.Name)
-	before := 0
+// delegatesHere returns the hosts that speak for this data centre. mu is held.
+func (p *peers) delegatesHere(now time.Time) []string {
+	names := []string{p.g.opt.Name}
 	for name, h := range p.known {
-		if h.dataCentre == p.g.opt.DataCentre && !h.leaving && now.Sub(h.heard) < heardWithin && dutyScore(delegateDuty, name) > own {
-			before++
+		if h.dataCentre == p.g.opt.DataCentre && !h.leaving && now.Sub(h.heard) < heardWithin {
+			names = append(names, name)
 		}
 	}
-	return before < delegates
+	return ranked(names)[:min(delegates, len(names))]
+}
+
+// ranked sorts hosts by their rank for speaking for their data centre.
+func ranked(names []string) []string {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Compare(dutyScore(delegateDuty, b), dutyScore(delegateDuty, a))
+	})
+	return names
 }
 
 // farTargets are the hosts of other data centres to tell the sum: the delegates
-// that were heard, and a few others where there are none. mu is held.
+// that were heard. Of a data centre that is silent, they are those that would be
+// its delegates, and a few others since these may be gone. mu is held.
 func (p *peers) farTargets(now time.Time) []*net.UDPAddr {
-	heard := map[string]int{}
+	heard := map[string]bool{}
+	silent := map[string][]string{}
 	var out []*net.UDPAddr
-	for _, h := range p.known {
-		if h.dataCentre != p.g.opt.DataCentre && now.Sub(h.heard) < heardWithin {
-			heard[h.dataCentre]++
+	for name, h := range p.known {
+		switch {
+		case h.dataCentre == p.g.opt.DataCentre:
+		case now.Sub(h.heard) < heardWithin:
+			heard[h.dataCentre] = true
 			out = append(out, h.address)
+		default:
+			silent[h.dataCentre] = append(silent[h.dataCentre], name)
 		}
 	}
-	// Maps are walked in random order, so each message goes to others.
-	for _, h := range p.known {
-		if h.dataCentre != p.g.opt.DataCentre && now.Sub(h.heard) >= heardWithin && heard[h.dataCentre] < unheardTargets {
-			heard[h.dataCentre]++
-			out = append(out, h.address)
+	for dataCentre, names := range silent {
+		if heard[dataCentre] {
+			continue
+		}
+		rest := ranked(names)[min(delegates, len(names)):]
+		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+		for _, name := range names[:min(delegates+unheardTargets, len(names))] {
+			out = append(out, p.known[name].address)
 		}
 	}
 	return out
@@ -182,7 +202,8 @@
 		p.noteAcked(g)
 	}
 	p.mu.Unlock()
-	p.g.rates.heard("data centre "+in.Name, c.hosts, c.demands, now)
+	admitting := min(c.hosts, len(p.g.allServices()))
+	p.g.rates.heard("data centre "+in.Name, admitting, c.demands, now)
 }
 
 func demandsOf(list []*gossippb.Demand) share.Demands {
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -51,6 +51,45 @@
 	return i
 }
 
+// admitting returns the names of the hosts of this data centre that are home to
+// a service and so count what customers ask, this one's among them if it is.
+func (p *peers) admitting() map[string]bool {
+	out := map[string]bool{}
+	for _, s := range p.g.allServices() {
+		if list := p.homes(s.name); len(list) > 0 {
+			out[list[0].name] = true
+		}
+	}
+	return out
+}
+
+// noteAdmitting finds which hosts admit, and tells the rates how many there are
+// in all data centres. In another one there are at most as many as services.
+func (p *peers) noteAdmitting() {
+	now := p.g.now()
+	here := p.admitting()
+	services := len(p.g.allServices())
+	far := map[string]int{}
+	p.mu.Lock()
+	p.admits = here
+	for _, h := range p.known {
+		if h.dataCentre != "" && h.dataCentre != p.g.opt.DataCentre && p.counts(h, now) {
+			far[h.dataCentre]++
+		}
+	}
+	for name, c := range p.centres {
+		if now.Sub(c.at) < aliveWithin {
+			far[name] = max(far[name], c.hosts)
+		}
+	}
+	p.mu.Unlock()
+	n := max(1, len(here))
+	for _, hosts := range far {
+		n += min(hosts, services)
+	}
+	p.g.rates.setHosts(n)
+}
+
 // avoidFor keeps statements off a host that did not answer.
 const avoidFor = time.Second
 
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -24,10 +24,11 @@
 
 // local runs statements on this host's own connections.
 type local struct {
-	g     *Gateway
-	conn  *conn // that holds the open transaction; nil for none
-	told  bool  // the transaction has had an answer
-	wrote bool
+	g        *Gateway
+	conn     *conn // that holds the open transaction; nil for none
+	admitted bool  // the transaction was counted against its customer's rate
+	told     bool  // the transaction has had an answer
+	wrote    bool
 }
 
 func newLocal(g *Gateway) *local { return &local{g: g} }
@@ -35,12 +36,20 @@
 // rollbackTimeout bounds the end of a transaction that its caller gave up.
 const rollbackTimeout = 500 * time.Millisecond
 
-// run implements runner.
+// run implements runner. The customer's rate is counted here, where the
+// statements of a whole data centre come together: parts of a rate that is spread
+// over few hosts are large enough to admit what comes in ones and twos.
 func (l *local) run(ctx context.Context, op *operation) (statement.Answer, error) {
 	op.svc.use()
+	if !op.inTransaction || !l.admitted {
+		if err := l.g.rates.admit(op.customer, l.g.now()); err != nil {
+			return statement.Answer{}, err
+		}
+	}
 	if !op.inTransaction {
 		return l.single(ctx, op)
 	}
+	l.admitted = true
 	a, err := l.inTransaction(ctx, op)
 	if err != nil {
 		l.drop()
@@ -111,7 +120,7 @@
 		op.svc.committed(a.Position)
 	}
 	c := l.conn
-	l.conn, l.told, l.wrote = nil, false, false
+	l.conn, l.admitted, l.told, l.wrote = nil, false, false, false
 	if a.State != statement.Idle {
 		c.broken = true
 	}
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -55,13 +55,9 @@
 	if op.svc = s.g.service(route.Service); op.svc == nil {
 		return nil, errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", route.Service)
 	}
-	if s.tx == nil {
-		if err := s.g.rates.admit(s.customer, now); err != nil {
-			return nil, err
-		}
-		return op, nil
+	if s.tx != nil {
+		op.inTransaction, op.readOnly, op.began = true, s.tx.readOnly, s.tx.began
 	}
-	op.inTransaction, op.readOnly, op.began = true, s.tx.readOnly, s.tx.began
 	return op, nil
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,14 +2,17 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -47,6 +50,7 @@
 	centres  map[string]*centre           // the other data centres
 	acked    map[string]position.Position // by service
 	contacts map[string]contact           // by data centre
+	admits   map[string]bool              // hosts that admit, as of the last round
 	sequence uint64
 	fetching bool
 }
@@ -111,7 +115,7 @@
 
 func (p *peers) close() { p.conn.Close() }
 
-// hosts is the number of hosts among which connections and rates are divided.
+// hosts is the number of hosts of the fleet.
 func (p *peers) hosts() int {
 	now := p.g.now()
 	p.mu.Lock()
@@ -145,6 +149,9 @@
 func (p *peers) run() {
 	p.g.work(p.receive)
 	p.g.work(p.keepHosts)
+	// Hosts that start together would else send in the same moment for ever, and
+	// what arrives together overruns a small link.
+	retry.Wait(p.g.ctx, rand.N(gossipEvery))
 	ticker := time.NewTicker(gossipEvery)
 	defer ticker.Stop()
 	var hosts, centres int
@@ -158,9 +165,9 @@
 		p.connect()
 		if h, c := p.hosts(), p.dataCentres(); h != hosts || c != centres {
 			hosts, centres = h, c
-			p.g.rates.setHosts(h)
 			p.g.sizePools()
 		}
+		p.noteAdmitting()
 	}
 }
 
@@ -179,34 +186,76 @@
 	p.g.streams.mesh.SetPeers(wanted)
 }
 
-// send tells the hosts of this data centre what this one finds and, where it
-// speaks for them, the other data centres the sum.
+// parcel is one message and the hosts that get it.
+type parcel struct {
+	msg *gossippb.Gossip
+	to  []*net.UDPAddr
+}
+
+// sendRate, in bytes a second, keeps a round of messages from filling a link of
+// 10 Mbit/s, the smallest of today's sites: a full link drops datagrams.
+const sendRate = 800e3
+
+// pacedSize is the size of a message, in bytes, after which the next one waits;
+// a round of smaller ones is a few KB.
+const pacedSize = 1 << 10
+
+// send tells the other hosts what this one finds.
 func (p *peers) send() {
-	now := p.g.now()
+	for _, out := range p.parcels(p.g.now()) {
+		p.sendTo(out.msg, out.to)
+	}
+}
+
+// parcels are this round's messages: to the hosts of this data centre what this
+// one finds and, where it speaks for them, to the other data centres the sum.
+// Only those who use them get the parts that take most of the bytes: demands go
+// to delegates and to hosts that watch databases, sums only to the latter, and
+// last, so that the others do not wait for them. Findings go to all: they show
+// who watches.
+func (p *peers) parcels(now time.Time) []parcel {
 	msg := p.message(now)
 	p.mu.Lock()
 	p.sequence++
 	msg.Sequence = p.sequence
-	var near, far []*net.UDPAddr
-	for _, h := range p.known {
-		if h.dataCentre == p.g.opt.DataCentre {
-			near = append(near, h.address)
+	speakers := p.delegatesHere(now)
+	var watchers, summing, others, far []*net.UDPAddr
+	for name, h := range p.known {
+		switch {
+		case h.dataCentre != p.g.opt.DataCentre:
+		case watches(h.groups):
+			watchers = append(watchers, h.address)
+		case slices.Contains(speakers, name):
+			summing = append(summing, h.address)
+		default:
+			others = append(others, h.address)
 		}
 	}
-	if p.isDelegate(now) {
+	var centres []*gossippb.Centre
+	if slices.Contains(speakers, p.g.opt.Name) {
 		far = p.farTargets(now)
-		msg.Centres = p.otherCentres(now)
+		centres = p.otherCentres(now)
 	}
 	p.mu.Unlock()
-	p.sendTo(msg, near)
+	sum, full, brief := proto.CloneOf(msg), proto.CloneOf(msg), proto.CloneOf(msg)
+	sum.Demands, sum.Groups = nil, nil
 	if len(far) > 0 {
-		msg.Centres = []*gossippb.Centre{p.sum(msg, now)}
-		msg.Demands, msg.Groups = nil, nil
-		p.sendTo(msg, far)
+		sum.Centres = []*gossippb.Centre{p.sum(msg, now)}
 	}
+	full.Centres = centres
+	brief.Demands = nil
+	return []parcel{{sum, far}, {brief, others}, {msg, summing}, {full, watchers}}
+}
+
+// watches reports whether a host with such findings watches a service.
+func watches(groups []*gossippb.Group) bool {
+	return slices.ContainsFunc(groups, func(g *gossippb.Group) bool { return g.Watching })
 }
 
 func (p *peers) sendTo(msg *gossippb.Gossip, targets []*net.UDPAddr) {
+	if len(targets) == 0 {
+		return
+	}
 	data, err := proto.Marshal(msg)
 	if err != nil || len(data) > maxDatagram {
 		p.g.log.Error("Message to hosts cannot be sent.", "part", "peers", "bytes", len(data), "error", err)
@@ -216,6 +265,9 @@
 		if _, err := p.conn.WriteToUDP(data, to); err != nil {
 			p.g.metrics.unsent.Inc() // the next message says the same
 		}
+		if len(data) >= pacedSize {
+			retry.Wait(p.g.ctx, time.Duration(float64(len(data))/sendRate*float64(time.Second)))
+		}
 	}
 }
 
@@ -229,7 +281,9 @@
 		msg.Demands = append(msg.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 	}
 	for _, s := range p.g.allServices() {
-		msg.Groups = append(msg.Groups, s.finding(now))
+		if f := s.finding(now); f.Watching {
+			msg.Groups = append(msg.Groups, f)
+		}
 	}
 	return msg
 }
@@ -295,9 +349,13 @@
 	for _, g := range msg.Groups {
 		p.noteAcked(g)
 	}
+	admitting := 0
+	if p.admits[msg.Host] {
+		admitting = 1
+	}
 	p.mu.Unlock()
 	if near {
-		p.g.rates.heard(msg.Host, 1, demandsOf(msg.Demands), now)
+		p.g.rates.heard(msg.Host, admitting, demandsOf(msg.Demands), now)
 	}
 	for _, c := range msg.Centres {
 		p.takeCentre(c, now)
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -99,6 +101,68 @@
 		Expect(g.peers.hosts()).To(Equal(4))
 	})
 
+	It("go to those that would speak for a data centre that is silent", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		var names []string
+		for i := range 30 {
+			name := fmt.Sprint("far-", i)
+			names = append(names, name)
+			g.peers.learn(name, hostEntry{Address: fmt.Sprint("127.0.0.1:", 1000+i), DataCentre: "dc-b"})
+		}
+		names = ranked(names)
+		g.peers.mu.Lock()
+		defer g.peers.mu.Unlock()
+		for range 5 {
+			targets := g.peers.farTargets(g.now())
+			Expect(targets).To(HaveLen(delegates + unheardTargets))
+			for _, name := range names[:delegates] {
+				Expect(targets).To(ContainElement(g.peers.known[name].address))
+			}
+		}
+	})
+
+	It("are sent here only to hosts that watch databases, and last", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		hear := func(name, address, centre string, watching bool) {
+			g.peers.heard(&gossippb.Gossip{Host: name, Address: address, DataCentre: centre, Boot: 1, Sequence: 1, Access: "x",
+				Groups: []*gossippb.Group{{Service: testService, Watching: watching}}})
+		}
+		var near []string // ranked after this host, the first is the other delegate
+		for i := 0; len(near) < 4; i++ {
+			name := fmt.Sprint("near-", i)
+			if dutyScore(delegateDuty, name) < dutyScore(delegateDuty, g.opt.Name) {
+				near = append(near, name)
+			}
+		}
+		for i, name := range ranked(near) {
+			hear(name, fmt.Sprint("127.0.0.1:", 10+i), "dc-a", i == 1)
+		}
+		hear("far-1", "127.0.0.1:3", "dc-b", true)
+		var demands []*gossippb.Demand
+		for i := range 80 {
+			demands = append(demands, &gossippb.Demand{Customer: fmt.Sprint("customer-", i), PerSecond: 5})
+		}
+		g.peers.takeCentre(&gossippb.Centre{Name: "dc-b", Hosts: 30, Demands: demands}, g.now())
+
+		out := g.peers.parcels(g.now())
+		ports := func(p parcel) (out []int) {
+			for _, to := range p.to {
+				out = append(out, to.Port)
+			}
+			return out
+		}
+		Expect(ports(out[0])).To(ConsistOf(3))
+		Expect(out[0].msg.Centres).To(ConsistOf(HaveField("Name", "dc-a")))
+		Expect(ports(out[1])).To(ConsistOf(12, 13))
+		Expect(out[1].msg.Groups).NotTo(BeEmpty())
+		Expect(proto.Size(out[1].msg)).To(BeNumerically("<", 200))
+		Expect(ports(out[2])).To(ConsistOf(10))
+		Expect(out[2].msg.Centres).To(BeEmpty())
+		Expect(out[2].msg.Groups).NotTo(BeEmpty())
+		Expect(ports(out[3])).To(ConsistOf(11))
+		Expect(out[3].msg.Centres).To(ConsistOf(HaveField("Name", "dc-b")))
+	})
+
 	It("hears a host again whose clock went back while it restarted", func() {
 		g := newTestGateway(newFakePlatform(newGroup("a")))
 		msg := func(boot, seq, version uint64) *gossippb.Gossip {
