Let only homes open connections, and settle after a start

Each host took itself for the home of all services until it heard others, and a statement whose home had not answered ran on the entry host's own connections; 121 hosts with two each fill a database of 131, and a connection that was not used was never closed. Ruled out: rates (over_rate followed from repeats), processor time (0.02 of a core). Change: a statement without an answer of its home goes to the next home; a host that is not the home closes connections after 2 s without use; a host takes callers 0.7 s after its start, when it has heard who is the home.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,7 +211,18 @@
 
 // Ready reports whether the host should get callers.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.informed()
+	return !g.leaving.Load() && g.informed() && g.unsettled() == 0
+}
+
+// settleTime is how long a host that has just started waits for the others'
+// messages, two rounds. Before, it would take itself for the home of all
+// services, and after a restart of all hosts each would fill the databases with
+// connections.
+const settleTime = 2*gossipEvery + 100*time.Millisecond
+
+// unsettled is how much longer this host waits for the others' messages.
+func (g *Gateway) unsettled() time.Duration {
+	return max(0, settleTime-g.now().Sub(g.started))
 }
 
 // informed reports whether the host has a configuration and a list of
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -152,6 +152,26 @@
 	return now.Sub(h.heard) < aliveWithin
 }
 
+// fallbackFor returns where a service's statements run when their home has not
+// answered: on the next one. Were every host to run them itself, the hosts of a
+// large data centre would take all of a database's connections.
+func (g *Gateway) fallbackFor(svc *service, failed runner) runner {
+	r, ok := failed.(*remote)
+	if !ok {
+		return newLocal(g)
+	}
+	for _, h := range g.peers.homes(svc.name) {
+		switch {
+		case h.name == r.home.name:
+		case h.access == "":
+			return newLocal(g)
+		default:
+			return &remote{g: g, home: h}
+		}
+	}
+	return newLocal(g)
+}
+
 // runnerFor returns where a service's statements run: on its home in this data
 // centre, here where that is this host or none is heard.
 func (g *Gateway) runnerFor(svc *service) runner {
--- /dev/null
+++ b/gateway/homes_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+var _ = Describe("a host that is not a service's home", func() {
+	var (
+		dbs  *group
+		g    *Gateway
+		svc  *service
+		near []string // ranked before this host for the service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		g = newTestGateway(newFakePlatform(dbs))
+		svc = g.service(testService)
+		near = nil
+		duty := "home/" + testService
+		for i := 0; len(near) < 2; i++ {
+			if name := fmt.Sprint("near-", i); dutyScore(duty, name) > dutyScore(duty, g.opt.Name) {
+				near = append(near, name)
+			}
+		}
+	})
+	hear := func(names ...string) {
+		for i, name := range names {
+			g.peers.heard(&gossippb.Gossip{Host: name, Address: "127.0.0.1:9", DataCentre: "dc-a", Access: fmt.Sprint("x", i), Boot: 1, Sequence: 1})
+		}
+	}
+
+	It("closes the connections that it does not use", func() {
+		s := newTestSession(g, "own")
+		Expect(s.serve(request(statement.Read)).Err).NotTo(HaveOccurred())
+		open := func() (n int) {
+			for _, p := range svc.allPools() {
+				p.mu.Lock()
+				n += p.open
+				p.mu.Unlock()
+			}
+			return n
+		}
+		Expect(open()).To(BeNumerically(">", 0))
+		hear(near...)
+		for _, p := range svc.allPools() {
+			p.mu.Lock()
+			for _, c := range p.idle {
+				c.usedAt = time.Now().Add(-time.Minute)
+			}
+			p.mu.Unlock()
+		}
+		svc.tick()
+		Expect(open()).To(BeZero())
+	})
+
+	It("asks the next home where the home does not answer, and runs a statement itself only as the last", func() {
+		hear(near...)
+		home := g.runnerFor(svc)
+		next := g.fallbackFor(svc, home)
+		Expect(home).To(BeAssignableToTypeOf(&remote{}))
+		Expect(next).To(BeAssignableToTypeOf(&remote{}))
+		Expect(next.(*remote).home.name).NotTo(Equal(home.(*remote).home.name))
+		g.peers.avoid(home.(*remote).home.name)
+		Expect(g.fallbackFor(svc, next)).To(BeAssignableToTypeOf(&local{}))
+	})
+
+	It("takes no callers before it can have heard who is the home", func() {
+		Expect(g.Ready()).To(BeFalse())
+		g.started = g.started.Add(-settleTime)
+		Expect(g.Ready()).To(BeTrue())
+	})
+})
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -235,6 +235,31 @@
 	p.mu.Unlock()
 }
 
+// spareIdle is how long a host that is not the home keeps a connection that it
+// does not use. The home needs it: the database counts those of all hosts.
+const spareIdle = 2 * time.Second
+
+// closeSpare closes the connections that were idle for long.
+func (p *pool) closeSpare(now time.Time) {
+	p.mu.Lock()
+	keep := p.idle[:0]
+	var spare []*conn
+	for _, c := range p.idle {
+		if now.Sub(c.usedAt) >= spareIdle {
+			spare = append(spare, c)
+			continue
+		}
+		keep = append(keep, c)
+	}
+	p.idle = keep
+	p.open -= len(spare)
+	p.mu.Unlock()
+	for _, c := range spare {
+		p.g.metrics.closed(closedExcess)
+		c.Close()
+	}
+}
+
 // borrow returns an idle connection of any customer, or a new one where there
 // is room, outside of the customers' turns. It returns nil where all are in use.
 func (p *pool) borrow(ctx context.Context, customer string) (*conn, error) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,17 +101,18 @@
 
 // setPoolSize changes the connections of each database.
 func (s *service) setPoolSize(n int) {
-	s.mu.Lock()
-	pools := make([]*pool, 0, len(s.pools))
-	for _, p := range s.pools {
-		pools = append(pools, p)
-	}
-	s.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range s.allPools() {
 		p.setMax(n)
 	}
 }
 
+// allPools returns the pools of all databases.
+func (s *service) allPools() []*pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.pools))
+}
+
 // wake lets those that wait for a change look again. mu is held.
 func (s *service) wake() {
 	close(s.changed)
@@ -337,5 +340,10 @@
 	if moved {
 		s.setPoolSize(s.g.poolSize(s))
 	}
+	if rank > 0 {
+		for _, p := range s.allPools() {
+			p.closeSpare(now)
+		}
+	}
 	s.considerSuccession(now)
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -44,6 +45,7 @@
 // run serves the session until either side ends it.
 func (s *session) run() {
 	defer s.end()
+	retry.Wait(s.g.ctx, s.g.unsettled())
 	s.caller.SetReadDeadline(time.Now().Add(startupTimeout))
 	if err := s.login(); err != nil {
 		s.reject(err)
@@ -202,7 +204,7 @@
 }
 
 // single runs a statement outside of a transaction, on the service's home or,
-// where that does not answer, here.
+// where that does not answer, on the next one.
 func (s *session) single(ctx context.Context, op *operation) (statement.Answer, error) {
 	run := s.g.runnerFor(op.svc)
 	if op.writes() {
@@ -219,7 +221,7 @@
 func (s *session) singleWrite(ctx context.Context, op *operation, run runner) (statement.Answer, error) {
 	a, err := run.run(ctx, op)
 	if lost(err) && neverRan(err) {
-		a, err = newLocal(s.g).run(ctx, op)
+		a, err = s.g.fallbackFor(op.svc, run).run(ctx, op)
 	}
 	if err == nil {
 		s.own = position.Max(s.own, a.Position)
@@ -229,13 +231,14 @@
 
 const (
 	// homeHedgeAfter is the part of the objective after which a read that a
-	// silent home has not answered is run here too.
+	// silent home has not answered is run on the next one too.
 	homeHedgeAfter = 0.75
 	// homeLookAgain is the time between looks at whether the home is silent.
 	homeLookAgain = 100 * time.Millisecond
 )
 
-// singleRead runs a read on its home, and here when the home is late or lost.
+// singleRead runs a read on its home, and on the next one when the home is late
+// or lost.
 func (s *session) singleRead(ctx context.Context, op *operation, run runner) (statement.Answer, error) {
 	type outcome struct {
 		op  operation
@@ -269,7 +272,7 @@
 			running--
 			if got.err != nil && lost(got.err) && !both {
 				both = true
-				start(newLocal(s.g))
+				start(s.g.fallbackFor(op.svc, run))
 				continue
 			}
 			if got.err == nil || running == 0 {
@@ -285,7 +288,7 @@
 				continue
 			}
 			both = true
-			start(newLocal(s.g))
+			start(s.g.fallbackFor(op.svc, run))
 		}
 	}
 }
--- a/gateway/stopped.go
+++ b/gateway/stopped.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,10 +24,7 @@
 		return
 	}
 	d.looking, d.nextLook = true, now.Add(stoppedLookEvery)
-	pools := make([]*pool, 0, len(s.pools))
-	for _, p := range s.pools {
-		pools = append(pools, p)
-	}
+	pools := slices.Collect(maps.Values(s.pools))
 	a := s.newReplacement(succession.Stopped, s.acked, now)
 	go func() {
 		if s.anyStopped(pools) {
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -99,8 +99,9 @@
 	}
 	a, err := t.runner.run(ctx, op)
 	if lost(err) && !t.told && op.Kind != statement.Commit {
+		failed := t.runner
 		t.drop()
-		t.runner = newLocal(s.g)
+		t.runner = s.g.fallbackFor(op.svc, failed)
 		a, err = t.runner.run(ctx, op)
 	}
 	if err != nil {
