Greet hosts that start, and settle once all were heard

Change: a host that is heard with a new process is answered at once, and a host that has read the entries tells all of them at once; a start is over when each listed host of the data centre was heard, after 0.4 s at the latest.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/peer"
@@ -211,18 +212,28 @@
 
 // Ready reports whether the host should get callers.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.informed() && g.unsettled() == 0
+	return !g.leaving.Load() && g.informed() && g.settled()
 }
 
-// settleTime is how long a host that has just started waits for the others'
-// messages, two rounds. Before, it would take itself for the home of all
-// services, and after a restart of all hosts each would fill the databases with
-// connections.
-const settleTime = 2*gossipEvery + 100*time.Millisecond
+// settleTime is how long a host that has just started waits for the messages of
+// hosts that may start with it, which do so within 0.3 s. Before, it would take
+// itself for the home of all services, and after a restart of all hosts each
+// would fill the databases with connections.
+const settleTime = 400 * time.Millisecond
 
-// unsettled is how much longer this host waits for the others' messages.
-func (g *Gateway) unsettled() time.Duration {
-	return max(0, settleTime-g.now().Sub(g.started))
+// settlePoll is the time between looks at whether all hosts were heard.
+const settlePoll = 20 * time.Millisecond
+
+// settled reports whether this host knows who else serves in its data centre.
+func (g *Gateway) settled() bool {
+	return g.now().Sub(g.started) >= settleTime || g.peers.heardAll()
+}
+
+// waitSettled waits until the host is settled.
+func (g *Gateway) waitSettled() {
+	for !g.settled() && g.ctx.Err() == nil {
+		retry.Wait(g.ctx, settlePoll)
+	}
 }
 
 // informed reports whether the host has a configuration and a list of
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -77,4 +80,36 @@
 		g.started = g.started.Add(-settleTime)
 		Expect(g.Ready()).To(BeTrue())
 	})
+
+	It("takes callers as soon as it has heard all hosts of its data centre", func() {
+		for _, name := range near {
+			g.peers.learn(name, hostEntry{Address: "127.0.0.1:9", DataCentre: "dc-a"})
+		}
+		g.peers.learn("far", hostEntry{Address: "127.0.0.1:9", DataCentre: "dc-b"})
+		Expect(g.peers.listHosts()).To(BeTrue())
+		hear(near[0])
+		Expect(g.Ready()).To(BeFalse())
+		hear(near...)
+		Expect(g.Ready()).To(BeTrue())
+	})
+
+	It("answers a host that has just started at once, and only once", func() {
+		other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		defer other.Close()
+		msg := &gossippb.Gossip{Host: "near", Address: other.LocalAddr().String(), DataCentre: "dc-a", Access: "x", Boot: 7, Sequence: 1}
+		g.peers.heard(msg)
+		msg.Sequence = 2
+		g.peers.heard(msg)
+		buf := make([]byte, maxDatagram)
+		Expect(other.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		n, _, err := other.ReadFromUDP(buf)
+		Expect(err).NotTo(HaveOccurred())
+		var greeting gossippb.Gossip
+		Expect(proto.Unmarshal(buf[:n], &greeting)).To(Succeed())
+		Expect(greeting.Host).To(Equal(g.opt.Name))
+		Expect(other.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		_, _, err = other.ReadFromUDP(buf)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
 })
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -74,6 +74,13 @@
 		}
 		p.learn(o.Name, entry)
 	}
+	p.mu.Lock()
+	first := !p.listed
+	p.listed = true
+	p.mu.Unlock()
+	if first {
+		p.send()
+	}
 	return true
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,6 +53,7 @@
 	admits   map[string]bool              // hosts that admit, as of the last round
 	sequence uint64
 	fetching bool
+	listed   bool // the hosts' entries were read
 }
 
 // peerHost is another host.
@@ -196,6 +197,29 @@
 // 10 Mbit/s, the smallest of today's sites: a full link drops datagrams.
 const sendRate = 800e3
 
+// greet tells one host what this one finds, without waiting for the next round.
+func (p *peers) greet(to *net.UDPAddr) {
+	msg := p.message(p.g.now())
+	p.mu.Lock()
+	p.sequence++
+	msg.Sequence = p.sequence
+	p.mu.Unlock()
+	p.sendTo(msg, []*net.UDPAddr{to})
+}
+
+// heardAll reports whether each host of this data centre that has an entry was
+// heard.
+func (p *peers) heardAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.known {
+		if h.dataCentre == p.g.opt.DataCentre && h.heard.IsZero() {
+			return false
+		}
+	}
+	return p.listed
+}
+
 // pacedSize is the size of a message, in bytes, after which the next one waits;
 // a round of smaller ones is a few KB.
 const pacedSize = 1 << 10
@@ -342,6 +366,7 @@
 		p.mu.Unlock()
 		return // overtaken by a later one
 	}
+	started := msg.Boot != h.boot
 	h.address, h.boot, h.seq, h.heard, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
 	h.dataCentre, h.access, h.storeAnswers = msg.DataCentre, msg.Access, msg.StoreAnswers
 	h.groups, h.demands = msg.Groups, msg.Demands
@@ -354,6 +379,9 @@
 		admitting = 1
 	}
 	p.mu.Unlock()
+	if near && started {
+		p.greet(address)
+	}
 	if near {
 		p.g.rates.heard(msg.Host, admitting, demandsOf(msg.Demands), now)
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
-	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -45,7 +44,7 @@
 // run serves the session until either side ends it.
 func (s *session) run() {
 	defer s.end()
-	retry.Wait(s.g.ctx, s.g.unsettled())
+	s.g.waitSettled()
 	s.caller.SetReadDeadline(time.Now().Add(startupTimeout))
 	if err := s.login(); err != nil {
 		s.reject(err)
