--- /dev/null
+++ b/gateway/decision_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+var _ = Describe("lines about requests", func() {
+	It("stay within their rate in a flood of failures, and say how many were left out", func() {
+		var out bytes.Buffer
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		g.decision = newDecisionLog(slog.New(slog.NewJSONHandler(&out, nil)), func() time.Time { return now })
+		s := newTestSession(g, "own")
+
+		const perSecond, seconds = 500, 4
+		err := errkind.New(errkind.OverRate, "retry after 5 ms")
+		for range seconds {
+			for range perSecond {
+				g.decision.failed(s, &operation{Request: request(statement.Read)}, err)
+				g.decision.served(s, &operation{Request: request(statement.Read)}, statement.Answer{})
+			}
+			now = now.Add(time.Second)
+		}
+		g.decision.failed(s, &operation{Request: request(statement.Read)}, err)
+
+		lines := map[string]int{}
+		leftOut := 0
+		for line := range bytes.Lines(out.Bytes()) {
+			var entry struct {
+				Msg, ID, Kind, Outcome string
+				Lines                  int
+			}
+			Expect(json.Unmarshal(line, &entry)).To(Succeed())
+			lines[entry.Msg]++
+			leftOut += entry.Lines
+			if entry.Msg == "Failed." {
+				Expect(entry.ID).NotTo(BeEmpty())
+				Expect(entry.Kind).To(Equal("over_rate"))
+				Expect(entry.Outcome).To(Equal("not run"))
+			}
+		}
+		Expect(lines["Failed."]).To(Equal(seconds*failuresPerSecond + 1))
+		Expect(lines["Served."]).To(Equal(seconds * successesPerSecond))
+		Expect(leftOut).To(Equal(seconds * (perSecond - failuresPerSecond)))
+	})
+})
--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// scriptedCaller is a caller that sends what the test hands it.
+type scriptedCaller struct {
+	requests chan statement.Request
+	answers  chan statement.Answer
+
+	mu       sync.Mutex
+	deadline time.Time
+	changed  chan struct{} // closed when the deadline changes
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func newScriptedCaller() *scriptedCaller {
+	return &scriptedCaller{requests: make(chan statement.Request), answers: make(chan statement.Answer, 10),
+		changed: make(chan struct{}), closed: make(chan struct{})}
+}
+
+func (c *scriptedCaller) Startup() (database, key string, err error) { return "current", testKey, nil }
+func (c *scriptedCaller) Welcome() error                             { return nil }
+func (c *scriptedCaller) Buffered() bool                             { return false }
+
+func (c *scriptedCaller) Answer(a statement.Answer) error {
+	c.answers <- a
+	return nil
+}
+
+func (c *scriptedCaller) Reject(*errkind.Error) error { return nil }
+
+func (c *scriptedCaller) SetReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// errReadTimeout is a time-out as connections report it.
+type errReadTimeout struct{ error }
+
+func (errReadTimeout) Timeout() bool   { return true }
+func (errReadTimeout) Temporary() bool { return true }
+
+func (c *scriptedCaller) Receive() (statement.Request, error) {
+	for {
+		c.mu.Lock()
+		deadline, changed := c.deadline, c.changed
+		c.mu.Unlock()
+		var timeout <-chan time.Time
+		if !deadline.IsZero() {
+			timeout = time.After(time.Until(deadline))
+		}
+		select {
+		case r := <-c.requests:
+			return r, nil
+		case <-timeout:
+			return statement.Request{}, errReadTimeout{errors.New("i/o timeout")}
+		case <-changed:
+		case <-c.closed:
+			return statement.Request{}, net.ErrClosed
+		}
+	}
+}
+
+func (c *scriptedCaller) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+var _ = Describe("a leaving host", func() {
+	const grace = 4 * time.Second // half of it ends before callers stop arriving
+
+	var (
+		dbs *group
+		g   *Gateway
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		g = newTestGateway(newFakePlatform(dbs))
+		g.started = g.started.Add(-settleTime)
+		g.opt.Grace = grace
+	})
+
+	connect := func() *scriptedCaller {
+		c := newScriptedCaller()
+		s := newSession(g, c)
+		Expect(g.callers.add(s, 10)).To(BeTrue())
+		go s.run()
+		return c
+	}
+	ask := func(c *scriptedCaller, kind statement.Kind) statement.Answer {
+		GinkgoHelper()
+		c.requests <- request(kind)
+		var a statement.Answer
+		Eventually(c.answers).WithTimeout(2 * time.Second).Should(Receive(&a))
+		return a
+	}
+	drain := func() chan time.Duration {
+		took := make(chan time.Duration, 1)
+		started := time.Now()
+		go func() {
+			g.Drain(context.Background())
+			took <- time.Since(started)
+		}()
+		Eventually(g.leaving.Load).Should(BeTrue())
+		return took
+	}
+
+	It("is not ready, serves its callers until others take their place, and then ends idle sessions", func() {
+		c := connect()
+		Expect(ask(c, statement.Write).Err).NotTo(HaveOccurred())
+		took := drain()
+		Expect(g.Ready()).To(BeFalse())
+		Expect(ask(c, statement.Write).Err).NotTo(HaveOccurred())
+		Eventually(took).WithTimeout(grace).Should(Receive(BeNumerically("~", rotationDelay, 500*time.Millisecond)))
+		Expect(c.closed).To(BeClosed())
+	})
+
+	It("ends a statement that is under way with its answer", func() {
+		hold := make(chan struct{})
+		dbs.with(func() { dbs.databases["a"].hold = hold })
+		c := connect()
+		took := drain()
+		time.Sleep(rotationDelay - 200*time.Millisecond)
+		c.requests <- request(statement.Read)
+		time.Sleep(500 * time.Millisecond)
+		close(hold)
+		var a statement.Answer
+		Eventually(c.answers).WithTimeout(time.Second).Should(Receive(&a))
+		Expect(a.Err).NotTo(HaveOccurred())
+		Eventually(took).WithTimeout(grace).Should(Receive())
+	})
+
+	It("rolls an open transaction back that rests beyond half of the grace", func() {
+		c := connect()
+		Expect(ask(c, statement.Begin).Err).NotTo(HaveOccurred())
+		Expect(ask(c, statement.Write).Err).NotTo(HaveOccurred())
+		took := drain()
+		a := ask(c, statement.Write)
+		Expect(a.Err).NotTo(HaveOccurred())
+		time.Sleep(rotationDelay + 300*time.Millisecond)
+		a = ask(c, statement.Commit)
+		Expect(a.Err).To(HaveOccurred())
+		Expect(a.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+		dbs.with(func() { Expect(dbs.ran).To(BeEmpty()) })
+		Eventually(took).WithTimeout(grace).Should(Receive())
+	})
+})
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -57,6 +57,7 @@
 	reads    int
 	hold     chan struct{} // reads wait for it; nil for none
 	loseNext bool          // the answer to the next write is lost
+	unsigned bool          // answers carry no signature
 	resets   int
 }
 
@@ -181,7 +182,11 @@
 	if l.open {
 		state = statement.Open
 	}
-	return statement.Answer{Rows: rows, Signature: "signed-" + l.db.id, State: state, Position: l.db.end}, nil
+	a := statement.Answer{Rows: rows, Signature: "signed-" + l.db.id, State: state, Position: l.db.end}
+	if l.db.unsigned {
+		a.Signature = ""
+	}
+	return a, nil
 }
 
 // execute runs a statement. The group's mutex is held.
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/database/floor"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -53,6 +54,32 @@
 		})
 	})
 
+	It("serves no read at a position older than its route accepts", func() {
+		s := newTestSession(g, "bounded")
+		svc := g.service(testService)
+		dbs.with(func() { dbs.databases["a"].dark = true })
+		svc.mu.Lock()
+		svc.samples.Add(floor.Sample{Position: position.Position{Term: 1, Index: 10}, At: time.Now().Add(-2 * time.Second)})
+		svc.mu.Unlock()
+		a := s.serve(request(statement.Read))
+		Expect(a.Err).To(HaveOccurred())
+		Expect(a.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+		dbs.with(func() { Expect(dbs.databases["b"].reads + dbs.databases["c"].reads).To(BeZero()) })
+	})
+
+	It("calls nothing a success that no database has signed", func() {
+		dbs.with(func() {
+			for _, db := range dbs.databases {
+				db.unsigned = true
+			}
+		})
+		a := newTestSession(g, "own").serve(request(statement.Read))
+		Expect(a.Err).To(HaveOccurred())
+		a = newTestSession(g, "own").serve(request(statement.Write))
+		Expect(a.Err).To(HaveOccurred())
+		Expect(a.Err.Kind).To(Equal(errkind.OutcomeUnknown))
+	})
+
 	It("never answers a current read from a primary that was replaced", func() {
 		s := newTestSession(g, "current")
 		served(s.serve(request(statement.Read)))
