Wait for the home's word when a statement's time is up

The entry host cut the stream at the statement's deadline, before the home could say that the statement was never sent, and called its outcome unknown; callers cannot try a write again after that. An answer that was ready then was lost too.

--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -61,11 +61,16 @@
 		}
 	}
 	stream := r.stream
-	// Past its deadline the exchange fails; closing the stream then ends the
-	// home's part.
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	// A caller that gives up ends the exchange; closing the stream then ends the
+	// home's part. When the statement's time is up the home says what became of
+	// it, and only that tells a statement that was not run from one that may have.
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			_ = stream.SetDeadline(time.Now())
+		}
+	})
 	result, err := r.exchange(op)
-	if !stop() && err == nil {
+	if !stop() && err == nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		err = ctx.Err()
 	}
 	if err != nil {
