Begin watches once a host has heard who watches, and pause between lists

Cause: after a start every host took the watch of both kinds for its task until it heard others: calls of the store are paid for. Change: the watch begins when the host is settled; such a host lists every 2 s. Specs: both seen failing first.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,8 +34,9 @@
 // failure it goes on watching from where it was, and lists anew where the
 // store has dropped the changes in between.
 func (w *watcher) run() {
+	var again time.Time // earliest next list of a host that does not watch
 	for w.g.ctx.Err() == nil {
-		if !w.g.peers.readsStore() && w.g.informed() {
+		if !w.g.peers.readsStore() && (w.g.informed() || w.g.now().Before(again)) {
 			w.g.noteStore(w.kind, false)
 			retry.Wait(w.g.ctx, readerCheckEvery)
 			continue
@@ -46,11 +47,17 @@
 			continue
 		}
 		w.answered()
+		again = w.g.now().Add(listAgain)
 		w.listed(objects, version)
+		w.g.waitSettled() // until then every host would take the watch for its task
 		w.follow(version)
 	}
 }
 
+// listAgain is the time after which a host that does not watch, and that nobody
+// has told what it lacks, lists anew.
+const listAgain = 2 * time.Second
+
 // readerCheckEvery is the time between looks at whether this host has to watch
 // the store.
 const readerCheckEvery = 300 * time.Millisecond
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
@@ -65,6 +66,25 @@
 		Expect(g.peers.readsStore()).To(BeTrue(), "when the store does not answer them")
 	})
 
+	It("begins only when the host has heard which hosts watch", func() {
+		go g.watchConfiguration()
+		Eventually(store.lists.Load).Should(BeEquivalentTo(1))
+		time.Sleep(settleTime / 2)
+		Expect(store.watches.Load()).To(BeZero())
+		hear(true, many...)
+		time.Sleep(settleTime)
+		Expect(store.watches.Load()).To(BeZero())
+	})
+
+	It("does not list again and again while nothing is published", func() {
+		hear(true, many...)
+		g.config.Store(&published{Configuration: &routes.Configuration{}})
+		g.started = g.started.Add(-settleTime)
+		go g.watchConfiguration()
+		time.Sleep(300 * time.Millisecond)
+		Expect(store.lists.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("does not list again and again on a host that leaves", func() {
 		hear(true, many...)
 		g.leaving.Store(true)
