Give messages between hosts a file of their own, and greet without demands

Greetings also waited for their pace in the receiving worker. Change: parcels.go has who gets what and the sending; demands are read once a round and greetings carry none. Spec: greetings carry no demands, seen failing with them.

--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -97,6 +98,8 @@
 		other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		Expect(err).NotTo(HaveOccurred())
 		defer other.Close()
+		g.rates.apply(&routes.Configuration{Customers: map[string]routes.Customer{testCustomer: {Rate: 5, Burst: 5}}}, g.now())
+		Expect(g.rates.admit(testCustomer, g.now())).To(BeNil())
 		msg := &gossippb.Gossip{Host: "near", Address: other.LocalAddr().String(), DataCentre: "dc-a", Access: "x", Boot: 7, Sequence: 1}
 		g.peers.heard(msg)
 		msg.Sequence = 2
@@ -108,6 +111,7 @@
 		var greeting gossippb.Gossip
 		Expect(proto.Unmarshal(buf[:n], &greeting)).To(Succeed())
 		Expect(greeting.Host).To(Equal(g.opt.Name))
+		Expect(greeting.Demands).To(BeEmpty(), "the rates would take them for told to all")
 		Expect(other.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
 		_, _, err = other.ReadFromUDP(buf)
 		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -146,6 +145,19 @@
 	return n
 }
 
+// heardAll reports whether each host of this data centre that has an entry was
+// heard.
+func (p *peers) heardAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.known {
+		if h.dataCentre == p.g.opt.DataCentre && h.heard.IsZero() {
+			return false
+		}
+	}
+	return p.listed
+}
+
 // run sends and receives until the gateway stops.
 func (p *peers) run() {
 	p.g.work(p.receive)
@@ -187,131 +199,6 @@
 	p.g.streams.mesh.SetPeers(wanted)
 }
 
-// parcel is one message and the hosts that get it.
-type parcel struct {
-	msg *gossippb.Gossip
-	to  []*net.UDPAddr
-}
-
-// sendRate, in bytes a second, keeps a round of messages from filling a link of
-// 10 Mbit/s, the smallest of today's sites: a full link drops datagrams.
-const sendRate = 800e3
-
-// greet tells one host what this one finds, without waiting for the next round.
-func (p *peers) greet(to *net.UDPAddr) {
-	msg := p.message(p.g.now())
-	p.mu.Lock()
-	p.sequence++
-	msg.Sequence = p.sequence
-	p.mu.Unlock()
-	p.sendTo(msg, []*net.UDPAddr{to})
-}
-
-// heardAll reports whether each host of this data centre that has an entry was
-// heard.
-func (p *peers) heardAll() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, h := range p.known {
-		if h.dataCentre == p.g.opt.DataCentre && h.heard.IsZero() {
-			return false
-		}
-	}
-	return p.listed
-}
-
-// pacedSize is the size of a message, in bytes, after which the next one waits;
-// a round of smaller ones is a few KB.
-const pacedSize = 1 << 10
-
-// send tells the other hosts what this one finds.
-func (p *peers) send() {
-	for _, out := range p.parcels(p.g.now()) {
-		p.sendTo(out.msg, out.to)
-	}
-}
-
-// parcels are this round's messages: to the hosts of this data centre what this
-// one finds and, where it speaks for them, to the other data centres the sum.
-// Only those who use them get the parts that take most of the bytes: demands go
-// to delegates and to hosts that watch databases, sums only to the latter, and
-// last, so that the others do not wait for them. Findings go to all: they show
-// who watches.
-func (p *peers) parcels(now time.Time) []parcel {
-	msg := p.message(now)
-	p.mu.Lock()
-	p.sequence++
-	msg.Sequence = p.sequence
-	speakers := p.delegatesHere(now)
-	var watchers, summing, others, far []*net.UDPAddr
-	for name, h := range p.known {
-		switch {
-		case h.dataCentre != p.g.opt.DataCentre:
-		case watches(h.groups):
-			watchers = append(watchers, h.address)
-		case slices.Contains(speakers, name):
-			summing = append(summing, h.address)
-		default:
-			others = append(others, h.address)
-		}
-	}
-	var centres []*gossippb.Centre
-	if slices.Contains(speakers, p.g.opt.Name) {
-		far = p.farTargets(now)
-		centres = p.otherCentres(now)
-	}
-	p.mu.Unlock()
-	sum, full, brief := proto.CloneOf(msg), proto.CloneOf(msg), proto.CloneOf(msg)
-	sum.Demands, sum.Groups = nil, nil
-	if len(far) > 0 {
-		sum.Centres = []*gossippb.Centre{p.sum(msg, now)}
-	}
-	full.Centres = centres
-	brief.Demands = nil
-	return []parcel{{sum, far}, {brief, others}, {msg, summing}, {full, watchers}}
-}
-
-// watches reports whether a host with such findings watches a service.
-func watches(groups []*gossippb.Group) bool {
-	return slices.ContainsFunc(groups, func(g *gossippb.Group) bool { return g.Watching })
-}
-
-func (p *peers) sendTo(msg *gossippb.Gossip, targets []*net.UDPAddr) {
-	if len(targets) == 0 {
-		return
-	}
-	data, err := proto.Marshal(msg)
-	if err != nil || len(data) > maxDatagram {
-		p.g.log.Error("Message to hosts cannot be sent.", "part", "peers", "bytes", len(data), "error", err)
-		return
-	}
-	for _, to := range targets {
-		if _, err := p.conn.WriteToUDP(data, to); err != nil {
-			p.g.metrics.unsent.Inc() // the next message says the same
-		}
-		if len(data) >= pacedSize {
-			retry.Wait(p.g.ctx, time.Duration(float64(len(data))/sendRate*float64(time.Second)))
-		}
-	}
-}
-
-func (p *peers) message(now time.Time) *gossippb.Gossip {
-	msg := &gossippb.Gossip{
-		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
-		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
-		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
-	}
-	for customer, perSecond := range p.g.rates.demands(now) {
-		msg.Demands = append(msg.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
-	}
-	for _, s := range p.g.allServices() {
-		if f := s.finding(now); f.Watching {
-			msg.Groups = append(msg.Groups, f)
-		}
-	}
-	return msg
-}
-
 // finding is what this host tells others of the service's databases.
 func (s *service) finding(now time.Time) *gossippb.Group {
 	s.mu.Lock()
