--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -54,6 +54,14 @@
 		}
 		Expect(open()).To(BeNumerically(">", 0))
 		hear(near...)
+		// A sample in flight uses a connection, and a host that has run statements
+		// lately takes more of them.
+		Eventually(func() bool {
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			svc.used = time.Time{}
+			return svc.asking
+		}).Should(BeFalse())
 		for _, p := range svc.allPools() {
 			p.mu.Lock()
 			for _, c := range p.idle {
