Release a lease whose last write was not answered in time

Cause: an attempt whose time ends while a write of the lease is in flight released under the version before that write, was refused, and left the service without a holder for 3.5 s. Change: an attempt keeps the claims of writes without an outcome; a release that is refused reads the lease back and, if it has one of these claims, releases it. Result: a spec in which the answer to the second recorded order is withheld until the attempt ends fails without the read and passes with it.

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -80,12 +81,19 @@
 		return json.Unmarshal(value, &held) == nil && held.Claim == l.Claim
 	}
 	held, err := objectapi.UpdateOwn(ctx, a.s.g.platform.Objects(), kindLeases, a.s.name, a.leaseObject.Version, value, isOwn)
-	if err == nil {
+	switch {
+	case err == nil:
 		a.leaseObject = held
+	case !isConflict(err):
+		a.unconfirmed = append(a.unconfirmed, l.Claim)
 	}
 	return err
 }
 
+func isConflict(err error) bool {
+	return errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrExists)
+}
+
 // canAcquireLease reports whether a lease is free: released, held by this host,
 // or unchanged for leaseTerm by this host's clock. A lease that cannot be decoded
 // counts as held by another host.
@@ -112,7 +120,31 @@
 func (a *replacement) releaseLease(ordered string) {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
-	if err := a.writeLease(ctx, lease{Released: true, Ordered: ordered}); err != nil {
+	released := lease{Released: true, Ordered: ordered}
+	err := a.writeLease(ctx, released)
+	if isConflict(err) && a.readUnconfirmed(ctx) {
+		err = a.writeLease(ctx, released)
+	}
+	if err != nil {
 		a.log.Info("Lease was not released; it will expire.", "error", err)
 	}
 }
+
+// readUnconfirmed reads the lease and reports whether it is one that this attempt
+// has written without learning that the write took effect.
+func (a *replacement) readUnconfirmed(ctx context.Context) bool {
+	if len(a.unconfirmed) == 0 {
+		return false
+	}
+	stored, err := a.s.g.platform.Objects().Get(ctx, kindLeases, a.s.name)
+	if err != nil {
+		a.log.Info("Reading the lease back failed.", "error", err)
+		return false
+	}
+	var held lease
+	if json.Unmarshal(stored.Value, &held) != nil || !slices.Contains(a.unconfirmed, held.Claim) {
+		return false // another host's
+	}
+	a.leaseObject = stored
+	return true
+}
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -134,6 +134,7 @@
 	started time.Time
 
 	leaseObject objectapi.Object // the lease as last read or written
+	unconfirmed []string         // claims of writes of the lease whose outcome is unknown
 	pending     bool             // an unanswered order may still take effect
 	ordered     string           // the database that this order promotes
 	conns       []*controlConn
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,10 +12,27 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
+// unansweredStore answers the first update. The second takes effect but is not
+// answered, and the later ones are answered again.
+type unansweredStore struct {
+	objectapi.Objects
+	updates atomic.Int64
+}
+
+func (s *unansweredStore) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	o, err := s.Objects.Update(ctx, kind, name, version, value)
+	if s.updates.Add(1) != 2 {
+		return o, err
+	}
+	<-ctx.Done()
+	return objectapi.Object{}, objectapi.ErrUnavailable
+}
+
 var _ = Describe("replacing a primary", func() {
 	var (
 		dbs *group
@@ -256,6 +274,21 @@
 		Expect(l.Ordered).To(Equal(dbs.orders[0].Database))
 	})
 
+	It("releases the lease if the attempt's time ends while a write of the lease is not answered", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.promoteHook = func(succession.Order) error { return errors.New("no answer") }
+		})
+		p.api = &unansweredStore{Objects: p.api} // the first update records the first order
+		attempt(succession.Silent)
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		var l lease
+		Expect(json.Unmarshal(held.Value, &l)).To(Succeed())
+		Expect(l.Released).To(BeTrue())
+		Expect(l.Ordered).To(Equal(dbs.orders[0].Database))
+	})
+
 	It("keeps the replicas paused after a lease that cannot be decoded, which may have recorded an order", func() {
 		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte("7"))
 		Expect(err).NotTo(HaveOccurred())
