--- a/contract/routes/routes.go
+++ b/contract/routes/routes.go
@@ -73,6 +73,19 @@
 	return name, ok
 }
 
+// HasService reports whether the configuration has a service or a route to it.
+func (c *Configuration) HasService(name string) bool {
+	if _, ok := c.Services[name]; ok {
+		return true
+	}
+	for _, route := range c.Routes {
+		if route.Service == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Database is a database server's own announcement.
 type Database struct {
 	ID          string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,7 @@
 // databases. By UDP it exchanges with the other hosts the customers' demands and
 // its view of the databases. It replaces primaries under a lease in the store.
 //
-// Lock order: Gateway.mu, then service.mu, then pool.mu or the lock of
+// Lock order: Gateway.listMu, then Gateway.mu, then service.mu, then pool.mu or the lock of
 // turn.Queue. All other locks are leaf locks, as pool.mu is: no other lock is
 // acquired while one of them is held. No lock is held during network I/O.
 package gateway
@@ -69,10 +69,15 @@
 	config  atomic.Pointer[loadedConfiguration]
 	leaving atomic.Bool
 
+	listMu     sync.Mutex        // serializes changes of the list of databases; guards unreadable
+	unreadable map[string]uint64 // hashes of logged values that cannot be decoded, by name
+
+	unreadableConfiguration atomic.Uint64 // hash of the last configuration that could not be decoded
+
 	mu              sync.Mutex // guards the fields from services to listed
 	services        map[string]*service
 	databases       map[string]routes.Database // the store's list, by ID
-	entries         map[string]json.RawMessage // the same list, undecoded
+	entries         map[string]json.RawMessage // the same list, as stored
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
@@ -102,6 +107,7 @@
 		services:        map[string]*service{},
 		databases:       map[string]routes.Database{},
 		entries:         map[string]json.RawMessage{},
+		unreadable:      map[string]uint64{},
 		storeAnsweredAt: map[string]time.Time{},
 		callers:         newRegistry(),
 		streams:         newStreams(),
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"net/netip"
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -72,7 +73,7 @@
 	for _, o := range entries {
 		var entry hostEntry
 		if err := json.Unmarshal(o.Value, &entry); err != nil {
-			p.g.log.Warn("Cannot decode a host's entry.", "part", "peers", "name", o.Name, "error", err)
+			p.g.log.Warn("Cannot decode a host's entry.", "part", "peers", "name", logged(o.Name), "error", err)
 			continue
 		}
 		p.addHost(o.Name, entry)
@@ -87,11 +88,21 @@
 	return true
 }
 
+// peerAddress parses an address that another host has announced. It accepts only an
+// IPv4 address with a port: a name would be looked up on the network.
+func peerAddress(address string) (*net.UDPAddr, bool) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || !parsed.Addr().Is4() || parsed.Addr().IsUnspecified() || parsed.Port() == 0 {
+		return nil, false
+	}
+	return net.UDPAddrFromAddrPort(parsed), true
+}
+
 // addHost adds the host of an entry unless it is this host or known already. It
 // ignores an entry with an invalid address.
 func (p *peers) addHost(name string, entry hostEntry) {
-	to, err := net.ResolveUDPAddr("udp4", entry.Address)
-	if err != nil || name == p.g.opt.Name {
+	to, ok := peerAddress(entry.Address)
+	if !ok || name == "" || name == p.g.opt.Name {
 		return
 	}
 	p.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -244,8 +244,8 @@
 // handleMessage applies one message from another host.
 func (p *peers) handleMessage(msg *gossippb.Gossip) {
 	now := p.g.now()
-	address, err := net.ResolveUDPAddr("udp4", msg.Address)
-	if err != nil || msg.Host == "" || msg.Host == p.g.opt.Name {
+	address, ok := peerAddress(msg.Address)
+	if !ok || msg.Host == "" || msg.Host == p.g.opt.Name {
 		return
 	}
 	sameCentre := msg.DataCentre == p.g.opt.DataCentre
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -184,6 +184,9 @@
 // sent twice, early enough for the second attempt to meet the objective.
 const hedgeAfter = 0.5
 
+// minHedgeDelay applies to routes with a very short or no latency objective.
+const minHedgeDelay = 10 * time.Millisecond
+
 // readOutcome is the outcome of one attempt of a read.
 type readOutcome struct {
 	answer   statement.Answer
@@ -222,7 +225,7 @@
 	}
 	start()
 	op.svc.hedges.Deposit(hedgeBudgetKey)
-	hedgeDelay := time.Duration(float64(op.route.Objective) * hedgeAfter)
+	hedgeDelay := max(minHedgeDelay, time.Duration(float64(op.route.Objective)*hedgeAfter))
 	hedgeTimer := time.NewTimer(hedgeDelay)
 	defer hedgeTimer.Stop()
 	var backoff retry.Backoff
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -9,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -22,11 +23,14 @@
 
 // watcher follows the objects of one kind in the store.
 type watcher struct {
-	g           *Gateway
-	kind        string
-	onList      func(objects []objectapi.Object, version uint64)
-	onEvents    func(events []objectapi.Event, version uint64)
-	backoff     time.Duration
+	g      *Gateway
+	kind   string
+	onList func(objects []objectapi.Object, version uint64)
+	// onEvents applies the changes after from, up to version, and returns the
+	// version from which the watch continues.
+	onEvents    func(events []objectapi.Event, from, version uint64) uint64
+	backoff     time.Duration // after failed calls
+	relist      time.Duration // after compacted changes
 	unavailable bool
 }
 
@@ -69,7 +73,8 @@
 	for w.g.ctx.Err() == nil && w.g.peers.shouldWatchStore() {
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
-			w.g.log.Info("Store has compacted the changes; listing again.", "part", "store", "kind", w.kind, "version", version)
+			w.g.log.Info("Store has compacted the changes; listing again.", "part", "store", "kind", w.kind, "version", version, "error", err)
+			w.pauseBeforeList()
 			return
 		}
 		if err != nil {
@@ -77,8 +82,9 @@
 			continue
 		}
 		w.answered()
+		w.relist = 0
 		if len(events) > 0 {
-			w.onEvents(events, next)
+			next = w.onEvents(events, version, next)
 		}
 		version = max(version, next)
 	}
@@ -99,6 +105,13 @@
 	retry.Wait(w.g.ctx, w.backoff/2+rand.N(w.backoff))
 }
 
+// pauseBeforeList spreads the lists of hosts whose watches end together, and slows
+// down a host whose watch ends at once after each list.
+func (w *watcher) pauseBeforeList() {
+	w.relist = min(max(2*w.relist, storeMinBackoff), storeMaxBackoff)
+	retry.Wait(w.g.ctx, rand.N(w.relist))
+}
+
 // answered records a call that the store has answered.
 func (w *watcher) answered() {
 	w.backoff = 0
@@ -122,12 +135,13 @@
 				apply(o)
 			}
 		},
-		onEvents: func(events []objectapi.Event, _ uint64) {
+		onEvents: func(events []objectapi.Event, _, version uint64) uint64 {
 			for _, e := range events {
 				if e.Type == objectapi.Put {
 					apply(e.Object)
 				}
 			}
+			return version
 		},
 	}
 	w.run()
@@ -138,7 +152,9 @@
 func (g *Gateway) applyConfiguration(raw []byte, from string) {
 	config, err := g.platform.DecodeConfiguration(raw)
 	if err != nil {
-		g.log.Error("Cannot decode the configuration.", "part", "configuration", "from", from, "error", err)
+		if sum := xxhash.Sum64(raw); g.unreadableConfiguration.Swap(sum) != sum {
+			g.log.Error("Cannot decode the configuration; the current one stays in force.", "part", "configuration", "from", from, "error", err)
+		}
 		return
 	}
 	g.mu.Lock()
@@ -151,9 +167,21 @@
 	g.mu.Unlock()
 	g.log.Info("Configuration in force.", "part", "configuration", "version", config.Version, "from", from,
 		"routes", len(config.Routes), "customers", len(config.Customers))
+	g.addConfiguredServices()
 	g.sizePools()
 }
 
+// addConfiguredServices adds the services of the current configuration whose
+// databases have been listed.
+func (g *Gateway) addConfiguredServices() {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	g.mu.Lock()
+	databases := g.databases
+	g.mu.Unlock()
+	g.setDatabases(databases)
+}
+
 // anyCustomer returns a customer's name for connections on which the host runs
 // its own statements, or an empty string if no customer is configured.
 func (g *Gateway) anyCustomer() string {
@@ -174,17 +202,7 @@
 			}
 			g.applyDatabaseList(list)
 		},
-		onEvents: func(events []objectapi.Event, version uint64) {
-			list := g.databaseList()
-			list.Version = max(version, list.Version)
-			for _, e := range events {
-				delete(list.Entries, e.Object.Name)
-				if e.Type == objectapi.Put {
-					list.Entries[e.Object.Name] = e.Object.Value
-				}
-			}
-			g.applyDatabaseList(list)
-		},
+		onEvents: g.applyDatabaseEvents,
 	}
 	w.run()
 }
@@ -196,32 +214,76 @@
 	return databaseList{Version: g.listVersion.Load(), Entries: maps.Clone(g.entries)}
 }
 
+// applyDatabaseEvents applies the changes of the list after the version from, up to
+// version, and returns the version of the list. If a newer list than from has been
+// received from another host, it applies nothing: an event that the list includes
+// already could bring back a database that was removed after it.
+func (g *Gateway) applyDatabaseEvents(events []objectapi.Event, from, version uint64) uint64 {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	if current := g.listVersion.Load(); current > from {
+		return current
+	}
+	list := g.databaseList()
+	list.Version = version
+	for _, e := range events {
+		delete(list.Entries, e.Object.Name)
+		if e.Type == objectapi.Put {
+			list.Entries[e.Object.Name] = e.Object.Value
+		}
+	}
+	g.replaceDatabaseList(list)
+	return version
+}
+
 // applyDatabaseList applies a list of databases unless it is older than the
 // current one.
 func (g *Gateway) applyDatabaseList(list databaseList) {
-	g.mu.Lock()
-	if list.Version < g.listVersion.Load() {
-		g.mu.Unlock()
-		return
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	if list.Version >= g.listVersion.Load() {
+		g.replaceDatabaseList(list)
 	}
-	g.listVersion.Store(list.Version)
-	previous := g.entries
-	g.entries = list.Entries
-	g.mu.Unlock()
-	databases := map[string]routes.Database{}
+}
+
+// replaceDatabaseList replaces the current list. Entries that cannot be decoded may
+// belong to other writers: they are logged once for each value and left out, so that
+// they are not passed on to other hosts either. listMu is held.
+func (g *Gateway) replaceDatabaseList(list databaseList) {
+	if len(g.unreadable) > maxUnreadable {
+		clear(g.unreadable)
+	}
+	databases := make(map[string]routes.Database, len(list.Entries))
 	for name, value := range list.Entries {
 		db, err := g.platform.DecodeDatabase(name, value)
 		if err == nil {
 			databases[name] = db
-		} else if old, known := previous[name]; !known || !bytes.Equal(old, value) {
-			// The entry may belong to another writer; it is logged once for each
-			// value.
-			g.log.Warn("Cannot decode a database's entry.", "part", "store", "name", name, "error", err)
+			delete(g.unreadable, name)
+			continue
+		}
+		delete(list.Entries, name)
+		sum := xxhash.Sum64(value)
+		if old, known := g.unreadable[name]; !known || old != sum {
+			g.unreadable[name] = sum
+			g.log.Warn("Cannot decode a database's entry; it is ignored.", "part", "store", "name", logged(name), "bytes", len(value), "error", err)
 		}
 	}
+	g.mu.Lock()
+	g.listVersion.Store(list.Version)
+	g.entries = list.Entries
+	g.mu.Unlock()
 	g.setDatabases(databases)
 }
 
+// maxUnreadable bounds the entries of which the host remembers that it has logged
+// them.
+const maxUnreadable = 1000
+
+// maxLoggedName is the length in bytes to which names from outside are cut in logs.
+const maxLoggedName = 80
+
+func logged(name string) string { return name[:min(len(name), maxLoggedName)] }
+
 // recordStoreState records that the store has just answered this host's list or
 // watch of a kind, or, if answers is false, that a call failed or the host does not
 // watch.
@@ -253,7 +315,9 @@
 // store holds a watch open.
 const storeAnswerWithin = 8 * time.Second
 
-// setDatabases replaces the list of databases and passes it on to the services.
+// setDatabases replaces the list of databases and passes it on to the services. It
+// adds a service once its databases are listed and a configuration has it; other
+// services may be those of another writer's entries. listMu is held.
 func (g *Gateway) setDatabases(databases map[string]routes.Database) {
 	byService := map[string][]routes.Database{}
 	for _, db := range databases {
@@ -262,8 +326,9 @@
 	g.mu.Lock()
 	g.logChanges(g.databases, databases)
 	g.databases, g.listed = databases, true
+	config := g.config.Load()
 	for name := range byService {
-		if g.services[name] == nil {
+		if g.services[name] == nil && config.HasService(name) {
 			g.services[name] = newService(g, name)
 		}
 	}
