Send half as much between data centres, and read near where a primary is idle

Change: a delegate sends to the delegate of its own rank, the two take turns by the wall clock, and both send at once when what they report changes. A primary in the same data centre serves reads while at most half of its slots are in use by this host, and a replica with a free slot comes before one that statements wait for.

--- a/customer/fair/queue.go
+++ b/customer/fair/queue.go
@@ -180,6 +180,11 @@
 // Running returns the number of requests that hold a slot.
 func (q *Queue) Running() int { return len(q.running) }
 
+// Load returns the number of requests that run or wait per slot.
+func (q *Queue) Load() float64 {
+	return float64(len(q.running)+q.queued) / float64(max(1, q.cfg.Slots))
+}
+
 func (q *Queue) tick(now time.Time) {
 	if now.After(q.now) {
 		q.now = now
--- a/customer/turn/turn.go
+++ b/customer/turn/turn.go
@@ -77,6 +77,13 @@
 	q.mu.Unlock()
 }
 
+// Load returns the requests that hold a slot or wait for one, per slot.
+func (q *Queue) Load() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Load()
+}
+
 // SetSlots changes the number of slots and grants added ones to waiting requests.
 func (q *Queue) SetSlots(n int) {
 	q.mu.Lock()
--- a/database/lead/lead_test.go
+++ b/database/lead/lead_test.go
@@ -24,6 +24,8 @@
 	return routes.Database{ID: id, Service: "s", Address: id, DataCentre: centre, Primary: primary}
 }
 
+func idle(string) float64 { return 0 }
+
 var _ = Describe("the table of a service's databases", func() {
 	var table *lead.Table
 	list := func() []routes.Database {
@@ -114,21 +116,43 @@
 	})
 
 	It("orders readers: local replicas, remote replicas, the primary, avoided databases; a leaving one is left out", func() {
-		Expect(table.Readers("shop", "y", at(0))).To(Equal([]string{"b", "c", "a"}))
+		Expect(table.Readers("shop", "y", idle, at(0))).To(Equal([]string{"b", "c", "a"}))
 		table.Avoid("b", at(100))
-		Expect(table.Readers("shop", "y", at(50))).To(Equal([]string{"c", "a", "b"}))
-		Expect(table.Readers("shop", "y", at(150))).To(Equal([]string{"b", "c", "a"}))
+		Expect(table.Readers("shop", "y", idle, at(50))).To(Equal([]string{"c", "a", "b"}))
+		Expect(table.Readers("shop", "y", idle, at(150))).To(Equal([]string{"b", "c", "a"}))
 		leaving := list()
 		leaving[1].Leaving = true
 		table.SetDatabases(leaving, at(200))
-		Expect(table.Readers("shop", "y", at(250))).To(Equal([]string{"c", "a"}))
+		Expect(table.Readers("shop", "y", idle, at(250))).To(Equal([]string{"c", "a"}))
+	})
+
+	It("uses a primary in the same data centre for reads while it is mostly idle", func() {
+		primaryLoad := 0.0
+		load := func(id string) float64 {
+			if id == "a" {
+				return primaryLoad
+			}
+			return 0
+		}
+		Expect(table.Readers("shop", "x", load, at(0))[0]).To(Equal("a"))
+		primaryLoad = 0.6
+		Expect(table.Readers("shop", "x", load, at(0))[2]).To(Equal("a"))
+		Expect(table.Readers("shop", "y", idle, at(0))[2]).To(Equal("a"), "not from another data centre")
+	})
+
+	It("prefers a replica with a free slot in another data centre to one that statements wait for", func() {
+		busy := map[string]float64{"b": 1}
+		load := func(id string) float64 { return busy[id] }
+		Expect(table.Readers("shop", "y", load, at(0))).To(Equal([]string{"c", "b", "a"}))
+		busy["c"] = 2
+		Expect(table.Readers("shop", "y", load, at(0))).To(Equal([]string{"b", "c", "a"}), "both have a queue: the near one")
 	})
 
 	It("gives each customer a stable order and spreads customers over the replicas", func() {
-		Expect(table.Readers("shop", "w", at(0))).To(Equal(table.Readers("shop", "w", at(1))))
+		Expect(table.Readers("shop", "w", idle, at(0))).To(Equal(table.Readers("shop", "w", idle, at(1))))
 		firsts := map[string]bool{}
 		for _, customer := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-			firsts[table.Readers(customer, "w", at(0))[0]] = true
+			firsts[table.Readers(customer, "w", idle, at(0))[0]] = true
 		}
 		Expect(firsts).To(HaveLen(2))
 	})
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -49,26 +49,39 @@
 	hash  uint64
 }
 
-// Grades of a reader; the lowest is preferred.
+// Grades of a reader; the lowest is preferred. A read that starts at once in another
+// data centre is answered earlier than one that waits in this one. The primary is
+// used while it is mostly idle and near, and otherwise kept for writes, which only it
+// can serve.
 const (
-	localReplica  = iota // in this host's data centre
-	remoteReplica        // in another data centre
-	primary              // reads avoid it, because only it can serve writes
+	localReplica  = iota // in this host's data centre, with a free slot
+	localPrimary         // in this host's data centre, mostly idle
+	remoteReplica        // in another data centre, with a free slot
+	queuedLocal          // a replica in this host's data centre for which statements wait
+	queuedRemote         // one in another data centre
+	primary              // any other primary
 	avoided              // refused or failed a request recently
 	unreachable          // does not answer, or is no longer listed
 )
 
+// Load is how much of a database's capacity this host uses, as a share of the
+// statements that it may send at once: 1 or more means that another one would wait.
+type Load func(id string) float64
+
+// maxPrimaryLoad is the load up to which reads use a primary in the same data centre.
+const maxPrimaryLoad = 0.5
+
 // Readers returns the databases that may serve a customer's read, best first.
-// The order for one customer is stable, so that its connections are reused.
-// dataCentre is that of this host. A leaving database is left out, unless it is
-// the only one known.
-func (t *Table) Readers(customer, dataCentre string, now time.Time) []string {
+// The order for one customer is stable while the loads are, so that its connections
+// are reused. dataCentre is that of this host. A leaving database is left out,
+// unless it is the only one known.
+func (t *Table) Readers(customer, dataCentre string, load Load, now time.Time) []string {
 	order := make([]reader, 0, len(t.members))
 	for id, m := range t.members {
 		if m.Leaving && len(t.members) > 1 {
 			continue
 		}
-		order = append(order, reader{id: id, grade: t.grade(id, m, dataCentre, now), hash: preference(customer, id)})
+		order = append(order, reader{id: id, grade: t.grade(id, m, dataCentre, load, now), hash: preference(customer, id)})
 	}
 	slices.SortFunc(order, func(a, b reader) int {
 		return cmp.Or(cmp.Compare(a.grade, b.grade), cmp.Compare(a.hash, b.hash))
@@ -80,15 +93,22 @@
 	return ids
 }
 
-func (t *Table) grade(id string, m *member, dataCentre string, now time.Time) int {
+func (t *Table) grade(id string, m *member, dataCentre string, load Load, now time.Time) int {
+	local := m.DataCentre == dataCentre
 	switch {
 	case t.Unreachable(id, now) || !m.missingSince.IsZero():
 		return unreachable
 	case now.Before(m.avoidUntil):
 		return avoided
+	case id == t.leader && local && load(id) <= maxPrimaryLoad:
+		return localPrimary
 	case id == t.leader:
 		return primary
-	case m.DataCentre == dataCentre:
+	case load(id) >= 1 && local:
+		return queuedLocal
+	case load(id) >= 1:
+		return queuedRemote
+	case local:
 		return localReplica
 	}
 	return remoteReplica
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
@@ -17,9 +20,11 @@
 // databases of each service that it watches. It sends its customers' demands only
 // to the hosts that use them. Between data centres only the delegates, two per data
 // centre, exchange messages, and these contain summaries, so the traffic between
-// data centres does not grow with the number of hosts. The other hosts that watch
-// databases receive the summaries from their delegates, one round of messages
-// later.
+// data centres does not grow with the number of hosts. A delegate sends to the
+// delegate of its own rank in each other data centre, and the two take turns, so
+// that each data centre is sent one summary of each other one in every round. The
+// other hosts that watch databases receive the summaries from their delegates, one
+// round of messages later.
 
 // delegatesPerCentre is the number of hosts in each data centre that send its
 // summary.
@@ -100,27 +105,35 @@
 	return names
 }
 
-// crossCentreTargets returns the hosts of other data centres to which the summary
-// is sent: those that sent a message recently, which are the delegates. For a
-// silent data centre they are the hosts that would be its delegates, and
-// extraTargets others chosen at random, since the former may have been removed. mu
-// is held.
-func (p *peers) crossCentreTargets(now time.Time) []*net.UDPAddr {
-	reachable := map[string]bool{}
+// farDelegateTTL is how long after its last message a host of another data centre
+// counts as a delegate there. A delegate sends every second round; one of its
+// messages may be lost.
+const farDelegateTTL = 5 * gossipEvery
+
+// crossCentreTargets returns the hosts of other data centres to which this host, the
+// delegate of the given rank, sends the summary: in each data centre one of the
+// hosts that sent a message recently, which are the delegates. For a silent data
+// centre they are the hosts that would be its delegates, and extraTargets others
+// chosen at random, since the former may have been removed. mu is held.
+func (p *peers) crossCentreTargets(rank int, now time.Time) []*net.UDPAddr {
+	reachable := map[string][]string{}
 	silent := map[string][]string{}
 	var out []*net.UDPAddr
 	for name, h := range p.hostsByName {
 		switch {
 		case h.dataCentre == p.g.opt.DataCentre:
-		case now.Sub(h.lastSeen) < reportTTL:
-			reachable[h.dataCentre] = true
-			out = append(out, h.address)
+		case now.Sub(h.lastSeen) < farDelegateTTL:
+			reachable[h.dataCentre] = append(reachable[h.dataCentre], name)
 		default:
 			silent[h.dataCentre] = append(silent[h.dataCentre], name)
 		}
 	}
+	for _, names := range reachable {
+		name := rankDelegates(names)[min(rank, len(names)-1)]
+		out = append(out, p.hostsByName[name].address)
+	}
 	for dataCentre, names := range silent {
-		if reachable[dataCentre] {
+		if len(reachable[dataCentre]) > 0 {
 			continue
 		}
 		rest := rankDelegates(names)[min(delegatesPerCentre, len(names)):]
@@ -132,6 +145,47 @@
 	return out
 }
 
+// summarySchedule decides in which rounds a delegate sends its summary to the other
+// data centres: in its turn, and at once when its state has changed.
+type summarySchedule struct {
+	state  uint64
+	sentAt time.Time
+}
+
+// due reports whether the delegate of the given rank sends a summary in the round at
+// now, and records that it does. The turns follow the wall clock, which hosts have
+// in common; if it jumps, some summaries come closer together or later. state is a
+// hash of what other data centres should learn at once.
+func (s *summarySchedule) due(rank int, now, wall time.Time, state uint64) bool {
+	slot := wall.UnixMilli() / gossipEvery.Milliseconds()
+	inTurn := slot%delegatesPerCentre == int64(rank)
+	overdue := now.Sub(s.sentAt) > delegatesPerCentre*gossipEvery
+	if state == s.state && !inTurn && !overdue {
+		return false
+	}
+	s.state, s.sentAt = state, now
+	return true
+}
+
+// urgentState returns a hash of the parts of a summary that other data centres
+// should learn at once: everything but the demands and the positions, which change
+// all the time.
+func urgentState(summary *gossippb.Gossip) uint64 {
+	h := xxhash.New()
+	add := func(values ...any) { _, _ = fmt.Fprintln(h, values...) } // a hash accepts every write
+	add(summary.Leaving, summary.Configuration)
+	for _, c := range summary.Centres {
+		groups := slices.Clone(c.Groups)
+		slices.SortFunc(groups, func(a, b *gossippb.Group) int {
+			return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Host, b.Host))
+		})
+		for _, g := range groups {
+			add(g.Service, g.Host, g.Primary, g.Unreachable, g.Stuck)
+		}
+	}
+	return h.Sum64()
+}
+
 // summarise returns the summary of this data centre, from this host's own message
 // and those received from its other hosts.
 func (p *peers) summarise(own *gossippb.Gossip, now time.Time) *gossippb.Centre {
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -32,12 +32,13 @@
 	delegates   []*net.UDPAddr // its delegates that do not watch databases
 	others      []*net.UDPAddr // its other hosts
 	crossCentre []*net.UDPAddr // hosts of other data centres; set only on a delegate
+	rank        int            // of this host among the delegates; negative if it is none
 }
 
 // recipients groups the known hosts. mu is held.
 func (p *peers) recipients(now time.Time) recipients {
-	var out recipients
 	centreDelegates := p.localDelegates(now)
+	out := recipients{rank: slices.Index(centreDelegates, p.g.opt.Name)}
 	for name, h := range p.hostsByName {
 		switch {
 		case h.dataCentre != p.g.opt.DataCentre:
@@ -49,8 +50,8 @@
 			out.others = append(out.others, h.address)
 		}
 	}
-	if slices.Contains(centreDelegates, p.g.opt.Name) {
-		out.crossCentre = p.crossCentreTargets(now)
+	if out.rank >= 0 {
+		out.crossCentre = p.crossCentreTargets(out.rank, now)
 	}
 	return out
 }
@@ -79,10 +80,15 @@
 	withDemands := proto.CloneOf(brief)
 	withDemands.Demands, full.Demands = demands, demands
 	summary := proto.CloneOf(brief)
+	summary.Groups = nil
 	if len(to.crossCentre) > 0 {
 		summary.Centres = []*gossippb.Centre{p.summarise(withDemands, now)}
+		p.mu.Lock()
+		if !p.schedule.due(to.rank, now, time.Now(), urgentState(summary)) {
+			to.crossCentre = nil
+		}
+		p.mu.Unlock()
 	}
-	summary.Groups = nil
 	return []outgoingMessage{{summary, to.crossCentre}, {brief, to.others}, {withDemands, to.delegates}, {full, to.watchers}}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -55,6 +55,7 @@
 	sequence      uint64                       // of the last message sent
 	fetching      bool                         // a fetch from another host is running
 	listed        bool                         // the hosts' entries have been read
+	schedule      summarySchedule              // of the summaries that this host sends as a delegate
 }
 
 // peerHost is the state of another host.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -200,8 +200,14 @@
 func (s *service) readers(customer string) []*pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	load := func(id string) float64 {
+		if p := s.pools[id]; p != nil {
+			return p.slots.Load()
+		}
+		return 0
+	}
 	var out []*pool
-	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, s.g.now()) {
+	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, load, s.g.now()) {
 		if p := s.pools[id]; p != nil {
 			out = append(out, p)
 		}
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -133,7 +133,7 @@
 		g.peers.mu.Lock()
 		defer g.peers.mu.Unlock()
 		for range 5 {
-			targets := g.peers.crossCentreTargets(g.now())
+			targets := g.peers.crossCentreTargets(0, g.now())
 			Expect(targets).To(HaveLen(delegatesPerCentre + extraTargets))
 			for _, name := range names[:delegatesPerCentre] {
 				Expect(targets).To(ContainElement(g.peers.hostsByName[name].address))
@@ -141,6 +141,53 @@
 		}
 	})
 
+	It("go from a delegate to the delegate of its rank in each other data centre", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		names := []string{"far-1", "far-2", "far-3"}
+		for i, name := range names {
+			g.peers.handleMessage(&gossippb.Gossip{Host: name, Address: fmt.Sprint("127.0.0.1:", 1000+i), DataCentre: "dc-b", Boot: 1, Sequence: 1, Access: "x"})
+		}
+		names = rankDelegates(names)
+		g.peers.mu.Lock()
+		defer g.peers.mu.Unlock()
+		for rank := range delegatesPerCentre {
+			Expect(g.peers.crossCentreTargets(rank, g.now())).To(ConsistOf(g.peers.hostsByName[names[rank]].address))
+		}
+		g.peers.hostsByName[names[0]].lastSeen = g.now().Add(-farDelegateTTL)
+		g.peers.hostsByName[names[1]].lastSeen = g.now().Add(-farDelegateTTL)
+		Expect(g.peers.crossCentreTargets(1, g.now())).To(ConsistOf(g.peers.hostsByName[names[2]].address), "the only one that still sends")
+	})
+
+	It("between data centres are sent by one delegate in each round, and by both as soon as their state changes", func() {
+		var schedules [delegatesPerCentre]summarySchedule
+		now := time.Now()
+		for r := range schedules {
+			Expect(schedules[r].due(r, now, now, 1)).To(BeTrue(), "the first")
+		}
+		for range 20 {
+			now = now.Add(gossipEvery)
+			sent := 0
+			for r := range schedules {
+				if schedules[r].due(r, now, now, 1) {
+					sent++
+				}
+			}
+			Expect(sent).To(Equal(1))
+		}
+		for r := range schedules {
+			Expect(schedules[r].due(r, now, now, 2)).To(BeTrue(), "a change")
+		}
+		stuck := now.Add(-time.Hour).Truncate(delegatesPerCentre * gossipEvery) // a wall clock that jumps back each round
+		sent := 0
+		for range 9 {
+			now = now.Add(gossipEvery)
+			if schedules[1].due(1, now, stuck, 2) {
+				sent++
+			}
+		}
+		Expect(sent).To(BeNumerically(">=", 3), "also while it is never its turn")
+	})
+
 	It("carry the summaries of other data centres only to hosts that watch databases, and are sent to those last", func() {
 		g := newTestGateway(newFakePlatform(newGroup("a")))
 		receiveFrom := func(name, address, centre string, watching bool) {
