Record a service's databases, so that a host that started later knows them

Change: the first host in rank keeps a record of each service's databases and its proven primary in the store, and removes one that is not listed, accepts no connection and whose data centre is in contact. An attempt reads the record under its lease and treats what it names like a former database; without the record there is no attempt.

--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -90,3 +91,35 @@
 		})
 	})
 })
+
+var _ = Describe("a roster", func() {
+	none := func(string) bool { return false }
+	db := func(id, dataCentre string) routes.Database {
+		return routes.Database{ID: id, Service: "orders", Address: id + ":1", DataCentre: dataCentre, StartMillis: 7}
+	}
+
+	It("adds what is present and removes only what is gone", func() {
+		r, changed := succession.Roster{}.Update([]routes.Database{db("a", "x"), db("b", "y")}, "a", 3, none)
+		Expect(changed).To(BeTrue())
+		Expect(r.Primary).To(Equal("a"))
+		_, changed = r.Update([]routes.Database{db("b", "y")}, "", 0, none)
+		Expect(changed).To(BeFalse())
+		Expect(r.Missing("orders", []routes.Database{db("b", "y")})).To(Equal([]routes.Database{db("a", "x")}))
+		r, changed = r.Update([]routes.Database{db("b", "y")}, "", 0, func(id string) bool { return id == "a" })
+		Expect(changed).To(BeTrue())
+		Expect(r.Databases).To(HaveLen(1))
+		Expect(r.Primary).To(Equal("a"), "the last one known")
+	})
+
+	It("replaces the place of a database that has restarted, and the primary only by that of a later term", func() {
+		r, _ := succession.Roster{}.Update([]routes.Database{db("a", "x")}, "a", 3, none)
+		again := db("a", "x")
+		again.Address = "a:2"
+		r, changed := r.Update([]routes.Database{again}, "b", 2, none)
+		Expect(changed).To(BeTrue())
+		Expect(r.Databases["a"].Address).To(Equal("a:2"))
+		Expect(r.Primary).To(Equal("a"))
+		r, _ = r.Update(nil, "b", 4, none)
+		Expect(r.Primary).To(Equal("b"))
+	})
+})
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -86,6 +86,11 @@
 	if state.running || s.g.leaving.Load() {
 		return
 	}
+	if rank != 0 {
+		s.roster.known = false // another host keeps it
+	} else {
+		s.keepRoster(now)
+	}
 	if reason == succession.None && known && rank == 0 {
 		s.checkPaused(now)
 	}
@@ -134,9 +139,10 @@
 	started time.Time
 
 	leaseObject objectapi.Object // the lease as last read or written
-	unconfirmed []string         // claims of writes of the lease whose outcome is unknown
-	pending     bool             // an unanswered order may still take effect
-	ordered     string           // the database that this order promotes
+	roster      succession.Roster
+	unconfirmed []string // claims of writes of the lease whose outcome is unknown
+	pending     bool     // an unanswered order may still take effect
+	ordered     string   // the database that this order promotes
 	conns       []*controlConn
 }
 
@@ -151,6 +157,12 @@
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
+	var err error
+	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
+		a.log.Warn("Reading the record of the databases failed.", "error", err)
+		a.giveUp(ctx)
+		return
+	}
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.log.Warn("No successor was chosen.", "error", err)
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -220,6 +222,97 @@
 		dbs.withLock(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
 	})
 
+	Context("on a host that started after the entries of databases that are cut off had expired", func() {
+		// "a" is the primary. It and "c" are in a data centre that was cut off, from
+		// the store too.
+		var remote routes.Database
+
+		BeforeEach(func() {
+			in := func(id, dataCentre string) routes.Database {
+				return routes.Database{ID: id, Service: testService, Address: id, DataCentre: dataCentre, Slots: 4}
+			}
+			remote = in("c", "dc-b")
+			g.setDatabases(map[string]routes.Database{"a": in("a", "dc-b"), "b": in("b", "dc-a"), "c": remote})
+			svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+			Expect(svc.syncRoster()).To(Succeed())
+
+			started := newTestGateway(p)
+			svc = newService(started, testService)
+			svc.setDatabases([]routes.Database{in("b", "dc-a")}, 4)
+			g = started
+			dbs.withLock(func() { dbs.databases["a"].unresponsive, dbs.databases["c"].unresponsive = true, true })
+		})
+
+		attemptOfNewHost := func() {
+			a := &replacement{s: svc, log: g.log, reason: succession.Absent, started: time.Now()}
+			a.run() // learns the term
+			a = &replacement{s: svc, log: g.log, reason: succession.Absent, term: 1, started: time.Now()}
+			a.run()
+		}
+		orders := func() (n int) {
+			dbs.withLock(func() { n = len(dbs.orders) })
+			return n
+		}
+
+		It("promotes no replica while they may acknowledge commits among themselves, or the primary serves again", func() {
+			attemptOfNewHost()
+			Expect(orders()).To(BeZero())
+			dbs.withLock(func() { dbs.databases["a"].unresponsive = false })
+			attemptOfNewHost()
+			Expect(orders()).To(BeZero())
+		})
+
+		It("promotes a replica once it was in contact with their data centre and none of them runs", func() {
+			g.peers.mu.Lock()
+			g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now().Add(time.Minute)}
+			g.peers.mu.Unlock()
+			attemptOfNewHost()
+			Expect(orders()).To(Equal(1))
+		})
+
+		It("takes a database off the record once it accepts no connection, is not listed and its data centre is in contact", func() {
+			names := func() []string {
+				_, roster, err := svc.readRoster(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				return slices.Sorted(maps.Keys(roster.Databases))
+			}
+			dbs.withLock(func() { dbs.databases["a"].unresponsive = false }) // it runs, and is cut off from the store only
+			Expect(svc.syncRoster()).To(Succeed())
+			age := func() {
+				svc.mu.Lock()
+				svc.rosterOutdated(time.Now().Add(-missingCheckEvery - time.Second))
+				svc.mu.Unlock()
+			}
+			age()
+			Expect(svc.syncRoster()).To(Succeed())
+			Expect(names()).To(Equal([]string{"a", "b", "c"}), "no contact with the data centre")
+			g.peers.mu.Lock()
+			g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now().Add(time.Minute)}
+			g.peers.mu.Unlock()
+			svc.mu.Lock()
+			svc.roster.missing = nil
+			svc.mu.Unlock()
+			age()
+			Expect(svc.syncRoster()).To(Succeed())
+			Expect(names()).To(Equal([]string{"a", "b"}))
+		})
+	})
+
+	It("keeps a record of the databases that it knows on the first host in rank", func() {
+		g.started = g.started.Add(-time.Minute)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		recorded := func() succession.Roster {
+			svc.maybeReplacePrimary(time.Now())
+			_, roster, err := svc.readRoster(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return roster
+		}
+		Eventually(func() map[string]succession.Place { return recorded().Databases }).Should(And(HaveLen(3), HaveKey("a")))
+		Expect(recorded().Primary).To(Equal("a"))
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 11}, time.Now())
+		Eventually(func() string { return recorded().Primary }).Should(Equal("b"))
+	})
+
 	Context("with replicas that an attempt has left paused", func() {
 		var order succession.Order // the unanswered order of the attempt
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -35,6 +35,9 @@
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
 	promotion         promotionState
+	roster            rosterState
+	provenPrimary     string    // the last database that proved to be the primary
+	provenTerm        uint64    // in which it did
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
@@ -255,6 +258,9 @@
 	s.table.RecordLeader(id, end.Term, sentAt)
 	if !end.IsZero() {
 		s.samples.Add(floor.Sample{Position: end, At: sentAt})
+		if end.Term > s.provenTerm {
+			s.provenPrimary, s.provenTerm = id, end.Term
+		}
 	}
 	s.notifyChange()
 }
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -14,6 +14,9 @@
 // receive more of the log than the successor.
 func (a *replacement) choose(ctx context.Context) (succession.Candidate, error) {
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
+	if a.primary == "" && a.roster.Term == a.newestTerm() {
+		a.primary = a.roster.Primary // this host may have started after the primary's entry expired
+	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
