Let a few hosts of a data centre serve, chosen by capacity, and the others speak only to them

Cause: at 295 hosts every host sent a message to each of some 50 others of its data centre each 300 ms and kept a probed connection to each, and 295 hosts read everything from the store at their start; homes were picked without regard to a host's cores. Change: datacentre/placement ranks live hosts by weighted rendezvous hashing; among more than eight the first four or more serve. They send to all, the others only to them and every fourth round; delegates report who follows. Homes, store watches and connections are the serving hosts'. A host that does not serve gets its initial state from one that does. One prober serves all connections of a host, and idle ones are probed after 3 s instead of 750 ms; periodic work shares one 100 ms beat.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -65,6 +65,7 @@
 		Metrics:    cfg.Site.Metrics,
 		Grace:      cfg.Shutdown.Grace,
 		MaxCallers: cfg.Site.MaxCallers,
+		Capacity:   cfg.Site.CPUShare,
 		Platform: platform.New(platform.StoreConfig{
 			BaseURL:   cfg.Platform.URL,
 			Timeout:   cfg.Platform.Timeout,
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -12,13 +12,15 @@
 
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// Within a data centre every host sends the others its group reports, one on the
-// databases of each service that it watches. It sends its customers' demands only
-// to the hosts that use them. Between data centres only the delegates, two per data
+// Within a data centre the serving hosts send every host their group reports, one on
+// the databases of each service that they watch, and each other their customers'
+// demands; the other hosts send messages only to the serving ones, and less often
+// (see placement). Between data centres only the delegates, two per data
 // centre, exchange messages, and these contain summaries, so the traffic between
 // data centres does not grow with the number of hosts. A delegate sends to the
 // delegate of its own rank in each other data centre, and the two take turns, so
@@ -34,10 +36,6 @@
 // addition to those that would be its delegates if all of its hosts were running.
 const extraTargets = 2
 
-// delegateKey is the rendezvous key that ranks the hosts of a data centre as
-// delegates.
-const delegateKey = "delegate"
-
 // centreSummary is the latest summary of another data centre.
 type centreSummary struct {
 	at      time.Time // when it was made, by this host's clock
@@ -86,22 +84,17 @@
 	return out
 }
 
-// localDelegates returns the delegates of this data centre. mu is held.
-func (p *peers) localDelegates(now time.Time) []string {
-	names := []string{p.g.opt.Name}
-	for name, h := range p.hostsByName {
-		if h.dataCentre == p.g.opt.DataCentre && !h.leaving && now.Sub(h.lastSeen) < reportTTL {
-			names = append(names, name)
-		}
+// rankHosts sorts hosts in place by the order in which they serve their data centre;
+// the first are its delegates. mu is held.
+func (p *peers) rankHosts(names []string) []string {
+	hosts := make([]placement.Host, len(names))
+	for i, name := range names {
+		hosts[i] = placement.Host{Name: name, Capacity: p.hostsByName[name].capacity}
+	}
+	placement.RankServing(hosts)
+	for i, h := range hosts {
+		names[i] = h.Name
 	}
-	return rankDelegates(names)[:min(delegatesPerCentre, len(names))]
-}
-
-// rankDelegates sorts hosts in place by their rank as delegates, highest first.
-func rankDelegates(names []string) []string {
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Compare(rendezvousScore(delegateKey, b), rendezvousScore(delegateKey, a))
-	})
 	return names
 }
 
@@ -129,14 +122,14 @@
 		}
 	}
 	for _, names := range reachable {
-		name := rankDelegates(names)[min(rank, len(names)-1)]
+		name := p.rankHosts(names)[min(rank, len(names)-1)]
 		out = append(out, p.hostsByName[name].address)
 	}
 	for dataCentre, names := range silent {
 		if len(reachable[dataCentre]) > 0 {
 			continue
 		}
-		rest := rankDelegates(names)[min(delegatesPerCentre, len(names)):]
+		rest := p.rankHosts(names)[min(delegatesPerCentre, len(names)):]
 		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 		for _, name := range names[:min(delegatesPerCentre+extraTargets, len(names))] {
 			out = append(out, p.hostsByName[name].address)
@@ -195,15 +188,15 @@
 			demands[d.Customer] += d.PerSecond
 		}
 	}
-	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Hosts: 1, Configuration: own.Configuration}
+	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
 	add(own.Demands)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups)
 	p.mu.Lock()
+	c.Hosts = uint32(max(1, p.placement.Live(now)))
 	for name, h := range p.hostsByName {
 		if h.dataCentre != p.g.opt.DataCentre || now.Sub(h.lastSeen) >= reportTTL {
 			continue
 		}
-		c.Hosts++
 		add(h.demands)
 		if !h.leaving {
 			c.Groups = appendWatched(c.Groups, name, h.groups)
@@ -267,7 +260,7 @@
 		p.recordAcked(g)
 	}
 	p.mu.Unlock()
-	admitting := min(c.hosts, len(p.g.allServices()))
+	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -27,6 +27,7 @@
 func (g *Gateway) Drain(ctx context.Context) {
 	started := time.Now()
 	g.leaving.Store(true)
+	g.peers.leave()
 	g.log.Info("Draining the host.", "part", "host", "sessions", g.callers.count(), "grace_ms", g.opt.Grace.Milliseconds())
 	retry.Wait(ctx, rotationDelay)
 	end := started.Add(g.opt.Grace - exitMargin)
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,17 +44,26 @@
 	Entries map[string]json.RawMessage `json:"entries"`
 }
 
-// shouldWatchStore reports whether this host should watch the store: whether fewer
-// than storeWatchers hosts of the data centre that rank before it get answers from
-// the store.
+// shouldWatchStore reports whether this host should watch the store: a serving host
+// if fewer than storeWatchers serving hosts of the data centre that rank before it
+// get answers from the store, another host if none of them does.
 func (p *peers) shouldWatchStore() bool {
 	now := p.g.now()
 	own := rendezvousScore(storeWatchKey, p.g.opt.Name)
+	serving := p.servingHosts(now)
+	serves := slices.Contains(serving, p.g.opt.Name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := 0
-	for name, h := range p.hostsByName {
-		if h.dataCentre == p.g.opt.DataCentre && h.storeAnswers && !h.leaving && now.Sub(h.lastSeen) < storeWatcherTTL && rendezvousScore(storeWatchKey, name) > own {
+	for _, name := range serving {
+		h := p.hostsByName[name]
+		if h == nil || !h.storeAnswers || h.leaving || now.Sub(h.lastSeen) >= storeWatcherTTL {
+			continue
+		}
+		if !serves {
+			return false
+		}
+		if rendezvousScore(storeWatchKey, name) > own {
 			before++
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	Metrics    string        // IP:port of the metrics page; empty for none
 	Grace      time.Duration // from the start of Drain until the process must have exited
 	MaxCallers int           // maximum number of concurrent sessions
+	Capacity   float64       // processor time of this host, as a share of a core; 0 if unknown
 	Platform   Platform
 	Logger     *slog.Logger
 	Now        func() time.Time // a clock that keeps running while the machine is suspended
@@ -81,7 +82,8 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
-	listVersion atomic.Uint64 // version of entries; changed with mu held
+	listVersion  atomic.Uint64 // version of entries; changed with mu held
+	serviceTotal atomic.Int64  // number of services; changed with mu held
 
 	ctx      context.Context // cancelled when the host stops
 	stop     context.CancelFunc
@@ -164,9 +166,12 @@
 		Self:       g.access,
 		DataCentre: g.opt.DataCentre,
 		BootID:     uuid.NewString(),
-		Logger:     g.log,
-		Metrics:    g.metrics.set,
-		OnSession:  g.serveJobs,
+
+		IdleProbeAfter: idleProbeAfter,
+		ProbeInterval:  probeInterval,
+		Logger:         g.log,
+		Metrics:        g.metrics.set,
+		OnSession:      g.serveJobs,
 		OnPeer: func(info peer.Info, connected bool) {
 			if !connected {
 				g.streams.closeIdle(info.Address)
@@ -181,6 +186,13 @@
 	return nil
 }
 
+// idleProbeAfter is the time without received bytes after which an idle connection
+// to another host is probed. One that carries statements is probed much sooner.
+const idleProbeAfter = 3 * time.Second
+
+// probeInterval is the time between checks for connections to be probed.
+const probeInterval = 5 * tickEvery
+
 // serveHTTP serves handler on address until the gateway closes.
 func (g *Gateway) serveHTTP(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
@@ -228,14 +240,14 @@
 // connections.
 const peerDiscoveryTimeout = 400 * time.Millisecond
 
-// peerDiscoveryPoll is the time between checks of whether every host has sent a
-// message.
+// peerDiscoveryPoll is the time between checks of whether every serving host has sent
+// a message.
 const peerDiscoveryPoll = 20 * time.Millisecond
 
-// peersDiscovered reports whether this host knows the other hosts of its data
+// peersDiscovered reports whether this host knows the serving hosts of its data
 // centre, or has waited long enough for their messages.
 func (g *Gateway) peersDiscovered() bool {
-	return g.now().Sub(g.started) >= peerDiscoveryTimeout || g.peers.seenAllLocalHosts()
+	return g.now().Sub(g.started) >= peerDiscoveryTimeout || g.peers.seenServingHosts()
 }
 
 // waitForPeerDiscovery waits until peersDiscovered holds or the host stops.
@@ -280,6 +292,9 @@
 	return g.services[name]
 }
 
+// serviceCount returns the number of services. It takes no lock.
+func (g *Gateway) serviceCount() int { return int(g.serviceTotal.Load()) }
+
 // allServices returns every service.
 func (g *Gateway) allServices() []*service {
 	g.mu.Lock()
@@ -291,7 +306,8 @@
 	return all
 }
 
-// tickEvery is the time between two runs of the services' periodic work.
+// tickEvery is the time between two runs of the services' periodic work. Other
+// periodic work has a multiple of it, so that an idle process wakes once for all.
 const tickEvery = 100 * time.Millisecond
 
 // tick runs the periodic work of all services: samples, expiry and promotions.
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 )
 
 // A service's databases accept few connections, and a connection serves one
@@ -11,39 +12,47 @@
 // none that serves their customer. So in each data centre one host, the home
 // host, holds the connections to a service's databases, and the other hosts send
 // it their sessions' statements. The home host is selected by rendezvous hashing
-// among the hosts with recent messages, so hosts may briefly disagree on it, which
-// costs additional connections and nothing else.
+// among the serving hosts, weighted by their capacity, so hosts may briefly disagree
+// on it, which costs additional connections and nothing else.
 
 // homeCandidate is a host that may run a service's statements.
 type homeCandidate struct {
 	name   string
 	access string // IP:port; empty for this host
-	score  uint64
 }
 
-// homeCandidates returns the hosts of this data centre that may run a service's
-// statements, the home host first.
+// homeCandidates returns the serving hosts of this data centre that may run a
+// service's statements, the home host first.
 func (p *peers) homeCandidates(service string) []homeCandidate {
 	now := p.g.now()
-	key := "home/" + service
+	serving := p.servingHosts(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []homeCandidate
-	if !p.g.leaving.Load() {
-		out = append(out, homeCandidate{name: p.g.opt.Name, score: rendezvousScore(key, p.g.opt.Name)})
-	}
-	for name, h := range p.hostsByName {
-		if h.dataCentre != p.g.opt.DataCentre || h.leaving || h.access == "" || now.Sub(h.lastSeen) >= reportTTL || now.Before(h.avoidUntil) {
+	hosts := make([]placement.Host, 0, len(serving))
+	for _, name := range serving {
+		if name == p.g.opt.Name {
+			if !p.g.leaving.Load() {
+				hosts = append(hosts, placement.Host{Name: name, Capacity: p.g.opt.Capacity})
+			}
 			continue
 		}
-		out = append(out, homeCandidate{name: name, access: h.access, score: rendezvousScore(key, name)})
+		if h := p.hostsByName[name]; h != nil && !h.leaving && h.access != "" && !now.Before(h.avoidUntil) {
+			hosts = append(hosts, placement.Host{Name: name, Capacity: h.capacity})
+		}
+	}
+	placement.Rank("home/"+service, hosts)
+	out := make([]homeCandidate, len(hosts))
+	for i, h := range hosts {
+		out[i] = homeCandidate{name: h.Name}
+		if h.Name != p.g.opt.Name {
+			out[i].access = p.hostsByName[h.Name].access
+		}
 	}
-	slices.SortFunc(out, func(a, b homeCandidate) int { return cmp.Compare(b.score, a.score) })
 	return out
 }
 
-// homeRank returns this host's index in homeCandidates, 0 for the home host. A
-// host that is leaving ranks behind all candidates.
+// homeRank returns this host's index in homeCandidates, 0 for the home host. A host
+// that does not serve, or is leaving, ranks behind all candidates.
 func (p *peers) homeRank(service string) int {
 	list := p.homeCandidates(service)
 	i := slices.IndexFunc(list, func(h homeCandidate) bool { return h.access == "" })
@@ -67,8 +76,7 @@
 }
 
 // updateAdmitting determines which hosts admit statements and passes their
-// number over all data centres to rates. Another data centre has at most as many
-// admitting hosts as there are services.
+// number over all data centres to rates.
 func (p *peers) updateAdmitting() {
 	now := p.g.now()
 	here := p.admittingHosts()
@@ -89,11 +97,17 @@
 	p.mu.Unlock()
 	n := max(1, len(here))
 	for _, hosts := range otherCentres {
-		n += min(hosts, services)
+		n += admittingIn(hosts, services)
 	}
 	p.g.rates.setHosts(n)
 }
 
+// admittingIn returns the greatest number of hosts that admit statements in a data
+// centre with the given number of live hosts: its home hosts.
+func admittingIn(hosts, services int) int {
+	return min(services, placement.ServingHosts(hosts, services))
+}
+
 // avoidHomeFor is how long no statements are sent to a host that did not answer.
 const avoidHomeFor = time.Second
 
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
@@ -16,18 +17,24 @@
 
 // hostEntry is the value of a host's entry in the store.
 type hostEntry struct {
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
+	Address    string  `json:"address"`
+	DataCentre string  `json:"dataCentre"`
+	Access     string  `json:"access,omitempty"`   // IP:port of its access listener
+	Capacity   float64 `json:"capacity,omitempty"` // share of a core
 }
 
-// syncHosts stores this host's entry and periodically reads those of the others.
+// syncHosts stores this host's entry and periodically reads those of the others. A
+// host that hears from serving hosts and is none itself needs no others.
 func (p *peers) syncHosts() {
-	stored := false
+	stored, listed := false, false
 	for wait := listHostsSoon; ; wait = listHostsEvery {
 		if !stored {
 			stored = p.storeEntry()
 		}
-		if !p.listHosts() || !stored {
+		if !listed || !p.hasServingHost() {
+			listed = p.listHosts()
+		}
+		if !listed || !stored {
 			wait = listHostsSoon
 		}
 		retry.Wait(p.g.ctx, wait)
@@ -37,19 +44,38 @@
 	}
 }
 
+// hasServingHost reports whether this host does not serve and another one that does
+// has sent a message recently.
+func (p *peers) hasServingHost() bool {
+	if p.serves() {
+		return false
+	}
+	now := p.g.now()
+	serving := p.servingHosts(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(serving, func(name string) bool {
+		h := p.hostsByName[name]
+		return h != nil && now.Sub(h.lastSeen) < reportTTL
+	})
+}
+
 // storeEntry creates or replaces this host's entry and reports whether it
 // succeeded.
 func (p *peers) storeEntry() bool {
-	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre})
+	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre, Access: p.g.access, Capacity: p.g.opt.Capacity})
 	if err != nil {
 		p.g.log.Error("Cannot encode this host's entry.", "part", "peers", "error", err)
 		return false
 	}
 	store := p.g.platform.Objects()
-	_, err = store.Create(p.g.ctx, kindHosts, p.g.opt.Name, value)
+	old, err := store.Create(p.g.ctx, kindHosts, p.g.opt.Name, value)
 	if errors.Is(err, objectapi.ErrExists) {
-		old, getErr := store.Get(p.g.ctx, kindHosts, p.g.opt.Name)
-		if err = getErr; err == nil && !slices.Equal(old.Value, value) {
+		err = nil
+		if old.Version == 0 {
+			old, err = store.Get(p.g.ctx, kindHosts, p.g.opt.Name)
+		}
+		if err == nil && !slices.Equal(old.Value, value) {
 			_, err = store.Update(p.g.ctx, kindHosts, p.g.opt.Name, old.Version, value)
 		}
 	}
@@ -108,6 +134,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hostsByName[name] == nil {
-		p.hostsByName[name] = &peerHost{address: to, dataCentre: entry.DataCentre}
+		p.hostsByName[name] = &peerHost{address: to, dataCentre: entry.DataCentre, access: entry.Access, capacity: entry.Capacity}
+		if entry.DataCentre == p.g.opt.DataCentre {
+			p.placement.RecordListed(placement.Host{Name: name, Capacity: entry.Capacity})
+		}
 	}
 }
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 )
 
@@ -35,16 +36,23 @@
 	rank        int            // of this host among the delegates; negative if it is none
 }
 
-// recipients groups the known hosts. mu is held.
-func (p *peers) recipients(now time.Time) recipients {
-	centreDelegates := p.localDelegates(now)
-	out := recipients{rank: slices.Index(centreDelegates, p.g.opt.Name)}
+// recipients groups the known hosts to which this host sends a message in the round
+// at now. serving are the serving hosts of this data centre. mu is held.
+func (p *peers) recipients(serving []string, watching bool, now time.Time) recipients {
+	delegates := serving[:min(delegatesPerCentre, len(serving))]
+	out := recipients{rank: slices.Index(delegates, p.g.opt.Name)}
 	for name, h := range p.hostsByName {
+		if h.dataCentre != p.g.opt.DataCentre {
+			continue
+		}
+		due := p.placement.SendDue(name, serving, now)
+		if !due && !(watching && slices.Contains(serving, name)) {
+			continue
+		}
 		switch {
-		case h.dataCentre != p.g.opt.DataCentre:
 		case watchesAny(h.groups):
 			out.watchers = append(out.watchers, h.address)
-		case slices.Contains(centreDelegates, name):
+		case slices.Contains(delegates, name):
 			out.delegates = append(out.delegates, h.address)
 		default:
 			out.others = append(out.others, h.address)
@@ -61,16 +69,17 @@
 	return slices.ContainsFunc(groups, func(g *gossippb.Group) bool { return g.Watching })
 }
 
-// outgoingMessages returns this round's messages: this host's state for the hosts
-// of its data centre and, on a delegate, the summary for the other data centres.
-// The largest parts are sent only to the hosts that use them: demands to
-// delegates and to hosts that watch databases, summaries only to the latter, and
-// last, so that they do not delay the other messages. Group reports are sent to
-// every host of the data centre, because they show which hosts watch.
+// outgoingMessages returns this round's messages: this host's state for hosts of its
+// data centre and, on a delegate, the summary for the other data centres. The largest
+// parts are sent only to the hosts that use them: demands to delegates and to hosts
+// that watch databases, summaries only to the latter, and last, so that they do not
+// delay the other messages. Group reports are in every message within the data
+// centre, because they show which hosts watch.
 func (p *peers) outgoingMessages(now time.Time) []outgoingMessage {
-	brief := p.message(now)
+	serving := p.servingHosts(now)
+	brief := p.message(serving, now)
 	p.mu.Lock()
-	to := p.recipients(now)
+	to := p.recipients(serving, len(brief.Groups) > 0, now)
 	full := proto.CloneOf(brief)
 	if len(to.crossCentre) > 0 {
 		full.Centres = p.centreSummaries(now)
@@ -80,7 +89,7 @@
 	withDemands := proto.CloneOf(brief)
 	withDemands.Demands, full.Demands = demands, demands
 	summary := proto.CloneOf(brief)
-	summary.Groups = nil
+	summary.Groups, summary.Ranked, summary.LiveHosts = nil, nil, 0
 	if len(to.crossCentre) > 0 {
 		summary.Centres = []*gossippb.Centre{p.summarise(withDemands, now)}
 		p.mu.Lock()
@@ -102,7 +111,8 @@
 // announceTo sends this host's state to one host without waiting for the next
 // round.
 func (p *peers) announceTo(to *net.UDPAddr) {
-	p.sendTo(p.message(p.g.now()), []*net.UDPAddr{to})
+	now := p.g.now()
+	p.sendTo(p.message(p.servingHosts(now), now), []*net.UDPAddr{to})
 }
 
 func (p *peers) sendTo(msg *gossippb.Gossip, targets []*net.UDPAddr) {
@@ -125,25 +135,49 @@
 }
 
 // message returns this host's state, without its customers' demands, under a new
-// sequence number.
-func (p *peers) message(now time.Time) *gossippb.Gossip {
+// sequence number. serving are the serving hosts of this data centre.
+func (p *peers) message(serving []string, now time.Time) *gossippb.Gossip {
 	msg := &gossippb.Gossip{
 		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
 		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
 		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
+		Capacity: p.g.opt.Capacity, Serving: slices.Contains(serving, p.g.opt.Name),
 	}
+	services := p.g.serviceCount()
 	for _, s := range p.g.allServices() {
 		if report := s.groupReport(now); report.Watching {
 			msg.Groups = append(msg.Groups, report)
 		}
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(serving[:min(delegatesPerCentre, len(serving))], p.g.opt.Name) {
+		msg.Ranked, msg.LiveHosts = p.rankedHosts(services, now)
+	}
 	p.sequence++
 	msg.Sequence = p.sequence
-	p.mu.Unlock()
 	return msg
 }
 
+// rankedHosts returns a delegate's report of the hosts that rank first for serving
+// and the number of live hosts. If all hosts serve, it names none, since they know
+// each other. mu is held.
+func (p *peers) rankedHosts(services int, now time.Time) ([]*gossippb.Host, uint32) {
+	report, live := p.placement.Report(services, now)
+	if live == placement.ServingHosts(live, services) {
+		return nil, uint32(live)
+	}
+	var out []*gossippb.Host
+	for _, h := range report {
+		entry := &gossippb.Host{Name: h.Name, Address: p.conn.LocalAddr().String(), Access: p.g.access, Capacity: h.Capacity}
+		if other := p.hostsByName[h.Name]; other != nil {
+			entry.Address, entry.Access = other.address.String(), other.access
+		}
+		out = append(out, entry)
+	}
+	return out, uint32(live)
+}
+
 // demands returns the customers' demands on this host. Reading them marks them in
 // rates as reported to the other hosts, so they are read once a round.
 func (p *peers) demands(now time.Time) []*gossippb.Demand {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -21,7 +23,7 @@
 	// gossipEvery is the time between two rounds of messages. It is short compared
 	// with the 5 s window of the platform's quotas and the 0.6 s after which a silent
 	// primary is suspected.
-	gossipEvery = 300 * time.Millisecond
+	gossipEvery = 3 * tickEvery
 	// reportTTL is how long after its last message a host's reports are used.
 	reportTTL = 1200 * time.Millisecond
 	// membershipTTL is the time without messages after which a host no longer
@@ -56,6 +58,7 @@
 	fetching      bool                         // a fetch from another host is running
 	listed        bool                         // the hosts' entries have been read
 	schedule      summarySchedule              // of the summaries that this host sends as a delegate
+	placement     *placement.Table             // the hosts of this data centre
 }
 
 // peerHost is the state of another host.
@@ -71,8 +74,10 @@
 	storeAnswers bool // it watches the store and gets answers
 
 	dataCentre string
+	capacity   float64   // share of a core; 0 if unknown
 	access     string    // IP:port of its access listener
 	avoidUntil time.Time // not used as home host until then
+	servedAt   time.Time // when it last ranked among the serving hosts; zero for never
 }
 
 // pairAttempts bounds the search for a port that is free for both TCP and UDP if
@@ -108,7 +113,8 @@
 		return nil, err
 	}
 	p := &peers{g: g, conn: conn, boot: uint64(time.Now().UnixMilli()), hostsByName: map[string]*peerHost{},
-		centres: map[string]*centreSummary{}, acked: map[string]position.Position{}, contacts: map[string]contact{}}
+		centres: map[string]*centreSummary{}, acked: map[string]position.Position{}, contacts: map[string]contact{},
+		placement: placement.New(placement.Host{Name: g.opt.Name, Capacity: g.opt.Capacity}, gossipEvery, g.now())}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, p.serveConfiguration)
 	mux.HandleFunc("GET "+databasesPath, p.serveDatabases)
@@ -118,50 +124,37 @@
 
 func (p *peers) close() { p.conn.Close() }
 
-// hostCount returns the number of hosts in the fleet, this one included.
-func (p *peers) hostCount() int {
-	now := p.g.now()
+// leave records that this host shuts down.
+func (p *peers) leave() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 1
-	for _, h := range p.hostsByName {
-		if p.isMember(h, now) {
-			n++
-		}
-	}
-	for name, c := range p.centres {
-		if now.Sub(c.at) < membershipTTL {
-			n += max(0, c.hosts-p.memberCount(name, now))
-		}
-	}
-	return n
-}
-
-// memberCount returns the number of known hosts of a data centre that are members.
-// mu is held.
-func (p *peers) memberCount(dataCentre string, now time.Time) int {
-	n := 0
-	for _, h := range p.hostsByName {
-		if h.dataCentre == dataCentre && p.isMember(h, now) {
-			n++
-		}
-	}
-	return n
+	p.placement.SetLeaving()
 }
 
-// seenAllLocalHosts reports whether the hosts' entries have been read and every
-// known host of this data centre has sent a message.
-func (p *peers) seenAllLocalHosts() bool {
+// seenServingHosts reports whether the hosts' entries have been read and every other
+// serving host of this data centre has sent a message.
+func (p *peers) seenServingHosts() bool {
+	services := p.g.serviceCount()
+	now := p.g.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, h := range p.hostsByName {
-		if h.dataCentre == p.g.opt.DataCentre && h.lastSeen.IsZero() {
+	for _, name := range p.placement.Serving(services, now) {
+		if h := p.hostsByName[name]; h != nil && h.lastSeen.IsZero() {
 			return false
 		}
 	}
 	return p.listed
 }
 
+// servingHosts returns the names of the serving hosts of this data centre in their
+// order.
+func (p *peers) servingHosts(now time.Time) []string {
+	services := p.g.serviceCount()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.Serving(services, now)
+}
+
 // run sends and receives until the gateway stops.
 func (p *peers) run() {
 	p.g.startWorker(p.receive)
@@ -169,10 +162,10 @@
 	// A random first delay: hosts that start together would otherwise always send
 	// at the same moment, and their simultaneous messages would overrun a slow
 	// link.
-	retry.Wait(p.g.ctx, rand.N(gossipEvery))
+	retry.Wait(p.g.ctx, rand.N(gossipEvery/tickEvery)*tickEvery)
 	ticker := time.NewTicker(gossipEvery)
 	defer ticker.Stop()
-	var hosts, centres int
+	centres := 0
 	for {
 		select {
 		case <-p.g.ctx.Done():
@@ -181,22 +174,44 @@
 		}
 		p.send()
 		p.connect()
-		if h, c := p.hostCount(), p.dataCentreCount(); h != hosts || c != centres {
-			hosts, centres = h, c
+		if c := p.dataCentreCount(); c != centres {
+			centres = c
 			p.g.sizePools()
 		}
 		p.updateAdmitting()
 	}
 }
 
-// connect keeps connections open to the hosts of this data centre, since each may
-// be a home host.
+// serves reports whether this host is a serving host of its data centre.
+func (p *peers) serves() bool {
+	return slices.Contains(p.servingHosts(p.g.now()), p.g.opt.Name)
+}
+
+// listedHosts reports whether the hosts' entries have been read.
+func (p *peers) listedHosts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
+// keepConnected is how long the connection to a host is kept after it stopped
+// serving, for the transactions that are still open there.
+const keepConnected = 15 * time.Second
+
+// connect keeps connections open to the serving hosts of this data centre, since each
+// may be a home host, and to those that served until recently.
 func (p *peers) connect() {
 	now := p.g.now()
+	serving := p.servingHosts(now)
 	p.mu.Lock()
+	for _, name := range serving {
+		if h := p.hostsByName[name]; h != nil {
+			h.servedAt = now
+		}
+	}
 	var wanted []string
 	for _, h := range p.hostsByName {
-		if h.access != "" && h.dataCentre == p.g.opt.DataCentre && p.isMember(h, now) {
+		if h.access != "" && !h.servedAt.IsZero() && now.Sub(h.servedAt) < keepConnected {
 			wanted = append(wanted, h.access)
 		}
 	}
@@ -237,6 +252,23 @@
 	}
 }
 
+// applyReport applies a delegate's report of the hosts that rank first for serving,
+// and adds those that this host does not know. mu is held.
+func (p *peers) applyReport(msg *gossippb.Gossip, now time.Time) {
+	hosts := make([]placement.Host, 0, len(msg.Ranked))
+	for _, r := range msg.Ranked {
+		address, ok := peerAddress(r.Address)
+		if !ok || r.Name == "" || r.Name == p.g.opt.Name {
+			continue
+		}
+		if p.hostsByName[r.Name] == nil {
+			p.hostsByName[r.Name] = &peerHost{address: address, dataCentre: p.g.opt.DataCentre, access: r.Access, capacity: r.Capacity}
+		}
+		hosts = append(hosts, placement.Host{Name: r.Name, Capacity: r.Capacity})
+	}
+	p.placement.RecordReport(hosts, int(msg.LiveHosts), now)
+}
+
 // restartGap is the time without messages from a host after which a message with
 // another boot number is accepted as that of its restarted process. Before that, it
 // may be a delayed message of the previous process.
@@ -262,8 +294,14 @@
 	}
 	started := msg.Boot != h.boot
 	h.address, h.boot, h.seq, h.lastSeen, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
-	h.dataCentre, h.access, h.storeAnswers = msg.DataCentre, msg.Access, msg.StoreAnswers
+	h.dataCentre, h.access, h.storeAnswers, h.capacity = msg.DataCentre, msg.Access, msg.StoreAnswers, msg.Capacity
 	h.groups, h.demands = msg.Groups, msg.Demands
+	if sameCentre {
+		p.placement.RecordMessage(placement.Host{Name: msg.Host, Capacity: h.capacity}, msg.Serving, msg.Leaving, now)
+		if msg.LiveHosts > 0 {
+			p.applyReport(msg, now)
+		}
+	}
 	p.recordContact(msg.DataCentre, now)
 	for _, g := range msg.Groups {
 		p.recordAcked(g)
--- a/gateway/stalls.go
+++ b/gateway/stalls.go
@@ -8,7 +8,7 @@
 // Timing of stall detection.
 const (
 	// stallBeat is the time between two beats of a running process.
-	stallBeat = 50 * time.Millisecond
+	stallBeat = tickEvery
 	// stallAfter is the gap between beats that counts as a stall; load alone does
 	// not cause one.
 	stallAfter = 400 * time.Millisecond
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -40,6 +40,7 @@
 // only lists, every relistAfter, until the host has its initial state.
 func (w *watcher) run() {
 	var nextList time.Time // earliest next list of a host that does not watch
+	w.waitForServingHost()
 	for w.g.ctx.Err() == nil {
 		if !w.g.peers.shouldWatchStore() && (w.g.synced() || w.g.now().Before(nextList)) {
 			w.g.recordStoreState(w.kind, false)
@@ -59,6 +60,23 @@
 	}
 }
 
+// initialStateTimeout is how long a host that does not serve waits after its start for
+// its initial state from a serving host, before it reads the store itself. Those
+// send messages every gossipEvery, and one fetch takes less than as long again.
+const initialStateTimeout = 3 * gossipEvery
+
+// waitForServingHost waits while a serving host may still provide the initial state.
+// When many hosts start together, the store would otherwise serve each of them.
+func (w *watcher) waitForServingHost() {
+	g := w.g
+	for g.ctx.Err() == nil && !g.synced() && g.now().Sub(g.started) < initialStateTimeout {
+		if g.peers.listedHosts() && g.peers.serves() {
+			return
+		}
+		retry.Wait(g.ctx, peerDiscoveryPoll)
+	}
+}
+
 // relistAfter is the time after which a host that does not watch the store, and
 // that has not received its initial state from another host, lists again.
 const relistAfter = 2 * time.Second
@@ -330,6 +348,7 @@
 	for name := range byService {
 		if g.services[name] == nil && config.HasService(name) {
 			g.services[name] = newService(g, name)
+			g.serviceTotal.Add(1)
 		}
 	}
 	services := maps.Clone(g.services)
--- a/link/peer/config.go
+++ b/link/peer/config.go
@@ -22,6 +22,7 @@
 	DefaultDialTimeout      = 700 * time.Millisecond
 	DefaultHandshakeTimeout = 2 * time.Second
 	DefaultProbeAfter       = 750 * time.Millisecond
+	DefaultProbeInterval    = 250 * time.Millisecond
 	DefaultWriteTimeout     = time.Second
 	DefaultBackoffMin       = 50 * time.Millisecond
 	DefaultBackoffMax       = 600 * time.Millisecond
@@ -58,7 +59,9 @@
 
 	DialTimeout      time.Duration
 	HandshakeTimeout time.Duration // TLS and Hello together
-	ProbeAfter       time.Duration // time without received bytes after which a ping is sent
+	ProbeAfter       time.Duration // time without received bytes, while sent data is unanswered, after which a ping is sent
+	ProbeInterval    time.Duration // between checks for connections to be probed
+	IdleProbeAfter   time.Duration // the same on an idle connection; ProbeAfter if zero
 	WriteTimeout     time.Duration // limit for a blocked write and for the answer to a ping
 	BackoffMin       time.Duration // initial delay between dials of one peer
 	BackoffMax       time.Duration // maximum of that delay
@@ -99,6 +102,8 @@
 	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
 	defaults.Set(&c.HandshakeTimeout, DefaultHandshakeTimeout)
 	defaults.Set(&c.ProbeAfter, DefaultProbeAfter)
+	defaults.Set(&c.IdleProbeAfter, c.ProbeAfter)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
 	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
 	defaults.Set(&c.BackoffMin, DefaultBackoffMin)
 	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
--- a/link/peer/conn.go
+++ b/link/peer/conn.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	probeInterval  = 250 * time.Millisecond // between checks for a silent connection
-	maxWriteBatch  = 16 << 10               // bytes of queued frames combined into one write
-	maxOwnStreams  = 4                      // requests with their own stream served concurrently per connection
-	ownStreamLimit = 10 * time.Second       // time limit for such a request; also yamux's limit for opening or closing a stream
+	maxWriteBatch  = 16 << 10         // bytes of queued frames combined into one write
+	maxOwnStreams  = 4                // requests with their own stream served concurrently per connection
+	ownStreamLimit = 10 * time.Second // time limit for such a request; also yamux's limit for opening or closing a stream
 )
 
 // conn is one connection to a peer, after the handshake. A peer that reconnects
@@ -37,6 +36,8 @@
 	once  sync.Once
 	cause atomic.Value // *error; set once
 
+	probing atomic.Bool // a ping is in flight
+
 	mu      sync.Mutex // guards pending
 	pending map[uint64]chan *peerpb.Envelope
 }
@@ -101,7 +102,7 @@
 // run serves the connection until it ends.
 func (c *conn) run() {
 	var wg sync.WaitGroup
-	for _, loop := range []func() error{c.writeLoop, c.ownStreamLoop, c.probeLoop} {
+	for _, loop := range []func() error{c.writeLoop, c.ownStreamLoop} {
 		wg.Go(func() { c.close(loop()) })
 	}
 	c.close(c.readLoop())
@@ -189,23 +190,23 @@
 	return batch
 }
 
-// probeLoop pings a silent peer and ends the connection when the ping times out.
-func (c *conn) probeLoop() error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.done:
-			return ErrClosed
-		case <-ticker.C:
-		}
-		if time.Since(c.wire.lastReceivedAt()) < c.mesh.cfg.ProbeAfter {
-			continue
-		}
+// probe pings the peer if the connection is silent, and ends the connection when the
+// ping times out. It does not block.
+func (c *conn) probe() {
+	silent, unanswered := c.wire.silentFor()
+	after := c.mesh.cfg.IdleProbeAfter
+	if unanswered {
+		after = c.mesh.cfg.ProbeAfter
+	}
+	if silent < after || !c.probing.CompareAndSwap(false, true) {
+		return
+	}
+	c.mesh.wg.Go(func() {
+		defer c.probing.Store(false)
 		if _, err := c.sess.Ping(); err != nil {
-			return err
+			c.close(err)
 		}
-	}
+	})
 }
 
 // request sends env on the shared stream and waits for the answer.
--- a/link/peer/handshake.go
+++ b/link/peer/handshake.go
@@ -197,7 +197,7 @@
 
 func (m *Mesh) muxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false // probeLoop pings only silent connections
+	config.EnableKeepAlive = false // the mesh pings only silent connections
 	config.ConnectionWriteTimeout = m.cfg.WriteTimeout
 	config.StreamOpenTimeout = ownStreamLimit
 	config.StreamCloseTimeout = ownStreamLimit
--- a/link/peer/mesh.go
+++ b/link/peer/mesh.go
@@ -59,9 +59,31 @@
 	for range cfg.Workers {
 		m.wg.Go(m.pool.run)
 	}
+	m.wg.Go(m.probeConns)
 	return m
 }
 
+// probeConns probes the connections until the Mesh is closed. One timer serves them
+// all, since a host may have hundreds.
+func (m *Mesh) probeConns() {
+	ticker := time.NewTicker(m.cfg.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		m.mu.Lock()
+		if !m.closed { // a probe may not start once Close waits
+			for _, c := range m.conns {
+				c.probe()
+			}
+		}
+		m.mu.Unlock()
+	}
+}
+
 // Serve accepts connections of peers until the listener or the Mesh is closed. It
 // returns nil when Close ends it, ErrClosed when the Mesh was closed before the call,
 // and otherwise the error of the listener's Accept. Close closes the listener.
--- a/link/peer/wire.go
+++ b/link/peer/wire.go
@@ -8,11 +8,12 @@
 )
 
 // countingConn counts bytes on the wire, reads and writes, and records when the last
-// byte was received.
+// byte was received and when data was last sent.
 type countingConn struct {
 	net.Conn
 	stats        *counters
 	lastReceived atomic.Int64 // nanoseconds after epoch
+	lastSent     atomic.Int64 // the same, of data; 0 for none
 	epoch        time.Time    // creation time
 }
 
@@ -30,6 +31,9 @@
 	n, err := c.Conn.Write(p)
 	c.stats.sentBytes.Add(uint64(n))
 	c.stats.writes.Add(1)
+	if n > muxHeaderLen { // a frame without a body, such as a ping, awaits no data
+		c.lastSent.Store(int64(time.Since(c.epoch)))
+	}
 	return n, err
 }
 
@@ -37,6 +41,13 @@
 	return c.epoch.Add(time.Duration(c.lastReceived.Load()))
 }
 
+// silentFor returns the time since the last byte was received, and whether data has
+// been sent since.
+func (c *countingConn) silentFor() (silent time.Duration, unanswered bool) {
+	received := c.lastReceived.Load()
+	return time.Since(c.epoch) - time.Duration(received), c.lastSent.Load() > received
+}
+
 // Layout of a yamux frame header.
 const (
 	muxHeaderLen = 12
--- a/objectapi/api.go
+++ b/objectapi/api.go
@@ -69,7 +69,8 @@
 	// List returns all objects of a kind and the store version that the
 	// list reflects.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
-	// Create stores a new object, or returns ErrExists.
+	// Create stores a new object, or returns ErrExists and, if the platform sent it,
+	// the object that exists; its Version is 0 otherwise.
 	Create(ctx context.Context, kind, name string, value []byte) (Object, error)
 	// Update replaces the value if the stored version is still version;
 	// otherwise it returns ErrConflict.
