Read less from the store when many hosts start, and less often what rarely changes

Change: a host without an entry of its own waits for the others' messages before it decides whether it serves; ranks are computed every third beat or when the serving hosts change; a host that does not watch a service skips its promotion check.

--- a/datacentre/placement/placement.go
+++ b/datacentre/placement/placement.go
@@ -309,7 +309,7 @@
 	}
 	hash := xxhash.Sum64String(key + "\x00" + h.Name)
 	uniform := (float64(hash>>11) + 0.5) / (1 << 53) // in (0, 1)
-	return -math.Pow(capacity, 4) / math.Log(uniform)
+	return -capacity * capacity * capacity * capacity / math.Log(uniform)
 }
 
 func names(hosts []Host) []string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -310,18 +311,27 @@
 // periodic work has a multiple of it, so that an idle process wakes once for all.
 const tickEvery = 100 * time.Millisecond
 
+// ranksEvery is the number of ticks after which the services' home ranks are
+// determined even if the serving hosts are the same: a host may be avoided for a
+// while.
+const ranksEvery = 3
+
 // tick runs the periodic work of all services: samples, expiry and promotions.
 func (g *Gateway) tick() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for {
+	var serving []string
+	for n := 0; ; n++ {
 		select {
 		case <-g.ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		current := g.peers.servingHosts(g.now())
+		updateRanks := n%ranksEvery == 0 || !slices.Equal(serving, current)
+		serving = current
 		for _, s := range g.allServices() {
-			s.tick()
+			s.tick(updateRanks)
 		}
 	}
 }
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -71,7 +71,7 @@
 			}
 			p.mu.Unlock()
 		}
-		svc.tick()
+		svc.tick(true)
 		Expect(open()).To(BeZero())
 	})
 
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -70,6 +70,11 @@
 	}
 	store := p.g.platform.Objects()
 	old, err := store.Create(p.g.ctx, kindHosts, p.g.opt.Name, value)
+	if err == nil {
+		p.mu.Lock()
+		p.firstStart = true
+		p.mu.Unlock()
+	}
 	if errors.Is(err, objectapi.ErrExists) {
 		err = nil
 		if old.Version == 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -57,6 +57,7 @@
 	sequence      uint64                       // of the last message sent
 	fetching      bool                         // a fetch from another host is running
 	listed        bool                         // the hosts' entries have been read
+	firstStart    bool                         // this host had no entry before
 	schedule      summarySchedule              // of the summaries that this host sends as a delegate
 	placement     *placement.Table             // the hosts of this data centre
 }
@@ -187,11 +188,13 @@
 	return slices.Contains(p.servingHosts(p.g.now()), p.g.opt.Name)
 }
 
-// listedHosts reports whether the hosts' entries have been read.
-func (p *peers) listedHosts() bool {
+// knowsHosts reports whether this host knows the hosts of its data centre: it has read
+// their entries and, at its first start, has also waited for their messages, because
+// other hosts may start for the first time as well.
+func (p *peers) knowsHosts() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.listed
+	return p.listed && (!p.firstStart || p.g.now().Sub(p.g.started) >= peerDiscoveryTimeout)
 }
 
 // keepConnected is how long the connection to a host is kept after it stopped
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -353,18 +353,25 @@
 	return s.homeRank <= 1 || now.Sub(s.lastUsed) < watchAfterUse
 }
 
-// tick does the periodic work: it updates homeRank and the pools, expires
-// databases, samples the primary and considers replacing it.
-func (s *service) tick() {
+// tick does the periodic work: it updates homeRank, if updateRank is set, and the
+// pools, expires databases, samples the primary and considers replacing it.
+func (s *service) tick(updateRank bool) {
 	now := s.g.now()
-	rank := s.g.peers.homeRank(s.name)
+	rank := 0
+	if updateRank {
+		rank = s.g.peers.homeRank(s.name)
+	}
 	s.mu.Lock()
+	if !updateRank {
+		rank = s.homeRank
+	}
 	rankChanged := rank != s.homeRank
 	s.homeRank = rank
 	s.table.Expire(now)
 	closing := s.dropPools()
 	s.reachablePrimary()
-	if s.watching(now) && s.samples.Newest().At.Add(sampleInterval).Before(now) {
+	watching := s.watching(now)
+	if watching && s.samples.Newest().At.Add(sampleInterval).Before(now) {
 		s.requestSample()
 	}
 	s.mu.Unlock()
@@ -379,5 +386,7 @@
 			p.closeSpare(now)
 		}
 	}
-	s.maybeReplacePrimary(now)
+	if watching {
+		s.maybeReplacePrimary(now)
+	}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -63,14 +63,14 @@
 // initialStateTimeout is how long a host that does not serve waits after its start for
 // its initial state from a serving host, before it reads the store itself. Those
 // send messages every gossipEvery, and one fetch takes less than as long again.
-const initialStateTimeout = 3 * gossipEvery
+const initialStateTimeout = 4 * gossipEvery
 
 // waitForServingHost waits while a serving host may still provide the initial state.
 // When many hosts start together, the store would otherwise serve each of them.
 func (w *watcher) waitForServingHost() {
 	g := w.g
 	for g.ctx.Err() == nil && !g.synced() && g.now().Sub(g.started) < initialStateTimeout {
-		if g.peers.listedHosts() && g.peers.serves() {
+		if g.peers.knowsHosts() && g.peers.serves() {
 			return
 		}
 		retry.Wait(g.ctx, peerDiscoveryPoll)
