Let one call return the changes of databases that follow closely

Change: a watcher pauses 150 ms after a change of the databases' entries; records are first written 5 s after a host's start.

--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -18,8 +18,8 @@
 // Timing of the rosters.
 const (
 	// rosterDelay is how long after its start a host does not write a roster, since
-	// its rank is not known until the other hosts have sent messages.
-	rosterDelay = 2 * time.Second
+	// its rank and the databases may still change when a fleet starts.
+	rosterDelay = 5 * time.Second
 	// rosterRetry is the time until the next call after a failed one.
 	rosterRetry = 2 * time.Second
 	// missingCheckEvery is the time between checks whether a database that is not
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -29,6 +29,7 @@
 	// onEvents applies the changes after from, up to version, and returns the
 	// version from which the watch continues.
 	onEvents    func(events []objectapi.Event, from, version uint64) uint64
+	pause       time.Duration // after changes, so that one call returns those that follow closely
 	backoff     time.Duration // after failed calls
 	relist      time.Duration // after compacted changes
 	unavailable bool
@@ -103,6 +104,7 @@
 		w.relist = 0
 		if len(events) > 0 {
 			next = w.onEvents(events, version, next)
+			retry.Wait(w.g.ctx, w.pause)
 		}
 		version = max(version, next)
 	}
@@ -210,9 +212,14 @@
 	return names[0]
 }
 
+// databasesPause is the pause after a change of the databases' entries. When databases
+// start or are replaced, many entries change within a second. A database that is
+// leaving serves for seconds, and failures are detected without the store.
+const databasesPause = 150 * time.Millisecond
+
 // watchDatabases follows the entries in which databases announce themselves.
 func (g *Gateway) watchDatabases() {
-	w := &watcher{g: g, kind: g.platform.DatabasesKind(),
+	w := &watcher{g: g, kind: g.platform.DatabasesKind(), pause: databasesPause,
 		onList: func(objects []objectapi.Object, version uint64) {
 			list := databaseList{Version: version, Entries: map[string]json.RawMessage{}}
 			for _, o := range objects {
