Answer callers of a host without a configuration only when it has one; keep shares while isolated

Change: a caller waits up to 1.5 s for the host's configuration and is then told that the request has not run; avoided and unconnected hosts are ranked last instead of left out, so that a host that does not serve asks a serving host; a serving host announces its initial state at once; announcements that nobody answers do not raise a share.

--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -27,6 +27,9 @@
 	// baseDemandShare is the base demand that is added for every host, as a
 	// fraction of the host's equal share of the customer's rate.
 	baseDemandShare = 0.25
+	// isolatedAfter is the time without announcements after which a host assumes that
+	// its own are not received either: four announcements.
+	isolatedAfter = 1200 * time.Millisecond
 	// burstSlack is the number of operations by which the buckets of all hosts
 	// together may exceed the customer's burst: the platform's quotaSlack.
 	burstSlack = 20.0
@@ -56,7 +59,8 @@
 type Table struct {
 	accounts map[string]*account
 	peers    map[string]*peer
-	hosts    int // assumed to admit operations, including this one
+	hosts    int       // assumed to admit operations, including this one
+	heardAt  time.Time // last announcement from any other host
 }
 
 // account is the token bucket and the demand of one customer on this host.
@@ -128,12 +132,16 @@
 const minAnnouncedDemand = 0.05
 
 // Demands returns this host's demand for the announcement to the other hosts. It
-// records the demand as announced.
+// records the demand as announced, unless the host is isolated: the others would not
+// lower their shares for it.
 func (t *Table) Demands(now time.Time) Demands {
+	isolated := t.isolated(now)
 	out := Demands{}
 	for name, a := range t.accounts {
 		a.decay(now)
-		a.prevAnnounced, a.lastAnnounced = a.lastAnnounced, a.demand
+		if !isolated {
+			a.prevAnnounced, a.lastAnnounced = a.lastAnnounced, a.demand
+		}
 		if a.demand > minAnnouncedDemand {
 			out[name] = a.demand
 		}
@@ -146,6 +154,7 @@
 // caller must not change it afterwards.
 func (t *Table) RecordDemands(name string, hosts int, demands Demands, now time.Time) {
 	t.peers[name] = &peer{hosts: hosts, demands: demands, lastSeen: now}
+	t.heardAt = now
 	t.expirePeers(now)
 }
 
@@ -178,6 +187,12 @@
 	return own / (own + sum)
 }
 
+// isolated reports whether other hosts have sent no announcements for so long that
+// this host's own are not received either, as far as it knows.
+func (t *Table) isolated(now time.Time) bool {
+	return t.hosts > 1 && now.Sub(t.heardAt) >= isolatedAfter
+}
+
 // burst returns the bucket size of a host that has the given share of the limit.
 func (t *Table) burst(limit Limit, hostShare float64) float64 {
 	return max(minBurst, limit.Burst*hostShare+burstSlack/float64(t.hosts))
--- a/customer/share/share_test.go
+++ b/customer/share/share_test.go
@@ -283,4 +283,54 @@
 		ok, _ := t.Admit("nobody", noon)
 		Expect(ok).To(BeTrue())
 	})
+
+	It("admits no more than the quota allows while hosts are cut off from each other and their callers' demand rises", func() {
+		const hosts, cutOff = 18, 6
+		limit := share.Limit{Rate: 230, Burst: 80}
+		f := newFleet(hosts, limit)
+		offer := make([]float64, hosts)
+		for i := range offer {
+			offer[i] = 60
+			if i < cutOff {
+				offer[i] = 0 // their callers are served by other hosts until the cut
+			}
+		}
+		exchange := func() {
+			for i, from := range f.tables {
+				demands := from.Demands(f.now) // also where nobody receives it
+				for j, to := range f.tables {
+					if i != j && !f.partitioned[i] && !f.partitioned[j] {
+						to.RecordDemands(fmt.Sprint(i), 1, demands, f.now)
+					}
+				}
+			}
+		}
+		admitted := func(d time.Duration) (n int) {
+			const step = 10 * time.Millisecond
+			for passed := time.Duration(0); passed < d; passed += step {
+				f.now = f.now.Add(step)
+				for i, t := range f.tables {
+					if f.rand.Float64() >= offer[i]*step.Seconds() {
+						continue
+					}
+					if ok, _ := t.Admit(customer, f.now); ok {
+						n++
+					}
+				}
+				if passed%(300*time.Millisecond) == 0 {
+					exchange()
+				}
+			}
+			return n
+		}
+		admitted(10 * time.Second)
+		for i := range cutOff {
+			f.partitioned[i] = true
+			offer[i] = 60
+		}
+		allowed := (limit.Rate*5+limit.Burst)*1.1 + 20
+		for window := range 2 {
+			Expect(admitted(5*time.Second)).To(BeNumerically("<=", allowed), fmt.Sprint("window ", window, " after the cut"))
+		}
+	})
 })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	listMu     sync.Mutex        // serializes changes of the list of databases; guards unreadable
 	unreadable map[string]uint64 // hashes of logged values that cannot be decoded, by name
 
+	announcedState          atomic.Bool   // the host has sent a message with its initial state
 	unreadableConfiguration atomic.Uint64 // hash of the last configuration that could not be decoded
 
 	mu              sync.Mutex // guards the fields from services to listed
@@ -258,6 +259,22 @@
 	}
 }
 
+// initialStateWait is how long a caller that connects to a host that has just started
+// waits for the host's configuration. Callers wait 2 s for the answer to their startup
+// message.
+const initialStateWait = 1500 * time.Millisecond
+
+// waitForInitialState waits until peersDiscovered holds and the host has a
+// configuration, without which every route is unknown to it. It reports whether the
+// host has one after at most initialStateWait.
+func (g *Gateway) waitForInitialState() bool {
+	from := g.now()
+	for (!g.peersDiscovered() || g.config.Load().Version == 0) && g.now().Sub(from) < initialStateWait && g.ctx.Err() == nil {
+		retry.Wait(g.ctx, peerDiscoveryPoll)
+	}
+	return g.config.Load().Version > 0
+}
+
 // synced reports whether the host has a configuration and a list of databases.
 func (g *Gateway) synced() bool { return g.config.Load().Version > 0 && g.hasDatabases() }
 
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -17,12 +17,13 @@
 
 // homeCandidate is a host that may run a service's statements.
 type homeCandidate struct {
-	name   string
-	access string // IP:port; empty for this host
+	name    string
+	access  string // IP:port; empty for this host
+	avoided bool   // it did not answer a moment ago
 }
 
 // homeCandidates returns the serving hosts of this data centre that may run a
-// service's statements, the home host first.
+// service's statements: the home host first, the avoided ones last.
 func (p *peers) homeCandidates(service string) []homeCandidate {
 	now := p.g.now()
 	serving := p.servingHosts(now)
@@ -36,7 +37,7 @@
 			}
 			continue
 		}
-		if h := p.hostsByName[name]; h != nil && !h.leaving && h.access != "" && !now.Before(h.avoidUntil) {
+		if h := p.hostsByName[name]; h != nil && !h.leaving && h.access != "" {
 			hosts = append(hosts, placement.Host{Name: name, Capacity: h.capacity})
 		}
 	}
@@ -45,12 +46,28 @@
 	for i, h := range hosts {
 		out[i] = homeCandidate{name: h.Name}
 		if h.Name != p.g.opt.Name {
-			out[i].access = p.hostsByName[h.Name].access
+			other := p.hostsByName[h.Name]
+			out[i].access, out[i].avoided = other.access, now.Before(other.avoidUntil)
 		}
 	}
+	moveBack(out, func(h homeCandidate) bool { return h.avoided })
 	return out
 }
 
+// moveBack moves the candidates for which last is true behind the others and keeps
+// the order otherwise.
+func moveBack(list []homeCandidate, last func(homeCandidate) bool) {
+	slices.SortStableFunc(list, func(a, b homeCandidate) int {
+		switch {
+		case last(a) == last(b):
+			return 0
+		case last(b):
+			return -1
+		}
+		return 1
+	})
+}
+
 // homeRank returns this host's index in homeCandidates, 0 for the home host. A host
 // that does not serve, or is leaving, ranks behind all candidates.
 func (p *peers) homeRank(service string) int {
@@ -111,7 +128,7 @@
 // avoidHomeFor is how long no statements are sent to a host that did not answer.
 const avoidHomeFor = time.Second
 
-// avoidHome excludes a host as home host for avoidHomeFor.
+// avoidHome ranks a host behind the other home candidates for avoidHomeFor.
 func (p *peers) avoidHome(name string) {
 	now := p.g.now()
 	p.mu.Lock()
@@ -172,6 +189,14 @@
 	return now.Sub(h.lastSeen) < membershipTTL
 }
 
+// runners returns a service's home candidates in the order in which this host tries
+// them: those to which it has no connection come last.
+func (g *Gateway) runners(svc *service) []homeCandidate {
+	list := g.peers.homeCandidates(svc.name)
+	moveBack(list, func(h homeCandidate) bool { return h.avoided || h.access != "" && !g.streams.connected(h.access) })
+	return list
+}
+
 // fallbackFor returns the runner for a service's statements when their home host
 // has not answered: the next host in rank. If every host ran them itself, the
 // hosts of a large data centre would use up all of a database's connections.
@@ -180,7 +205,7 @@
 	if !ok {
 		return newLocal(g)
 	}
-	for _, h := range g.peers.homeCandidates(svc.name) {
+	for _, h := range g.runners(svc) {
 		switch {
 		case h.name == r.home.name:
 		case h.access == "":
@@ -189,13 +214,16 @@
 			return &remote{g: g, home: h}
 		}
 	}
+	if !g.peers.serves() {
+		return r // no other serving host is known
+	}
 	return newLocal(g)
 }
 
 // runnerFor returns the runner for a service's statements: its home host in this
-// data centre, or this host if it is the home host or no home host is known.
+// data centre, or this host if it is the home host or no serving host is known.
 func (g *Gateway) runnerFor(svc *service) runner {
-	list := g.peers.homeCandidates(svc.name)
+	list := g.runners(svc)
 	if len(list) == 0 || list[0].access == "" {
 		return newLocal(g)
 	}
--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -71,6 +71,9 @@
 				return err.Error()
 			}
 		}
+		if strings.HasPrefix(answer, "ERROR") {
+			return answer
+		}
 	}
 	return answer
 }
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -146,6 +146,10 @@
 
 func newStreams() *streams { return &streams{idle: map[string][]*stream{}} }
 
+// connected reports whether there is a connection to a host. Without a mesh it does
+// not know.
+func (s *streams) connected(access string) bool { return s.mesh == nil || s.mesh.Connected(access) }
+
 // get returns an idle stream to a host, or opens one.
 func (s *streams) get(to homeCandidate) (*stream, error) {
 	s.mu.Lock()
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -45,7 +45,10 @@
 // run serves the session until the caller or the host ends it.
 func (s *session) run() {
 	defer s.end()
-	s.g.waitForPeerDiscovery()
+	if !s.g.waitForInitialState() {
+		s.reject(errkind.New(errkind.DatabaseUnavailable, "the host has just started and has no configuration yet, retry after %d ms", noPrimaryRetryAfter.Milliseconds()))
+		return
+	}
 	s.caller.SetReadDeadline(time.Now().Add(startupTimeout))
 	if err := s.login(); err != nil {
 		s.reject(err)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -56,6 +56,9 @@
 		w.answered()
 		nextList = w.g.now().Add(relistAfter)
 		w.onList(objects, version)
+		if w.g.synced() && w.g.peers.serves() && !w.g.announcedState.Swap(true) {
+			w.g.peers.send() // hosts that started at the same time wait for it
+		}
 		w.g.waitForPeerDiscovery() // until then, every host would assume that it has to watch
 		w.follow(version)
 	}
@@ -64,7 +67,7 @@
 // initialStateTimeout is how long a host that does not serve waits after its start for
 // its initial state from a serving host, before it reads the store itself. Those
 // send messages every gossipEvery, and one fetch takes less than as long again.
-const initialStateTimeout = 4 * gossipEvery
+const initialStateTimeout = 6 * gossipEvery
 
 // waitForServingHost waits while a serving host may still provide the initial state.
 // When many hosts start together, the store would otherwise serve each of them.
--- a/link/peer/mesh.go
+++ b/link/peer/mesh.go
@@ -209,6 +209,12 @@
 	return m.conns[address]
 }
 
+// Connected reports whether there is a connection to address.
+func (m *Mesh) Connected(address string) bool {
+	c := m.conn(address)
+	return c != nil && !c.ended()
+}
+
 // Send queues a message without blocking. It returns ErrNotConnected, ErrQueueFull,
 // or ErrTooLarge for a message larger than MaxFrame. A queued message is lost when
 // its connection ends before delivery.
