--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/review/standin ] && [ -x target/bronzeloft ] || exit 2
-exec target/review/standin --case offboard --trouble="$trouble" --daemon target/bronzeloft --record review/4/record.txt
+exec target/review/standin --case offboard --trouble="$trouble" --daemon target/bronzeloft --record review/5/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"stall":    playStall,
 	"shutdown": playShutdown,
 	"offboard": playOffboard,
+	"rolling":  playRolling,
 }
 
 // Exit codes.
