--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -25,6 +25,7 @@
 	id    string
 	code  string // of an ERROR; empty after a success
 	rows  []string
+	sign  string // the signature of a success
 	state string
 	err   error
 }
@@ -82,6 +83,8 @@
 		switch word {
 		case "ROW":
 			out.rows = append(out.rows, rest)
+		case "COMPLETE":
+			out.sign = rest
 		case "ERROR":
 			out.code, _, _ = strings.Cut(rest, " ")
 		case "READY":
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,10 @@
 	statements []ran
 	commits    []committed
 	changed    chan struct{} // closed and replaced when a log grows
+
+	refused    map[string]int // statements by the code of their refusal
+	lineByLine bool           // each line of an answer is sent in a segment of its own
+	lossy      atomic.Bool    // the databases' packets are lost at times
 }
 
 // entry is one commit in the log.
@@ -70,14 +75,15 @@
 	id, zone string
 	address  string
 	slots    chan struct{}
+	lossy    atomic.Bool // packets are lost on harmed connections
 
 	received, applied int // entries of the log
 	paused            int
 	conns             int
 }
 
-func newGroup(rec *record, service string, zones []string) (*group, error) {
-	g := &group{rec: rec, service: service, term: 3, arrived: map[string]time.Time{}, changed: make(chan struct{})}
+func newGroup(rec *record, service string, lineByLine bool, zones []string) (*group, error) {
+	g := &group{lineByLine: lineByLine, rec: rec, service: service, term: 3, refused: map[string]int{}, arrived: map[string]time.Time{}, changed: make(chan struct{})}
 	for _, zone := range zones {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -194,6 +200,8 @@
 	d      *database
 	conn   net.Conn
 	tenant string
+	out    chan []byte // segments to send; nil if they are sent at once
+	harmed bool        // its packets are lost while those of its database are
 
 	open, readOnly, failed bool
 	began                  int // term of the open transaction
@@ -204,6 +212,12 @@
 
 func (c *link) serve() {
 	defer c.conn.Close()
+	if c.d.g.lineByLine {
+		c.out = make(chan []byte, queuedAtMost)
+		c.harmed = rand.Float64() < harmedShare
+		defer close(c.out)
+		go c.deliver()
+	}
 	r := bufio.NewReader(c.conn)
 	first, err := readLine(r)
 	f := strings.Fields(first)
@@ -254,7 +268,38 @@
 	return strings.TrimRight(line, "\r\n"), err
 }
 
+// Loss of packets: three in ten, each sent again after a time-out that doubles.
+const (
+	harmedShare   = 0.3 // of the connections to a database, for as many of the machines
+	lossShare     = 0.3
+	firstTimeout  = 200 * time.Millisecond // the least of the operating system
+	lostAtMost    = 4
+	queuedAtMost  = 1024
+	timeoutFactor = 2
+)
+
+// deliver sends the segments of a connection in order. Each that is lost holds up the
+// ones behind it.
+func (c *link) deliver() {
+	for segment := range c.out {
+		wait := firstTimeout
+		for n := 0; n < lostAtMost && c.harmed && c.d.lossy.Load() && rand.Float64() < lossShare; n++ {
+			time.Sleep(wait)
+			wait *= timeoutFactor
+		}
+		if _, err := c.conn.Write(segment); err != nil {
+			c.conn.Close()
+		}
+	}
+}
+
 func (c *link) send(lines ...string) bool {
+	if c.out != nil {
+		for _, line := range lines {
+			c.out <- []byte(line + "\r\n")
+		}
+		return true
+	}
 	_, err := c.conn.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
 	return err == nil
 }
@@ -325,6 +370,9 @@
 }
 
 func (c *link) refuse(code string) []string {
+	c.d.g.mu.Lock()
+	c.d.g.refused[code]++
+	c.d.g.mu.Unlock()
 	c.failed = c.open
 	return []string{"ERROR " + code + " " + c.d.id, c.ready()}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"shutdown": playShutdown,
 	"offboard": playOffboard,
 	"rolling":  playRolling,
+	"lossy":    playLossy,
 }
 
 // Exit codes.
@@ -58,7 +59,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, daemon)
+	s, err := newSite(rec, daemon, name == "lossy")
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -59,11 +59,13 @@
 
 var zones = []string{"zone-a", "zone-b"}
 
-func newSite(rec *record, daemon string) (*site, error) {
+// newSite starts a site. With lineByLine, each line of the databases' answers is sent in
+// a segment of its own.
+func newSite(rec *record, daemon string, lineByLine bool) (*site, error) {
 	s := &site{rec: rec, daemon: daemon, ended: make(chan struct{})}
 	var err error
 	for _, name := range services {
-		g, err := newGroup(rec, name, []string{"zone-a", "zone-b", "zone-b"})
+		g, err := newGroup(rec, name, lineByLine, []string{"zone-a", "zone-b", "zone-b"})
 		if err != nil {
 			return nil, err
 		}
