review: the records show what ran, and hosts start on other ports if one is taken

Cause: record.txt lacked what databases ran, a field was unused, and a port could be taken between its check and the start of a host.

Change: the stand-in logs each statement and commit, and starts a host again on other ports if it ends at once.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the review start.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review/ ./review/standin
+go build -buildvcs=false -o target/review/ ./review/standin
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -42,7 +42,6 @@
 
 	refused    map[string]int // statements by the code of their refusal
 	lineByLine bool           // each line of an answer is sent in a segment of its own
-	lossy      atomic.Bool    // the databases' packets are lost at times
 }
 
 // entry is one commit in the log.
@@ -468,6 +467,7 @@
 	g.mu.Lock()
 	g.statements = append(g.statements, ran{at: time.Now(), id: id, text: text, database: c.d.id, tenant: c.tenant, neighbour: append([]string(nil), c.statements...)})
 	g.mu.Unlock()
+	g.rec.logf("database %s runs %s %s for tenant %s", c.d.id, id, text, c.tenant)
 	c.work(workTime(item))
 	if c.open {
 		c.statements = append(c.statements, id)
@@ -531,6 +531,7 @@
 	g.log = append(g.log, entry{term: g.term, writes: writes})
 	n := len(g.log)
 	c.d.received, c.d.applied = n, n
+	g.rec.logf("database %s commits %s as %s with the statements %v", c.d.id, id, g.position(n), statements)
 	g.commits = append(g.commits, committed{at: time.Now(), id: id, statements: statements})
 	g.replicate(n)
 	for !g.receivedByReplica(n) {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -202,26 +202,49 @@
 // grace is graceS of the settings.
 const grace = 6 * time.Second
 
+// startAttempts is how often a host is started with other ports, since another process
+// may have taken one of them.
+const startAttempts = 5
+
+// listenTime is how long a host takes to open its listeners.
+const listenTime = 300 * time.Millisecond
+
 func (s *site) startHost(name, zone string) error {
+	for range startAttempts {
+		h, err := s.tryHost(name, zone)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-h.exited:
+		case <-time.After(listenTime):
+			s.hosts = append(s.hosts, h)
+			return nil
+		}
+	}
+	return fmt.Errorf("host %s did not start", name)
+}
+
+// tryHost starts a host on ports that are free.
+func (s *site) tryHost(name, zone string) (*hostProcess, error) {
 	var addresses [4]string
 	for i := range addresses {
 		a, err := freeAddress()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		addresses[i] = a
 	}
 	file := filepath.Join(s.folder, name+".toml")
 	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], s.store.address, s.store.address)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
+		return nil, err
 	}
 	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1]}
 	if err := s.launch(h); err != nil {
-		return err
+		return nil, err
 	}
-	s.hosts = append(s.hosts, h)
-	return nil
+	return h, nil
 }
 
 // launch starts the process of a host, for the first time or again.
