review: case 4 harms the same connections in each play

Cause: three in ten connections were drawn at random, and one play beside load drew too few (held in 1 of 5).

Change: three of each ten connections in the order of their arrival.

--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -74,6 +74,7 @@
 	id, zone string
 	address  string
 	slots    chan struct{}
+	accepted atomic.Int64
 	lossy    atomic.Bool // packets are lost on harmed connections
 
 	received, applied int // entries of the log
@@ -213,7 +214,7 @@
 	defer c.conn.Close()
 	if c.d.g.lineByLine {
 		c.out = make(chan []byte, queuedAtMost)
-		c.harmed = rand.Float64() < harmedShare
+		c.harmed = c.d.accepted.Add(1)%harmedOf < harmedConns
 		defer close(c.out)
 		go c.deliver()
 	}
@@ -269,7 +270,8 @@
 
 // Loss of packets: three in ten, each sent again after a time-out that doubles.
 const (
-	harmedShare   = 0.3 // of the connections to a database, for as many of the machines
+	harmedConns   = 3 // of harmedOf connections to a database, for as many of the machines
+	harmedOf      = 10
 	lossShare     = 0.3
 	firstTimeout  = 200 * time.Millisecond // the least of the operating system
 	lostAtMost    = 4
