Run a statement only in the transaction whose number it carries

Cause: after a stall the home host refused a statement without rolling back its transaction; the sending host took any error to mean that the transaction had ended and used the stream for the next one. The same happened to a pooled connection when a SET before a successful BEGIN was refused, and a session's transaction stayed open when its statement was refused before it reached a runner.

Change: transactions of a stream are numbered, and the home host runs a statement only in the transaction with its number, which ends with an error, a commit or a rollback. A connection whose last answer left a transaction open is not returned to the pool. A refused statement always fails the session's transaction.

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -1,19 +1,12 @@
 package gateway
 
 import (
-	"bufio"
-	"context"
-	"errors"
-	"io"
-	"net"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/accesspb"
-	"github.com/bronzeloft/bronzeloft/link/peer"
-	"github.com/bronzeloft/bronzeloft/link/peerpb"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -21,8 +14,9 @@
 // job encodes the operation for another host. Times are sent as durations, so
 // that the hosts' clocks are never compared. The network delay between the hosts
 // makes a statement look younger than it is, so the home host may require fresher
-// data than needed.
-func (op *operation) job(now time.Time) *accesspb.Job {
+// data than needed. transaction is the number of the operation's transaction on the
+// stream that carries the Job.
+func (op *operation) job(now time.Time, transaction uint64) *accesspb.Job {
 	j := &accesspb.Job{
 		Id: op.ID, Kind: uint32(op.Kind), Text: op.Text, Name: op.Name, Args: op.Args,
 		Values: op.state.Values, Service: op.svc.name, Customer: op.customer,
@@ -32,7 +26,7 @@
 		InTransaction: op.inTransaction, ReadOnly: op.readOnly,
 	}
 	if op.inTransaction {
-		j.BeganUs = micros(now.Sub(op.began))
+		j.Transaction, j.BeganUs = transaction, micros(now.Sub(op.began))
 	}
 	if op.Kind == statement.Execute {
 		form := op.state.Prepared[op.Name]
@@ -94,72 +88,3 @@
 		Position: position.Position{Term: r.PositionTerm, Index: r.PositionIndex},
 	}, nil
 }
-
-// serveJobs runs the statements that another host sends over one stream.
-func (g *Gateway) serveJobs(from peer.Info, _ *peerpb.OpenSession, raw net.Conn) {
-	defer raw.Close()
-	l := newLocal(g)
-	defer func() { l.rollbackAsync() }()
-	ctx, cancel := context.WithCancel(g.ctx)
-	defer cancel()
-	jobs := make(chan *accesspb.Job)
-	go g.readJobs(ctx, cancel, from, raw, jobs)
-	for j := range jobs {
-		if statement.Kind(j.Kind) == statement.Rollback {
-			l.rollbackAsync()
-			l = newLocal(g)
-			if err := writeMessage(raw, &accesspb.Result{}); err != nil {
-				return
-			}
-			continue
-		}
-		if err := writeMessage(raw, g.runJob(ctx, l, j)); err != nil {
-			return
-		}
-		if !j.InTransaction {
-			l = newLocal(g)
-		}
-	}
-}
-
-// readJobs passes on the Jobs from a stream until the stream ends. It then
-// cancels the statement that is still running for it, because the sending host
-// no longer waits for the result.
-func (g *Gateway) readJobs(ctx context.Context, cancel func(), from peer.Info, raw net.Conn, jobs chan<- *accesspb.Job) {
-	defer close(jobs)
-	defer cancel()
-	r := bufio.NewReader(raw)
-	for {
-		j := &accesspb.Job{}
-		if err := readMessage(r, j); err != nil {
-			if !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
-				g.log.Debug("Reading statements from another host failed.", "part", "access", "host", from.Address, "error", err)
-			}
-			return
-		}
-		select {
-		case jobs <- j:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// runJob runs one statement for another host. It refuses the statement after a
-// stall of this process, since that host may no longer wait for the result.
-func (g *Gateway) runJob(ctx context.Context, l *local, j *accesspb.Job) *accesspb.Result {
-	op, err := g.newJobOperation(j)
-	if err == nil && g.stalls.recent(g.now()) {
-		err = errkind.New(errkind.DatabaseUnavailable, "the process was stalled moments ago; the sending host may have abandoned the statement")
-	}
-	if err != nil {
-		return op.result(statement.Answer{}, err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, op.deadline.Sub(g.now()))
-	defer cancel()
-	a, err := l.run(ctx, op)
-	if err != nil && j.InTransaction {
-		*l = local{g: g} // the transaction has ended
-	}
-	return op.result(a, err)
-}
--- /dev/null
+++ b/gateway/jobstream_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/accesspb"
+	"github.com/bronzeloft/bronzeloft/link/peer"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+var _ = Describe("a transaction on its home host", func() {
+	var (
+		dbs    *group
+		g      *Gateway // the home host, and the host that sends to it
+		sender *remote
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		g = newTestGateway(newFakePlatform(dbs))
+		localEnd, homeEnd := net.Pipe()
+		go g.serveJobs(peer.Info{}, nil, homeEnd)
+		DeferCleanup(localEnd.Close)
+		g.streams.put(&stream{Conn: localEnd, r: bufio.NewReader(localEnd), access: "home"})
+		sender = &remote{g: g, home: homeCandidate{name: "home", access: "home"}}
+	})
+
+	inTransaction := func(kind statement.Kind) *operation {
+		now := time.Now()
+		return &operation{
+			Request: request(kind), svc: g.service(testService), customer: testCustomer, route: g.config.Load().Routes["own"],
+			arrived: now, deadline: now.Add(time.Second), began: now, inTransaction: true,
+		}
+	}
+	send := func(op *operation) error {
+		_, err := sender.run(context.Background(), op)
+		return err
+	}
+	setStalled := func(at time.Time) {
+		g.stalls.mu.Lock()
+		g.stalls.lastStallEnd = at
+		g.stalls.mu.Unlock()
+	}
+	committed := func() (out [][]string) {
+		dbs.withLock(func() { out = dbs.committed })
+		return out
+	}
+
+	// Guards against a statement that runs in another caller's transaction (PINNED): a
+	// refused statement left the transaction open on a stream that was used again.
+	It("ends when one of its statements is refused after a stall", func() {
+		Expect(send(inTransaction(statement.Write))).To(Succeed())
+		setStalled(time.Now())
+		Expect(errkind.Of(send(inTransaction(statement.Write)))).To(Equal(errkind.DatabaseUnavailable))
+		setStalled(time.Time{})
+		Expect(g.streams.idle["home"]).To(HaveLen(1), "the next transaction uses the same stream")
+
+		next := inTransaction(statement.Write)
+		Expect(send(next)).To(Succeed())
+		Expect(send(inTransaction(statement.Commit))).To(Succeed())
+		Expect(committed()).To(Equal([][]string{{next.ID}}))
+	})
+
+	It("accepts no further statement after one of them was refused", func() {
+		Expect(send(inTransaction(statement.Write))).To(Succeed())
+		used := sender.stream
+		setStalled(time.Now())
+		Expect(send(inTransaction(statement.Write))).NotTo(Succeed())
+		setStalled(time.Time{})
+		commit := inTransaction(statement.Commit).job(time.Now(), used.transactions)
+		Expect(writeMessage(used, commit)).To(Succeed())
+		var result accesspb.Result
+		Expect(readMessage(used.r, &result)).To(Succeed())
+		Expect(errkind.Kind(result.ErrorKind)).To(Equal(errkind.TransactionAborted))
+		Expect(committed()).To(BeEmpty())
+	})
+
+	It("ends when the stream carries a statement of another transaction or of none", func() {
+		Expect(send(inTransaction(statement.Write))).To(Succeed())
+		sender.stream.transactions++
+		next := inTransaction(statement.Write)
+		Expect(send(next)).To(Succeed())
+		Expect(send(inTransaction(statement.Commit))).To(Succeed())
+		Expect(committed()).To(Equal([][]string{{next.ID}}))
+
+		Expect(send(inTransaction(statement.Write))).To(Succeed())
+		single := inTransaction(statement.Write)
+		single.inTransaction = false
+		Expect(send(single)).To(Succeed())
+		Expect(committed()).To(HaveLen(1))
+		for _, p := range g.service(testService).allPools() {
+			Eventually(func() int {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return p.open - len(p.idle)
+			}).Should(BeZero(), "connections of the abandoned transaction")
+		}
+	})
+})
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -71,10 +71,8 @@
 	}
 	go func() {
 		defer c.pool.release(c)
-		answers, err := c.run(l.g.now().Add(rollbackTimeout), controlRequest(statement.Rollback))
-		if err != nil || lastAnswer(answers).State != statement.Idle {
-			c.broken = true // closing the connection rolls back
-		}
+		// If the rollback fails, the connection is closed, which rolls back as well.
+		_, _ = c.run(l.g.now().Add(rollbackTimeout), controlRequest(statement.Rollback))
 	}()
 }
 
@@ -125,9 +123,6 @@
 	}
 	c := l.conn
 	l.conn, l.admitted, l.answered, l.wrote = nil, false, false, false
-	if a.State != statement.Idle {
-		c.broken = true
-	}
 	c.pool.release(c)
 	return a
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -60,7 +60,8 @@
 	turn     uint64 // in pool.turns; held while a session uses the connection
 	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
 	usedAt   time.Time
-	broken   bool // must be closed instead of reused
+	txState  statement.State // after the last answer
+	broken   bool            // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
@@ -232,8 +233,11 @@
 	p.turns.Release(id)
 }
 
+// checkIn makes a connection available to other sessions, or closes it. A connection
+// on which a transaction is open or has failed is never passed on.
 func (p *pool) checkIn(c *conn) {
 	c.usedAt = p.g.now()
+	c.broken = c.broken || c.txState != statement.Idle
 	p.mu.Lock()
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
 		p.open--
@@ -371,5 +375,6 @@
 		return answers, err
 	}
 	svc.recordAnswer(id, sentAt)
+	c.txState = lastAnswer(answers).State
 	return answers, nil
 }
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -51,8 +51,9 @@
 // time.
 type stream struct {
 	net.Conn
-	r      *bufio.Reader
-	access string // IP:port of the host's access listener
+	r            *bufio.Reader
+	access       string // IP:port of the host's access listener
+	transactions uint64 // number of transactions so far, which numbers the last one
 }
 
 // run implements runner.
@@ -63,6 +64,9 @@
 			r.g.peers.avoidHome(r.home.name)
 			return statement.Answer{}, errkind.Wrap(errkind.DatabaseUnavailable, errors.Join(errHomeUnavailable, err), "host "+r.home.name)
 		}
+		if op.inTransaction {
+			r.stream.transactions++
+		}
 	}
 	stream := r.stream
 	// Cancelling ctx aborts the exchange; closing the stream then cancels the
@@ -100,7 +104,7 @@
 	if err := r.stream.SetDeadline(time.Now().Add(left)); err != nil {
 		return nil, err
 	}
-	if err := writeMessage(r.stream, op.job(r.g.now())); err != nil {
+	if err := writeMessage(r.stream, op.job(r.g.now(), r.stream.transactions)); err != nil {
 		return nil, err
 	}
 	var result accesspb.Result
@@ -118,7 +122,7 @@
 	go func() {
 		err := s.SetDeadline(time.Now().Add(rollbackTimeout))
 		if err == nil {
-			err = writeMessage(s, &accesspb.Job{Kind: uint32(statement.Rollback)})
+			err = writeMessage(s, &accesspb.Job{Kind: uint32(statement.Rollback), Transaction: s.transactions})
 		}
 		if err == nil {
 			err = readMessage(s.r, &accesspb.Result{})
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -193,6 +193,9 @@
 	}
 	op, err := s.newOperation(req)
 	if err != nil {
+		if s.tx != nil {
+			s.tx.fail()
+		}
 		return s.failure(&operation{Request: req}, err)
 	}
 	ctx, cancel := context.WithTimeout(s.g.ctx, op.deadline.Sub(op.arrived))
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -178,6 +178,44 @@
 		p.release(c)
 	})
 
+	// Guards against a statement that runs in another caller's transaction (PINNED): a
+	// connection went back to the pool while a transaction was open on it.
+	It("passes on no connection on which a transaction is open", func() {
+		s := newTestSession(g, "own")
+		served(s.serve(request(statement.Read)))
+		served(s.serve(request(statement.Set, "colour", "red")))
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				db.refuseNextSet = true
+			}
+		})
+		served(s.serve(request(statement.BeginRead)))
+		s.serve(request(statement.Read)) // Begin succeeds on a connection whose Set was refused
+		s.serve(request(statement.Rollback))
+		for _, p := range g.service(testService).allPools() {
+			Eventually(func() int { p.mu.Lock(); defer p.mu.Unlock(); return p.open - len(p.idle) }).Should(BeZero())
+			for _, c := range p.idle {
+				Expect(c.Connection.(*link).open).To(BeFalse(), "idle connection to "+p.db.ID)
+			}
+		}
+	})
+
+	It("fails the open transaction when one of its statements is refused before it is sent", func() {
+		s := newTestSession(g, "own")
+		served(s.serve(request(statement.Begin)))
+		served(s.serve(request(statement.Write)))
+		g.mu.Lock()
+		services := g.services
+		g.services = nil
+		g.mu.Unlock()
+		Expect(s.serve(request(statement.Write)).State).To(Equal(statement.Failed))
+		g.mu.Lock()
+		g.services = services
+		g.mu.Unlock()
+		Expect(s.serve(request(statement.Commit)).Err.Kind).To(Equal(errkind.TransactionAborted))
+		dbs.withLock(func() { Expect(dbs.ran).To(BeEmpty()) })
+	})
+
 	It("cancels the slow attempt of a hedged read before it returns the faster answer", func() {
 		s := newTestSession(g, "bounded")
 		served(s.serve(request(statement.Read))) // takes a sample for the floor and shows which database is tried first
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -310,12 +310,8 @@
 	}
 	answers, err = c.runStatement(ctx, op, position.Position{}, controlRequest(statement.Rollback))
 	if err != nil {
-		c.broken = true // the transaction is still open
 		return readOutcome{err: noAnswerError(err, op.database)}
 	}
-	if lastAnswer(answers).State != statement.Idle {
-		c.broken = true
-	}
 	a, err := op.checkAnswers(c, answers[:len(answers)-1])
 	a.State = statement.Idle
 	return readOutcome{answer: a, err: err}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -42,7 +42,8 @@
 	fence       uint64
 	orders      []succession.Order
 	promoteHook func(succession.Order) error // called by promote instead of applyOrder if set
-	ran         []string                     // ids of writes that took effect
+	ran         []string                     // ids of writes and commits that took effect
+	committed   [][]string                   // ids of the writes of each committed transaction
 }
 
 // standin is a stand-in for one database of a group.
@@ -58,6 +59,7 @@
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
 	unsigned       bool          // answers carry no signature
+	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
 
@@ -76,7 +78,7 @@
 	shapes   map[string]string // of prepared statements, by name
 	open     bool              // a transaction is open
 	readOnly bool              // the open transaction is read-only
-	wrote    int               // writes of the open transaction
+	wrote    []string          // ids of the writes of the open transaction
 	closed   chan struct{}
 	once     sync.Once
 }
@@ -197,15 +199,19 @@
 		if !isPrimary {
 			return l.refuse(errkind.PrimaryReplaced)
 		}
-		l.open, l.readOnly, l.wrote = true, false, 0
+		l.open, l.readOnly, l.wrote = true, false, nil
 	case statement.BeginRead:
 		if l.db.end.Before(r.After) {
 			return l.refuse(errkind.DatabaseBehind)
 		}
-		l.open, l.readOnly, l.wrote = true, true, 0
+		l.open, l.readOnly, l.wrote = true, true, nil
 	case statement.Rollback:
-		l.open = false
+		l.open, l.wrote = false, nil
 	case statement.Set:
+		if l.db.refuseNextSet {
+			l.db.refuseNextSet = false
+			return l.refuse(errkind.DatabaseBusy)
+		}
 		l.values[r.Name] = r.Args
 	case statement.Reset:
 		l.values, l.shapes = map[string]string{}, map[string]string{}
@@ -225,7 +231,8 @@
 		return l.write(r, isPrimary)
 	case statement.Commit:
 		l.open = false
-		if l.wrote > 0 {
+		if len(l.wrote) > 0 {
+			g.committed = append(g.committed, l.wrote)
 			return l.commit(r)
 		}
 	}
@@ -256,7 +263,7 @@
 		return l.refuse(errkind.PrimaryReplaced)
 	}
 	if l.open {
-		l.wrote++
+		l.wrote = append(l.wrote, r.ID)
 		return l.succeed()
 	}
 	return l.commit(r)
