Acknowledge a commit only once a witness has received it

Cause: the primary confirms a commit once any replica has it. A replica that is not listed yet is unknown to the host that chooses the successor; the commits that it confirmed are cut off by the promotion.

Change: a host acknowledges a commit only once a witness has received it: a listed replica, known for 2 s, not paused, of the commit's term, other than its primary. The host that chooses a successor reads the logs of all witnesses after pausing them.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -22,6 +22,7 @@
 	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
 	term       uint64            // newest term seen
 	former     []routes.Database // removed by Expire, oldest first; may have been listed again
+	listed     bool              // SetDatabases has been called
 }
 
 // maxFormer bounds the list of former databases; a service has a handful of
@@ -30,6 +31,7 @@
 
 type member struct {
 	routes.Database
+	listedSince  time.Time // when its life was first listed; zero for those of the first list
 	missingSince time.Time // when the platform's list first lacked it; zero while it is listed
 	contact      contact
 	avoidUntil   time.Time // sorted behind the other reachable readers until then
@@ -66,6 +68,9 @@
 				t.forgetLeader(db.ID)
 			}
 			m = &member{}
+			if t.listed {
+				m.listedSince = now
+			}
 			t.members[db.ID] = m
 		}
 		if db.Primary && !m.Primary {
@@ -78,6 +83,7 @@
 			m.missingSince = now
 		}
 	}
+	t.listed = true
 	t.Expire(now)
 	return restarted
 }
--- a/database/lead/lead_test.go
+++ b/database/lead/lead_test.go
@@ -62,6 +62,21 @@
 		Expect(leader()).To(Equal("b"))
 	})
 
+	It("counts a replica as a witness while it is listed and answers, and a new one only after WitnessAfter", func() {
+		Expect(table.Witnesses(at(0))).To(Equal([]string{"b", "c"}), "those of the first list")
+		table.SetDatabases(append(list()[:2], db("d", "z", false)), at(100))
+		Expect(table.Witnesses(at(200))).To(Equal([]string{"b"}))
+		Expect(table.Witnesses(at(100).Add(lead.WitnessAfter))).To(Equal([]string{"b", "d"}))
+
+		restarted := db("b", "y", false)
+		restarted.StartMillis = 5
+		table.SetDatabases([]routes.Database{db("a", "x", true), restarted, db("d", "z", false)}, at(3000))
+		Expect(table.Witnesses(at(3000))).To(Equal([]string{"d"}))
+		table.RecordFailure("d", at(3000), true)
+		table.RecordFailure("d", at(3100), true)
+		Expect(table.Witnesses(at(3400))).To(BeEmpty())
+	})
+
 	It("drops a leader that answers that it is not the primary, unless that call was sent before the proof", func() {
 		table.RecordLeader("a", 1, at(10))
 		table.RecordNotLeader("a", at(5))
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -130,3 +130,23 @@
 	slices.SortFunc(out, func(a, b routes.Database) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// WitnessAfter is how long a replica must have been listed before it counts as a
+// witness. It is longer than a promotion takes from the choice of the successor, so
+// that whoever chose the successor knew of every witness.
+const WitnessAfter = 2 * time.Second
+
+// Witnesses returns the replicas whose copy of a commit is taken into account when the
+// primary is replaced, in the order of their ids: those that answer and have been
+// listed for WitnessAfter. A replica that is not listed, or has just started, may be
+// unknown to the host that chooses a successor.
+func (t *Table) Witnesses(now time.Time) []string {
+	var out []string
+	for id, m := range t.members {
+		if id != t.leader && m.missingSince.IsZero() && now.Sub(m.listedSince) >= WitnessAfter && !t.Unreachable(id, now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -85,7 +85,7 @@
 	for {
 		a, err := l.attemptInTransaction(ctx, op)
 		if err == nil {
-			return l.afterStatement(op, a), nil
+			return l.afterStatement(ctx, op, a)
 		}
 		if l.conn != nil && (l.conn.broken || errkind.Of(err) == errkind.PrimaryReplaced) {
 			l.rollbackAsync()
@@ -110,21 +110,23 @@
 	return canResend(err)
 }
 
-// afterStatement updates the transaction's state after a successful statement,
-// and releases the connection after a commit.
-func (l *local) afterStatement(op *operation, a statement.Answer) statement.Answer {
+// afterStatement updates the transaction's state after a successful statement. After
+// a commit it releases the connection and waits until the commit may be acknowledged.
+func (l *local) afterStatement(ctx context.Context, op *operation, a statement.Answer) (statement.Answer, error) {
 	l.answered = true
 	l.wrote = l.wrote || op.writes()
 	if op.Kind != statement.Commit {
-		return a
+		return a, nil
 	}
-	if l.wrote {
-		op.svc.recordCommit(a.Position)
-	}
-	c := l.conn
+	c, wrote := l.conn, l.wrote
 	l.conn, l.admitted, l.answered, l.wrote = nil, false, false, false
 	c.pool.release(c)
-	return a
+	if wrote {
+		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position}); err != nil {
+			return statement.Answer{}, err
+		}
+	}
+	return a, nil
 }
 
 // attemptInTransaction opens the transaction on a database if none is open, and
--- a/gateway/paused.go
+++ b/gateway/paused.go
@@ -43,7 +43,7 @@
 	reports := make([]statement.Report, len(pools))
 	var all sync.WaitGroup
 	for i, p := range pools {
-		all.Go(func() { reports[i] = s.queryStatus(p) })
+		all.Go(func() { reports[i], _ = s.queryStatus(p) }) // one that cannot be queried is checked the next time
 	}
 	all.Wait()
 	for _, r := range reports {
@@ -54,29 +54,6 @@
 	return false
 }
 
-// queryStatus returns a database's status report, or the zero Report if the
-// database cannot be queried.
-func (s *service) queryStatus(p *pool) statement.Report {
-	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
-	defer cancel()
-	c, err := p.borrow(ctx, s.g.anyCustomer())
-	if err != nil || c == nil {
-		// borrow has recorded a failed dial. If all connections are in use, the
-		// next check queries again.
-		return statement.Report{}
-	}
-	defer p.checkIn(c)
-	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
-	if err != nil {
-		return statement.Report{} // run has recorded the missing answer
-	}
-	r, err := c.Report(answers[0])
-	if err != nil {
-		s.g.log.Debug("Cannot decode the database's status report.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
-	}
-	return r
-}
-
 // resumePaused resumes paused replicas while holding the lease, so that replicas
 // paused by an attempt in progress are not resumed.
 func (a *replacement) resumePaused() {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -34,6 +34,7 @@
 	lastSampleRequest time.Time     // when the last sample query was sent
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
+	witnessed         witnessed
 	promotion         promotionState
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
@@ -313,13 +314,6 @@
 	s.mu.Unlock()
 }
 
-// recordCommit records a commit that is about to be acknowledged to a caller.
-func (s *service) recordCommit(at position.Position) {
-	s.mu.Lock()
-	s.acked = position.Max(s.acked, at)
-	s.mu.Unlock()
-}
-
 // primaryView returns this host's view of the primary for the vote on its
 // replacement. mu is held.
 func (s *service) primaryView(now time.Time) succession.View {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -45,12 +45,11 @@
 	var backoff retry.Backoff
 	for {
 		a, err := l.writeOnce(ctx, op)
-		if err == nil && a.Err == nil {
-			op.svc.recordCommit(a.Position)
-			return a, nil
+		if err == nil {
+			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position})
 		}
 		if err == nil {
-			err = a.Err
+			return a, nil
 		}
 		if !canResend(err) || !backoff.Pause(ctx) {
 			return statement.Answer{}, err
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -54,6 +54,7 @@
 	paused         bool
 	unresponsive   bool // answers nothing and refuses new connections
 	notReplicating bool // receives no commits from the primary
+	receivesPaused bool // receives commits while it is paused, as if they had arrived before
 	received       []statement.Kind
 	reads          int
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
@@ -280,7 +281,7 @@
 	g.ran = append(g.ran, r.ID)
 	replicated := 0
 	for _, other := range g.databases {
-		if other != l.db && !other.paused && !other.notReplicating && !other.unresponsive {
+		if other != l.db && (!other.paused || other.receivesPaused) && !other.notReplicating && !other.unresponsive {
 			other.end = l.db.end
 			replicated++
 		}
