Accept an answer of a database only if it can be that to the statement sent

The late READY line became the answer to the next statement, and every answer after it belonged to the statement before.

--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -369,6 +369,9 @@
 	answers, err := c.Run(time.Now().Add(deadline.Sub(sentAt)), requests...)
 	if err != nil {
 		c.broken = true
+		if errors.Is(err, statement.ErrMismatch) {
+			g.log.Warn("Database sent an answer that is not that to the statement; the connection is closed.", "part", "pool", "database", id, "error", err)
+		}
 		if len(answers) == 0 {
 			svc.recordFailure(id, sentAt, false)
 		}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -135,8 +135,7 @@
 // checkAnswers evaluates the answers to a batch: the last one is that to the
 // operation's statement, the others are those to the statements that restored the
 // session's state on the connection. The outcome is unknown if the statement
-// succeeded but one of the others failed, or if its answer has no signature and
-// leaves no transaction open.
+// succeeded but one of the others failed, or if its answer has no signature.
 func (op *operation) checkAnswers(c *conn, answers []statement.Answer) (statement.Answer, error) {
 	main := lastAnswer(answers)
 	for _, a := range answers[:len(answers)-1] {
@@ -148,7 +147,7 @@
 		}
 	}
 	if main.Err == nil {
-		if main.State == statement.Idle && main.Signature == "" {
+		if main.Signature == "" {
 			return main, errkind.New(errkind.OutcomeUnknown, "database answered without a signature")
 		}
 		return main, nil
