Answer every statement before a draining host closes its session

Cause: a session that ran a statement at half of the grace period consumed the call that was to end its transaction, and was not called again; one without a statement was passed over. At the end of the grace period statements were cancelled and their callers closed at once.

Change: draining has stages, and a session derives what to do from its stage before each wait. In the last stage statements are cancelled and answered, also those that other hosts have sent, before sessions close.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -14,16 +14,29 @@
 	// it sends once a second.
 	rotationDelay = 2300 * time.Millisecond
 	drainPoll     = 50 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the process
-	// to exit by itself.
+	// exitMargin is the part of the grace period that is reserved for answering the
+	// statements that are still running and for the process to exit by itself.
 	exitMargin = 600 * time.Millisecond
+	// answerMargin is the part of exitMargin in which the statements are answered.
+	answerMargin = 400 * time.Millisecond
+)
+
+// drainStage is how far a draining host has come, in the order of the stages.
+type drainStage int32
+
+const (
+	serving           drainStage = iota
+	drainIdle                    // sessions outside of a transaction are closed
+	drainTransactions            // transactions end, as soon as no statement of theirs is running
+	drainAll                     // all sessions are closed after the answer to what has arrived
 )
 
 // Drain shuts the host down gracefully: the host reports that it is not ready,
-// closes idle sessions once no new callers arrive, and rolls back idle
-// transactions after half of the grace period. Drain returns when no session is
-// left, exitMargin before the end of the grace period, or when ctx ends. The
-// listeners stay open until Close.
+// closes idle sessions once no new callers arrive, and rolls back transactions after
+// half of the grace period. exitMargin before the end of the grace period it cancels
+// the statements that are still running, and closes their sessions once they are
+// answered. Drain returns when no session is left, at the latest answerMargin after
+// that, or when ctx ends. The listeners stay open until Close.
 func (g *Gateway) Drain(ctx context.Context) {
 	started := time.Now()
 	g.leaving.Store(true)
@@ -31,14 +44,21 @@
 	g.log.Info("Draining the host.", "part", "host", "sessions", g.callers.count(), "grace_ms", g.opt.Grace.Milliseconds())
 	retry.Wait(ctx, rotationDelay)
 	end := started.Add(g.opt.Grace - exitMargin)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		for _, s := range g.callers.all() {
-			s.drain(time.Since(started) >= g.opt.Grace/2)
+	for stage := drainIdle; ctx.Err() == nil && g.callers.count() > 0; retry.Wait(ctx, drainPoll) {
+		now := time.Now()
+		switch {
+		case now.After(end.Add(answerMargin)):
+			g.log.Warn("Sessions did not end in time.", "part", "host", "sessions", g.callers.count())
+			return
+		case !now.Before(end):
+			stage = drainAll
+			g.cancelStatements()
+		case now.Sub(started) >= g.opt.Grace/2:
+			stage = drainTransactions
 		}
-		if g.callers.count() == 0 {
-			break
+		for _, s := range g.callers.all() {
+			s.drain(stage)
 		}
-		retry.Wait(ctx, drainPoll)
 	}
 	g.log.Info("Draining finished.", "part", "host", "sessions", g.callers.count(), "after_ms", time.Since(started).Milliseconds())
 }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -161,4 +162,66 @@
 		dbs.withLock(func() { Expect(dbs.ran).To(BeEmpty()) })
 		Eventually(took).WithTimeout(grace).Should(Receive())
 	})
+
+	holdReads := func() chan struct{} {
+		hold := make(chan struct{})
+		dbs.withLock(func() { dbs.databases["a"].holdReads = hold })
+		return hold
+	}
+
+	// Guards against requests without an answer at a planned stop (LOST): a transaction
+	// that ran a statement at half of the grace period was never ended.
+	It("ends a transaction after the statement that it runs at half of the grace period", func() {
+		c := connect()
+		Expect(send(c, statement.Begin).Err).NotTo(HaveOccurred())
+		Expect(send(c, statement.Write).Err).NotTo(HaveOccurred())
+		took := drain()
+		time.Sleep(rotationDelay - 200*time.Millisecond)
+		hold := holdReads()
+		c.requests <- request(statement.Read)
+		time.Sleep(500 * time.Millisecond) // past half of the grace period
+		close(hold)
+		var a statement.Answer
+		Eventually(c.answers).Should(Receive(&a))
+		Expect(a.Err).NotTo(HaveOccurred())
+		for _, p := range g.service(testService).allPools() {
+			Eventually(func() int {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return p.open - len(p.idle)
+			}).WithTimeout(300*time.Millisecond).Should(BeZero(), "the transaction holds no connection")
+		}
+		a = send(c, statement.Write)
+		Expect(a.Err.Kind).To(Equal(errkind.TransactionAborted))
+		Expect(send(c, statement.Rollback).Err).NotTo(HaveOccurred())
+		Eventually(took).WithTimeout(grace).Should(Receive(BeNumerically("<", grace-exitMargin)))
+	})
+
+	It("ends a transaction that has run no statement at half of the grace period", func() {
+		c := connect()
+		Expect(send(c, statement.Begin).Err).NotTo(HaveOccurred())
+		took := drain()
+		time.Sleep(rotationDelay + 200*time.Millisecond)
+		Expect(send(c, statement.Write).Err.Kind).To(Equal(errkind.TransactionAborted))
+		Expect(send(c, statement.Rollback).Err).NotTo(HaveOccurred())
+		Eventually(took).WithTimeout(grace).Should(Receive())
+	})
+
+	// Guards against requests without an answer at a planned stop (LOST): statements in
+	// flight at the end of the grace period were cut off together with their sessions.
+	It("answers a statement that still runs at the end of the grace period before it closes the session", func() {
+		hold := holdReads()
+		defer close(hold)
+		g.updateRoute("current", func(r *routes.Route) { r.Timeout = 2 * grace })
+		c := connect()
+		took := drain()
+		time.Sleep(rotationDelay - 200*time.Millisecond)
+		c.requests <- request(statement.Read)
+		Eventually(took).WithTimeout(grace).Should(Receive(BeNumerically("<", grace)))
+		g.Close()
+		var a statement.Answer
+		Expect(c.answers).To(Receive(&a))
+		Expect(a.Err).To(HaveOccurred())
+		Expect(c.closed).To(BeClosed())
+	})
 })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,8 +87,13 @@
 	listVersion  atomic.Uint64 // version of entries; changed with mu held
 	serviceTotal atomic.Int64  // number of services; changed with mu held
 
-	ctx      context.Context // cancelled when the host stops
-	stop     context.CancelFunc
+	ctx  context.Context // cancelled when the host stops
+	stop context.CancelFunc
+	// statements is the context of callers' statements. Drain cancels it before the host
+	// stops, so that each statement that is still running is answered.
+	statements       context.Context
+	cancelStatements context.CancelFunc
+
 	workers  sync.WaitGroup
 	listener net.Listener
 	servers  []*http.Server
@@ -117,6 +122,7 @@
 		streams:         newStreams(),
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.statements, g.cancelStatements = context.WithCancel(g.ctx)
 	g.started = g.now()
 	g.stalls.lastBeat = g.started
 	g.rates = &rates{table: share.New(1)}
--- a/gateway/jobstream.go
+++ b/gateway/jobstream.go
@@ -29,7 +29,7 @@
 	defer raw.Close()
 	s := &jobStream{g: g, runner: newLocal(g), ended: true}
 	defer s.leave()
-	ctx, cancel := context.WithCancel(g.ctx)
+	ctx, cancel := context.WithCancel(g.statements)
 	defer cancel()
 	jobs := make(chan *accesspb.Job)
 	go g.readJobs(ctx, cancel, from, raw, jobs)
@@ -83,6 +83,9 @@
 	if s.g.stalls.recent(s.g.now()) {
 		return statement.Answer{}, errkind.New(errkind.DatabaseUnavailable, "the process was stalled moments ago; the sending host may have abandoned the statement")
 	}
+	if s.g.statements.Err() != nil {
+		return statement.Answer{}, errkind.New(errkind.DatabaseUnavailable, "the host is shutting down")
+	}
 	ctx, cancel := context.WithTimeout(ctx, op.deadline.Sub(s.g.now()))
 	defer cancel()
 	return s.runner.run(ctx, op)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -24,20 +24,19 @@
 )
 
 // session is one caller's connection. Its fields are used by the session's own
-// goroutine only, except for the caller's read deadline, draining,
-// rollbackIdleTx and wakePending, which drain sets.
+// goroutine only, except for the caller's read deadline, stage and wakePending, which
+// drain sets.
 type session struct {
-	g              *Gateway
-	caller         Caller
-	routeName      string // name of its route: the database name that the caller connects to
-	key            string
-	customer       string // holder of the key; may be empty on an open route
-	state          sessionstate.Session
-	lastCommit     position.Position // of the session's last commit
-	tx             *transaction
-	draining       atomic.Bool // the session closes as soon as it is idle
-	rollbackIdleTx atomic.Bool // an open transaction is rolled back as soon as it is idle
-	wakePending    atomic.Bool // drain was called and receive has not noticed it yet
+	g           *Gateway
+	caller      Caller
+	routeName   string // name of its route: the database name that the caller connects to
+	key         string
+	customer    string // holder of the key; may be empty on an open route
+	state       sessionstate.Session
+	lastCommit  position.Position // of the session's last commit
+	tx          *transaction
+	stage       atomic.Int32 // a drainStage
+	wakePending atomic.Bool  // drain was called and receive has not noticed it yet
 }
 
 func newSession(g *Gateway, caller Caller) *session { return &session{g: g, caller: caller} }
@@ -133,11 +132,13 @@
 	}
 }
 
-// receive waits for the next request. On a draining session it returns
-// net.ErrClosed once the session is idle.
+// receive waits for the next request. It returns net.ErrClosed once the session is to
+// be closed. What the session has to do before it waits follows from its state alone,
+// so a call of drain has the same effect at any time.
 func (s *session) receive() (statement.Request, error) {
 	for {
-		if s.tx == nil && s.draining.Load() && !s.caller.Buffered() {
+		s.expireTransaction()
+		if s.mayClose() && !s.caller.Buffered() {
 			return statement.Request{}, net.ErrClosed
 		}
 		s.caller.SetReadDeadline(s.readDeadline())
@@ -149,41 +150,53 @@
 		if err == nil || !errors.As(err, &ne) || !ne.Timeout() {
 			return req, err
 		}
-		s.expireTransaction()
 	}
 }
 
-// readDeadline returns when the open transaction will have been idle for too long,
-// or the zero time if there is none that holds a database connection.
+// mayClose reports whether the host lets the session end now if no request has
+// arrived: with drainIdle, outside of a transaction; with drainAll, at any time.
+func (s *session) mayClose() bool {
+	stage := s.drainStage()
+	return stage == drainAll || stage != serving && s.tx == nil
+}
+
+func (s *session) drainStage() drainStage { return drainStage(s.stage.Load()) }
+
+// partialRequestWait is how long a session that is to be closed waits for the rest of
+// a request.
+const partialRequestWait = 50 * time.Millisecond
+
+// readDeadline returns when receive has to act although no request has arrived, or
+// the zero time for never.
 func (s *session) readDeadline() time.Time {
+	if s.mayClose() {
+		return time.Now().Add(partialRequestWait)
+	}
 	if s.tx == nil {
 		return time.Time{}
 	}
 	return s.tx.idleDeadline()
 }
 
-// expireTransaction rolls back on the database a transaction that has been idle
-// for too long, or longer than a draining host allows.
+// expireTransaction rolls back a transaction that has been idle for too long, or that
+// is still open when a draining host ends transactions.
 func (s *session) expireTransaction() {
-	if s.tx == nil || s.tx.runner == nil {
+	if s.tx == nil || s.tx.failed {
 		return
 	}
-	if s.rollbackIdleTx.Load() || !time.Now().Before(s.tx.idleDeadline()) {
+	idle := s.tx.idleDeadline()
+	if s.drainStage() >= drainTransactions || !idle.IsZero() && !time.Now().Before(idle) {
 		s.tx.expire()
 	}
 }
 
-// drain makes the session close as soon as it is idle. With rollbackTx, an open
-// transaction is rolled back as soon as it is idle.
-func (s *session) drain(rollbackTx bool) {
-	first := !s.draining.Swap(true)
-	if rollbackTx {
-		first = !s.rollbackIdleTx.Swap(true) || first
-	}
-	if first {
-		s.wakePending.Store(true)
-		s.caller.SetReadDeadline(time.Now())
+// drain moves the session on to a stage; an earlier one has no effect.
+func (s *session) drain(to drainStage) {
+	if before := s.stage.Load(); before >= int32(to) || !s.stage.CompareAndSwap(before, int32(to)) {
+		return
 	}
+	s.wakePending.Store(true)
+	s.caller.SetReadDeadline(time.Now())
 }
 
 // serve answers one request.
@@ -191,6 +204,9 @@
 	if a, ok := s.serveLocally(req); ok {
 		return a
 	}
+	if s.g.statements.Err() != nil {
+		return s.failure(&operation{Request: req}, errkind.New(errkind.Leaving, "the grace period is over"))
+	}
 	op, err := s.newOperation(req)
 	if err != nil {
 		if s.tx != nil {
@@ -198,7 +214,7 @@
 		}
 		return s.failure(&operation{Request: req}, err)
 	}
-	ctx, cancel := context.WithTimeout(s.g.ctx, op.deadline.Sub(op.arrived))
+	ctx, cancel := context.WithTimeout(s.g.statements, op.deadline.Sub(op.arrived))
 	defer cancel()
 	var a statement.Answer
 	if s.tx != nil {
@@ -370,6 +386,8 @@
 // serveFailed answers statements in a failed transaction, which the caller can
 // only end.
 func (s *session) serveFailed(req statement.Request) statement.Answer {
+	expired := s.tx.expired
+	s.tx.expired = false
 	switch req.Kind {
 	case statement.Rollback:
 		s.discardTransaction()
@@ -378,5 +396,8 @@
 		s.discardTransaction()
 		return s.failure(&operation{Request: req}, errkind.New(errkind.TransactionAborted, "an earlier statement failed"))
 	}
+	if expired {
+		return s.failure(&operation{Request: req}, errkind.New(errkind.TransactionAborted, "the transaction was idle for too long, or the host is shutting down"))
+	}
 	return s.failure(&operation{Request: req}, errkind.New(errkind.OutOfPlace, "the transaction has failed and accepts only rollback and commit"))
 }
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -424,6 +424,16 @@
 	return g
 }
 
+// updateRoute changes a route of the test configuration.
+func (g *Gateway) updateRoute(name string, change func(*routes.Route)) {
+	config := *g.config.Load().Configuration
+	config.Routes = maps.Clone(config.Routes)
+	route := config.Routes[name]
+	change(&route)
+	config.Routes[name] = route
+	g.config.Store(&loadedConfiguration{Configuration: &config})
+}
+
 // newTestSession returns a session that is logged in.
 func newTestSession(g *Gateway, routeName string) *session {
 	s := newSession(g, nil)
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -23,6 +23,7 @@
 	answered  bool   // a statement of the transaction has succeeded
 	wrote     bool
 	failed    bool
+	expired   bool      // it has failed without an answer to its caller that says so
 	idleSince time.Time // since when it waits for its caller, by the wall clock (time.Now)
 }
 
@@ -60,8 +61,9 @@
 	return t.idleSince.Add(limit)
 }
 
-// expire rolls back an idle transaction on the database.
+// expire fails a transaction for which no statement is running.
 func (t *transaction) expire() {
+	t.expired = true
 	t.g.log.Info("Rolling back an idle transaction: its idle limit is reached or the host is draining.", "part", "session", "service", t.route.Service)
 	t.fail()
 }
