Send nothing to a database long after it announced its shutdown

Reads preferred others, and a primary was used until it was replaced, also if no successor could be chosen.

Change: site.database_drain, filled in from drainMs, limits it in pool.checkOut; a primary past it counts as not reachable, so statements are refused at once.

Evidence: the new spec fails on the code before.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -66,6 +66,8 @@
 		Grace:      cfg.Shutdown.Grace,
 		MaxCallers: cfg.Site.MaxCallers,
 		Capacity:   cfg.Site.CPUShare,
+
+		DatabaseDrain: cfg.Site.DatabaseDrain,
 		Platform: platform.New(platform.StoreConfig{
 			BaseURL:   cfg.Platform.URL,
 			Timeout:   cfg.Platform.Timeout,
--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -32,6 +32,7 @@
 type member struct {
 	routes.Database
 	listedSince  time.Time // when its life was first listed; zero for those of the first list
+	leavingSince time.Time // when it was first listed as leaving; zero while it is not
 	missingSince time.Time // when the platform's list first lacked it; zero while it is listed
 	contact      contact
 	avoidUntil   time.Time // sorted behind the other reachable readers until then
@@ -77,6 +78,7 @@
 			t.recordAnnouncement(db.ID, m, now)
 		}
 		m.Database, m.missingSince = db, time.Time{}
+		m.recordLeaving(now)
 	}
 	for id, m := range t.members {
 		if !listed[id] && m.missingSince.IsZero() {
@@ -98,6 +100,24 @@
 	}
 }
 
+func (m *member) recordLeaving(now time.Time) {
+	switch {
+	case !m.Leaving:
+		m.leavingSince = time.Time{}
+	case m.leavingSince.IsZero():
+		m.leavingSince = now
+	}
+}
+
+// LeavingSince returns when a database was first listed as leaving, or the zero time
+// if it is not leaving.
+func (t *Table) LeavingSince(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.leavingSince
+	}
+	return time.Time{}
+}
+
 // Expire removes databases that have been missing for MissingRetention.
 func (t *Table) Expire(now time.Time) {
 	for id, m := range t.members {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,9 +47,12 @@
 	Grace      time.Duration // from the start of Drain until the process must have exited
 	MaxCallers int           // maximum number of concurrent sessions
 	Capacity   float64       // processor time of this host, as a share of a core; 0 if unknown
-	Platform   Platform
-	Logger     *slog.Logger
-	Now        func() time.Time // a clock that keeps running while the machine is suspended
+	// DatabaseDrain is how long after its announcement a database that shuts down may be
+	// sent statements; 0 for no limit.
+	DatabaseDrain time.Duration
+	Platform      Platform
+	Logger        *slog.Logger
+	Now           func() time.Time // a clock that keeps running while the machine is suspended
 }
 
 // Gateway is one running entry host.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -45,6 +45,8 @@
 	max    int
 	window window.Window // of statements in flight
 	closed bool
+	// leavingSince is when the database announced its shutdown; zero if it has not.
+	leavingSince time.Time
 	// fullUntil is when the database is no longer assumed to have reached its
 	// connection limit. Until then, a new connection is opened only in place of an
 	// idle one.
@@ -90,6 +92,33 @@
 	}
 }
 
+// drainMargin is the part of Options.DatabaseDrain in which no statement is sent any
+// more: a statement may still open a connection, and the announcement may have been
+// under way for a while.
+const drainMargin = time.Second
+
+func (p *pool) setLeavingSince(t time.Time) {
+	p.mu.Lock()
+	p.leavingSince = t
+	p.mu.Unlock()
+}
+
+// checkDrain returns an error if the database announced its shutdown so long ago that
+// it must not be sent a statement. mu is held.
+func (p *pool) checkDrain() error {
+	limit := p.g.opt.DatabaseDrain
+	if limit <= 0 || p.leavingSince.IsZero() || p.g.now().Sub(p.leavingSince) < limit-drainMargin {
+		return nil
+	}
+	return errkind.New(errkind.DatabaseUnavailable, "database %s is shutting down", p.db.ID)
+}
+
+func (p *pool) drained() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.checkDrain() != nil
+}
+
 // setMax changes the maximum number of connections and closes idle ones in excess
 // of it.
 func (p *pool) setMax(n int) {
@@ -150,6 +179,10 @@
 		p.mu.Unlock()
 		return nil, errkind.New(errkind.DatabaseUnavailable, "database %s has restarted or been removed; its connection pool is closed", p.db.ID)
 	}
+	if err := p.checkDrain(); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; c.customer == customer {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -86,6 +86,9 @@
 			s.pools[db.ID] = newPool(s.g, s, db, size)
 		}
 	}
+	for id, p := range s.pools {
+		p.setLeavingSince(s.table.LeavingSince(id))
+	}
 	closing = append(closing, s.dropPools()...)
 	s.notifyChange()
 	s.mu.Unlock()
@@ -159,16 +162,15 @@
 // are promoted within seconds.
 const noPrimaryRetryAfter = 500 * time.Millisecond
 
-// reachablePrimary returns the primary's pool if the primary is reachable, and
-// otherwise records since when it is not. If no primary is known, it requests a
+// reachablePrimary returns the primary's pool if the primary is reachable and may be
+// sent statements, and otherwise records since when it is not. If no primary is known, it requests a
 // sample. mu is held.
 func (s *service) reachablePrimary() (*pool, bool) {
 	now := s.g.now()
 	db, ok := s.table.Leader()
-	if ok && !s.table.Unreachable(db.ID, now) {
+	if p := s.pools[db.ID]; ok && p != nil && !s.table.Unreachable(db.ID, now) && !p.drained() {
 		s.unreachableSince = time.Time{}
-		p := s.pools[db.ID]
-		return p, p != nil
+		return p, true
 	}
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/database/floor"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -309,6 +310,38 @@
 		Expect(w.Err.Detail).To(ContainSubstring("retry after"))
 	})
 
+	// Guards against statements that reach a database long after it has announced its
+	// shutdown (DRAIN), when no successor can be chosen.
+	It("sends nothing more to a database that announced its shutdown DatabaseDrain ago, except to end a transaction", func() {
+		g.opt.DatabaseDrain = drainMargin + 300*time.Millisecond
+		dbs.withLock(func() { dbs.databases["b"].unresponsive, dbs.databases["c"].unresponsive = true, true })
+		g.setDatabases(map[string]routes.Database{
+			"a": {ID: "a", Service: testService, Address: "a", DataCentre: "dc-a", Slots: 4, Primary: true, Leaving: true},
+		})
+		open := newTestSession(g, "own")
+		served(open.serve(request(statement.Begin)))
+		served(open.serve(request(statement.Read)))
+		time.Sleep(300 * time.Millisecond)
+		var before int
+		dbs.withLock(func() { before = dbs.databases["a"].reads })
+		for _, route := range []string{"current", "own"} {
+			for _, kind := range []statement.Kind{statement.Write, statement.Read} {
+				a := newTestSession(g, route).serve(request(kind))
+				Expect(a.Err).NotTo(BeNil())
+				Expect(a.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+			}
+			s := newTestSession(g, route)
+			served(s.serve(request(statement.Begin)))
+			Expect(s.serve(request(statement.Write)).Err).NotTo(BeNil())
+		}
+		dbs.withLock(func() {
+			Expect(dbs.databases["a"].reads).To(Equal(before))
+			Expect(dbs.ran).To(BeEmpty())
+		})
+		served(open.serve(request(statement.Read)))
+		served(open.serve(request(statement.Commit)))
+	})
+
 	It("refuses a queued statement as not run when its deadline passes", func() {
 		op := &operation{svc: g.service(testService), customer: testCustomer}
 		p := g.service(testService).pools["b"]
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -133,6 +133,8 @@
 		duration: func(h *Host) *time.Duration { return &h.Site.WatchWait }, durDef: 5 * time.Second, durLo: 100 * time.Millisecond, durHi: 30 * time.Second},
 	{key: "site.memory_mb", unit: "MB", doc: "Memory that the process may use; the garbage collector runs more often near it. 0 for no limit.",
 		number: func(h *Host) *int { return &h.Site.MemoryMB }, numDef: 0, numLo: 0, numHi: 1 << 20},
+	{key: "site.database_drain", unit: "duration", doc: "Time for which a database that announces its shutdown may still be sent statements; they stop a second before its end.",
+		duration: func(h *Host) *time.Duration { return &h.Site.DatabaseDrain }, durDef: 7 * time.Second, durLo: time.Second, durHi: time.Hour},
 	{key: "site.cpu_share", unit: "cores", doc: "Processor time of this host. Hosts with more of it are preferred for running the statements of their data centre.",
 		float: func(h *Host) *float64 { return &h.Site.CPUShare }, floatDef: 1, floatLo: 0.01, floatHi: 256},
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -105,7 +105,9 @@
 	MaxCallers   int           // sessions at once
 	WatchWait    time.Duration // how long the store holds a watch open
 	MemoryMB     int           // of the process; 0 for no limit
-	CPUShare     float64       // processor time of the host, as a share of a core
+	// DatabaseDrain is how long a database that announces its shutdown may be sent statements.
+	DatabaseDrain time.Duration
+	CPUShare      float64 // processor time of the host, as a share of a core
 }
 
 // Secret is a string that is neither printed nor logged.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -120,7 +120,7 @@
 			"{{nodeName}}", "edge-a-1", "{{zone}}", "centru-a", "{{listen.front}}", "10.1.0.26:8465", "{{listen.ready}}", "10.1.0.26:8460",
 			"{{ip}}", "10.1.0.26", "{{internalPorts.0}}", "7560", "{{internalPorts.1}}", "7561", "{{internalPorts.2}}", "7562",
 			`{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"centru-a","centru-b"`, "{{cloud.address}}", "10.200.0.2:8466",
-			"{{limits.memoryMb}}", "206", "{{limits.cpuShare}}", "0.272", "{{platform.address}}", "10.200.1.7:8466", "{{bounds.graceS}}", "6",
+			"{{limits.memoryMb}}", "206", "{{limits.cpuShare}}", "0.272", "{{platform.address}}", "10.200.1.7:8466", "{{bounds.graceS}}", "6", "{{bounds.drainMs}}", "7000",
 		).Replace(string(template))
 		Expect(filled).NotTo(ContainSubstring("{{"))
 		h, err := settings.Parse("host.toml", []byte(filled))
@@ -129,6 +129,7 @@
 		Expect(h.Site.DataCentres).To(Equal([]string{"centru-a", "centru-b"}))
 		Expect(h.Shutdown.Grace).To(Equal(6 * time.Second))
 		Expect(h.Site.CPUShare).To(Equal(0.272))
+		Expect(h.Site.DatabaseDrain).To(Equal(7 * time.Second))
 	})
 
 	It("gives the line of a syntax error", func() {
