Give each statement outside of a transaction a stream of its own

Cause: a slow read is run a second time, and if no other host is known by the same runner, which kept its stream in a field. The run that ended first put the stream among the idle ones with a Result outstanding; the other dereferenced nil.

Change: remote keeps a stream only for a transaction.

--- a/gateway/jobstream_test.go
+++ b/gateway/jobstream_test.go
@@ -15,7 +15,7 @@
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
-var _ = Describe("a transaction on its home host", func() {
+var _ = Describe("a statement or transaction on its home host", func() {
 	var (
 		dbs    *group
 		g      *Gateway // the home host, and the host that sends to it
@@ -70,7 +70,7 @@
 
 	It("accepts no further statement after one of them was refused", func() {
 		Expect(send(inTransaction(statement.Write))).To(Succeed())
-		used := sender.stream
+		used := sender.pinned
 		setStalled(time.Now())
 		Expect(send(inTransaction(statement.Write))).NotTo(Succeed())
 		setStalled(time.Time{})
@@ -84,7 +84,7 @@
 
 	It("ends when the stream carries a statement of another transaction or of none", func() {
 		Expect(send(inTransaction(statement.Write))).To(Succeed())
-		sender.stream.transactions++
+		sender.pinned.transactions++
 		next := inTransaction(statement.Write)
 		Expect(send(next)).To(Succeed())
 		Expect(send(inTransaction(statement.Commit))).To(Succeed())
@@ -93,6 +93,8 @@
 		Expect(send(inTransaction(statement.Write))).To(Succeed())
 		single := inTransaction(statement.Write)
 		single.inTransaction = false
+		g.streams.put(sender.pinned) // as a sending host that takes the transaction to have ended
+		sender.pinned = nil
 		Expect(send(single)).To(Succeed())
 		Expect(committed()).To(HaveLen(1))
 		for _, p := range g.service(testService).allPools() {
@@ -103,4 +105,31 @@
 			}).Should(BeZero(), "connections of the abandoned transaction")
 		}
 	})
+
+	// Guards against a crash of the process, and against answers that reach another
+	// statement: a read was run a second time on the only known host while the first run
+	// was in progress, and both used one stream.
+	It("is run beside another statement by the same runner, each on its own stream", func() {
+		localEnd, homeEnd := net.Pipe()
+		go g.serveJobs(peer.Info{}, nil, homeEnd)
+		DeferCleanup(localEnd.Close)
+		g.streams.put(&stream{Conn: localEnd, r: bufio.NewReader(localEnd), access: "home"})
+		hold := make(chan struct{})
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				db.holdReads = hold
+			}
+		})
+		results := make(chan error, 2)
+		for range 2 {
+			op := inTransaction(statement.Read)
+			op.inTransaction = false
+			go func() { results <- send(op) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		close(hold)
+		Eventually(results).Should(Receive(BeNil()))
+		Eventually(results).Should(Receive(BeNil()))
+		Expect(g.streams.idle["home"]).To(HaveLen(2))
+	})
 })
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -11,8 +11,8 @@
 )
 
 // runner runs a session's statements on databases: statements outside of
-// transactions, or those of one transaction. It is used by one goroutine at a
-// time.
+// transactions, or those of one transaction. The statements of a transaction are run by
+// one goroutine at a time; others may run concurrently.
 type runner interface {
 	// run runs a statement. After an error in a transaction, the transaction is
 	// rolled back, unless the statement is a commit and the error reports its
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -40,11 +40,12 @@
 // not be reached or did not answer.
 func isHomeUnavailable(err error) bool { return errors.Is(err, errHomeUnavailable) }
 
-// remote runs statements on another host's connections.
+// remote runs statements on another host's connections. Only the statements of a
+// transaction share a stream; any number of others may run at a time.
 type remote struct {
 	g      *Gateway
 	home   homeCandidate
-	stream *stream // carries the open transaction; nil between transactions
+	pinned *stream // carries the open transaction; nil if there is none
 }
 
 // stream is a connection to another host that carries one Job and its Result at a
@@ -58,67 +59,73 @@
 
 // run implements runner.
 func (r *remote) run(ctx context.Context, op *operation) (statement.Answer, error) {
-	if r.stream == nil {
+	st := r.pinned
+	if st == nil || !op.inTransaction {
 		var err error
-		if r.stream, err = r.g.streams.get(r.home); err != nil {
+		if st, err = r.g.streams.get(r.home); err != nil {
 			r.g.peers.avoidHome(r.home.name)
 			return statement.Answer{}, errkind.Wrap(errkind.DatabaseUnavailable, errors.Join(errHomeUnavailable, err), "host "+r.home.name)
 		}
 		if op.inTransaction {
-			r.stream.transactions++
+			st.transactions++
 		}
 	}
-	stream := r.stream
-	// Cancelling ctx aborts the exchange; closing the stream then cancels the
-	// statement on the home host. A deadline does not abort it: the home host then
-	// reports the outcome, and only its report distinguishes a statement that did
-	// not run from one that may have run.
-	stop := context.AfterFunc(ctx, func() {
-		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			_ = stream.SetDeadline(time.Now())
-		}
-	})
-	result, err := r.exchange(op)
-	if !stop() && err == nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		err = ctx.Err()
-	}
+	result, err := r.exchange(ctx, st, op)
 	if err != nil {
-		r.close()
+		st.Close()
+		if op.inTransaction {
+			r.pinned = nil
+		}
 		if ctx.Err() == nil {
 			r.g.peers.avoidHome(r.home.name)
 		}
 		return statement.Answer{}, errkind.Wrap(errkind.OutcomeUnknown, errors.Join(errHomeUnavailable, err), "host "+r.home.name)
 	}
 	a, err := op.applyResult(result)
-	if !op.inTransaction || err != nil || op.Kind == statement.Commit {
-		r.g.streams.put(r.stream)
-		r.stream = nil
+	if op.inTransaction && err == nil && op.Kind != statement.Commit {
+		r.pinned = st
+		return a, nil
+	}
+	if op.inTransaction {
+		r.pinned = nil
 	}
+	r.g.streams.put(st)
 	return a, err
 }
 
-// exchange sends the statement and reads its result, waiting until resultSlack
-// after the deadline.
-func (r *remote) exchange(op *operation) (*accesspb.Result, error) {
+// exchange sends the statement and reads its result, waiting until resultSlack after
+// the deadline. Cancelling ctx aborts it; closing the stream then cancels the statement
+// on the home host. The deadline of ctx does not abort it: the home host then reports
+// the outcome, and only its report distinguishes a statement that did not run from one
+// that may have run.
+func (r *remote) exchange(ctx context.Context, st *stream, op *operation) (*accesspb.Result, error) {
 	left := op.deadline.Sub(r.g.now()) + resultSlack
-	if err := r.stream.SetDeadline(time.Now().Add(left)); err != nil {
-		return nil, err
-	}
-	if err := writeMessage(r.stream, op.job(r.g.now(), r.stream.transactions)); err != nil {
+	if err := st.SetDeadline(time.Now().Add(left)); err != nil {
 		return nil, err
 	}
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			_ = st.SetDeadline(time.Now())
+		}
+	})
+	err := writeMessage(st, op.job(r.g.now(), st.transactions))
 	var result accesspb.Result
-	err := readMessage(r.stream.r, &result)
+	if err == nil {
+		err = readMessage(st.r, &result)
+	}
+	if !stop() && err == nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		err = ctx.Err()
+	}
 	return &result, err
 }
 
 // rollbackAsync implements runner.
 func (r *remote) rollbackAsync() {
-	s := r.stream
+	s := r.pinned
 	if s == nil {
 		return
 	}
-	r.stream = nil
+	r.pinned = nil
 	go func() {
 		err := s.SetDeadline(time.Now().Add(rollbackTimeout))
 		if err == nil {
@@ -135,11 +142,6 @@
 	}()
 }
 
-func (r *remote) close() {
-	r.stream.Close()
-	r.stream = nil
-}
-
 // streams keeps idle streams to other hosts.
 type streams struct {
 	mesh *peer.Mesh
--- a/gateway/remote_test.go
+++ b/gateway/remote_test.go
@@ -31,7 +31,8 @@
 			time.Sleep(after)
 			_ = writeMessage(remoteEnd, result) // the receiving end may be closed already
 		}()
-		r := &remote{g: g, home: homeCandidate{name: "home", access: "x"}, stream: &stream{Conn: localEnd, r: bufio.NewReader(localEnd), access: "x"}}
+		g.streams.put(&stream{Conn: localEnd, r: bufio.NewReader(localEnd), access: "x"})
+		r := &remote{g: g, home: homeCandidate{name: "home", access: "x"}}
 		op := &operation{Request: request(statement.Write), svc: g.service(testService), arrived: time.Now(), deadline: time.Now().Add(timeout)}
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
