Check the key in an open transaction whose route was removed

A customer whose key and route were withdrawn by one version went on in an open transaction, and committed it (CONFIG).

Cause: the route was looked up before the key, and a missing route counted within a transaction as a change of the route alone.

Change: session.route takes the route of the open transaction or the current one, and checks the key in either case.

--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -38,11 +38,6 @@
 	now := s.g.now()
 	op := &operation{Request: req, arrived: now, state: s.state, lastCommit: s.lastCommit}
 	route, err := s.route()
-	if s.tx != nil {
-		if errkind.Of(err) == errkind.UnknownDatabase || err == nil {
-			route, err = s.tx.route, nil // a route change applies from the next transaction
-		}
-	}
 	if err != nil {
 		s.discardTransaction()
 		return nil, err
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -88,13 +88,18 @@
 	return s.caller.Welcome()
 }
 
-// route returns the session's route in the current configuration, and updates the
-// session's customer from its key. It fails if the route does not exist, or if no
-// customer holds the key and the route is not open.
+// route returns the route of the session's next statement: that of the open
+// transaction, to which a change of the route does not apply, or the one in the current
+// configuration. It updates the session's customer from its key, which must be valid now
+// in any case. It fails if the route does not exist, or if no customer holds the key and
+// the route is not open.
 func (s *session) route() (routes.Route, error) {
 	config := s.g.config.Load()
 	route, ok := config.Routes[s.routeName]
-	if !ok {
+	switch {
+	case s.tx != nil:
+		route = s.tx.route
+	case !ok:
 		return route, errkind.New(errkind.UnknownDatabase, "no such route in configuration version %d", config.Version)
 	}
 	holder, ok := config.Holder(s.key)
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -280,6 +280,39 @@
 		Expect(s.serve(request(statement.Read)).Err.Kind).To(Equal(errkind.KeyWithdrawn))
 	})
 
+	// Guards against a withdrawn key that goes on in an open transaction (CONFIG): the key
+	// was not checked if its route was removed by the same version.
+	It("refuses the next statement of a transaction after its key is withdrawn, also if its route is removed", func() {
+		for _, removeRoute := range []bool{false, true} {
+			s := newTestSession(g, "own")
+			served(s.serve(request(statement.Begin)))
+			served(s.serve(request(statement.Write)))
+			before := g.config.Load()
+			config := *before.Configuration
+			config.Version, config.Customers = 2, nil
+			if removeRoute {
+				config.Routes = nil
+			}
+			config.IndexKeys()
+			g.config.Store(&loadedConfiguration{Configuration: &config})
+			Expect(s.serve(request(statement.Commit)).Err.Kind).To(Equal(errkind.KeyWithdrawn))
+			Expect(s.tx).To(BeNil())
+			g.config.Store(before)
+		}
+		dbs.withLock(func() { Expect(dbs.committed).To(BeEmpty()) })
+	})
+
+	It("finishes a transaction whose route is removed", func() {
+		s := newTestSession(g, "own")
+		served(s.serve(request(statement.Begin)))
+		served(s.serve(request(statement.Write)))
+		config := *g.config.Load().Configuration
+		config.Version, config.Routes = 2, nil
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+		served(s.serve(request(statement.Commit)))
+		Expect(s.serve(request(statement.Read)).Err.Kind).To(Equal(errkind.UnknownDatabase))
+	})
+
 	It("refuses a read within its timeout when the primary cannot be sampled", func() {
 		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
 		s := newTestSession(g, "bounded")
