Pass on no connection on which a database refused a statement

The users' record says that back ends may answer twice, the second time late. A second copy of an error could be taken for the refusal of the next statement on its connection, which ran all the same: the caller was told that it had not run, or its transaction stayed open on a pooled connection.

Cause: errors are not signed, so a copy cannot be told from the answer (by reading; the repeated successes are shown by specs of platform).

Change: pool.release closes a connection on which a statement was refused. Samples keep theirs, and a write or a transaction uses none of these.

Evidence: the new spec fails with the check taken out.

--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -63,6 +63,7 @@
 	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
 	usedAt   time.Time
 	txState  statement.State // after the last answer
+	refused  bool            // a statement failed or was refused
 	broken   bool            // must be closed instead of reused
 }
 
@@ -258,9 +259,12 @@
 	p.mu.Unlock()
 }
 
-// release returns a connection to the pool and ends the customer's turn.
+// release returns a connection to the pool and ends the customer's turn. A connection on
+// which the database refused a statement is closed: errors are not signed, so a second,
+// late copy of one could be taken for the refusal of the next statement.
 func (p *pool) release(c *conn) {
 	c.freeSlot()
+	c.broken = c.broken || c.refused
 	id := c.turn // another session may use the connection once it is checked in
 	p.checkIn(c)
 	p.turns.Release(id)
@@ -412,5 +416,8 @@
 	}
 	svc.recordAnswer(id, sentAt)
 	c.txState = lastAnswer(answers).State
+	for _, a := range answers {
+		c.refused = c.refused || a.Err != nil
+	}
 	return answers, nil
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -163,8 +163,8 @@
 const noPrimaryRetryAfter = 500 * time.Millisecond
 
 // reachablePrimary returns the primary's pool if the primary is reachable and may be
-// sent statements, and otherwise records since when it is not. If no primary is known, it requests a
-// sample. mu is held.
+// sent statements, and otherwise records since when it is not. If no primary is known,
+// it requests a sample. mu is held.
 func (s *service) reachablePrimary() (*pool, bool) {
 	now := s.g.now()
 	db, ok := s.table.Leader()
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -201,6 +201,34 @@
 		}
 	})
 
+	// Guards against a statement that runs in another caller's transaction (PINNED): a
+	// database that sends an error twice, the second time late.
+	It("passes on no connection on which a statement was refused", func() {
+		s := newTestSession(g, "own")
+		served(s.serve(request(statement.Read)))
+		dbs.withLock(func() { dbs.term, dbs.primary = 2, "b" })
+		time.Sleep(sampleMinInterval)             // the former primary was sampled just now
+		served(s.serve(request(statement.Write))) // refused by a, retried on b
+		for _, p := range g.service(testService).allPools() {
+			p.mu.Lock()
+			for _, c := range p.idle {
+				if p.db.ID == "a" {
+					Expect(c.refused).To(BeFalse(), "idle connection to the former primary")
+				}
+			}
+			p.mu.Unlock()
+		}
+		Expect(dbs.databases["a"].received).To(ContainElement(statement.Write), "it was refused")
+
+		By("writing to a database that refused a sample before it became the primary")
+		dbs.withLock(func() { dbs.primary = "c" })
+		time.Sleep(sampleMinInterval)
+		served(s.serve(request(statement.Write)))
+		for _, c := range g.service(testService).pools["c"].idle {
+			Expect(c.refused).To(BeFalse())
+		}
+	})
+
 	It("fails the open transaction when one of its statements is refused before it is sent", func() {
 		s := newTestSession(g, "own")
 		served(s.serve(request(statement.Begin)))
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -104,13 +104,21 @@
 // of the database.
 const verifyTimeout = 250 * time.Millisecond
 
-// primaryConn waits for a reachable primary and a connection to it.
+// primaryConn waits for a reachable primary and a connection to it on which nothing was
+// refused. One that was sampled before its database became the primary may still carry
+// a copy of that refusal, and a write must not be reported as refused because of it.
 func (l *local) primaryConn(ctx context.Context, op *operation) (*conn, error) {
-	p, err := op.svc.waitForPrimary(ctx)
-	if err != nil {
-		return nil, err
+	for {
+		p, err := op.svc.waitForPrimary(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c, err := l.acquire(ctx, op, p)
+		if err != nil || !c.refused {
+			return c, err
+		}
+		p.release(c) // closes it
 	}
-	return l.acquire(ctx, op, p)
 }
 
 func (l *local) acquire(ctx context.Context, op *operation, p *pool) (*conn, error) {
@@ -134,16 +142,14 @@
 
 // checkAnswers evaluates the answers to a batch: the last one is that to the
 // operation's statement, the others are those to the statements that restored the
-// session's state on the connection. The outcome is unknown if the statement
-// succeeded but one of the others failed, or if its answer has no signature.
+// session's state on the connection. The outcome is unknown if one of the others failed,
+// or if the answer to the statement has no signature.
 func (op *operation) checkAnswers(c *conn, answers []statement.Answer) (statement.Answer, error) {
 	main := lastAnswer(answers)
 	for _, a := range answers[:len(answers)-1] {
 		if a.Err != nil {
 			c.broken = true
-			if main.Err == nil {
-				return main, errkind.Wrap(errkind.OutcomeUnknown, a.Err, "session state could not be restored on the connection")
-			}
+			return main, errkind.Wrap(errkind.OutcomeUnknown, a.Err, "session state could not be restored on the connection")
 		}
 	}
 	if main.Err == nil {
