--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -185,11 +185,7 @@
 		Eventually(c.answers).Should(Receive(&a))
 		Expect(a.Err).NotTo(HaveOccurred())
 		for _, p := range g.service(testService).allPools() {
-			Eventually(func() int {
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				return p.open - len(p.idle)
-			}).WithTimeout(300*time.Millisecond).Should(BeZero(), "the transaction holds no connection")
+			Eventually(p.inUse).WithTimeout(300*time.Millisecond).Should(BeZero(), "the transaction holds no connection")
 		}
 		a = send(c, statement.Write)
 		Expect(a.Err.Kind).To(Equal(errkind.TransactionAborted))
--- a/gateway/jobstream_test.go
+++ b/gateway/jobstream_test.go
@@ -98,11 +98,7 @@
 		Expect(send(single)).To(Succeed())
 		Expect(committed()).To(HaveLen(1))
 		for _, p := range g.service(testService).allPools() {
-			Eventually(func() int {
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				return p.open - len(p.idle)
-			}).Should(BeZero(), "connections of the abandoned transaction")
+			Eventually(p.inUse).Should(BeZero(), "connections of the abandoned transaction")
 		}
 	})
 
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -195,7 +195,7 @@
 		s.serve(request(statement.Read)) // Begin succeeds on a connection whose Set was refused
 		s.serve(request(statement.Rollback))
 		for _, p := range g.service(testService).allPools() {
-			Eventually(func() int { p.mu.Lock(); defer p.mu.Unlock(); return p.open - len(p.idle) }).Should(BeZero())
+			Eventually(p.inUse).Should(BeZero())
 			for _, c := range p.idle {
 				Expect(c.Connection.(*link).open).To(BeFalse(), "idle connection to "+p.db.ID)
 			}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -434,6 +434,13 @@
 	g.config.Store(&loadedConfiguration{Configuration: &config})
 }
 
+// inUse returns the number of connections that are neither idle nor closed.
+func (p *pool) inUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open - len(p.idle)
+}
+
 // newTestSession returns a session that is logged in.
 func newTestSession(g *Gateway, routeName string) *session {
 	s := newSession(g, nil)
