Clear a runner's stream and record an acknowledged commit in one place each

remote.run cleared the pinned stream in two branches, and acknowledge had a path of its own for services whose primary confirms commits without a replica.

--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -70,12 +70,12 @@
 			st.transactions++
 		}
 	}
+	if op.inTransaction {
+		r.pinned = nil // pinned again if the transaction goes on
+	}
 	result, err := r.exchange(ctx, st, op)
 	if err != nil {
 		st.Close()
-		if op.inTransaction {
-			r.pinned = nil
-		}
 		if ctx.Err() == nil {
 			r.g.peers.avoidHome(r.home.name)
 		}
@@ -84,12 +84,9 @@
 	a, err := op.applyResult(result)
 	if op.inTransaction && err == nil && op.Kind != statement.Commit {
 		r.pinned = st
-		return a, nil
-	}
-	if op.inTransaction {
-		r.pinned = nil
+	} else {
+		r.g.streams.put(st)
 	}
-	r.g.streams.put(st)
 	return a, err
 }
 
--- a/gateway/witness.go
+++ b/gateway/witness.go
@@ -43,26 +43,22 @@
 }
 
 // acknowledge waits until a commit may be acknowledged to its caller, and records it
-// as acknowledged. It fails with OutcomeUnknown if ctx ends before a witness has the
+// as acknowledged. If the service's primary confirms commits without a replica, it does
+// not wait. It fails with OutcomeUnknown if ctx ends before a witness has the
 // commit, or if the primary has been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
-	if s.g.config.Load().Services[s.name].SyncReplicas == 0 {
-		s.mu.Lock()
-		s.acked = position.Max(s.acked, c.at)
-		s.mu.Unlock()
-		return nil
-	}
+	needsWitness := s.g.config.Load().Services[s.name].SyncReplicas != 0
 	replaced := false
 	err := s.waitUntil(ctx, func() bool {
-		replaced = max(s.witnessed.term, s.provenTerm) > c.at.Term
-		if replaced {
-			return true
-		}
-		if s.witnessed.end.Before(c.at) {
+		replaced = needsWitness && max(s.witnessed.term, s.provenTerm) > c.at.Term
+		switch {
+		case replaced:
+		case needsWitness && s.witnessed.end.Before(c.at):
 			s.queryWitnesses(c)
 			return false
+		default:
+			s.acked = position.Max(s.acked, c.at)
 		}
-		s.acked = position.Max(s.acked, c.at)
 		return true
 	})
 	switch {
