Decide acknowledgements and settled leases in succession

A rule is needed for when a commit is safe whatever orders are still on their way.

Change: EvidenceFor says whether all replicas or one hold a commit; Lease.Settled whether an order can still take effect; Choose compares with the last acknowledged commit also if all replicas answered, unless the primary has ended. Not in use yet, except for the preference of established databases among equal logs; the gateway passes primaryGone as true, which keeps its choice.

--- /dev/null
+++ b/database/succession/acknowledge.go
@@ -0,0 +1,53 @@
+package succession
+
+import "github.com/bronzeloft/bronzeloft/position"
+
+// Copy is what one replica has reported of its log.
+type Copy struct {
+	// Established is set for a replica that has been in the platform's list for
+	// lead.WitnessAfter, so that every host that may replace the primary knows it.
+	Established bool
+	Answered    bool
+	Primary     bool // it reports that it is the primary
+	Term        uint64
+	Received    position.Position
+}
+
+// Holds reports whether the replica has received a commit from the primary of the
+// commit's term.
+func (c Copy) Holds(commit position.Position) bool {
+	return c.Answered && !c.Primary && c.Term == commit.Term && !c.Received.Before(commit)
+}
+
+// Evidence is how well a commit is protected against a replacement of its primary.
+type Evidence uint8
+
+// The evidence, weakest first.
+const (
+	// NoCopy means that no established replica is known to hold the commit.
+	NoCopy Evidence = iota
+	// OneCopy means that an established replica holds the commit. A host that takes
+	// the lease later reads that replica's log. A host that has taken it before may
+	// already have chosen another successor.
+	OneCopy
+	// AllCopies means that every replica holds the commit, whichever is promoted.
+	AllCopies
+)
+
+// EvidenceFor returns the evidence for a commit, given the reports of all replicas
+// that might be promoted.
+func EvidenceFor(commit position.Position, replicas []Copy) Evidence {
+	all, established := true, false
+	for _, c := range replicas {
+		holds := c.Holds(commit)
+		all = all && holds
+		established = established || holds && c.Established
+	}
+	switch {
+	case !established:
+		return NoCopy
+	case !all:
+		return OneCopy
+	}
+	return AllCopies
+}
--- /dev/null
+++ b/database/succession/lease.go
@@ -0,0 +1,29 @@
+package succession
+
+import "time"
+
+// Lease is the value of the object in the store that admits one host at a time to
+// replacing a service's primary. The version of the object is the fence of the orders
+// given under the lease.
+type Lease struct {
+	Holder   string `json:"holder"`
+	Claim    string `json:"claim"` // unique for each write
+	Released bool   `json:"released"`
+	// Ordered is the database of a promotion order that may still take effect. It is
+	// recorded before the order is given.
+	Ordered string `json:"ordered,omitempty"`
+	// Term is the newest term that the holder knew of when it released the lease.
+	Term uint64 `json:"term,omitempty"`
+}
+
+// Settled reports whether no order that was given so far can still replace the
+// primary of a term: no host is replacing it, no order is pending, and it has not been
+// replaced. The zero value, for a lease that nobody has taken, is not settled.
+func (l Lease) Settled(term uint64) bool {
+	return l.Released && l.Ordered == "" && l.Term <= term
+}
+
+// PromotionLimit bounds the time from the platform's acceptance of an order to the
+// change of the primary. It is twice the time that a promotion takes. An order whose
+// answer is lost may be accepted until a later one, with a higher fence, has been.
+const PromotionLimit = 2 * time.Second
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -1,12 +1,14 @@
 // Package succession decides when a service's primary is replaced and by which
 // database.
 //
-// A commit is acknowledged once the primary and one replica hold it. The
-// successor must therefore hold every entry that any replica holds: first all
-// replicas are stopped from receiving, then the end of each log is read, and the
-// replica with the longest log is chosen. A replica whose log end cannot be read
-// may hold the only copy of an acknowledged commit. A successor may be chosen
-// without it only if all of these apply:
+// A commit is acknowledged on either of two kinds of evidence (see Evidence): every
+// replica holds it; or one replica holds it and, read after that, the lease showed
+// that no order can take effect that was decided before. Whoever replaces the primary
+// takes the lease, then reads the end of each log, and chooses the replica with the
+// longest one. No database has to be stopped for that, so no order without a fence
+// takes part in it. A replica whose log end cannot be read may hold the only copy of
+// an acknowledged commit. A successor may be chosen without it only if all of these
+// apply:
 //   - it is no longer listed;
 //   - hosts of its data centre are reachable, which shows that it is down rather
 //     than partitioned together with the primary and hosts that acknowledge commits;
@@ -98,22 +100,25 @@
 // Candidate is a replica that is considered as successor.
 type Candidate struct {
 	ID       string
-	Answered bool // its log end is known and it has stopped receiving
-	Listed   bool // it is in the platform's list of databases
+	Answered bool // its log end is known
+	Listed   bool // it is in the platform's list of databases, or was until recently
 	CutOff   bool // no host of its data centre is reachable
 	Leaving  bool
-	Received position.Position
+	// Established is set for a replica that every host knows, see Copy.
+	Established bool
+	Received    position.Position
 }
 
 // Choose returns the successor among all replicas of a service. acked is the
-// last commit that any host has acknowledged. ok is false if no replica answered
-// or an acknowledged commit could be lost.
-func Choose(all []Candidate, acked position.Position) (best Candidate, ok bool) {
+// last commit that any host has acknowledged. primaryGone means that the primary is
+// known to have ended, so that nothing is gained by waiting for it. ok is false if no
+// replica answered or an acknowledged commit could be lost.
+func Choose(all []Candidate, acked position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
-	if !ok {
+	if !ok || unreadMayBeAlive(all) {
 		return Candidate{}, false
 	}
-	if hasUnread(all) && (unreadMayBeAlive(all) || best.Received.Before(acked)) {
+	if best.Received.Before(acked) && (hasUnread(all) || !primaryGone) {
 		return Candidate{}, false
 	}
 	return best, true
@@ -150,12 +155,15 @@
 	return false
 }
 
-// better reports whether a is preferred to b: the longer log first, then a
-// database that is not leaving.
+// better reports whether a is preferred to b: the longer log first, then an
+// established database, then one that is not leaving.
 func better(a, b Candidate) bool {
 	if cmp := a.Received.Compare(b.Received); cmp != 0 {
 		return cmp > 0
 	}
+	if a.Established != b.Established {
+		return a.Established
+	}
 	return !a.Leaving && b.Leaving
 }
 
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -49,16 +49,35 @@
 			{ID: "a", Answered: true, Received: pos(3)},
 			{ID: "b", Answered: true, Received: pos(5), Leaving: true},
 			{ID: "c", Answered: true, Received: pos(5)},
-		}, pos(5))
+		}, pos(5), false)
 		Expect(ok).To(BeTrue())
 		Expect(best.ID).To(Equal("c"))
 	})
 
 	It("chooses none if no replica answers", func() {
-		_, ok := succession.Choose([]succession.Candidate{{ID: "a"}}, position.Position{})
+		_, ok := succession.Choose([]succession.Candidate{{ID: "a"}}, position.Position{}, true)
 		Expect(ok).To(BeFalse())
 	})
 
+	It("prefers, among equal logs, a database that every host knows", func() {
+		best, ok := succession.Choose([]succession.Candidate{
+			{ID: "a", Answered: true, Received: pos(5)},
+			{ID: "b", Answered: true, Received: pos(5), Established: true, Leaving: true},
+		}, pos(5), false)
+		Expect(ok).To(BeTrue())
+		Expect(best.ID).To(Equal("b"))
+	})
+
+	// The replica that held the commit has restarted without its log.
+	It("chooses none that lacks an acknowledged commit until the primary is known to have ended", func() {
+		all := []succession.Candidate{{ID: "a", Answered: true, Listed: true, Received: pos(5)}, {ID: "b", Answered: true, Listed: true}}
+		_, ok := succession.Choose(all, pos(6), false)
+		Expect(ok).To(BeFalse())
+		best, ok := succession.Choose(all, pos(6), true)
+		Expect(ok).To(BeTrue())
+		Expect(best.ID).To(Equal("a"))
+	})
+
 	// A commit is acknowledged once one replica has it. Whichever replicas answer,
 	// the successor's log must hold every acknowledged commit, provided that a
 	// replica that is down holds no acknowledged commit that the hosts have not
@@ -84,7 +103,7 @@
 					known[i].Received = position.Position{}
 				}
 			}
-			best, ok := succession.Choose(known, pos(recorded))
+			best, ok := succession.Choose(known, pos(recorded), rapid.Bool().Draw(t, "primaryGone"))
 			if ok && best.Received.Index < acked {
 				t.Fatalf("successor %s has log end %s, but index %d was acknowledged; candidates: %+v", best.ID, best.Received, acked, all)
 			}
@@ -92,6 +111,49 @@
 	})
 })
 
+var _ = Describe("the evidence for a commit", func() {
+	commit := position.Position{Term: 2, Index: 7}
+	holding := succession.Copy{Established: true, Answered: true, Term: 2, Received: commit}
+	with := func(change func(*succession.Copy)) succession.Copy {
+		c := holding
+		change(&c)
+		return c
+	}
+	behind := with(func(c *succession.Copy) { c.Received.Index-- })
+	silent := with(func(c *succession.Copy) { c.Answered = false })
+	otherTerm := with(func(c *succession.Copy) { c.Term, c.Received.Term = 3, 3 })
+	isPrimary := with(func(c *succession.Copy) { c.Primary = true })
+	started := with(func(c *succession.Copy) { c.Established = false })
+
+	DescribeTable("is that of all replicas only if each of them holds it in its term",
+		func(want succession.Evidence, replicas ...succession.Copy) {
+			Expect(succession.EvidenceFor(commit, replicas)).To(Equal(want))
+		},
+		Entry("all hold it", succession.AllCopies, holding, holding),
+		Entry("one is behind", succession.OneCopy, holding, behind),
+		Entry("one is silent", succession.OneCopy, silent, holding),
+		Entry("one follows a later primary", succession.OneCopy, holding, otherTerm),
+		Entry("one is the primary", succession.OneCopy, holding, isPrimary),
+		Entry("all hold it, one of them new", succession.AllCopies, holding, started),
+		Entry("only a new one holds it", succession.NoCopy, started, behind),
+		Entry("only a new one exists", succession.NoCopy, started),
+		Entry("none holds it", succession.NoCopy, behind, otherTerm, isPrimary),
+		Entry("no replica is known", succession.NoCopy),
+	)
+})
+
+var _ = Describe("a lease", func() {
+	DescribeTable("is settled only if nothing can replace the primary of the term any more",
+		func(l succession.Lease, want bool) { Expect(l.Settled(2)).To(Equal(want)) },
+		Entry("released", succession.Lease{Holder: "a", Released: true, Term: 2}, true),
+		Entry("released in an earlier term", succession.Lease{Holder: "a", Released: true, Term: 1}, true),
+		Entry("held", succession.Lease{Holder: "a", Term: 2}, false),
+		Entry("released with an order pending", succession.Lease{Holder: "a", Released: true, Ordered: "b", Term: 2}, false),
+		Entry("released in a later term", succession.Lease{Holder: "a", Released: true, Term: 3}, false),
+		Entry("of unknown content", succession.Lease{}, false),
+	)
+})
+
 var _ = Describe("a roster", func() {
 	none := func(string) bool { return false }
 	db := func(id, dataCentre string) routes.Database {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -33,7 +33,7 @@
 	}
 	replicas = a.replicas()
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
-	best, ok := succession.Choose(a.candidates(replicas), position.Max(a.acked, acked))
+	best, ok := succession.Choose(a.candidates(replicas), position.Max(a.acked, acked), true)
 	if !ok {
 		return best, errNoSuccessor
 	}
