--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -18,17 +18,22 @@
 // MissingRetention, and up to maxFormer former ones.
 type Table struct {
 	members    map[string]*member
-	leader     string            // id of the presumed primary; empty if none
-	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
-	term       uint64            // newest term seen
-	former     []routes.Database // removed by Expire, oldest first; may have been listed again
-	listed     bool              // SetDatabases has been called
+	leader     string           // id of the presumed primary; empty if none
+	leaderAsOf time.Time        // time of the evidence for leader that was recorded last
+	term       uint64           // newest term seen
+	former     []formerDatabase // removed by Expire, oldest first; may have been listed again
+	listed     bool             // SetDatabases has been called
 }
 
 // maxFormer bounds the list of former databases; a service has a handful of
 // databases at a time.
 const maxFormer = 16
 
+type formerDatabase struct {
+	routes.Database
+	removedAt time.Time
+}
+
 type member struct {
 	routes.Database
 	listedSince  time.Time // when its life was first listed; zero for those of the first list
@@ -124,7 +129,7 @@
 		if !m.missingSince.IsZero() && now.Sub(m.missingSince) >= MissingRetention {
 			delete(t.members, id)
 			t.forgetLeader(id)
-			t.former = append(t.former, m.Database)
+			t.former = append(t.former, formerDatabase{Database: m.Database, removedAt: now})
 			t.former = t.former[max(0, len(t.former)-maxFormer):]
 		}
 	}
@@ -136,12 +141,23 @@
 	var out []routes.Database
 	for _, db := range t.former {
 		if _, relisted := t.members[db.ID]; !relisted {
-			out = append(out, db)
+			out = append(out, db.Database)
 		}
 	}
 	return out
 }
 
+// RemovedSince reports whether a database was removed after since that has not been
+// listed again and had not announced its shutdown.
+func (t *Table) RemovedSince(since time.Time) bool {
+	for _, db := range t.former {
+		if _, relisted := t.members[db.ID]; !relisted && !db.Leaving && db.removedAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) forgetLeader(id string) {
 	if t.leader == id {
 		t.leader = ""
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -131,22 +131,31 @@
 	return out
 }
 
-// WitnessAfter is how long a replica must have been listed before it counts as a
-// witness. It is longer than a promotion takes from the choice of the successor, so
-// that whoever chose the successor knew of every witness.
-const WitnessAfter = 2 * time.Second
-
-// Witnesses returns the replicas whose copy of a commit is taken into account when the
-// primary is replaced, in the order of their ids: those that answer and have been
-// listed for WitnessAfter. A replica that is not listed, or has just started, may be
-// unknown to the host that chooses a successor.
-func (t *Table) Witnesses(now time.Time) []string {
+// EstablishedAfter is how long a replica must have been listed to be established. An
+// entry reaches all hosts that the store reaches in less.
+const EstablishedAfter = 2 * time.Second
+
+// Established returns the replicas that every host may be expected to know, in the
+// order of their ids: those that answer and have been listed for EstablishedAfter. A
+// replica that is not listed, or has just started, may be unknown to the host that
+// chooses a successor.
+func (t *Table) Established(now time.Time) []string {
 	var out []string
 	for id, m := range t.members {
-		if id != t.leader && m.missingSince.IsZero() && now.Sub(m.listedSince) >= WitnessAfter && !t.Unreachable(id, now) {
+		if id != t.leader && m.missingSince.IsZero() && t.KnownFor(id, now) >= EstablishedAfter && !t.Unreachable(id, now) {
 			out = append(out, id)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
+
+// KnownFor returns for how long a database has been known since its process started;
+// for those of the first list, since the zero time.
+func (t *Table) KnownFor(id string, now time.Time) time.Duration {
+	m := t.members[id]
+	if m == nil {
+		return 0
+	}
+	return now.Sub(m.listedSince)
+}
--- a/database/succession/acknowledge.go
+++ b/database/succession/acknowledge.go
@@ -5,7 +5,7 @@
 // Copy is what one replica has reported of its log.
 type Copy struct {
 	// Established is set for a replica that has been in the platform's list for
-	// lead.WitnessAfter, so that every host that may replace the primary knows it.
+	// lead.EstablishedAfter, so that every host that may replace the primary knows it.
 	Established bool
 	Answered    bool
 	Primary     bool // it reports that it is the primary
--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -1,6 +1,10 @@
 package succession
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/position"
+)
 
 // Lease is the value of the object in the store that admits one host at a time to
 // replacing a service's primary. The version of the object is the fence of the orders
@@ -12,8 +16,11 @@
 	// Ordered is the database of a promotion order that may still take effect. It is
 	// recorded before the order is given.
 	Ordered string `json:"ordered,omitempty"`
-	// Term is the newest term that the holder knew of when it released the lease.
+	// Term is the newest term that a holder of the lease has known of.
 	Term uint64 `json:"term,omitempty"`
+	// Floor is the end of the log of the successor that was chosen last. Each later
+	// successor's log is at least as long.
+	Floor position.Position `json:"floor,omitzero"`
 }
 
 // Settled reports whether no order that was given so far can still replace the
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -39,12 +39,12 @@
 
 // The reasons.
 const (
-	None           Reason = ""
-	Silent         Reason = "silent"  // it does not answer this host and at least half of the others
-	Absent         Reason = "absent"  // no primary is known
-	Leaving        Reason = "leaving" // it is shutting down
-	Stalled        Reason = "stuck"   // it answers, but its commits are not acknowledged
-	ReplicasPaused Reason = "stopped" // the primary is kept, but replicas that are still paused must be resumed
+	None      Reason = ""
+	Silent    Reason = "silent"    // it does not answer this host and at least half of the others
+	Absent    Reason = "absent"    // no primary is known
+	Leaving   Reason = "leaving"   // it is shutting down
+	Stalled   Reason = "stuck"     // it answers, but its commits are not acknowledged
+	Unsettled Reason = "unsettled" // the primary is kept, but the lease of an earlier attempt must be settled
 )
 
 // View is the state of a service's primary as one host sees it.
@@ -104,26 +104,68 @@
 	Listed   bool // it is in the platform's list of databases, or was until recently
 	CutOff   bool // no host of its data centre is reachable
 	Leaving  bool
-	// Established is set for a replica that every host knows, see Copy.
+	// Established is set for a replica that had been in the platform's list for
+	// lead.EstablishedAfter before the first log was read.
 	Established bool
+	StartMillis int64 // start time of its process, Unix milliseconds
 	Received    position.Position
 }
 
 // Choose returns the successor among all replicas of a service. acked is the
-// last commit that any host has acknowledged. primaryGone means that the primary is
-// known to have ended, so that nothing is gained by waiting for it. ok is false if no
-// replica answered or an acknowledged commit could be lost.
-func Choose(all []Candidate, acked position.Position, primaryGone bool) (best Candidate, ok bool) {
+// last commit that any host has acknowledged, floor the end of the log of the last
+// successor. primaryGone means that the primary is known to have ended, so that nothing
+// is gained by waiting for it. ok is false if no replica answered or an acknowledged
+// commit could be lost.
+//
+// While the logs grow, the longest one is not enough: a host may have acknowledged a
+// commit because every replica that it knows holds it, one of which was read before it
+// received the commit. A replica that hosts may not know is therefore not chosen if
+// there is another one; it is for the caller to wait until that has caught up.
+func Choose(all []Candidate, acked, floor position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
-	if !ok || unreadMayBeAlive(all) {
+	if !ok || unreadMayBeAlive(all) || !best.Established && hasEstablished(all) {
 		return Candidate{}, false
 	}
-	if best.Received.Before(acked) && (hasUnread(all) || !primaryGone) {
+	if (lacks(best, acked) || lacks(best, floor)) && (hasUnread(all) || !primaryGone) {
 		return Candidate{}, false
 	}
 	return best, true
 }
 
+// lacks reports whether a candidate's log ends before a position that was reached in
+// the same or an earlier term. The log of a replica that has joined a newer term, and
+// does not hold all of the earlier ones yet, is shorter.
+func lacks(c Candidate, at position.Position) bool {
+	return c.Received.Before(at) || c.Received.Index < at.Index
+}
+
+// Senior returns the established candidate that hosts have had the longest time to
+// learn of, one that is not leaving if there is any.
+func Senior(all []Candidate) (senior Candidate, ok bool) {
+	for _, c := range all {
+		if c.Answered && c.Established && (!ok || moreSenior(c, senior)) {
+			senior, ok = c, true
+		}
+	}
+	return senior, ok
+}
+
+func moreSenior(a, b Candidate) bool {
+	if a.Leaving != b.Leaving {
+		return !a.Leaving
+	}
+	return a.StartMillis < b.StartMillis
+}
+
+func hasEstablished(all []Candidate) bool {
+	for _, c := range all {
+		if c.Answered && c.Established {
+			return true
+		}
+	}
+	return false
+}
+
 // Longest returns the candidate with the longest log among those that answered.
 func Longest(all []Candidate) (best Candidate, ok bool) {
 	for _, c := range all {
@@ -156,7 +198,7 @@
 }
 
 // better reports whether a is preferred to b: the longer log first, then an
-// established database, then one that is not leaving.
+// established database, then the more senior one.
 func better(a, b Candidate) bool {
 	if cmp := a.Received.Compare(b.Received); cmp != 0 {
 		return cmp > 0
@@ -164,7 +206,7 @@
 	if a.Established != b.Established {
 		return a.Established
 	}
-	return !a.Leaving && b.Leaving
+	return moreSenior(a, b)
 }
 
 // Timing of promotions.
--- /dev/null
+++ b/gateway/acknowledge.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// A primary confirms a commit once any replica has received it. Another database may
+// be promoted at any time by a host that does not reach the primary, and the order may
+// take effect long after it was given. So a commit is acknowledged to its caller only
+// if no promotion can discard it: every replica holds it; or an established replica
+// holds it, and the lease, read after that replica's report, is settled.
+
+// Timing of acknowledgements.
+const (
+	// copyPause is the time between two queries of a replica that lacks a commit.
+	copyPause = 5 * time.Millisecond
+	// silentCopyPause is the time until a replica that did not answer is queried again.
+	silentCopyPause = 100 * time.Millisecond
+	// allCopiesPatience is how long a commit waits for all replicas before the lease is
+	// read, which costs a call of the store. It is several times the delay between data
+	// centres.
+	allCopiesPatience = 30 * time.Millisecond
+	// leaseReadEvery is the least time between two reads of a service's lease.
+	leaseReadEvery = 50 * time.Millisecond
+	// formerMayReturn is how long a database that has vanished from the list without
+	// having announced its shutdown may still be promoted by an order given before.
+	formerMayReturn = 30 * time.Second
+)
+
+// replication is what this host knows of the logs of a service's replicas.
+// service.mu guards it.
+type replication struct {
+	copies   map[string]*replicaCopy // by database id; an entry is dropped when its database restarts
+	settled  position.Position       // commits up to it are protected by a settled lease
+	term     uint64                  // the newest term that any replica reported
+	reading  bool                    // a read of the lease is running, or was until recently
+	outcomes acknowledgementLog
+}
+
+// replicaCopy is the last report of one replica. What a replica has received in a term
+// it keeps, until another database is promoted or it restarts.
+type replicaCopy struct {
+	succession.Copy
+	querying bool
+}
+
+// commit is a commit that its primary has confirmed.
+type commit struct {
+	primary string // id
+	at      position.Position
+}
+
+// acknowledge waits until a commit may be acknowledged to its caller, and records it
+// as acknowledged. If the service's primary confirms commits without a replica, it does
+// not wait. It fails with OutcomeUnknown if ctx ends before that, or if the primary has
+// been replaced.
+func (s *service) acknowledge(ctx context.Context, c commit) error {
+	needsCopies := s.g.config.Load().Services[s.name].SyncReplicas != 0
+	since := s.g.now()
+	if needsCopies {
+		defer time.AfterFunc(allCopiesPatience, s.wake).Stop()
+	}
+	evidence := succession.NoCopy
+	replaced := false
+	err := s.waitUntil(ctx, func() bool {
+		r := &s.replication
+		switch {
+		case !needsCopies:
+		case max(r.term, s.provenTerm) > c.at.Term:
+			replaced = true
+			return true
+		case !r.settled.Before(c.at):
+			evidence = succession.OneCopy
+		default:
+			if evidence = s.evidence(c); evidence == succession.AllCopies {
+				break
+			}
+			s.queryReplicas(c)
+			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+				s.readLease(c)
+			}
+			return false
+		}
+		s.acked = position.Max(s.acked, c.at)
+		return true
+	})
+	s.recordAcknowledgement(c, evidence, err == nil && !replaced)
+	switch {
+	case err != nil:
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "replicas have not confirmed commit "+c.at.String())
+	case replaced:
+		return errkind.New(errkind.OutcomeUnknown, "the primary was replaced before replicas confirmed commit %s", c.at)
+	}
+	return nil
+}
+
+func (s *service) wake() {
+	s.mu.Lock()
+	s.notifyChange()
+	s.mu.Unlock()
+}
+
+// evidence returns the evidence for a commit from the replicas' last reports. mu is
+// held.
+func (s *service) evidence(c commit) succession.Evidence {
+	now := s.g.now()
+	established := s.table.Established(now)
+	var copies []succession.Copy
+	for _, db := range s.table.Replicas(c.primary) {
+		var held succession.Copy
+		if known := s.replication.copies[db.ID]; known != nil {
+			held = known.Copy
+		}
+		held.Established = slices.Contains(established, db.ID)
+		copies = append(copies, held)
+	}
+	if s.table.RemovedSince(now.Add(-formerMayReturn)) {
+		copies = append(copies, succession.Copy{}) // it may hold less
+	}
+	return succession.EvidenceFor(c.at, copies)
+}
+
+// queryReplicas queries each replica that is not known to hold a commit, unless a query
+// of it is running. mu is held.
+func (s *service) queryReplicas(c commit) {
+	for _, db := range s.table.Replicas(c.primary) {
+		p := s.pools[db.ID]
+		if p == nil {
+			continue
+		}
+		held := s.replication.copies[db.ID]
+		if held == nil {
+			held = &replicaCopy{}
+			s.replication.copies[db.ID] = held
+		}
+		if held.querying || held.Holds(c.at) {
+			continue
+		}
+		held.querying = true
+		go s.queryReplica(p, held, c)
+	}
+}
+
+// queryReplica queries a replica and records its report.
+func (s *service) queryReplica(p *pool, held *replicaCopy, c commit) {
+	report, ok := s.queryStatus(p)
+	s.mu.Lock()
+	if ok {
+		s.replication.term = max(s.replication.term, report.Term)
+		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
+	}
+	lacking := !held.Holds(c.at)
+	held.querying = lacking
+	s.notifyChange()
+	s.mu.Unlock()
+	if !lacking {
+		return
+	}
+	pause := copyPause
+	if !ok {
+		pause = silentCopyPause
+	}
+	retry.Wait(s.g.ctx, pause)
+	s.mu.Lock()
+	held.querying = false
+	s.notifyChange()
+	s.mu.Unlock()
+}
+
+// readLease starts a read of the service's lease, unless one was started within
+// leaseReadEvery. If the lease is settled, it protects what an established replica was
+// known to hold before the read. mu is held.
+func (s *service) readLease(c commit) {
+	if s.replication.reading {
+		return
+	}
+	s.replication.reading = true
+	established := s.table.Established(s.g.now())
+	held := c.at
+	for id, known := range s.replication.copies {
+		if id != c.primary && slices.Contains(established, id) && known.Holds(c.at) {
+			held = position.Max(held, known.Received)
+		}
+	}
+	go func() {
+		settled := s.leaseSettled(c.at.Term)
+		s.mu.Lock()
+		if settled {
+			s.replication.settled = position.Max(s.replication.settled, held)
+		}
+		s.notifyChange()
+		s.mu.Unlock()
+		retry.Wait(s.g.ctx, leaseReadEvery)
+		s.mu.Lock()
+		s.replication.reading = false
+		s.notifyChange()
+		s.mu.Unlock()
+	}()
+}
+
+// leaseSettled reads the service's lease and reports whether it is settled. If it is
+// not, an attempt to settle it is started.
+func (s *service) leaseSettled(term uint64) bool {
+	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
+	defer cancel()
+	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return true // nobody has ever replaced a primary
+	}
+	if err != nil {
+		s.g.log.Info("Reading the lease for an acknowledgement failed.", "part", "promotion", "service", s.name, "error", err)
+		return false
+	}
+	var l succession.Lease
+	if err := json.Unmarshal(object.Value, &l); err != nil {
+		s.g.log.Warn("Cannot decode the lease.", "part", "promotion", "service", s.name, "error", err)
+	}
+	if l.Settled(term) {
+		return true
+	}
+	s.startSettling()
+	return false
+}
+
+// queryStatus returns a database's status report, and false if the database cannot be
+// queried.
+func (s *service) queryStatus(p *pool) (statement.Report, bool) {
+	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
+	defer cancel()
+	c, err := p.borrow(ctx, s.g.anyCustomer())
+	if err != nil || c == nil {
+		return statement.Report{}, false // borrow has recorded a failed dial
+	}
+	defer p.checkIn(c)
+	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
+	if err != nil {
+		return statement.Report{}, false // run has recorded the missing answer
+	}
+	r, err := c.Report(answers[0])
+	if err != nil {
+		s.g.log.Debug("Database reported no status.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
+		return statement.Report{}, false
+	}
+	return r, true
+}
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -114,13 +114,6 @@
 	return err
 }
 
-// resumeAll resumes replication on all databases of the attempt.
-func (a *replacement) resumeAll() {
-	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
-	defer cancel()
-	a.query(ctx, a.conns, statement.Statement{Kind: statement.Resume})
-}
-
 func (a *replacement) closeConns() {
 	for _, c := range a.conns {
 		if c.conn != nil {
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -9,11 +9,12 @@
 
 	"github.com/google/uuid"
 
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
-// kindLeases is the object kind with one lease for each service. Only the holder
-// of the lease may replace the service's primary.
+// kindLeases is the object kind with one succession.Lease for each service. Only the
+// holder of the lease may replace the service's primary.
 const kindLeases = "bronzeloft-leases"
 
 // leaseObservation is the version of another host's lease and the time at which
@@ -23,18 +24,6 @@
 	at      time.Time
 }
 
-// lease is the value of a lease object. The object's version is the fence, the
-// fencing token of the promotion orders under this lease.
-type lease struct {
-	Holder   string `json:"holder"`
-	Claim    string `json:"claim"` // unique for each write
-	Released bool   `json:"released"`
-	// Ordered is the database of a promotion order whose outcome is unknown. The
-	// order may still take effect until an order with a later fence has been
-	// answered.
-	Ordered string `json:"ordered,omitempty"`
-}
-
 // acquireLease makes this host the holder of the service's lease. It returns
 // errLeaseHeld if another host holds it.
 func (a *replacement) acquireLease(ctx context.Context) error {
@@ -49,7 +38,7 @@
 		}
 	}
 	a.leaseObject = old
-	return a.writeLease(ctx, lease{Ordered: a.pendingOrder(old)})
+	return a.writeLease(ctx, succession.Lease{Ordered: a.pendingOrder(old)})
 }
 
 // unknownOrder is the value of Ordered after a lease that could not be decoded,
@@ -59,25 +48,27 @@
 // pendingOrder records and returns the database of the order that the previous
 // lease holder left unanswered; it is empty if there is none.
 func (a *replacement) pendingOrder(old objectapi.Object) string {
-	var held lease
+	var held succession.Lease
 	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
 		a.pending, a.ordered = true, unknownOrder
 		return unknownOrder
 	}
-	a.pending, a.ordered = held.Ordered != "", held.Ordered
+	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
 	return held.Ordered
 }
 
 // writeLease replaces the lease object last read or written by this attempt. The
-// object's new version becomes the fence.
-func (a *replacement) writeLease(ctx context.Context, l lease) error {
+// object's new version becomes the fence. The newest term and the floor are kept from
+// lease to lease.
+func (a *replacement) writeLease(ctx context.Context, l succession.Lease) error {
 	l.Holder, l.Claim = a.s.g.opt.Name, uuid.NewString()
+	l.Term, l.Floor = max(a.leaseTerm, a.newestTerm()), a.floor
 	value, err := json.Marshal(l)
 	if err != nil {
 		return err
 	}
 	isOwn := func(value []byte) bool {
-		var held lease
+		var held succession.Lease
 		return json.Unmarshal(value, &held) == nil && held.Claim == l.Claim
 	}
 	held, err := objectapi.UpdateOwn(ctx, a.s.g.platform.Objects(), kindLeases, a.s.name, a.leaseObject.Version, value, isOwn)
@@ -98,7 +89,7 @@
 // or unchanged for leaseTerm by this host's clock. A lease that cannot be decoded
 // counts as held by another host.
 func (a *replacement) canAcquireLease(old objectapi.Object) bool {
-	var held lease
+	var held succession.Lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
 		a.log.Warn("Cannot decode the lease.", "error", err)
 	}
@@ -120,7 +111,7 @@
 func (a *replacement) releaseLease(ordered string) {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
-	released := lease{Released: true, Ordered: ordered}
+	released := succession.Lease{Released: true, Ordered: ordered}
 	err := a.writeLease(ctx, released)
 	if isConflict(err) && a.readUnconfirmed(ctx) {
 		err = a.writeLease(ctx, released)
@@ -141,7 +132,7 @@
 		a.log.Info("Reading the lease back failed.", "error", err)
 		return false
 	}
-	var held lease
+	var held succession.Lease
 	if json.Unmarshal(stored.Value, &held) != nil || !slices.Contains(a.unconfirmed, held.Claim) {
 		return false // another host's
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 )
 
@@ -49,6 +51,24 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_refused_total{kind=%q}`, k)).Inc()
 }
 
+// acknowledged counts a confirmed commit by the evidence on which it was acknowledged,
+// or as unknown.
+func (m *gatewayMetrics) acknowledged(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_commits_total{evidence=%q}`, outcome)).Inc()
+}
+
+// ordered counts a promotion order by its outcome.
+func (m *gatewayMetrics) ordered(err error) {
+	outcome := "accepted"
+	switch {
+	case errors.Is(err, succession.ErrRefused):
+		outcome = "refused"
+	case err != nil:
+		outcome = "unanswered"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_promotion_orders_total{outcome=%q}`, outcome)).Inc()
+}
+
 // observe records the duration of one served request.
 func (m *gatewayMetrics) observe(op *operation, took time.Duration) {
 	access := "read"
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -12,7 +12,6 @@
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
-	"github.com/bronzeloft/bronzeloft/statement"
 )
 
 // Timing of promotions.
@@ -34,11 +33,15 @@
 	// catchUpLimit bounds the wait for a successor to receive the log that another
 	// database holds. It is several times the replication delay of the network.
 	catchUpLimit = 600 * time.Millisecond
+	// seniorLimit is how long an unplanned attempt waits for the senior replica if
+	// another one holds more.
+	seniorLimit = 300 * time.Millisecond
 	// catchUpPoll is the time between two queries while an attempt waits for the
 	// successor.
 	catchUpPoll = 15 * time.Millisecond
 	// takeOverLimit is how long an attempt waits for the successor to become
-	// primary after its promotion was ordered; a promotion takes 1 s.
+	// primary after its promotion was ordered. It is longer than
+	// succession.PromotionLimit.
 	takeOverLimit = 2500 * time.Millisecond
 	// absentFor is how long no primary must have been known before the primary
 	// counts as absent, and how long after its start a host makes no attempt.
@@ -54,16 +57,12 @@
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
 	observedLease      leaseObservation
-	checkingPaused     bool      // a check for paused replicas is running
-	nextPausedCheck    time.Time // earliest next check for paused replicas
 }
 
 func rendezvousScore(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
 
 // maybeReplacePrimary starts an attempt to replace the primary if the hosts' views
-// give a reason to do so and the delay of this host's rank has passed. If there is
-// no reason and a primary is known, the first host in rank checks for paused
-// replicas.
+// give a reason to do so and the delay of this host's rank has passed.
 func (s *service) maybeReplacePrimary(now time.Time) {
 	others, acked, rank := s.g.peers.primaryViews(s.name)
 	s.mu.Lock()
@@ -91,9 +90,6 @@
 	} else {
 		s.keepRoster(now)
 	}
-	if reason == succession.None && known && rank == 0 {
-		s.checkPaused(now)
-	}
 	if reason == succession.None || now.Before(state.nextAttempt) {
 		return
 	}
@@ -107,13 +103,18 @@
 	if now.Sub(state.since) < wait || now.Sub(s.g.started) < absentFor {
 		return
 	}
-	state.running = true
-	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
+	s.startAttempt(s.newReplacement(reason, position.Max(acked, s.acked), now), (*replacement).run)
+}
+
+// startAttempt starts an attempt in the background. There is one at a time: the lease
+// does not tell two attempts of one host apart. mu is held.
+func (s *service) startAttempt(a *replacement, run func(*replacement)) {
+	s.promotion.running = true
 	go func() {
-		a.run()
+		run(a)
 		s.mu.Lock()
-		state.running = false
-		state.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		s.promotion.running = false
+		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
 		s.mu.Unlock()
 	}()
 }
@@ -140,14 +141,17 @@
 
 	leaseObject objectapi.Object // the lease as last read or written
 	roster      succession.Roster
-	unconfirmed []string // claims of writes of the lease whose outcome is unknown
-	pending     bool     // an unanswered order may still take effect
-	ordered     string   // the database that this order promotes
+	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
+	floor       position.Position // that the log of the successor must reach
+	established []string          // replicas that every host may be expected to know, before the first log was read
+	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
+	pending     bool              // an unanswered order may still take effect
+	ordered     string            // the database that this order promotes
 	conns       []*controlConn
 }
 
-// run makes the attempt: it acquires the lease, queries the databases, pauses the
-// replicas, chooses the successor, orders its promotion and waits for it.
+// run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
+// the successor, orders its promotion and waits for it.
 func (a *replacement) run() {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, attemptLimit)
 	defer cancel()
@@ -158,6 +162,7 @@
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
 	var err error
+	a.recordEstablished()
 	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
 		a.giveUp(ctx)
@@ -169,16 +174,15 @@
 		a.giveUp(ctx)
 		return
 	}
+	a.floor = position.Max(a.floor, successor.Received)
 	err = a.order(ctx, successor.ID)
 	switch {
-	case err == nil && !a.awaitPrimary(successor.ID):
-		// The lease is left to expire, since the successor may still become
-		// primary.
-	case err == nil || !a.pending:
-		a.resumeAll()
+	case err == nil:
+		a.awaitSettled(successor.ID)
+	case !a.pending:
 		a.releaseLease("")
 	default:
-		a.log.Warn("Replicas stay paused: a promotion order may still take effect.", "database", a.ordered)
+		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered)
 		a.releaseLease(a.ordered)
 	}
 }
@@ -195,7 +199,7 @@
 	errLeaseHeld   = errors.New("gateway: another host holds the lease")
 	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
-	errNewerTerm   = errors.New("gateway: a database reports a newer term")
+	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
 )
 
@@ -205,13 +209,14 @@
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
 	for {
-		if err := a.writeLease(ctx, lease{Ordered: database}); err != nil {
+		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
+		a.s.g.metrics.ordered(err)
 		if err == nil || errors.Is(err, succession.ErrRefused) {
 			return err
 		}
@@ -221,47 +226,3 @@
 		}
 	}
 }
-
-// voidPendingOrder ensures that no earlier order can take effect any more. It
-// orders the promotion of the current primary, which only raises the fence. It
-// fails if no database reports that it is the primary.
-func (a *replacement) voidPendingOrder(ctx context.Context) error {
-	if !a.pending {
-		return nil
-	}
-	for _, c := range a.conns {
-		if c.answered && c.report.Primary {
-			return a.order(ctx, c.db.ID)
-		}
-	}
-	return errNoSuccessor
-}
-
-// awaitPrimary waits until the successor is the primary. It reports whether it
-// became primary within takeOverLimit.
-func (a *replacement) awaitPrimary(id string) bool {
-	g := a.s.g
-	ctx, cancel := context.WithTimeout(g.ctx, takeOverLimit)
-	defer cancel()
-	for ctx.Err() == nil {
-		a.s.mu.Lock()
-		p := a.s.pools[id]
-		primary, ok := a.s.table.Leader()
-		a.s.mu.Unlock()
-		if ok && primary.ID == id {
-			a.log.Info("Successor is primary.", "database", id, "after_ms", g.now().Sub(a.started).Milliseconds())
-			return true
-		}
-		// Pause new replicas too: if one of them received from the former primary,
-		// that primary could keep acknowledging commits.
-		if added := a.addNewDatabases(); len(added) > 0 {
-			a.query(ctx, added, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-		}
-		if p != nil {
-			a.s.sample(p)
-		}
-		retry.Wait(ctx, catchUpPoll)
-	}
-	a.log.Warn("Successor did not become primary in time.", "database", id)
-	return false
-}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -34,7 +34,7 @@
 	lastSampleRequest time.Time     // when the last sample query was sent
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
-	witnessed         witnessed
+	replication       replication
 	promotion         promotionState
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
@@ -58,12 +58,14 @@
 func newService(g *Gateway, name string) *service {
 	return &service{
 		g: g, name: name,
-		hedges:   retry.NewBudget(hedgeShare, hedgeBurst),
-		table:    lead.New(),
-		pools:    map[string]*pool{},
-		changed:  make(chan struct{}),
-		commits:  commitTracker{sent: map[uint64]time.Time{}},
-		homeRank: g.peers.homeRank(name),
+		hedges:  retry.NewBudget(hedgeShare, hedgeBurst),
+		table:   lead.New(),
+		pools:   map[string]*pool{},
+		changed: make(chan struct{}),
+		commits: commitTracker{sent: map[uint64]time.Time{}},
+
+		replication: replication{copies: map[string]*replicaCopy{}},
+		homeRank:    g.peers.homeRank(name),
 	}
 }
 
@@ -76,6 +78,7 @@
 	restarted := s.table.SetDatabases(list, now)
 	var closing []*pool
 	for _, id := range restarted {
+		delete(s.replication.copies, id)
 		if p := s.pools[id]; p != nil {
 			closing = append(closing, p)
 			delete(s.pools, id)
@@ -105,6 +108,7 @@
 		if _, ok := s.table.Get(id); !ok {
 			out = append(out, p)
 			delete(s.pools, id)
+			delete(s.replication.copies, id)
 		}
 	}
 	return out
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -2,48 +2,102 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
-// choose returns the successor. It first checks that the state on which the
-// attempt was started is still current, and pauses the replicas so that none can
-// receive more of the log than the successor.
+// choose returns the successor. It first checks that the state on which the attempt
+// was started is still current. All logs are read while the lease is held: a commit
+// that is acknowledged from now on is in every one of them.
 func (a *replacement) choose(ctx context.Context) (succession.Candidate, error) {
-	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
+	for added := a.addNewDatabases(); len(added) > 0; added = a.addNewDatabases() {
+		a.query(ctx, added, statement.Statement{Kind: statement.Status})
+	}
 	if a.primary == "" && a.roster.Term == a.newestTerm() {
 		a.primary = a.roster.Primary // this host may have started after the primary's entry expired
 	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
-	if a.reason == succession.Leaving {
-		return a.choosePlanned(ctx)
+	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary {
+		return a.choosePlanned(ctx, primary)
 	}
-	replicas := a.replicas()
-	a.query(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	for added := a.addNewDatabases(); len(added) > 0; added = a.addNewDatabases() {
-		a.query(ctx, added, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	}
-	if err := a.checkView(); err != nil {
+	if err := a.awaitSenior(ctx); err != nil {
 		return succession.Candidate{}, err
 	}
-	replicas = a.replicas()
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
-	best, ok := succession.Choose(a.candidates(replicas), position.Max(a.acked, acked), true)
+	best, ok := succession.Choose(a.candidates(), position.Max(a.acked, acked), a.floor, a.primaryGone())
 	if !ok {
 		return best, errNoSuccessor
 	}
 	return best, nil
 }
 
+// awaitSenior waits until the senior replica's log reaches the longest one that was
+// read, so that it is the longest. If it does not within seniorLimit, another one may
+// be chosen.
+func (a *replacement) awaitSenior(ctx context.Context) error {
+	candidates := a.candidates()
+	longest, _ := succession.Longest(candidates)
+	senior, ok := succession.Senior(candidates)
+	if !ok || senior.ID == longest.ID {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, seniorLimit)
+	defer cancel()
+	err := a.catchUp(ctx, a.conn(senior.ID), longest.Received)
+	if err != nil {
+		a.log.Info("The senior replica lacks what another one has.", "database", senior.ID, "longest", longest.ID)
+	}
+	if !longest.Established {
+		return err
+	}
+	return nil
+}
+
+// conn returns the attempt's connection to a database, or nil.
+func (a *replacement) conn(id string) *controlConn {
+	for _, c := range a.conns {
+		if c.db.ID == id {
+			return c
+		}
+	}
+	return nil
+}
+
+// primaryGone reports whether the primary to be replaced is known to have ended.
+func (a *replacement) primaryGone() bool {
+	c := a.conn(a.primary)
+	switch {
+	case c == nil:
+		return true
+	case c.answered:
+		return !c.report.Primary
+	}
+	return !a.listed(c.db.ID) && a.s.g.peers.centresReachableSince(a.started)[c.db.DataCentre]
+}
+
+// listed reports whether the platform lists a database, or did within
+// lead.MissingRetention: entries may vanish for as long while the store is away.
+func (a *replacement) listed(id string) bool {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	_, ok := a.s.table.Get(id)
+	return ok
+}
+
 // checkView compares the databases' reports with the state on which the attempt
 // was started: another host may have replaced the primary since. Only a primary
 // that is leaving or stalled is expected to report that it is the primary.
 func (a *replacement) checkView() error {
+	if a.leaseTerm > a.term {
+		return errNewerTerm
+	}
 	expected := a.reason == succession.Leaving || a.reason == succession.Stalled
 	for _, c := range a.conns {
 		if !c.answered {
@@ -82,116 +136,54 @@
 	return newest
 }
 
+// recordEstablished records the established replicas. It is called under the lease,
+// before the first log is read.
+func (a *replacement) recordEstablished() {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	now := a.s.g.now()
+	for _, db := range a.s.table.All() {
+		if a.s.table.KnownFor(db.ID, now) >= lead.EstablishedAfter {
+			a.established = append(a.established, db.ID)
+		}
+	}
+}
+
 // candidates converts the replicas to candidates for the choice of the successor,
 // and logs them.
-func (a *replacement) candidates(replicas []*controlConn) []succession.Candidate {
+func (a *replacement) candidates() []succession.Candidate {
+	replicas := a.replicas()
 	reachable := a.s.g.peers.centresReachableSince(a.started)
 	out := make([]succession.Candidate, len(replicas))
 	for i, c := range replicas {
-		a.s.mu.Lock()
-		listed := a.s.table.Listed(c.db.ID)
-		a.s.mu.Unlock()
-		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: listed, Leaving: c.db.Leaving, Received: c.report.Received,
-			CutOff: !reachable[c.db.DataCentre]}
-		a.log.Info("Replica queried.", "database", c.db.ID, "answered", c.answered, "listed", listed, "cut_off", out[i].CutOff,
-			"received", c.report.Received.String(), "term", c.report.Term, "acked", a.acked.String())
+		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
+			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID)}
+		a.log.Info("Replica queried.", "database", c.db.ID, "answered", c.answered, "listed", out[i].Listed, "established", out[i].Established,
+			"cut_off", out[i].CutOff, "received", c.report.Received.String(), "term", c.report.Term, "paused", c.report.Paused, "acked", a.acked.String())
 	}
 	return out
 }
 
-// choosePlanned returns the successor of a primary that is leaving but still
-// serves. The other replicas are paused, so that from then on every commit is
-// acknowledged by the successor; the primary serves until the successor takes
-// over.
-func (a *replacement) choosePlanned(ctx context.Context) (succession.Candidate, error) {
-	var staying []*controlConn
-	for _, c := range a.replicas() {
-		if !c.db.Leaving {
-			staying = append(staying, c)
-		}
-	}
-	best, ok := succession.Longest(a.candidates(staying))
+// choosePlanned returns the successor of a primary that is leaving but still serves:
+// the senior replica, once it has received the primary's log, which holds every commit
+// that was acknowledged before the lease was taken. The primary serves until the
+// successor takes over.
+func (a *replacement) choosePlanned(ctx context.Context, primary *controlConn) (succession.Candidate, error) {
+	staying := slices.DeleteFunc(a.candidates(), func(c succession.Candidate) bool { return c.Leaving })
+	best, ok := succession.Senior(staying)
 	if !ok {
 		return best, errNoSuccessor
 	}
-	var next *controlConn
-	var others []*controlConn
-	for _, c := range a.replicas() {
-		if c.db.ID == best.ID {
-			next = c
-			continue
-		}
-		others = append(others, c)
-	}
-	a.query(ctx, others, statement.Statement{Kind: statement.Pause, Term: a.newestTerm() + 1})
-	if a.anyUnanswered(others) {
-		return a.demoteFirst(ctx, best, next)
-	}
-	return best, a.catchUp(ctx, next, a.catchUpTarget(others))
-}
-
-// demoteFirst demotes a leaving primary before the promotion. It is used if a
-// replica that may be running cannot be paused: the primary could acknowledge
-// commits that only that replica has. After the demotion the primary's log no
-// longer grows, and the successor must receive all of it; otherwise the former
-// primary is promoted again.
-func (a *replacement) demoteFirst(ctx context.Context, best succession.Candidate, next *controlConn) (succession.Candidate, error) {
-	var primary *controlConn
-	for _, c := range a.conns {
-		if c.db.ID == a.primary {
-			primary = c
-		}
-	}
-	if primary == nil || !primary.answered {
-		return best, errNoSuccessor
-	}
-	a.query(ctx, []*controlConn{primary}, statement.Statement{Kind: statement.Demote, Term: a.newestTerm() + 1})
-	if !primary.answered {
-		return best, errNoSuccessor
-	}
-	a.log.Info("Primary demoted.", "end", primary.report.Received.String())
-	if err := a.catchUp(ctx, next, primary.report.Received); err != nil {
-		a.log.Warn("Successor lacks commits; the former primary is to be promoted again.", "received", next.report.Received.String())
-		return succession.Candidate{ID: a.primary, Received: primary.report.Received}, nil
-	}
-	return best, nil
-}
-
-// anyUnanswered reports whether a replica that may be running has not answered.
-func (a *replacement) anyUnanswered(replicas []*controlConn) bool {
-	reachable := a.s.g.peers.centresReachableSince(a.started)
-	for _, c := range replicas {
-		a.s.mu.Lock()
-		listed := a.s.table.Listed(c.db.ID)
-		a.s.mu.Unlock()
-		if !c.answered && (listed || !reachable[c.db.DataCentre]) {
-			return true
-		}
-	}
-	return false
-}
-
-// catchUpTarget returns the log position that the successor of a primary that
-// still serves must have received: the newest that the primary or a paused
-// replica reported.
-func (a *replacement) catchUpTarget(others []*controlConn) position.Position {
-	var target position.Position
-	for _, c := range a.conns {
-		if c.db.ID == a.primary {
-			target = position.Max(target, c.report.Received)
-		}
-	}
-	for _, c := range others {
-		target = position.Max(target, c.report.Received)
-	}
-	return target
+	err := a.catchUp(ctx, a.conn(best.ID), primary.report.Received)
+	best.Received = a.conn(best.ID).report.Received
+	return best, err
 }
 
 // catchUp waits until a replica has received the log up to target.
 func (a *replacement) catchUp(ctx context.Context, c *controlConn, target position.Position) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
 	defer cancel()
-	for c.report.Received.Before(target) {
+	for !c.answered || c.report.Received.Before(target) {
 		retry.Wait(ctx, catchUpPoll)
 		if ctx.Err() != nil {
 			return errNotCaughtUp
--- /dev/null
+++ b/gateway/takeover_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Guards against the loss of an acknowledged commit (LOST) by a promotion that another
+// host had ordered before. Its order was lost or accepted late, or a replica that it had
+// stopped was started again by an older order; the commit was acknowledged on a replica
+// that was not the successor.
+var _ = Describe("a commit beside a replacement of its primary", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	onlyCReceives := func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+	}
+	storeLease := func(value string) {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	acknowledged := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
+	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
+
+	// writeUntil writes, in transactions and without, while the periodic work runs, and
+	// returns the ids of the writes that were acknowledged.
+	writeUntil := func(end time.Time) map[string]bool {
+		acked := map[string]bool{}
+		for time.Now().Before(end) {
+			svc.maybeReplacePrimary(time.Now())
+			s := newTestSession(g, "own")
+			w := request(statement.Write)
+			if s.serve(w).Err == nil {
+				acked[w.ID] = true
+			}
+			Expect(s.serve(request(statement.Begin)).Err).To(BeNil())
+			Expect(s.serve(request(statement.Write)).Err).To(BeNil())
+			w = request(statement.Commit)
+			if s.serve(w).Err == nil {
+				acked[w.ID] = true
+			}
+		}
+		return acked
+	}
+
+	// "b", which receives nothing, is promoted after a while.
+	DescribeTable("is in the successor's log if it was acknowledged",
+		func(value string) {
+			onlyCReceives()
+			storeLease(value)
+			end := time.Now().Add(1500 * time.Millisecond)
+			acked := writeUntil(end)
+			dbs.withLock(func() {
+				b := dbs.databases["b"].end
+				Expect(b).To(Equal(position.Position{Term: 1, Index: 10}))
+				Expect(acked).To(BeEmpty(), "acknowledged beyond the end of the successor's log, %s", b)
+			})
+		},
+		Entry("while a host holds the lease, although an older order resumed a replica that it had paused",
+			`{"holder":"host-2","claim":"x","ordered":"b"}`),
+		Entry("while a host that has not ordered a promotion yet holds the lease", `{"holder":"host-2","claim":"x"}`),
+		Entry("while an order that was given under a released lease is carried out, although later ones are answered",
+			`{"holder":"host-2","claim":"x","released":true,"ordered":"b"}`),
+		Entry("while the lease of this host's previous process is not released", `{"holder":"host-1","claim":"x","ordered":"b"}`),
+		Entry("while the lease cannot be decoded", `7`),
+		Entry("when the lease was released in a later term", `{"holder":"host-2","claim":"x","released":true,"term":2}`),
+	)
+
+	It("is not acknowledged on one replica while the store is down, but on all of them", func() {
+		Expect(write()).To(BeNil())
+		p.store.SetDown(true)
+		Expect(write()).To(BeNil())
+		onlyCReceives()
+		Expect(write().Kind).To(Equal(errkind.OutcomeUnknown))
+	})
+
+	It("is acknowledged on all replicas while a host holds the lease", func() {
+		storeLease(`{"holder":"host-2","claim":"x","ordered":"b"}`)
+		Expect(write()).To(BeNil())
+	})
+
+	It("is acknowledged on one replica if the lease is settled", func() {
+		onlyCReceives()
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1}`)
+		Expect(write()).To(BeNil())
+	})
+
+	It("is not acknowledged on all listed replicas without a settled lease, after one vanished without an announcement", func() {
+		storeLease(`{"holder":"host-2","claim":"x","ordered":"b"}`)
+		svc.mu.Lock()
+		svc.table.SetDatabases(slices.DeleteFunc(svc.table.All(), func(db routes.Database) bool { return db.ID == "b" }), time.Now().Add(-5*time.Second))
+		svc.table.Expire(time.Now())
+		svc.mu.Unlock()
+		Expect(write().Kind).To(Equal(errkind.OutcomeUnknown))
+	})
+
+	It("is acknowledged again after a lease without a pending order was left unsettled", func() {
+		onlyCReceives()
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		Expect(write().Kind).To(Equal(errkind.OutcomeUnknown))
+		svc.mu.Lock()
+		svc.promotion.observedLease.at = time.Now().Add(-leaseTerm)
+		svc.mu.Unlock()
+		Eventually(acknowledged).WithTimeout(5 * time.Second).Should(BeTrue())
+		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+	})
+
+	It("is acknowledged again only when an order that was given can take effect no more", func() {
+		onlyCReceives()
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"ordered":"b"}`)
+		var ordered time.Time
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				ordered = time.Now()
+				return dbs.applyOrder(o)
+			}
+		})
+		Eventually(acknowledged).WithTimeout(6 * time.Second).Should(BeTrue())
+		Expect(time.Since(ordered)).To(BeNumerically(">=", succession.PromotionLimit))
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(1))
+			Expect(dbs.orders[0].Database).To(Equal("a"))
+			Expect(dbs.primary).To(Equal("a"))
+		})
+	})
+
+	It("is not acknowledged on one replica while this host replaces the primary", func() {
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				dbs.withLock(func() {
+					for id, db := range dbs.databases {
+						db.notReplicating = id == o.Database
+					}
+				})
+				if err := write(); err == nil || err.Kind != errkind.OutcomeUnknown {
+					return fmt.Errorf("write during the replacement: %v", err)
+				}
+				return dbs.applyOrder(o)
+			}
+		})
+		svc.mu.Lock()
+		svc.startAttempt(svc.newReplacement(succession.Leaving, position.Position{}, time.Now()), (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(func() (id string) {
+			dbs.withLock(func() { id = dbs.primary })
+			return id
+		}).WithTimeout(3 * time.Second).Should(BeElementOf("b", "c"))
+	})
+
+	It("waits for the settling of one attempt before another one of the same host starts", func() {
+		svc.mu.Lock()
+		svc.promotion.running = true
+		svc.mu.Unlock()
+		svc.startSettling()
+		_, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).To(HaveOccurred(), "no attempt has taken the lease")
+	})
+})
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -25,16 +25,12 @@
 	Deallocate             // removes a prepared statement
 	Reset                  // clears the session's values and prepared statements
 	Status                 // requests a database's Report
-	Pause                  // stops a replica from receiving; Term determines from which primaries
-	Resume                 // ends Pause
-	Demote                 // turns a primary whose term is below Term into a replica
 )
 
 // kindNames are the names of the kinds, as used in logs.
 var kindNames = [...]string{
 	Unknown: "unknown", Begin: "begin", BeginRead: "begin read", Commit: "commit", Rollback: "rollback", Read: "read", Write: "write",
 	Set: "set", Prepare: "prepare", Execute: "execute", Deallocate: "deallocate", Reset: "reset", Status: "status",
-	Pause: "pause", Resume: "resume", Demote: "demote",
 }
 
 // String returns the kind's name, as used in logs.
@@ -54,7 +50,6 @@
 	Writes bool              // Prepare: the prepared statement writes
 	Shape  string            // Prepare: definition of the prepared statement; not interpreted by the proxy
 	After  position.Position // Read, Execute, BeginRead: position that the log must have reached; zero for none
-	Term   uint64            // Pause and Demote
 }
 
 // Request is a statement with its caller's request id. Statements issued by the
@@ -88,7 +83,7 @@
 	Primary     bool
 	Term        uint64            // newest term known to the database
 	Received    position.Position // end of its log
-	Paused      uint64            // term of the Pause in force; 0 for none
+	Paused      uint64            // it receives from no primary of a term below this one; 0 for no limit
 	LagMillis   uint64            // milliseconds by which its data lags behind its log
 	Busy        int               // slots in use
 	Connections int
