--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -32,10 +32,10 @@
 	// centres.
 	allCopiesPatience = 30 * time.Millisecond
 	// leaseReadEvery is the least time between two reads of a service's lease.
-	leaseReadEvery = 50 * time.Millisecond
+	leaseReadEvery = 100 * time.Millisecond
 	// formerMayReturn is how long a database that has vanished from the list without
 	// having announced its shutdown may still be promoted by an order given before.
-	formerMayReturn = 30 * time.Second
+	formerMayReturn = 15 * time.Second
 )
 
 // replication is what this host knows of the logs of a service's replicas.
