Log and count the control orders, witnesses and attempts of a takeover

Cause: after a lost acknowledged commit, the logs did not tell whether a PAUSE, RESUME or DEMOTE had been left without an answer (and may have been carried out later), under which fence it was sent, nor on which replica's report a commit was acknowledged.

Change, none of a decision: one line for each control order to a database, with fence, sends without an answer and the report that came back; a bounded line for a commit that is acknowledged on a witness, or not, as its primary was replaced; a line when the lease is released; counters of promotion orders, takeovers and control orders.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -20,6 +21,13 @@
 	report   statement.Report
 	answered bool // the last query was answered
 	former   bool // no longer listed
+	sends    sends
+}
+
+// sends counts how often the last statement was sent to a database without success.
+type sends struct {
+	unanswered int // got no answer; the database may still carry them out, seconds later
+	refused    int
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each
@@ -67,7 +75,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c.answered = false
+	c.answered, c.sends = false, sends{}
+	if st.Kind != statement.Status {
+		started := a.s.g.now()
+		defer func() { a.recordOrder(c, st, a.s.g.now().Sub(started)) }()
+	}
 	var backoff retry.Backoff
 	for {
 		err := a.roundTrip(ctx, c, st)
@@ -89,6 +101,41 @@
 	}
 }
 
+// Outcomes of a control order to one database, with all its retries.
+const (
+	orderAnswered   = "answered"
+	orderUnanswered = "unanswered" // may still be carried out
+	orderRefused    = "refused"    // without effect
+	orderUnsent     = "unsent"     // the database could not be dialled
+)
+
+func (c *controlConn) orderOutcome() string {
+	switch {
+	case c.answered:
+		return orderAnswered
+	case c.sends.unanswered > 0:
+		return orderUnanswered
+	case c.sends.refused > 0:
+		return orderRefused
+	}
+	return orderUnsent
+}
+
+// recordOrder logs and counts an order that changes a database's state. The term,
+// received and paused of the line are those that the database answered.
+func (a *replacement) recordOrder(c *controlConn, st statement.Statement, took time.Duration) {
+	outcome := c.orderOutcome()
+	a.s.g.metrics.controlOrder(st.Kind, outcome)
+	attrs := []any{
+		"order", st.Kind.String(), "order_term", st.Term, "fence", a.leaseObject.Version, "database", c.db.ID, "outcome", outcome,
+		"unanswered_sends", c.sends.unanswered, "refused_sends", c.sends.refused, "took_ms", took.Milliseconds(),
+	}
+	if c.answered {
+		attrs = append(attrs, "is_primary", c.report.Primary, "term", c.report.Term, "received", c.report.Received.String(), "paused", c.report.Paused)
+	}
+	a.log.Info("Control order.", attrs...)
+}
+
 // notRunning reports whether an error shows that the database is not running at
 // its announced address.
 func notRunning(err error) bool {
@@ -108,9 +155,12 @@
 	deadline, _ := ctx.Deadline()
 	answers, err := c.conn.Run(deadline, statement.Request{Statement: st})
 	if err != nil {
+		c.sends.unanswered++
 		return err
 	}
-	c.report, err = c.conn.Report(answers[0])
+	if c.report, err = c.conn.Report(answers[0]); err != nil {
+		c.sends.refused++
+	}
 	return err
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -127,7 +127,9 @@
 	}
 	if err != nil {
 		a.log.Info("Lease was not released; it will expire.", "error", err)
+		return
 	}
+	a.log.Info("Lease released.", "fence", a.leaseObject.Version, "pending_order", ordered)
 }
 
 // readUnconfirmed reads the lease and reports whether it is one that this attempt
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/statement"
 )
 
 // gatewayMetrics are the metrics of one host. No label contains a customer's key.
@@ -49,6 +52,28 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_refused_total{kind=%q}`, k)).Inc()
 }
 
+// promotionOrder counts a call that ordered a promotion, by the outcome of the call.
+func (m *gatewayMetrics) promotionOrder(err error) {
+	outcome := "unanswered" // may still take effect
+	switch {
+	case err == nil:
+		outcome = "accepted"
+	case errors.Is(err, succession.ErrRefused):
+		outcome = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_promotion_orders_total{outcome=%q}`, outcome)).Inc()
+}
+
+// takeover counts an attempt to replace a primary, or to resume paused replicas.
+func (m *gatewayMetrics) takeover(reason succession.Reason, outcome takeoverOutcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_takeovers_total{reason=%q,outcome=%q}`, reason, outcome)).Inc()
+}
+
+// controlOrder counts an order that an attempt sent to one database.
+func (m *gatewayMetrics) controlOrder(kind statement.Kind, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_control_orders_total{order=%q,outcome=%q}`, kind, outcome)).Inc()
+}
+
 // observe records the duration of one served request.
 func (m *gatewayMetrics) observe(op *operation, took time.Duration) {
 	access := "read"
--- a/gateway/paused.go
+++ b/gateway/paused.go
@@ -30,7 +30,7 @@
 	a := s.newReplacement(succession.ReplicasPaused, s.acked, now)
 	go func() {
 		if s.anyPaused(pools) {
-			a.resumePaused()
+			s.g.metrics.takeover(a.reason, a.resumePaused())
 		}
 		s.mu.Lock()
 		s.promotion.checkingPaused = false
@@ -56,27 +56,30 @@
 
 // resumePaused resumes paused replicas while holding the lease, so that replicas
 // paused by an attempt in progress are not resumed.
-func (a *replacement) resumePaused() {
+func (a *replacement) resumePaused() takeoverOutcome {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, attemptLimit)
 	defer cancel()
 	if err := a.acquireLease(ctx); err != nil {
 		a.log.Info("Lease not acquired.", "error", err)
-		return
+		return takeoverNoLease
 	}
 	defer a.closeConns()
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
 	a.log.Info("Replicas are paused and no attempt is in progress.", "fence", a.leaseObject.Version, "pending", a.pending)
-	a.giveUp(ctx)
+	return a.giveUp(ctx, takeoverResumed)
 }
 
 // giveUp ends an attempt without a successor. Replicas may receive from the
-// current primary again only once no earlier order can still take effect.
-func (a *replacement) giveUp(ctx context.Context) {
+// current primary again only once no earlier order can still take effect. It
+// returns the attempt's outcome: the given one, or takeoverPending if the replicas
+// stay paused.
+func (a *replacement) giveUp(ctx context.Context, outcome takeoverOutcome) takeoverOutcome {
 	if err := a.voidPendingOrder(ctx); err != nil {
 		a.log.Warn("Replicas stay paused: a promotion order may still take effect.", "database", a.ordered, "error", err)
 		a.releaseLease(a.ordered)
-		return
+		return takeoverPending
 	}
 	a.resumeAll()
 	a.releaseLease("")
+	return outcome
 }
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -110,7 +110,7 @@
 	state.running = true
 	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
 	go func() {
-		a.run()
+		s.g.metrics.takeover(a.reason, a.run())
 		s.mu.Lock()
 		state.running = false
 		state.nextAttempt = s.g.now().Add(succession.RetryDelay)
@@ -146,34 +146,51 @@
 	conns       []*controlConn
 }
 
+// takeoverOutcome is how an attempt ended.
+type takeoverOutcome string
+
+// Outcomes of attempts.
+const (
+	takeoverPromoted    takeoverOutcome = "promoted"     // the successor is the primary
+	takeoverNotSeen     takeoverOutcome = "not_seen"     // the order was accepted, but the successor was not seen as primary in time
+	takeoverRefused     takeoverOutcome = "refused"      // the order was refused
+	takeoverPending     takeoverOutcome = "pending"      // an order was not answered and may still take effect
+	takeoverNoLease     takeoverOutcome = "no_lease"     // the lease was not acquired, or lost before an order
+	takeoverNotNeeded   takeoverOutcome = "not_needed"   // a database is the primary
+	takeoverNoSuccessor takeoverOutcome = "no_successor" // the record of the databases could not be read, or none could be promoted safely
+	takeoverResumed     takeoverOutcome = "resumed"      // paused replicas were resumed
+)
+
 // run makes the attempt: it acquires the lease, queries the databases, pauses the
 // replicas, chooses the successor, orders its promotion and waits for it.
-func (a *replacement) run() {
+func (a *replacement) run() takeoverOutcome {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, attemptLimit)
 	defer cancel()
 	if err := a.acquireLease(ctx); err != nil {
 		a.log.Info("Lease not acquired.", "error", err)
-		return
+		return takeoverNoLease
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
 	var err error
 	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
-		a.giveUp(ctx)
-		return
+		return a.giveUp(ctx, takeoverNoSuccessor)
 	}
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.log.Warn("No successor was chosen.", "error", err)
-		a.giveUp(ctx)
-		return
+		if errors.Is(err, errHasPrimary) || errors.Is(err, errNewerTerm) {
+			return a.giveUp(ctx, takeoverNotNeeded)
+		}
+		return a.giveUp(ctx, takeoverNoSuccessor)
 	}
 	err = a.order(ctx, successor.ID)
 	switch {
 	case err == nil && !a.awaitPrimary(successor.ID):
 		// The lease is left to expire, since the successor may still become
 		// primary.
+		return takeoverNotSeen
 	case err == nil || !a.pending:
 		a.resumeAll()
 		a.releaseLease("")
@@ -181,6 +198,15 @@
 		a.log.Warn("Replicas stay paused: a promotion order may still take effect.", "database", a.ordered)
 		a.releaseLease(a.ordered)
 	}
+	switch {
+	case err == nil:
+		return takeoverPromoted
+	case a.pending:
+		return takeoverPending
+	case errors.Is(err, succession.ErrRefused):
+		return takeoverRefused
+	}
+	return takeoverNoLease
 }
 
 func errorText(err error) string {
@@ -211,6 +237,7 @@
 		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
+		a.s.g.metrics.promotionOrder(err)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
 		if err == nil || errors.Is(err, succession.ErrRefused) {
 			return err
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
@@ -50,12 +51,12 @@
 		svc = g.service(testService)
 	})
 
-	attempt := func(reason succession.Reason) {
+	attempt := func(reason succession.Reason) takeoverOutcome {
 		svc.mu.Lock()
 		term := svc.table.Term()
 		svc.mu.Unlock()
 		a := &replacement{s: svc, log: g.log, reason: reason, primary: "a", term: max(1, term), started: time.Now()}
-		a.run()
+		return a.run()
 	}
 	primary := func() (id string) {
 		dbs.withLock(func() { id = dbs.primary })
@@ -72,6 +73,46 @@
 		dbs.withLock(func() { Expect(dbs.databases["b"].paused).To(BeFalse()) })
 	})
 
+	It("logs and counts each order with its fence, its answer and the sends that got none", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["b"].lostOrders = 1
+		})
+		attempt(succession.Silent)
+		Expect(p.logs).To(gbytes.Say(`"Control order."[^\n]* order=pause order_term=2 fence=\d+ database=b outcome=answered unanswered_sends=1 refused_sends=0 [^\n]* term=1 received=1/10 paused=2\n`))
+		Expect(p.logs).To(gbytes.Say(`"Control order."[^\n]* order=resume order_term=0 fence=\d+ database=a outcome=unsent`))
+		Expect(g.counter(`bronzeloft_control_orders_total{order="pause",outcome="answered"}`)).To(BeEquivalentTo(2))
+		Expect(g.counter(`bronzeloft_control_orders_total{order="resume",outcome="answered"}`)).To(BeEquivalentTo(2))
+		Expect(g.counter(`bronzeloft_control_orders_total{order="resume",outcome="unsent"}`)).To(BeEquivalentTo(1))
+		Expect(g.counter(`bronzeloft_promotion_orders_total{outcome="accepted"}`)).To(BeEquivalentTo(1))
+	})
+
+	It("logs and counts an order that no send of which was answered as unanswered", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["b"].lostOrders = 1000
+		})
+		attempt(succession.Silent)
+		Expect(p.logs).To(gbytes.Say(`"Control order."[^\n]* order=pause [^\n]* database=b outcome=unanswered unanswered_sends=[1-9]`))
+		Expect(g.counter(`bronzeloft_control_orders_total{order="pause",outcome="unanswered"}`)).To(BeEquivalentTo(1))
+	})
+
+	It("reports the outcome of each attempt", func() {
+		Expect(attempt(succession.Silent)).To(Equal(takeoverNotNeeded))
+		dbs.withLock(func() { dbs.databases["a"].unresponsive, dbs.databases["c"].unresponsive = true, true })
+		Expect(attempt(succession.Silent)).To(Equal(takeoverNoSuccessor))
+		dbs.withLock(func() {
+			dbs.databases["c"].unresponsive = false
+			dbs.promoteHook = func(succession.Order) error { return succession.ErrRefused }
+		})
+		Expect(attempt(succession.Silent)).To(Equal(takeoverRefused))
+		dbs.withLock(func() { dbs.promoteHook = func(succession.Order) error { return errors.New("no answer") } })
+		Expect(attempt(succession.Silent)).To(Equal(takeoverPending))
+		Expect(g.counter(`bronzeloft_promotion_orders_total{outcome="unanswered"}`)).To(BeNumerically(">", 0))
+		dbs.withLock(func() { dbs.promoteHook = nil })
+		Expect(attempt(succession.Silent)).To(Equal(takeoverPromoted))
+	})
+
 	It("promotes no replica while a listed replica does not answer", func() {
 		dbs.withLock(func() { dbs.databases["a"].unresponsive, dbs.databases["c"].unresponsive = true, true })
 		attempt(succession.Silent)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -35,6 +35,7 @@
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
 	witnessed         witnessed
+	witnessLog        witnessLog
 	promotion         promotionState
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -17,6 +17,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
@@ -60,6 +61,7 @@
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
 	unsigned       bool          // answers carry no signature
+	lostOrders     int           // so many Pause and Resume orders are carried out, but their answers are lost
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -151,7 +153,12 @@
 		return statement.Answer{}, errStandinTimeout
 	}
 	l.db.received = append(l.db.received, r.Kind)
-	return l.execute(r)
+	a, err := l.execute(r)
+	if (r.Kind == statement.Pause || r.Kind == statement.Resume) && l.db.lostOrders > 0 {
+		l.db.lostOrders--
+		return statement.Answer{}, errStandinTimeout
+	}
+	return a, err
 }
 
 // wait blocks a read while the test holds reads on the database.
@@ -343,6 +350,7 @@
 
 // fakePlatform is a platform with one group and a stand-in for the store.
 type fakePlatform struct {
+	logs  *gbytes.Buffer // of the gateways
 	group *group
 	store *platformserver.Server
 	api   objectapi.Objects
@@ -353,7 +361,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(store.Close)
 	api := objectapi.NewClient(objectapi.ClientConfig{BaseURL: store.URL(), CallsPerSecond: 1e4, Burst: 1e4, WatchWait: 200 * time.Millisecond})
-	return &fakePlatform{group: g, store: store, api: api}
+	return &fakePlatform{logs: gbytes.NewBuffer(), group: g, store: store, api: api}
 }
 
 func (p *fakePlatform) Objects() objectapi.Objects { return p.api }
@@ -396,7 +404,7 @@
 func newTestGateway(p *fakePlatform) *Gateway {
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Platform: p, Logger: slog.New(slog.NewTextHandler(p.logs, nil)), Now: time.Now,
 	})
 	var err error
 	g.peers, err = listenPeers(g)
@@ -424,6 +432,11 @@
 	return g
 }
 
+// counter returns the value of a counter of the gateway's metrics.
+func (g *Gateway) counter(name string) uint64 {
+	return g.metrics.set.GetOrCreateCounter(name).Get()
+}
+
 // updateRoute changes a route of the test configuration.
 func (g *Gateway) updateRoute(name string, change func(*routes.Route)) {
 	config := *g.config.Load().Configuration
--- a/gateway/witness.go
+++ b/gateway/witness.go
@@ -32,10 +32,72 @@
 type witnessed struct {
 	end      position.Position // that a witness has received
 	by       string            // the witness that reported it
+	report   statement.Report  // in which it did
+	reported time.Time         // when
 	term     uint64            // the newest term that any database reported
 	querying bool              // a round of queries is running
 }
 
+// Maximum log lines per second about the commits of one service.
+const (
+	acknowledgedPerSecond   = 5  // on the same witness, in the same term, as before
+	witnessChangesPerSecond = 10 // on another witness or in another term
+	withheldPerSecond       = 10
+)
+
+// witnessLog bounds the log lines about a service's commits. service.mu guards it.
+type witnessLog struct {
+	windowStart  time.Time
+	acknowledged int // lines since windowStart
+	changes      int
+	withheld     int
+	suppressed   int    // lines left out since the last line
+	by           string // the witness and term of the last commit
+	term         uint64
+}
+
+// allow counts a line against its rate and reports whether it may be written.
+func (l *witnessLog) allow(lines *int, limit int, now time.Time) bool {
+	if now.Sub(l.windowStart) >= time.Second {
+		l.windowStart, l.acknowledged, l.changes, l.withheld = now, 0, 0, 0
+	}
+	*lines++
+	if *lines > limit {
+		l.suppressed++
+		return false
+	}
+	return true
+}
+
+// acknowledgedLine returns the log attributes of a commit that is acknowledged, or
+// nil if it is not logged. mu is held.
+func (s *service) acknowledgedLine(c commit, now time.Time) []any {
+	l, w := &s.witnessLog, &s.witnessed
+	changed := l.by != w.by || l.term != c.at.Term
+	l.by, l.term = w.by, c.at.Term
+	if changed && !l.allow(&l.changes, witnessChangesPerSecond, now) || !changed && !l.allow(&l.acknowledged, acknowledgedPerSecond, now) {
+		return nil
+	}
+	return append(s.commitAttrs(c), "witness", w.by, "witness_changed", changed, "term", w.report.Term, "received", w.report.Received.String(),
+		"paused", w.report.Paused, "report_age_ms", now.Sub(w.reported).Milliseconds())
+}
+
+// withheldLine returns the log attributes of a commit that is not acknowledged
+// because its primary was replaced, or nil if it is not logged. mu is held.
+func (s *service) withheldLine(c commit, now time.Time) []any {
+	if !s.witnessLog.allow(&s.witnessLog.withheld, withheldPerSecond, now) {
+		return nil
+	}
+	return append(s.commitAttrs(c), "reported_term", s.witnessed.term, "proven_term", s.provenTerm, "proven_primary", s.provenPrimary)
+}
+
+// commitAttrs returns the log attributes that identify a commit. mu is held.
+func (s *service) commitAttrs(c commit) []any {
+	suppressed := s.witnessLog.suppressed
+	s.witnessLog.suppressed = 0
+	return []any{"part", "service", "service", s.name, "commit", c.at.String(), "primary", c.primary, "suppressed", suppressed}
+}
+
 // commit is a commit that its primary has confirmed.
 type commit struct {
 	primary string // id
@@ -49,18 +111,30 @@
 func (s *service) acknowledge(ctx context.Context, c commit) error {
 	needsWitness := s.g.config.Load().Services[s.name].SyncReplicas != 0
 	replaced := false
+	var line []any
 	err := s.waitUntil(ctx, func() bool {
 		replaced = needsWitness && max(s.witnessed.term, s.provenTerm) > c.at.Term
 		switch {
 		case replaced:
+			line = s.withheldLine(c, s.g.now())
 		case needsWitness && s.witnessed.end.Before(c.at):
 			s.queryWitnesses(c)
 			return false
 		default:
 			s.acked = position.Max(s.acked, c.at)
+			if needsWitness {
+				line = s.acknowledgedLine(c, s.g.now())
+			}
 		}
 		return true
 	})
+	if line != nil {
+		message := "Commit acknowledged."
+		if replaced {
+			message = "Commit not acknowledged: the primary was replaced."
+		}
+		s.g.log.Info(message, line...)
+	}
 	switch {
 	case err != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "no known replica has confirmed commit "+c.at.String())
@@ -145,6 +219,7 @@
 	}
 	if s.witnessed.end.Before(report.Received) {
 		s.witnessed.end, s.witnessed.by = report.Received, p.db.ID
+		s.witnessed.report, s.witnessed.reported = report, s.g.now()
 	}
 	return true
 }
--- a/gateway/witness_test.go
+++ b/gateway/witness_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/lead"
@@ -18,12 +20,14 @@
 var _ = Describe("a commit", func() {
 	var (
 		dbs *group
+		p   *fakePlatform
 		g   *Gateway
 	)
 
 	BeforeEach(func() {
 		dbs = newGroup("a", "b", "c")
-		g = newTestGateway(newFakePlatform(dbs))
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
 	})
 
 	// onlyNewReplicaReceives adds a replica, which is not listed yet, as the only one that
@@ -54,6 +58,17 @@
 		Expect(inTransaction().Err).To(BeNil())
 	})
 
+	It("is logged with the witness on which it is acknowledged, and at most so often a second", func() {
+		s := newTestSession(g, "own")
+		Expect(s.serve(request(statement.Write)).Err).To(BeNil())
+		Expect(p.logs).To(gbytes.Say(`"Commit acknowledged."[^\n]* commit=1/11 primary=a suppressed=0 witness=[bc] witness_changed=true term=1 received=1/11 paused=0 `))
+		for range 100 {
+			Expect(s.serve(request(statement.Write)).Err).To(BeNil())
+		}
+		lines := strings.Count(string(p.logs.Contents()), "Commit acknowledged.")
+		Expect(lines).To(BeNumerically("<", 60))
+	})
+
 	It("is not acknowledged when only a replica that is not listed has received it", func() {
 		onlyNewReplicaReceives()
 		Expect(newTestSession(g, "own").serve(request(statement.Write)).Err.Kind).To(Equal(errkind.OutcomeUnknown))
@@ -107,5 +122,6 @@
 		var a statement.Answer
 		Eventually(w).WithTimeout(200 * time.Millisecond).Should(Receive(&a))
 		Expect(a.Err.Kind).To(Equal(errkind.OutcomeUnknown))
+		Expect(p.logs).To(gbytes.Say(`"Commit not acknowledged: the primary was replaced."[^\n]* commit=1/11 primary=a suppressed=0 reported_term=1 proven_term=2 proven_primary=b`))
 	})
 })
