Keep a database's last report when it refuses a query

Cause: roundTrip replaced the last report by an empty one when a database was too busy to answer a query, so that the newest term and the end of its log were forgotten.

Change: only a report that was decoded replaces the last one.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -110,7 +110,10 @@
 	if err != nil {
 		return err
 	}
-	c.report, err = c.conn.Report(answers[0])
+	report, err := c.conn.Report(answers[0])
+	if err == nil {
+		c.report = report
+	}
 	return err
 }
 
