Let the watches of hosts end at different times

Cause: while the store drops its history, watches may hear nothing and are not ended.

Change: each watch is held open for a random time between half of site.watch_wait and all of it; the platform's adapter is given the time.

The spec fails with a fixed time: all six watches end together.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/gateway"
 	"github.com/bronzeloft/bronzeloft/host"
@@ -71,7 +72,7 @@
 		Platform: platform.New(platform.StoreConfig{
 			BaseURL:   cfg.Platform.URL,
 			Timeout:   cfg.Platform.Timeout,
-			WatchWait: cfg.Site.WatchWait,
+			WatchWait: func() time.Duration { return gateway.WatchWait(cfg.Site.WatchWait) },
 		}, cfg.Site.PromotionURL, cfg.Platform.Timeout),
 		Logger: logger,
 		Now:    boottime.Now,
--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -45,7 +45,7 @@
 	g := gateway.New(gateway.Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
 		Peers: "127.0.0.1:0", Access: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
-		Platform: platform.New(platform.StoreConfig{BaseURL: store.URL(), Timeout: time.Second, WatchWait: 500 * time.Millisecond}, dbs.URL(), time.Second),
+		Platform: platform.New(platform.StoreConfig{BaseURL: store.URL(), Timeout: time.Second, WatchWait: func() time.Duration { return 500 * time.Millisecond }}, dbs.URL(), time.Second),
 	})
 	Expect(g.Start()).To(Succeed())
 	DeferCleanup(g.Close)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -21,6 +21,14 @@
 	storeMaxBackoff = 1500 * time.Millisecond
 )
 
+// WatchWait returns how long the store is to hold the next watch open, a random time
+// between half of limit and limit. A watch may stop hearing of changes without an error,
+// on all hosts at once; they learn of the changes from the host whose watch ends first,
+// which takes as long as the whole watch if all were started together.
+func WatchWait(limit time.Duration) time.Duration {
+	return limit - rand.N(limit/2+1)
+}
+
 // watcher follows the objects of one kind in the store.
 type watcher struct {
 	g      *Gateway
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -51,6 +51,36 @@
 	return nil, version, nil
 }
 
+// Guards against a configuration that comes into force seconds late (CONFIG): the store
+// had dropped its history, the watches of all hosts, which had started together, heard
+// nothing of it, and ended together.
+var _ = Describe("the time of a watch", func() {
+	It("differs from watch to watch, so that those of several hosts do not end together", func() {
+		limit := 5 * time.Second
+		residual := func(at time.Duration) time.Duration { // of a host's watch, after it has watched for a while
+			for {
+				wait := WatchWait(limit)
+				Expect(wait).To(And(BeNumerically(">=", limit/2), BeNumerically("<=", limit)))
+				if at < wait {
+					return wait - at
+				}
+				at -= wait
+			}
+		}
+		late := 0
+		for range 1000 {
+			first := limit
+			for range 6 { // two hosts in each of three data centres
+				first = min(first, residual(time.Minute))
+			}
+			if first > limit/2 {
+				late++
+			}
+		}
+		Expect(late).To(BeNumerically("<", 10))
+	})
+})
+
 var _ = Describe("watching the store", func() {
 	var (
 		g     *Gateway
