Leave the settling of a lease to the host that released it

Cause: after any host whose commit waited for the lease settled it, also while the primary was to be replaced.

Change: nothing is settled while there is a reason to replace the primary, which settles the lease anyway. The host that has left an order pending settles the lease; another one only once the lease has not changed for leaseTerm.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -229,7 +229,9 @@
 	if l.Settled(term) {
 		return true
 	}
-	s.startSettling()
+	s.mu.Lock()
+	s.startSettling(s.g.now())
+	s.mu.Unlock()
 	return false
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -87,13 +87,14 @@
 
 // canAcquireLease reports whether a lease is free: released, held by this host,
 // or unchanged for leaseTerm by this host's clock. A lease that cannot be decoded
-// counts as held by another host.
+// counts as held by another host, and so does one that only is to be settled: the host
+// that released it settles it first, so that two hosts do not order in turns.
 func (a *replacement) canAcquireLease(old objectapi.Object) bool {
 	var held succession.Lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
 		a.log.Warn("Cannot decode the lease.", "error", err)
 	}
-	if held.Released || held.Holder == a.s.g.opt.Name {
+	if held.Holder == a.s.g.opt.Name || held.Released && a.reason != succession.Unsettled {
 		return true
 	}
 	now := a.s.g.now()
@@ -120,6 +121,7 @@
 		a.log.Info("Lease was not released; it will expire.", "error", err)
 		return
 	}
+	a.settled = ordered == ""
 	a.log.Info("Lease released.", "fence", a.leaseObject.Version, "pending_order", ordered)
 }
 
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -53,6 +53,7 @@
 	reason             succession.Reason
 	since              time.Time // time of the last change of reason
 	running            bool      // an attempt is running
+	unsettled          bool      // this host's last attempt has left an order pending
 	nextAttempt        time.Time // earliest next attempt
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
@@ -73,6 +74,9 @@
 	}
 	reason := succession.ReasonToReplace(s.primaryView(now), known && primary.Leaving, others)
 	state := &s.promotion
+	if state.unsettled && reason == succession.None {
+		s.startSettling(now)
+	}
 	if primary.ID != state.lastPrimary {
 		state.lastPrimary, state.nextStalledAttempt = primary.ID, now.Add(succession.StalledHoldOff)
 	}
@@ -113,7 +117,7 @@
 	go func() {
 		run(a)
 		s.mu.Lock()
-		s.promotion.running = false
+		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
 		s.mu.Unlock()
 	}()
@@ -146,6 +150,7 @@
 	established []string          // replicas that every host may be expected to know, before the first log was read
 	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
 	pending     bool              // an unanswered order may still take effect
+	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
 	conns       []*controlConn
 }
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -11,12 +11,11 @@
 
 // startSettling starts an attempt that ends what a host has left unfinished that was
 // to replace the primary: while its lease is not settled, commits that a replica
-// lacks cannot be acknowledged. It does nothing while an attempt of this host runs.
-func (s *service) startSettling() {
-	now := s.g.now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.promotion.running || s.g.leaving.Load() || now.Before(s.promotion.nextAttempt) {
+// lacks cannot be acknowledged. It does nothing while an attempt of this host runs, or
+// while the primary should be replaced: the attempt that replaces it settles the lease.
+// mu is held.
+func (s *service) startSettling(now time.Time) {
+	if s.promotion.running || s.promotion.reason != succession.None || s.g.leaving.Load() || now.Before(s.promotion.nextAttempt) {
 		return
 	}
 	s.startAttempt(s.newReplacement(succession.Unsettled, s.acked, now), (*replacement).settle)
