--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -148,10 +148,10 @@
 }
 
 // RemovedSince reports whether a database was removed after since that has not been
-// listed again and had not announced its shutdown.
+// listed again.
 func (t *Table) RemovedSince(since time.Time) bool {
 	for _, db := range t.former {
-		if _, relisted := t.members[db.ID]; !relisted && !db.Leaving && db.removedAt.After(since) {
+		if _, relisted := t.members[db.ID]; !relisted && db.removedAt.After(since) {
 			return true
 		}
 	}
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -136,13 +136,13 @@
 const EstablishedAfter = 2 * time.Second
 
 // Established returns the replicas that every host may be expected to know, in the
-// order of their ids: those that answer and have been listed for EstablishedAfter. A
-// replica that is not listed, or has just started, may be unknown to the host that
-// chooses a successor.
+// order of their ids: those that answer, are not leaving and have been listed for
+// EstablishedAfter. A replica that is not listed, or has just started, may be unknown to
+// the host that chooses a successor; one that is leaving takes its log with it.
 func (t *Table) Established(now time.Time) []string {
 	var out []string
 	for id, m := range t.members {
-		if id != t.leader && m.missingSince.IsZero() && t.KnownFor(id, now) >= EstablishedAfter && !t.Unreachable(id, now) {
+		if id != t.leader && !m.Leaving && m.missingSince.IsZero() && t.KnownFor(id, now) >= EstablishedAfter && !t.Unreachable(id, now) {
 			out = append(out, id)
 		}
 	}
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -132,6 +132,17 @@
 	return best, true
 }
 
+// Outgrown reports whether a candidate that answered holds more entries than best. Of
+// two logs of different terms neither may hold the other.
+func Outgrown(best Candidate, all []Candidate) bool {
+	for _, c := range all {
+		if c.Answered && c.Received.Index > best.Received.Index {
+			return true
+		}
+	}
+	return false
+}
+
 // lacks reports whether a candidate's log ends before a position that was reached in
 // the same or an earlier term. The log of a replica that has joined a newer term, and
 // does not hold all of the earlier ones yet, is shorter.
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -91,6 +91,15 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	It("knows a candidate with fewer entries than another one, although it has joined a newer term", func() {
+		joined := succession.Candidate{ID: "a", Answered: true, Received: position.Position{Term: 2}}
+		holder := succession.Candidate{ID: "c", Answered: true, Received: pos(1)}
+		Expect(succession.Outgrown(joined, []succession.Candidate{joined, holder})).To(BeTrue())
+		Expect(succession.Outgrown(holder, []succession.Candidate{joined, holder})).To(BeFalse())
+		holder.Answered = false
+		Expect(succession.Outgrown(joined, []succession.Candidate{joined, holder})).To(BeFalse())
+	})
+
 	// Guards against the loss of a commit that was acknowledged because all replicas that
 	// a host knew held it.
 	It("chooses none that hosts may not know while there is another one", func() {
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -23,18 +23,18 @@
 
 // Timing of acknowledgements.
 const (
-	// copyPause is the time between two queries of a replica that lacks a commit.
-	copyPause = 5 * time.Millisecond
-	// silentCopyPause is the time until a replica that did not answer is queried again.
-	silentCopyPause = 100 * time.Millisecond
+	// copyPause is the time between the first two queries of a replica that lacks a
+	// commit; it doubles up to maxCopyPause. Each query occupies a slot.
+	copyPause    = 5 * time.Millisecond
+	maxCopyPause = 100 * time.Millisecond
 	// allCopiesPatience is how long a commit waits for all replicas before the lease is
 	// read, which costs a call of the store. It is several times the delay between data
 	// centres.
 	allCopiesPatience = 30 * time.Millisecond
 	// leaseReadEvery is the least time between two reads of a service's lease.
 	leaseReadEvery = 100 * time.Millisecond
-	// formerMayReturn is how long a database that has vanished from the list without
-	// having announced its shutdown may still be promoted by an order given before.
+	// formerMayReturn is how long a database that has vanished from the list may still be
+	// promoted by an order given before.
 	formerMayReturn = 15 * time.Second
 )
 
@@ -53,6 +53,13 @@
 type replicaCopy struct {
 	succession.Copy
 	querying bool
+	pause    time.Duration // after the last query that showed that it lacks a commit
+}
+
+// forget discards what rests on a database's log, which may be gone. service.mu is held.
+func (r *replication) forget(id string) {
+	delete(r.copies, id)
+	r.settled = position.Position{}
 }
 
 // commit is a commit that its primary has confirmed.
@@ -162,15 +169,16 @@
 	}
 	lacking := !held.Holds(c.at)
 	held.querying = lacking
+	held.pause = min(max(2*held.pause, copyPause), maxCopyPause)
+	if !lacking {
+		held.pause = 0
+	}
+	pause := held.pause
 	s.notifyChange()
 	s.mu.Unlock()
 	if !lacking {
 		return
 	}
-	pause := copyPause
-	if !ok {
-		pause = silentCopyPause
-	}
 	retry.Wait(s.g.ctx, pause)
 	s.mu.Lock()
 	held.querying = false
@@ -225,13 +233,18 @@
 	var l succession.Lease
 	if err := json.Unmarshal(object.Value, &l); err != nil {
 		s.g.log.Warn("Cannot decode the lease.", "part", "promotion", "service", s.name, "error", err)
+		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Settled(term) {
 		return true
 	}
 	s.mu.Lock()
-	s.startSettling(s.g.now())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if l.Settled(l.Term) {
+		s.replication.term = max(s.replication.term, l.Term) // the primary has been replaced
+	} else {
+		s.startSettling(s.g.now())
+	}
 	return false
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -93,6 +93,7 @@
 	var held succession.Lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
 		a.log.Warn("Cannot decode the lease.", "error", err)
+		held = succession.Lease{} // decoding may have set some of the fields
 	}
 	if held.Holder == a.s.g.opt.Name || held.Released && a.reason != succession.Unsettled {
 		return true
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -179,7 +179,7 @@
 		a.giveUp(ctx)
 		return
 	}
-	a.floor = position.Max(a.floor, successor.Received)
+	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
 	switch {
 	case err == nil:
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -195,6 +195,40 @@
 		Expect(primary()).To(BeElementOf("b", "c"))
 	})
 
+	// Guards against a leaving primary that serves beyond its drain time (DRAIN).
+	It("promotes another replica in place of a leaving primary if the senior one lags, and voids no earlier order when none has its log", func() {
+		dbs.withLock(func() {
+			for _, id := range []string{"a", "c"} {
+				dbs.databases[id].end = position.Position{Term: 1, Index: 12}
+			}
+		})
+		g.setDatabases(map[string]routes.Database{})
+		var present []routes.Database
+		for i, id := range []string{"a", "b", "c"} {
+			present = append(present, routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, StartMillis: int64(1 + i)})
+		}
+		svc.mu.Lock()
+		svc.table = lead.New()
+		svc.table.SetDatabases(present, time.Now())
+		svc.mu.Unlock()
+		attempt(succession.Leaving)
+		Expect(primary()).To(Equal("c"))
+
+		By("having an order pending that none of the replicas may follow")
+		dbs.withLock(func() { dbs.databases["c"].end = position.Position{Term: 2, Index: 20} })
+		value, err := json.Marshal(succession.Lease{Holder: "host-1", Claim: "x", Released: true, Ordered: "b", Term: 2})
+		Expect(err).NotTo(HaveOccurred())
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.api.Update(context.Background(), kindLeases, testService, held.Version, value)
+		Expect(err).NotTo(HaveOccurred())
+		orders := len(dbs.orders)
+		a := &replacement{s: svc, log: g.log, reason: succession.Leaving, primary: "c", term: 2, started: time.Now()}
+		a.run()
+		Expect(dbs.orders).To(HaveLen(orders))
+		Expect(storedLease().Ordered).To(Equal("b"))
+	})
+
 	It("replaces a leaving primary although a replica is cut off, without stopping any database", func() {
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
 		attempt(succession.Leaving)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -78,7 +78,7 @@
 	restarted := s.table.SetDatabases(list, now)
 	var closing []*pool
 	for _, id := range restarted {
-		delete(s.replication.copies, id)
+		s.replication.forget(id)
 		if p := s.pools[id]; p != nil {
 			closing = append(closing, p)
 			delete(s.pools, id)
@@ -108,7 +108,7 @@
 		if _, ok := s.table.Get(id); !ok {
 			out = append(out, p)
 			delete(s.pools, id)
-			delete(s.replication.copies, id)
+			s.replication.forget(id)
 		}
 	}
 	return out
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -36,13 +36,17 @@
 }
 
 // giveUp ends an attempt without a successor. The lease is settled only once no
-// earlier order can still take effect.
+// earlier order can still take effect. While the primary is leaving, earlier orders are
+// not voided, since one of them may replace it.
 func (a *replacement) giveUp(ctx context.Context) {
-	if !a.pending {
+	switch {
+	case !a.pending:
 		a.releaseLease("")
-		return
+	case a.reason == succession.Leaving:
+		a.releaseLease(a.ordered)
+	default:
+		a.voidPendingOrder(ctx)
 	}
-	a.voidPendingOrder(ctx)
 }
 
 // voidPendingOrder orders the promotion of the current primary, so that no earlier
@@ -79,7 +83,7 @@
 	for ctx.Err() == nil {
 		isPrimary := a.sampleSuccessor(id)
 		passed := a.s.g.now().Sub(accepted)
-		if passed >= settledAfter && isPrimary || passed >= succession.PromotionLimit {
+		if passed >= succession.PromotionLimit || passed >= settledAfter && isPrimary && a.leads(ctx, id) {
 			break
 		}
 		retry.Wait(ctx, catchUpPoll)
@@ -106,6 +110,17 @@
 	return ok && primary.ID == id
 }
 
+// leads queries a database and reports whether it is the primary of a term that has
+// begun since the attempt was started. What this host knew before may be outdated.
+func (a *replacement) leads(ctx context.Context, id string) bool {
+	c := a.conn(id)
+	if c == nil {
+		return false
+	}
+	a.query(ctx, []*controlConn{c}, statement.Statement{Kind: statement.Status})
+	return c.answered && c.report.Primary && c.report.Term > a.term
+}
+
 // newestPrimary returns the database that reports that it is the primary, if it
 // reports the newest term of all.
 func (a *replacement) newestPrimary() *controlConn {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -31,8 +32,10 @@
 		return succession.Candidate{}, err
 	}
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
-	best, ok := succession.Choose(a.candidates(), position.Max(a.acked, acked), a.floor, a.primaryGone())
-	if !ok {
+	candidates := a.candidates()
+	a.logCandidates(candidates)
+	best, ok := succession.Choose(candidates, position.Max(a.acked, acked), a.floor, a.primaryGone())
+	if !ok || succession.Outgrown(best, candidates) {
 		return best, errNoSuccessor
 	}
 	return best, nil
@@ -52,12 +55,12 @@
 	defer cancel()
 	err := a.catchUp(ctx, a.conn(senior.ID), longest.Received)
 	if err != nil {
-		a.log.Info("The senior replica lacks what another one has.", "database", senior.ID, "longest", longest.ID)
+		a.log.Info("The senior replica lacks what another one has.", "database", senior.ID, "longest", longest.ID, "error", err)
 	}
-	if !longest.Established {
-		return err
+	if longest.Established && errors.Is(err, errNotCaughtUp) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // conn returns the attempt's connection to a database, or nil.
@@ -96,6 +99,9 @@
 // that is leaving or stalled is expected to report that it is the primary.
 func (a *replacement) checkView() error {
 	if a.leaseTerm > a.term {
+		a.s.mu.Lock()
+		a.s.table.RecordTerm(a.leaseTerm) // for the next attempt
+		a.s.mu.Unlock()
 		return errNewerTerm
 	}
 	expected := a.reason == succession.Leaving || a.reason == succession.Stalled
@@ -149,8 +155,7 @@
 	}
 }
 
-// candidates converts the replicas to candidates for the choice of the successor,
-// and logs them.
+// candidates converts the replicas to candidates for the choice of the successor.
 func (a *replacement) candidates() []succession.Candidate {
 	replicas := a.replicas()
 	reachable := a.s.g.peers.centresReachableSince(a.started)
@@ -158,25 +163,50 @@
 	for i, c := range replicas {
 		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
 			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID)}
-		a.log.Info("Replica queried.", "database", c.db.ID, "answered", c.answered, "listed", out[i].Listed, "established", out[i].Established,
-			"cut_off", out[i].CutOff, "received", c.report.Received.String(), "term", c.report.Term, "paused", c.report.Paused, "acked", a.acked.String())
 	}
 	return out
 }
 
+func (a *replacement) logCandidates(candidates []succession.Candidate) {
+	for _, c := range candidates {
+		report := a.conn(c.ID).report
+		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "cut_off", c.CutOff,
+			"received", c.Received.String(), "term", report.Term, "paused", report.Paused, "acked", a.acked.String())
+	}
+}
+
 // choosePlanned returns the successor of a primary that is leaving but still serves:
-// the senior replica, once it has received the primary's log, which holds every commit
-// that was acknowledged before the lease was taken. The primary serves until the
-// successor takes over.
+// an established replica that has received the primary's log, which holds every commit
+// that was acknowledged before the lease was taken. It waits for the senior one for
+// seniorLimit, and then for any. The primary serves until the successor takes over.
 func (a *replacement) choosePlanned(ctx context.Context, primary *controlConn) (succession.Candidate, error) {
-	staying := slices.DeleteFunc(a.candidates(), func(c succession.Candidate) bool { return c.Leaving })
-	best, ok := succession.Senior(staying)
-	if !ok {
-		return best, errNoSuccessor
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	started := a.s.g.now()
+	target := primary.report.Received
+	candidates := a.candidates()
+	a.logCandidates(candidates)
+	for {
+		staying := slices.DeleteFunc(candidates, func(c succession.Candidate) bool { return c.Leaving })
+		senior, ok := succession.Senior(staying)
+		if !ok {
+			return succession.Candidate{}, errNoSuccessor
+		}
+		best, ok := succession.Senior(slices.DeleteFunc(staying, func(c succession.Candidate) bool { return c.Received.Before(target) }))
+		if ok && (best.ID == senior.ID || a.s.g.now().Sub(started) >= seniorLimit) {
+			return best, nil
+		}
+		retry.Wait(ctx, catchUpPoll)
+		if ctx.Err() != nil {
+			return succession.Candidate{}, errNotCaughtUp
+		}
+		answering := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return !c.answered })
+		a.query(ctx, answering, statement.Statement{Kind: statement.Status})
+		if err := a.checkView(); err != nil {
+			return succession.Candidate{}, err
+		}
+		candidates = a.candidates()
 	}
-	err := a.catchUp(ctx, a.conn(best.ID), primary.report.Received)
-	best.Received = a.conn(best.ID).report.Received
-	return best, err
 }
 
 // catchUp waits until a replica has received the log up to target.
@@ -189,6 +219,9 @@
 			return errNotCaughtUp
 		}
 		a.query(ctx, []*controlConn{c}, statement.Statement{Kind: statement.Status})
+		if err := a.checkView(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
