--- /dev/null
+++ b/gateway/takeover_evidence_test.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// listingPlatform decodes the store's entries of databases.
+type listingPlatform struct{ *fakePlatform }
+
+func (listingPlatform) DecodeDatabase(_ string, value []byte) (db routes.Database, err error) {
+	err = json.Unmarshal(value, &db)
+	return db, err
+}
+
+// leaseCounter counts the reads and the writes of leases.
+type leaseCounter struct {
+	objectapi.Objects
+	reads, writes atomic.Int64
+}
+
+func (s *leaseCounter) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
+	if kind == kindLeases {
+		s.reads.Add(1)
+	}
+	return s.Objects.Get(ctx, kind, name)
+}
+
+func (s *leaseCounter) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	if kind == kindLeases {
+		s.writes.Add(1)
+	}
+	return s.Objects.Update(ctx, kind, name, version, value)
+}
+
+var _ = Describe("the evidence of a commit and the choice of a successor", func() {
+	var (
+		dbs   *group
+		p     *fakePlatform
+		store *leaseCounter
+		g     *Gateway
+		svc   *service
+	)
+
+	entry := func(id string) routes.Database {
+		return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
+	}
+	list := func(entries ...routes.Database) {
+		databases := map[string]routes.Database{}
+		for _, db := range entries {
+			databases[db.ID] = db
+		}
+		g.setDatabases(databases)
+	}
+	leaving := func(db routes.Database) routes.Database { db.Leaving = true; return db }
+	announced := func(db routes.Database) routes.Database { db.Primary = true; return db }
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		store = &leaseCounter{Objects: p.api}
+		p.api = store
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	storeLease := func(value string) {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	storedLease := func() (l succession.Lease) {
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		_ = json.Unmarshal(held.Value, &l)
+		return l
+	}
+	attempt := func(reason succession.Reason) {
+		svc.mu.Lock()
+		a := svc.newReplacement(reason, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.primary = "a"
+		a.run()
+	}
+	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
+	primary := func() (id string) {
+		dbs.withLock(func() { id = dbs.primary })
+		return id
+	}
+	orders := func() (n int) {
+		dbs.withLock(func() { n = len(dbs.orders) })
+		return n
+	}
+
+	// Other hosts have known "d" for long enough to rely on its copy alone.
+	It("promotes no replica while the store lists one with a longer log that this host has not heard of", func() {
+		listing := listingPlatform{p}
+		g.platform = listing
+		for _, id := range []string{"a", "b", "c", "d"} {
+			value, err := json.Marshal(entry(id))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = p.api.Create(context.Background(), p.DatabasesKind(), id, value)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 12}}
+		})
+		attempt(succession.Silent)
+		Expect(storedLease().Holder).To(Equal("host-1"))
+		GinkgoWriter.Println("lease", storedLease(), "orders", orders())
+		Expect(primary()).NotTo(BeElementOf("b", "c"))
+	})
+
+	It("does not settle the lease while its order is under way because the successor is announced as the primary", func() {
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				// The entry of a former primary returns as it was.
+				list(entry("a"), entry("c"))
+				list(entry("a"), announced(entry(o.Database)), entry("c"))
+				time.AfterFunc(time.Second, func() { _ = dbs.applyOrder(o) })
+				return nil
+			}
+		})
+		attempt(succession.Leaving)
+		if l := storedLease(); primary() == "a" {
+			Expect(l.Settled(1)).To(BeFalse(), "%+v", l)
+		}
+	})
+
+	It("does not acknowledge a commit on one replica if the order that the lease records cannot be decoded", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"ordered":7,"term":1}`)
+		Expect(write()).NotTo(BeNil())
+	})
+
+	// A leaving database may be cut off from the store, so that its entry lapses, and be
+	// promoted by an order that was given before.
+	It("does not acknowledge a commit on all listed replicas without a settled lease after a leaving one vanished", func() {
+		storeLease(`{"holder":"host-2","claim":"x","ordered":"b"}`)
+		list(entry("a"), leaving(entry("b")), entry("c"))
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		svc.mu.Lock()
+		svc.table.SetDatabases([]routes.Database{entry("a"), entry("c")}, time.Now().Add(-5*time.Second))
+		svc.table.Expire(time.Now())
+		svc.mu.Unlock()
+		err := write()
+		Expect(err).NotTo(BeNil())
+	})
+
+	It("does not acknowledge a commit that only a leaving replica holds", func() {
+		list(entry("a"), entry("b"), leaving(entry("c")))
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		Expect(write()).NotTo(BeNil())
+	})
+
+	It("replaces a leaving primary by a replica that has its log although a more senior one receives nothing", func() {
+		senior, junior := entry("b"), entry("c")
+		senior.StartMillis, junior.StartMillis = 1, 2
+		fresh := newService(g, testService)
+		fresh.setDatabases([]routes.Database{entry("a"), senior, junior}, 4)
+		svc = fresh
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 12}, time.Now())
+		dbs.withLock(func() {
+			dbs.databases["a"].end = position.Position{Term: 1, Index: 12}
+			dbs.databases["c"].end = position.Position{Term: 1, Index: 12}
+		})
+		for range 3 {
+			attempt(succession.Leaving)
+		}
+		Expect(primary()).To(Equal("c"))
+	})
+
+	It("replaces a primary after it has read in the lease of a newer term than any database reports", func() {
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2}`)
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		for range 4 {
+			attempt(succession.Silent)
+		}
+		Expect(orders()).To(Equal(1))
+	})
+
+	It("does not take a released lease of a newer term to settle it", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2}`)
+		Expect(write()).NotTo(BeNil())
+		Expect(store.writes.Load()).To(BeZero())
+	})
+
+	It("replaces a silent primary after a successor shorter than the floor was chosen, once its replica holds its log", func() {
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
+		dbs.withLock(func() { delete(dbs.databases, "a") })
+		svc = newService(g, testService)
+		svc.setDatabases([]routes.Database{entry("b"), entry("c")}, 4)
+		svc.table.RecordTerm(1)
+		attempt(succession.Absent)
+		Expect(orders()).To(Equal(1), "the primary has ended")
+		first := primary()
+		Expect(first).To(BeElementOf("b", "c"))
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				db.end = position.Position{Term: 2, Index: 12}
+			}
+			dbs.databases[first].unresponsive = true
+		})
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.primary = first
+		a.run()
+		Expect(orders()).To(Equal(2))
+		Expect(primary()).NotTo(Equal(first))
+	})
+
+	It("queries a replica that lacks a commit, and reads the lease, at a bounded rate", func() {
+		dbs.withLock(func() {
+			dbs.databases["b"].notReplicating = true
+			dbs.databases["b"].received = nil
+		})
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		Expect(write()).NotTo(BeNil()) // waits for the route's timeout, 0.8 s
+		queries := 0
+		dbs.withLock(func() {
+			for _, kind := range dbs.databases["b"].received {
+				if kind == statement.Status {
+					queries++
+				}
+			}
+		})
+		GinkgoWriter.Println("queries", queries, "lease reads", store.reads.Load())
+		Expect(queries).To(BeNumerically("<=", 40))
+		Expect(store.reads.Load()).To(BeNumerically("<=", 8))
+	})
+})
