--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -224,6 +225,73 @@
 		Expect(primary()).NotTo(Equal(first))
 	})
 
+	// The primary may have confirmed commits up to the end of a replica's log whose answers
+	// reach this host only after that replica has restarted without its log.
+	It("does not acknowledge a commit because of a settled lease after the replica that held it has restarted", func() {
+		dbs.withLock(func() {
+			dbs.databases["b"].notReplicating = true
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}} // not listed
+		})
+		Expect(write()).To(BeNil())
+		svc.mu.Lock()
+		svc.replication.settled.Index += 10 // the end of the log of "c"
+		svc.mu.Unlock()
+		restarted := entry("c")
+		restarted.StartMillis = 5
+		dbs.withLock(func() {
+			dbs.databases["c"].notReplicating = true
+			dbs.databases["c"].end = position.Position{}
+		})
+		list(entry("a"), entry("b"), restarted)
+		Expect(write()).NotTo(BeNil())
+	})
+
+	It("does not rely, on a host that has just started, on a replica that has just started too", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		fresh := newService(g, testService)
+		young := entry("c")
+		young.StartMillis = time.Now().UnixMilli()
+		fresh.setDatabases([]routes.Database{entry("a"), entry("b"), young}, 4)
+		g.mu.Lock()
+		g.services[testService] = fresh
+		g.mu.Unlock()
+		fresh.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(write()).NotTo(BeNil())
+	})
+
+	// Commits that wait for a lease to be settled share the host's calls of the store
+	// with the attempts that settle it.
+	It("leaves calls of the store to attempts while commits wait for a lease that another host holds", func() {
+		limited := &leaseCounter{Objects: objectapi.NewClient(objectapi.ClientConfig{BaseURL: p.store.URL(), CallsPerSecond: 20, Burst: 20})}
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		p.api = limited
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		services := []*service{svc}
+		for range 3 {
+			other := newService(g, testService)
+			other.setDatabases([]routes.Database{entry("a"), entry("b"), entry("c")}, 4)
+			other.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+			services = append(services, other)
+		}
+		var at position.Position
+		_ = write()
+		dbs.withLock(func() { at = dbs.databases["c"].end })
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		for _, s := range services {
+			go func() { _ = s.acknowledge(ctx, commit{primary: "a", at: at}) }()
+		}
+		refused := 0
+		for ctx.Err() == nil {
+			if _, err := limited.Objects.Get(ctx, "bronzeloft-other", "x"); errors.Is(err, objectapi.ErrBudget) {
+				refused++
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		GinkgoWriter.Println("refused", refused, "lease reads", limited.reads.Load())
+		Expect(refused).To(BeZero())
+	})
+
 	It("queries a replica that lacks a commit, and reads the lease, at a bounded rate", func() {
 		dbs.withLock(func() {
 			dbs.databases["b"].notReplicating = true
