--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -19,6 +19,7 @@
 // databases each, and the platform.
 type site struct {
 	rec    *record
+	layout layout
 	store  *store
 	group  *group // of the first service
 	groups []*group
@@ -31,6 +32,17 @@
 	config map[string]any
 }
 
+// layout is what a site consists of.
+type layout struct {
+	services   []string
+	zones      []string // the data centres
+	databases  []string // data centre of each database of a service
+	hosts      []string // data centre of each host
+	timeoutMs  int      // of the routes that read the primary
+	lineByLine bool     // each line of the databases' answers is sent in a segment of its own
+	faults     *faults  // nil for none
+}
+
 // hostProcess is one process of the project's daemon.
 type hostProcess struct {
 	name, zone     string
@@ -57,15 +69,23 @@
 // Tenants of the site and their keys.
 var tenants = map[string]string{"shop": "key-of-shop-1", "yard": "key-of-yard-1", "partner": "key-of-partner-1"}
 
-var zones = []string{"zone-a", "zone-b"}
+// smallLayout is the site of the cases without faults of their own.
+func smallLayout() layout {
+	return layout{
+		services:  services,
+		zones:     []string{"zone-a", "zone-b"},
+		databases: []string{"zone-a", "zone-b", "zone-b"},
+		hosts:     []string{"zone-a", "zone-a", "zone-b", "zone-b"},
+		timeoutMs: 1000,
+	}
+}
 
-// newSite starts a site. With lineByLine, each line of the databases' answers is sent in
-// a segment of its own.
-func newSite(rec *record, daemon string, lineByLine bool) (*site, error) {
-	s := &site{rec: rec, daemon: daemon, ended: make(chan struct{})}
+// newSite starts a site.
+func newSite(rec *record, daemon string, l layout) (*site, error) {
+	s := &site{rec: rec, layout: l, daemon: daemon, ended: make(chan struct{})}
 	var err error
-	for _, name := range services {
-		g, err := newGroup(rec, name, lineByLine, []string{"zone-a", "zone-b", "zone-b"})
+	for _, name := range l.services {
+		g, err := newGroup(rec, name, l)
 		if err != nil {
 			return nil, err
 		}
@@ -78,7 +98,7 @@
 	if s.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
-	s.config = firstConfig()
+	s.config = firstConfig(l)
 	if _, err := s.store.put("config", "main", s.config); err != nil {
 		return nil, err
 	}
@@ -90,8 +110,8 @@
 			}
 		}
 	}
-	for i := range 4 {
-		if err := s.startHost(fmt.Sprintf("edge-%d", i+1), zones[i/2]); err != nil {
+	for i, zone := range l.hosts {
+		if err := s.startHost(fmt.Sprintf("edge-%d", i+1), zone); err != nil {
 			s.stop()
 			return nil, err
 		}
@@ -122,11 +142,12 @@
 	return r
 }
 
-func firstConfig() map[string]any {
+func firstConfig(l layout) map[string]any {
+	services := l.services
 	routes := []map[string]any{
-		route(services[0], routePrimary, "primary", 1000, 200, 1, 0),
-		route(services[0], routeOwn, "read_your_writes", 1000, 400, 2, 2500),
-		route(services[0], routeExtra, "primary", 1000, 200, 1, 0),
+		route(services[0], routePrimary, "primary", l.timeoutMs, 200, 1, 0),
+		route(services[0], routeOwn, "read_your_writes", l.timeoutMs, 400, 2, 2500),
+		route(services[0], routeExtra, "primary", l.timeoutMs, 200, 1, 0),
 	}
 	var list, holders []map[string]any
 	for i, name := range services {
@@ -180,7 +201,7 @@
 ready = "%s"
 peers = "%s"
 access = "%s"
-data_centres = ["zone-a","zone-b"]
+data_centres = [%s]
 promotion_url = "http://%s"
 memory_mb = 206
 cpu_share = 0.272
@@ -236,7 +257,12 @@
 		addresses[i] = a
 	}
 	file := filepath.Join(s.folder, name+".toml")
-	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], s.store.address, s.store.address)
+	platform, err := s.entrance(name)
+	if err != nil {
+		return nil, err
+	}
+	quoted := `"` + strings.Join(s.layout.zones, `","`) + `"`
+	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], quoted, platform, platform)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -260,6 +286,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	s.layout.faults.started(h.name, cmd.Process.Pid)
 	exited := make(chan struct{})
 	go func() {
 		_ = cmd.Wait() // the exit status is in the log
