--- a/review/standin/faults.go
+++ b/review/standin/faults.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -41,8 +42,9 @@
 	seed uint64
 
 	mu         sync.Mutex
-	onTakeover func(host string) // called when a host acts on a takeover
-	cuts       map[path]int      // by the number of cuts in force
+	onTakeover func(host string)     // called when a host acts on a takeover
+	onOrder    func(database string) // called when a promotion is ordered
+	cuts       map[path]int          // by the number of cuts in force
 	changed    chan struct{}
 	choices    *rand.Rand
 	on         bool // orders and calls are disrupted
@@ -128,6 +130,17 @@
 	}
 }
 
+// ordered is called with the body of a promotion call.
+func (f *faults) ordered(body string) {
+	var call struct{ ID string }
+	f.mu.Lock()
+	do := f.onOrder
+	f.mu.Unlock()
+	if do != nil && json.Unmarshal([]byte(body), &call) == nil {
+		do(call.ID)
+	}
+}
+
 // later carries out what a host ordered after a time. wait waits for it.
 func (f *faults) later(after time.Duration, do func()) {
 	f.pending.Add(1)
@@ -241,6 +254,9 @@
 	if isOrder || isLease {
 		e.faults.takeover(e.host)
 	}
+	if isOrder {
+		e.faults.ordered(text)
+	}
 	what := ""
 	switch {
 	case isOrder:
--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -25,6 +25,7 @@
 	troubledAtMost  = 2               // hosts that are stopped or killed at once
 	takeoverHitting = 0.15            // share of a takeover's steps at which its host is hit
 	hitWithin       = 1200 * time.Millisecond
+	starving        = 0.6 // share of the ordered promotions whose database receives nothing more
 	leastPromotions = 1   // a play with fewer shows nothing
 	leastAcked      = 200 // nor one with fewer acknowledged commits
 )
@@ -141,7 +142,7 @@
 	t := &takeover{s: s, f: f, hits: rand.New(rand.NewPCG(f.seed, streamHits)), troubled: map[string]bool{},
 		acked: map[string]time.Time{}, ackedBy: map[string]string{}, reads: map[string]span{}}
 	f.mu.Lock()
-	f.onTakeover = t.hit
+	f.onTakeover, f.onOrder = t.hit, t.starve
 	f.mu.Unlock()
 	stop := make(chan struct{})
 	var background, writers sync.WaitGroup
@@ -396,6 +397,30 @@
 	}
 }
 
+// starve cuts a database off from the others, at times, when its promotion is ordered:
+// what the primary commits until the promotion takes effect reaches other replicas only.
+func (t *takeover) starve(id string) {
+	t.mu.Lock()
+	hit := t.hitting && t.hits.Float64() < starving
+	length := time.Second + time.Duration(t.hits.Int64N(int64(4*time.Second)))
+	t.mu.Unlock()
+	if !hit {
+		return
+	}
+	var paths []path
+	for _, d := range t.databases() {
+		if d.id != id {
+			paths = append(paths, pathOf(id, d.id))
+		}
+	}
+	t.busy.Go(func() {
+		t.s.rec.notef("%s, ordered to be promoted, receives nothing for %d ms", id, length.Milliseconds())
+		t.f.cut(paths)
+		time.Sleep(length)
+		t.f.heal(paths)
+	})
+}
+
 // claim reserves a host for one fault. It reports false if it is in one, or too many
 // others are.
 func (t *takeover) claim(host string) bool {
