--- /dev/null
+++ b/internal/takeovermodel/state.go
@@ -0,0 +1,259 @@
+// Package takeovermodel is a model of how a service's primary is replaced and how
+// commits are acknowledged meanwhile, small enough to explore every order of events
+// within given bounds. The decisions are the ones of package succession. Time does not
+// pass: whatever may be slow, late or lost is a step of its own that may be taken at
+// any time or never. So a host that stands still, a network that is cut and an order
+// that is carried out late need no state. The one duration that the protocol relies on,
+// succession.PromotionLimit, is modelled as the end of the orders that had been accepted
+// when the wait for it began.
+package takeovermodel
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Sizes of the arrays in State.
+const (
+	maxDatabases = 4
+	maxLog       = 6
+	maxTakers    = 3
+	maxCalls     = 4
+	maxWrites    = 4
+)
+
+// State is one state of the model. It is comparable, so that visited states can be
+// recognised. Numbers of databases and takers are counted from 1; 0 means none.
+type State struct {
+	Databases [maxDatabases]Database
+	Term      uint8 // of the primary
+	Primary   uint8
+	Led       [8]uint8 // the primary of each term
+	Commits   uint8    // written so far
+	Acked     [maxLog]uint8
+
+	Lease    Lease
+	Writes   [maxWrites]Write // of the lease, on their way
+	Calls    [maxCalls]Call   // promotion orders on their way or under way
+	MaxFence uint8
+	Resumes  uint8 // mask of databases to which a RESUME is on its way
+
+	Takers   [maxTakers]Taker
+	Attempts uint8 // started so far
+	Acker    Acker
+
+	Faults     uint8 // databases that have crashed or restarted so far
+	Unanswered uint8 // calls whose answer was lost so far
+}
+
+// Database is a database. Its log is the terms of its entries.
+type Database struct {
+	Term   uint8 // that it has joined
+	Length uint8
+	Log    [maxLog]uint8
+	Paused bool
+	Dead   bool
+	Hidden bool // the acknowledging host does not know it
+}
+
+// Lease is the lease object.
+type Lease struct {
+	Version  uint8
+	Released bool
+	Ordered  uint8
+	Term     uint8
+	Holder   uint8
+	Writer   uint8 // the taker that wrote this version, 0 if it has given up waiting for the answer
+}
+
+// Write is a write of the lease that is carried out if the lease still has the version.
+type Write struct {
+	Sent  bool
+	By    uint8
+	Lease Lease // Version is the expected one
+}
+
+// Call is a promotion order.
+type Call struct {
+	Database uint8
+	Fence    uint8
+	Accepted bool
+	Sender   uint8 // the taker that waits for the answer
+	Awaited  uint8 // mask of takers that wait for the order's end
+}
+
+// Step of a taker's attempt.
+const (
+	idle uint8 = iota
+	readingLease
+	acquiring
+	reading
+	recording
+	recordingSent
+	calling
+	called
+	accepted
+	waiting
+	waited
+	resuming
+	releasing
+)
+
+// Taker is a host that replaces the primary, or one attempt of such a host.
+type Taker struct {
+	Step      uint8
+	Primary   uint8 // to be replaced
+	Term      uint8 // the newest one known
+	Version   uint8 // of the lease as last read or written
+	LeaseTerm uint8
+	Ordered   uint8 // of the lease as read
+	Older     bool  // an order other than the last one may be under way
+	Chosen    uint8
+	Void      bool // Chosen is the present primary
+	Settled   bool // the lease is to be released without Ordered
+	LogsRead  bool // logs were read before the lease was taken
+	Reports   [maxDatabases]Report
+}
+
+// Report is a database's report to a taker.
+type Report struct {
+	Read    bool
+	Skipped bool
+	Primary bool
+	Term    uint8
+	At      [2]uint8 // term and index of the log's end
+}
+
+// Acker is the host that acknowledges commits, with the commit that it has under way.
+type Acker struct {
+	Commit  [2]uint8 // term and index; zero if there is none
+	Holds   uint8    // mask of the databases that reported that they hold it
+	Settled bool     // the lease was read and found settled
+}
+
+// at returns a position.
+func at(p [2]uint8) position.Position {
+	return position.Position{Term: uint64(p[0]), Index: uint64(p[1])}
+}
+
+// Rules are the rules of the protocol. The zero value of each field is the protocol's
+// rule.
+type Rules struct {
+	// Pauses selects the former protocol: replicas are paused before their logs are
+	// read and resumed afterwards, and a commit is acknowledged once one replica that
+	// is not paused holds it.
+	Pauses bool
+
+	Settled             func(l succession.Lease, term uint64) bool
+	Holds               func(c succession.Copy, commit position.Position) bool
+	OneCopyWithoutLease bool // one copy is enough
+	LeaseBeforeReport   bool // the lease may be read before a replica's report
+	LogsBeforeLease     bool // the logs may be read before the lease is taken
+	ReleaseEarly        bool // the lease is released as settled before the orders have ended
+	ReleaseOnSight      bool // the lease is released once the successor is primary, whatever else was ordered
+	StaleTerm           bool // a release names the newest term known before the wait
+	ForgetTerm          bool // a lease does not keep the term of the one before
+	ForgetOrder         bool // a lease does not keep the order of the one before
+	IgnoreLeaseTerm     bool // a taker does not compare the lease's term with its view
+}
+
+// Bounds are the sizes of a model and the faults that happen in it.
+type Bounds struct {
+	Databases, Takers, Commits, Attempts, Calls int
+
+	SameName   bool // all takers are attempts of one host
+	Expiry     bool // a lease that another host holds may be taken
+	Stops      bool // hosts may end in the middle of an attempt, and start again
+	LateCalls  int  // promotion orders whose answer may be lost
+	LateResume bool // a RESUME may be carried out late
+	LateJoin   bool // a replica may join the term of a new primary late
+	Crashes    int  // replicas that end for good
+	Restarts   int  // replicas that restart under their id with an empty log
+	Newcomer   bool // the acknowledging host does not know the last database yet
+	// Heard means that the taker has heard of all acknowledged commits.
+	Heard bool
+	// CurrentTerm means that a database reports the end of its log with the term that
+	// it has joined, not with that of the last entry.
+	CurrentTerm bool
+}
+
+// Model is a protocol within bounds.
+type Model struct {
+	Rules
+	Bounds
+}
+
+// Initial returns the first state: one primary of term 1 with empty logs, and a lease
+// that has been released.
+func (m Model) Initial() State {
+	s := State{Term: 1, Primary: 1, Lease: Lease{Version: 1, Released: true, Term: 1}, MaxFence: 1}
+	s.Led[1] = 1
+	for i := range m.Databases {
+		s.Databases[i].Term = 1
+	}
+	if m.Newcomer {
+		s.Databases[m.Databases-1].Hidden = true
+	}
+	return s
+}
+
+// end returns the end of the database's log, as it reports it.
+func (m Model) end(d Database) [2]uint8 {
+	switch {
+	case m.CurrentTerm && d.Term != 0:
+		return [2]uint8{d.Term, d.Length}
+	case d.Length == 0:
+		return [2]uint8{}
+	}
+	return [2]uint8{d.Log[d.Length-1], d.Length}
+}
+
+// has reports whether a database's log contains a commit.
+func (d Database) has(commit [2]uint8) bool {
+	return d.Length >= commit[1] && d.Log[commit[1]-1] == commit[0]
+}
+
+// Lost returns an acknowledged commit that the primary's log lacks.
+func (s *State) Lost() (commit [2]uint8, lost bool) {
+	for i, term := range s.Acked {
+		c := [2]uint8{term, uint8(i + 1)}
+		if term != 0 && !s.Databases[s.Primary-1].has(c) {
+			return c, true
+		}
+	}
+	return commit, false
+}
+
+// String describes the databases, the lease and the commit under way.
+func (s State) String() string {
+	var b strings.Builder
+	for i, d := range s.Databases {
+		if d.Term == 0 && d.Length == 0 && !d.Dead {
+			continue
+		}
+		fmt.Fprintf(&b, "%s:t%d%v", name(uint8(i+1)), d.Term, d.Log[:d.Length])
+		if int(s.Primary) == i+1 {
+			b.WriteByte('*')
+		}
+		if d.Paused {
+			b.WriteByte('p')
+		}
+		if d.Dead {
+			b.WriteByte('x')
+		}
+		b.WriteByte(' ')
+	}
+	fmt.Fprintf(&b, "lease v%d t%d released=%t ordered=%s", s.Lease.Version, s.Lease.Term, s.Lease.Released, name(s.Lease.Ordered))
+	return b.String()
+}
+
+// name returns the name of a database.
+func name(d uint8) string {
+	if d == 0 {
+		return "-"
+	}
+	return string(rune('a' + d - 1))
+}
--- /dev/null
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -0,0 +1,66 @@
+package takeovermodel_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/internal/takeovermodel"
+)
+
+func TestTakeoverModel(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "internal/takeovermodel")
+}
+
+// stateLimit bounds one exploration.
+const stateLimit = 3_000_000
+
+var _ = Describe("the protocol with pauses", func() {
+	pauses := takeovermodel.Rules{Pauses: true}
+	small := takeovermodel.Bounds{Databases: 3, Takers: 2, Commits: 1, Attempts: 2, Calls: 2}
+
+	DescribeTable("loses an acknowledged commit when",
+		func(bounds takeovermodel.Bounds) {
+			r := takeovermodel.Model{Rules: pauses, Bounds: bounds}.Explore(stateLimit)
+			GinkgoWriter.Printf("%d states\n%s", r.States, r)
+			Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
+		},
+		Entry("a RESUME is carried out late", with(small, func(b *takeovermodel.Bounds) { b.LateResume = true })),
+		Entry("an order is made void while it is under way", with(small, func(b *takeovermodel.Bounds) { b.LateCalls = 1 })),
+		Entry("a host that has stood still resumes replicas without the lease", with(small, func(b *takeovermodel.Bounds) { b.Expiry = true })),
+		Entry("two attempts of one host are under way", with(small, func(b *takeovermodel.Bounds) { b.SameName = true })),
+	)
+
+	It("loses none without these faults", func() {
+		r := takeovermodel.Model{Rules: pauses, Bounds: small}.Explore(stateLimit)
+		GinkgoWriter.Printf("%d states, complete: %t\n%s", r.States, r.Complete, r)
+		Expect(r.Lost()).To(BeFalse(), r.String())
+		Expect(r.Complete).To(BeTrue())
+	})
+})
+
+var _ = Describe("the protocol with evidence", func() {
+	everything := takeovermodel.Bounds{Databases: 3, Takers: 2, Commits: 2, Attempts: 2, Calls: 2, Expiry: true, Stops: true, LateCalls: 1, LateJoin: true}
+
+	DescribeTable("loses no acknowledged commit",
+		func(bounds takeovermodel.Bounds) {
+			r := takeovermodel.Model{Bounds: bounds}.Explore(stateLimit)
+			GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
+			Expect(r.Lost()).To(BeFalse(), r.String())
+		},
+		Entry("1 commit", with(everything, func(b *takeovermodel.Bounds) { b.Commits = 1 })),
+		Entry("2 commits", everything),
+		Entry("current", with(everything, func(b *takeovermodel.Bounds) { b.CurrentTerm = true })),
+		Entry("crash", with(everything, func(b *takeovermodel.Bounds) { b.Crashes = 1 })),
+		Entry("crash, heard", with(everything, func(b *takeovermodel.Bounds) { b.Crashes = 1; b.Heard = true })),
+		Entry("restart, heard", with(everything, func(b *takeovermodel.Bounds) { b.Restarts = 1; b.Heard = true })),
+		Entry("newcomer", with(everything, func(b *takeovermodel.Bounds) { b.Newcomer = true; b.Databases = 4; b.Takers = 1; b.Attempts = 1 })),
+	)
+})
+
+func with(b takeovermodel.Bounds, change func(*takeovermodel.Bounds)) takeovermodel.Bounds {
+	change(&b)
+	return b
+}
