--- /dev/null
+++ b/internal/takeovermodel/mutation_test.go
@@ -0,0 +1,51 @@
+package takeovermodel_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/internal/takeovermodel"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Each rule is needed: without it, the model loses a commit.
+var _ = Describe("the protocol with evidence, one rule left out,", func() {
+	base := takeovermodel.Bounds{Databases: 3, Takers: 1, Commits: 1, Attempts: 1, Calls: 1, Expiry: true, LateJoin: true}
+
+	DescribeTable("loses an acknowledged commit",
+		func(rules takeovermodel.Rules, bounds takeovermodel.Bounds) {
+			r := takeovermodel.Model{Rules: rules, Bounds: bounds}.Explore(stateLimit)
+			GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
+			Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
+			whole := takeovermodel.Model{Bounds: bounds}.Explore(stateLimit)
+			GinkgoWriter.Printf("with the rule: %d states, complete: %t\n", whole.States, whole.Complete)
+			Expect(whole.Lost()).To(BeFalse(), whole.String())
+		},
+		Entry("if a lease is settled while it is held", takeovermodel.Rules{Settled: func(l succession.Lease, term uint64) bool {
+			l.Released = true
+			return l.Settled(term)
+		}}, base),
+		Entry("if a lease is settled while an order is pending", takeovermodel.Rules{Settled: func(l succession.Lease, term uint64) bool {
+			l.Ordered = ""
+			return l.Settled(term)
+		}}, with(base, func(b *takeovermodel.Bounds) { b.LateCalls = 1 })),
+		Entry("if a lease of a newer term is settled", takeovermodel.Rules{Settled: func(l succession.Lease, term uint64) bool {
+			l.Term = 0
+			return l.Settled(term)
+		}}, base),
+		Entry("if one copy is enough without the lease", takeovermodel.Rules{OneCopyWithoutLease: true}, base),
+		Entry("if the lease is read before the report", takeovermodel.Rules{LeaseBeforeReport: true}, base),
+		Entry("if the logs are read before the lease is taken", takeovermodel.Rules{LogsBeforeLease: true}, base),
+		Entry("if the lease is released before orders have ended", takeovermodel.Rules{ReleaseEarly: true}, base),
+		Entry("if a copy of another term counts", takeovermodel.Rules{Holds: func(c succession.Copy, commit position.Position) bool {
+			c.Term = commit.Term
+			return c.Holds(commit)
+		}}, with(base, func(b *takeovermodel.Bounds) { b.Attempts, b.Calls, b.CurrentTerm = 2, 2, true })),
+		Entry("if the lease is released on sight of the successor though other orders are under way", takeovermodel.Rules{ReleaseOnSight: true}, with(base, func(b *takeovermodel.Bounds) { b.Attempts, b.Calls, b.LateCalls = 2, 3, 1 })),
+		Entry("if the lease is released with the term known before the wait", takeovermodel.Rules{StaleTerm: true}, base),
+		Entry("if a lease does not keep the term of the one before", takeovermodel.Rules{ForgetTerm: true}, with(base, func(b *takeovermodel.Bounds) { b.Takers, b.Attempts = 2, 2 })),
+		Entry("if a lease does not keep the order of the one before", takeovermodel.Rules{ForgetOrder: true}, with(base, func(b *takeovermodel.Bounds) { b.Attempts, b.LateCalls = 2, 1 })),
+		Entry("if a taker does not compare the lease's term with its view", takeovermodel.Rules{IgnoreLeaseTerm: true}, with(base, func(b *takeovermodel.Bounds) { b.Takers, b.Attempts, b.Calls, b.Crashes, b.Commits = 2, 2, 2, 1, 1 })),
+	)
+})
