--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -66,7 +66,8 @@
 	Ordered  uint8
 	Term     uint8
 	Holder   uint8
-	Writer   uint8 // the taker that wrote this version, 0 if it has given up waiting for the answer
+	Floor    [2]uint8 // the end of the log of the last successor when it was chosen
+	Writer   uint8    // the taker that wrote this version, 0 if it has given up waiting for the answer
 }
 
 // Write is a write of the lease that is carried out if the lease still has the version.
@@ -112,8 +113,10 @@
 	Ordered   uint8 // of the lease as read
 	Older     bool  // an order other than the last one may be under way
 	Chosen    uint8
-	Void      bool // Chosen is the present primary
-	Settled   bool // the lease is to be released without Ordered
+	Void      bool  // Chosen is the present primary
+	Settled   bool  // the lease is to be released without Ordered
+	Known     uint8 // mask of the replicas that were established when the lease was taken
+	Floor     [2]uint8
 	LogsRead  bool // logs were read before the lease was taken
 	Reports   [maxDatabases]Report
 }
@@ -157,7 +160,8 @@
 	StaleTerm           bool // a release names the newest term known before the wait
 	ForgetTerm          bool // a lease does not keep the term of the one before
 	ForgetOrder         bool // a lease does not keep the order of the one before
-	OnlyEstablished     bool // only established replicas may be chosen
+	OnlyEstablished     bool // only replicas that were established when the lease was taken may be chosen
+	Floor               bool // a lease keeps the end of the last successor's log, which the next one must reach
 	IgnoreLeaseTerm     bool // a taker does not compare the lease's term with its view
 }
 
