--- /dev/null
+++ b/internal/takeovermodel/step.go
@@ -0,0 +1,369 @@
+package takeovermodel
+
+import (
+	"fmt"
+
+	"github.com/bronzeloft/bronzeloft/database/succession"
+)
+
+// explorer collects the successors of a state.
+type explorer struct {
+	m     Model
+	s     State
+	visit func(Action, State)
+}
+
+// Next calls visit for each step that may follow a state, with the state after it.
+func (m Model) Next(s State, visit func(Action, State)) {
+	e := explorer{m: m, s: s, visit: visit}
+	e.databases()
+	e.acker()
+	e.messages()
+	for t := uint8(1); int(t) <= m.Takers; t++ {
+		e.taker(t)
+	}
+}
+
+func (e *explorer) add(kind Kind, who, what uint8, next State) {
+	next.tidy()
+	e.visit(Action{kind, who, what}, next)
+}
+
+// tidy brings messages into a fixed order, so that states that differ only in it are
+// the same.
+func (s *State) tidy() {
+	for i := 1; i < maxCalls; i++ {
+		for j := i; j > 0 && s.Calls[j-1].Fence < s.Calls[j].Fence; j-- {
+			s.Calls[j-1], s.Calls[j] = s.Calls[j], s.Calls[j-1]
+		}
+	}
+	// A write whose version has passed has no effect.
+	for i, w := range s.Writes {
+		if w.Sent && w.Lease.Version != s.Lease.Version {
+			s.Writes[i] = Write{}
+		}
+	}
+	for i := 1; i < maxWrites; i++ {
+		for j := i; j > 0 && rank(s.Writes[j-1]) < rank(s.Writes[j]); j-- {
+			s.Writes[j-1], s.Writes[j] = s.Writes[j], s.Writes[j-1]
+		}
+	}
+	// An unaccepted call with an outdated fence has no effect, except for the answer.
+	for i, c := range s.Calls {
+		if c.Fence != 0 && !c.Accepted && c.Fence < s.MaxFence && c.Sender == 0 {
+			copy(s.Calls[i:], s.Calls[i+1:])
+			s.Calls[maxCalls-1] = Call{}
+			s.tidy()
+			return
+		}
+	}
+}
+
+func rank(w Write) int {
+	if !w.Sent {
+		return 0
+	}
+	r := 1<<20 | int(w.By)<<16 | int(w.Lease.Ordered)<<8 | int(w.Lease.Term)<<2
+	if w.Lease.Released {
+		r |= 1
+	}
+	return r
+}
+
+// databases adds the steps of clients, databases and the network.
+func (e *explorer) databases() {
+	s, m := &e.s, e.m
+	p := s.Databases[s.Primary-1]
+	if !p.Dead && int(s.Commits) < m.Commits && p.Length < maxLog {
+		n := *s
+		n.Commits++
+		d := &n.Databases[s.Primary-1]
+		d.Log[d.Length] = s.Term
+		d.Length++
+		e.add(Commit, 0, s.Primary, n)
+	}
+	for i := range m.Databases {
+		id, d := uint8(i+1), s.Databases[i]
+		if d.Dead {
+			continue
+		}
+		if int(s.Faults) < m.Crashes && (m.LoseLastCopy || s.spare(i)) {
+			n := *s
+			n.Faults++
+			n.Databases[i].Dead = true
+			e.add(Crash, 0, id, n)
+		}
+		if id == s.Primary {
+			continue
+		}
+		// A replica receives from the primary of its term as long as that database
+		// has not joined another one, also what is on its way from a former primary.
+		if lead := s.Led[d.Term]; d.Term != 0 && lead != 0 && !d.Paused {
+			src := s.Databases[lead-1]
+			if src.Term == d.Term && src.Length > d.Length && (!src.Dead || d.Term == s.Term) {
+				n := *s
+				n.Databases[i].Log[d.Length] = src.Log[d.Length]
+				n.Databases[i].Length++
+				e.add(Receive, 0, id, n)
+			}
+		}
+		if d.Term != s.Term {
+			n := *s
+			n.Databases[i] = joined(d, p, s.Term)
+			e.add(Join, 0, id, n)
+		}
+		if int(s.Faults) < m.Restarts && (m.LoseLastCopy || s.spare(i)) && (m.RestartChosen || !s.chosen(id)) && (m.RestartUnread || !s.reading()) {
+			n := *s
+			n.Faults++
+			n.Databases[i] = Database{Seen: d.Seen}
+			e.add(Restart, 0, id, n)
+		}
+		for _, level := range [...]uint8{knownToAcker, knownToTakers, establishedByAcker, establishedByTakers} {
+			if d.Seen&level == 0 && d.Seen&m.before(level) == m.before(level) {
+				n := *s
+				n.Databases[i].Seen |= level
+				e.add(Discover, level, id, n)
+			}
+		}
+	}
+}
+
+// before returns how well hosts must know a database before they reach a level. A
+// replica is established only after every host has learnt of it.
+func (m Model) before(level uint8) uint8 {
+	switch {
+	case level == establishedByAcker && m.OldTakerList:
+		return knownToAcker
+	case level == establishedByTakers && m.OldList:
+		return knownToTakers
+	case level >= establishedByAcker:
+		return knownToAcker | knownToTakers
+	}
+	return 0
+}
+
+// spare reports whether a database may end without that a commit, acknowledged or
+// reported to the acknowledging host, is left on no replica.
+func (s *State) spare(i int) bool {
+	commits := [][2]uint8{s.Acker.Commit}
+	for j, term := range s.Acked {
+		commits = append(commits, [2]uint8{term, uint8(j + 1)})
+	}
+	for _, c := range commits {
+		if c[0] == 0 || !s.Databases[i].has(c) {
+			continue
+		}
+		others := false
+		for j, d := range s.Databases {
+			others = others || j != i && uint8(j+1) != s.Primary && !d.Dead && d.has(c)
+		}
+		if !others {
+			return false
+		}
+	}
+	return true
+}
+
+// chosen reports whether a taker has read a database's log or decided or ordered its
+// promotion.
+func (s *State) chosen(id uint8) bool {
+	out := s.Lease.Ordered == id
+	for _, t := range s.Takers {
+		out = out || t.Chosen == id || t.Reports[id-1].Read
+	}
+	for _, c := range s.Calls {
+		out = out || c.Database == id
+	}
+	for _, w := range s.Writes {
+		out = out || w.Lease.Ordered == id
+	}
+	return out
+}
+
+// reading reports whether a taker reads the logs.
+func (s *State) reading() bool {
+	for _, t := range s.Takers {
+		if t.Step == reading || t.Step == catchingUp {
+			return true
+		}
+	}
+	return false
+}
+
+// joined returns a replica after it has joined a primary's term: what the primary's log
+// lacks is rolled back.
+func joined(d, primary Database, term uint8) Database {
+	length := uint8(0)
+	for length < d.Length && length < primary.Length && d.Log[length] == primary.Log[length] {
+		length++
+	}
+	for i := length; i < d.Length; i++ {
+		d.Log[i] = 0
+	}
+	d.Length, d.Term, d.Paused = length, term, false
+	return d
+}
+
+// acker adds the steps of the host that acknowledges commits.
+func (e *explorer) acker() {
+	s, m := &e.s, e.m
+	a := s.Acker
+	if a.Commit[0] == 0 {
+		p := s.Databases[s.Primary-1]
+		if p.Length > 0 && p.Log[p.Length-1] == s.Term && s.Acked[p.Length-1] != s.Term {
+			n := *s
+			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}}
+			e.add(Begin, 0, 0, n)
+		}
+		return
+	}
+	n := *s
+	n.Acker = Acker{}
+	e.add(Abandon, 0, 0, n)
+
+	commit := at(a.Commit)
+	holds := m.Holds
+	if holds == nil {
+		holds = succession.Copy.Holds
+	}
+	var replicas []succession.Copy
+	for i := range m.Databases {
+		id, d := uint8(i+1), s.Databases[i]
+		if d.Seen&knownToAcker == 0 || id == s.Led[a.Commit[0]] {
+			continue
+		}
+		bit := uint8(1) << i
+		held := succession.Copy{}
+		if a.Holds&bit != 0 {
+			held = succession.Copy{Answered: true, Term: commit.Term, Received: commit}
+		}
+		held.Established = d.Seen&establishedByAcker != 0
+		replicas = append(replicas, held)
+		c := succession.Copy{Answered: true, Primary: id == s.Primary, Term: uint64(d.Term), Received: at(m.end(d))}
+		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && !(m.Pauses && d.Paused) {
+			n := *s
+			n.Acker.Holds |= bit
+			e.add(Witness, 0, id, n)
+		}
+	}
+	evidence := succession.EvidenceFor(commit, replicas)
+	settled := m.Settled
+	if settled == nil {
+		settled = succession.Lease.Settled
+	}
+	if !m.Pauses && !a.Settled && (evidence >= succession.OneCopy || m.LeaseBeforeReport) && settled(s.Lease.value(), commit.Term) {
+		n := *s
+		n.Acker.Settled = true
+		e.add(ReadSettled, 0, 0, n)
+	}
+	if evidence == succession.AllCopies || evidence == succession.OneCopy && (a.Settled || m.Pauses || m.OneCopyWithoutLease) {
+		n := *s
+		n.Acked[a.Commit[1]-1] = a.Commit[0]
+		n.Acker = Acker{}
+		e.add(Acknowledge, 0, 0, n)
+	}
+}
+
+// value returns the lease as package succession sees it.
+func (l Lease) value() succession.Lease {
+	out := succession.Lease{Holder: fmt.Sprint(l.Holder), Released: l.Released, Term: uint64(l.Term)}
+	if l.Ordered != 0 {
+		out.Ordered = name(l.Ordered)
+	}
+	return out
+}
+
+// messages adds the steps of lease writes and orders that are on their way or under
+// way.
+func (e *explorer) messages() {
+	s := &e.s
+	for i, w := range s.Writes {
+		if !w.Sent {
+			continue
+		}
+		n := *s
+		n.Writes[i] = Write{}
+		e.add(LoseWrite, uint8(i), 0, n)
+		n.Lease = w.Lease
+		n.Lease.Version, n.Lease.Writer = s.Lease.Version+1, w.By
+		e.add(CarryOutWrite, uint8(i), 0, n)
+	}
+	for i, c := range s.Calls {
+		switch {
+		case c.Fence == 0:
+		case c.Accepted:
+			e.takeEffect(i, c)
+		default:
+			e.carryOut(i, c)
+		}
+	}
+	for i := range e.m.Databases {
+		if s.Resumes&(1<<i) != 0 {
+			n := *s
+			n.Resumes &^= 1 << i
+			n.Databases[i].Paused = false
+			e.add(CarryOutResume, 0, uint8(i+1), n)
+		}
+	}
+}
+
+// carryOut adds the steps of an order that arrives: with a fence older than one seen, or
+// for a database that is not running, it is refused.
+func (e *explorer) carryOut(i int, c Call) {
+	s := &e.s
+	refused := c.Fence < s.MaxFence || s.Databases[c.Database-1].Dead
+	n := *s
+	if refused {
+		n.Calls[i] = Call{}
+	} else {
+		n.MaxFence = c.Fence
+		n.Calls[i].Accepted, n.Calls[i].Sender = true, 0
+	}
+	if c.Sender != 0 {
+		answered := n
+		t := &answered.Takers[c.Sender-1]
+		t.Step = accepted
+		if refused {
+			t.Step = releasing
+			t.Settled = !t.Pending
+			if e.m.Pauses && t.Settled {
+				t.Step = resuming
+			}
+		}
+		e.add(CarryOutCall, uint8(i), c.Database, answered)
+	}
+	if c.Sender == 0 || int(s.Unanswered) < e.m.LateCalls {
+		if c.Sender != 0 {
+			n.Unanswered++
+			n.Takers[c.Sender-1].timeOut()
+		}
+		e.add(CarryOutCallUnanswered, uint8(i), c.Database, n)
+	}
+	if c.Sender == 0 {
+		lost := *s
+		lost.Calls[i] = Call{}
+		e.add(LoseCall, uint8(i), c.Database, lost)
+	}
+}
+
+// timeOut ends the wait for the answer of an order, which is under way from then on.
+// The taker orders again or leaves the order to the next taker.
+func (t *Taker) timeOut() { t.Step, t.Pending = recording, true }
+
+func (e *explorer) takeEffect(i int, c Call) {
+	n := e.s
+	n.Calls[i] = Call{}
+	d := &n.Databases[c.Database-1]
+	if c.Database != n.Primary && !d.Dead && int(n.Term)+1 < len(n.Led) {
+		n.Term++
+		n.Primary = c.Database
+		n.Led[n.Term] = c.Database
+		d.Term, d.Paused = n.Term, false
+		for i := range e.m.Databases {
+			if other := &n.Databases[i]; !e.m.LateJoin && !other.Dead && uint8(i+1) != n.Primary {
+				*other = joined(*other, *d, n.Term)
+			}
+		}
+	}
+	e.add(TakeEffect, uint8(i), c.Database, n)
+}
