Read the store's list of databases before a successor is chosen

Cause: a host whose watch of the store hears nothing may still write the lease. It did not know a replica on which others rely, and promoted one with a shorter log.

Change: an attempt that has the lease lists the databases anew and reads their logs too; a listed one that does not answer holds the promotion back.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -31,8 +31,10 @@
 	// read, which costs a call of the store. It is several times the delay between data
 	// centres.
 	allCopiesPatience = 30 * time.Millisecond
-	// leaseReadEvery is the least time between two reads of a service's lease.
+	// leaseReadEvery is the least time between two reads of a service's lease. It doubles
+	// up to leaseReadMax while the lease is not settled.
 	leaseReadEvery = 100 * time.Millisecond
+	leaseReadMax   = 300 * time.Millisecond
 	// formerMayReturn is how long a database that has vanished from the list may still be
 	// promoted by an order given before.
 	formerMayReturn = 15 * time.Second
@@ -45,6 +47,7 @@
 	settled  position.Position       // commits up to it are protected by a settled lease
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
+	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
 }
 
@@ -204,12 +207,15 @@
 	go func() {
 		settled := s.leaseSettled(c.at.Term)
 		s.mu.Lock()
+		r := &s.replication
+		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
 		if settled {
-			s.replication.settled = position.Max(s.replication.settled, held)
+			r.settled, r.pause = position.Max(r.settled, held), leaseReadEvery
 		}
+		pause := r.pause
 		s.notifyChange()
 		s.mu.Unlock()
-		retry.Wait(s.g.ctx, leaseReadEvery)
+		retry.Wait(s.g.ctx, pause)
 		s.mu.Lock()
 		s.replication.reading = false
 		s.notifyChange()
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -22,8 +23,9 @@
 	former   bool // no longer listed
 }
 
-// addNewDatabases adds a controlConn for each present or former database, and each
-// one of the roster, that has none yet, and returns the added ones. They are dialled at the first query.
+// addNewDatabases adds a controlConn for each present or former database, and each one of
+// the store's list or the roster, that has none yet, and returns the added ones. They are
+// dialled at the first query.
 func (a *replacement) addNewDatabases() []*controlConn {
 	known := map[string]bool{}
 	for _, c := range a.conns {
@@ -32,6 +34,11 @@
 	a.s.mu.Lock()
 	present, former := a.s.table.All(), a.s.table.Former()
 	a.s.mu.Unlock()
+	for _, db := range a.storeList {
+		if !slices.ContainsFunc(present, func(p routes.Database) bool { return p.ID == db.ID }) {
+			present = append(present, db)
+		}
+	}
 	former = append(former, a.roster.Missing(a.s.name, append(present, former...))...)
 	var out []*controlConn
 	for _, db := range present {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -145,6 +146,7 @@
 
 	leaseObject objectapi.Object // the lease as last read or written
 	roster      succession.Roster
+	storeList   []routes.Database // of the service, as listed by the store under the lease
 	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
@@ -168,6 +170,11 @@
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
+	if err = a.readStoreList(ctx); err != nil {
+		a.log.Warn("Listing the databases failed.", "error", err)
+		a.giveUp(ctx)
+		return
+	}
 	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
 		a.giveUp(ctx)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -52,10 +52,10 @@
 // voidPendingOrder orders the promotion of the current primary, so that no earlier
 // order can be accepted any more, and waits until those that were accepted have taken
 // effect. It releases the lease with the pending order if no database reports that it
-// is the primary, or if the order is not answered.
+// is the primary, if that one is leaving, or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	for _, c := range a.conns {
-		if !c.answered || !c.report.Primary {
+		if !c.answered || !c.report.Primary || c.db.Leaving {
 			continue
 		}
 		if err := a.order(ctx, c.db.ID); err != nil {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
@@ -88,6 +89,9 @@
 // listed reports whether the platform lists a database, or did within
 // lead.MissingRetention: entries may vanish for as long while the store is away.
 func (a *replacement) listed(id string) bool {
+	if slices.ContainsFunc(a.storeList, func(db routes.Database) bool { return db.ID == id }) {
+		return true
+	}
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
 	_, ok := a.s.table.Get(id)
@@ -155,6 +159,23 @@
 	}
 }
 
+// readStoreList reads the store's list of the service's databases: this host's own may be
+// outdated, since a watch of the store may hear of no changes without an error.
+func (a *replacement) readStoreList(ctx context.Context) error {
+	platform := a.s.g.platform
+	objects, _, err := platform.Objects().List(ctx, platform.DatabasesKind())
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		// One that cannot be decoded names no database.
+		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == a.s.name {
+			a.storeList = append(a.storeList, db)
+		}
+	}
+	return nil
+}
+
 // candidates converts the replicas to candidates for the choice of the successor.
 func (a *replacement) candidates() []succession.Candidate {
 	replicas := a.replicas()
