--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -245,11 +245,18 @@
 		return true
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	now := s.g.now()
 	if l.Settled(l.Term) {
 		s.replication.term = max(s.replication.term, l.Term) // the primary has been replaced
-	} else {
-		s.startSettling(s.g.now())
+		s.mu.Unlock()
+		return false
+	}
+	a := s.newReplacement(succession.Unsettled, s.acked, now)
+	s.mu.Unlock()
+	if a.canAcquireLease(object) {
+		s.mu.Lock()
+		s.startSettling(now)
+		s.mu.Unlock()
 	}
 	return false
 }
