Use the product's check of outgrown logs in the model of takeovers; promises of configuration

Cause: the model had a copy of a decision that has moved to succession.

Change: it calls succession.Outgrown; its doc comment and the promises follow the product.

--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -7,11 +7,11 @@
 // succession.PromotionLimit, is modelled as the end of the orders that had been accepted
 // when the wait for it began.
 //
-// Two rules of the model are not in the product yet: a report that is read while the
-// taker waits for the senior replica is compared with its view (see CheckOnce), and the
-// successor has no fewer entries than any other replica that answered (see AnyIndex).
-// Without them the model loses a commit if databases report the end of their log with
-// the term that they have joined.
+// Two rules that the gateway adds to these decisions can be left out: a report that is
+// read while the taker waits for the senior replica is compared with its view (see
+// CheckOnce), and the successor has no fewer entries than any other replica that answered
+// (succession.Outgrown; see AnyIndex). Without them the model loses a commit if databases
+// report the end of their log with the term that they have joined.
 //
 // The specs explore small bounds. With TAKEOVERMODEL_WIDE set in the environment they
 // explore larger ones, which takes minutes.
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -458,10 +458,8 @@
 		gone = !r.Primary
 	}
 	best, ok := succession.Choose(candidates, acked, floor, gone)
-	for _, c := range candidates {
-		if !m.AnyIndex && c.Answered && c.Received.Index > best.Received.Index {
-			return 0, false
-		}
+	if !m.AnyIndex && succession.Outgrown(best, candidates) {
+		return 0, false
 	}
 	return number(best.ID), ok
 }
