Move the play of takeovers out of the review's stand-in

Cause: the stand-in under review/ belongs to the reviewer; the play of takeovers had changed it, and its cases were last played with the changed one.

Change: review/ is as on; the play, with the databases, the store and the site that it changed, is a command of its own, internal/standin/takeover, without the other cases. The line-by-line sending of the review's lossy case is still in its copy of the databases, unused.

--- /dev/null
+++ b/internal/standin/takeover/main.go
@@ -0,0 +1,125 @@
+// Command takeover plays takeovers with real processes: it starts the project's daemon as
+// separate processes on loopback addresses, serves the platform's store, the
+// promotion calls and the databases itself, runs the callers, and checks one rule
+// from what callers and databases have seen.
+//
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
+// run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// cases are the playable cases by name. Each returns whether the rule was broken.
+var cases = map[string]func(*site, bool) (bool, error){
+	"takeover": playTakeover,
+}
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+func main() {
+	name := flag.String("case", "takeover", "case to play")
+	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
+	out := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "with the disruption")
+	seed := flag.Uint64("seed", 1, "seed of the faults")
+	flag.Parse()
+	os.Exit(run(*name, *daemon, *out, *trouble, *seed))
+}
+
+func run(name, daemon, out string, trouble bool, seed uint64) int {
+	play := cases[name]
+	if play == nil {
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
+		return exitFailed
+	}
+	file, err := os.Create(out)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer file.Close()
+	rec := &record{file: file, started: time.Now()}
+	daemon, err = filepath.Abs(daemon)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	s, err := newSite(rec, daemon, takeoverLayout(rec, seed))
+	if err != nil {
+		rec.logf("the site did not start: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer s.stop()
+	stopOnSignal(s)
+	broken, err := play(s, trouble)
+	switch {
+	case err != nil:
+		rec.logf("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	case broken:
+		rec.logf("result: the rule was broken")
+		return exitBroken
+	}
+	rec.logf("result: the rule held")
+	return exitHeld
+}
+
+// stopOnSignal ends the site's processes when the play itself is interrupted.
+func stopOnSignal(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		s.rec.logf("interrupted by %v", <-signals)
+		s.stop()
+		os.Exit(exitFailed)
+	}()
+}
+
+// record is the record of one play.
+type record struct {
+	mu      sync.Mutex
+	file    *os.File
+	started time.Time
+	notes   []note
+}
+
+// note is a line of the time line.
+type note struct {
+	at   time.Time
+	text string
+}
+
+// notef writes a line that is also part of the time line.
+func (r *record) notef(format string, args ...any) {
+	n := note{at: time.Now(), text: fmt.Sprintf(format, args...)}
+	r.logf("%s", n.text)
+	r.mu.Lock()
+	r.notes = append(r.notes, n)
+	r.mu.Unlock()
+}
+
+// seconds returns the seconds since the start of the play.
+func (r *record) seconds(at time.Time) float64 { return at.Sub(r.started).Seconds() }
+
+// logf writes one line with the time since the start of the play.
+func (r *record) logf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,9 +34,6 @@
 	primary    *database
 	databases  []*database
 	log        []entry // of the primary
-	rolledBack []rollback
-	promotions int
-	faults     *faults
 	fence      uint64
 	arrived    map[string]time.Time // when a statement with an id reached a database
 	statements []ran
@@ -50,29 +46,10 @@
 
 // entry is one commit in the log.
 type entry struct {
-	id     string // of the COMMIT, or of the single write
-	at     time.Time
 	term   int
 	writes []write
 }
 
-// rollback is a commit that a promotion has rolled back.
-type rollback struct {
-	entry    entry
-	number   int // in the log, from 1
-	at       time.Time
-	primary  string               // id of the database that had committed it
-	promoted string               // id
-	received map[string]time.Time // when other databases received it, by id
-}
-
-// progress is a growth of a database's log.
-type progress struct {
-	at       time.Time
-	term     int
-	received int
-}
-
 type write struct{ id, item, data string }
 
 // ran is a statement that a database has run.
@@ -81,7 +58,6 @@
 	id, text  string
 	database  string
 	tenant    string   // named when the connection was opened
-	applied   int      // entries of the log that it ran on
 	neighbour []string // ids of the statements that the transaction ran before it
 }
 
@@ -103,25 +79,17 @@
 
 	received, applied int // entries of the log
 	paused            int
-	demoted           bool // a primary that was made a replica
-	down              bool
 	conns             int
-	links             map[*link]struct{}
-	history           []progress
-	seq               int
-	born              int64
-	announced         string // the role in its entry
 }
 
-func newGroup(rec *record, service string, layout layout) (*group, error) {
-	g := &group{lineByLine: layout.lineByLine, faults: layout.faults, rec: rec, service: service, term: 3, refused: map[string]int{}, arrived: map[string]time.Time{}, changed: make(chan struct{})}
-	for _, zone := range layout.databases {
+func newGroup(rec *record, service string, lineByLine bool, zones []string) (*group, error) {
+	g := &group{lineByLine: lineByLine, rec: rec, service: service, term: 3, refused: map[string]int{}, arrived: map[string]time.Time{}, changed: make(chan struct{})}
+	for _, zone := range zones {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		d := &database{g: g, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, address: l.Addr().String(), slots: make(chan struct{}, slotsPerDatabase),
-			links: map[*link]struct{}{}}
+		d := &database{g: g, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, address: l.Addr().String(), slots: make(chan struct{}, slotsPerDatabase)}
 		g.databases = append(g.databases, d)
 		go d.serve(l)
 	}
@@ -129,28 +97,17 @@
 	return g, nil
 }
 
-// leads reports whether the database is the primary. g.mu is held.
-func (d *database) leads() bool { return d.g.primary == d && !d.demoted }
-
-func (d *database) role() string {
-	if d.leads() {
-		return "primary"
-	}
-	return "replica"
-}
-
-// entryOf returns the entry in which the database announces itself. g.mu is held or
-// no host runs yet.
+// entryOf returns the entry in which the database announces itself.
 func (d *database) entryOf(seq int, born int64) map[string]any {
-	d.seq, d.born = seq, born
-	role := d.role()
-	d.announced = role
+	role := "replica"
+	if d.g.primary == d {
+		role = "primary"
+	}
 	return map[string]any{"service": d.g.service, "address": d.address, "zone": d.zone, "version": "v1", "slots": slotsPerDatabase,
 		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": seq, "born": born}
 }
 
-// promote accepts a promotion call and carries it out after promoteTime, whichever
-// database is the primary by then.
+// promote carries out a promotion after promoteTime.
 func (g *group) promote(id string, fence uint64) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -159,11 +116,13 @@
 	}
 	g.fence = fence
 	for _, d := range g.databases {
-		if d.id == id && !d.down {
-			g.rec.notef("promotion of %s accepted with fence %d", id, fence)
+		if d.id != id {
+			continue
+		}
+		if d != g.primary {
 			time.AfterFunc(promoteTime, func() { g.lead(d) })
-			return http.StatusOK
 		}
+		return http.StatusOK
 	}
 	return http.StatusConflict
 }
@@ -172,99 +131,39 @@
 func (g *group) lead(d *database) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d.leads() || d.down {
-		return
-	}
-	now := time.Now()
-	for i, e := range g.log[d.received:] {
-		r := rollback{entry: e, number: d.received + i + 1, at: now, primary: g.primary.id, promoted: d.id, received: map[string]time.Time{}}
-		for _, other := range g.databases {
-			if at, ok := other.receivedAt(g.term, r.number); ok && other != g.primary {
-				r.received[other.id] = at
-			}
-		}
-		g.rolledBack = append(g.rolledBack, r)
-	}
 	g.term++
-	g.promotions++
-	g.rec.notef("database %s is the primary of term %d with %d commits; %d are rolled back", d.id, g.term, d.received, len(g.log)-d.received)
-	g.primary, g.log = d, g.log[:d.received:d.received]
-	d.applied, d.paused, d.demoted = d.received, 0, false
+	g.primary, g.log = d, g.log[:d.received]
+	d.applied, d.paused = d.received, 0
 	for _, other := range g.databases {
 		other.received = min(other.received, d.received)
 		other.applied = min(other.applied, other.received)
 	}
-	g.notify()
-}
-
-// notify wakes those who wait for a change of the logs. mu is held.
-func (g *group) notify() {
-	close(g.changed)
-	g.changed = make(chan struct{})
-}
-
-// receivedAt returns when the database received a commit in a term. mu is held.
-func (d *database) receivedAt(term, n int) (time.Time, bool) {
-	if n > d.received {
-		return time.Time{}, false
-	}
-	for _, p := range d.history {
-		if p.term == term && p.received >= n {
-			return p.at, true
-		}
-	}
-	return time.Time{}, true
-}
-
-// receives reports whether a replica receives from the primary. mu is held.
-func (g *group) receives(d *database) bool {
-	return d != g.primary && d.paused == 0 && !d.down && !g.primary.down && !g.faults.isCut(g.primary.id, d.id)
-}
-
-// receive extends the log of a replica to n entries of a term. mu is held.
-func (g *group) receive(d *database, term, n int) {
-	if g.term != term || n <= d.received || !g.receives(d) {
-		return
-	}
-	d.received = n
-	d.history = append(d.history, progress{at: time.Now(), term: term, received: n})
-	g.notify()
+	g.rec.logf("database %s is the primary of term %d with %d commits", d.id, g.term, d.received)
 }
 
 // replicate passes entry n on to the replicas. mu is held.
 func (g *group) replicate(n int) {
-	for _, d := range g.databases {
-		if d != g.primary {
-			g.send(d, n)
-		}
-	}
-}
-
-// send passes the log up to entry n on to a replica. mu is held.
-func (g *group) send(d *database, n int) {
 	term := g.term
-	time.AfterFunc(receiveDelay, func() {
-		g.mu.Lock()
-		g.receive(d, term, n)
-		g.mu.Unlock()
-	})
-	time.AfterFunc(receiveDelay+applyDelay, func() {
-		g.mu.Lock()
-		if g.term == term {
-			d.applied = max(d.applied, min(n, d.received))
-		}
-		g.mu.Unlock()
-	})
-}
-
-// catchUp passes the log on to the replicas that have missed some of it.
-func (g *group) catchUp() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, d := range g.databases {
-		if g.receives(d) && (d.received < len(g.log) || d.applied < d.received) {
-			g.send(d, len(g.log))
+		if d == g.primary {
+			continue
 		}
+		time.AfterFunc(receiveDelay, func() {
+			g.mu.Lock()
+			if g.term == term && d.paused == 0 {
+				d.received = max(d.received, n)
+				close(g.changed)
+				g.changed = make(chan struct{})
+			}
+			g.mu.Unlock()
+		})
+		time.AfterFunc(receiveDelay+applyDelay, func() {
+			g.mu.Lock()
+			if g.term == term {
+				d.applied = max(d.applied, min(n, d.received))
+			}
+			g.mu.Unlock()
+		})
 	}
 }
 
@@ -281,8 +180,7 @@
 	case err1 != nil || err2 != nil || t > g.term:
 		return 1 << 30
 	case t < g.term:
-		kept := sort.Search(len(g.log), func(i int) bool { return g.log[i].term > t })
-		return min(n-1000, kept)
+		return 0
 	}
 	return n - 1000
 }
@@ -293,7 +191,7 @@
 		if err != nil {
 			return
 		}
-		go (&link{d: d, conn: conn, gone: make(chan struct{}), ended: make(chan struct{})}).serve()
+		go (&link{d: d, conn: conn}).serve()
 	}
 }
 
@@ -301,10 +199,6 @@
 type link struct {
 	d      *database
 	conn   net.Conn
-	from   string        // the host, if there are faults
-	gone   chan struct{} // closed when the host has closed the connection
-	ended  chan struct{} // closed when the connection is no longer served
-	mute   bool          // no further answer is sent
 	tenant string
 	out    chan []byte // segments to send; nil if they are sent at once
 	harmed bool        // its packets are lost while those of its database are
@@ -317,7 +211,6 @@
 }
 
 func (c *link) serve() {
-	defer close(c.ended)
 	defer c.conn.Close()
 	if c.d.g.lineByLine {
 		c.out = make(chan []byte, queuedAtMost)
@@ -325,29 +218,19 @@
 		defer close(c.out)
 		go c.deliver()
 	}
-	lines := make(chan string, queuedAtMost)
-	go c.read(lines)
-	if c.d.g.faults != nil {
-		if c.from = c.d.g.faults.sender(c.conn); c.from == "" {
-			return // its process has ended
-		}
-	}
-	f := strings.Fields(<-lines)
-	if len(f) < 3 || f[0] != "STARTUP" || !c.awaitPath() {
+	r := bufio.NewReader(c.conn)
+	first, err := readLine(r)
+	f := strings.Fields(first)
+	if err != nil || len(f) < 3 || f[0] != "STARTUP" {
 		return
 	}
 	time.Sleep(connectTime)
 	g := c.d.g
 	g.mu.Lock()
-	if c.d.down {
-		g.mu.Unlock()
-		return
-	}
 	full := c.d.conns >= maxConnections
 	position := g.position(c.d.applied)
 	if !full {
 		c.d.conns++
-		c.d.links[c] = struct{}{}
 	}
 	g.mu.Unlock()
 	switch {
@@ -361,51 +244,25 @@
 	defer func() {
 		g.mu.Lock()
 		c.d.conns--
-		delete(c.d.links, c)
 		g.mu.Unlock()
 	}()
 	c.tenant = f[2]
 	c.send("READY I " + position)
-	for line := range lines {
-		f := strings.SplitN(line, " ", 3)
-		if f[0] != "QUERY" || len(f) < 3 || !c.awaitPath() {
-			return
-		}
-		answer := c.query(f[1], f[2])
-		if c.mute {
-			<-c.gone
-			return
-		}
-		if !c.awaitPath() || !c.send(answer...) {
-			return
-		}
-	}
-}
-
-// read reads the lines of a connection ahead, so that its end is seen while a statement
-// is held up.
-func (c *link) read(lines chan<- string) {
-	defer close(lines)
-	r := bufio.NewReader(c.conn)
 	for {
 		line, err := readLine(r)
 		if err != nil {
-			close(c.gone)
 			return
 		}
-		select {
-		case lines <- line:
-		case <-c.ended:
-			close(c.gone)
+		f := strings.SplitN(line, " ", 3)
+		if f[0] != "QUERY" || len(f) < 3 {
+			return
+		}
+		if !c.send(c.query(f[1], f[2])...) {
 			return
 		}
 	}
 }
 
-// awaitPath waits until the path between the host and the database is whole. It reports
-// false if the host closes the connection meanwhile, or the path stays cut.
-func (c *link) awaitPath() bool { return c.d.g.faults.await(c.gone, c.from, c.d.id) }
-
 func readLine(r *bufio.Reader) (string, error) {
 	line, err := r.ReadString('\n')
 	return strings.TrimRight(line, "\r\n"), err
@@ -537,58 +394,45 @@
 	return "READY " + state + " " + g.position(c.d.applied)
 }
 
-// control runs a statement that concerns the database itself.
 func (c *link) control(f []string) []string {
 	g := c.d.g
+	g.mu.Lock()
 	term := 0
 	if len(f) > 1 {
 		term, _ = strconv.Atoi(f[1])
 	}
-	if f[0] != "STATUS" {
-		what := fmt.Sprintf("%s of %s for %s (sent at %.3f s)", strings.Join(f, " "), c.from, c.d.id, g.rec.seconds(time.Now()))
-		g.faults.takeover(c.from)
-		fate := g.faults.order()
-		if fate.unanswered {
-			c.mute = true
-			g.rec.notef("%s: no answer, carried out after %d ms", what, fate.after.Milliseconds())
-			g.faults.later(fate.after, func() {
+	switch f[0] {
+	case "PAUSE":
+		if c.d != g.primary && term > g.term {
+			c.d.paused = term
+		}
+	case "RESUME":
+		c.d.paused = 0
+		if c.d != g.primary {
+			n := len(g.log)
+			time.AfterFunc(receiveDelay, func() {
 				g.mu.Lock()
-				g.obey(c.d, f[0], term)
-				g.rec.notef("%s: carried out", what)
+				if c.d.paused == 0 {
+					c.d.received = max(c.d.received, min(n, len(g.log)))
+					c.d.applied = c.d.received
+				}
 				g.mu.Unlock()
 			})
-			return nil
 		}
-		g.rec.notef("%s: carried out and answered", what)
 	}
-	g.mu.Lock()
-	g.obey(c.d, f[0], term)
-	row := fmt.Sprintf("ROW %s %d %s %d 0 %d %d", c.d.role(), g.term, g.position(c.d.received), c.d.paused, len(c.d.slots), c.d.conns)
+	role := "replica"
+	if c.d == g.primary {
+		role = "primary"
+	}
+	row := fmt.Sprintf("ROW %s %d %s %d 0 %d %d", role, g.term, g.position(c.d.received), c.d.paused, len(c.d.slots), c.d.conns)
 	g.mu.Unlock()
 	return append([]string{row}, c.done("-")...)
 }
 
-// obey carries out an order to a database. mu is held.
-func (g *group) obey(d *database, order string, term int) {
-	switch {
-	case d.down:
-	case order == "PAUSE" && d != g.primary && term > g.term:
-		d.paused = term
-	case order == "DEMOTE" && d == g.primary && term > g.term:
-		d.demoted = true
-		g.notify()
-	case order == "RESUME":
-		d.paused = 0
-		if d != g.primary {
-			g.send(d, len(g.log))
-		}
-	}
-}
-
 func (c *link) begin(readOnly bool, after string) []string {
 	g := c.d.g
 	g.mu.Lock()
-	isPrimary, behind, term := c.d.leads(), after != "" && g.parsePosition(after) > c.d.applied, g.term
+	isPrimary, behind, term := c.d == g.primary, after != "" && g.parsePosition(after) > c.d.applied, g.term
 	g.mu.Unlock()
 	switch {
 	case c.open:
@@ -613,8 +457,8 @@
 func (c *link) run(id, text, item, data string, writes bool, after string) []string {
 	g := c.d.g
 	g.mu.Lock()
-	isPrimary, behind := c.d.leads(), after != "" && g.parsePosition(after) > c.d.applied
-	lost := c.open && !c.readOnly && (g.term != c.began || !isPrimary)
+	isPrimary, behind := c.d == g.primary, after != "" && g.parsePosition(after) > c.d.applied
+	lost := c.open && !c.readOnly && g.term != c.began
 	g.mu.Unlock()
 	switch {
 	case writes && !isPrimary || lost:
@@ -623,7 +467,7 @@
 		return c.refuse("LAGGING")
 	}
 	g.mu.Lock()
-	g.statements = append(g.statements, ran{at: time.Now(), id: id, text: text, database: c.d.id, tenant: c.tenant, applied: c.d.applied, neighbour: append([]string(nil), c.statements...)})
+	g.statements = append(g.statements, ran{at: time.Now(), id: id, text: text, database: c.d.id, tenant: c.tenant, neighbour: append([]string(nil), c.statements...)})
 	g.mu.Unlock()
 	g.rec.logf("database %s runs %s %s for tenant %s", c.d.id, id, text, c.tenant)
 	c.work(workTime(item))
@@ -638,7 +482,7 @@
 		c.writes = append(c.writes, w)
 		return c.done(c.signature(id))
 	}
-	return c.append(id, []string{id}, []write{w}, 0)
+	return c.append(id, []string{id}, []write{w})
 }
 
 func (c *link) signature(id string) string { return "7." + c.d.id + "." + id }
@@ -669,49 +513,37 @@
 		c.end()
 		return c.refuse("MALFORMED")
 	}
-	statements, writes, began := c.statements, c.writes, c.began
+	statements, writes := c.statements, c.writes
 	c.work(time.Millisecond)
 	c.end()
 	if len(writes) == 0 {
 		return c.done(c.signature(id))
 	}
-	return c.append(id, statements, writes, began)
+	return c.append(id, statements, writes)
 }
 
-// append commits writes and waits until one replica has received them. A transaction
-// names the term in which it began. There is no answer if the commit is rolled back or
-// the database goes down meanwhile.
-func (c *link) append(id string, statements []string, writes []write, began int) []string {
+// append commits writes and waits until one replica has received them.
+func (c *link) append(id string, statements []string, writes []write) []string {
 	g := c.d.g
 	g.mu.Lock()
-	if !c.d.leads() || began != 0 && began != g.term {
+	if c.d != g.primary {
 		g.mu.Unlock()
 		return c.refuse("READONLY")
 	}
-	if c.d.down {
-		g.mu.Unlock()
-		c.mute = true
-		return nil
-	}
-	term := g.term
-	g.log = append(g.log, entry{id: id, at: time.Now(), term: term, writes: writes})
+	g.log = append(g.log, entry{term: g.term, writes: writes})
 	n := len(g.log)
 	c.d.received, c.d.applied = n, n
-	position := g.position(n)
-	g.rec.logf("database %s commits %s as %s with the statements %v", c.d.id, id, position, statements)
+	g.rec.logf("database %s commits %s as %s with the statements %v", c.d.id, id, g.position(n), statements)
 	g.commits = append(g.commits, committed{at: time.Now(), id: id, statements: statements})
 	g.replicate(n)
-	kept := true
-	for kept && !c.d.down && !g.receivedByReplica(n) {
+	for !g.receivedByReplica(n) {
 		changed := g.changed
 		g.mu.Unlock()
 		<-changed
 		g.mu.Lock()
-		kept = n <= len(g.log) && g.log[n-1].term == term
 	}
-	c.mute = !kept || c.d.down
 	g.mu.Unlock()
-	return []string{"COMPLETE " + c.signature(id), "READY I " + position}
+	return c.done(c.signature(id))
 }
 
 // receivedByReplica reports whether a replica holds n entries. mu is held.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,10 +11,8 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -25,7 +23,6 @@
 	"offboard": playOffboard,
 	"rolling":  playRolling,
 	"lossy":    playLossy,
-	"takeover": playTakeover,
 }
 
 // Exit codes.
@@ -40,22 +37,11 @@
 	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
 	out := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
-	seed := flag.Uint64("seed", 1, "seed of the faults of the case takeover")
 	flag.Parse()
-	os.Exit(run(*name, *daemon, *out, *trouble, *seed))
+	os.Exit(run(*name, *daemon, *out, *trouble))
 }
 
-// layoutOf returns the site of a case.
-func layoutOf(name string, rec *record, seed uint64) layout {
-	if name == "takeover" {
-		return takeoverLayout(rec, seed)
-	}
-	l := smallLayout()
-	l.lineByLine = name == "lossy"
-	return l
-}
-
-func run(name, daemon, out string, trouble bool, seed uint64) int {
+func run(name, daemon, out string, trouble bool) int {
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
@@ -73,14 +59,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, daemon, layoutOf(name, rec, seed))
+	s, err := newSite(rec, daemon, name == "lossy")
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	defer s.stop()
-	stopOnSignal(s)
 	broken, err := play(s, trouble)
 	switch {
 	case err != nil:
@@ -95,43 +80,13 @@
 	return exitHeld
 }
 
-// stopOnSignal ends the site's processes when the play itself is interrupted.
-func stopOnSignal(s *site) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		s.rec.logf("interrupted by %v", <-signals)
-		s.stop()
-		os.Exit(exitFailed)
-	}()
-}
-
 // record is the record of one play.
 type record struct {
 	mu      sync.Mutex
 	file    *os.File
 	started time.Time
-	notes   []note
 }
 
-// note is a line of the time line.
-type note struct {
-	at   time.Time
-	text string
-}
-
-// notef writes a line that is also part of the time line.
-func (r *record) notef(format string, args ...any) {
-	n := note{at: time.Now(), text: fmt.Sprintf(format, args...)}
-	r.logf("%s", n.text)
-	r.mu.Lock()
-	r.notes = append(r.notes, n)
-	r.mu.Unlock()
-}
-
-// seconds returns the seconds since the start of the play.
-func (r *record) seconds(at time.Time) float64 { return at.Sub(r.started).Seconds() }
-
 // logf writes one line with the time since the start of the play.
 func (r *record) logf(format string, args ...any) {
 	r.mu.Lock()
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -19,7 +19,6 @@
 // databases each, and the platform.
 type site struct {
 	rec    *record
-	layout layout
 	store  *store
 	group  *group // of the first service
 	groups []*group
@@ -32,17 +31,6 @@
 	config map[string]any
 }
 
-// layout is what a site consists of.
-type layout struct {
-	services   []string
-	zones      []string // the data centres
-	databases  []string // data centre of each database of a service
-	hosts      []string // data centre of each host
-	timeoutMs  int      // of the routes that read the primary
-	lineByLine bool     // each line of the databases' answers is sent in a segment of its own
-	faults     *faults  // nil for none
-}
-
 // hostProcess is one process of the project's daemon.
 type hostProcess struct {
 	name, zone     string
@@ -62,10 +50,6 @@
 	routeExtra   = "partner"
 )
 
-// routesCurrent are the database names of routes whose reads see the primary, one for
-// each service.
-var routesCurrent = []string{routePrimary, "book-stock", "book-vans"}
-
 // routesBounded are the database names of the routes with bounded staleness, one for
 // each service.
 var routesBounded = []string{"look", "look-stock", "look-vans"}
@@ -73,23 +57,15 @@
 // Tenants of the site and their keys.
 var tenants = map[string]string{"shop": "key-of-shop-1", "yard": "key-of-yard-1", "partner": "key-of-partner-1"}
 
-// smallLayout is the site of the cases without faults of their own.
-func smallLayout() layout {
-	return layout{
-		services:  services,
-		zones:     []string{"zone-a", "zone-b"},
-		databases: []string{"zone-a", "zone-b", "zone-b"},
-		hosts:     []string{"zone-a", "zone-a", "zone-b", "zone-b"},
-		timeoutMs: 1000,
-	}
-}
+var zones = []string{"zone-a", "zone-b"}
 
-// newSite starts a site.
-func newSite(rec *record, daemon string, l layout) (*site, error) {
-	s := &site{rec: rec, layout: l, daemon: daemon, ended: make(chan struct{})}
+// newSite starts a site. With lineByLine, each line of the databases' answers is sent in
+// a segment of its own.
+func newSite(rec *record, daemon string, lineByLine bool) (*site, error) {
+	s := &site{rec: rec, daemon: daemon, ended: make(chan struct{})}
 	var err error
-	for _, name := range l.services {
-		g, err := newGroup(rec, name, l)
+	for _, name := range services {
+		g, err := newGroup(rec, name, lineByLine, []string{"zone-a", "zone-b", "zone-b"})
 		if err != nil {
 			return nil, err
 		}
@@ -102,7 +78,7 @@
 	if s.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
-	s.config = firstConfig(l)
+	s.config = firstConfig()
 	if _, err := s.store.put("config", "main", s.config); err != nil {
 		return nil, err
 	}
@@ -114,8 +90,8 @@
 			}
 		}
 	}
-	for i, zone := range l.hosts {
-		if err := s.startHost(fmt.Sprintf("edge-%d", i+1), zone); err != nil {
+	for i := range 4 {
+		if err := s.startHost(fmt.Sprintf("edge-%d", i+1), zones[i/2]); err != nil {
 			s.stop()
 			return nil, err
 		}
@@ -146,15 +122,14 @@
 	return r
 }
 
-func firstConfig(l layout) map[string]any {
-	services := l.services
+func firstConfig() map[string]any {
 	routes := []map[string]any{
-		route(services[0], routeOwn, "read_your_writes", l.timeoutMs, 400, 2, 2500),
-		route(services[0], routeExtra, "primary", l.timeoutMs, 200, 1, 0),
+		route(services[0], routePrimary, "primary", 1000, 200, 1, 0),
+		route(services[0], routeOwn, "read_your_writes", 1000, 400, 2, 2500),
+		route(services[0], routeExtra, "primary", 1000, 200, 1, 0),
 	}
 	var list, holders []map[string]any
 	for i, name := range services {
-		routes = append(routes, route(name, routesCurrent[i], "primary", l.timeoutMs, 200, 1, 0))
 		routes = append(routes, route(name, routesBounded[i], "bounded_staleness", 3000, 800, 2, 1500))
 		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConns": maxConnections, "protocol": "h1", "tls": false, "syncReplicas": 1})
 	}
@@ -205,7 +180,7 @@
 ready = "%s"
 peers = "%s"
 access = "%s"
-data_centres = [%s]
+data_centres = ["zone-a","zone-b"]
 promotion_url = "http://%s"
 memory_mb = 206
 cpu_share = 0.272
@@ -261,12 +236,7 @@
 		addresses[i] = a
 	}
 	file := filepath.Join(s.folder, name+".toml")
-	platform, err := s.entrance(name)
-	if err != nil {
-		return nil, err
-	}
-	quoted := `"` + strings.Join(s.layout.zones, `","`) + `"`
-	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], quoted, platform, platform)
+	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], s.store.address, s.store.address)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -290,9 +260,6 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	if s.layout.faults != nil {
-		s.layout.faults.started(h.name, cmd.Process.Pid)
-	}
 	exited := make(chan struct{})
 	go func() {
 		_ = cmd.Wait() // the exit status is in the log
