Specs of answers after the deadline: decide by nominal times

'is reported as not run when its home host reports so just after the deadline' got OutcomeUnknown after 0.272 s: the stand-in, which sleeps 210 ms and then writes, got the processor after the 260 ms that the product waits. The connection of the spec now delivers the answer at a nominal time and compares that with the read deadline that the product has set, so the spec checks the same 50 ms of slack whatever the machine does.

--- a/gateway/remote_test.go
+++ b/gateway/remote_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,6 +15,33 @@
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
+// delayedConn delivers an answer at a nominal time. Whether the answer meets the read
+// deadline depends on the two times only, not on when the reader gets the processor.
+type delayedConn struct {
+	net.Conn
+	arrival  time.Time
+	answers  bool
+	deadline time.Time // guarded by the order of calls: set before Read
+}
+
+func (c *delayedConn) SetDeadline(t time.Time) error {
+	c.deadline = t
+	if !c.answers {
+		return c.Conn.SetDeadline(t)
+	}
+	return nil
+}
+
+func (c *delayedConn) Read(b []byte) (int, error) {
+	if c.answers {
+		if c.arrival.After(c.deadline) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		time.Sleep(time.Until(c.arrival))
+	}
+	return c.Conn.Read(b)
+}
+
 var _ = Describe("a statement run on its home host", func() {
 	const timeout = 200 * time.Millisecond
 
@@ -28,10 +56,10 @@
 			if err := readMessage(r, &accesspb.Job{}); err != nil || result == nil {
 				return
 			}
-			time.Sleep(after)
 			_ = writeMessage(remoteEnd, result) // the receiving end may be closed already
 		}()
-		g.streams.put(&stream{Conn: localEnd, r: bufio.NewReader(localEnd), access: "x"})
+		conn := &delayedConn{Conn: localEnd, arrival: time.Now().Add(after), answers: result != nil}
+		g.streams.put(&stream{Conn: conn, r: bufio.NewReader(conn), access: "x"})
 		r := &remote{g: g, home: homeCandidate{name: "home", access: "x"}}
 		op := &operation{Request: request(statement.Write), svc: g.service(testService), arrived: time.Now(), deadline: time.Now().Add(timeout)}
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
