Keep requiring copies of a commit when the configuration loses the service

What callers saw: a commit of a service that the configuration in force lacked, or for which it no longer named syncReplicas, was acknowledged at once. Statements whose host had read an older configuration were still running then, and the service's databases could be replaced.

Cause: acknowledge took a service missing from the configuration for one without replicas. Change: a service that the configuration lacks, or of which any configuration of this process required replicas, needs the copies. A service whose every configuration names no syncReplicas is acknowledged as before.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -71,12 +71,29 @@
 	at      position.Position
 }
 
+// needsCopies reports whether commits are acknowledged only once replicas hold them. A
+// configuration that no longer has the service, or its replicas, doesn't change that: the
+// commits of its callers are under way, and databases may be promoted as before.
+func (s *service) needsCopies() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.recordReplicas() || s.replicated
+}
+
+// recordReplicas records whether the configuration in force requires replicas of the
+// service, and reports whether it has the service. mu is held.
+func (s *service) recordReplicas() (configured bool) {
+	config, configured := s.g.config.Load().Services[s.name]
+	s.replicated = s.replicated || config.SyncReplicas != 0
+	return configured
+}
+
 // acknowledge waits until a commit may be acknowledged to its caller, and records it
 // as acknowledged. If the service's primary confirms commits without a replica, it does
 // not wait. It fails with OutcomeUnknown if ctx ends before that, or if the primary has
 // been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
-	needsCopies := s.g.config.Load().Services[s.name].SyncReplicas != 0
+	needsCopies := s.needsCopies()
 	since := s.g.now()
 	if needsCopies {
 		defer time.AfterFunc(allCopiesPatience, s.wake).Stop()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -35,6 +35,7 @@
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
 	replication       replication
+	replicated        bool // a configuration required replicas of the service
 	promotion         promotionState
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
@@ -75,6 +76,7 @@
 func (s *service) setDatabases(list []routes.Database, size int) {
 	now := s.g.now()
 	s.mu.Lock()
+	s.recordReplicas()
 	restarted := s.table.SetDatabases(list, now)
 	var closing []*pool
 	for _, id := range restarted {
--- /dev/null
+++ b/gateway/unproven_commit_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Guards against the loss of an acknowledged commit (LOST): a commit was acknowledged
+// though nothing showed that a replica holds it.
+var _ = Describe("a commit without proof", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	onlyUnlistedReceives := func() {
+		dbs.withLock(func() {
+			dbs.databases["b"].notReplicating, dbs.databases["c"].notReplicating = true, true
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}}
+		})
+	}
+	configure := func(services map[string]routes.Service) {
+		config := *g.config.Load().Configuration
+		config.Services = services
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+		g.addConfiguredServices()
+	}
+	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
+
+	DescribeTable("is not acknowledged when the configuration in force",
+		func(services map[string]routes.Service) {
+			onlyUnlistedReceives()
+			configure(services)
+			Expect(write()).To(HaveField("Kind", errkind.OutcomeUnknown))
+		},
+		Entry("lacks the service", map[string]routes.Service{}),
+		Entry("no longer requires replicas of the service", map[string]routes.Service{testService: {Name: testService, MaxConns: 40}}),
+	)
+})
