Do not acknowledge a commit whose answer names no position

What callers saw: a commit of a service with syncReplicas whose answer had no position was acknowledged at once on a host that had seen no term of the service yet.

Cause: the zero position lies before every settled position, the first one included. Change: the outcome of such a commit is unknown. A transaction that wrote nothing needs no position, as before.

The spec "is not acknowledged when its answer names no position" failed before (acknowledged while no listed replica received anything) and passes.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -94,6 +94,10 @@
 // been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
 	needsCopies := s.needsCopies()
+	if needsCopies && c.at.IsZero() {
+		s.recordAcknowledgement(c, succession.NoCopy, false)
+		return errkind.New(errkind.OutcomeUnknown, "database %s confirmed a commit without its position", c.primary)
+	}
 	since := s.g.now()
 	if needsCopies {
 		defer time.AfterFunc(allCopiesPatience, s.wake).Stop()
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -58,6 +58,8 @@
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
 	unsigned       bool          // answers carry no signature
+	unpositioned   bool          // answers carry no position
+	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -183,6 +185,9 @@
 	if l.db.unsigned {
 		a.Signature = ""
 	}
+	if l.db.unpositioned {
+		a.Position = position.Position{}
+	}
 	return a, nil
 }
 
@@ -279,6 +284,10 @@
 		l.db.loseNextAnswer = false
 		return statement.Answer{}, errStandinTimeout
 	}
+	if hook := l.db.commitHook; hook != nil {
+		l.db.commitHook = nil
+		hook()
+	}
 	return l.succeed()
 }
 
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -42,15 +42,28 @@
 		g.config.Store(&loadedConfiguration{Configuration: &config})
 		g.addConfiguredServices()
 	}
-	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
+	outcome := func() string {
+		err := newTestSession(g, "own").serve(request(statement.Write)).Err
+		if err == nil {
+			return "acknowledged"
+		}
+		return err.Kind.String()
+	}
 
 	DescribeTable("is not acknowledged when the configuration in force",
 		func(services map[string]routes.Service) {
 			onlyUnlistedReceives()
 			configure(services)
-			Expect(write()).To(HaveField("Kind", errkind.OutcomeUnknown))
+			Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
 		},
 		Entry("lacks the service", map[string]routes.Service{}),
 		Entry("no longer requires replicas of the service", map[string]routes.Service{testService: {Name: testService, MaxConns: 40}}),
 	)
+
+	It("is not acknowledged when its answer names no position", func() {
+		onlyUnlistedReceives()
+		dbs.withLock(func() { dbs.databases["a"].unpositioned = true })
+		g = newTestGateway(p) // has seen no term of the service
+		Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
+	})
 })
