--- a/internal/standin/takeover/client.go
+++ b/internal/standin/takeover/client.go
@@ -15,6 +15,7 @@
 	s      *site
 	name   string
 	tenant string
+	build  *build // of the host
 	conn   net.Conn
 	r      *bufio.Reader
 }
@@ -51,6 +52,7 @@
 		conn.Close()
 		return nil, err
 	}
+	c.build = h.build.Load()
 	return c, nil
 }
 
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -33,14 +32,15 @@
 func main() {
 	name := flag.String("case", "takeover", "case to play")
 	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
+	older := flag.String("older", "", "a daemon of another version; the fleet starts as it, is upgraded host by host, rolled back in part, and upgraded again")
 	out := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	seed := flag.Uint64("seed", 1, "seed of the faults")
 	flag.Parse()
-	os.Exit(run(*name, *daemon, *out, *trouble, *seed))
+	os.Exit(run(*name, *daemon, *older, *out, *trouble, *seed))
 }
 
-func run(name, daemon, out string, trouble bool, seed uint64) int {
+func run(name, daemon, older, out string, trouble bool, seed uint64) int {
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
@@ -53,12 +53,12 @@
 	}
 	defer file.Close()
 	rec := &record{file: file, started: time.Now()}
-	daemon, err = filepath.Abs(daemon)
+	builds, err := newBuilds(daemon, older)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, daemon, takeoverLayout(rec, seed))
+	s, err := newSite(rec, builds, takeoverLayout(rec, seed))
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,7 +24,7 @@
 	group  *group // of the first service
 	groups []*group
 	folder string
-	daemon string
+	builds builds
 	hosts  []*hostProcess
 	ended  chan struct{}
 	config map[string]any
@@ -45,6 +46,7 @@
 	name, zone     string
 	file           string // its settings
 	callers, ready string
+	build          atomic.Pointer[build] // that it runs, or ran last
 	cmd            *exec.Cmd
 	exited         chan struct{}
 }
@@ -71,8 +73,8 @@
 var tenants = map[string]string{"shop": "key-of-shop-1", "yard": "key-of-yard-1", "partner": "key-of-partner-1"}
 
 // newSite starts a site.
-func newSite(rec *record, daemon string, l layout) (*site, error) {
-	s := &site{rec: rec, layout: l, daemon: daemon, ended: make(chan struct{})}
+func newSite(rec *record, b builds, l layout) (*site, error) {
+	s := &site{rec: rec, layout: l, builds: b, ended: make(chan struct{})}
 	var err error
 	for _, name := range l.services {
 		g, err := newGroup(rec, name, l)
@@ -254,6 +256,7 @@
 		return nil, err
 	}
 	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1]}
+	h.build.Store(s.builds.first())
 	if err := s.launch(h); err != nil {
 		return nil, err
 	}
@@ -267,7 +270,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(s.daemon, "--config", h.file)
+	b := h.build.Load()
+	cmd := exec.Command(b.path, "--config", h.file)
 	cmd.Env = append(os.Environ(), "BRONZELOFT_BOOT="+h.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -283,7 +287,7 @@
 		close(exited)
 	}()
 	h.cmd, h.exited = cmd, exited
-	s.rec.logf("host %s started in %s", h.name, h.zone)
+	s.rec.notef("host %s started in %s as %s", h.name, h.zone, b.name)
 	return nil
 }
 
--- a/internal/standin/takeover/takeover.go
+++ b/internal/standin/takeover/takeover.go
@@ -35,6 +35,7 @@
 	streamPlan = iota
 	streamCalls
 	streamHits
+	streamBuilds
 )
 
 func takeoverLayout(rec *record, seed uint64) layout {
@@ -123,6 +124,7 @@
 	hits     *rand.Rand
 	hitting  bool
 	troubled map[string]bool      // hosts that are stopped or killed
+	replaced map[string]bool      // hosts that are restarted as another version
 	acked    map[string]time.Time // when a commit's client got its success, by id
 	ackedBy  map[string]string    // and the host that it came from
 	reads    map[string]span      // answered reads of the primary, by id
@@ -139,7 +141,7 @@
 func playTakeover(s *site, trouble bool) (bool, error) {
 	workTime = func(string) time.Duration { return 5 * time.Millisecond }
 	f := s.layout.faults
-	t := &takeover{s: s, f: f, hits: rand.New(rand.NewPCG(f.seed, streamHits)), troubled: map[string]bool{},
+	t := &takeover{s: s, f: f, hits: rand.New(rand.NewPCG(f.seed, streamHits)), troubled: map[string]bool{}, replaced: map[string]bool{},
 		acked: map[string]time.Time{}, ackedBy: map[string]string{}, reads: map[string]span{}}
 	f.mu.Lock()
 	f.onTakeover, f.onOrder = t.hit, t.starve
@@ -239,6 +241,12 @@
 	t.mu.Lock()
 	t.hitting = true
 	t.mu.Unlock()
+	for _, c := range t.s.builds.changes(t.f.seed, len(t.s.hosts)) {
+		t.busy.Go(func() {
+			time.Sleep(time.Until(began.Add(c.at)))
+			t.change(c)
+		})
+	}
 	for _, s := range planOf(t.f.seed, t.s.layout) {
 		time.Sleep(time.Until(began.Add(s.at)))
 		t.busy.Go(func() { t.play(s) })
@@ -426,7 +434,7 @@
 func (t *takeover) claim(host string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.troubled[host] || len(t.troubled) >= troubledAtMost {
+	if t.troubled[host] || t.replaced[host] || len(t.troubled) >= troubledAtMost {
 		return false
 	}
 	t.troubled[host] = true
@@ -451,6 +459,11 @@
 	t.s.signal(h, syscall.SIGKILL)
 	<-h.exited
 	time.Sleep(length)
+	t.restart(h)
+}
+
+// restart starts a host that has ended.
+func (t *takeover) restart(h *hostProcess) {
 	for range startAttempts {
 		if err := t.s.launch(h); err != nil {
 			t.s.rec.logf("start of %s: %v", h.name, err)
@@ -459,7 +472,7 @@
 		select {
 		case <-h.exited: // its port may be taken for a moment
 		case <-time.After(listenTime):
-			t.s.rec.notef("host %s is started again", h.name)
+			t.s.rec.notef("host %s is started again; %s", h.name, t.s.versions())
 			return
 		}
 	}
@@ -522,7 +535,7 @@
 		case strings.HasPrefix(text, "READ"):
 			t.reads[r.id] = span{began, time.Now()}
 		case r.state == "I":
-			t.acked[r.id], t.ackedBy[r.id] = time.Now(), h.name
+			t.acked[r.id], t.ackedBy[r.id] = time.Now(), h.name+" ("+c.build.name+")"
 		}
 		t.mu.Unlock()
 	}
