--- a/internal/standin/takeover/builds.go
+++ b/internal/standin/takeover/builds.go
@@ -55,34 +55,36 @@
 	graceful bool // by SIGTERM
 }
 
-// Phases of the changes of versions, and the time in which each ends.
+// Phases of the changes of versions, as shares of the time of the faults.
 const (
-	upgradeFrom  = 1500 * time.Millisecond
-	rollbackFrom = 12 * time.Second
-	againFrom    = 17 * time.Second
-	againUntil   = 23 * time.Second
-	shutdownTime = 8 * time.Second // a host that takes longer to stop is killed
+	upgradeFrom  = 0.06
+	rollbackFrom = 0.46
+	againFrom    = 0.65
+	againUntil   = 0.88
 )
 
+// shutdownTime is the time after which a host that is to stop is killed.
+const shutdownTime = 8 * time.Second
+
 // changes returns the changes of a seed: all hosts are upgraded one by one, half of them
 // are rolled back, and these are upgraded again.
-func (b builds) changes(seed uint64, hosts int) []buildChange {
+func (b builds) changes(seed uint64, hosts int, length time.Duration) []buildChange {
 	if b.older == nil {
 		return nil
 	}
 	r := rand.New(rand.NewPCG(seed, streamBuilds))
 	var out []buildChange
-	phase := func(from, until time.Duration, who []int, to *build) {
-		each := (until - from) / time.Duration(len(who))
+	phase := func(from, until float64, who []int, to *build) {
+		each := time.Duration((until - from) * float64(length) / float64(len(who)))
 		for i, host := range who {
-			at := from + time.Duration(i)*each + time.Duration(r.Int64N(int64(each)))
+			at := time.Duration(from*float64(length)) + time.Duration(i)*each + time.Duration(r.Int64N(int64(each)))
 			out = append(out, buildChange{at: at, host: host, to: to, graceful: r.Float64() < 0.5})
 		}
 	}
 	phase(upgradeFrom, rollbackFrom, r.Perm(hosts), b.newer)
 	back := r.Perm(hosts)[:(hosts+1)/2]
 	phase(rollbackFrom, againFrom, back, b.older)
-	phase(againFrom, againUntil, r.Perm(hosts), b.newer)
+	phase(againFrom, againUntil, back, b.newer)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].at < out[j].at })
 	return out
 }
--- a/internal/standin/takeover/client.go
+++ b/internal/standin/takeover/client.go
@@ -40,7 +40,7 @@
 	if err := conn.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write([]byte("STARTUP " + database + " " + tenants[tenant] + "\r\n")); err != nil {
+	if _, err := conn.Write([]byte("STARTUP " + database + " " + keyOf(tenant) + "\r\n")); err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -1,16 +1,12 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sort"
-	"strconv"
-	"strings"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -22,30 +18,28 @@
 	receiveDelay     = time.Millisecond
 	applyDelay       = 20 * time.Millisecond
 	promoteTime      = time.Second
+	rollbackTime     = 300 * time.Millisecond // for which a replica is busy after a rollback
 )
 
 // group is a service's databases: one primary and its replicas. A commit is
-// acknowledged once one replica has received it.
+// acknowledged once one replica has received it. Each database has its own view of the
+// term, the primary and the log; the group records what was promoted.
 type group struct {
-	rec     *record
-	service string
+	rec       *record
+	service   string
+	faults    *faults
+	with      variants
+	databases []*database
 
-	mu         sync.Mutex // guards the fields below and those of the databases
+	mu         sync.Mutex // guards the fields below; it is locked before that of a database
 	term       int
-	primary    *database
-	databases  []*database
-	log        []entry // of the primary
+	primary    *database // of the newest term
 	rolledBack []rollback
 	promotions int
-	faults     *faults
 	fence      uint64
 	arrived    map[string]time.Time // when a statement with an id reached a database
 	statements []ran
-	commits    []committed
-	changed    chan struct{} // closed and replaced when a log grows
-
-	refused    map[string]int // statements by the code of their refusal
-	lineByLine bool           // each line of an answer is sent in a segment of its own
+	strays     map[string]string // where a commit that no promoted log holds was committed, by id
 }
 
 // entry is one commit in the log.
@@ -77,61 +71,67 @@
 
 // ran is a statement that a database has run.
 type ran struct {
-	at        time.Time
-	id, text  string
-	database  string
-	tenant    string   // named when the connection was opened
-	applied   int      // entries of the log that it ran on
-	neighbour []string // ids of the statements that the transaction ran before it
-}
-
-// committed is a commit that took effect.
-type committed struct {
-	at         time.Time
-	id         string   // of the COMMIT, or of the single write
-	statements []string // ids of the statements of the transaction
+	at       time.Time
+	id, text string
+	database string
+	applied  int // entries of the log that it ran on
 }
 
-// database is one database of a group.
+// database is one database of a group, and its view of the others.
 type database struct {
 	g        *group
 	id, zone string
 	address  string
 	slots    chan struct{}
-	accepted atomic.Int64
-	lossy    atomic.Bool // packets are lost on harmed connections
 
-	received, applied int // entries of the log
-	paused            int
-	demoted           bool // a primary that was made a replica
-	down              bool
-	conns             int
-	links             map[*link]struct{}
-	history           []progress
-	seq               int
-	born              int64
-	announced         string // the role in its entry
+	mu        sync.Mutex // guards the fields below
+	changed   chan struct{}
+	thawed    chan struct{} // closed while its process runs
+	term      int           // the newest that it knows
+	leader    *database     // of that term
+	log       []entry       // received
+	applied   int           // entries of the log
+	confirmed map[string]int
+	history   []progress
+	paused    int
+	demoted   bool // a primary that was made a replica
+	down      bool
+	busyUntil time.Time
+	conns     int
+	links     map[*link]struct{}
+	seq       int
+	born      int64
+	announced string // the role in its entry
 }
 
 func newGroup(rec *record, service string, layout layout) (*group, error) {
-	g := &group{lineByLine: layout.lineByLine, faults: layout.faults, rec: rec, service: service, term: 3, refused: map[string]int{}, arrived: map[string]time.Time{}, changed: make(chan struct{})}
+	g := &group{faults: layout.faults, with: layout.with, rec: rec, service: service, term: 3, arrived: map[string]time.Time{}, strays: map[string]string{}}
+	running := make(chan struct{})
+	close(running)
 	for _, zone := range layout.databases {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
 		d := &database{g: g, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, address: l.Addr().String(), slots: make(chan struct{}, slotsPerDatabase),
-			links: map[*link]struct{}{}}
+			links: map[*link]struct{}{}, changed: make(chan struct{}), thawed: running, term: g.term, confirmed: map[string]int{}}
 		g.databases = append(g.databases, d)
 		go d.serve(l)
 	}
 	g.primary = g.databases[0]
+	for _, d := range g.databases {
+		d.leader = g.primary
+	}
+	for _, d := range g.databases {
+		go d.follow()
+	}
 	return g, nil
 }
 
-// leads reports whether the database is the primary. g.mu is held.
-func (d *database) leads() bool { return d.g.primary == d && !d.demoted }
+// leads reports whether the database takes itself for the primary. d.mu is held.
+func (d *database) leads() bool { return d.leader == d && !d.demoted }
 
+// role returns what the database reports. d.mu is held.
 func (d *database) role() string {
 	if d.leads() {
 		return "primary"
@@ -139,7 +139,7 @@
 	return "replica"
 }
 
-// entryOf returns the entry in which the database announces itself. g.mu is held or
+// entryOf returns the entry in which the database announces itself. d.mu is held, or
 // no host runs yet.
 func (d *database) entryOf(seq int, born int64) map[string]any {
 	d.seq, d.born = seq, born
@@ -149,577 +149,195 @@
 		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": seq, "born": born}
 }
 
-// promote accepts a promotion call and carries it out after promoteTime, whichever
-// database is the primary by then.
-func (g *group) promote(id string, fence uint64) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if fence < g.fence {
-		return http.StatusConflict
-	}
-	g.fence = fence
-	for _, d := range g.databases {
-		if d.id == id && !d.down {
-			g.rec.notef("promotion of %s accepted with fence %d", id, fence)
-			time.AfterFunc(promoteTime, func() { g.lead(d) })
-			return http.StatusOK
-		}
-	}
-	return http.StatusConflict
+// notify wakes those who wait for a change of the database. d.mu is held.
+func (d *database) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
-// lead makes d the primary of the next term with what it has received.
-func (g *group) lead(d *database) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if d.leads() || d.down {
-		return
-	}
-	now := time.Now()
-	for i, e := range g.log[d.received:] {
-		r := rollback{entry: e, number: d.received + i + 1, at: now, primary: g.primary.id, promoted: d.id, received: map[string]time.Time{}}
-		for _, other := range g.databases {
-			if at, ok := other.receivedAt(g.term, r.number); ok && other != g.primary {
-				r.received[other.id] = at
-			}
+// awaitThaw waits while the database's process stands still.
+func (d *database) awaitThaw() {
+	for {
+		d.mu.Lock()
+		thawed := d.thawed
+		d.mu.Unlock()
+		select {
+		case <-thawed:
+			return
+		default:
+			<-thawed // it may be stopped again by now
 		}
-		g.rolledBack = append(g.rolledBack, r)
 	}
-	g.term++
-	g.promotions++
-	g.rec.notef("database %s is the primary of term %d with %d commits; %d are rolled back", d.id, g.term, d.received, len(g.log)-d.received)
-	g.primary, g.log = d, g.log[:d.received:d.received]
-	d.applied, d.paused, d.demoted = d.received, 0, false
-	for _, other := range g.databases {
-		other.received = min(other.received, d.received)
-		other.applied = min(other.applied, other.received)
-	}
-	g.notify()
-}
-
-// notify wakes those who wait for a change of the logs. mu is held.
-func (g *group) notify() {
-	close(g.changed)
-	g.changed = make(chan struct{})
 }
 
-// receivedAt returns when the database received a commit in a term. mu is held.
-func (d *database) receivedAt(term, n int) (time.Time, bool) {
-	if n > d.received {
-		return time.Time{}, false
-	}
-	for _, p := range d.history {
-		if p.term == term && p.received >= n {
-			return p.at, true
-		}
+// frozen reports whether the database's process stands still.
+func (d *database) frozen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.thawed:
+		return false
+	default:
+		return true
 	}
-	return time.Time{}, true
 }
 
-// receives reports whether a replica receives from the primary. mu is held.
-func (g *group) receives(d *database) bool {
-	return d != g.primary && d.paused == 0 && !d.down && !g.primary.down && !g.faults.isCut(g.primary.id, d.id)
+// freeze makes the database's process stand still for a time, as SIGSTOP does: its
+// connections stay open, and what is sent to it waits.
+func (d *database) freeze(length time.Duration) {
+	d.mu.Lock()
+	thawed := make(chan struct{})
+	d.thawed = thawed
+	d.mu.Unlock()
+	time.Sleep(length)
+	close(thawed)
 }
 
-// receive extends the log of a replica to n entries of a term. mu is held.
-func (g *group) receive(d *database, term, n int) {
-	if g.term != term || n <= d.received || !g.receives(d) {
-		return
-	}
-	d.received = n
-	d.history = append(d.history, progress{at: time.Now(), term: term, received: n})
-	g.notify()
-}
-
-// replicate passes entry n on to the replicas. mu is held.
-func (g *group) replicate(n int) {
-	for _, d := range g.databases {
-		if d != g.primary {
-			g.send(d, n)
+// setDown crashes a database, or starts it again with its log.
+func (d *database) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	if down {
+		d.paused = 0
+		for c := range d.links {
+			c.conn.Close()
 		}
 	}
+	d.notify()
 }
 
-// send passes the log up to entry n on to a replica. mu is held.
-func (g *group) send(d *database, n int) {
-	term := g.term
-	time.AfterFunc(receiveDelay, func() {
-		g.mu.Lock()
-		g.receive(d, term, n)
-		g.mu.Unlock()
-	})
-	time.AfterFunc(receiveDelay+applyDelay, func() {
-		g.mu.Lock()
-		if g.term == term {
-			d.applied = max(d.applied, min(n, d.received))
-		}
-		g.mu.Unlock()
-	})
+// empty starts a database that is down again without its log, under its id.
+func (d *database) empty() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.log, d.applied, d.history, d.seq = nil, 0, nil, 0
+	d.born = time.Now().UnixMilli()
+	d.announced = ""
 }
 
-// catchUp passes the log on to the replicas that have missed some of it.
-func (g *group) catchUp() {
+// promote accepts a promotion call and carries it out later, whichever database is the
+// primary by then.
+func (g *group) promote(id string, fence uint64) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if fence < g.fence {
+		return http.StatusConflict
+	}
+	g.fence = fence
 	for _, d := range g.databases {
-		if g.receives(d) && (d.received < len(g.log) || d.applied < d.received) {
-			g.send(d, len(g.log))
+		d.mu.Lock()
+		down := d.down
+		d.mu.Unlock()
+		if d.id != id || down {
+			continue
 		}
-	}
-}
-
-// position returns a position in the log. mu is held.
-func (g *group) position(n int) string { return fmt.Sprintf("%d.%d", g.term, 1000+n) }
-
-// parsePosition returns the number of entries that a position stands for, or a
-// number beyond every log for a newer term. mu is held.
-func (g *group) parsePosition(text string) int {
-	term, number, _ := strings.Cut(text, ".")
-	t, err1 := strconv.Atoi(term)
-	n, err2 := strconv.Atoi(number)
-	switch {
-	case err1 != nil || err2 != nil || t > g.term:
-		return 1 << 30
-	case t < g.term:
-		kept := sort.Search(len(g.log), func(i int) bool { return g.log[i].term > t })
-		return min(n-1000, kept)
-	}
-	return n - 1000
-}
-
-func (d *database) serve(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
+		after := promoteTime
+		if g.with.slowPromotions {
+			after = g.faults.between(promoteTime, slowestPromotion)
 		}
-		go (&link{d: d, conn: conn, gone: make(chan struct{}), ended: make(chan struct{})}).serve()
+		g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", id, fence, after.Milliseconds())
+		g.faults.later(after, func() { g.lead(d) })
+		return http.StatusOK
 	}
+	return http.StatusConflict
 }
 
-// link is one connection to a database.
-type link struct {
-	d      *database
-	conn   net.Conn
-	from   string        // the host, if there are faults
-	gone   chan struct{} // closed when the host has closed the connection
-	ended  chan struct{} // closed when the connection is no longer served
-	mute   bool          // no further answer is sent
-	tenant string
-	out    chan []byte // segments to send; nil if they are sent at once
-	harmed bool        // its packets are lost while those of its database are
-
-	open, readOnly, failed bool
-	began                  int // term of the open transaction
-	statements             []string
-	writes                 []write
-	prepared               map[string]string // "READ" or "WRITE" by name
-}
-
-func (c *link) serve() {
-	defer close(c.ended)
-	defer c.conn.Close()
-	if c.d.g.lineByLine {
-		c.out = make(chan []byte, queuedAtMost)
-		c.harmed = c.d.accepted.Add(1)%harmedOf < harmedConns
-		defer close(c.out)
-		go c.deliver()
-	}
-	lines := make(chan string, queuedAtMost)
-	go c.read(lines)
-	if c.d.g.faults != nil {
-		if c.from = c.d.g.faults.sender(c.conn); c.from == "" {
-			return // its process has ended
-		}
-	}
-	f := strings.Fields(<-lines)
-	if len(f) < 3 || f[0] != "STARTUP" || !c.awaitPath() {
-		return
-	}
-	time.Sleep(connectTime)
-	g := c.d.g
+// lead makes d the primary of the next term with what it has received.
+func (g *group) lead(d *database) {
+	d.awaitThaw()
 	g.mu.Lock()
-	if c.d.down {
-		g.mu.Unlock()
-		return
-	}
-	full := c.d.conns >= maxConnections
-	position := g.position(c.d.applied)
-	if !full {
-		c.d.conns++
-		c.d.links[c] = struct{}{}
-	}
-	g.mu.Unlock()
-	switch {
-	case full:
-		c.send("ERROR TOOMANY " + c.d.id)
-		return
-	case f[1] != g.service || len(f) > 3 && f[3] != c.d.id:
-		c.send("ERROR MISROUTED " + c.d.id)
+	defer g.mu.Unlock()
+	d.mu.Lock()
+	if g.primary == d && !d.demoted || d.down {
+		d.mu.Unlock()
 		return
 	}
-	defer func() {
-		g.mu.Lock()
-		c.d.conns--
-		delete(c.d.links, c)
-		g.mu.Unlock()
-	}()
-	c.tenant = f[2]
-	c.send("READY I " + position)
-	for line := range lines {
-		f := strings.SplitN(line, " ", 3)
-		if f[0] != "QUERY" || len(f) < 3 || !c.awaitPath() {
-			return
-		}
-		answer := c.query(f[1], f[2])
-		if c.mute {
-			<-c.gone
-			return
-		}
-		if !c.awaitPath() || !c.send(answer...) {
-			return
-		}
-	}
-}
-
-// read reads the lines of a connection ahead, so that its end is seen while a statement
-// is held up.
-func (c *link) read(lines chan<- string) {
-	defer close(lines)
-	r := bufio.NewReader(c.conn)
-	for {
-		line, err := readLine(r)
-		if err != nil {
-			close(c.gone)
-			return
+	g.term++
+	g.promotions++
+	former := g.primary
+	g.primary = d
+	d.term, d.leader, d.demoted, d.paused = g.term, d, false, 0
+	d.applied, d.confirmed = len(d.log), map[string]int{}
+	log := d.log[:len(d.log):len(d.log)]
+	term := g.term
+	d.notify()
+	d.mu.Unlock()
+	lost := g.recordRollbacks(former, d, log)
+	g.rec.notef("database %s is the primary of %s in term %d with %d commits; %d are rolled back", d.id, g.service, term, len(log), lost)
+	for _, other := range g.databases {
+		if other == d {
+			continue
 		}
-		select {
-		case lines <- line:
-		case <-c.ended:
-			close(c.gone)
-			return
+		if !g.with.lateNews {
+			other.learn(d, term, log)
+			continue
 		}
+		after := g.faults.between(0, latestNews)
+		go func() {
+			time.Sleep(after)
+			for !g.faults.await(nil, other.id, platformEnd) {
+			}
+			other.awaitThaw()
+			other.learn(d, term, log)
+		}()
 	}
 }
 
-// awaitPath waits until the path between the host and the database is whole. It reports
-// false if the host closes the connection meanwhile, or the path stays cut.
-func (c *link) awaitPath() bool { return c.d.g.faults.await(c.gone, c.from, c.d.id) }
-
-func readLine(r *bufio.Reader) (string, error) {
-	line, err := r.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
-}
-
-// Loss of packets: three in ten, each sent again after a time-out that doubles.
+// Bounds of the variants.
 const (
-	harmedConns   = 3 // of harmedOf connections to a database, for as many of the machines
-	harmedOf      = 10
-	lossShare     = 0.3
-	firstTimeout  = 200 * time.Millisecond // the least of the operating system
-	lostAtMost    = 4
-	queuedAtMost  = 1024
-	timeoutFactor = 2
+	slowestPromotion = 5 * time.Second
+	latestNews       = 1500 * time.Millisecond
 )
 
-// deliver sends the segments of a connection in order. Each that is lost holds up the
-// ones behind it.
-func (c *link) deliver() {
-	for segment := range c.out {
-		wait := firstTimeout
-		for n := 0; n < lostAtMost && c.harmed && c.d.lossy.Load() && rand.Float64() < lossShare; n++ {
-			time.Sleep(wait)
-			wait *= timeoutFactor
-		}
-		if _, err := c.conn.Write(segment); err != nil {
-			c.conn.Close()
-		}
-	}
-}
-
-func (c *link) send(lines ...string) bool {
-	if c.out != nil {
-		for _, line := range lines {
-			c.out <- []byte(line + "\r\n")
-		}
-		return true
-	}
-	_, err := c.conn.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
-	return err == nil
-}
-
-// query runs one statement and returns the lines of the answer.
-func (c *link) query(id, text string) []string {
-	g := c.d.g
-	if id != "-" {
-		g.mu.Lock()
-		g.arrived[id] = time.Now()
-		g.mu.Unlock()
-	}
-	after := ""
-	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		after, text, _ = strings.Cut(rest, " ")
-	}
-	f := strings.SplitN(text, " ", 4)
-	if c.failed && f[0] != "ROLLBACK" && f[0] != "COMMIT" {
-		return c.refuse("MALFORMED")
-	}
-	switch f[0] {
-	case "STATUS", "PAUSE", "RESUME", "DEMOTE":
-		return c.control(f)
-	case "SET":
-		return c.done("-")
-	case "RESET":
-		c.prepared = nil
-		return c.done("-")
-	case "PREPARE":
-		if c.prepared == nil {
-			c.prepared = map[string]string{}
-		}
-		c.prepared[f[1]] = f[2]
-		return c.done("-")
-	case "DEALLOC":
-		delete(c.prepared, f[1])
-		return c.done("-")
-	case "ROLLBACK":
-		c.end()
-		return c.done("-")
-	case "BEGIN":
-		return c.begin(len(f) > 1, after)
-	case "COMMIT":
-		return c.commit(id)
-	case "READ":
-		return c.run(id, text, f[1], "", false, after)
-	case "WRITE":
-		_, data, _ := strings.Cut(strings.TrimPrefix(text, "WRITE "), " ")
-		return c.run(id, text, f[1], data, true, after)
-	case "EXECUTE":
-		access, ok := c.prepared[f[1]]
-		if !ok || len(f) < 3 {
-			return c.refuse("NOSTMT")
-		}
-		data := ""
-		if len(f) > 3 {
-			data = f[3]
-		}
-		return c.run(id, text, f[2], data, access == "WRITE", after)
-	}
-	return c.refuse("MALFORMED")
-}
-
-// end ends the open transaction.
-func (c *link) end() {
-	c.open, c.readOnly, c.failed = false, false, false
-	c.statements, c.writes = nil, nil
-}
-
-func (c *link) refuse(code string) []string {
-	c.d.g.mu.Lock()
-	c.d.g.refused[code]++
-	c.d.g.mu.Unlock()
-	c.failed = c.open
-	return []string{"ERROR " + code + " " + c.d.id, c.ready()}
-}
-
-func (c *link) done(signature string) []string { return []string{"COMPLETE " + signature, c.ready()} }
-
-func (c *link) ready() string {
-	state := "I"
-	switch {
-	case c.failed:
-		state = "E"
-	case c.open:
-		state = "T"
-	}
-	g := c.d.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return "READY " + state + " " + g.position(c.d.applied)
-}
-
-// control runs a statement that concerns the database itself.
-func (c *link) control(f []string) []string {
-	g := c.d.g
-	term := 0
-	if len(f) > 1 {
-		term, _ = strconv.Atoi(f[1])
-	}
-	if f[0] != "STATUS" {
-		what := fmt.Sprintf("%s of %s for %s (sent at %.3f s)", strings.Join(f, " "), c.from, c.d.id, g.rec.seconds(time.Now()))
-		g.faults.takeover(c.from)
-		fate := g.faults.order()
-		if fate.unanswered {
-			c.mute = true
-			g.rec.notef("%s: no answer, carried out after %d ms", what, fate.after.Milliseconds())
-			g.faults.later(fate.after, func() {
-				g.mu.Lock()
-				g.obey(c.d, f[0], term)
-				g.rec.notef("%s: carried out", what)
-				g.mu.Unlock()
-			})
-			return nil
-		}
-		g.rec.notef("%s: carried out and answered", what)
-	}
-	g.mu.Lock()
-	g.obey(c.d, f[0], term)
-	row := fmt.Sprintf("ROW %s %d %s %d 0 %d %d", c.d.role(), g.term, g.position(c.d.received), c.d.paused, len(c.d.slots), c.d.conns)
-	g.mu.Unlock()
-	return append([]string{row}, c.done("-")...)
-}
-
-// obey carries out an order to a database. mu is held.
-func (g *group) obey(d *database, order string, term int) {
-	switch {
-	case d.down:
-	case order == "PAUSE" && d != g.primary && term > g.term:
-		d.paused = term
-	case order == "DEMOTE" && d == g.primary && term > g.term:
-		d.demoted = true
-		g.notify()
-	case order == "RESUME":
-		d.paused = 0
-		if d != g.primary {
-			g.send(d, len(g.log))
-		}
-	}
-}
-
-func (c *link) begin(readOnly bool, after string) []string {
-	g := c.d.g
-	g.mu.Lock()
-	isPrimary, behind, term := c.d.leads(), after != "" && g.parsePosition(after) > c.d.applied, g.term
-	g.mu.Unlock()
-	switch {
-	case c.open:
-		return c.refuse("MALFORMED")
-	case !readOnly && !isPrimary:
-		return c.refuse("READONLY")
-	case behind:
-		return c.refuse("LAGGING")
-	}
-	c.open, c.readOnly, c.began = true, readOnly, term
-	return c.done("-")
-}
-
-// work occupies a slot for the time that a statement takes.
-func (c *link) work(d time.Duration) {
-	c.d.slots <- struct{}{}
-	time.Sleep(d)
-	<-c.d.slots
-}
-
-// run runs a read or a write.
-func (c *link) run(id, text, item, data string, writes bool, after string) []string {
-	g := c.d.g
-	g.mu.Lock()
-	isPrimary, behind := c.d.leads(), after != "" && g.parsePosition(after) > c.d.applied
-	lost := c.open && !c.readOnly && (g.term != c.began || !isPrimary)
-	g.mu.Unlock()
-	switch {
-	case writes && !isPrimary || lost:
-		return c.refuse("READONLY")
-	case behind:
-		return c.refuse("LAGGING")
-	}
-	g.mu.Lock()
-	g.statements = append(g.statements, ran{at: time.Now(), id: id, text: text, database: c.d.id, tenant: c.tenant, applied: c.d.applied, neighbour: append([]string(nil), c.statements...)})
-	g.mu.Unlock()
-	g.rec.logf("database %s runs %s %s for tenant %s", c.d.id, id, text, c.tenant)
-	c.work(workTime(item))
-	if c.open {
-		c.statements = append(c.statements, id)
-	}
-	w := write{id: id, item: item, data: data}
-	if !writes {
-		return append([]string{"ROW " + c.value(item)}, c.done(c.signature(id))...)
-	}
-	if c.open {
-		c.writes = append(c.writes, w)
-		return c.done(c.signature(id))
-	}
-	return c.append(id, []string{id}, []write{w}, 0)
-}
-
-func (c *link) signature(id string) string { return "7." + c.d.id + "." + id }
-
-// value returns what the database holds for an item, with the transaction's own
-// writes.
-func (c *link) value(item string) string {
-	for i := len(c.writes) - 1; i >= 0; i-- {
-		if c.writes[i].item == item {
-			return c.writes[i].data
-		}
-	}
-	g := c.d.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i := min(c.d.applied, len(g.log)) - 1; i >= 0; i-- {
-		for _, w := range g.log[i].writes {
-			if w.item == item {
-				return w.data
+// recordRollbacks records the commits of the former primary that a promoted log lacks, and
+// returns their number. g.mu is held.
+func (g *group) recordRollbacks(former, promoted *database, log []entry) int {
+	old := former.snapshot()
+	now := time.Now()
+	kept := commonLength(old, log)
+	for i, e := range old[kept:] {
+		r := rollback{entry: e, number: kept + i + 1, at: now, primary: former.id, promoted: promoted.id, received: map[string]time.Time{}}
+		for _, other := range g.databases {
+			if other == former {
+				continue
+			}
+			if at, ok := other.receivedAt(r.number, e.id); ok {
+				r.received[other.id] = at
 			}
 		}
+		g.rolledBack = append(g.rolledBack, r)
 	}
-	return "none"
+	return len(old) - kept
 }
 
-func (c *link) commit(id string) []string {
-	if !c.open || c.failed {
-		c.end()
-		return c.refuse("MALFORMED")
-	}
-	statements, writes, began := c.statements, c.writes, c.began
-	c.work(time.Millisecond)
-	c.end()
-	if len(writes) == 0 {
-		return c.done(c.signature(id))
+// commonLength returns the number of entries up to which two logs are the same.
+func commonLength(a, b []entry) int {
+	n := min(len(a), len(b))
+	for n > 0 && a[n-1].id != b[n-1].id {
+		n--
 	}
-	return c.append(id, statements, writes, began)
+	return n
 }
 
-// append commits writes and waits until one replica has received them. A transaction
-// names the term in which it began. There is no answer if the commit is rolled back or
-// the database goes down meanwhile.
-func (c *link) append(id string, statements []string, writes []write, began int) []string {
-	g := c.d.g
-	g.mu.Lock()
-	if !c.d.leads() || began != 0 && began != g.term {
-		g.mu.Unlock()
-		return c.refuse("READONLY")
-	}
-	if c.d.down {
-		g.mu.Unlock()
-		c.mute = true
-		return nil
+// receivedAt returns when the database received a commit, if it holds it.
+func (d *database) receivedAt(number int, id string) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if number > len(d.log) || d.log[number-1].id != id {
+		return time.Time{}, false
 	}
-	term := g.term
-	g.log = append(g.log, entry{id: id, at: time.Now(), term: term, writes: writes})
-	n := len(g.log)
-	c.d.received, c.d.applied = n, n
-	position := g.position(n)
-	g.rec.logf("database %s commits %s as %s with the statements %v", c.d.id, id, position, statements)
-	g.commits = append(g.commits, committed{at: time.Now(), id: id, statements: statements})
-	g.replicate(n)
-	kept := true
-	for kept && !c.d.down && !g.receivedByReplica(n) {
-		changed := g.changed
-		g.mu.Unlock()
-		<-changed
-		g.mu.Lock()
-		kept = n <= len(g.log) && g.log[n-1].term == term
+	for _, p := range d.history {
+		if p.term == d.term && p.received >= number {
+			return p.at, true
+		}
 	}
-	c.mute = !kept || c.d.down
-	g.mu.Unlock()
-	return []string{"COMPLETE " + c.signature(id), "READY I " + position}
+	return time.Time{}, true
 }
 
-// receivedByReplica reports whether a replica holds n entries. mu is held.
-func (g *group) receivedByReplica(n int) bool {
-	for _, d := range g.databases {
-		if d != g.primary && d.received >= n {
-			return true
-		}
-	}
-	return false
+// snapshot returns the database's log.
+func (d *database) snapshot() []entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.log)
 }
--- a/internal/standin/takeover/faults.go
+++ b/internal/standin/takeover/faults.go
@@ -47,12 +47,13 @@
 	cuts       map[path]int          // by the number of cuts in force
 	changed    chan struct{}
 	choices    *rand.Rand
-	on         bool // orders and calls are disrupted
+	details    *rand.Rand // of the variants
+	on         bool       // orders and calls are disrupted
 	pending    sync.WaitGroup
 }
 
 func newFaults(rec *record, seed uint64) *faults {
-	return &faults{rec: rec, seed: seed, senders: newSenders(rec), cuts: map[path]int{}, changed: make(chan struct{}), choices: rand.New(rand.NewPCG(seed, streamCalls))}
+	return &faults{rec: rec, seed: seed, senders: newSenders(rec), cuts: map[path]int{}, changed: make(chan struct{}), choices: rand.New(rand.NewPCG(seed, streamCalls)), details: newDetails(seed)}
 }
 
 func (f *faults) cut(paths []path) { f.change(paths, 1) }
--- /dev/null
+++ b/internal/standin/takeover/judge.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+)
+
+// judge reports whether an acknowledged commit was lost or a read of the primary was
+// stale.
+func (t *takeover) judge(trouble bool) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := map[string]bool{}
+	lost, stale, promotions, rolledBack := 0, 0, 0, 0
+	strays := map[string]string{}
+	for _, g := range t.s.groups {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		log := g.primary.snapshot()
+		var gone []rollback
+		for _, r := range g.rolledBack {
+			if _, ok := t.acked[r.entry.id]; ok && !held[r.entry.id] {
+				gone = append(gone, r)
+			}
+			held[r.entry.id] = true
+		}
+		for _, e := range log {
+			held[e.id] = true
+		}
+		maps.Copy(strays, g.strays)
+		t.explain(g, gone)
+		lost += len(gone)
+		stale += t.stale(g, log)
+		promotions += g.promotions
+		rolledBack += len(g.rolledBack)
+	}
+	for id, at := range t.acked {
+		if !held[id] {
+			lost++
+			t.sayf("LOST: %s, acknowledged by %s at %.3f s, is in no promoted log; it was committed by %s", id, t.ackedBy[id], t.s.rec.seconds(at), strays[id])
+		}
+	}
+	t.sayf("seed %d: acknowledged commits: %d, promotions that took effect: %d, commits rolled back: %d, reads of the primary: %d, own stalls: %.1f s; LOST: %d, STALE: %d",
+		t.f.seed, len(t.acked), promotions, rolledBack, len(t.reads), t.stalled.Seconds(), lost, stale)
+	if lost+stale > 0 {
+		return true, nil
+	}
+	if len(t.acked) < leastAcked || trouble && promotions < leastPromotions {
+		return false, fmt.Errorf("seed %d shows nothing: %d acknowledged commits, %d promotions", t.f.seed, len(t.acked), promotions)
+	}
+	return false, nil
+}
+
+// sayf writes a line to the record and to standard output.
+func (t *takeover) sayf(format string, args ...any) {
+	t.s.rec.logf(format, args...)
+	fmt.Printf(format+"\n", args...)
+}
+
+// stale returns the number of reads of the primary that ran on a log without a commit
+// acknowledged before they began. g.mu and mu are held.
+func (t *takeover) stale(g *group, log []entry) int {
+	type place struct {
+		number int
+		acked  time.Time
+	}
+	var places []place // of the acknowledged commits that were not rolled back
+	for i, e := range log {
+		if at, ok := t.acked[e.id]; ok {
+			places = append(places, place{i + 1, at})
+		}
+	}
+	count := 0
+	for _, r := range g.statements {
+		read, ok := t.reads[r.id]
+		if !ok {
+			continue
+		}
+		for _, p := range places {
+			if p.number > r.applied && p.acked.Before(read.began) {
+				count++
+				t.sayf("STALE: read %s, sent at %.3f s, ran at %.3f s on %s with %d commits; commit %d (%s) was acknowledged by %s at %.3f s",
+					r.id, t.s.rec.seconds(read.began), t.s.rec.seconds(r.at), r.database, r.applied, p.number, log[p.number-1].id, t.ackedBy[log[p.number-1].id], t.s.rec.seconds(p.acked))
+				break
+			}
+		}
+	}
+	return count
+}
+
+// Bounds of what explain prints.
+const (
+	explainedAtMost = 10
+	linesBefore     = 8 * time.Second // late orders may have been sent this long before
+	linesAfter      = 300 * time.Millisecond
+)
+
+// explain prints the lost commits and the time line around them. g.mu and mu are held.
+func (t *takeover) explain(g *group, lost []rollback) {
+	if len(lost) == 0 {
+		return
+	}
+	sec := t.s.rec.seconds
+	from, until := lost[0].entry.at, lost[0].at
+	for i, r := range lost {
+		if r.at != lost[0].at {
+			break // of the first promotion that lost any
+		}
+		acked := t.acked[r.entry.id]
+		if acked.After(until) {
+			until = acked
+		}
+		if i >= explainedAtMost {
+			continue
+		}
+		var holders []string
+		for id, at := range r.received {
+			holders = append(holders, fmt.Sprintf("%s at %.3f s", id, sec(at)))
+		}
+		sort.Strings(holders)
+		t.sayf("LOST: commit %d.%d (%s) of %s at %.3f s, received by [%s], acknowledged by %s at %.3f s; %s was promoted without it at %.3f s",
+			r.entry.term, r.number+1000, r.entry.id, r.primary, sec(r.entry.at), strings.Join(holders, ", "), t.ackedBy[r.entry.id], sec(acked), r.promoted, sec(r.at))
+	}
+	t.sayf("time line of the first promotion of %s that lost commits (%d in all):", g.service, len(lost))
+	from, until = from.Add(-linesBefore), until.Add(linesAfter)
+	t.s.rec.mu.Lock()
+	lines := append([]note(nil), t.s.rec.notes...)
+	t.s.rec.mu.Unlock()
+	for _, h := range t.s.hosts {
+		lines = append(lines, t.hostNotes(h, g.service)...)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
+	for _, n := range lines {
+		if n.at.After(from) && n.at.Before(until) {
+			t.sayf("  %8.3f s  %s", sec(n.at), n.text)
+		}
+	}
+}
+
+// hostNotes returns the lines of a host's log about promotions of a service.
+func (t *takeover) hostNotes(h *hostProcess, service string) []note {
+	file, err := os.Open(filepath.Join(t.s.folder, h.name+".log"))
+	if err != nil {
+		t.s.rec.logf("log of %s: %v", h.name, err)
+		return nil
+	}
+	defer file.Close()
+	var out []note
+	last := ""
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var line map[string]any
+		if json.Unmarshal(lines.Bytes(), &line) != nil || line["part"] != "promotion" || line["service"] != service {
+			continue
+		}
+		stamp, _ := line["time"].(string)
+		at, err := time.Parse(time.RFC3339Nano, stamp)
+		if err != nil {
+			continue
+		}
+		for _, key := range []string{"time", "level", "part", "service", "host"} {
+			delete(line, key)
+		}
+		text, _ := line["msg"].(string)
+		delete(line, "msg")
+		rest, _ := json.Marshal(line)
+		if text = fmt.Sprintf("    %s logs: %s %s", h.name, text, rest); text != last {
+			out = append(out, note{at: at, text: text})
+		}
+		last = text
+	}
+	return out
+}
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -36,29 +36,50 @@
 	out := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	seed := flag.Uint64("seed", 1, "seed of the faults")
+	layout := flag.String("layout", "small", "layout of the site: small or large")
+	plan := flag.String("plan", "faults", "plan of the faults: faults, or record for the day of issue 33")
+	with := flag.String("with", "", "comma-separated variants: late-ready, held-answers, slow-promotions, late-news, restarts, no-routes, no-service, calm")
 	flag.Parse()
-	os.Exit(run(*name, *daemon, *older, *out, *trouble, *seed))
+	os.Exit(run(options{name: *name, daemon: *daemon, older: *older, out: *out, trouble: *trouble, seed: *seed, layout: *layout, plan: *plan, with: *with}))
 }
 
-func run(name, daemon, older, out string, trouble bool, seed uint64) int {
-	play := cases[name]
+// options are those of the command line.
+type options struct {
+	name, daemon, older, out string
+	trouble                  bool
+	seed                     uint64
+	layout, plan, with       string
+}
+
+func run(o options) int {
+	play := cases[o.name]
 	if play == nil {
-		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", o.name)
 		return exitFailed
 	}
-	file, err := os.Create(out)
+	file, err := os.Create(o.out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	defer file.Close()
 	rec := &record{file: file, started: time.Now()}
-	builds, err := newBuilds(daemon, older)
+	builds, err := newBuilds(o.daemon, o.older)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	with, err := parseVariants(o.with)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	l, err := newLayout(rec, o.layout, o.plan, with, o.seed)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, builds, takeoverLayout(rec, seed))
+	s, err := newSite(rec, builds, l)
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -66,7 +87,7 @@
 	}
 	defer s.stop()
 	stopOnSignal(s)
-	broken, err := play(s, trouble)
+	broken, err := play(s, o.trouble)
 	switch {
 	case err != nil:
 		rec.logf("the case could not run: %v", err)
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -15,30 +15,16 @@
 	"time"
 )
 
-// site is a small deployment: two zones with two hosts each, three services with three
-// databases each, and the platform.
+// site is a deployment: hosts, databases and the platform.
 type site struct {
 	rec    *record
 	layout layout
 	store  *store
-	group  *group // of the first service
 	groups []*group
 	folder string
 	builds builds
 	hosts  []*hostProcess
-	ended  chan struct{}
-	config map[string]any
-}
-
-// layout is what a site consists of.
-type layout struct {
-	services   []string
-	zones      []string // the data centres
-	databases  []string // data centre of each database of a service
-	hosts      []string // data centre of each host
-	timeoutMs  int      // of the routes that read the primary
-	lineByLine bool     // each line of the databases' answers is sent in a segment of its own
-	faults     *faults  // nil for none
+	config *config
 }
 
 // hostProcess is one process of the project's daemon.
@@ -51,30 +37,9 @@
 	exited         chan struct{}
 }
 
-// services are the names of the services.
-var services = []string{"orders-db", "stock-db", "vans-db"}
-
-// Routes of the site, by their database names.
-const (
-	routePrimary = "book"
-	routeOwn     = "plan"
-	routeExtra   = "partner"
-)
-
-// routesCurrent are the database names of routes whose reads see the primary, one for
-// each service.
-var routesCurrent = []string{routePrimary, "book-stock", "book-vans"}
-
-// routesBounded are the database names of the routes with bounded staleness, one for
-// each service.
-var routesBounded = []string{"look", "look-stock", "look-vans"}
-
-// Tenants of the site and their keys.
-var tenants = map[string]string{"shop": "key-of-shop-1", "yard": "key-of-yard-1", "partner": "key-of-partner-1"}
-
 // newSite starts a site.
 func newSite(rec *record, b builds, l layout) (*site, error) {
-	s := &site{rec: rec, layout: l, builds: b, ended: make(chan struct{})}
+	s := &site{rec: rec, layout: l, builds: b}
 	var err error
 	for _, name := range l.services {
 		g, err := newGroup(rec, name, l)
@@ -83,21 +48,20 @@
 		}
 		s.groups = append(s.groups, g)
 	}
-	s.group = s.groups[0]
 	if s.store, err = newStore(rec, s.promote); err != nil {
 		return nil, err
 	}
 	if s.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
-	s.config = firstConfig(l)
-	if _, err := s.store.put("config", "main", s.config); err != nil {
+	s.config = newConfig(s.store, l)
+	if err := s.config.publish(); err != nil {
 		return nil, err
 	}
 	born := time.Now().UnixMilli()
 	for _, g := range s.groups {
 		for _, d := range g.databases {
-			if _, err := s.store.put("servers", d.id, d.entryOf(1, born)); err != nil {
+			if _, err := s.store.put(kindServers, d.id, d.entryOf(1, born)); err != nil {
 				return nil, err
 			}
 		}
@@ -125,39 +89,6 @@
 	return http.StatusConflict
 }
 
-func route(service, database, kind string, timeoutMs, sloMs, priority, staleMs int) map[string]any {
-	r := map[string]any{"name": "r-" + database, "database": database, "pathPrefix": "/", "type": kind, "timeoutMs": timeoutMs,
-		"sloMs": sloMs, "priority": priority, "service": service, "maxAttempts": 2, "public": false}
-	if staleMs > 0 {
-		r["maxStalenessMs"] = staleMs
-	}
-	return r
-}
-
-func firstConfig(l layout) map[string]any {
-	services := l.services
-	routes := []map[string]any{
-		route(services[0], routeOwn, "read_your_writes", l.timeoutMs, 400, 2, 2500),
-		route(services[0], routeExtra, "primary", l.timeoutMs, 200, 1, 0),
-	}
-	var list, holders []map[string]any
-	for i, name := range services {
-		routes = append(routes, route(name, routesCurrent[i], "primary", l.timeoutMs, 200, 1, 0))
-		routes = append(routes, route(name, routesBounded[i], "bounded_staleness", 3000, 800, 2, 1500))
-		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConns": maxConnections, "protocol": "h1", "tls": false, "syncReplicas": 1})
-	}
-	for name, key := range tenants {
-		holders = append(holders, map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1, "ratePerS": 500, "burst": 500})
-	}
-	return map[string]any{
-		"version":  7,
-		"routes":   routes,
-		"services": list,
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
-		"tenants":  holders,
-	}
-}
-
 // Ports of the hosts are taken from below the range that the kernel uses for outgoing
 // connections, so that none of these occupies one before its host listens.
 const (
@@ -273,6 +204,9 @@
 	b := h.build.Load()
 	cmd := exec.Command(b.path, "--config", h.file)
 	cmd.Env = append(os.Environ(), "BRONZELOFT_BOOT="+h.file)
+	if s.layout.oneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/standin/takeover/store.go
+++ b/internal/standin/takeover/store.go
@@ -123,6 +123,30 @@
 	return o
 }
 
+// remove deletes an object as the platform does.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Meta.Revision = s.revision
+	s.changes = append(s.changes, change{Deleted: true, Object: o, kind: kind, revision: s.revision})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// has reports whether an object exists.
+func (s *store) has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[kind][name]
+	return ok
+}
+
 func (s *store) serveObjects(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	body, err := io.ReadAll(r.Body)
--- /dev/null
+++ b/internal/standin/takeover/variants.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// variants are the ways in which databases, promotions and the configuration of a play
+// differ from the plain ones.
+type variants struct {
+	lateReady      bool // READY lines are formed late, with the position of that moment
+	heldAnswers    bool // answers to commits are held up on their way
+	slowPromotions bool // promotions take longer than the platform's pages state
+	lateNews       bool // databases learn of a promotion late, also the former primary
+	restarts       bool // replicas start again without their logs
+	noRoutes       bool // configurations take the routes of a service away
+	noService      bool // configurations take a service's entry away
+	calm           bool // orders and calls of the store are answered, and hosts run on
+}
+
+// parseVariants reads a comma-separated list.
+func parseVariants(text string) (variants, error) {
+	var v variants
+	names := map[string]*bool{"late-ready": &v.lateReady, "held-answers": &v.heldAnswers, "slow-promotions": &v.slowPromotions, "late-news": &v.lateNews,
+		"restarts": &v.restarts, "no-routes": &v.noRoutes, "no-service": &v.noService, "calm": &v.calm}
+	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		set := names[name]
+		if set == nil {
+			return v, fmt.Errorf("unknown variant %q", name)
+		}
+		*set = true
+	}
+	return v, nil
+}
+
+// Shares and bounds of the variants of answers.
+const (
+	lateReadyShare = 0.3 // of the commits
+	latestReady    = 100 * time.Millisecond
+	heldShare      = 0.1 // of the commits
+	heldLeast      = 20 * time.Millisecond
+	heldMost       = 3 * time.Second
+)
+
+// chance draws whether something of a share happens.
+func (f *faults) chance(share float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.details.Float64() < share
+}
+
+// between draws a time between two bounds.
+func (f *faults) between(least, most time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return least + time.Duration(f.details.Int64N(int64(most-least)))
+}
+
+// hold draws for how long an answer to a commit is held up on its way.
+func (f *faults) hold(v variants) time.Duration {
+	if !v.heldAnswers || !f.chance(heldShare) {
+		return 0
+	}
+	return f.between(heldLeast, heldMost)
+}
+
+func newDetails(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, streamDetails)) }
