Cut the paths between hosts in the takeover rig

A data centre that was cut off went on exchanging messages and statements with the hosts of the others. Hosts now reach each other over paths of the rig, which replaces their addresses in what they read from the store and in their messages.

--- a/internal/standin/takeover/faults.go
+++ b/internal/standin/takeover/faults.go
@@ -35,7 +35,6 @@
 }
 
 // faults are the disruptions of paths, orders and calls. A nil *faults disrupts nothing.
-// The paths between two hosts are not among those that can be cut.
 type faults struct {
 	*senders
 	rec  *record
@@ -219,7 +218,7 @@
 	if err != nil {
 		return "", err
 	}
-	e := &entrance{host: host, faults: s.layout.faults, rec: s.rec, inner: s.store.server.Handler}
+	e := &entrance{host: host, faults: s.layout.faults, rec: s.rec, inner: s.store.server.Handler, crossings: s.crossings}
 	go func() {
 		if err := http.Serve(l, e); err != nil {
 			s.rec.logf("entrance of %s: %v", host, err)
@@ -230,10 +229,11 @@
 
 // entrance serves the platform's calls of one host.
 type entrance struct {
-	host   string
-	faults *faults
-	rec    *record
-	inner  http.Handler
+	host      string
+	faults    *faults
+	rec       *record
+	inner     http.Handler
+	crossings *crossings
 }
 
 // ServeHTTP implements http.Handler.
@@ -248,6 +248,9 @@
 		r.Body = io.NopCloser(strings.NewReader(text))
 		out := &held{header: http.Header{}, status: http.StatusOK}
 		e.inner.ServeHTTP(out, r)
+		if isHostsCall(r.URL.Path) {
+			out.body = *bytes.NewBuffer(e.crossings.translateEntries(e.host, out.body.Bytes()))
+		}
 		return out
 	}
 	isOrder := r.URL.Path == promotionPath
--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -144,7 +144,7 @@
 func hostSteps(r *rand.Rand, l layout, until time.Duration) []step {
 	var out []step
 	for at := 2 * time.Second; at+5*time.Second < until; at += time.Second + time.Duration(r.Int64N(int64(4*time.Second))) {
-		s := step{at: at, kind: []string{"stop", "kill", "reset", "store cut"}[r.IntN(4)], share: 0.4, zone: r.IntN(len(l.hosts)), order: r.Perm(len(l.hosts))}
+		s := step{at: at, kind: []string{"stop", "kill", "reset", "store cut", "host cut"}[r.IntN(5)], share: 0.4, zone: r.IntN(len(l.hosts)), order: r.Perm(len(l.hosts))}
 		if s.length = 300*time.Millisecond + time.Duration(r.Int64N(int64(3*time.Second))); s.kind == "reset" {
 			s.length = 0
 		}
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -17,14 +17,15 @@
 
 // site is a deployment: hosts, databases and the platform.
 type site struct {
-	rec    *record
-	layout layout
-	store  *store
-	groups []*group
-	folder string
-	builds builds
-	hosts  []*hostProcess
-	config *config
+	rec       *record
+	layout    layout
+	store     *store
+	groups    []*group
+	folder    string
+	builds    builds
+	hosts     []*hostProcess
+	config    *config
+	crossings *crossings
 }
 
 // hostProcess is one process of the project's daemon.
@@ -32,6 +33,7 @@
 	name, zone     string
 	file           string // its settings
 	callers, ready string
+	peers, access  string
 	build          atomic.Pointer[build] // that it runs, or ran last
 	cmd            *exec.Cmd
 	exited         chan struct{}
@@ -39,7 +41,7 @@
 
 // newSite starts a site.
 func newSite(rec *record, b builds, l layout) (*site, error) {
-	s := &site{rec: rec, layout: l, builds: b}
+	s := &site{rec: rec, layout: l, builds: b, crossings: newCrossings(rec, l.faults)}
 	var err error
 	for _, name := range l.services {
 		g, err := newGroup(rec, name, l)
@@ -186,8 +188,11 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1]}
+	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1], peers: addresses[2], access: addresses[3]}
 	h.build.Store(s.builds.first())
+	if err := s.crossings.add(h); err != nil {
+		return nil, err
+	}
 	if err := s.launch(h); err != nil {
 		return nil, err
 	}
--- a/internal/standin/takeover/steps.go
+++ b/internal/standin/takeover/steps.go
@@ -42,6 +42,17 @@
 				paths = append(paths, pathOf(subject, d.id))
 			}
 		}
+	case "host cut":
+		subject = t.s.hosts[s.zone].name
+		for _, h := range t.s.hosts {
+			if h.name != subject {
+				paths = append(paths, pathOf(subject, h.name))
+			}
+		}
+		for _, d := range t.s.databases() {
+			paths = append(paths, pathOf(subject, d.id))
+		}
+		paths = append(paths, pathOf(subject, platformEnd))
 	case "store cut":
 		for _, i := range s.order[:max(1, int(s.share*float64(len(s.order))))] {
 			subject += t.s.hosts[i].name + " "
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -37,8 +37,8 @@
 
 // Shares and bounds of the variants of answers.
 const (
-	lateReadyShare = 0.3 // of the commits
-	latestReady    = 100 * time.Millisecond
+	lateReadyShare = 0.5 // of the commits
+	latestReady    = 600 * time.Millisecond
 	heldShare      = 0.1 // of the commits
 	heldLeast      = 20 * time.Millisecond
 	heldMost       = 3 * time.Second
