Databases of the takeover rig as processes

They are the rig's binary in a mode of its own, with their logs in files: stopping one is SIGSTOP, a crash is SIGKILL, it comes back with its log or without, and learns of a promotion that it has missed when it starts or runs on. Replicas follow the primary over TCP. Hosts and databases reach each other over paths of the rig, which hold up, cut and reset them.

--- a/internal/standin/takeover/announce.go
+++ b/internal/standin/takeover/announce.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // announceEvery is how often the databases look whether their roles have changed.
 const announceEvery = 100 * time.Millisecond
@@ -8,68 +11,77 @@
 // silentBeats is the number of heartbeats without which the platform removes an entry.
 const silentBeats = 3
 
-// announcer writes the entries of the databases, and removes those of the databases
-// whose heartbeats don't arrive.
+// announcer writes the entry of a database, and removes it when the database's
+// heartbeats don't arrive.
 type announcer struct {
 	s    *site
-	last map[*database]time.Time // heartbeat that arrived
+	m    *member
+	mu   sync.Mutex // guards last
+	last time.Time  // heartbeat that arrived
 }
 
-func (s *site) newAnnouncer() *announcer {
-	a := &announcer{s: s, last: map[*database]time.Time{}}
-	for _, d := range s.databases() {
-		a.last[d] = time.Now()
+// announce announces all databases until stop is closed.
+func (s *site) announce(stop <-chan struct{}) {
+	var all sync.WaitGroup
+	for _, m := range s.databases() {
+		a := &announcer{s: s, m: m, last: time.Now()}
+		all.Go(func() { every(announceEvery, stop, a.announce) })
+		all.Go(func() { every(announceEvery, stop, a.expire) })
 	}
-	return a
+	all.Wait()
 }
 
-// announce is called every announceEvery.
-func (a *announcer) announce() {
-	now := time.Now()
-	for _, d := range a.s.databases() {
-		if a.reaches(d) {
-			a.write(d, now)
-		} else if now.Sub(a.last[d]) > silentBeats*a.s.layout.heartbeat && a.s.store.has(kindServers, d.id) {
-			a.s.store.remove(kindServers, d.id)
-			a.s.rec.notef("the entry of %s has lapsed", d.id)
-		}
-	}
+// entry returns the entry in which the database announces itself.
+func (m *member) entry(role string) map[string]any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seq++
+	m.announced = role
+	return map[string]any{"service": m.g.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": slotsPerDatabase,
+		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": m.seq, "born": m.born}
 }
 
-// reaches reports whether a database runs and reaches the platform.
-func (a *announcer) reaches(d *database) bool {
-	if d.frozen() || a.s.layout.faults.isCut(d.id, platformEnd) {
-		return false
+// announce writes the entry if the database reaches the platform, and its role has changed
+// or a heartbeat is due while there is no entry.
+func (a *announcer) announce() {
+	if !a.m.runs() || a.s.layout.faults.isCut(a.m.id, platformEnd) {
+		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.down
-}
-
-// write writes the entry of a database if its role has changed, or a heartbeat is due and
-// its entry has lapsed.
-func (a *announcer) write(d *database, now time.Time) {
-	due := now.Sub(a.last[d]) >= a.s.layout.heartbeat
+	now, err := a.m.order(order{Do: orderState})
+	if err != nil {
+		return // it has ended
+	}
+	a.mu.Lock()
+	due := time.Since(a.last) >= a.s.layout.heartbeat
 	if due {
-		a.last[d] = now
+		a.last = time.Now()
 	}
-	d.mu.Lock()
-	unchanged := d.announced == d.role()
-	if unchanged && (!due || a.s.store.has(kindServers, d.id)) {
-		d.mu.Unlock()
+	a.mu.Unlock()
+	a.m.mu.Lock()
+	unchanged := a.m.announced == now.Role
+	a.m.mu.Unlock()
+	if unchanged && (!due || a.s.store.has(kindServers, a.m.id)) {
 		return
 	}
-	entry := d.entryOf(d.seq+1, d.born)
-	d.mu.Unlock()
-	a.last[d] = now
-	if _, err := a.s.store.put(kindServers, d.id, entry); err != nil {
-		a.s.rec.logf("entry of %s: %v", d.id, err)
+	if _, err := a.s.store.put(kindServers, a.m.id, a.m.entry(now.Role)); err != nil {
+		a.s.rec.logf("entry of %s: %v", a.m.id, err)
+	}
+}
+
+// expire removes the entry of a database that has been silent.
+func (a *announcer) expire() {
+	a.mu.Lock()
+	silent := time.Since(a.last) > silentBeats*a.s.layout.heartbeat
+	a.mu.Unlock()
+	if silent && a.s.store.has(kindServers, a.m.id) {
+		a.s.store.remove(kindServers, a.m.id)
+		a.s.rec.notef("the entry of %s has lapsed", a.m.id)
 	}
 }
 
 // databases returns those of all services.
-func (s *site) databases() []*database {
-	var out []*database
+func (s *site) databases() []*member {
+	var out []*member
 	for _, g := range s.groups {
 		out = append(out, g.databases...)
 	}
--- a/internal/standin/takeover/crossing.go
+++ b/internal/standin/takeover/crossing.go
@@ -85,8 +85,9 @@
 		}
 		x := &crossing{all: c, from: from, to: to, peers: peers.Addr().String(), access: access.Addr().String()}
 		go x.carryDatagrams(datagrams)
-		go x.carryConnections(peers, to.peers)
-		go x.carryConnections(access, to.access)
+		connections := &connectionPath{faults: c.faults, from: from.name, to: to.name}
+		go connections.carryConnections(peers, to.peers)
+		go connections.carryConnections(access, to.access)
 		return x, nil
 	}
 	return nil, errors.New("no port is free for both TCP and UDP")
@@ -147,7 +148,13 @@
 // isHostsCall reports whether a call of the store concerns the hosts' entries.
 func isHostsCall(path string) bool { return strings.HasPrefix(path, hostsPath) }
 
-func (x *crossing) carryConnections(l net.Listener, address string) {
+// connectionPath carries connections from one end to another one.
+type connectionPath struct {
+	faults   *faults
+	from, to string
+}
+
+func (x *connectionPath) carryConnections(l net.Listener, address string) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -157,10 +164,10 @@
 	}
 }
 
-// carry connects one connection to the other host.
-func (x *crossing) carry(conn net.Conn, address string) {
+// carry connects one connection to an address.
+func (x *connectionPath) carry(conn net.Conn, address string) {
 	defer conn.Close()
-	if !x.all.faults.await(nil, x.from.name, x.to.name) {
+	if !x.faults.await(nil, x.from, x.to) {
 		return
 	}
 	to, err := net.DialTimeout("tcp", address, time.Second)
@@ -175,12 +182,12 @@
 }
 
 // copyOver copies what arrives. It is held up while the path is cut.
-func (x *crossing) copyOver(to, from net.Conn, ended chan<- struct{}) {
+func (x *connectionPath) copyOver(to, from net.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buf := make([]byte, maxDatagram)
 	for {
 		n, err := from.Read(buf)
-		if err != nil || !x.all.faults.await(nil, x.from.name, x.to.name) {
+		if err != nil || !x.faults.await(nil, x.from, x.to) {
 			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
--- a/internal/standin/takeover/judge.go
+++ b/internal/standin/takeover/judge.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"os"
 	"path/filepath"
 	"sort"
@@ -21,30 +21,38 @@
 	lost, stale, promotions, rolledBack := 0, 0, 0, 0
 	strays := map[string]string{}
 	for _, g := range t.s.groups {
+		files, err := g.journals()
+		if err != nil {
+			return false, err
+		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		log := g.primary.snapshot()
+		log := files[g.primary.id].log
 		var gone []rollback
 		for _, r := range g.rolledBack {
-			if _, ok := t.acked[r.entry.id]; ok && !held[r.entry.id] {
+			if _, ok := t.acked[r.entry.ID]; ok && !held[r.entry.ID] {
 				gone = append(gone, r)
 			}
-			held[r.entry.id] = true
+			held[r.entry.ID] = true
 		}
 		for _, e := range log {
-			held[e.id] = true
+			held[e.ID] = true
+		}
+		for id, f := range files {
+			for _, e := range f.log {
+				strays[e.ID] = fmt.Sprintf("%s at %.3f s", id, t.s.rec.seconds(e.At))
+			}
 		}
-		maps.Copy(strays, g.strays)
 		t.explain(g, gone)
 		lost += len(gone)
-		stale += t.stale(g, log)
+		stale += t.stale(files, log)
 		promotions += g.promotions
 		rolledBack += len(g.rolledBack)
 	}
 	for id, at := range t.acked {
 		if !held[id] {
 			lost++
-			t.sayf("LOST: %s, acknowledged by %s at %.3f s, is in no promoted log; it was committed by %s", id, t.ackedBy[id], t.s.rec.seconds(at), strays[id])
+			t.sayf("LOST: %s, acknowledged by %s at %.3f s, is in no promoted log; it is in that of %s", id, t.ackedBy[id], t.s.rec.seconds(at), cmp.Or(strays[id], "no database"))
 		}
 	}
 	t.sayf("seed %d: acknowledged commits: %d, promotions that took effect: %d, commits rolled back: %d, reads of the primary: %d, own stalls: %.1f s; LOST: %d, STALE: %d",
@@ -64,30 +72,59 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// journals reads the journals of all databases.
+func (g *group) journals() (map[string]logFile, error) {
+	out := map[string]logFile{}
+	for _, m := range g.databases {
+		f, err := readJournal(m.journal)
+		if err != nil {
+			return nil, fmt.Errorf("log of %s: %w", m.id, err)
+		}
+		out[m.id] = f
+	}
+	return out, nil
+}
+
+// runOn is a statement that a database has run.
+type runOn struct {
+	ran
+	database string // id
+}
+
+func runsOf(files map[string]logFile) []runOn {
+	var out []runOn
+	for id, f := range files {
+		for _, r := range f.ran {
+			out = append(out, runOn{r, id})
+		}
+	}
+	return out
+}
+
 // stale returns the number of reads of the primary that ran on a log without a commit
 // acknowledged before they began. g.mu and mu are held.
-func (t *takeover) stale(g *group, log []entry) int {
+func (t *takeover) stale(files map[string]logFile, log []entry) int {
 	type place struct {
 		number int
 		acked  time.Time
 	}
 	var places []place // of the acknowledged commits that were not rolled back
 	for i, e := range log {
-		if at, ok := t.acked[e.id]; ok {
+		if at, ok := t.acked[e.ID]; ok {
 			places = append(places, place{i + 1, at})
 		}
 	}
 	count := 0
-	for _, r := range g.statements {
-		read, ok := t.reads[r.id]
+	for _, r := range runsOf(files) {
+		read, ok := t.reads[r.ID]
 		if !ok {
 			continue
 		}
 		for _, p := range places {
-			if p.number > r.applied && p.acked.Before(read.began) {
+			if p.number > r.Applied && p.acked.Before(read.began) {
 				count++
 				t.sayf("STALE: read %s, sent at %.3f s, ran at %.3f s on %s with %d commits; commit %d (%s) was acknowledged by %s at %.3f s",
-					r.id, t.s.rec.seconds(read.began), t.s.rec.seconds(r.at), r.database, r.applied, p.number, log[p.number-1].id, t.ackedBy[log[p.number-1].id], t.s.rec.seconds(p.acked))
+					r.ID, t.s.rec.seconds(read.began), t.s.rec.seconds(r.At), r.database, r.Applied, p.number, log[p.number-1].ID, t.ackedBy[log[p.number-1].ID], t.s.rec.seconds(p.acked))
 				break
 			}
 		}
@@ -108,12 +145,12 @@
 		return
 	}
 	sec := t.s.rec.seconds
-	from, until := lost[0].entry.at, lost[0].at
+	from, until := lost[0].entry.At, lost[0].at
 	for i, r := range lost {
 		if r.at != lost[0].at {
 			break // of the first promotion that lost any
 		}
-		acked := t.acked[r.entry.id]
+		acked := t.acked[r.entry.ID]
 		if acked.After(until) {
 			until = acked
 		}
@@ -126,7 +163,7 @@
 		}
 		sort.Strings(holders)
 		t.sayf("LOST: commit %d.%d (%s) of %s at %.3f s, received by [%s], acknowledged by %s at %.3f s; %s was promoted without it at %.3f s",
-			r.entry.term, r.number+1000, r.entry.id, r.primary, sec(r.entry.at), strings.Join(holders, ", "), t.ackedBy[r.entry.id], sec(acked), r.promoted, sec(r.at))
+			r.entry.Term, r.number+1000, r.entry.ID, r.primary, sec(r.entry.At), strings.Join(holders, ", "), t.ackedBy[r.entry.ID], sec(acked), r.promoted, sec(r.at))
 	}
 	t.sayf("time line of the first promotion of %s that lost commits (%d in all):", g.service, len(lost))
 	from, until = from.Add(-linesBefore), until.Add(linesAfter)
--- a/internal/standin/takeover/link.go
+++ b/internal/standin/takeover/link.go
@@ -21,14 +21,12 @@
 type link struct {
 	d     *database
 	conn  net.Conn
-	from  string        // the host, if there are faults
 	gone  chan struct{} // closed when the host has closed the connection
 	ended chan struct{} // closed when the connection is no longer served
 	mute  bool          // no further answer is sent
 
 	open, readOnly, failed bool
 	began                  int // term of the open transaction
-	statements             []string
 	writes                 []write
 	prepared               map[string]string // "READ" or "WRITE" by name
 }
@@ -41,57 +39,65 @@
 	defer c.conn.Close()
 	lines := make(chan string, queuedAtMost)
 	go c.read(lines)
-	if c.d.g.faults != nil {
-		if c.from = c.d.g.faults.sender(c.conn); c.from == "" {
-			return // its process has ended
-		}
+	word, rest, _ := strings.Cut(<-lines, " ")
+	switch word {
+	case wordControl:
+		c.d.serveControl(c.conn, lines)
+	case wordFollow:
+		c.d.serveFollower(c.conn, rest, lines)
+	case "STARTUP":
+		c.serveHost(strings.Fields(rest), lines)
 	}
-	f := strings.Fields(<-lines)
-	if len(f) < 3 || f[0] != "STARTUP" || !c.awaitPath() {
+}
+
+// serveHost serves a connection of a host, which names the service, the tenant and, at
+// times, the database.
+func (c *link) serveHost(f []string, lines <-chan string) {
+	if len(f) < 2 {
 		return
 	}
 	time.Sleep(connectTime)
-	c.d.awaitThaw()
-	g, d := c.d.g, c.d
+	d := c.d
+	d.awaitGate()
 	d.mu.Lock()
-	if d.down {
-		d.mu.Unlock()
-		return
-	}
 	full := d.conns >= maxConnections
 	position := d.position(d.applied)
 	if !full {
 		d.conns++
-		d.links[c] = struct{}{}
 	}
 	d.mu.Unlock()
 	if full {
-		c.send("ERROR TOOMANY " + d.id)
+		c.send("ERROR TOOMANY " + d.ID)
 		return
 	}
 	defer func() {
 		d.mu.Lock()
 		d.conns--
-		delete(d.links, c)
 		d.mu.Unlock()
 	}()
-	if f[1] != g.service || len(f) > 3 && f[3] != d.id {
-		c.send("ERROR MISROUTED " + d.id)
+	if f[0] != d.Service || len(f) > 2 && f[2] != d.ID {
+		c.send("ERROR MISROUTED " + d.ID)
 		return
 	}
 	c.send("READY I " + position)
 	for line := range lines {
 		f := strings.SplitN(line, " ", 3)
-		if f[0] != "QUERY" || len(f) < 3 || !c.awaitPath() {
+		if f[0] != "QUERY" || len(f) < 3 {
 			return
 		}
-		d.awaitThaw()
+		d.awaitGate()
 		answer := c.query(f[1], f[2])
 		if c.mute {
 			<-c.gone
 			return
 		}
-		if !c.answer(answer) {
+		d.awaitGate()
+		if last := len(answer) - 1; answer[last] == lateReady {
+			time.Sleep(d.upTo(latestReady))
+			d.awaitGate()
+			answer[last] = c.ready()
+		}
+		if !c.send(answer...) {
 			return
 		}
 	}
@@ -103,30 +109,6 @@
 // commitAnswer begins the answer to a commit or a write.
 const commitAnswer = "COMPLETE " + signaturePrefix
 
-// answer sends the lines of an answer. They wait while the database stands still or
-// the path is cut, and at times on their way.
-func (c *link) answer(lines []string) bool {
-	d := c.d
-	d.awaitThaw()
-	if last := len(lines) - 1; lines[last] == lateReady {
-		select {
-		case <-time.After(d.g.faults.between(0, latestReady)):
-		case <-c.gone:
-			return false
-		}
-		d.awaitThaw()
-		lines[last] = c.ready()
-	}
-	if strings.HasPrefix(lines[0], commitAnswer) {
-		select {
-		case <-time.After(d.g.faults.hold(d.g.with)):
-		case <-c.gone:
-			return false
-		}
-	}
-	return c.awaitPath() && c.send(lines...)
-}
-
 // read reads the lines of a connection ahead, so that its end is seen while a statement
 // is held up.
 func (c *link) read(lines chan<- string) {
@@ -147,10 +129,6 @@
 	}
 }
 
-// awaitPath waits until the path between the host and the database is whole. It reports
-// false if the host closes the connection meanwhile, or the path stays cut.
-func (c *link) awaitPath() bool { return c.d.g.faults.await(c.gone, c.from, c.d.id) }
-
 func readLine(r *bufio.Reader) (string, error) {
 	line, err := r.ReadString('\n')
 	return strings.TrimRight(line, "\r\n"), err
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -29,7 +29,13 @@
 	exitFailed = 2
 )
 
+// modeDatabase is the first argument of a database's process.
+const modeDatabase = "database"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == modeDatabase {
+		os.Exit(runDatabase(os.Args[2:]))
+	}
 	name := flag.String("case", "takeover", "case to play")
 	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
 	older := flag.String("older", "", "a daemon of another version; the fleet starts as it, is upgraded host by host, rolled back in part, and upgraded again")
--- /dev/null
+++ b/internal/standin/takeover/member.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// member is one database of a group: its process, and the paths to it.
+type member struct {
+	g        *group
+	id, zone string
+	address  string             // at which hosts reach it
+	real     string             // at which its process listens
+	journal  string             // file
+	upstream map[*member]string // the addresses at which it reaches the others
+
+	mu        sync.Mutex // guards the fields below
+	cmd       *exec.Cmd
+	stdin     io.Closer
+	exited    chan struct{}
+	down      bool
+	stopped   int    // number of reasons for which it stands still
+	role      string // as of its last answer
+	term      int    // that it was told last
+	links     map[*hostLink]struct{}
+	seq       int
+	born      int64
+	announced string // the role in its entry
+}
+
+func newMember(g *group, zone, folder string) (*member, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	actual, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	id := fmt.Sprintf("i-%08x", rand.Uint32())
+	m := &member{g: g, id: id, zone: zone, address: l.Addr().String(), real: actual, journal: filepath.Join(folder, id+".journal"),
+		upstream: map[*member]string{}, links: map[*hostLink]struct{}{}, term: firstTerm}
+	go m.accept(l)
+	return m, nil
+}
+
+// connect opens the path over which the database receives from another one.
+func (m *member) connect(to *member) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	m.upstream[to] = l.Addr().String()
+	x := &connectionPath{faults: m.g.faults, from: m.id, to: to.id}
+	go x.carryConnections(l, to.real)
+	return nil
+}
+
+// start starts the database's process, which follows or is a primary of a term.
+func (m *member) start(leader *member, term int) error {
+	set := databaseSettings{ID: m.id, Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.id,
+		Upstream: m.upstream[leader], Seed: m.g.faults.seed, LateReady: m.g.with.lateReady}
+	raw, err := json.Marshal(set)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(self, modeDatabase, "--settings", string(raw))
+	cmd.Stderr = os.Stderr
+	stdin, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // it ends when it is killed
+		close(exited)
+	}()
+	if err := awaitListener(m.real); err != nil {
+		return fmt.Errorf("database %s: %w", m.id, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cmd, m.stdin, m.exited, m.down = cmd, stdin, exited, false
+	m.stopped, m.term, m.role = 0, term, ""
+	return nil
+}
+
+// startTime is how long a process may take to listen.
+const startTime = 5 * time.Second
+
+func awaitListener(address string) error {
+	for end := time.Now().Add(startTime); ; time.Sleep(10 * time.Millisecond) {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			return c.Close()
+		}
+		if time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// order sends an order to the database and records its state. It waits while the process
+// stands still.
+func (m *member) order(o order) (state, error) {
+	m.mu.Lock()
+	down, exited := m.down, m.exited
+	m.mu.Unlock()
+	if down {
+		return state{}, fmt.Errorf("database %s is down", m.id)
+	}
+	c, err := dialControl(m.real)
+	if err != nil {
+		return state{}, err
+	}
+	defer c.conn.Close()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-exited:
+			c.conn.Close()
+		case <-done:
+		}
+	}()
+	out, err := c.do(o)
+	if err != nil {
+		return out, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.role = out.Role
+	m.term = max(m.term, out.Term)
+	return out, nil
+}
+
+// runs reports whether the process runs.
+func (m *member) runs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.down && m.stopped == 0
+}
+
+func (m *member) isDown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.down
+}
+
+// freeze stops the database's process for a time.
+func (m *member) freeze(length time.Duration) {
+	m.signal(syscall.SIGSTOP, 1)
+	time.Sleep(length)
+	m.signal(syscall.SIGCONT, -1)
+}
+
+// signal stops the process, or continues it unless there is another reason to stop it.
+func (m *member) signal(sig syscall.Signal, by int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped = max(0, m.stopped+by); m.down || sig == syscall.SIGCONT && m.stopped > 0 {
+		return
+	}
+	if err := m.cmd.Process.Signal(sig); err != nil {
+		m.g.rec.logf("%v to %s: %v", sig, m.id, err)
+	}
+}
+
+// kill ends the process.
+func (m *member) kill() {
+	m.mu.Lock()
+	if m.down || m.cmd == nil {
+		m.mu.Unlock()
+		return
+	}
+	m.down = true
+	cmd, exited := m.cmd, m.exited
+	m.mu.Unlock()
+	_ = cmd.Process.Kill() // it may have ended
+	<-exited
+	m.mu.Lock()
+	m.stdin.Close()
+	m.mu.Unlock()
+}
+
+// restart starts the process again, with its log or without.
+func (m *member) restart(empty bool) {
+	if empty {
+		if err := os.Rename(m.journal, fmt.Sprintf("%s.%d", m.journal, time.Now().UnixNano())); err != nil {
+			m.g.rec.notef("log of %s: %v", m.id, err)
+		}
+		m.mu.Lock()
+		m.seq, m.announced, m.born = 0, "", time.Now().UnixMilli()
+		m.mu.Unlock()
+	}
+	if err := m.g.restart(m); err != nil {
+		m.g.rec.notef("start of %s: %v", m.id, err)
+	}
+}
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -43,29 +43,35 @@
 func newSite(rec *record, b builds, l layout) (*site, error) {
 	s := &site{rec: rec, layout: l, builds: b, crossings: newCrossings(rec, l.faults)}
 	var err error
+	if s.folder, err = os.MkdirTemp("", folderPrefix); err != nil {
+		return nil, err
+	}
 	for _, name := range l.services {
-		g, err := newGroup(rec, name, l)
+		g, err := newGroup(rec, name, s.folder, l)
 		if err != nil {
+			s.stop()
 			return nil, err
 		}
 		s.groups = append(s.groups, g)
 	}
 	if s.store, err = newStore(rec, s.promote); err != nil {
-		return nil, err
-	}
-	if s.folder, err = os.MkdirTemp("", "review-"); err != nil {
+		s.stop()
 		return nil, err
 	}
 	s.config = newConfig(s.store, l)
 	if err := s.config.publish(); err != nil {
+		s.stop()
 		return nil, err
 	}
-	born := time.Now().UnixMilli()
-	for _, g := range s.groups {
-		for _, d := range g.databases {
-			if _, err := s.store.put(kindServers, d.id, d.entryOf(1, born)); err != nil {
-				return nil, err
-			}
+	for _, m := range s.databases() {
+		m.born = time.Now().UnixMilli()
+		role := roleReplica
+		if m == m.g.primary {
+			role = rolePrimary
+		}
+		if _, err := s.store.put(kindServers, m.id, m.entry(role)); err != nil {
+			s.stop()
+			return nil, err
 		}
 	}
 	for i, zone := range l.hosts {
@@ -269,8 +275,14 @@
 	}
 }
 
+// folderPrefix begins the name of a play's folder.
+const folderPrefix = "takeover-"
+
 // stop ends all processes of the site and removes its folder.
 func (s *site) stop() {
+	for _, g := range s.groups {
+		g.stop()
+	}
 	for _, h := range s.hosts {
 		select {
 		case <-h.exited:
@@ -281,13 +293,16 @@
 		}
 	}
 	if dir := os.Getenv("REVIEW_KEEP_LOGS"); dir != "" {
-		for _, h := range s.hosts {
-			if raw, err := os.ReadFile(filepath.Join(s.folder, h.name+".log")); err == nil {
-				_ = os.WriteFile(filepath.Join(dir, h.name+".log"), raw, 0o600)
+		for _, kept := range []string{"*.log", "*.journal*"} {
+			files, _ := filepath.Glob(filepath.Join(s.folder, kept)) // the pattern is valid
+			for _, file := range files {
+				if raw, err := os.ReadFile(file); err == nil {
+					_ = os.WriteFile(filepath.Join(dir, filepath.Base(file)), raw, 0o600)
+				}
 			}
 		}
 	}
-	if strings.HasPrefix(filepath.Base(s.folder), "review-") {
+	if strings.HasPrefix(filepath.Base(s.folder), folderPrefix) {
 		_ = os.RemoveAll(s.folder)
 	}
 }
--- a/internal/standin/takeover/statements.go
+++ b/internal/standin/takeover/statements.go
@@ -9,12 +9,6 @@
 
 // query runs one statement and returns the lines of the answer.
 func (c *link) query(id, text string) []string {
-	g := c.d.g
-	if id != "-" {
-		g.mu.Lock()
-		g.arrived[id] = time.Now()
-		g.mu.Unlock()
-	}
 	after := ""
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
 		after, text, _ = strings.Cut(rest, " ")
@@ -79,12 +73,12 @@
 // end ends the open transaction.
 func (c *link) end() {
 	c.open, c.readOnly, c.failed = false, false, false
-	c.statements, c.writes = nil, nil
+	c.writes = nil
 }
 
 func (c *link) refuse(code string) []string {
 	c.failed = c.open
-	return []string{"ERROR " + code + " " + c.d.id, c.ready()}
+	return []string{"ERROR " + code + " " + c.d.ID, c.ready()}
 }
 
 func (c *link) done(signature string) []string { return []string{"COMPLETE " + signature, c.ready()} }
@@ -104,49 +98,24 @@
 
 // control runs a statement that concerns the database itself.
 func (c *link) control(f []string) []string {
-	g, d := c.d.g, c.d
+	d := c.d
 	term := 0
 	if len(f) > 1 {
 		term, _ = strconv.Atoi(f[1])
 	}
-	if f[0] != "STATUS" {
-		what := fmt.Sprintf("%s of %s for %s (sent at %.3f s)", strings.Join(f, " "), c.from, d.id, g.rec.seconds(time.Now()))
-		g.faults.takeover(c.from)
-		fate := g.faults.order()
-		if fate.unanswered {
-			c.mute = true
-			g.rec.notef("%s: no answer, carried out after %d ms", what, fate.after.Milliseconds())
-			g.faults.later(fate.after, func() {
-				d.awaitThaw()
-				d.obey(f[0], term)
-				g.rec.notef("%s: carried out", what)
-			})
-			return nil
-		}
-		g.rec.notef("%s: carried out and answered", what)
-	}
-	d.obey(f[0], term)
 	d.mu.Lock()
-	row := fmt.Sprintf("ROW %s %d %s %d 0 %d %d", d.role(), d.term, d.position(len(d.log)), d.paused, len(d.slots), d.conns)
-	d.mu.Unlock()
-	return append([]string{row}, c.done("-")...)
-}
-
-// obey carries out an order to the database.
-func (d *database) obey(order string, term int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	switch {
-	case d.down:
-	case order == "PAUSE" && d.leader != d && term > d.term:
+	case f[0] == "PAUSE" && d.leader != d.ID && term > d.term:
 		d.paused = term
-	case order == "DEMOTE" && d.leader == d && term > d.term:
+	case f[0] == "DEMOTE" && d.leader == d.ID && term > d.term:
 		d.demoted = true
-		d.notify()
-	case order == "RESUME":
+	case f[0] == "RESUME":
 		d.paused = 0
-		d.notify()
 	}
+	d.notify()
+	row := fmt.Sprintf("ROW %s %d %s %d 0 %d %d", d.role(), d.term, d.position(len(d.log)), d.paused, len(d.slots), d.conns)
+	d.mu.Unlock()
+	return append([]string{row}, c.done("-")...)
 }
 
 func (c *link) begin(readOnly bool, after string) []string {
@@ -170,13 +139,13 @@
 func (c *link) work(d time.Duration) {
 	c.d.slots <- struct{}{}
 	time.Sleep(d)
-	c.d.awaitThaw()
+	c.d.awaitGate()
 	<-c.d.slots
 }
 
 // run runs a read or a write.
 func (c *link) run(id, text, item, data string, writes bool, after string) []string {
-	g, d := c.d.g, c.d
+	d := c.d
 	d.mu.Lock()
 	isPrimary, behind := d.leads(), after != "" && d.parsePosition(after) > d.applied
 	lost := c.open && !c.readOnly && (d.term != c.began || !isPrimary)
@@ -188,15 +157,9 @@
 	case behind:
 		return c.refuse("LAGGING")
 	}
-	g.mu.Lock()
-	g.statements = append(g.statements, ran{at: time.Now(), id: id, text: text, database: d.id, applied: applied})
-	g.mu.Unlock()
-	g.rec.logf("database %s runs %s %s", d.id, id, text)
+	d.journal.write(journalLine{Ran: &ran{At: time.Now(), ID: id, Text: text, Applied: applied}})
 	c.work(workTime)
-	if c.open {
-		c.statements = append(c.statements, id)
-	}
-	w := write{id: id, item: item, data: data}
+	w := write{ID: id, Item: item, Data: data}
 	if !writes {
 		return append([]string{"ROW " + c.value(item)}, c.done(c.signature(id))...)
 	}
@@ -204,28 +167,28 @@
 		c.writes = append(c.writes, w)
 		return c.done(c.signature(id))
 	}
-	return c.append(id, []string{id}, []write{w}, 0)
+	return c.append(id, []write{w}, 0)
 }
 
 const signaturePrefix = "7."
 
-func (c *link) signature(id string) string { return signaturePrefix + c.d.id + "." + id }
+func (c *link) signature(id string) string { return signaturePrefix + c.d.ID + "." + id }
 
 // value returns what the database holds for an item, with the transaction's own
 // writes.
 func (c *link) value(item string) string {
 	for i := len(c.writes) - 1; i >= 0; i-- {
-		if c.writes[i].item == item {
-			return c.writes[i].data
+		if c.writes[i].Item == item {
+			return c.writes[i].Data
 		}
 	}
 	d := c.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := min(d.applied, len(d.log)) - 1; i >= 0; i-- {
-		for _, w := range d.log[i].writes {
-			if w.item == item {
-				return w.data
+		for _, w := range d.log[i].Writes {
+			if w.Item == item {
+				return w.Data
 			}
 		}
 	}
@@ -237,52 +200,42 @@
 		c.end()
 		return c.refuse("MALFORMED")
 	}
-	statements, writes, began := c.statements, c.writes, c.began
+	writes, began := c.writes, c.began
 	c.work(time.Millisecond)
 	c.end()
 	if len(writes) == 0 {
 		return c.done(c.signature(id))
 	}
-	return c.append(id, statements, writes, began)
+	return c.append(id, writes, began)
 }
 
 // append commits writes and waits until a replica has confirmed them. A transaction
 // names the term in which it began. There is no answer if the commit is rolled back
-// or the database goes down before that.
-func (c *link) append(id string, statements []string, writes []write, began int) []string {
-	g, d := c.d.g, c.d
+// before that.
+func (c *link) append(id string, writes []write, began int) []string {
+	d := c.d
+	d.awaitGate()
 	d.mu.Lock()
 	if !d.leads() || began != 0 && began != d.term {
 		d.mu.Unlock()
 		return c.refuse("READONLY")
 	}
-	if d.down {
-		d.mu.Unlock()
-		c.mute = true
-		return nil
-	}
 	term := d.term
-	d.log = append(d.log, entry{id: id, at: time.Now(), term: term, writes: writes})
+	d.append([]entry{{ID: id, At: time.Now(), Term: term, Writes: writes}})
 	n := len(d.log)
 	d.applied = n
 	position := d.position(n)
-	d.notify()
-	g.rec.logf("database %s commits %s as %s with the statements %v", d.id, id, position, statements)
-	for !d.down && d.term == term && !d.isConfirmed(n) {
+	for d.term == term && !d.isConfirmed(n) {
 		changed := d.changed
 		d.mu.Unlock()
 		<-changed
-		d.awaitThaw()
+		d.awaitGate()
 		d.mu.Lock()
 	}
 	// A commit of a former primary has succeeded if the new one had received it.
-	kept := n <= len(d.log) && d.log[n-1].id == id
-	c.mute = !kept || d.down
+	c.mute = n > len(d.log) || d.log[n-1].ID != id
 	d.mu.Unlock()
-	g.mu.Lock()
-	g.strays[id] = fmt.Sprintf("%s as %s at %.3f s", d.id, position, g.rec.seconds(time.Now()))
-	g.mu.Unlock()
-	if g.with.lateReady && g.faults.chance(lateReadyShare) {
+	if d.LateReady && d.chance(lateReadyShare) {
 		return []string{"COMPLETE " + c.signature(id), lateReady}
 	}
 	return []string{"COMPLETE " + c.signature(id), "READY I " + position}
--- a/internal/standin/takeover/steps.go
+++ b/internal/standin/takeover/steps.go
@@ -78,9 +78,9 @@
 		return
 	case "crash of the primary":
 		t.s.rec.notef("%s: %s", s, primary.id)
-		primary.setDown(true)
+		primary.kill()
 		time.Sleep(s.length)
-		primary.setDown(false)
+		primary.restart(false)
 		t.s.rec.notef("%s is back", primary.id)
 		return
 	case "stop", "kill":
@@ -131,7 +131,7 @@
 		d.mu.Lock()
 		for c := range d.links {
 			if hit[c.from] {
-				c.conn.Close()
+				go c.close()
 			}
 		}
 		d.mu.Unlock()
@@ -139,19 +139,18 @@
 }
 
 // restartEmpty starts a replica again without its log.
-func (t *takeover) restartEmpty(s step, d *database) {
-	d.mu.Lock()
-	isReplica := !d.leads() && !d.down
-	d.mu.Unlock()
-	if !isReplica {
+func (t *takeover) restartEmpty(s step, m *member) {
+	m.g.mu.Lock()
+	leads := m.g.primary == m
+	m.g.mu.Unlock()
+	if leads || m.isDown() {
 		return
 	}
-	t.s.rec.notef("%s: %s", s, d.id)
-	d.setDown(true)
+	t.s.rec.notef("%s: %s", s, m.id)
+	m.kill()
 	time.Sleep(s.length)
-	d.empty()
-	d.setDown(false)
-	t.s.rec.notef("%s is back without its log", d.id)
+	m.restart(true)
+	t.s.rec.notef("%s is back without its log", m.id)
 }
 
 // reconfigure publishes a configuration without some routes or services, and after a time
--- a/internal/standin/takeover/takeover.go
+++ b/internal/standin/takeover/takeover.go
@@ -62,7 +62,7 @@
 	f.mu.Unlock()
 	stop := make(chan struct{})
 	var background, writers sync.WaitGroup
-	background.Go(func() { every(announceEvery, stop, s.newAnnouncer().announce) })
+	background.Go(func() { s.announce(stop) })
 	background.Go(func() { t.watchOwnStalls(stop) })
 	for i, h := range s.hosts {
 		for _, service := range s.layout.services {
