--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -52,7 +52,7 @@
 	Term                          int
 	Leader, Upstream              string
 	Seed                          uint64
-	LateReady                     bool
+	LateReady, NoPosition         bool
 }
 
 // runDatabase is the main function of a database's process, which ends when its
--- a/internal/standin/takeover/member.go
+++ b/internal/standin/takeover/member.go
@@ -68,7 +68,7 @@
 // start starts the database's process, which follows or is a primary of a term.
 func (m *member) start(leader *member, term int) error {
 	set := databaseSettings{ID: m.id, Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.id,
-		Upstream: m.upstream[leader], Seed: m.g.faults.seed, LateReady: m.g.with.lateReady}
+		Upstream: m.upstream[leader], Seed: m.g.faults.seed, LateReady: m.g.with.lateReady, NoPosition: m.g.with.noPosition}
 	raw, err := json.Marshal(set)
 	if err != nil {
 		return err
--- a/internal/standin/takeover/statements.go
+++ b/internal/standin/takeover/statements.go
@@ -235,6 +235,9 @@
 	// A commit of a former primary has succeeded if the new one had received it.
 	c.mute = n > len(d.log) || d.log[n-1].ID != id
 	d.mu.Unlock()
+	if d.NoPosition && d.chance(noPositionShare) {
+		position = "-"
+	}
 	if d.LateReady && d.chance(lateReadyShare) {
 		return []string{"COMPLETE " + c.signature(id), lateReady}
 	}
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -11,6 +11,7 @@
 // differ from the plain ones.
 type variants struct {
 	lateReady      bool // READY lines are formed late, with the position of that moment
+	noPosition     bool // READY lines after commits name no position at times
 	heldAnswers    bool // answers to commits are held up on their way
 	slowPromotions bool // promotions take longer than the platform's pages state
 	lateNews       bool // databases learn of a promotion late, also the former primary
@@ -23,7 +24,7 @@
 // parseVariants reads a comma-separated list.
 func parseVariants(text string) (variants, error) {
 	var v variants
-	names := map[string]*bool{"late-ready": &v.lateReady, "held-answers": &v.heldAnswers, "slow-promotions": &v.slowPromotions, "late-news": &v.lateNews,
+	names := map[string]*bool{"late-ready": &v.lateReady, "no-position": &v.noPosition, "held-answers": &v.heldAnswers, "slow-promotions": &v.slowPromotions, "late-news": &v.lateNews,
 		"restarts": &v.restarts, "no-routes": &v.noRoutes, "no-service": &v.noService, "calm": &v.calm}
 	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
 		set := names[name]
@@ -37,11 +38,12 @@
 
 // Shares and bounds of the variants of answers.
 const (
-	lateReadyShare = 0.5 // of the commits
-	latestReady    = 600 * time.Millisecond
-	heldShare      = 0.1 // of the commits
-	heldLeast      = 20 * time.Millisecond
-	heldMost       = 3 * time.Second
+	lateReadyShare  = 0.5 // of the commits
+	latestReady     = 600 * time.Millisecond
+	noPositionShare = 0.1 // of the commits
+	heldShare       = 0.1 // of the commits
+	heldLeast       = 20 * time.Millisecond
+	heldMost        = 3 * time.Second
 )
 
 // chance draws whether something of a share happens.
