Require proof that the database that confirmed a commit led its term

What callers could see: a commit acknowledged though it was rolled back.

Cause: the position in an answer is that of the database's log when it answers. A database that confirms a commit in one term, loses the lead and is rolled back before it names the end of its log names what it received from its successor, or the last entry that it kept. Other replicas hold that, so it counted as evidence. Change: a commit is evidence only in a term of which this host has seen that its database is the primary (lead.Table.Led, from BEGIN); if it has not, the database is queried. A position that is not behind all those reported before the commit was sent proves nothing; the outcome is unknown.

What remains: a database that names terms by its last entry and is rolled back to an entry that another session wrote after this commit was sent, before it answers.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -8,6 +8,7 @@
 package lead
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -18,13 +19,17 @@
 // MissingRetention, and up to maxFormer former ones.
 type Table struct {
 	members    map[string]*member
-	leader     string           // id of the presumed primary; empty if none
-	leaderAsOf time.Time        // time of the evidence for leader that was recorded last
-	term       uint64           // newest term seen
-	former     []formerDatabase // removed by Expire, oldest first; may have been listed again
-	listed     bool             // SetDatabases has been called
+	leader     string            // id of the presumed primary; empty if none
+	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
+	term       uint64            // newest term seen
+	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
+	listed     bool              // SetDatabases has been called
+	led        map[uint64]string // by term, the database that first proved to be its primary
 }
 
+// ledTerms is the number of terms, up to the newest one, whose primaries are kept.
+const ledTerms = 8
+
 // maxFormer bounds the list of former databases; a service has a handful of
 // databases at a time.
 const maxFormer = 16
@@ -58,7 +63,7 @@
 const MissingRetention = 2200 * time.Millisecond
 
 // New returns an empty table.
-func New() *Table { return &Table{members: map[string]*member{}} }
+func New() *Table { return &Table{members: map[string]*member{}, led: map[uint64]string{}} }
 
 // SetDatabases applies the platform's list of the service's databases. It
 // returns the ids of the databases that have restarted or changed their address;
@@ -170,11 +175,19 @@
 func (t *Table) RecordLeader(id string, term uint64, sentAt time.Time) {
 	t.RecordAnswer(id, sentAt)
 	t.RecordTerm(term)
+	if term != 0 && t.led[term] == "" {
+		t.led[term] = id
+		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
+	}
 	if t.leader == id || sentAt.After(t.leaderAsOf) {
 		t.leader, t.leaderAsOf = id, sentAt
 	}
 }
 
+// Led returns the database that proved to be the primary of a term, or an empty string if
+// none is known.
+func (t *Table) Led(term uint64) string { return t.led[term] }
+
 // RecordTerm records a term that a database has reported.
 func (t *Table) RecordTerm(term uint64) { t.term = max(t.term, term) }
 
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -47,6 +47,7 @@
 	settled  position.Position       // commits up to it are protected by a settled lease
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
+	proving  bool                    // the same of a query whether a database leads a commit's term
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
 }
@@ -69,8 +70,14 @@
 type commit struct {
 	primary string // id
 	at      position.Position
+	// after is a position that a database had reported before the commit was sent.
+	after position.Position
 }
 
+// leaderPause is the time between two queries whether a database leads the term of a
+// commit that it has confirmed.
+const leaderPause = 50 * time.Millisecond
+
 // needsCopies reports whether commits are acknowledged only once replicas hold them. A
 // configuration that no longer has the service, or its replicas, doesn't change that: the
 // commits of its callers are under way, and databases may be promoted as before.
@@ -94,9 +101,11 @@
 // been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
 	needsCopies := s.needsCopies()
-	if needsCopies && c.at.IsZero() {
+	// A commit's position lies behind all those before it; another one names what its
+	// database holds after it was rolled back.
+	if needsCopies && !c.after.Before(c.at) {
 		s.recordAcknowledgement(c, succession.NoCopy, false)
-		return errkind.New(errkind.OutcomeUnknown, "database %s confirmed a commit without its position", c.primary)
+		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s", c.primary, c.at, c.after)
 	}
 	since := s.g.now()
 	if needsCopies {
@@ -111,6 +120,11 @@
 		case max(r.term, s.provenTerm) > c.at.Term:
 			replaced = true
 			return true
+		case s.table.Led(c.at.Term) != c.primary:
+			// It may have been rolled back and name what it received from its successor.
+			replaced = s.table.Led(c.at.Term) != ""
+			s.proveLeader(c.primary)
+			return replaced
 		case !r.settled.Before(c.at):
 			evidence = succession.OneCopy
 		default:
@@ -136,6 +150,24 @@
 	return nil
 }
 
+// proveLeader queries whether a database is the primary, and of which term, unless such a
+// query is running. mu is held.
+func (s *service) proveLeader(id string) {
+	p := s.pools[id]
+	if p == nil || s.replication.proving {
+		return
+	}
+	s.replication.proving = true
+	go func() {
+		s.sample(p)
+		retry.Wait(s.g.ctx, leaderPause)
+		s.mu.Lock()
+		s.replication.proving = false
+		s.notifyChange()
+		s.mu.Unlock()
+	}()
+}
+
 func (s *service) wake() {
 	s.mu.Lock()
 	s.notifyChange()
--- a/gateway/commits.go
+++ b/gateway/commits.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/position"
+)
 
 // commitTracker tracks the writes that were sent to a primary and have not ended:
 // single writes, and the commits of transactions that wrote. service.mu guards it.
@@ -54,3 +58,11 @@
 		s.mu.Unlock()
 	}
 }
+
+// reportedBefore returns the newest position that is known to lie before the next commit
+// on a connection.
+func (s *service) reportedBefore(c *conn) position.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return position.Max(c.reported, s.samples.Newest().Position)
+}
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -122,7 +122,7 @@
 	l.conn, l.admitted, l.answered, l.wrote = nil, false, false, false
 	c.pool.release(c)
 	if wrote {
-		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position}); err != nil {
+		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter}); err != nil {
 			return statement.Answer{}, err
 		}
 	}
@@ -145,6 +145,7 @@
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
 		endCommit = op.svc.startCommit()
+		op.sentAfter = op.svc.reportedBefore(c)
 	}
 	answers, err := c.runStatement(ctx, op, position.Position{})
 	endCommit(err == nil && lastAnswer(answers).Err == nil)
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -25,6 +25,7 @@
 	floor      position.Position    // that the log of the database must have reached; zero for none
 	state      sessionstate.Session // the session's state when the statement arrived
 	lastCommit position.Position    // position of the session's last commit
+	sentAfter  position.Position    // reported before the last write or commit was sent
 	sent       *atomic.Bool         // set when the statement is sent to a database; nil if not needed
 
 	inTransaction bool
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -62,9 +62,10 @@
 	turn     uint64 // in pool.turns; held while a session uses the connection
 	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
 	usedAt   time.Time
-	txState  statement.State // after the last answer
-	refused  bool            // a statement failed or was refused
-	broken   bool            // must be closed instead of reused
+	txState  statement.State   // after the last answer
+	reported position.Position // of the last answer
+	refused  bool              // a statement failed or was refused
+	broken   bool              // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
@@ -415,7 +416,7 @@
 		return answers, err
 	}
 	svc.recordAnswer(id, sentAt)
-	c.txState = lastAnswer(answers).State
+	c.txState, c.reported = lastAnswer(answers).State, lastAnswer(answers).Position
 	for _, a := range answers {
 		c.refused = c.refused || a.Err != nil
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -46,7 +46,7 @@
 	for {
 		a, err := l.writeOnce(ctx, op)
 		if err == nil {
-			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position})
+			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter})
 		}
 		if err == nil {
 			return a, nil
@@ -82,6 +82,7 @@
 		}
 	}
 	endCommit := op.svc.startCommit()
+	op.sentAfter = op.svc.reportedBefore(c)
 	answers, err := c.runStatement(ctx, op, position.Position{})
 	endCommit(err == nil && lastAnswer(answers).Err == nil)
 	if err != nil {
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -66,4 +67,32 @@
 		g = newTestGateway(p) // has seen no term of the service
 		Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
 	})
+
+	// A database that has lost the lead may be rolled back after it has confirmed a commit
+	// and before it names the end of its log, which other databases hold.
+	DescribeTable("is not acknowledged when its database was rolled back before it answered",
+		func(rollBack func()) {
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","released":true,"term":2}`))
+			Expect(err).NotTo(HaveOccurred())
+			dbs.withLock(func() { dbs.databases["a"].commitHook = rollBack })
+			Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
+		},
+		Entry("and has joined the term of another one", func() {
+			dbs.term, dbs.primary = 2, "b"
+			for _, db := range dbs.databases {
+				db.end = position.Position{Term: 2, Index: 11}
+			}
+		}),
+		Entry("and names the last entry that it kept", func() {
+			dbs.primary = "d" // other replicas have not joined its term yet
+			for _, db := range dbs.databases {
+				db.end = position.Position{Term: 1, Index: 10}
+			}
+		}),
+	)
+
+	It("is acknowledged on a host that learns with the commit that its database leads the term", func() {
+		g = newTestGateway(p)
+		Expect(outcome()).To(Equal("acknowledged"))
+	})
 })
