Count the replicas of a host's first list as established only after EstablishedAfter

What callers could see: a host that had just started acknowledged a commit on a replica that had just started too, and that hosts with an older list did not know.

Cause: the databases of the first list counted as listed for ever. Their start times can't tell, since the time of day may jump on a host. Change: a replica is established once this host has listed its life for EstablishedAfter, those of the first list too. A host whose first list is younger replaces no primary: nothing tells it the replicas that hosts know from the others.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -23,7 +23,7 @@
 	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
 	term       uint64            // newest term seen
 	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
-	listed     bool              // SetDatabases has been called
+	listedAt   time.Time         // when SetDatabases was called first
 	led        map[uint64]string // by term, the database that first proved to be its primary
 }
 
@@ -41,7 +41,7 @@
 
 type member struct {
 	routes.Database
-	listedSince  time.Time // when its life was first listed; zero for those of the first list
+	listedSince  time.Time // when its life was first listed
 	leavingSince time.Time // when it was first listed as leaving; zero while it is not
 	missingSince time.Time // when the platform's list first lacked it; zero while it is listed
 	contact      contact
@@ -78,10 +78,7 @@
 				restarted = append(restarted, db.ID)
 				t.forgetLeader(db.ID)
 			}
-			m = &member{}
-			if t.listed {
-				m.listedSince = now
-			}
+			m = &member{listedSince: now}
 			t.members[db.ID] = m
 		}
 		if db.Primary && !m.Primary {
@@ -95,7 +92,9 @@
 			m.missingSince = now
 		}
 	}
-	t.listed = true
+	if t.listedAt.IsZero() {
+		t.listedAt = now
+	}
 	t.Expire(now)
 	return restarted
 }
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -150,8 +150,17 @@
 	return out
 }
 
-// KnownFor returns for how long a database has been known since its process started;
-// for those of the first list, since the zero time.
+// ListedFor returns for how long there has been a list of the service's databases.
+func (t *Table) ListedFor(now time.Time) time.Duration {
+	if t.listedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.listedAt)
+}
+
+// KnownFor returns for how long a database has been known since its process started. It
+// says nothing of the time before the first list: the databases of that may have started
+// just before it.
 func (t *Table) KnownFor(id string, now time.Time) time.Duration {
 	m := t.members[id]
 	if m == nil {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -108,6 +109,9 @@
 	if now.Sub(state.since) < wait || now.Sub(s.g.started) < absentFor {
 		return
 	}
+	if s.table.ListedFor(now) < lead.EstablishedAfter {
+		return // nothing tells the replicas that hosts know from those that have just started
+	}
 	s.startAttempt(s.newReplacement(reason, position.Max(acked, s.acked), now), (*replacement).run)
 }
 
