Acknowledge a commit only if its database was still the primary after it had answered

Cause: the position in an answer is the end of the database's log when READY is written. A database that confirms a commit, loses the lead and is rolled back before READY names a position that every other log holds, of the new term or of an entry of another session. BEGIN has the same gap: its READY does not show the term in which it ran.

Change: the term of a primary is recorded from a STATUS report only, which is of one moment, and a commit is acknowledged only if its database answered a query that was sent after the commit's answer as the primary; it is sent beside those to the replicas and takes no slot. If the database answers that it is not, the outcome is unknown at once.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -24,7 +24,7 @@
 	term       uint64            // newest term seen
 	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
 	listedAt   time.Time         // when SetDatabases was called first
-	led        map[uint64]string // by term, the database that first proved to be its primary
+	led        map[uint64]string // by term, the database that first reported that it is its primary
 }
 
 // ledTerms is the number of terms, up to the newest one, whose primaries are kept.
@@ -47,6 +47,8 @@
 	contact      contact
 	avoidUntil   time.Time // sorted behind the other reachable readers until then
 	announcedAt  time.Time // when it last started to announce itself as the primary
+	provenAt     time.Time // sending time of the last query in answer to which it proved to be the primary
+	deniedAt     time.Time // the same of the last one that it answered as a replica
 }
 
 // contact holds the results of this host's own calls to a database.
@@ -174,17 +176,45 @@
 func (t *Table) RecordLeader(id string, term uint64, sentAt time.Time) {
 	t.RecordAnswer(id, sentAt)
 	t.RecordTerm(term)
-	if term != 0 && t.led[term] == "" {
-		t.led[term] = id
-		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
+	if m := t.members[id]; m != nil && m.provenAt.Before(sentAt) {
+		m.provenAt = sentAt
 	}
 	if t.leader == id || sentAt.After(t.leaderAsOf) {
 		t.leader, t.leaderAsOf = id, sentAt
 	}
 }
 
-// Led returns the database that proved to be the primary of a term, or an empty string if
-// none is known.
+// ProvenAt returns the sending time of the last query in answer to which a database proved
+// to be the primary, and the zero time if it has not.
+func (t *Table) ProvenAt(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.provenAt
+	}
+	return time.Time{}
+}
+
+// DeniedAt returns the sending time of the last query in answer to which a database
+// reported that it is not the primary, and the zero time if it has not.
+func (t *Table) DeniedAt(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.deniedAt
+	}
+	return time.Time{}
+}
+
+// RecordLed records that a database reported that it is the primary of a term. The
+// position in another answer of a primary does not show its term: it names the end of the
+// log when the answer is written, which may be after the database has lost the lead.
+func (t *Table) RecordLed(term uint64, id string) {
+	t.RecordTerm(term)
+	if t.led[term] == "" {
+		t.led[term] = id
+		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
+	}
+}
+
+// Led returns the database that reported that it is the primary of a term, or an empty
+// string if none is known to have.
 func (t *Table) Led(term uint64) string { return t.led[term] }
 
 // RecordTerm records a term that a database has reported.
@@ -199,6 +229,9 @@
 // place; if there is none, no leader is known.
 func (t *Table) RecordNotLeader(id string, sentAt time.Time) {
 	t.RecordAnswer(id, sentAt)
+	if m := t.members[id]; m != nil && m.deniedAt.Before(sentAt) {
+		m.deniedAt = sentAt
+	}
 	if t.leader != id || sentAt.Before(t.leaderAsOf) {
 		return
 	}
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -47,7 +47,7 @@
 	settled  position.Position       // commits up to it are protected by a settled lease
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
-	proving  bool                    // the same of a query whether a database leads a commit's term
+	proving  bool                    // the same of a query whether a commit's database is still the primary
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
 }
@@ -74,8 +74,8 @@
 	after position.Position
 }
 
-// leaderPause is the time between two queries whether a database leads the term of a
-// commit that it has confirmed.
+// leaderPause is the time until the next query whether a database is the primary, after one
+// that was not answered.
 const leaderPause = 50 * time.Millisecond
 
 // needsCopies reports whether commits are acknowledged only once replicas hold them. A
@@ -120,22 +120,23 @@
 		case max(r.term, s.provenTerm) > c.at.Term:
 			replaced = true
 			return true
-		case s.table.Led(c.at.Term) != c.primary:
-			// It may have been rolled back and name what it received from its successor.
-			replaced = s.table.Led(c.at.Term) != ""
-			s.proveLeader(c.primary)
-			return replaced
-		case !r.settled.Before(c.at):
-			evidence = succession.OneCopy
+		case s.ledByAnother(c, since):
+			replaced = true
+			return true
 		default:
-			if evidence = s.evidence(c); evidence == succession.AllCopies {
-				break
+			ledAfter := s.ledAfter(c, since)
+			if evidence = s.evidence(c); evidence != succession.AllCopies && !r.settled.Before(c.at) {
+				evidence = succession.OneCopy
+			} else if evidence != succession.AllCopies {
+				s.queryReplicas(c)
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+					s.readLease(c)
+				}
+				return false
 			}
-			s.queryReplicas(c)
-			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
-				s.readLease(c)
+			if !ledAfter {
+				return false
 			}
-			return false
 		}
 		s.acked = position.Max(s.acked, c.at)
 		return true
@@ -150,22 +151,61 @@
 	return nil
 }
 
-// proveLeader queries whether a database is the primary, and of which term, unless such a
-// query is running. mu is held.
-func (s *service) proveLeader(id string) {
-	p := s.pools[id]
+// ledAfter reports whether a commit's database leads the term of its position and was seen
+// to be the primary after it had answered; if not, it queries it. The position in an
+// answer names the end of the log when the answer is written. If the database has lost the
+// lead by then and was rolled back, that is not the commit's. mu is held.
+func (s *service) ledAfter(c commit, answered time.Time) bool {
+	termKnown := s.table.Led(c.at.Term) == c.primary
+	if termKnown && !s.table.ProvenAt(c.primary).Before(answered) {
+		return true
+	}
+	p := s.pools[c.primary]
 	if p == nil || s.replication.proving {
-		return
+		return false
 	}
 	s.replication.proving = true
 	go func() {
+		if !termKnown {
+			s.queryTerm(p)
+		}
 		s.sample(p)
+		s.mu.Lock()
+		failed := s.table.ProvenAt(c.primary).Before(answered)
+		s.replication.proving = failed
+		s.notifyChange()
+		s.mu.Unlock()
+		if !failed {
+			return
+		}
 		retry.Wait(s.g.ctx, leaderPause)
 		s.mu.Lock()
 		s.replication.proving = false
 		s.notifyChange()
 		s.mu.Unlock()
 	}()
+	return false
+}
+
+// ledByAnother reports whether a commit's database was not the primary any more after it
+// had answered, or whether another one leads the term of the commit's position. mu is held.
+func (s *service) ledByAnother(c commit, answered time.Time) bool {
+	leader := s.table.Led(c.at.Term)
+	return leader != "" && leader != c.primary || s.table.DeniedAt(c.primary).After(answered)
+}
+
+// queryTerm records the term that a database leads, if it does.
+func (s *service) queryTerm(p *pool) {
+	report, ok := s.queryStatus(p)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.term = max(s.replication.term, report.Term)
+	if report.Primary {
+		s.table.RecordLed(report.Term, p.db.ID)
+	}
 }
 
 func (s *service) wake() {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
@@ -414,16 +415,21 @@
 			databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: p.group.primary == id}
 		}
 	})
-	g.ago(time.Minute, func() { g.setDatabases(databases) })
+	g.setDatabases(databases)
+	svc := g.service(testService)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.table = lead.New()
+	svc.table.SetDatabases(slices.Collect(maps.Values(databases)), time.Now().Add(-time.Minute))
 	return g
 }
 
-// ago runs f with the host's clock set back.
-func (g *Gateway) ago(d time.Duration, f func()) {
-	now := g.now
-	g.now = func() time.Time { return now().Add(-d) }
-	f()
-	g.now = now
+// setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
+func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
+	s.mu.Lock()
+	s.table.SetDatabases(list, time.Now().Add(-ago))
+	s.mu.Unlock()
+	s.setDatabases(list, 4)
 }
 
 // updateRoute changes a route of the test configuration.
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -172,7 +172,7 @@
 		senior, junior := entry("b"), entry("c")
 		senior.StartMillis, junior.StartMillis = 1, 2
 		fresh := newService(g, testService)
-		g.ago(time.Minute, func() { fresh.setDatabases([]routes.Database{entry("a"), senior, junior}, 4) })
+		fresh.setDatabasesAgo(time.Minute, entry("a"), senior, junior)
 		svc = fresh
 		svc.recordPrimary("a", position.Position{Term: 1, Index: 12}, time.Now())
 		dbs.withLock(func() {
@@ -205,7 +205,7 @@
 		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
 		dbs.withLock(func() { delete(dbs.databases, "a") })
 		svc = newService(g, testService)
-		g.ago(time.Minute, func() { svc.setDatabases([]routes.Database{entry("b"), entry("c")}, 4) })
+		svc.setDatabasesAgo(time.Minute, entry("b"), entry("c"))
 		svc.table.RecordTerm(1)
 		attempt(succession.Absent)
 		Expect(orders()).To(Equal(1), "the primary has ended")
@@ -270,7 +270,7 @@
 		services := []*service{svc}
 		for range 3 {
 			other := newService(g, testService)
-			g.ago(time.Minute, func() { other.setDatabases([]routes.Database{entry("a"), entry("b"), entry("c")}, 4) })
+			other.setDatabasesAgo(time.Minute, entry("a"), entry("b"), entry("c"))
 			other.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
 			services = append(services, other)
 		}
