Send a commit only in a term that its database has reported to lead

What callers could see: an acknowledged commit that was rolled back by two promotions, if its database was the primary again before it wrote its answer: the position then names the newer term, which the database leads.

Cause: the term of a commit was taken from the position in its answer and proven afterwards. Change: the term that the database leads is known before a write or a transaction is sent, by one STATUS on its connection for each term and host, and a position of any other term in the answer means that the outcome is unknown.

The new entry 'has become the primary again' failed before (acknowledged) and passes; found by reading while the takeover rig was played with late READY lines.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -217,6 +217,17 @@
 // string if none is known to have.
 func (t *Table) Led(term uint64) string { return t.led[term] }
 
+// LedTerm returns the newest term of which a database reported that it is the primary, and 0
+// if there is none or a newer term has been seen.
+func (t *Table) LedTerm(id string) uint64 {
+	for term, leader := range t.led {
+		if leader == id && term >= t.term {
+			return term
+		}
+	}
+	return 0
+}
+
 // RecordTerm records a term that a database has reported.
 func (t *Table) RecordTerm(term uint64) { t.term = max(t.term, term) }
 
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -72,6 +72,8 @@
 	at      position.Position
 	// after is a position that a database had reported before the commit was sent.
 	after position.Position
+	// term is the term that the primary was known to lead before the commit was sent.
+	term uint64
 }
 
 // leaderPause is the time until the next query whether a database is the primary, after one
@@ -103,9 +105,9 @@
 	needsCopies := s.needsCopies()
 	// A commit's position lies behind all those before it; another one names what its
 	// database holds after it was rolled back.
-	if needsCopies && !c.after.Before(c.at) {
+	if needsCopies && (!c.after.Before(c.at) || c.at.Term != c.term) {
 		s.recordAcknowledgement(c, succession.NoCopy, false)
-		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s", c.primary, c.at, c.after)
+		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s in term %d", c.primary, c.at, c.after, c.term)
 	}
 	since := s.g.now()
 	if needsCopies {
@@ -151,13 +153,12 @@
 	return nil
 }
 
-// ledAfter reports whether a commit's database leads the term of its position and was seen
-// to be the primary after it had answered; if not, it queries it. The position in an
+// ledAfter reports whether a commit's database was seen to be the primary after it had
+// answered; if not, it queries it. The position in an
 // answer names the end of the log when the answer is written. If the database has lost the
 // lead by then and was rolled back, that is not the commit's. mu is held.
 func (s *service) ledAfter(c commit, answered time.Time) bool {
-	termKnown := s.table.Led(c.at.Term) == c.primary
-	if termKnown && !s.table.ProvenAt(c.primary).Before(answered) {
+	if !s.table.ProvenAt(c.primary).Before(answered) {
 		return true
 	}
 	p := s.pools[c.primary]
@@ -166,9 +167,6 @@
 	}
 	s.replication.proving = true
 	go func() {
-		if !termKnown {
-			s.queryTerm(p)
-		}
 		s.sample(p)
 		s.mu.Lock()
 		failed := s.table.ProvenAt(c.primary).Before(answered)
@@ -194,18 +192,31 @@
 	return leader != "" && leader != c.primary || s.table.DeniedAt(c.primary).After(answered)
 }
 
-// queryTerm records the term that a database leads, if it does.
-func (s *service) queryTerm(p *pool) {
-	report, ok := s.queryStatus(p)
-	if !ok {
-		return
+// leaderTerm returns the term that a connection's database leads, and queries it if it is
+// not known. It returns 0 for a service without replicas.
+func (s *service) leaderTerm(c *conn) (uint64, error) {
+	if !s.needsCopies() {
+		return 0, nil
+	}
+	id := c.pool.db.ID
+	s.mu.Lock()
+	term := s.table.LedTerm(id)
+	s.mu.Unlock()
+	if term != 0 {
+		return term, nil
+	}
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	if err != nil {
+		return 0, errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+id)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replication.term = max(s.replication.term, report.Term)
-	if report.Primary {
-		s.table.RecordLed(report.Term, p.db.ID)
+	if !report.Primary {
+		return 0, errkind.New(errkind.PrimaryReplaced, "database %s is a replica in term %d", id, report.Term)
 	}
+	s.table.RecordLed(report.Term, id)
+	return report.Term, nil
 }
 
 func (s *service) wake() {
@@ -364,14 +375,19 @@
 		return statement.Report{}, false // borrow has recorded a failed dial
 	}
 	defer p.checkIn(c)
-	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	return report, err == nil // status has logged or recorded the error
+}
+
+// status queries a connection's database.
+func (c *conn) status(deadline time.Time) (statement.Report, error) {
+	answers, err := c.run(deadline, controlRequest(statement.Status))
 	if err != nil {
-		return statement.Report{}, false // run has recorded the missing answer
+		return statement.Report{}, err // run has recorded the missing answer
 	}
 	r, err := c.Report(answers[0])
 	if err != nil {
-		s.g.log.Debug("Database reported no status.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
-		return statement.Report{}, false
+		c.pool.g.log.Debug("Database reported no status.", "part", "service", "service", c.pool.svc.name, "database", c.pool.db.ID, "error", err)
 	}
-	return r, true
+	return r, err
 }
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -26,10 +26,11 @@
 // local runs statements on this host's own connections.
 type local struct {
 	g        *Gateway
-	conn     *conn // holds the open transaction; nil if there is none
-	admitted bool  // the open transaction has been counted against the customer's rate
-	answered bool  // a statement of the open transaction has succeeded
-	wrote    bool  // the open transaction has written
+	conn     *conn  // holds the open transaction; nil if there is none
+	admitted bool   // the open transaction has been counted against the customer's rate
+	answered bool   // a statement of the open transaction has succeeded
+	wrote    bool   // the open transaction has written
+	term     uint64 // that its database leads
 }
 
 func newLocal(g *Gateway) *local { return &local{g: g} }
@@ -122,7 +123,7 @@
 	l.conn, l.admitted, l.answered, l.wrote = nil, false, false, false
 	c.pool.release(c)
 	if wrote {
-		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter}); err != nil {
+		if err := op.svc.acknowledge(ctx, op.commit(a)); err != nil {
 			return statement.Answer{}, err
 		}
 	}
@@ -145,7 +146,7 @@
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
 		endCommit = op.svc.startCommit()
-		op.sentAfter = op.svc.reportedBefore(c)
+		op.sentAfter, op.sentIn = op.svc.reportedBefore(c), l.term
 	}
 	answers, err := c.runStatement(ctx, op, position.Position{})
 	endCommit(err == nil && lastAnswer(answers).Err == nil)
@@ -180,6 +181,10 @@
 	if err != nil {
 		return err
 	}
+	if l.term, err = op.svc.leaderTerm(c); err != nil {
+		c.pool.release(c)
+		return err
+	}
 	return l.beginOn(c, op, controlRequest(statement.Begin))
 }
 
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -26,6 +26,7 @@
 	state      sessionstate.Session // the session's state when the statement arrived
 	lastCommit position.Position    // position of the session's last commit
 	sentAfter  position.Position    // reported before the last write or commit was sent
+	sentIn     uint64               // the term that its database led then
 	sent       *atomic.Bool         // set when the statement is sent to a database; nil if not needed
 
 	inTransaction bool
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -46,7 +46,7 @@
 	for {
 		a, err := l.writeOnce(ctx, op)
 		if err == nil {
-			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter})
+			err = op.svc.acknowledge(ctx, op.commit(a))
 		}
 		if err == nil {
 			return a, nil
@@ -57,6 +57,11 @@
 	}
 }
 
+// commit describes the commit that an answer to the operation's statement confirms.
+func (op *operation) commit(a statement.Answer) commit {
+	return commit{primary: op.database, at: a.Position, after: op.sentAfter, term: op.sentIn}
+}
+
 // canResend reports whether a statement that failed with err has certainly not run
 // and may be sent to another database or again later. It is false for kinds such as
 // NoPrimary and QueueFull: the statement has not run, but is not to be sent again.
@@ -81,6 +86,9 @@
 			return statement.Answer{}, err
 		}
 	}
+	if op.sentIn, err = op.svc.leaderTerm(c); err != nil {
+		return statement.Answer{}, err
+	}
 	endCommit := op.svc.startCommit()
 	op.sentAfter = op.svc.reportedBefore(c)
 	answers, err := c.runStatement(ctx, op, position.Position{})
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -89,6 +89,12 @@
 				db.end = position.Position{Term: 1, Index: 11}
 			}
 		}),
+		Entry("and has become the primary again", func() {
+			dbs.term = 3
+			for _, db := range dbs.databases {
+				db.end = position.Position{Term: 3, Index: 11}
+			}
+		}),
 		Entry("and names the last entry that it kept", func() {
 			dbs.primary = "d" // other replicas have not joined its term yet
 			for _, db := range dbs.databases {
