Count copies of a commit only on a list of databases that is known to be current

What callers could see: a commit acknowledged on all replicas of a host with an older list, and lost by the promotion of a replica that this list lacks.

Change, on both sides. A host counts replicas only if its list was the store's within lead.ListMaxAge (25 s; the sending time of the last answered list or watch of its own, by a clock that counts a standstill, checked when the evidence is complete); else it reads the list once per 2 s and host while commits wait. A watch is answered every 2.5 to 5 s, so a host that watches makes no further call. While the primary may still run, a replica that was listed for less than lead.KnownAfter (30 s) is chosen only if it is the senior one and none was listed for longer. Once the primary has ended, logs grow no more and the longest holds the others.

Model: OldList and OldTakerList are specs that hold now; AnyEstablished and OwnList lose.

--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -135,6 +135,14 @@
 // entry reaches all hosts that the store reaches in less.
 const EstablishedAfter = 2 * time.Second
 
+// KnownAfter is how long a replica must have been listed so that each host that counts
+// replicas knows it: such a host's list is at most ListMaxAge old. A host that the store
+// does not reach keeps its list.
+const (
+	KnownAfter = 30 * time.Second
+	ListMaxAge = 25 * time.Second
+)
+
 // Established returns the replicas that every host may be expected to know, in the
 // order of their ids: those that answer, are not leaving and have been listed for
 // EstablishedAfter. A replica that is not listed, or has just started, may be unknown to
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -107,6 +107,9 @@
 	// Established is set for a replica that had been in the platform's list for
 	// lead.EstablishedAfter before the first log was read.
 	Established bool
+	// Known is set for a replica that had been in the list for lead.KnownAfter by then, so
+	// that each host that counts replicas knows it.
+	Known       bool
 	StartMillis int64 // start time of its process, Unix milliseconds
 	Received    position.Position
 }
@@ -120,12 +123,16 @@
 // While the logs grow, the longest one is not enough: a host may have acknowledged a
 // commit because every replica that it knows holds it, one of which was read before it
 // received the commit. A replica that hosts may not know is therefore not chosen if
-// there is another one; it is for the caller to wait until that has caught up.
+// there is another one; it is for the caller to wait until that has caught up. Once the
+// primary has ended, the logs grow no more, and the longest one holds the others.
 func Choose(all []Candidate, acked, floor position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
 	if !ok || unreadMayBeAlive(all) || !best.Established && hasEstablished(all) {
 		return Candidate{}, false
 	}
+	if !primaryGone && !best.Known && (hasKnown(all) || isJunior(best, all)) {
+		return Candidate{}, false
+	}
 	if (lacks(best, acked) || lacks(best, floor)) && (hasUnread(all) || !primaryGone) {
 		return Candidate{}, false
 	}
@@ -168,6 +175,20 @@
 	return a.StartMillis < b.StartMillis
 }
 
+func isJunior(c Candidate, all []Candidate) bool {
+	senior, ok := Senior(all)
+	return ok && senior.ID != c.ID
+}
+
+func hasKnown(all []Candidate) bool {
+	for _, c := range all {
+		if c.Answered && c.Known {
+			return true
+		}
+	}
+	return false
+}
+
 func hasEstablished(all []Candidate) bool {
 	for _, c := range all {
 		if c.Answered && c.Established {
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -18,8 +18,9 @@
 // A primary confirms a commit once any replica has received it. Another database may
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given. So a commit is acknowledged to its caller only
-// if no promotion can discard it: every replica holds it; or an established replica
-// holds it, and the lease, read after that replica's report, is settled.
+// if no promotion can discard it: every replica of a current list holds it; or an
+// established replica holds it, and the lease, read after that replica's report, is
+// settled.
 
 // Timing of acknowledgements.
 const (
@@ -132,6 +133,9 @@
 				break
 			}
 			s.queryReplicas(c)
+			if !s.g.databaseListCurrent(s.g.now()) {
+				s.g.relistDatabases()
+			}
 			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
 				s.readLease(c)
 			}
@@ -188,7 +192,7 @@
 		held.Established = slices.Contains(established, db.ID)
 		copies = append(copies, held)
 	}
-	if s.table.RemovedSince(now.Add(-formerMayReturn)) {
+	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
 	return succession.EvidenceFor(c.at, copies)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,8 +87,10 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
-	listVersion  atomic.Uint64 // version of entries; changed with mu held
-	serviceTotal atomic.Int64  // number of services; changed with mu held
+	listVersion  atomic.Uint64             // version of entries; changed with mu held
+	listedAt     atomic.Pointer[time.Time] // the list was the store's at this time or later; nil if it never was read
+	relisting    atomic.Bool               // a read of the list for a commit is running, or was until recently
+	serviceTotal atomic.Int64              // number of services; changed with mu held
 
 	ctx  context.Context // cancelled when the host stops
 	stop context.CancelFunc
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -154,6 +154,7 @@
 	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
+	known       []string          // those of them that each host that counts replicas knows
 	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -150,6 +150,8 @@
 		Expect(primary()).To(Equal("a"))
 		time.Sleep(lead.EstablishedAfter)
 		attempt(succession.Silent)
+		Expect(primary()).To(Equal("a"), "hosts may have an older list")
+		g.ago(-lead.KnownAfter, func() { attempt(succession.Silent) })
 		Expect(primary()).To(Equal("d"))
 	})
 
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -415,6 +415,7 @@
 		}
 	})
 	g.ago(time.Minute, func() { g.setDatabases(databases) })
+	g.confirmDatabaseList(time.Now())
 	return g
 }
 
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -146,7 +146,7 @@
 	return newest
 }
 
-// recordEstablished records the established replicas. It is called under the lease,
+// recordEstablished records the established replicas, and those that all hosts know. It is called under the lease,
 // before the first log is read.
 func (a *replacement) recordEstablished() {
 	a.s.mu.Lock()
@@ -156,6 +156,9 @@
 		if a.s.table.KnownFor(db.ID, now) >= lead.EstablishedAfter {
 			a.established = append(a.established, db.ID)
 		}
+		if a.s.table.KnownFor(db.ID, now) >= lead.KnownAfter {
+			a.known = append(a.known, db.ID)
+		}
 	}
 }
 
@@ -183,7 +186,7 @@
 	out := make([]succession.Candidate, len(replicas))
 	for i, c := range replicas {
 		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
-			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID)}
+			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID)}
 	}
 	return out
 }
@@ -191,7 +194,7 @@
 func (a *replacement) logCandidates(candidates []succession.Candidate) {
 	for _, c := range candidates {
 		report := a.conn(c.ID).report
-		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "cut_off", c.CutOff,
+		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "known", c.Known, "cut_off", c.CutOff,
 			"received", c.Received.String(), "term", report.Term, "paused", report.Paused, "acked", a.acked.String())
 	}
 }
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -43,6 +45,17 @@
 		g.config.Store(&loadedConfiguration{Configuration: &config})
 		g.addConfiguredServices()
 	}
+	// storeDatabases stores the databases' entries, and a lease that another host holds.
+	storeDatabases := func() {
+		for id := range dbs.databases {
+			value, err := json.Marshal(routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = p.api.Create(context.Background(), p.DatabasesKind(), id, value)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x"}`))
+		Expect(err).NotTo(HaveOccurred())
+	}
 	outcome := func() string {
 		err := newTestSession(g, "own").serve(request(statement.Write)).Err
 		if err == nil {
@@ -95,4 +108,26 @@
 		g = newTestGateway(p)
 		Expect(outcome()).To(Equal("acknowledged"))
 	})
+
+	It("is not acknowledged on all replicas of a list that may be outdated", func() {
+		g.ago(-lead.ListMaxAge, func() {
+			p.store.SetDown(true)
+			Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
+		})
+	})
+
+	It("is acknowledged on all replicas once the list is read from the store", func() {
+		g.platform = listingPlatform{p}
+		storeDatabases()
+		g.ago(-lead.ListMaxAge, func() { Expect(outcome()).To(Equal("acknowledged")) })
+	})
+
+	It("is not acknowledged on all listed replicas while the store lists one that this host has not heard of", func() {
+		g.platform = listingPlatform{p}
+		dbs.withLock(func() {
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}, notReplicating: true}
+		})
+		storeDatabases()
+		g.ago(-lead.ListMaxAge, func() { Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String())) })
+	})
 })
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -12,6 +13,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
@@ -37,9 +39,10 @@
 	// onEvents applies the changes after from, up to version, and returns the
 	// version from which the watch continues.
 	onEvents    func(events []objectapi.Event, from, version uint64) uint64
-	pause       time.Duration // after changes, so that one call returns those that follow closely
-	backoff     time.Duration // after failed calls
-	relist      time.Duration // after compacted changes
+	onCurrent   func(at time.Time) // the state is that of the given time or later; may be nil
+	pause       time.Duration      // after changes, so that one call returns those that follow closely
+	backoff     time.Duration      // after failed calls
+	relist      time.Duration      // after compacted changes
 	unavailable bool
 }
 
@@ -56,6 +59,7 @@
 			retry.Wait(w.g.ctx, storeWatchCheckEvery)
 			continue
 		}
+		sentAt := w.g.now()
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
 		if err != nil {
 			w.failed(err)
@@ -64,6 +68,7 @@
 		w.answered()
 		nextList = w.g.now().Add(relistAfter)
 		w.onList(objects, version)
+		w.current(sentAt)
 		if w.g.synced() && w.g.peers.serves() && !w.g.announcedState.Swap(true) {
 			w.g.peers.send() // hosts that started at the same time wait for it
 		}
@@ -101,6 +106,7 @@
 // it, or this host no longer has to watch.
 func (w *watcher) follow(version uint64) {
 	for w.g.ctx.Err() == nil && w.g.peers.shouldWatchStore() {
+		sentAt := w.g.now()
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			w.g.log.Info("Store has compacted the changes; listing again.", "part", "store", "kind", w.kind, "version", version, "error", err)
@@ -114,13 +120,25 @@
 		w.answered()
 		w.relist = 0
 		if len(events) > 0 {
-			next = w.onEvents(events, version, next)
+			applied := w.onEvents(events, version, next)
+			if applied >= next {
+				w.current(sentAt)
+			}
+			next = applied
 			retry.Wait(w.g.ctx, w.pause)
+		} else {
+			w.current(sentAt)
 		}
 		version = max(version, next)
 	}
 }
 
+func (w *watcher) current(at time.Time) {
+	if w.onCurrent != nil {
+		w.onCurrent(at)
+	}
+}
+
 // failed records a failed call to the store and waits before the next one.
 func (w *watcher) failed(err error) {
 	if w.g.ctx.Err() != nil {
@@ -231,18 +249,66 @@
 // watchDatabases follows the entries in which databases announce themselves.
 func (g *Gateway) watchDatabases() {
 	w := &watcher{g: g, kind: g.platform.DatabasesKind(), pause: databasesPause,
-		onList: func(objects []objectapi.Object, version uint64) {
-			list := databaseList{Version: version, Entries: map[string]json.RawMessage{}}
-			for _, o := range objects {
-				list.Entries[o.Name] = o.Value
-			}
-			g.applyDatabaseList(list)
-		},
-		onEvents: g.applyDatabaseEvents,
+		onList:    g.applyDatabaseObjects,
+		onEvents:  g.applyDatabaseEvents,
+		onCurrent: g.confirmDatabaseList,
 	}
 	w.run()
 }
 
+// applyDatabaseObjects applies the store's list of the databases' entries.
+func (g *Gateway) applyDatabaseObjects(objects []objectapi.Object, version uint64) {
+	list := databaseList{Version: version, Entries: map[string]json.RawMessage{}}
+	for _, o := range objects {
+		list.Entries[o.Name] = o.Value
+	}
+	g.applyDatabaseList(list)
+}
+
+// confirmDatabaseList records that the list of databases was the store's at the given
+// time or later.
+func (g *Gateway) confirmDatabaseList(at time.Time) {
+	if old := g.listedAt.Load(); old == nil || old.Before(at) {
+		g.listedAt.Store(&at)
+	}
+}
+
+// databaseListCurrent reports whether the list of databases is at most lead.ListMaxAge
+// old.
+func (g *Gateway) databaseListCurrent(now time.Time) bool {
+	at := g.listedAt.Load()
+	return at != nil && now.Sub(*at) < lead.ListMaxAge
+}
+
+// relistEvery is the least time between two reads of the list for commits that wait for
+// it. A host that watches the store needs none.
+const relistEvery = 2 * time.Second
+
+// relistDatabases starts a read of the list of databases, unless one was started within
+// relistEvery.
+func (g *Gateway) relistDatabases() {
+	if g.relisting.Swap(true) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(g.ctx, controlTimeout)
+		defer cancel()
+		sentAt := g.now()
+		objects, version, err := g.platform.Objects().List(ctx, g.platform.DatabasesKind())
+		if err != nil {
+			g.log.Info("Listing the databases for an acknowledgement failed.", "part", "store", "error", err)
+		} else {
+			g.applyDatabaseObjects(objects, version)
+			g.confirmDatabaseList(sentAt)
+			for _, s := range g.allServices() {
+				s.wake()
+			}
+		}
+		retry.Wait(g.ctx, relistEvery)
+		g.relisting.Store(false)
+	}()
+}
+
 // databaseList returns a copy of the current list.
 func (g *Gateway) databaseList() databaseList {
 	g.mu.Lock()
--- a/internal/takeovermodel/mutation_test.go
+++ b/internal/takeovermodel/mutation_test.go
@@ -57,6 +57,8 @@
 		})),
 		Entry("if replicas that hosts may not know are chosen", takeovermodel.Rules{AnyReplica: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits = true, 2 })),
 		Entry("if replicas count as established that become so while the logs are read", takeovermodel.Rules{EstablishedLate: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits = true, 2 })),
+		Entry("if established replicas that the acknowledging host may not know are chosen", takeovermodel.Rules{AnyEstablished: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits, b.OldList = true, 2, true })),
+		Entry("if the list of databases is not read under the lease", takeovermodel.Rules{OwnList: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.OldTakerList = true, true })),
 		// The rule on the number of entries hides these two.
 		Entry("if the floor is ignored", takeovermodel.Rules{AnyIndex: true, IgnoreFloor: true}, again, takeovermodel.Rules{AnyIndex: true}),
 		Entry("if the floor's index is ignored", takeovermodel.Rules{AnyIndex: true, IgnoreIndex: true}, again, takeovermodel.Rules{AnyIndex: true}),
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -135,6 +135,7 @@
 	Void      bool  // Chosen is the present primary
 	Settled   bool  // the lease is to be released without Ordered
 	Known     uint8 // mask of the replicas that were established when the lease was taken
+	Common    uint8 // mask of those that the acknowledging host knew then
 	Floor     [2]uint8
 	LogsRead  bool // logs were read before the lease was taken
 
@@ -192,6 +193,8 @@
 	CheckOnce           bool // a report that is read while the taker waits for the senior replica is not compared with its view
 	AnyIndex            bool // the successor may have fewer entries than another replica, if its log ends in a newer term
 	EstablishedLate     bool // a replica counts as established if it is when the logs have been read
+	AnyEstablished      bool // an established replica counts as one that the acknowledging host knows
+	OwnList             bool // the taker does not read the list of databases under the lease
 }
 
 // Bounds are the sizes of a model and the faults that happen in it.
@@ -215,9 +218,10 @@
 	// it has joined, not with that of the last entry.
 	CurrentTerm bool
 
+	OldList      bool // the takers hold a newcomer for established though the acknowledging host does not know it
+	OldTakerList bool // the acknowledging host holds a newcomer for established though the takers do not know it
+
 	// Faults that the protocol does not withstand.
-	OldList       bool // the takers hold a newcomer for established though the acknowledging host does not know it
-	OldTakerList  bool // the acknowledging host holds a newcomer for established though the takers do not know it
 	RestartChosen bool // a replica restarts between the read of its log and its promotion
 	RestartUnread bool // a replica restarts after the lease was taken and before its log is read
 	LoseLastCopy  bool // the last copy of a commit besides the primary's is lost
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -128,7 +128,7 @@
 			n.Attempts++
 			t := Taker{Step: readingLease, Primary: s.Led[of], Term: term}
 			if m.LogsBeforeLease {
-				t.Step, t.LogsRead, t.Known = reading, true, s.mask(establishedByTakers)
+				t.Step, t.LogsRead, t.Known, t.Common = reading, true, s.mask(establishedByTakers), s.mask(knownToAcker)
 			}
 			n.Takers[id-1] = t
 			e.add(Start, id, t.Primary, n)
@@ -227,7 +227,15 @@
 			e.decide(id, n)
 			return
 		default:
-			nt.Step, nt.Known = reading, s.mask(establishedByTakers)
+			nt.Step, nt.Known, nt.Common = reading, s.mask(establishedByTakers), s.mask(knownToAcker)
+			if !e.m.OwnList {
+				// What a host knows, the store lists.
+				for i, d := range s.Databases {
+					if d.Seen&knownToAcker != 0 {
+						n.Databases[i].Seen |= knownToTakers
+					}
+				}
+			}
 		}
 		e.add(Learn, id, 0, n)
 	case s.Lease.Version != t.Version:
@@ -284,7 +292,7 @@
 	}
 	n := *s
 	if m.EstablishedLate {
-		n.Takers[id-1].Known = s.mask(establishedByTakers)
+		n.Takers[id-1].Known, n.Takers[id-1].Common = s.mask(establishedByTakers), s.mask(knownToAcker)
 	}
 	e.decide(id, n)
 }
@@ -398,7 +406,7 @@
 		t.Term = max(t.Term, r.Term)
 	}
 	t.Reports = [maxDatabases]Report{}
-	t.Planned, t.Target, t.LongestKnown, t.Known = false, [2]uint8{}, false, 0
+	t.Planned, t.Target, t.LongestKnown, t.Known, t.Common = false, [2]uint8{}, false, 0, 0
 }
 
 // current reports whether nothing shows that the view that an attempt began with is
@@ -427,12 +435,21 @@
 			ID: name(id), Answered: r.Read, Listed: !s.Databases[i].Dead,
 			Leaving:     m.Leaving == int(id),
 			Established: t.Known&(1<<i) != 0 || m.AnyReplica,
+			Known:       t.Known&(t.Common|m.anyOf(t.Known))&(1<<i) != 0 || m.AnyReplica,
 			StartMillis: int64(id), Received: at(r.At),
 		})
 	}
 	return all
 }
 
+// anyOf returns a mask of established replicas if each of them counts as known.
+func (m Model) anyOf(established uint8) uint8 {
+	if m.AnyEstablished {
+		return established
+	}
+	return 0
+}
+
 // best returns the database to be promoted, or false if none may be.
 func (m Model) best(s *State, t Taker) (uint8, bool) {
 	candidates := m.candidates(s, t)
