Keep an accepted order pending until its effect has been seen

What callers could see: a commit acknowledged on one replica after a host had released the lease as settled, and lost when the promotion that it had ordered took effect later.

Cause: the wait for an accepted order ended after PromotionLimit (2 s), and any database that reported the newest known term settled the lease. If the promotion took longer, and the former primary answered again, that was the former primary. Change: what settles the orders is a table (succession.Settlement). An accepted order ends with its effect, or with that of a later one; without it the lease stays held, and records that the order is unseen. The next attempt gives the same order again, as long as its database answers, is not leaving and holds what it was chosen with: the effect of that one shows the end of both. If it cannot, the present primary is ordered, and only VoidRounds (3) of those, PromotionLimit apart, settle the lease: that bounds how long commits that one replica lacks wait if the database of the order has ended. An order for the present primary has no effect to be seen; it ends the unanswered ones before it as before.

Model: LateEffect holds; AnyPrimary, the former rule, loses. The new rule hides the mutation "released before orders have ended" within its former bounds, so it explores wider ones.

What remains: an unanswered order that was accepted, and takes longer than PromotionLimit after the answer to a later one for the present primary.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -16,6 +16,10 @@
 	// Ordered is the database of a promotion order that may still take effect. It is
 	// recorded before the order is given.
 	Ordered string `json:"ordered,omitempty"`
+	// Unseen is set if an order was accepted and its effect has not been seen. It is that of
+	// Ordered, unless the present primary was ordered after it. Rounds counts those orders.
+	Unseen bool `json:"unseen,omitempty"`
+	Rounds int  `json:"rounds,omitempty"`
 	// Term is the newest term that a holder of the lease has known of.
 	Term uint64 `json:"term,omitempty"`
 	// Floor is the end of the log of the successor that was chosen last. Each later
@@ -32,5 +36,7 @@
 
 // PromotionLimit bounds the time from the platform's acceptance of an order to the
 // change of the primary. It is twice the time that a promotion takes. An order whose
-// answer is lost may be accepted until a later one, with a higher fence, has been.
+// answer is lost may be accepted until a later one, with a higher fence, has been. An
+// order that is known to have been accepted, and takes longer, stays pending; see
+// Settlement.
 const PromotionLimit = 2 * time.Second
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -54,6 +54,7 @@
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
+	a.late, a.unseen, a.rounds = held.Ordered, held.Unseen, held.Rounds
 	return held.Ordered
 }
 
@@ -63,6 +64,9 @@
 func (a *replacement) writeLease(ctx context.Context, l succession.Lease) error {
 	l.Holder, l.Claim = a.s.g.opt.Name, uuid.NewString()
 	l.Term, l.Floor = max(a.leaseTerm, a.newestTerm()), a.floor
+	if l.Ordered != "" {
+		l.Unseen, l.Rounds = a.unseen, a.rounds
+	}
 	value, err := json.Marshal(l)
 	if err != nil {
 		return err
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -159,6 +159,12 @@
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
+	unseen      bool              // the same as in succession.Lease
+	rounds      int
+	late        string // the database of the order that the lease recorded when it was acquired
+	orderTerm   uint64 // the newest term known when the last order was given
+	void        bool   // that order was for the primary of that time
+	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
 }
 
@@ -225,6 +231,8 @@
 // even if this host fails.
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
+	primary := a.newestPrimary()
+	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
 	for {
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -49,11 +49,20 @@
 	}
 }
 
-// voidPendingOrder orders the promotion of the current primary, so that no earlier
-// order can be accepted any more, and waits until those that were accepted have taken
-// effect. It releases the lease with the pending order if no database reports that it
-// is the primary, if that one is leaving, or if the order is not answered.
+// voidPendingOrder ends the orders that may still take effect. One that was accepted and
+// is late is given again, so that its effect shows its end. Otherwise the current primary
+// is ordered, so that no earlier order can be accepted any more. It releases the lease with
+// the pending order if no database reports that it is the primary, if that one is leaving,
+// or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
+	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
+		err := a.order(ctx, late.db.ID)
+		if err == nil {
+			a.awaitSettled(late.db.ID)
+			return
+		}
+		a.log.Warn("The order that is late was not given again.", "database", late.db.ID, "error", err)
+	}
 	for _, c := range a.conns {
 		if !c.answered || !c.report.Primary || c.db.Leaving {
 			continue
@@ -68,34 +77,62 @@
 	a.releaseLease(a.ordered)
 }
 
+// mayRepeat reports whether the database of an order that is late still is one to promote.
+func (a *replacement) mayRepeat(c *controlConn) bool {
+	return c.answered && !c.report.Primary && !c.db.Leaving && !c.report.Received.Before(a.floor) && c.report.Received.Index >= a.floor.Index
+}
+
 // awaitSettled is called when the platform has accepted an order. It waits until
 // neither that nor an earlier order can take effect any more and the primary is known,
-// and then releases the lease as settled. If that takes too long, the lease is left to
-// expire with its order.
+// and then releases the lease as settled. Otherwise the lease is left to expire with its
+// order.
 func (a *replacement) awaitSettled(id string) {
 	accepted := a.s.g.now()
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, takeOverLimit)
 	defer cancel()
-	var settledAfter time.Duration
-	if a.pending {
-		settledAfter = succession.PromotionLimit
-	}
-	for ctx.Err() == nil {
+	for {
 		isPrimary := a.sampleSuccessor(id)
-		passed := a.s.g.now().Sub(accepted)
-		if passed >= succession.PromotionLimit || passed >= settledAfter && isPrimary && a.leads(ctx, id) {
+		state := a.settlement(id, accepted)
+		if isPrimary && !a.pending || state.Since >= succession.PromotionLimit {
+			a.query(ctx, []*controlConn{a.conn(id)}, statement.Statement{Kind: statement.Status})
+			state = a.settlement(id, accepted)
+		}
+		if state.Outcome() != succession.Waiting || ctx.Err() != nil {
 			break
 		}
 		retry.Wait(ctx, catchUpPoll)
 	}
 	a.addNewDatabases()
-	a.query(ctx, a.conns, statement.Statement{Kind: statement.Status})
-	if primary := a.newestPrimary(); primary != nil {
+	a.query(a.s.g.ctx, a.conns, statement.Statement{Kind: statement.Status})
+	primary, state := a.newestPrimary(), a.settlement(id, accepted)
+	if primary != nil && state.Outcome() == succession.Settles {
 		a.log.Info("Service has a primary.", "database", primary.db.ID, "term", primary.report.Term, "after_ms", a.s.g.now().Sub(a.started).Milliseconds())
 		a.releaseLease("")
 		return
 	}
-	a.log.Warn("Lease is not settled: no database reported in time that it is the primary.", "database", id)
+	if a.void {
+		a.rounds++
+	} else {
+		a.unseen, a.rounds = true, 0
+	}
+	a.pending, a.ordered = true, id
+	a.log.Warn("Lease is not settled: an accepted order has not shown its effect.", "database", id, "rounds", a.rounds)
+	writeCtx, cancelWrite := context.WithTimeout(a.s.g.ctx, controlTimeout)
+	defer cancelWrite()
+	if err := a.writeLease(writeCtx, succession.Lease{Ordered: id}); err != nil {
+		a.log.Info("Recording that an order is late failed.", "database", id, "error", err)
+	}
+}
+
+// settlement returns what is known of the orders, the last of which was that of the given
+// database, from the last reports.
+func (a *replacement) settlement(id string, accepted time.Time) succession.Settlement {
+	out := succession.Settlement{Since: a.s.g.now().Sub(accepted), Earlier: a.pending, Void: a.void, Unseen: a.unseen, Rounds: a.rounds}
+	if primary := a.newestPrimary(); primary != nil && primary.db.ID == id {
+		a.effect = a.effect || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
+	}
+	out.Effect = a.effect
+	return out
 }
 
 // sampleSuccessor queries a database and reports whether it is known as the primary.
@@ -110,17 +147,6 @@
 	return ok && primary.ID == id
 }
 
-// leads queries a database and reports whether it is the primary of a term that has
-// begun since the attempt was started. What this host knew before may be outdated.
-func (a *replacement) leads(ctx context.Context, id string) bool {
-	c := a.conn(id)
-	if c == nil {
-		return false
-	}
-	a.query(ctx, []*controlConn{c}, statement.Statement{Kind: statement.Status})
-	return c.answered && c.report.Primary && c.report.Term > a.term
-}
-
 // newestPrimary returns the database that reports that it is the primary, if it
 // reports the newest term of all.
 func (a *replacement) newestPrimary() *controlConn {
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -44,6 +44,13 @@
 		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(value))
 		Expect(err).NotTo(HaveOccurred())
 	}
+	entriesOf := func(ids ...string) map[string]routes.Database {
+		databases := map[string]routes.Database{}
+		for _, id := range ids {
+			databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: id == "a"}
+		}
+		return databases
+	}
 	acknowledged := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
 	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
 
@@ -210,6 +217,62 @@
 		}).WithTimeout(5 * time.Second).Should(BeTrue())
 	})
 
+	It("is not acknowledged on one replica while an accepted order is late and the former primary answers again", func() {
+		dbs := dbs // the order is carried out after the attempt has ended
+		const late = 2*succession.PromotionLimit - 500*time.Millisecond
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.promoteHook = func(o succession.Order) error {
+				time.AfterFunc(late, func() { _ = dbs.applyOrder(o) })
+				dbs.withLock(func() {
+					dbs.databases["a"].unresponsive, dbs.databases[o.Database].notReplicating = false, true
+					dbs.promoteHook = nil
+				})
+				return nil
+			}
+		})
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.startAttempt(a, (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(func() bool {
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			return svc.promotion.running
+		}).WithTimeout(4 * time.Second).Should(BeFalse())
+		acked := acknowledged()
+		Expect(acked).To(BeFalse())
+
+		By("giving the order again")
+		Eventually(func() bool {
+			svc.maybeReplacePrimary(time.Now())
+			return svc.leaseSettled(2)
+		}).WithTimeout(10 * time.Second).Should(BeTrue())
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(2))
+			Expect(dbs.orders[1].Database).To(Equal(dbs.orders[0].Database))
+			Expect(dbs.primary).To(Equal(dbs.orders[0].Database))
+		})
+	})
+
+	It("is acknowledged again after an accepted order has shown no effect and its database has ended", func() {
+		dbs.withLock(func() { delete(dbs.databases, "b") })
+		onlyC := entriesOf("a", "c")
+		g.ago(time.Minute, func() { g.setDatabases(onlyC) })
+		storeLease(`{"holder":"host-1","claim":"x","ordered":"b","unseen":true,"term":1}`)
+		svc.mu.Lock()
+		svc.promotion.unsettled = true
+		svc.mu.Unlock()
+		Eventually(func() bool {
+			svc.maybeReplacePrimary(time.Now())
+			return svc.leaseSettled(1)
+		}).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(BeTrue())
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(succession.VoidRounds))
+			Expect(dbs.orders[0].Database).To(Equal("a"))
+		})
+	})
+
 	It("waits for the settling of one attempt before another one of the same host starts", func() {
 		svc.mu.Lock()
 		svc.promotion.running = true
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -5,7 +5,8 @@
 // any time or never. So a host that stands still, a network that is cut and an order
 // that is carried out late need no state. The one duration that the protocol relies on,
 // succession.PromotionLimit, is modelled as the end of the orders that had been accepted
-// when the wait for it began.
+// when the wait for it began. An order whose answer the taker has may outlast it (see
+// LateEffect).
 //
 // Two rules that the gateway adds to these decisions can be left out: a report that is
 // read while the taker waits for the senior replica is compared with its view (see
@@ -194,6 +195,7 @@
 	AnyIndex            bool // the successor may have fewer entries than another replica, if its log ends in a newer term
 	EstablishedLate     bool // a replica counts as established if it is when the logs have been read
 	AnyEstablished      bool // an established replica counts as one that the acknowledging host knows
+	AnyPrimary          bool // the lease is settled after the wait although the order has shown no effect
 	OwnList             bool // the taker does not read the list of databases under the lease
 }
 
@@ -205,6 +207,7 @@
 	Expiry     bool // a lease that another host holds may be taken
 	Stops      bool // hosts may end in the middle of an attempt, and start again
 	LateCalls  int  // promotion orders whose answer may be lost
+	LateEffect bool // an order may take longer to take effect than the wait for it
 	LateResume bool // a RESUME may be carried out late
 	LateJoin   bool // a replica may join the term of a new primary late
 	OldViews   bool // an attempt may start with an outdated view of the primary and the term
--- a/internal/takeovermodel/takeovermodel_test.go
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -59,6 +59,7 @@
 	DescribeTable("loses no acknowledged commit when", holds,
 		Entry("a host stops in an attempt", one),
 		Entry("an order is not answered", with(one, func(b *takeovermodel.Bounds) { b.LateCalls = 1 })),
+		Entry("an order that was answered takes effect late", with(one, func(b *takeovermodel.Bounds) { b.LateEffect = true })),
 		Entry("another attempt follows", with(one, func(b *takeovermodel.Bounds) { b.Attempts = 2 })),
 		Entry("another attempt starts with an outdated view", with(one, func(b *takeovermodel.Bounds) { b.Attempts, b.OldViews = 2, true })),
 		Entry("a database ends", with(one, func(b *takeovermodel.Bounds) { b.Crashes = 1 })),
