Order no promotion after a replica has restarted since the lease was taken

What callers could see: commits that only a replica held which restarted empty while another host replaced the primary were lost, though the primary still had them.

A replica that restarted before its log was read reads as a short log; one that restarted after that is promoted empty. Change: the store's list is read again after the order has been recorded and right before it is given, and the start times are compared with those of the list read under the lease. If the successor has restarted, or another replica has while the primary may return, the attempt ends without an order; the next one reads all logs anew, and by then knows of the last acknowledged commit. One more list of the store for each call of the platform. A successor that leads with a shorter log than it was chosen with is logged as an error.

What remains: a restart between that list and the moment when the promotion takes effect, or one that the store's list does not show yet.

--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -58,3 +58,18 @@
 	}
 	return out
 }
+
+// Restarted returns the databases that an earlier and a later list both have, and that have
+// started in between.
+func Restarted(earlier, later []routes.Database) (ids []string) {
+	started := map[string]int64{}
+	for _, db := range earlier {
+		started[db.ID] = db.StartMillis
+	}
+	for _, db := range later {
+		if at, ok := started[db.ID]; ok && at != db.StartMillis {
+			ids = append(ids, db.ID)
+		}
+	}
+	return ids
+}
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -223,6 +223,7 @@
 	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
+	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
 )
 
@@ -238,6 +239,10 @@
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
+		if err := a.checkRestarts(ctx, database); err != nil {
+			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
+			return err
+		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -107,6 +107,9 @@
 	primary, state := a.newestPrimary(), a.settlement(id, accepted)
 	if primary != nil && state.Outcome() == succession.Settles {
 		a.log.Info("Service has a primary.", "database", primary.db.ID, "term", primary.report.Term, "after_ms", a.s.g.now().Sub(a.started).Milliseconds())
+		if received := primary.report.Received; received.Index < a.floor.Index {
+			a.log.Error("Primary leads with a shorter log than it had when it was chosen: it has restarted in between.", "database", primary.db.ID, "received", received.String(), "chosen_with", a.floor.String())
+		}
 		a.releaseLease("")
 		return
 	}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -164,19 +164,45 @@
 
 // readStoreList reads the store's list of the service's databases: this host's own may be
 // outdated, since a watch of the store may hear of no changes without an error.
-func (a *replacement) readStoreList(ctx context.Context) error {
-	platform := a.s.g.platform
+func (a *replacement) readStoreList(ctx context.Context) (err error) {
+	a.storeList, err = a.s.storedDatabases(ctx)
+	return err
+}
+
+// storedDatabases reads the store's list of the service's databases.
+func (s *service) storedDatabases(ctx context.Context) ([]routes.Database, error) {
+	platform := s.g.platform
 	objects, _, err := platform.Objects().List(ctx, platform.DatabasesKind())
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var out []routes.Database
 	for _, o := range objects {
 		// One that cannot be decoded names no database.
-		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == a.s.name {
-			a.storeList = append(a.storeList, db)
+		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == s.name {
+			out = append(out, db)
 		}
 	}
-	return nil
+	return out, nil
+}
+
+// checkRestarts fails if a database has restarted since the list was read under the
+// lease, and so without what it held: the successor, or a replica whose log, read before or
+// after that, may have held the only copy of a commit that the primary still has.
+func (a *replacement) checkRestarts(ctx context.Context, successor string) error {
+	if a.storeList == nil {
+		return nil // the order is not for a successor that this attempt has chosen
+	}
+	list, err := a.s.storedDatabases(ctx)
+	if err != nil {
+		return err
+	}
+	restarted := succession.Restarted(a.storeList, list)
+	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
+		return nil
+	}
+	a.log.Warn("Databases have restarted since the lease was acquired.", "databases", restarted, "successor", successor)
+	return errRestarted
 }
 
 // candidates converts the replicas to candidates for the choice of the successor.
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -30,6 +30,7 @@
 type leaseCounter struct {
 	objectapi.Objects
 	reads, writes atomic.Int64
+	onUpdate      func() // called before the update of a lease that records an order, if it is set
 }
 
 func (s *leaseCounter) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
@@ -42,6 +43,10 @@
 func (s *leaseCounter) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
 	if kind == kindLeases {
 		s.writes.Add(1)
+		var l succession.Lease
+		if s.onUpdate != nil && json.Unmarshal(value, &l) == nil && l.Ordered != "" {
+			s.onUpdate()
+		}
 	}
 	return s.Objects.Update(ctx, kind, name, version, value)
 }
@@ -312,4 +317,45 @@
 		Expect(queries).To(BeNumerically("<=", 20))
 		Expect(store.reads.Load()).To(BeNumerically("<=", 8))
 	})
+
+	// The order names only the id of a database, which may have lost its log since it was
+	// read.
+	DescribeTable("does not order a promotion after a replica has restarted while the logs were read",
+		func(restarted string) {
+			g.platform = listingPlatform{p}
+			put := func(db routes.Database, version uint64) {
+				value, err := json.Marshal(db)
+				Expect(err).NotTo(HaveOccurred())
+				if version == 0 {
+					_, err = p.api.Create(context.Background(), p.DatabasesKind(), db.ID, value)
+				} else {
+					_, err = p.api.Update(context.Background(), p.DatabasesKind(), db.ID, version, value)
+				}
+				Expect(err).NotTo(HaveOccurred())
+			}
+			for _, id := range []string{"a", "b", "c"} {
+				put(entry(id), 0)
+			}
+			dbs.withLock(func() {
+				dbs.databases["a"].unresponsive = true
+				dbs.databases["c"].end.Index++
+			})
+			store.onUpdate = func() {
+				store.onUpdate = nil
+				held, err := p.api.Get(context.Background(), p.DatabasesKind(), restarted)
+				Expect(err).NotTo(HaveOccurred())
+				again := entry(restarted)
+				again.StartMillis = 5
+				put(again, held.Version)
+			}
+			attempt(succession.Silent)
+			Expect(orders()).To(BeZero())
+			Expect(storedLease().Settled(1)).To(BeTrue())
+			attempt(succession.Silent)
+			Expect(orders()).To(Equal(1))
+		},
+		Entry("if it is the successor", "c"),
+		Entry("if it is another one, whose log may have held a commit, and the primary may return", "b"),
+	)
+
 })
