Drop what rests on a replica's copy when the replica ends or is about to

What callers could see: a commit acknowledged because of a copy that was gone already.

Change: they are dropped when the list no longer has the replica, when it announces its end, and when its address refuses a connection; a read of the lease that was under way then protects nothing. Commits that still wait query the others again.

Failed before, all acknowledged: the three cases of "because of a settled lease after the only replica that held it has ended or is about to", "on the copies of replicas that have ended since they reported it", "because of a lease that was read while the replica that held it ended".

What remains: a commit that was acknowledged on one copy is gone if that replica's log and the primary's are both lost; syncReplicas 1 grants no more.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -46,6 +46,7 @@
 type replication struct {
 	copies   map[string]*replicaCopy // by database id; an entry is dropped when its database restarts
 	settled  position.Position       // commits up to it are protected by a settled lease
+	losses   uint64                  // calls of unsettle
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
 	proving  bool                    // the same of a query whether a database leads a commit's term
@@ -64,7 +65,14 @@
 // forget discards what rests on a database's log, which may be gone. service.mu is held.
 func (r *replication) forget(id string) {
 	delete(r.copies, id)
+	r.unsettle()
+}
+
+// unsettle discards the settled position, and what a read of the lease that is running
+// finds: the only replica that holds a commit may have ended. service.mu is held.
+func (r *replication) unsettle() {
 	r.settled = position.Position{}
+	r.losses++
 }
 
 // commit is a commit that its primary has confirmed.
@@ -261,12 +269,13 @@
 			held = position.Max(held, known.Received)
 		}
 	}
+	losses := s.replication.losses
 	go func() {
 		settled := s.leaseSettled(c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
-		if settled {
+		if settled && losses == r.losses {
 			r.settled, r.pause = position.Max(r.settled, held), leaseReadEvery
 		}
 		pause := r.pause
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -77,7 +77,12 @@
 	now := s.g.now()
 	s.mu.Lock()
 	s.recordReplicas()
+	before := s.table.Established(now)
 	restarted := s.table.SetDatabases(list, now)
+	after := s.table.Established(now)
+	if slices.ContainsFunc(before, func(id string) bool { return !slices.Contains(after, id) }) {
+		s.replication.unsettle()
+	}
 	var closing []*pool
 	for _, id := range restarted {
 		s.replication.forget(id)
@@ -308,6 +313,9 @@
 	s.mu.Lock()
 	wasUnreachable := s.table.Unreachable(id, now)
 	s.table.RecordFailure(id, sentAt, refused)
+	if refused {
+		s.replication.forget(id) // its process has ended
+	}
 	isUnreachable := s.table.Unreachable(id, now)
 	s.mu.Unlock()
 	if isUnreachable && !wasUnreachable {
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -30,12 +30,16 @@
 type leaseCounter struct {
 	objectapi.Objects
 	reads, writes atomic.Int64
+	onRead        func() // called before the read of a lease, if it is set
 	onUpdate      func() // called before the update of a lease that records an order, if it is set
 }
 
 func (s *leaseCounter) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if kind == kindLeases {
 		s.reads.Add(1)
+		if s.onRead != nil {
+			s.onRead()
+		}
 	}
 	return s.Objects.Get(ctx, kind, name)
 }
@@ -358,4 +362,55 @@
 		Entry("if it is another one, whose log may have held a commit, and the primary may return", "b"),
 	)
 
+	DescribeTable("does not acknowledge a commit because of a settled lease after the only replica that held it has ended or is about to",
+		func(end func()) {
+			dbs.withLock(func() {
+				dbs.databases["b"].notReplicating = true
+				dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}} // not listed
+			})
+			Expect(write()).To(BeNil())
+			svc.mu.Lock()
+			svc.replication.settled.Index += 10 // the end of the log of "c"
+			svc.mu.Unlock()
+			end()
+			Expect(write()).NotTo(BeNil())
+		},
+		Entry("as the list no longer has it", func() {
+			list(entry("a"), entry("b"))
+			dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
+		}),
+		Entry("as it announces its end", func() {
+			list(entry("a"), entry("b"), leaving(entry("c")))
+		}),
+		Entry("as nothing listens at its address", func() {
+			svc.recordFailure("c", time.Now(), true)
+			dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
+		}),
+	)
+
+	It("does not acknowledge a commit because of a lease that was read while the replica that held it ended", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		store.onRead = func() {
+			svc.recordFailure("c", time.Now(), true)
+			dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		}
+		Expect(write()).NotTo(BeNil())
+	})
+
+	It("does not acknowledge a commit on the copies of replicas that have ended since they reported it", func() {
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		var at position.Position
+		dbs.withLock(func() {
+			at = position.Position{Term: 1, Index: 11}
+			for _, db := range dbs.databases {
+				db.end = at
+			}
+		})
+		Expect(svc.acknowledge(context.Background(), commit{primary: "a", at: at})).To(Succeed())
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		svc.recordFailure("c", time.Now(), true)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		Expect(svc.acknowledge(ctx, commit{primary: "a", at: at})).NotTo(Succeed())
+	})
 })
