Take a replica that has become the primary for the effect of its order

After the lease had named a newer term than any database reported, the promotion's term was not newer, its order stayed pending, and a second one followed; the spec "replaces a primary after it has read in the lease of a newer term than any database reports" failed (2 orders). A database that this attempt has read as a replica and that leads the newest term now has been promoted since. The spec passes.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -164,6 +164,7 @@
 	late        string // the database of the order that the lease recorded when it was acquired
 	orderTerm   uint64 // the newest term known when the last order was given
 	void        bool   // that order was for the primary of that time
+	replica     bool   // its database had reported that it is a replica
 	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
 }
@@ -234,6 +235,8 @@
 	var backoff retry.Backoff
 	primary := a.newestPrimary()
 	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
+	c := a.conn(database)
+	a.replica = c != nil && c.answered && !c.report.Primary
 	for {
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -132,7 +132,7 @@
 func (a *replacement) settlement(id string, accepted time.Time) succession.Settlement {
 	out := succession.Settlement{Since: a.s.g.now().Sub(accepted), Earlier: a.pending, Void: a.void, Unseen: a.unseen, Rounds: a.rounds}
 	if primary := a.newestPrimary(); primary != nil && primary.db.ID == id {
-		a.effect = a.effect || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
+		a.effect = a.effect || a.replica || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
 	}
 	out.Effect = a.effect
 	return out
