Do not wait for ever for a former database that has ended

What callers could see: no primary for as long as the hosts lived, if the primary and another database had ended and no replica held the end of the last successor's log, or the last acknowledged commit.

Cause: database/lead keeps former databases, and one that did not answer counted as a log that may still be read. Change: a former database whose address refuses connections, or belongs to another one, whose entry is missing from the list read under the lease, and with whose data centre hosts are in contact has ended. One that is silent still blocks.

The spec "replaces a primary that has ended after another database has ended as well, though none holds its last commits" failed before (no order); its counterpart with a silent database holds before and after.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -101,6 +101,7 @@
 type Candidate struct {
 	ID       string
 	Answered bool // its log end is known
+	Refused  bool // nothing listens at its address, or another database does
 	Listed   bool // it is in the platform's list of databases, or was until recently
 	CutOff   bool // no host of its data centre is reachable
 	Leaving  bool
@@ -133,7 +134,7 @@
 	if !primaryGone && !best.Known && (hasKnown(all) || isJunior(best, all)) {
 		return Candidate{}, false
 	}
-	if (lacks(best, acked) || lacks(best, floor)) && (hasUnread(all) || !primaryGone) {
+	if (lacks(best, acked) || lacks(best, floor)) && (!AllRead(all) || !primaryGone) {
 		return Candidate{}, false
 	}
 	return best, true
@@ -208,14 +209,16 @@
 	return best, best.ID != ""
 }
 
-// hasUnread reports whether the log end of any replica is unknown.
-func hasUnread(all []Candidate) bool {
+// AllRead reports whether the log ends of all replicas are known, except those of replicas
+// that have ended: they are no longer listed, hosts of their data centres are reachable, and
+// their addresses accept no connection to them.
+func AllRead(all []Candidate) bool {
 	for _, c := range all {
-		if !c.Answered {
-			return true
+		if !c.Answered && (c.Listed || c.CutOff || !c.Refused) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // unreadMayBeAlive reports whether any replica whose log end is unknown may still
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -20,6 +20,7 @@
 	conn     Connection // nil before the first query and after a failed one
 	report   statement.Report
 	answered bool // the last query was answered
+	refused  bool // the last query showed that the database is not running at its address
 	former   bool // no longer listed
 }
 
@@ -74,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c.answered = false
+	c.answered, c.refused = false, false
 	var backoff retry.Backoff
 	for {
 		err := a.roundTrip(ctx, c, st)
@@ -89,7 +90,7 @@
 			c.conn.Close()
 			c.conn = nil
 		}
-		if notRunning(err) || !backoff.Pause(ctx) {
+		if c.refused = notRunning(err); c.refused || !backoff.Pause(ctx) {
 			a.log.Info("Database did not answer.", "database", c.db.ID, "error", err)
 			return
 		}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -211,7 +211,7 @@
 	reachable := a.s.g.peers.centresReachableSince(a.started)
 	out := make([]succession.Candidate, len(replicas))
 	for i, c := range replicas {
-		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
+		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
 			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID)}
 	}
 	return out
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -413,4 +413,31 @@
 		defer cancel()
 		Expect(svc.acknowledge(ctx, commit{primary: "a", at: at})).NotTo(Succeed())
 	})
+
+	formerAndFloor := func() {
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
+		list(entry("b"), entry("c"))
+		svc.mu.Lock()
+		svc.table.Expire(time.Now().Add(time.Minute))
+		svc.mu.Unlock()
+	}
+
+	It("replaces a primary that has ended after another database has ended as well, though none holds its last commits", func() {
+		dbs.withLock(func() { delete(dbs.databases, "a") })
+		list(entry("a"), entry("b"), entry("c"), entry("e")) // "e" never runs
+		formerAndFloor()
+		attempt(succession.Silent)
+		Expect(orders()).To(Equal(1))
+	})
+
+	It("does not replace a primary that has ended while another former database, which may hold its last commits, is silent", func() {
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["e"] = &standin{group: dbs, id: "e", unresponsive: true}
+		})
+		list(entry("a"), entry("b"), entry("c"), entry("e"))
+		formerAndFloor()
+		attempt(succession.Silent)
+		Expect(orders()).To(BeZero())
+	})
 })
