Do not take an unknown primary for one that has ended

Cause: an attempt without a presumed primary (its entry had expired before the host started) found no connection to it, and took it for gone, which allows a successor that lacks an acknowledged commit, or that hosts may not know. Change: an unknown primary has ended once every known database has been read or has ended.

The spec "does not take a primary that it does not know for ended while a former database is silent" failed before (a replica listed for 4 s promoted) and passes.

--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -78,6 +78,8 @@
 func (a *replacement) primaryGone() bool {
 	c := a.conn(a.primary)
 	switch {
+	case a.primary == "":
+		return succession.AllRead(a.candidates()) // it may be any that is not
 	case c == nil:
 		return true
 	case c.answered:
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -440,4 +441,25 @@
 		attempt(succession.Silent)
 		Expect(orders()).To(BeZero())
 	})
+
+	It("does not take a primary that it does not know for ended while a former database is silent", func() {
+		young := []routes.Database{entry("b"), entry("c")}
+		young[0].StartMillis, young[1].StartMillis = 1, 2
+		fresh := newService(g, testService)
+		g.ago(2*lead.EstablishedAfter+lead.MissingRetention, func() { fresh.setDatabases(append(young, entry("e")), 4) })
+		g.ago(lead.MissingRetention, func() { fresh.setDatabases(young, 4) })
+		svc = fresh
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["c"].end.Index++ // "b" does not catch up
+			dbs.databases["e"] = &standin{group: dbs, id: "e", unresponsive: true}
+		})
+		svc.mu.Lock()
+		svc.table.Expire(time.Now())
+		svc.table.RecordTerm(1)
+		a := svc.newReplacement(succession.Absent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.run()
+		Expect(orders()).To(BeZero())
+	})
 })
