Do not leave a log unread because its database has announced itself as the primary

What callers could see: a commit lost that only a replica held which had been the primary before, or whose entry was outdated.

Cause: the primary to be replaced is not one of the logs to be read if it does not answer. Which one it is may rest on an announcement alone, which a database that has lost the lead keeps in the list until it reaches the store. Change: only a database that has answered this host as the primary, or that the record of the databases names for the newest term, is left unread. Another one blocks while it is listed or may be cut off.

The spec "does not leave the log of a replica unread because that has announced itself as the primary" failed before (a shorter log promoted) and passes. The specs of promotions now say that their host had seen the primary answer.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -20,6 +20,7 @@
 type Table struct {
 	members    map[string]*member
 	leader     string            // id of the presumed primary; empty if none
+	proven     bool              // the leader has answered as the primary, and not only announced it
 	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
 	term       uint64            // newest term seen
 	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
@@ -105,6 +106,7 @@
 func (t *Table) recordAnnouncement(id string, m *member, now time.Time) {
 	m.announcedAt = now
 	if t.leader == "" || now.After(t.leaderAsOf) {
+		t.proven = t.proven && t.leader == id
 		t.leader, t.leaderAsOf = id, now
 	}
 }
@@ -179,10 +181,13 @@
 		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
 	}
 	if t.leader == id || sentAt.After(t.leaderAsOf) {
-		t.leader, t.leaderAsOf = id, sentAt
+		t.leader, t.leaderAsOf, t.proven = id, sentAt, true
 	}
 }
 
+// LeaderProven reports whether the presumed primary has answered as the primary.
+func (t *Table) LeaderProven() bool { return t.leader != "" && t.proven }
+
 // Led returns the database that proved to be the primary of a term, or an empty string if
 // none is known.
 func (t *Table) Led(term uint64) string { return t.led[term] }
@@ -205,7 +210,7 @@
 	t.leader = ""
 	for other, m := range t.members {
 		if other != id && m.Primary && m.missingSince.IsZero() {
-			t.leader, t.leaderAsOf = other, sentAt
+			t.leader, t.leaderAsOf, t.proven = other, sentAt, false
 		}
 	}
 }
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -133,7 +133,7 @@
 func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
 	primary, _ := s.table.Leader()
 	return &replacement{
-		s: s, reason: reason, primary: primary.ID, term: s.table.Term(), acked: acked, started: now,
+		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), term: s.table.Term(), acked: acked, started: now,
 		log: s.g.log.With("part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason)),
 	}
 }
@@ -144,6 +144,7 @@
 	log     *slog.Logger
 	reason  succession.Reason
 	primary string // the presumed primary when the attempt was started; empty for none
+	proven  bool   // it has proved to be the primary
 	term    uint64 // the newest term known when the attempt was started
 	acked   position.Position
 	started time.Time
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -55,7 +55,7 @@
 		svc.mu.Lock()
 		term := svc.table.Term()
 		svc.mu.Unlock()
-		a := &replacement{s: svc, log: g.log, reason: reason, primary: "a", term: max(1, term), started: time.Now()}
+		a := &replacement{s: svc, log: g.log, reason: reason, primary: "a", proven: true, term: max(1, term), started: time.Now()}
 		a.run()
 	}
 	list := func(ids ...string) {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -21,7 +21,7 @@
 		a.query(ctx, added, statement.Statement{Kind: statement.Status})
 	}
 	if a.primary == "" && a.roster.Term == a.newestTerm() {
-		a.primary = a.roster.Primary // this host may have started after the primary's entry expired
+		a.primary, a.proven = a.roster.Primary, true // this host may have started after the primary's entry expired
 	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
@@ -128,11 +128,11 @@
 
 // replicas returns the databases that may be replicas: all except those that
 // report that they are the primary, and the primary to be replaced if it did not
-// answer.
+// answer. One that has only announced itself as the primary may be a replica.
 func (a *replacement) replicas() []*controlConn {
 	var out []*controlConn
 	for _, c := range a.conns {
-		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered {
+		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && a.proven {
 			continue
 		}
 		out = append(out, c)
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -442,6 +442,24 @@
 		Expect(orders()).To(BeZero())
 	})
 
+	It("does not leave the log of a replica unread because that has announced itself as the primary", func() {
+		fresh := newService(g, testService)
+		g.ago(time.Minute, func() { fresh.setDatabases([]routes.Database{announced(entry("b")), entry("c")}, 4) })
+		svc = fresh
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["b"].unresponsive = true
+			dbs.databases["b"].end.Index += 5
+		})
+		svc.mu.Lock()
+		svc.table.RecordTerm(1)
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		Expect(a.primary).To(Equal("b"))
+		a.run()
+		Expect(orders()).To(BeZero())
+	})
+
 	It("does not take a primary that it does not know for ended while a former database is silent", func() {
 		young := []routes.Database{entry("b"), entry("c")}
 		young[0].StartMillis, young[1].StartMillis = 1, 2
