--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -431,6 +431,14 @@
 	g.now = now
 }
 
+// setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
+func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
+	s.mu.Lock()
+	s.table.SetDatabases(list, time.Now().Add(-ago))
+	s.mu.Unlock()
+	s.setDatabases(list, 4)
+}
+
 // updateRoute changes a route of the test configuration.
 func (g *Gateway) updateRoute(name string, change func(*routes.Route)) {
 	config := *g.config.Load().Configuration
