Model: replicas that restart while they are read or before the order is given

RestartChosen and RestartUnread were faults that the protocol did not withstand; with the check of restarts right before an order they are specs that hold, and IgnoreRestarts loses both. RestartOrdered, a restart between the order and its effect, still loses.

--- a/internal/takeovermodel/mutation_test.go
+++ b/internal/takeovermodel/mutation_test.go
@@ -59,6 +59,8 @@
 		Entry("if replicas count as established that become so while the logs are read", takeovermodel.Rules{EstablishedLate: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits = true, 2 })),
 		Entry("if established replicas that the acknowledging host may not know are chosen", takeovermodel.Rules{AnyEstablished: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits, b.OldList = true, 2, true })),
 		Entry("if the lease is settled although an order that was answered has shown no effect", takeovermodel.Rules{AnyPrimary: true}, with(base, func(b *takeovermodel.Bounds) { b.LateEffect = true })),
+		Entry("if a replica that has restarted since its log was read is promoted", takeovermodel.Rules{IgnoreRestarts: true}, with(base, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartChosen = 1, true })),
+		Entry("if a replica that has restarted before its log was read is missed", takeovermodel.Rules{IgnoreRestarts: true}, with(base, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartUnread = 1, true })),
 		Entry("if the list of databases is not read under the lease", takeovermodel.Rules{OwnList: true}, with(base, func(b *takeovermodel.Bounds) { b.Newcomer, b.OldTakerList = true, true })),
 		// The rule on the number of entries hides these two.
 		Entry("if the floor is ignored", takeovermodel.Rules{AnyIndex: true, IgnoreFloor: true}, again, takeovermodel.Rules{AnyIndex: true}),
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -137,6 +137,7 @@
 	Settled   bool  // the lease is to be released without Ordered
 	Known     uint8 // mask of the replicas that were established when the lease was taken
 	Common    uint8 // mask of those that the acknowledging host knew then
+	Restarted uint8 // mask of the databases that have restarted since the lease was taken
 	Floor     [2]uint8
 	LogsRead  bool // logs were read before the lease was taken
 
@@ -195,6 +196,7 @@
 	AnyIndex            bool // the successor may have fewer entries than another replica, if its log ends in a newer term
 	EstablishedLate     bool // a replica counts as established if it is when the logs have been read
 	AnyEstablished      bool // an established replica counts as one that the acknowledging host knows
+	IgnoreRestarts      bool // databases that have restarted since the lease was taken are promoted, or missed
 	AnyPrimary          bool // the lease is settled after the wait although the order has shown no effect
 	OwnList             bool // the taker does not read the list of databases under the lease
 }
@@ -213,8 +215,13 @@
 	OldViews   bool // an attempt may start with an outdated view of the primary and the term
 	Crashes    int  // databases that end for good
 	Restarts   int  // replicas that restart under their id with an empty log
-	Leaving    int  // the database that announces its shutdown; 0 for none
-	Newcomer   bool // hosts do not know the last database yet
+	// RestartChosen means that a replica may restart between the read of its log and the
+	// order of its promotion, RestartUnread after the lease was taken and before its log is
+	// read.
+	RestartChosen bool
+	RestartUnread bool
+	Leaving       int  // the database that announces its shutdown; 0 for none
+	Newcomer      bool // hosts do not know the last database yet
 	// Heard means that the taker has heard of all acknowledged commits.
 	Heard bool
 	// CurrentTerm means that a database reports the end of its log with the term that
@@ -225,9 +232,8 @@
 	OldTakerList bool // the acknowledging host holds a newcomer for established though the takers do not know it
 
 	// Faults that the protocol does not withstand.
-	RestartChosen bool // a replica restarts between the read of its log and its promotion
-	RestartUnread bool // a replica restarts after the lease was taken and before its log is read
-	LoseLastCopy  bool // the last copy of a commit besides the primary's is lost
+	RestartOrdered bool // a replica restarts between the order of its promotion and its effect
+	LoseLastCopy   bool // the last copy of a commit besides the primary's is lost
 }
 
 // Model is a protocol within bounds.
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -112,10 +112,15 @@
 			n.Databases[i] = joined(d, p, s.Term)
 			e.add(Join, 0, id, n)
 		}
-		if int(s.Faults) < m.Restarts && (m.LoseLastCopy || s.spare(i)) && (m.RestartChosen || !s.chosen(id)) && (m.RestartUnread || !s.reading()) {
+		if int(s.Faults) < m.Restarts && (m.LoseLastCopy || s.spare(i)) && (m.RestartChosen || !s.chosen(id)) && (m.RestartOrdered || !s.ordered(id)) && (m.RestartUnread || !s.reading()) {
 			n := *s
 			n.Faults++
 			n.Databases[i] = Database{Seen: d.Seen}
+			for t := range n.Takers {
+				if step := n.Takers[t].Step; step >= reading && step <= called {
+					n.Takers[t].Restarted |= 1 << i
+				}
+			}
 			e.add(Restart, 0, id, n)
 		}
 		for _, level := range [...]uint8{knownToAcker, knownToTakers, establishedByAcker, establishedByTakers} {
@@ -180,6 +185,19 @@
 	return out
 }
 
+// ordered reports whether an order for a database is being given or is under way: once its
+// taker has read the list of databases for the last time.
+func (s *State) ordered(id uint8) bool {
+	out := false
+	for _, t := range s.Takers {
+		out = out || t.Chosen == id && t.Step >= calling && t.Step <= waited
+	}
+	for _, c := range s.Calls {
+		out = out || c.Database == id
+	}
+	return out
+}
+
 // reading reports whether a taker reads the logs.
 func (s *State) reading() bool {
 	for _, t := range s.Takers {
--- a/internal/takeovermodel/takeovermodel_test.go
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -64,6 +64,8 @@
 		Entry("another attempt starts with an outdated view", with(one, func(b *takeovermodel.Bounds) { b.Attempts, b.OldViews = 2, true })),
 		Entry("a database ends", with(one, func(b *takeovermodel.Bounds) { b.Crashes = 1 })),
 		Entry("a replica restarts empty", with(one, func(b *takeovermodel.Bounds) { b.Restarts = 1 })),
+		Entry("a replica restarts empty between the read of its log and the order of its promotion", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartChosen = 1, true })),
+		Entry("a replica restarts empty while the logs are read, before its own is", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartUnread = 1, true })),
 		Entry("a replica is new", with(one, func(b *takeovermodel.Bounds) { b.Newcomer, b.Databases = true, 4 })),
 		Entry("the acknowledging host has not learnt of a replica that a taker holds for established", with(one, func(b *takeovermodel.Bounds) { b.Newcomer, b.Commits, b.OldList = true, 2, true })),
 		Entry("a taker has not learnt of a replica that the acknowledging host holds for established", with(one, func(b *takeovermodel.Bounds) { b.Newcomer, b.OldTakerList = true, true })),
@@ -88,8 +90,7 @@
 			GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
 			Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
 		},
-		Entry("a replica restarts empty between the read of its log and its promotion", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartChosen = 1, true })),
-		Entry("a replica restarts empty while the logs are read, before its own is", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartUnread = 1, true })),
+		Entry("a replica restarts empty between the order of its promotion and its effect", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartChosen, b.RestartOrdered = 1, true, true })),
 		Entry("one of four databases ends while the logs are read, before its own is", with(one, func(b *takeovermodel.Bounds) { b.Crashes, b.Databases, b.Heard = 1, 4, true })),
 		Entry("the only replica with the commit ends", with(one, func(b *takeovermodel.Bounds) { b.Crashes, b.LoseLastCopy = 1, true })),
 		Entry("the only replica with the commit restarts empty", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.LoseLastCopy = 1, true })),
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -222,6 +222,8 @@
 		nt.Version++
 		n.Lease.Writer = 0
 		switch {
+		case t.Step == recordingSent && e.m.restarted(s, t):
+			nt.Step, nt.Settled = releasing, !t.Pending
 		case t.Step == recordingSent:
 			nt.Step = calling
 		case t.LogsRead:
@@ -245,6 +247,15 @@
 	}
 }
 
+// restarted reports whether a taker must not give its order, since the successor has
+// restarted since the lease was taken, or another database has while the primary may return.
+func (m Model) restarted(s *State, t Taker) bool {
+	if m.IgnoreRestarts || t.Restarted == 0 || t.Void {
+		return false
+	}
+	return t.Restarted&(1<<(t.Chosen-1)) != 0 || !s.Databases[t.Primary-1].Dead
+}
+
 // report returns a database's report. Under the former protocol, replicas are paused
 // before.
 func (m Model) report(s *State, i int) Report {
