--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -290,7 +290,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		for _, s := range services {
-			go func() { _ = s.acknowledge(ctx, commit{primary: "a", at: at}) }()
+			go func() { _ = s.acknowledge(ctx, commit{primary: "a", at: at, term: 1}) }()
 		}
 		refused := 0
 		for ctx.Err() == nil {
@@ -407,12 +407,12 @@
 				db.end = at
 			}
 		})
-		Expect(svc.acknowledge(context.Background(), commit{primary: "a", at: at})).To(Succeed())
+		Expect(svc.acknowledge(context.Background(), commit{primary: "a", at: at, term: 1})).To(Succeed())
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
 		svc.recordFailure("c", time.Now(), true)
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
-		Expect(svc.acknowledge(ctx, commit{primary: "a", at: at})).NotTo(Succeed())
+		Expect(svc.acknowledge(ctx, commit{primary: "a", at: at, term: 1})).NotTo(Succeed())
 	})
 
 	formerAndFloor := func() {
