--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -110,7 +110,7 @@
 		names := spareRoutes[:2]
 		add(step{at: at, length: recordEvery, kind: "routes removed", names: names})
 		add(step{at: silent + silenceToLogins, kind: "logins", names: names})
-		way, length, share := r.IntN(7), between(1500, 5000), []float64{0.3, 0.6, 1}[r.IntN(3)]
+		way, length, share := r.IntN(7), between(1500, 5000), []float64{0.55, 0.7, 0.85, 1}[r.IntN(4)]
 		for i, g := range r.Perm(len(l.services))[:2] {
 			begin := silent + time.Duration(i)*between(0, 100)
 			if r.Float64() < 0.6 {
