--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -1,6 +1,6 @@
 // Command takeover plays takeovers with real processes: it starts the project's daemon as
-// separate processes on loopback addresses, serves the platform's store, the
-// promotion calls and the databases itself, runs the callers, and checks one rule
+// separate processes on loopback addresses, and its own binary as their databases, serves
+// the platform's store and the promotion calls, runs the callers, and checks one rule
 // from what callers and databases have seen.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
@@ -10,6 +10,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"sync"
@@ -121,7 +122,7 @@
 // record is the record of one play.
 type record struct {
 	mu      sync.Mutex
-	file    *os.File
+	file    io.Writer
 	started time.Time
 	notes   []note
 }
