Count the shutdown of a database from when the first host learned of it

Cause: each host counted site.database_drain from when its own list showed that a database leaves. An entry of the store carries no time.

Change: a host's report on a service names the databases that its list shows as leaving, with their start time and the age of that knowledge, the oldest that it has heard of. Ages are relative, so no clocks are compared, and a late message only makes them smaller. Summaries between data centres carry them, and are sent at once when a database begins to leave. The drain time counts from the earliest report, also on a host whose own list lags behind; a database that restarts or takes back its announcement starts anew.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -38,6 +38,7 @@
 	routes.Database
 	listedSince  time.Time // when its life was first listed; zero for those of the first list
 	leavingSince time.Time // when it was first listed as leaving; zero while it is not
+	leavingKnown time.Time // since when another host has known that it is leaving; zero if none has reported it
 	missingSince time.Time // when the platform's list first lacked it; zero while it is listed
 	contact      contact
 	avoidUntil   time.Time // sorted behind the other reachable readers until then
@@ -107,20 +108,37 @@
 
 func (m *member) recordLeaving(now time.Time) {
 	switch {
-	case !m.Leaving:
-		m.leavingSince = time.Time{}
-	case m.leavingSince.IsZero():
+	case m.Leaving && m.leavingSince.IsZero():
 		m.leavingSince = now
+	case !m.Leaving && !m.leavingSince.IsZero():
+		m.leavingSince, m.leavingKnown = time.Time{}, time.Time{}
 	}
 }
 
-// LeavingSince returns when a database was first listed as leaving, or the zero time
-// if it is not leaving.
+// RecordLeaving records that another host has known since the given time that a
+// database is leaving. start is the StartMillis of the database's life that it means.
+func (t *Table) RecordLeaving(id string, start int64, since time.Time) {
+	m := t.members[id]
+	if m == nil || m.StartMillis != start {
+		return
+	}
+	if m.leavingKnown.IsZero() || since.Before(m.leavingKnown) {
+		m.leavingKnown = since
+	}
+}
+
+// LeavingSince returns the earliest time at which a host is known to have learned that
+// a database is leaving, or the zero time if it is not leaving. This host may learn of
+// it later than others, or only from them.
 func (t *Table) LeavingSince(id string) time.Time {
-	if m := t.members[id]; m != nil {
-		return m.leavingSince
+	m := t.members[id]
+	switch {
+	case m == nil:
+		return time.Time{}
+	case m.leavingSince.IsZero() || !m.leavingKnown.IsZero() && m.leavingKnown.Before(m.leavingSince):
+		return m.leavingKnown
 	}
-	return time.Time{}
+	return m.leavingSince
 }
 
 // Expire removes databases that have been missing for MissingRetention.
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -174,6 +174,9 @@
 		})
 		for _, g := range groups {
 			add(g.Service, g.Host, g.Primary, g.Unreachable, g.Stuck)
+			for _, l := range g.Leaving {
+				add(l.Database)
+			}
 		}
 	}
 	return h.Sum64()
@@ -190,7 +193,7 @@
 	}
 	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
 	add(own.Demands)
-	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups)
+	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
 	c.Hosts = uint32(max(1, p.placement.Live(now)))
 	for name, h := range p.hostsByName {
@@ -199,7 +202,7 @@
 		}
 		add(h.demands)
 		if !h.leaving {
-			c.Groups = appendWatched(c.Groups, name, h.groups)
+			c.Groups = appendWatched(c.Groups, name, h.groups, now.Sub(h.lastSeen))
 		}
 	}
 	p.mu.Unlock()
@@ -209,19 +212,39 @@
 	return c
 }
 
-// appendWatched appends a host's group reports on the services that it watches.
-func appendWatched(to []*gossippb.Group, host string, groups []*gossippb.Group) []*gossippb.Group {
+// appendWatched appends a host's group reports, of the given age, on the services that
+// it watches.
+func appendWatched(to []*gossippb.Group, host string, groups []*gossippb.Group, age time.Duration) []*gossippb.Group {
 	for _, g := range groups {
 		if g.Watching {
 			to = append(to, &gossippb.Group{
 				Service: g.Service, Primary: g.Primary, Unreachable: g.Unreachable, Stuck: g.Stuck,
-				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host,
+				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host, Leaving: aged(g.Leaving, age),
 			})
 		}
 	}
 	return to
 }
 
+// aged returns a report of leaving databases that was made the given time ago as one
+// that is made now.
+func aged(reported []*gossippb.Leaving, by time.Duration) []*gossippb.Leaving {
+	out := make([]*gossippb.Leaving, len(reported))
+	for i, l := range reported {
+		out[i] = &gossippb.Leaving{Database: l.Database, Start: l.Start, AgeMs: l.AgeMs + uint32(max(0, by).Milliseconds())}
+	}
+	return out
+}
+
+// recordLeaving applies group reports that other hosts made at the given time.
+func (g *Gateway) recordLeaving(groups []*gossippb.Group, at time.Time) {
+	for _, group := range groups {
+		if s := g.service(group.Service); s != nil && len(group.Leaving) > 0 {
+			s.recordLeaving(group.Leaving, at)
+		}
+	}
+}
+
 // centreSummaries returns the recent summaries of other data centres, for the
 // hosts of this one. mu is held.
 func (p *peers) centreSummaries(now time.Time) []*gossippb.Centre {
@@ -260,6 +283,7 @@
 		p.recordAcked(g)
 	}
 	p.mu.Unlock()
+	p.g.recordLeaving(in.Groups, at)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -230,7 +230,7 @@
 	view := s.primaryView(now)
 	return &gossippb.Group{
 		Service: s.name, Primary: view.Primary, Unreachable: view.Unreachable, Stuck: view.Stalled,
-		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index, Watching: s.watching(now),
+		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index, Watching: s.watching(now), Leaving: s.leaving(now),
 	}
 }
 
@@ -320,6 +320,7 @@
 	if sameCentre {
 		p.g.rates.recordDemands(msg.Host, admitting, demandsOf(msg.Demands), now)
 	}
+	p.g.recordLeaving(msg.Groups, now)
 	for _, c := range msg.Centres {
 		p.applyCentre(c, now)
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -13,6 +13,7 @@
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -100,6 +101,32 @@
 	}
 }
 
+// recordLeaving applies another host's report, made at the given time, of databases that
+// are leaving.
+func (s *service) recordLeaving(reported []*gossippb.Leaving, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range reported {
+		s.table.RecordLeaving(l.Database, l.Start, at.Add(-time.Duration(l.AgeMs)*time.Millisecond))
+		if p := s.pools[l.Database]; p != nil {
+			p.setLeavingSince(s.table.LeavingSince(l.Database))
+		}
+	}
+}
+
+// leaving returns the databases that the store's list shows as leaving, for the other
+// hosts. mu is held.
+func (s *service) leaving(now time.Time) []*gossippb.Leaving {
+	var out []*gossippb.Leaving
+	for _, db := range s.table.All() {
+		if db.Leaving {
+			age := max(0, now.Sub(s.table.LeavingSince(db.ID)))
+			out = append(out, &gossippb.Leaving{Database: db.ID, Start: db.StartMillis, AgeMs: uint32(age.Milliseconds())})
+		}
+	}
+	return out
+}
+
 // dropPools removes and returns the pools of databases that are no longer in the
 // table. mu is held.
 func (s *service) dropPools() []*pool {
