--- a/statement/check.go
+++ b/statement/check.go
@@ -33,6 +33,8 @@
 	Deallocate: {keeps: true},
 	Reset:      {keeps: true},
 	Status:     {minRows: 1, maxRows: 1, keeps: true},
+	Pause:      {minRows: 1, maxRows: 1, keeps: true},
+	Resume:     {minRows: 1, maxRows: 1, keeps: true},
 }
 
 // Check returns an error that wraps ErrMismatch if a cannot be a database's answer to
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -25,12 +25,15 @@
 	Deallocate             // removes a prepared statement
 	Reset                  // clears the session's values and prepared statements
 	Status                 // requests a database's Report
+	Pause                  // stops a replica from receiving; Term determines from which primaries
+	Resume                 // ends Pause
 )
 
 // kindNames are the names of the kinds, as used in logs.
 var kindNames = [...]string{
 	Unknown: "unknown", Begin: "begin", BeginRead: "begin read", Commit: "commit", Rollback: "rollback", Read: "read", Write: "write",
 	Set: "set", Prepare: "prepare", Execute: "execute", Deallocate: "deallocate", Reset: "reset", Status: "status",
+	Pause: "pause", Resume: "resume",
 }
 
 // String returns the kind's name, as used in logs.
@@ -50,6 +53,7 @@
 	Writes bool              // Prepare: the prepared statement writes
 	Shape  string            // Prepare: definition of the prepared statement; not interpreted by the proxy
 	After  position.Position // Read, Execute, BeginRead: position that the log must have reached; zero for none
+	Term   uint64            // Pause: the least term of a primary from which the replica goes on receiving
 }
 
 // Request is a statement with its caller's request id. Statements issued by the
