Each host states the takeover rules that it follows

Each host now states a small number in its entry in the store, which the version that starts under its name replaces, in its messages and, as the least of its hosts, in its data centre's summary. A host that states none is of a build before this one.

--- /dev/null
+++ b/database/succession/rules.go
@@ -0,0 +1,13 @@
+package succession
+
+// Rules is the version of the rules on takeovers and acknowledgements that this build
+// follows. Hosts state it, so that a fleet of several versions can tell what each of
+// its hosts relies on. 0 stands for builds that state none. The first of them acknowledge a
+// commit once one replica that is not paused holds it, and rely on whoever replaces the
+// primary pausing each replica before its log is read, until no order can take effect.
+const Rules = 1
+
+// ByOlderRules reports whether the lease was last written by a host of a version
+// whose leases name no term. Such a host may drop an order that can still take effect, and
+// does not keep the term and the floor.
+func (l Lease) ByOlderRules() bool { return l.Term == 0 }
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -42,6 +42,7 @@
 	hosts   int
 	demands share.Demands
 	groups  []*gossippb.Group
+	rules   uint32 // the least that its hosts state
 }
 
 // contact is the current period of uninterrupted contact with a data centre: its
@@ -168,6 +169,7 @@
 	add := func(values ...any) { _, _ = fmt.Fprintln(h, values...) } // a hash accepts every write
 	add(summary.Leaving, summary.Configuration)
 	for _, c := range summary.Centres {
+		add(c.Rules)
 		groups := slices.Clone(c.Groups)
 		slices.SortFunc(groups, func(a, b *gossippb.Group) int {
 			return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Host, b.Host))
@@ -192,7 +194,7 @@
 	add(own.Demands)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups)
 	p.mu.Lock()
-	c.Hosts = uint32(max(1, p.placement.Live(now)))
+	c.Hosts, c.Rules = uint32(max(1, p.placement.Live(now))), p.leastRules(now)
 	for name, h := range p.hostsByName {
 		if h.dataCentre != p.g.opt.DataCentre || now.Sub(h.lastSeen) >= reportTTL {
 			continue
@@ -231,7 +233,7 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -253,7 +255,7 @@
 		p.mu.Unlock()
 		return
 	}
-	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups}
+	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules}
 	p.centres[in.Name] = c
 	p.recordContact(in.Name, at)
 	for _, g := range in.Groups {
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
@@ -21,6 +22,7 @@
 	DataCentre string  `json:"dataCentre"`
 	Access     string  `json:"access,omitempty"`   // IP:port of its access listener
 	Capacity   float64 `json:"capacity,omitempty"` // share of a core
+	Rules      uint32  `json:"rules,omitempty"`    // see succession.Rules; absent in entries of older versions
 }
 
 // syncHosts stores this host's entry and periodically reads those of the others. A
@@ -63,7 +65,7 @@
 // storeEntry creates or replaces this host's entry and reports whether it
 // succeeded.
 func (p *peers) storeEntry() bool {
-	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre, Access: p.g.access, Capacity: p.g.opt.Capacity})
+	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre, Access: p.g.access, Capacity: p.g.opt.Capacity, Rules: succession.Rules})
 	if err != nil {
 		p.g.log.Error("Cannot encode this host's entry.", "part", "peers", "error", err)
 		return false
@@ -94,6 +96,7 @@
 // succeeded. After the first successful read it sends a round of messages without
 // waiting for the next tick.
 func (p *peers) listHosts() bool {
+	at := p.g.now()
 	entries, _, err := p.g.platform.Objects().List(p.g.ctx, kindHosts)
 	if err != nil {
 		if p.g.ctx.Err() == nil {
@@ -110,6 +113,7 @@
 		p.addHost(o.Name, entry)
 	}
 	p.mu.Lock()
+	p.rules.recordEntries(entries, at)
 	first := !p.listed
 	p.listed = true
 	p.mu.Unlock()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,18 @@
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
+	for _, rules := range []string{"present", "older"} {
+		set.NewGauge(fmt.Sprintf(`bronzeloft_hosts{rules=%q}`, rules), func() float64 {
+			if g.peers == nil {
+				return 0
+			}
+			present, older := g.peers.hostsByRules()
+			if rules == "older" {
+				return float64(older)
+			}
+			return float64(present)
+		})
+	}
 	return m
 }
 
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
 )
@@ -141,7 +142,7 @@
 		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
 		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
 		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
-		Capacity: p.g.opt.Capacity, Serving: slices.Contains(serving, p.g.opt.Name),
+		Capacity: p.g.opt.Capacity, Serving: slices.Contains(serving, p.g.opt.Name), Rules: succession.Rules,
 	}
 	services := p.g.serviceCount()
 	for _, s := range p.g.allServices() {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -60,6 +60,7 @@
 	firstStart    bool                         // this host had no entry before
 	schedule      summarySchedule              // of the summaries that this host sends as a delegate
 	placement     *placement.Table             // the hosts of this data centre
+	rules         fleetRules
 }
 
 // peerHost is the state of another host.
@@ -115,7 +116,7 @@
 	}
 	p := &peers{g: g, conn: conn, boot: uint64(time.Now().UnixMilli()), hostsByName: map[string]*peerHost{},
 		centres: map[string]*centreSummary{}, acked: map[string]position.Position{}, contacts: map[string]contact{},
-		placement: placement.New(placement.Host{Name: g.opt.Name, Capacity: g.opt.Capacity}, gossipEvery, g.now())}
+		placement: placement.New(placement.Host{Name: g.opt.Name, Capacity: g.opt.Capacity}, gossipEvery, g.now()), rules: newFleetRules()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, p.serveConfiguration)
 	mux.HandleFunc("GET "+databasesPath, p.serveDatabases)
@@ -180,6 +181,7 @@
 			p.g.sizePools()
 		}
 		p.updateAdmitting()
+		p.reviewRules(p.g.now())
 	}
 }
 
@@ -299,6 +301,7 @@
 	h.address, h.boot, h.seq, h.lastSeen, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
 	h.dataCentre, h.access, h.storeAnswers, h.capacity = msg.DataCentre, msg.Access, msg.StoreAnswers, msg.Capacity
 	h.groups, h.demands = msg.Groups, msg.Demands
+	p.rules.recordMessage(msg, now)
 	if sameCentre {
 		p.placement.RecordMessage(placement.Host{Name: msg.Host, Capacity: h.capacity}, msg.Serving, msg.Leaving, now)
 		if msg.LiveHosts > 0 {
@@ -322,6 +325,11 @@
 	}
 	for _, c := range msg.Centres {
 		p.applyCentre(c, now)
+		if msg.Rules != 0 || c.Name == msg.DataCentre { // older versions relay summaries without the rules
+			p.mu.Lock()
+			p.rules.recordCentre(c, now.Add(-time.Duration(c.AgeMs)*time.Millisecond))
+			p.mu.Unlock()
+		}
 	}
 	if !sameCentre {
 		msg.Databases = 0 // the list is fetched only from hosts of this data centre, which have it from the store
