A lease that an earlier version wrote is not settled

Such a lease names no term, and a host of this version took it for settled: it acknowledged commits on one copy that the promotion then discarded.

Change: a lease without a term counts as one with an unknown pending order. Whoever needs it settled takes it, orders the present primary, waits PromotionLimit and writes it with its term. There is no need to wait for the host that released it, since it holds the lease for settled.

Two specs fail if such a lease counts as settled.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -25,9 +25,10 @@
 
 // Settled reports whether no order that was given so far can still replace the
 // primary of a term: no host is replacing it, no order is pending, and it has not been
-// replaced. The zero value, for a lease that nobody has taken, is not settled.
+// replaced. The zero value, for a lease that nobody has taken, is not settled, and
+// neither is one that a host of older rules has released.
 func (l Lease) Settled(term uint64) bool {
-	return l.Released && l.Ordered == "" && l.Term <= term
+	return l.Released && l.Ordered == "" && !l.ByOlderRules() && l.Term <= term
 }
 
 // PromotionLimit bounds the time from the platform's acceptance of an order to the
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -41,8 +41,8 @@
 	return a.writeLease(ctx, succession.Lease{Ordered: a.pendingOrder(old)})
 }
 
-// unknownOrder is the value of Ordered after a lease that could not be decoded,
-// since that lease may have recorded an order.
+// unknownOrder is the value of Ordered after a lease that could not be decoded, or that
+// was written by a host of older rules: there may be an order that it does not record.
 const unknownOrder = "unknown"
 
 // pendingOrder records and returns the database of the order that the previous
@@ -54,7 +54,10 @@
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
-	return held.Ordered
+	if len(old.Value) > 0 && held.ByOlderRules() && held.Ordered == "" {
+		a.pending, a.ordered = true, unknownOrder
+	}
+	return a.ordered
 }
 
 // writeLease replaces the lease object last read or written by this attempt. The
@@ -87,15 +90,16 @@
 
 // canAcquireLease reports whether a lease is free: released, held by this host,
 // or unchanged for leaseTerm by this host's clock. A lease that cannot be decoded
-// counts as held by another host, and so does one that only is to be settled: the host
-// that released it settles it first, so that two hosts do not order in turns.
+// counts as held by another host, and so does one with a pending order that only is to
+// be settled: the host that released it settles it first, so that two hosts do not order
+// in turns.
 func (a *replacement) canAcquireLease(old objectapi.Object) bool {
 	var held succession.Lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
 		a.log.Warn("Cannot decode the lease.", "error", err)
 		held = succession.Lease{} // decoding may have set some of the fields
 	}
-	if held.Holder == a.s.g.opt.Name || held.Released && a.reason != succession.Unsettled {
+	if held.Holder == a.s.g.opt.Name || held.Released && (held.Ordered == "" || a.reason != succession.Unsettled) {
 		return true
 	}
 	now := a.s.g.now()
