Pause replicas while hosts of earlier rules may acknowledge commits

Change: under its lease, a replacement reads the hosts' entries. Unless each states the present rules, and no host without them was heard, it pauses each replica before it reads its log for the choice, and all but the successor of a primary that still serves. It looks again before and while the promotion is under way. Once the lease is settled it renews it, resumes the replicas and releases it; if a RESUME was not answered, the lease is left to expire. The first host in rank, and any that sees a paused replica, resumes those that nobody holds the lease for. Hosts of this version never rely on a pause.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -45,6 +45,7 @@
 	Leaving   Reason = "leaving"   // it is shutting down
 	Stalled   Reason = "stuck"     // it answers, but its commits are not acknowledged
 	Unsettled Reason = "unsettled" // the primary is kept, but the lease of an earlier attempt must be settled
+	Paused    Reason = "paused"    // the primary is kept, but replicas that an earlier attempt paused must be resumed
 )
 
 // View is the state of a service's primary as one host sees it.
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -168,6 +168,7 @@
 	s.mu.Lock()
 	if ok {
 		s.replication.term = max(s.replication.term, report.Term)
+		s.promotion.sawPaused = s.promotion.sawPaused || isPaused(report)
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
 	lacking := !held.Holds(c.at)
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -21,6 +21,8 @@
 	report   statement.Report
 	answered bool // the last query was answered
 	former   bool // no longer listed
+	sent     bool // the last query may have reached the database
+	paused   bool // a Pause was sent, and no Resume answered since
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each one of
@@ -74,7 +76,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c.answered = false
+	c.answered, c.sent = false, false
 	var backoff retry.Backoff
 	for {
 		err := a.roundTrip(ctx, c, st)
@@ -112,6 +114,7 @@
 		}
 		c.conn = conn
 	}
+	c.sent = true
 	deadline, _ := ctx.Deadline()
 	answers, err := c.conn.Run(deadline, statement.Request{Statement: st})
 	if err != nil {
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -99,7 +99,8 @@
 		a.log.Warn("Cannot decode the lease.", "error", err)
 		held = succession.Lease{} // decoding may have set some of the fields
 	}
-	if held.Holder == a.s.g.opt.Name || held.Released && (held.Ordered == "" || a.reason != succession.Unsettled) {
+	settles := a.reason == succession.Unsettled || a.reason == succession.Paused
+	if held.Holder == a.s.g.opt.Name || held.Released && (held.Ordered == "" || !settles) {
 		return true
 	}
 	now := a.s.g.now()
@@ -113,8 +114,11 @@
 }
 
 // releaseLease releases the lease and records in it the database, if any, whose
-// promotion may still take effect.
+// promotion may still take effect. If there is none, it resumes paused replicas before.
 func (a *replacement) releaseLease(ordered string) {
+	if ordered == "" && !a.resume() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
 	released := succession.Lease{Released: true, Ordered: ordered}
--- /dev/null
+++ b/gateway/pausing_test.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// hostsUnreadable is a store that does not list the hosts' entries.
+type hostsUnreadable struct{ objectapi.Objects }
+
+func (s hostsUnreadable) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
+	if kind == kindHosts {
+		return nil, 0, objectapi.ErrUnavailable
+	}
+	return s.Objects.List(ctx, kind)
+}
+
+// Guards against the loss of an acknowledged commit (LOST) in a fleet of two versions: a
+// host of the older one acknowledged it on a replica that a host of the newer one
+// had read before, and did not promote.
+var _ = Describe("a fleet with hosts of older rules", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	const older = `{"address":"127.0.0.1:9","dataCentre":"dc-a"}`
+	const present = `{"address":"127.0.0.1:9","dataCentre":"dc-a","rules":1}`
+	storeEntry := func(name, value string) {
+		_, err := p.api.Create(context.Background(), kindHosts, name, []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	heard := func(rules uint32) *gossippb.Gossip {
+		return &gossippb.Gossip{Host: "host-2", Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: 1, Sequence: 1, Rules: rules}
+	}
+	attempt := func(reason succession.Reason) *replacement {
+		svc.mu.Lock()
+		a := svc.newReplacement(reason, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.run()
+		return a
+	}
+	// confirmed writes to a database and reports whether a replica confirmed it.
+	confirmed := func(id string) bool {
+		l, err := dbs.dial(id)
+		Expect(err).NotTo(HaveOccurred())
+		a, err := l.Run(time.Now().Add(time.Second), request(statement.Write))
+		return err == nil && a[0].Err == nil
+	}
+	received := func(kind statement.Kind) (n int) {
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				for _, k := range db.received {
+					if k == kind {
+						n++
+					}
+				}
+			}
+		})
+		return n
+	}
+	ends := func() map[string]uint64 {
+		out := map[string]uint64{}
+		dbs.withLock(func() {
+			for id, db := range dbs.databases {
+				out[id] = db.end.Index
+			}
+		})
+		return out
+	}
+	storedLease := func() (l succession.Lease) {
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		_ = json.Unmarshal(held.Value, &l)
+		return l
+	}
+
+	DescribeTable("decides whether a replica may confirm a commit once its log was read",
+		func(prepare func(), may bool) {
+			prepare()
+			var during bool
+			dbs.withLock(func() {
+				dbs.promoteHook = func(o succession.Order) error {
+					during = confirmed("a")
+					return dbs.applyOrder(o)
+				}
+			})
+			attempt(succession.Stalled)
+			Expect(during).To(Equal(may))
+			dbs.withLock(func() { Expect(dbs.primary).NotTo(Equal("a")) })
+			Expect(received(statement.Pause) > 0).To(Equal(!may))
+			Expect(confirmed(func() (id string) { dbs.withLock(func() { id = dbs.primary }); return id }())).To(BeTrue(), "replicas are paused for good")
+			Expect(storedLease().Settled(2)).To(BeTrue())
+		},
+		Entry("if every host states the present rules", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(1)) }, true),
+		Entry("if a host's entry states no rules", func() { storeEntry("host-2", older) }, false),
+		Entry("if a host states none in its messages, only in its entry", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(0)) }, false),
+		Entry("if the hosts of another data centre state none", func() {
+			g.peers.handleMessage(&gossippb.Gossip{Host: "host-3", Address: "127.0.0.1:9", DataCentre: "dc-b", Boot: 1, Sequence: 1, Rules: 1, Centres: []*gossippb.Centre{{Name: "dc-b", Hosts: 2}}})
+		}, false),
+		Entry("if the entries cannot be read", func() { p.api = hostsUnreadable{p.api} }, false),
+		Entry("if an entry is another writer's", func() { storeEntry("host-2", `{"slots":7}`); storeEntry("host-3", `[]`) }, true),
+	)
+
+	It("confirms commits only by the successor while a leaving primary is replaced", func() {
+		storeEntry("host-2", older)
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				before := ends()
+				if !confirmed("a") {
+					return errors.New("the successor does not receive")
+				}
+				for id, end := range ends() {
+					if id != "a" && id != o.Database && end != before[id] {
+						return errors.New("another replica receives: " + id)
+					}
+				}
+				return dbs.applyOrder(o)
+			}
+		})
+		attempt(succession.Leaving)
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(1))
+			Expect(dbs.primary).NotTo(Equal("a"))
+		})
+		Expect(received(statement.Pause)).To(Equal(1))
+	})
+
+	It("promotes nothing if a replica that may confirm commits cannot be paused", func() {
+		storeEntry("host-2", older)
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		attempt(succession.Leaving)
+		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = false })
+		Expect(confirmed("a")).To(BeTrue())
+	})
+
+	It("pauses the other replicas if an older host starts while the promotion is under way", func() {
+		dbs := dbs // the order is carried out after the spec has ended if it fails
+		effect := make(chan struct{})
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				storeEntry("host-2", older)
+				go func() {
+					defer close(effect)
+					time.Sleep(4 * olderHostsPoll)
+					_ = dbs.applyOrder(o)
+				}()
+				return nil
+			}
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			defer GinkgoRecover()
+			attempt(succession.Stalled)
+		}()
+		Eventually(func() (n int) {
+			dbs.withLock(func() {
+				for _, db := range dbs.databases {
+					if db.paused != 0 {
+						n++
+					}
+				}
+			})
+			return n
+		}).WithTimeout(3 * olderHostsPoll).WithPolling(5 * time.Millisecond).Should(Equal(1))
+		Eventually(done).WithTimeout(3 * time.Second).Should(BeClosed())
+		Eventually(effect).Should(BeClosed())
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				Expect(db.paused).To(BeZero(), db.id)
+			}
+		})
+	})
+
+	It("does not resume replicas that another host may have paused since", func() {
+		storeEntry("host-2", older)
+		dbs.withLock(func() {
+			dbs.promoteHook = func(succession.Order) error {
+				held, err := p.api.Get(context.Background(), kindLeases, testService)
+				if err == nil {
+					_, err = p.api.Update(context.Background(), kindLeases, testService, held.Version, []byte(`{"holder":"host-2","claim":"x"}`))
+				}
+				return errors.Join(err, succession.ErrRefused)
+			}
+		})
+		attempt(succession.Stalled)
+		Expect(received(statement.Resume)).To(BeZero())
+		Expect(storedLease().Holder).To(Equal("host-2"))
+	})
+
+	It("leaves the lease to expire if a RESUME may be carried out late", func() {
+		storeEntry("host-2", older)
+		dbs.withLock(func() {
+			dbs.promoteHook = func(succession.Order) error {
+				dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+				return succession.ErrRefused
+			}
+		})
+		a := attempt(succession.Stalled)
+		Expect(storedLease().Released).To(BeFalse())
+		Expect(a.pausing.unanswered).To(BeTrue())
+	})
+
+	DescribeTable("resumes replicas that a host has left paused",
+		func(prepare func(), paused ...string) {
+			prepare()
+			dbs.withLock(func() {
+				for _, id := range paused {
+					dbs.databases[id].paused = 2
+				}
+			})
+			Eventually(func() (n uint64) {
+				svc.maybeReplacePrimary(time.Now())
+				dbs.withLock(func() { n = dbs.databases["b"].paused + dbs.databases["c"].paused })
+				return n
+			}).WithTimeout(4 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
+			Expect(storedLease().Settled(1)).To(BeTrue())
+			dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+		},
+		Entry("while there are older hosts", func() { storeEntry("host-2", older); g.peers.listHosts() }, "b", "c"),
+		Entry("once one is seen paused", func() {
+			dbs.withLock(func() { dbs.databases["b"].paused = 2 })
+			Expect(newTestSession(g, "own").serve(request(statement.Write)).Err).To(BeNil())
+		}, "b"),
+	)
+
+	// It drops its order when the platform has answered an order for the present primary,
+	// though an earlier one may be under way.
+	DescribeTable("relies on no lease that a host of older rules has written",
+		func(value string) {
+			dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(value))
+			Expect(err).NotTo(HaveOccurred())
+			acknowledged := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
+			ordered := make(chan time.Time, 10)
+			dbs.withLock(func() {
+				dbs.promoteHook = func(o succession.Order) error {
+					ordered <- time.Now()
+					return dbs.applyOrder(o)
+				}
+			})
+			Expect(acknowledged()).To(BeFalse())
+			Eventually(acknowledged).WithTimeout(8 * time.Second).Should(BeTrue())
+			Expect(ordered).NotTo(BeEmpty())
+			Expect(time.Since(<-ordered)).To(BeNumerically(">=", succession.PromotionLimit))
+			dbs.withLock(func() { Expect(dbs.primary).To(Equal("a")) })
+			Expect(storedLease().Settled(1)).To(BeTrue())
+		},
+		Entry("that is released", `{"holder":"host-2","claim":"x","released":true}`),
+		Entry("that this host's own older version released", `{"holder":"host-1","claim":"x","released":true}`),
+	)
+})
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -59,6 +59,9 @@
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
 	observedLease      leaseObservation
+	sawPaused          bool      // a replica was seen paused
+	checkingPaused     bool      // a check for paused replicas is running
+	nextPausedCheck    time.Time // earliest next check for paused replicas
 }
 
 func rendezvousScore(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
@@ -95,6 +98,9 @@
 	} else {
 		s.keepRoster(now)
 	}
+	if reason == succession.None && known && (rank == 0 || state.sawPaused) {
+		s.checkPaused(now)
+	}
 	if reason == succession.None || now.Before(state.nextAttempt) {
 		return
 	}
@@ -120,6 +126,9 @@
 		s.mu.Lock()
 		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		if a.pausing.unanswered {
+			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
+		}
 		s.mu.Unlock()
 	}()
 }
@@ -154,6 +163,7 @@
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
+	pausing     pausing
 	conns       []*controlConn
 }
 
@@ -170,6 +180,7 @@
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
+	a.lookForOlderHosts(ctx)
 	if err = a.readStoreList(ctx); err != nil {
 		a.log.Warn("Listing the databases failed.", "error", err)
 		a.giveUp(ctx)
@@ -213,6 +224,7 @@
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
+	errOlderHosts  = errors.New("gateway: a host of older rules has started since the logs were read")
 )
 
 // order repeats the promotion call until its outcome is known or ctx ends. Before
@@ -220,7 +232,13 @@
 // even if this host fails.
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
+	chosenWithPauses := a.pausing.needed
+	a.pausing.term = a.newestTerm() + 1
 	for {
+		a.pauseLate(ctx, database)
+		if !a.pending && a.pausing.needed != chosenWithPauses {
+			return errOlderHosts
+		}
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -32,6 +32,9 @@
 	a.log.Info("Lease acquired to settle it.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
+	if a.pending && a.ordered != unknownOrder {
+		a.pauseAll(ctx) // an older host may have started after the order was given without pauses
+	}
 	a.giveUp(ctx)
 }
 
@@ -81,6 +84,7 @@
 		settledAfter = succession.PromotionLimit
 	}
 	for ctx.Err() == nil {
+		a.pauseLate(ctx, id)
 		isPrimary := a.sampleSuccessor(id)
 		passed := a.s.g.now().Sub(accepted)
 		if passed >= succession.PromotionLimit || passed >= settledAfter && isPrimary && a.leads(ctx, id) {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -53,6 +53,7 @@
 	end            position.Position
 	unresponsive   bool // answers nothing and refuses new connections
 	notReplicating bool // receives no commits from the primary
+	paused         uint64
 	received       []statement.Kind
 	reads          int
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
@@ -110,7 +111,7 @@
 	g := l.db.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return statement.Report{Primary: g.primary == l.db.id, Term: g.term, Received: l.db.end}, nil
+	return statement.Report{Primary: g.primary == l.db.id, Term: g.term, Received: l.db.end, Paused: l.db.paused}, nil
 }
 
 func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
@@ -216,6 +217,12 @@
 		return l.read(r, isPrimary)
 	case statement.Write:
 		return l.write(r, isPrimary)
+	case statement.Pause:
+		if !isPrimary && r.Term > g.term {
+			l.db.paused = r.Term
+		}
+	case statement.Resume:
+		l.db.paused = 0
 	case statement.Commit:
 		l.open = false
 		if len(l.wrote) > 0 {
@@ -267,7 +274,7 @@
 	g.ran = append(g.ran, r.ID)
 	replicated := 0
 	for _, other := range g.databases {
-		if other != l.db && !other.notReplicating && !other.unresponsive {
+		if other != l.db && other.paused <= g.term && !other.notReplicating && !other.unresponsive {
 			other.end = l.db.end
 			replicated++
 		}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -32,6 +32,10 @@
 	if err := a.awaitSenior(ctx); err != nil {
 		return succession.Candidate{}, err
 	}
+	a.pauseAll(ctx)
+	if err := a.checkView(); err != nil {
+		return succession.Candidate{}, err
+	}
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
 	candidates := a.candidates()
 	a.logCandidates(candidates)
@@ -215,7 +219,7 @@
 		}
 		best, ok := succession.Senior(slices.DeleteFunc(staying, func(c succession.Candidate) bool { return c.Received.Before(target) }))
 		if ok && (best.ID == senior.ID || a.s.g.now().Sub(started) >= seniorLimit) {
-			return best, nil
+			return best, a.pauseBeside(ctx, best.ID)
 		}
 		retry.Wait(ctx, catchUpPoll)
 		if ctx.Err() != nil {
