Keep the floor beside the lease, which an earlier version rewrites

The next holder then chooses a successor that is shorter than the last one, whose log may hold the only copy of an acknowledged commit. An earlier version also drops unknown fields of the record of databases.

Change: while its order is under way, a holder stores both in an object of a kind that earlier versions do not know, and the record of databases gives the term in which a primary was proven. They are read only if the lease names no term. The spec fails without either the write or the read.

--- a/database/succession/rules.go
+++ b/database/succession/rules.go
@@ -1,5 +1,7 @@
 package succession
 
+import "github.com/bronzeloft/bronzeloft/position"
+
 // Rules is the version of the rules on takeovers and acknowledgements that this build
 // follows. Hosts state it, so that a fleet of several versions can tell what each of
 // its hosts relies on. 0 stands for builds that state none. The first of them acknowledge a
@@ -11,3 +13,9 @@
 // whose leases name no term. Such a host may drop an order that can still take effect, and
 // does not keep the term and the floor.
 func (l Lease) ByOlderRules() bool { return l.Term == 0 }
+
+// KeptFloor is the term and the floor of a service's lease, kept beside it.
+type KeptFloor struct {
+	Term  uint64            `json:"term"`
+	Floor position.Position `json:"floor"`
+}
--- /dev/null
+++ b/gateway/floors.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// kindFloors is the object kind with one succession.KeptFloor for each service: what its
+// lease names too, for a holder that follows a host of older rules, which rewrites the
+// lease without it.
+const kindFloors = "bronzeloft-floors"
+
+// readFloor raises the term and the floor of a lease that a host of older rules has written
+// to those that are kept beside it.
+func (a *replacement) readFloor(ctx context.Context) error {
+	object, err := a.s.g.platform.Objects().Get(ctx, kindFloors, a.s.name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var kept succession.KeptFloor
+	if err := json.Unmarshal(object.Value, &kept); err != nil {
+		a.log.Warn("Cannot decode the floor.", "error", err)
+		return nil
+	}
+	a.leaseTerm, a.floor = max(a.leaseTerm, kept.Term), position.Max(a.floor, kept.Floor)
+	return nil
+}
+
+// keepFloor stores the floor of the lease beside it, while the order that was given under
+// it is under way.
+func (a *replacement) keepFloor(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if a.floorKept == a.floor {
+		return
+	}
+	store := a.s.g.platform.Objects()
+	object, err := store.Get(ctx, kindFloors, a.s.name)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		a.log.Warn("Floor not kept: reading it failed.", "floor", a.floor.String(), "error", err)
+		return
+	}
+	var kept succession.KeptFloor
+	if err == nil && json.Unmarshal(object.Value, &kept) != nil {
+		kept = succession.KeptFloor{}
+	}
+	next := succession.KeptFloor{Term: max(kept.Term, a.leaseTerm, a.newestTerm()), Floor: position.Max(kept.Floor, a.floor)}
+	value, err := json.Marshal(next)
+	if err == nil && object.Version == 0 {
+		_, err = store.Create(ctx, kindFloors, a.s.name, value)
+	} else if err == nil && next != kept {
+		_, err = store.Update(ctx, kindFloors, a.s.name, object.Version, value)
+	}
+	if err != nil {
+		a.log.Warn("Floor not kept.", "floor", a.floor.String(), "error", err)
+		return
+	}
+	a.floorKept = a.floor
+}
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -38,7 +38,13 @@
 		}
 	}
 	a.leaseObject = old
-	return a.writeLease(ctx, succession.Lease{Ordered: a.pendingOrder(old)})
+	ordered := a.pendingOrder(old)
+	if a.olderLease {
+		if err := a.readFloor(ctx); err != nil {
+			return err
+		}
+	}
+	return a.writeLease(ctx, succession.Lease{Ordered: ordered})
 }
 
 // unknownOrder is the value of Ordered after a lease that could not be decoded, or that
@@ -50,11 +56,12 @@
 func (a *replacement) pendingOrder(old objectapi.Object) string {
 	var held succession.Lease
 	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
-		a.pending, a.ordered = true, unknownOrder
+		a.pending, a.ordered, a.olderLease = true, unknownOrder, true
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
-	if len(old.Value) > 0 && held.ByOlderRules() && held.Ordered == "" {
+	a.olderLease = len(old.Value) > 0 && held.ByOlderRules()
+	if a.olderLease && held.Ordered == "" {
 		a.pending, a.ordered = true, unknownOrder
 	}
 	return a.ordered
--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -272,4 +272,20 @@
 		Entry("that is released", `{"holder":"host-2","claim":"x","released":true}`),
 		Entry("that this host's own older version released", `{"holder":"host-1","claim":"x","released":true}`),
 	)
+
+	// The commits up to its floor may be on the silent primary alone.
+	It("does not forget the end of the last successor's log because an older host rewrites the lease", func() {
+		dbs.withLock(func() { dbs.databases["b"].end.Index = 12 })
+		attempt(succession.Stalled)
+		held, err := p.api.Get(context.Background(), kindLeases, testService)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.api.Update(context.Background(), kindLeases, testService, held.Version, []byte(`{"holder":"host-2","claim":"x","released":true}`))
+		Expect(err).NotTo(HaveOccurred())
+		dbs.withLock(func() {
+			Expect(dbs.primary).To(Equal("b"))
+			dbs.databases["b"].unresponsive = true
+		})
+		attempt(succession.Silent)
+		dbs.withLock(func() { Expect(dbs.primary).To(Equal("b")) })
+	})
 })
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -163,6 +163,8 @@
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
+	olderLease  bool              // the lease was last written by a host of older rules
+	floorKept   position.Position // the floor that was stored beside the lease
 	pausing     pausing
 	conns       []*controlConn
 }
@@ -191,6 +193,9 @@
 		a.giveUp(ctx)
 		return
 	}
+	if a.olderLease {
+		a.leaseTerm = max(a.leaseTerm, a.roster.Term)
+	}
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.log.Warn("No successor was chosen.", "error", err)
@@ -206,6 +211,7 @@
 		a.releaseLease("")
 	default:
 		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered)
+		a.keepFloor(a.s.g.ctx)
 		a.releaseLease(a.ordered)
 	}
 }
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -79,6 +79,7 @@
 	accepted := a.s.g.now()
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, takeOverLimit)
 	defer cancel()
+	a.keepFloor(ctx)
 	var settledAfter time.Duration
 	if a.pending {
 		settledAfter = succession.PromotionLimit
