Resume no replica that has not joined the new primary's term

Cause: found by the model of a mixed fleet. When a promotion has taken effect, a paused replica may not have joined its term yet; a RESUME lets it receive what the former primary had sent it. A host of the former protocol that asks only this replica acknowledges the commit, which the new primary lacks. A promotion ends pauses, so such a replica needs no RESUME.

An attempt that finds a host of earlier rules between the choice and its first call now ends also if an earlier order is pending.

The spec fails if the replica is resumed.

--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -159,7 +159,9 @@
 	defer cancel()
 	var paused []*controlConn
 	for _, c := range a.conns {
-		if c.paused || c.answered && isPaused(c.report) {
+		// A promotion ends pauses. A replica that has not joined the primary's term yet would
+		// receive from the former one.
+		if joining := c.answered && c.report.Term < a.newestTerm(); !joining && (c.paused || c.answered && isPaused(c.report)) {
 			paused = append(paused, c)
 		}
 	}
--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -211,6 +211,25 @@
 		Expect(storedLease().Holder).To(Equal("host-2"))
 	})
 
+	// It would go on with what the former primary has sent it.
+	It("does not resume a replica that has not joined the new primary's term", func() {
+		storeEntry("host-2", older)
+		dbs.withLock(func() {
+			dbs.databases["b"].end.Index = 12
+			dbs.promoteHook = func(o succession.Order) error {
+				dbs.withLock(func() { dbs.databases["c"].joinsLate = true })
+				return dbs.applyOrder(o)
+			}
+		})
+		attempt(succession.Stalled)
+		dbs.withLock(func() {
+			Expect(dbs.primary).To(Equal("b"))
+			Expect(dbs.databases["c"].received).To(ContainElement(statement.Pause))
+			Expect(dbs.databases["c"].received).NotTo(ContainElement(statement.Resume))
+		})
+		Expect(storedLease().Settled(2)).To(BeTrue())
+	})
+
 	It("leaves the lease to expire if a RESUME may be carried out late", func() {
 		storeEntry("host-2", older)
 		dbs.withLock(func() {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -240,9 +240,9 @@
 	var backoff retry.Backoff
 	chosenWithPauses := a.pausing.needed
 	a.pausing.term = a.newestTerm() + 1
-	for {
+	for called := false; ; called = true {
 		a.pauseLate(ctx, database)
-		if !a.pending && a.pausing.needed != chosenWithPauses {
+		if !called && a.pausing.needed != chosenWithPauses {
 			return errOlderHosts
 		}
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -54,6 +54,7 @@
 	unresponsive   bool // answers nothing and refuses new connections
 	notReplicating bool // receives no commits from the primary
 	paused         uint64
+	joinsLate      bool // it still reports the term before the last promotion
 	received       []statement.Kind
 	reads          int
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
@@ -111,7 +112,11 @@
 	g := l.db.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return statement.Report{Primary: g.primary == l.db.id, Term: g.term, Received: l.db.end, Paused: l.db.paused}, nil
+	term := g.term
+	if l.db.joinsLate {
+		term--
+	}
+	return statement.Report{Primary: g.primary == l.db.id, Term: term, Received: l.db.end, Paused: l.db.paused}, nil
 }
 
 func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
