Explore fleets of both protocols in the model of takeovers

The model had one protocol for all hosts. Each host may now run either, and start with the other one between any two steps; hosts of the former one write leases without term and floor, the others read the hosts' entries under the lease, pause, look again while an order is under way and resume under the renewed lease. A pause names a term, as on the platform.

The mutation "a lease of a newer term is settled" cleared the lease's term, which now makes it an older host's; it raises the term asked for instead.

--- a/internal/takeovermodel/action.go
+++ b/internal/takeovermodel/action.go
@@ -50,6 +50,9 @@
 	CarryOutResume
 	Release
 	Stop
+	Look
+	SwitchAcker
+	SwitchTaker
 )
 
 var kindNames = [...]string{
@@ -59,6 +62,7 @@
 	"taker reads the log of", "taker gets no answer from", "taker decides", "taker gives up", "taker writes into the lease that it orders", "taker orders", "order is accepted or refused and answered", "order is accepted or refused, answer lost",
 	"order is lost", "taker gets no answer to its order", "order takes effect", "taker sees the successor", "taker starts to wait", "taker has waited", "taker reads the primary's term",
 	"taker resumes all", "taker's RESUME is late", "late RESUME is carried out at", "taker releases the lease", "taker stops",
+	"taker looks for hosts of the former protocol", "acknowledging host starts with the other protocol", "taker starts with the other protocol",
 }
 
 // String describes the action.
@@ -68,7 +72,7 @@
 		return fmt.Sprintf("%s %s: %04b", kindNames[a.Kind], name(a.What), a.Who)
 	case Receive, Join, Crash, Restart, Witness, CarryOutResume:
 		return fmt.Sprintf("%s %s", kindNames[a.Kind], name(a.What))
-	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, Release, Stop:
+	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, Release, Stop, Look, SwitchTaker:
 		if a.What != 0 {
 			return fmt.Sprintf("%s %s (taker %d)", kindNames[a.Kind], name(a.What), a.Who)
 		}
--- a/internal/takeovermodel/mutation_test.go
+++ b/internal/takeovermodel/mutation_test.go
@@ -36,8 +36,7 @@
 			return l.Settled(term)
 		}}, with(base, func(b *takeovermodel.Bounds) { b.LateCalls = 1 })),
 		Entry("if a lease of a newer term is settled", takeovermodel.Rules{Settled: func(l succession.Lease, term uint64) bool {
-			l.Term = 0
-			return l.Settled(term)
+			return l.Settled(max(term, l.Term))
 		}}, base),
 		Entry("if one copy is enough without the lease", takeovermodel.Rules{OneCopyWithoutLease: true}, base),
 		Entry("if the lease is read before the report", takeovermodel.Rules{LeaseBeforeReport: true}, base),
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -54,6 +54,13 @@
 	Attempts uint8 // started so far
 	Acker    Acker
 
+	// Hosts that run the former protocol, as their entries state.
+	OlderTakers uint8 // mask
+	OlderAcker  bool
+	Switches    uint8    // of a host from one protocol to the other so far
+	Kept        [2]uint8 // the floor that is kept beside the lease
+	KeptTerm    uint8
+
 	Faults     uint8 // databases that have crashed or restarted so far
 	Unanswered uint8 // calls whose answer was lost so far
 }
@@ -63,7 +70,7 @@
 	Term   uint8 // that it has joined
 	Length uint8
 	Log    [maxLog]uint8
-	Paused bool
+	Pause  uint8 // it receives from no primary of a term below this one
 	Dead   bool
 	Seen   uint8 // how well hosts know it
 }
@@ -102,6 +109,7 @@
 	Accepted bool
 	Sender   uint8 // the taker that waits for the answer
 	Awaited  uint8 // mask of takers that wait for the order's end
+	Paused   bool  // the other replicas were paused for it
 }
 
 // Step of a taker's attempt.
@@ -109,6 +117,7 @@
 	idle uint8 = iota
 	readingLease
 	acquiring
+	looking
 	reading
 	catchingUp
 	recording
@@ -118,6 +127,8 @@
 	accepted
 	waiting
 	waited
+	renewing
+	renewSent
 	resuming
 	releasing
 )
@@ -137,6 +148,7 @@
 	Known     uint8 // mask of the replicas that were established when the lease was taken
 	Floor     [2]uint8
 	LogsRead  bool // logs were read before the lease was taken
+	Pausing   bool // it pauses replicas, since hosts run the former protocol
 
 	// While the taker waits for the senior replica.
 	Planned      bool
@@ -170,11 +182,19 @@
 // Rules are the rules of the protocol. The zero value of each field is the protocol's
 // rule.
 type Rules struct {
-	// Pauses selects the former protocol: replicas are paused before their logs are
-	// read and resumed afterwards, and a commit is acknowledged once one replica that
+	// Pauses selects the former protocol on all hosts: replicas are paused before their logs
+	// are read and resumed afterwards, and a commit is acknowledged once one replica that
 	// is not paused holds it.
 	Pauses bool
 
+	// In a fleet in which some hosts run the former protocol:
+	NoPausing     bool // the others do not pause replicas for them
+	LookBefore    bool // they read the hosts' entries before the lease is taken
+	LookOnce      bool // they do not look again for a host that starts with it
+	FormerSettled bool // a lease that a host of the former protocol wrote may be settled
+	ForgetFloor   bool // the floor is kept in the lease only
+	ResumeStale   bool // they resume replicas that have not joined the primary's term
+
 	Settled             func(l succession.Lease, term uint64) bool
 	Holds               func(c succession.Copy, commit position.Position) bool
 	OneCopyWithoutLease bool // one copy is enough
@@ -209,6 +229,16 @@
 	Restarts   int  // replicas that restart under their id with an empty log
 	Leaving    int  // the database that announces its shutdown; 0 for none
 	Newcomer   bool // hosts do not know the last database yet
+
+	// Hosts that run the former protocol at first, and how often one may start again with
+	// the other one. The lease of such a host names no term and no floor.
+	OlderTakers uint8 // mask
+	OlderAcker  bool
+	Switches    int
+	// SwitchAcker and SwitchTakers tell which hosts do.
+	SwitchAcker, SwitchTakers bool
+	SwitchIdle                bool // only while no attempt is under way that has taken the lease
+	OlderStop                 bool // takers that run it end once they have taken the lease
 	// Heard means that the taker has heard of all acknowledged commits.
 	Heard bool
 	// CurrentTerm means that a database reports the end of its log with the term that
@@ -221,6 +251,7 @@
 	RestartChosen bool // a replica restarts between the read of its log and its promotion
 	RestartUnread bool // a replica restarts after the lease was taken and before its log is read
 	LoseLastCopy  bool // the last copy of a commit besides the primary's is lost
+	StartsEarly   bool // a host of the former protocol starts to acknowledge before those that replace the primary have looked for it
 }
 
 // Model is a protocol within bounds.
@@ -229,11 +260,20 @@
 	Bounds
 }
 
+// unknownOrder is an order that a lease of the former protocol may not record.
+const unknownOrder = maxDatabases + 1
+
+// mixed reports whether hosts may run either protocol.
+func (m Model) mixed() bool {
+	return m.OlderAcker || m.OlderTakers != 0 || m.SwitchAcker || m.SwitchTakers
+}
+
 // Initial returns the first state: one primary of term 1 with empty logs, and a lease
 // that has been released.
 func (m Model) Initial() State {
 	s := State{Term: 1, Primary: 1, Lease: Lease{Version: 1, Released: true, Term: 1}, MaxFence: 1}
 	s.Led[1] = 1
+	s.OlderAcker, s.OlderTakers = m.OlderAcker, m.OlderTakers
 	for i := range m.Databases {
 		s.Databases[i].Term, s.Databases[i].Seen = 1, seen
 	}
@@ -264,6 +304,9 @@
 	return mask
 }
 
+// paused reports whether a replica receives nothing from the primary of its term.
+func (d Database) paused() bool { return d.Pause > d.Term }
+
 // has reports whether a database's log contains a commit.
 func (d Database) has(commit [2]uint8) bool {
 	return d.Length >= commit[1] && d.Log[commit[1]-1] == commit[0]
@@ -291,7 +334,7 @@
 		if int(s.Primary) == i+1 {
 			b.WriteByte('*')
 		}
-		if d.Paused {
+		if d.paused() {
 			b.WriteByte('p')
 		}
 		if d.Dead {
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/bronzeloft/bronzeloft/database/succession"
 )
@@ -98,7 +99,7 @@
 		}
 		// A replica receives from the primary of its term as long as that database
 		// has not joined another one, also what is on its way from a former primary.
-		if lead := s.Led[d.Term]; d.Term != 0 && lead != 0 && !d.Paused {
+		if lead := s.Led[d.Term]; d.Term != 0 && lead != 0 && !d.paused() {
 			src := s.Databases[lead-1]
 			if src.Term == d.Term && src.Length > d.Length && (!src.Dead || d.Term == s.Term) {
 				n := *s
@@ -200,7 +201,10 @@
 	for i := length; i < d.Length; i++ {
 		d.Log[i] = 0
 	}
-	d.Length, d.Term, d.Paused = length, term, false
+	d.Length, d.Term = length, term
+	if !d.paused() {
+		d.Pause = 0
+	}
 	return d
 }
 
@@ -208,6 +212,13 @@
 func (e *explorer) acker() {
 	s, m := &e.s, e.m
 	a := s.Acker
+	older := m.Pauses || s.OlderAcker
+	if m.SwitchAcker && int(s.Switches) < m.Switches && !(m.SwitchIdle && s.underWay()) {
+		n := *s
+		n.Switches++
+		n.OlderAcker, n.Acker = !s.OlderAcker, Acker{}
+		e.add(SwitchAcker, 0, 0, n)
+	}
 	if a.Commit[0] == 0 {
 		p := s.Databases[s.Primary-1]
 		if p.Length > 0 && p.Log[p.Length-1] == s.Term && s.Acked[p.Length-1] != s.Term {
@@ -240,7 +251,7 @@
 		held.Established = d.Seen&establishedByAcker != 0
 		replicas = append(replicas, held)
 		c := succession.Copy{Answered: true, Primary: id == s.Primary, Term: uint64(d.Term), Received: at(m.end(d))}
-		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && !(m.Pauses && d.Paused) {
+		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && !(older && d.paused()) && (!s.OlderAcker || m.StartsEarly || m.LookOnce || s.looked()) {
 			n := *s
 			n.Acker.Holds |= bit
 			e.add(Witness, 0, id, n)
@@ -251,12 +262,12 @@
 	if settled == nil {
 		settled = succession.Lease.Settled
 	}
-	if !m.Pauses && !a.Settled && (evidence >= succession.OneCopy || m.LeaseBeforeReport) && settled(s.Lease.value(), commit.Term) {
+	if !older && !a.Settled && (evidence >= succession.OneCopy || m.LeaseBeforeReport) && settled(m.value(s.Lease), commit.Term) {
 		n := *s
 		n.Acker.Settled = true
 		e.add(ReadSettled, 0, 0, n)
 	}
-	if evidence == succession.AllCopies || evidence == succession.OneCopy && (a.Settled || m.Pauses || m.OneCopyWithoutLease) {
+	if evidence == succession.AllCopies || evidence == succession.OneCopy && (a.Settled || older || m.OneCopyWithoutLease) {
 		n := *s
 		n.Acked[a.Commit[1]-1] = a.Commit[0]
 		n.Acker = Acker{}
@@ -264,9 +275,33 @@
 	}
 }
 
+// underWay reports whether an attempt is under way that has taken the lease.
+func (s *State) underWay() bool {
+	return slices.ContainsFunc(s.Takers[:], func(t Taker) bool { return t.Step >= looking })
+}
+
+// looked reports whether every order that may take effect was given while the other
+// replicas were paused, and every attempt under way pauses them.
+func (s *State) looked() bool {
+	for _, c := range s.Calls {
+		if c.Fence != 0 && !c.Paused {
+			return false
+		}
+	}
+	for i, t := range s.Takers {
+		if t.Step > looking && !t.Pausing && s.OlderTakers&(1<<i) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // value returns the lease as package succession sees it.
-func (l Lease) value() succession.Lease {
+func (m Model) value(l Lease) succession.Lease {
 	out := succession.Lease{Holder: fmt.Sprint(l.Holder), Released: l.Released, Term: uint64(l.Term)}
+	if m.FormerSettled {
+		out.Term = max(out.Term, 1)
+	}
 	if l.Ordered != 0 {
 		out.Ordered = name(l.Ordered)
 	}
@@ -301,7 +336,7 @@
 		if s.Resumes&(1<<i) != 0 {
 			n := *s
 			n.Resumes &^= 1 << i
-			n.Databases[i].Paused = false
+			n.Databases[i].Pause = 0
 			e.add(CarryOutResume, 0, uint8(i+1), n)
 		}
 	}
@@ -326,8 +361,8 @@
 		if refused {
 			t.Step = releasing
 			t.Settled = !t.Pending
-			if e.m.Pauses && t.Settled {
-				t.Step = resuming
+			if t.Settled {
+				t.Step = answered.settledStep(e.m, c.Sender)
 			}
 		}
 		e.add(CarryOutCall, uint8(i), c.Database, answered)
@@ -358,7 +393,7 @@
 		n.Term++
 		n.Primary = c.Database
 		n.Led[n.Term] = c.Database
-		d.Term, d.Paused = n.Term, false
+		d.Term, d.Pause = n.Term, 0
 		for i := range e.m.Databases {
 			if other := &n.Databases[i]; !e.m.LateJoin && !other.Dead && uint8(i+1) != n.Primary {
 				*other = joined(*other, *d, n.Term)
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -11,11 +11,20 @@
 	t := s.Takers[id-1]
 	n := *s
 	nt := &n.Takers[id-1]
-	if t.Step != idle && m.Stops {
+	if t.Step != idle && (m.Stops || m.OlderStop && m.olderTaker(s, id)) {
 		stopped := *s
 		stopped.stop(id)
 		e.add(Stop, id, 0, stopped)
 	}
+	if t.Step == idle && m.SwitchTakers && int(s.Switches) < m.Switches {
+		switched := *s
+		switched.Switches++
+		switched.OlderTakers ^= 1 << (id - 1)
+		e.add(SwitchTaker, id, 0, switched)
+	}
+	if t.Step > looking && t.Step != recordingSent && t.Step < renewing && !t.Pausing && !m.olderTaker(s, id) && s.olderHosts() && !m.LookOnce && !m.NoPausing {
+		e.lookAgain(id)
+	}
 	switch t.Step {
 	case idle:
 		e.start(id)
@@ -23,12 +32,19 @@
 		e.readLease(id)
 	case acquiring:
 		e.learn(id)
+	case looking:
+		nt.Pausing, nt.Step = s.olderHosts() && !m.NoPausing || t.Pausing, reading
+		nt.Known = s.mask(establishedByTakers)
+		e.add(Look, id, 0, n)
 	case reading:
+		if m.OlderStop && m.olderTaker(s, id) {
+			return
+		}
 		e.read(id)
 	case catchingUp:
 		e.catchUp(id)
 	case recording:
-		if n.send(id, m.next(t, Lease{Ordered: t.Chosen, Holder: m.holder(id)})) {
+		if n.send(id, m.next(&n, id, t, Lease{Ordered: t.Chosen, Holder: m.holder(id)})) {
 			nt.Step = recordingSent
 			e.add(Record, id, t.Chosen, n)
 		}
@@ -73,10 +89,17 @@
 			nt.Step = waited
 			e.add(Waited, id, 0, n)
 		}
+	case renewing:
+		if n.send(id, m.next(&n, id, t, Lease{Holder: m.holder(id)})) {
+			nt.Step = renewSent
+			e.add(Record, id, 0, n)
+		}
+	case renewSent:
+		e.learn(id)
 	case waited:
 		// If no database reports that it is the primary, the lease is left to expire.
 		if p := s.Databases[s.Primary-1]; !p.Dead || m.StaleTerm {
-			nt.Step, nt.Settled = releasing, true
+			nt.Step, nt.Settled = s.settledStep(m, id), true
 			if !m.StaleTerm {
 				nt.Term = max(nt.Term, p.Term)
 			}
@@ -86,8 +109,16 @@
 			e.add(GiveUp, id, 0, n)
 		}
 	case resuming:
+		if !m.olderTaker(s, id) && s.Lease.Version != t.Version && !m.LateResume {
+			n.stop(id)
+			e.add(GiveUp, id, 0, n)
+			return
+		}
 		for i := range m.Databases {
-			n.Databases[i].Paused = false
+			// One that has not joined the primary's term goes on receiving when it does.
+			if m.olderTaker(s, id) || m.ResumeStale || s.Databases[i].Term == s.Term {
+				n.Databases[i].Pause = 0
+			}
 		}
 		nt.Step = releasing
 		e.add(Resume, id, 0, n)
@@ -98,7 +129,7 @@
 			e.add(ResumeLate, id, 0, n)
 		}
 	case releasing:
-		l := m.next(t, Lease{Released: true, Holder: m.holder(id)})
+		l := m.next(&n, id, t, Lease{Released: true, Holder: m.holder(id)})
 		if !t.Settled {
 			if l.Ordered = t.Chosen; l.Ordered == 0 {
 				l.Ordered = t.Ordered
@@ -136,10 +167,36 @@
 	}
 }
 
+// olderTaker reports whether a taker runs the former protocol.
+func (m Model) olderTaker(s *State, id uint8) bool {
+	return m.Pauses || s.OlderTakers&(1<<(id-1)) != 0
+}
+
+// olderHosts reports whether a host's entry states the former protocol.
+func (s *State) olderHosts() bool { return s.OlderAcker || s.OlderTakers != 0 }
+
+// settledStep returns the step of a taker after which it releases the lease as settled.
+func (s *State) settledStep(m Model, id uint8) uint8 {
+	if m.olderTaker(s, id) {
+		return resuming
+	}
+	paused := s.Takers[id-1].Pausing
+	for _, d := range s.Databases {
+		paused = paused || d.paused()
+	}
+	if paused {
+		return renewing
+	}
+	return releasing
+}
+
 // next completes a write of the lease by a taker: the newest term and the floor are
-// kept from lease to lease.
-func (m Model) next(t Taker, l Lease) Lease {
+// kept from lease to lease, but not by a host of the former protocol among others.
+func (m Model) next(s *State, id uint8, t Taker, l Lease) Lease {
 	l.Version, l.Term, l.Floor = t.Version, max(t.Term, t.LeaseTerm), t.Floor
+	if !m.Pauses && m.olderTaker(s, id) {
+		l.Term, l.Floor = 0, [2]uint8{}
+	}
 	if m.ForgetTerm {
 		l.Term = t.Term
 	}
@@ -204,8 +261,17 @@
 	if m.ForgetOrder {
 		t.Ordered = 0
 	}
+	if !m.olderTaker(s, id) && l.Term == 0 {
+		if t.Ordered == 0 && !m.FormerSettled {
+			t.Ordered = unknownOrder
+		}
+		if !m.ForgetFloor {
+			t.Floor, t.LeaseTerm = s.Kept, s.KeptTerm
+		}
+	}
+	t.Pausing = m.LookBefore && s.olderHosts()
 	t.Pending = t.Ordered != 0
-	if n.send(id, m.next(*t, Lease{Ordered: t.Ordered, Holder: m.holder(id)})) {
+	if n.send(id, m.next(&n, id, *t, Lease{Ordered: t.Ordered, Holder: m.holder(id)})) {
 		e.add(ReadLease, id, 0, n)
 	}
 }
@@ -223,9 +289,13 @@
 		switch {
 		case t.Step == recordingSent:
 			nt.Step = calling
+		case t.Step == renewSent:
+			nt.Step = resuming
 		case t.LogsRead:
 			e.decide(id, n)
 			return
+		case e.m.mixed() && !e.m.olderTaker(s, id) && !e.m.LookBefore:
+			nt.Step = looking
 		default:
 			nt.Step, nt.Known = reading, s.mask(establishedByTakers)
 		}
@@ -258,10 +328,10 @@
 		done = false
 		if !d.Dead {
 			n := *s
-			if m.Pauses && db != s.Primary {
-				n.Databases[i].Paused = true
+			if (m.olderTaker(s, id) || t.Pausing) && db != s.Primary {
+				n.Databases[i].pause(t.newestTerm() + 1)
 			}
-			n.Takers[id-1].Reports[i] = m.report(s, i)
+			n.Takers[id-1].Reports[i] = m.report(&n, i)
 			e.add(Read, id, db, n)
 		}
 		if d.Dead || db == t.Primary {
@@ -294,11 +364,12 @@
 func (e *explorer) decide(id uint8, n State) {
 	m := e.m
 	t := n.Takers[id-1]
-	if !m.current(t) {
+	older := m.olderTaker(&n, id)
+	if !m.current(t, older) {
 		e.giveUp(id, n)
 		return
 	}
-	if m.Pauses {
+	if older {
 		e.choose(id, n)
 		return
 	}
@@ -314,12 +385,20 @@
 		pt := &planned.Takers[id-1]
 		if senior, ok := succession.Senior(staying); ok {
 			pt.Step, pt.Planned, pt.Target, pt.Chosen = catchingUp, true, r.At, number(senior.ID)
+			if t.Pausing { // all but the successor
+				planned.Databases[pt.Chosen-1].Pause = 0
+				for _, r := range t.Reports {
+					if r.Read && at(pt.Target).Before(at(r.At)) {
+						pt.Target = r.At
+					}
+				}
+			}
 			e.add(Decide, id, pt.Chosen, planned)
 		}
 	}
 	senior, ok := succession.Senior(candidates)
 	longest, _ := succession.Longest(candidates)
-	if !ok || senior.ID == longest.ID {
+	if !ok || senior.ID == longest.ID || t.Pausing {
 		e.choose(id, n)
 		return
 	}
@@ -335,7 +414,7 @@
 	t := s.Takers[id-1]
 	i := t.Chosen - 1
 	r := t.Reports[i]
-	if r.Read && !m.CheckOnce && !m.current(t) {
+	if r.Read && !m.CheckOnce && !m.current(t, false) {
 		n := *s
 		n.Takers[id-1].Chosen = 0
 		e.giveUp(id, n)
@@ -370,7 +449,7 @@
 // choose adds the step of a taker that chooses a successor among those that it has read.
 func (e *explorer) choose(id uint8, n State) {
 	t := n.Takers[id-1]
-	best, ok := e.m.best(&n, t)
+	best, ok := e.m.best(&n, id, t)
 	if !ok {
 		n.Takers[id-1].Chosen = 0
 		e.giveUp(id, n)
@@ -391,20 +470,34 @@
 	e.add(Decide, id, successor, n)
 }
 
+// newestTerm returns the newest term that the taker knows.
+func (t *Taker) newestTerm() uint8 {
+	newest := t.Term
+	for _, r := range t.Reports {
+		newest = max(newest, r.Term)
+	}
+	return newest
+}
+
+// pause pauses a replica. A term that is not above its own has no effect.
+func (d *Database) pause(term uint8) {
+	if term > d.Term {
+		d.Pause = term
+	}
+}
+
 // learnTerm takes over the newest term of the reports, and forgets what is not needed
 // any more.
 func (t *Taker) learnTerm() {
-	for _, r := range t.Reports {
-		t.Term = max(t.Term, r.Term)
-	}
+	t.Term = t.newestTerm()
 	t.Reports = [maxDatabases]Report{}
 	t.Planned, t.Target, t.LongestKnown, t.Known = false, [2]uint8{}, false, 0
 }
 
 // current reports whether nothing shows that the view that an attempt began with is
 // outdated.
-func (m Model) current(t Taker) bool {
-	if t.LeaseTerm > t.Term && !m.IgnoreLeaseTerm && !m.Pauses {
+func (m Model) current(t Taker, older bool) bool {
+	if t.LeaseTerm > t.Term && !m.IgnoreLeaseTerm && !older {
 		return false
 	}
 	for i, r := range t.Reports {
@@ -434,9 +527,9 @@
 }
 
 // best returns the database to be promoted, or false if none may be.
-func (m Model) best(s *State, t Taker) (uint8, bool) {
+func (m Model) best(s *State, id uint8, t Taker) (uint8, bool) {
 	candidates := m.candidates(s, t)
-	if m.Pauses {
+	if m.olderTaker(s, id) {
 		longest, ok := succession.Longest(candidates)
 		return number(longest.ID), ok
 	}
@@ -469,10 +562,7 @@
 func (e *explorer) giveUp(id uint8, n State) {
 	t := &n.Takers[id-1]
 	if !t.Pending {
-		t.Settled, t.Step = true, releasing
-		if e.m.Pauses {
-			t.Step = resuming
-		}
+		t.Settled, t.Step = true, n.settledStep(e.m, id)
 		t.learnTerm()
 		e.add(GiveUp, id, 0, n)
 		return
@@ -506,7 +596,14 @@
 	if free < 0 || sent >= e.m.Calls {
 		return
 	}
-	n.Calls[free] = Call{Database: t.Chosen, Fence: t.Version, Sender: id}
+	older := e.m.olderTaker(&n, id)
+	n.Calls[free] = Call{Database: t.Chosen, Fence: t.Version, Sender: id, Paused: t.Pausing || older}
+	if e.m.mixed() && !older && at(n.Kept).Before(at(t.Floor)) {
+		n.Kept = t.Floor
+	}
+	if e.m.mixed() && !older {
+		n.KeptTerm = max(n.KeptTerm, t.Term, t.LeaseTerm)
+	}
 	t.Step = called
 	e.add(Order, id, t.Chosen, n)
 }
@@ -519,7 +616,7 @@
 	n := *s
 	nt := &n.Takers[id-1]
 	sees := s.Primary == t.Chosen && !s.Databases[s.Primary-1].Dead && s.Term > t.Term
-	if m.Pauses {
+	if m.olderTaker(s, id) {
 		if sees || t.Void {
 			nt.Step, nt.Settled = resuming, true
 			e.add(See, id, t.Chosen, n)
@@ -539,3 +636,32 @@
 	nt.Step = waiting
 	e.add(Wait, id, 0, n)
 }
+
+// lookAgain adds the step of a taker that finds a host of the former protocol that has
+// started since the lease was taken. If it has given no order, it starts its choice anew or
+// gives up, and otherwise pauses the replicas other than its successor.
+func (e *explorer) lookAgain(id uint8) {
+	n := e.s
+	t := &n.Takers[id-1]
+	t.Pausing = true
+	if t.Step < calling {
+		t.Step, t.Reports = reading, [maxDatabases]Report{}
+		t.Planned, t.Target, t.LongestKnown, t.Chosen, t.Void = false, [2]uint8{}, false, 0, false
+		e.add(Look, id, 0, n)
+		return
+	}
+	if t.Step == calling {
+		t.Step, t.Settled, t.Chosen = releasing, !t.Pending, 0
+		e.add(Look, id, 0, n)
+		return
+	}
+	for i := range n.Databases {
+		if db := uint8(i + 1); i < e.m.Databases && db != n.Primary && (db != t.Chosen || t.Void) {
+			n.Databases[i].pause(t.newestTerm() + 1)
+		}
+	}
+	for i := range n.Calls {
+		n.Calls[i].Paused = n.Calls[i].Paused || n.Calls[i].Fence == t.Version
+	}
+	e.add(Look, id, 0, n)
+}
