--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -8,6 +8,7 @@
 package lead
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -18,13 +19,17 @@
 // MissingRetention, and up to maxFormer former ones.
 type Table struct {
 	members    map[string]*member
-	leader     string           // id of the presumed primary; empty if none
-	leaderAsOf time.Time        // time of the evidence for leader that was recorded last
-	term       uint64           // newest term seen
-	former     []formerDatabase // removed by Expire, oldest first; may have been listed again
-	listed     bool             // SetDatabases has been called
+	leader     string            // id of the presumed primary; empty if none
+	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
+	term       uint64            // newest term seen
+	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
+	listedAt   time.Time         // when SetDatabases was called first
+	led        map[uint64]string // by term, the database that first reported that it is its primary
 }
 
+// ledTerms is the number of terms, up to the newest one, whose primaries are kept.
+const ledTerms = 8
+
 // maxFormer bounds the list of former databases; a service has a handful of
 // databases at a time.
 const maxFormer = 16
@@ -36,12 +41,14 @@
 
 type member struct {
 	routes.Database
-	listedSince  time.Time // when its life was first listed; zero for those of the first list
+	listedSince  time.Time // when its life was first listed
 	leavingSince time.Time // when it was first listed as leaving; zero while it is not
 	missingSince time.Time // when the platform's list first lacked it; zero while it is listed
 	contact      contact
 	avoidUntil   time.Time // sorted behind the other reachable readers until then
 	announcedAt  time.Time // when it last started to announce itself as the primary
+	provenAt     time.Time // sending time of the last query in answer to which it proved to be the primary
+	deniedAt     time.Time // the same of the last one that it answered as a replica
 }
 
 // contact holds the results of this host's own calls to a database.
@@ -58,7 +65,7 @@
 const MissingRetention = 2200 * time.Millisecond
 
 // New returns an empty table.
-func New() *Table { return &Table{members: map[string]*member{}} }
+func New() *Table { return &Table{members: map[string]*member{}, led: map[uint64]string{}} }
 
 // SetDatabases applies the platform's list of the service's databases. It
 // returns the ids of the databases that have restarted or changed their address;
@@ -73,10 +80,7 @@
 				restarted = append(restarted, db.ID)
 				t.forgetLeader(db.ID)
 			}
-			m = &member{}
-			if t.listed {
-				m.listedSince = now
-			}
+			m = &member{listedSince: now}
 			t.members[db.ID] = m
 		}
 		if db.Primary && !m.Primary {
@@ -90,7 +94,9 @@
 			m.missingSince = now
 		}
 	}
-	t.listed = true
+	if t.listedAt.IsZero() {
+		t.listedAt = now
+	}
 	t.Expire(now)
 	return restarted
 }
@@ -170,11 +176,58 @@
 func (t *Table) RecordLeader(id string, term uint64, sentAt time.Time) {
 	t.RecordAnswer(id, sentAt)
 	t.RecordTerm(term)
+	if m := t.members[id]; m != nil && m.provenAt.Before(sentAt) {
+		m.provenAt = sentAt
+	}
 	if t.leader == id || sentAt.After(t.leaderAsOf) {
 		t.leader, t.leaderAsOf = id, sentAt
 	}
 }
 
+// ProvenAt returns the sending time of the last query in answer to which a database proved
+// to be the primary, and the zero time if it has not.
+func (t *Table) ProvenAt(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.provenAt
+	}
+	return time.Time{}
+}
+
+// DeniedAt returns the sending time of the last query in answer to which a database
+// reported that it is not the primary, and the zero time if it has not.
+func (t *Table) DeniedAt(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.deniedAt
+	}
+	return time.Time{}
+}
+
+// RecordLed records that a database reported that it is the primary of a term. The
+// position in another answer of a primary does not show its term: it names the end of the
+// log when the answer is written, which may be after the database has lost the lead.
+func (t *Table) RecordLed(term uint64, id string) {
+	t.RecordTerm(term)
+	if t.led[term] == "" {
+		t.led[term] = id
+		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
+	}
+}
+
+// Led returns the database that reported that it is the primary of a term, or an empty
+// string if none is known to have.
+func (t *Table) Led(term uint64) string { return t.led[term] }
+
+// LedTerm returns the newest term of which a database reported that it is the primary, and 0
+// if there is none or a newer term has been seen.
+func (t *Table) LedTerm(id string) uint64 {
+	for term, leader := range t.led {
+		if leader == id && term >= t.term {
+			return term
+		}
+	}
+	return 0
+}
+
 // RecordTerm records a term that a database has reported.
 func (t *Table) RecordTerm(term uint64) { t.term = max(t.term, term) }
 
@@ -187,6 +240,9 @@
 // place; if there is none, no leader is known.
 func (t *Table) RecordNotLeader(id string, sentAt time.Time) {
 	t.RecordAnswer(id, sentAt)
+	if m := t.members[id]; m != nil && m.deniedAt.Before(sentAt) {
+		m.deniedAt = sentAt
+	}
 	if t.leader != id || sentAt.Before(t.leaderAsOf) {
 		return
 	}
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -47,6 +47,7 @@
 	settled  position.Position       // commits up to it are protected by a settled lease
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
+	proving  bool                    // the same of a query whether a commit's database is still the primary
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
 }
@@ -69,6 +70,31 @@
 type commit struct {
 	primary string // id
 	at      position.Position
+	// after is a position that a database had reported before the commit was sent.
+	after position.Position
+	// term is the term that the primary was known to lead before the commit was sent.
+	term uint64
+}
+
+// leaderPause is the time until the next query whether a database is the primary, after one
+// that was not answered.
+const leaderPause = 50 * time.Millisecond
+
+// needsCopies reports whether commits are acknowledged only once replicas hold them. A
+// configuration that no longer has the service, or its replicas, doesn't change that: the
+// commits of its callers are under way, and databases may be promoted as before.
+func (s *service) needsCopies() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.recordReplicas() || s.replicated
+}
+
+// recordReplicas records whether the configuration in force requires replicas of the
+// service, and reports whether it has the service. mu is held.
+func (s *service) recordReplicas() (configured bool) {
+	config, configured := s.g.config.Load().Services[s.name]
+	s.replicated = s.replicated || config.SyncReplicas != 0
+	return configured
 }
 
 // acknowledge waits until a commit may be acknowledged to its caller, and records it
@@ -76,7 +102,13 @@
 // not wait. It fails with OutcomeUnknown if ctx ends before that, or if the primary has
 // been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
-	needsCopies := s.g.config.Load().Services[s.name].SyncReplicas != 0
+	needsCopies := s.needsCopies()
+	// A commit's position lies behind all those before it; another one names what its
+	// database holds after it was rolled back.
+	if needsCopies && (!c.after.Before(c.at) || c.at.Term != c.term) {
+		s.recordAcknowledgement(c, succession.NoCopy, false)
+		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s in term %d", c.primary, c.at, c.after, c.term)
+	}
 	since := s.g.now()
 	if needsCopies {
 		defer time.AfterFunc(allCopiesPatience, s.wake).Stop()
@@ -90,17 +122,23 @@
 		case max(r.term, s.provenTerm) > c.at.Term:
 			replaced = true
 			return true
-		case !r.settled.Before(c.at):
-			evidence = succession.OneCopy
+		case s.ledByAnother(c, since):
+			replaced = true
+			return true
 		default:
-			if evidence = s.evidence(c); evidence == succession.AllCopies {
-				break
+			ledAfter := s.ledAfter(c, since)
+			if evidence = s.evidence(c); evidence != succession.AllCopies && !r.settled.Before(c.at) {
+				evidence = succession.OneCopy
+			} else if evidence != succession.AllCopies {
+				s.queryReplicas(c)
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+					s.readLease(c)
+				}
+				return false
 			}
-			s.queryReplicas(c)
-			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
-				s.readLease(c)
+			if !ledAfter {
+				return false
 			}
-			return false
 		}
 		s.acked = position.Max(s.acked, c.at)
 		return true
@@ -115,6 +153,72 @@
 	return nil
 }
 
+// ledAfter reports whether a commit's database was seen to be the primary after it had
+// answered; if not, it queries it. The position in an
+// answer names the end of the log when the answer is written. If the database has lost the
+// lead by then and was rolled back, that is not the commit's. mu is held.
+func (s *service) ledAfter(c commit, answered time.Time) bool {
+	if !s.table.ProvenAt(c.primary).Before(answered) {
+		return true
+	}
+	p := s.pools[c.primary]
+	if p == nil || s.replication.proving {
+		return false
+	}
+	s.replication.proving = true
+	go func() {
+		s.sample(p)
+		s.mu.Lock()
+		failed := s.table.ProvenAt(c.primary).Before(answered)
+		s.replication.proving = failed
+		s.notifyChange()
+		s.mu.Unlock()
+		if !failed {
+			return
+		}
+		retry.Wait(s.g.ctx, leaderPause)
+		s.mu.Lock()
+		s.replication.proving = false
+		s.notifyChange()
+		s.mu.Unlock()
+	}()
+	return false
+}
+
+// ledByAnother reports whether a commit's database was not the primary any more after it
+// had answered, or whether another one leads the term of the commit's position. mu is held.
+func (s *service) ledByAnother(c commit, answered time.Time) bool {
+	leader := s.table.Led(c.at.Term)
+	return leader != "" && leader != c.primary || s.table.DeniedAt(c.primary).After(answered)
+}
+
+// leaderTerm returns the term that a connection's database leads, and queries it if it is
+// not known. It returns 0 for a service without replicas.
+func (s *service) leaderTerm(c *conn) (uint64, error) {
+	if !s.needsCopies() {
+		return 0, nil
+	}
+	id := c.pool.db.ID
+	s.mu.Lock()
+	term := s.table.LedTerm(id)
+	s.mu.Unlock()
+	if term != 0 {
+		return term, nil
+	}
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	if err != nil {
+		return 0, errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.term = max(s.replication.term, report.Term)
+	if !report.Primary {
+		return 0, errkind.New(errkind.PrimaryReplaced, "database %s is a replica in term %d", id, report.Term)
+	}
+	s.table.RecordLed(report.Term, id)
+	return report.Term, nil
+}
+
 func (s *service) wake() {
 	s.mu.Lock()
 	s.notifyChange()
@@ -272,14 +376,19 @@
 		return statement.Report{}, false // borrow has recorded a failed dial
 	}
 	defer p.checkIn(c)
-	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	return report, err == nil // status has logged or recorded the error
+}
+
+// status queries a connection's database.
+func (c *conn) status(deadline time.Time) (statement.Report, error) {
+	answers, err := c.run(deadline, controlRequest(statement.Status))
 	if err != nil {
-		return statement.Report{}, false // run has recorded the missing answer
+		return statement.Report{}, err // run has recorded the missing answer
 	}
 	r, err := c.Report(answers[0])
 	if err != nil {
-		s.g.log.Debug("Database reported no status.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
-		return statement.Report{}, false
+		c.pool.g.log.Debug("Database reported no status.", "part", "service", "service", c.pool.svc.name, "database", c.pool.db.ID, "error", err)
 	}
-	return r, true
+	return r, err
 }
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
@@ -60,6 +61,8 @@
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
 	unsigned       bool          // answers carry no signature
+	unpositioned   bool          // answers carry no position
+	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -189,6 +192,9 @@
 	if l.db.unsigned {
 		a.Signature = ""
 	}
+	if l.db.unpositioned {
+		a.Position = position.Position{}
+	}
 	return a, nil
 }
 
@@ -291,6 +297,10 @@
 		l.db.loseNextAnswer = false
 		return statement.Answer{}, errStandinTimeout
 	}
+	if hook := l.db.commitHook; hook != nil {
+		l.db.commitHook = nil
+		hook()
+	}
 	return l.succeed()
 }
 
@@ -418,9 +428,22 @@
 		}
 	})
 	g.setDatabases(databases)
+	svc := g.service(testService)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.table = lead.New()
+	svc.table.SetDatabases(slices.Collect(maps.Values(databases)), time.Now().Add(-time.Minute))
 	return g
 }
 
+// setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
+func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
+	s.mu.Lock()
+	s.table.SetDatabases(list, time.Now().Add(-ago))
+	s.mu.Unlock()
+	s.setDatabases(list, 4)
+}
+
 // updateRoute changes a route of the test configuration.
 func (g *Gateway) updateRoute(name string, change func(*routes.Route)) {
 	config := *g.config.Load().Configuration
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -30,35 +29,63 @@
 	exitFailed = 2
 )
 
+// modeDatabase is the first argument of a database's process.
+const modeDatabase = "database"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == modeDatabase {
+		os.Exit(runDatabase(os.Args[2:]))
+	}
 	name := flag.String("case", "takeover", "case to play")
 	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
+	older := flag.String("older", "", "a daemon of another version; the fleet starts as it, is upgraded host by host, rolled back in part, and upgraded again")
 	out := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	seed := flag.Uint64("seed", 1, "seed of the faults")
+	layout := flag.String("layout", "small", "layout of the site: small or large")
+	plan := flag.String("plan", "faults", "plan of the faults: faults, or record for the day of issue 33")
+	with := flag.String("with", "", "comma-separated variants: late-ready, no-position, held-answers, slow-promotions, late-news, restarts, no-routes, no-service, calm")
 	flag.Parse()
-	os.Exit(run(*name, *daemon, *out, *trouble, *seed))
+	os.Exit(run(options{name: *name, daemon: *daemon, older: *older, out: *out, trouble: *trouble, seed: *seed, layout: *layout, plan: *plan, with: *with}))
+}
+
+// options are those of the command line.
+type options struct {
+	name, daemon, older, out string
+	trouble                  bool
+	seed                     uint64
+	layout, plan, with       string
 }
 
-func run(name, daemon, out string, trouble bool, seed uint64) int {
-	play := cases[name]
+func run(o options) int {
+	play := cases[o.name]
 	if play == nil {
-		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", o.name)
 		return exitFailed
 	}
-	file, err := os.Create(out)
+	file, err := os.Create(o.out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	defer file.Close()
 	rec := &record{file: file, started: time.Now()}
-	daemon, err = filepath.Abs(daemon)
+	builds, err := newBuilds(o.daemon, o.older)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	with, err := parseVariants(o.with)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	l, err := newLayout(rec, o.layout, o.plan, with, o.seed)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, daemon, takeoverLayout(rec, seed))
+	s, err := newSite(rec, builds, l)
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -66,7 +93,7 @@
 	}
 	defer s.stop()
 	stopOnSignal(s)
-	broken, err := play(s, trouble)
+	broken, err := play(s, o.trouble)
 	switch {
 	case err != nil:
 		rec.logf("the case could not run: %v", err)
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -10,34 +10,22 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// site is a small deployment: two zones with two hosts each, three services with three
-// databases each, and the platform.
+// site is a deployment: hosts, databases and the platform.
 type site struct {
-	rec    *record
-	layout layout
-	store  *store
-	group  *group // of the first service
-	groups []*group
-	folder string
-	daemon string
-	hosts  []*hostProcess
-	ended  chan struct{}
-	config map[string]any
-}
-
-// layout is what a site consists of.
-type layout struct {
-	services   []string
-	zones      []string // the data centres
-	databases  []string // data centre of each database of a service
-	hosts      []string // data centre of each host
-	timeoutMs  int      // of the routes that read the primary
-	lineByLine bool     // each line of the databases' answers is sent in a segment of its own
-	faults     *faults  // nil for none
+	rec       *record
+	layout    layout
+	store     *store
+	groups    []*group
+	folder    string
+	builds    builds
+	hosts     []*hostProcess
+	config    *config
+	crossings *crossings
 }
 
 // hostProcess is one process of the project's daemon.
@@ -45,59 +33,45 @@
 	name, zone     string
 	file           string // its settings
 	callers, ready string
+	peers, access  string
+	build          atomic.Pointer[build] // that it runs, or ran last
 	cmd            *exec.Cmd
 	exited         chan struct{}
 }
 
-// services are the names of the services.
-var services = []string{"orders-db", "stock-db", "vans-db"}
-
-// Routes of the site, by their database names.
-const (
-	routePrimary = "book"
-	routeOwn     = "plan"
-	routeExtra   = "partner"
-)
-
-// routesCurrent are the database names of routes whose reads see the primary, one for
-// each service.
-var routesCurrent = []string{routePrimary, "book-stock", "book-vans"}
-
-// routesBounded are the database names of the routes with bounded staleness, one for
-// each service.
-var routesBounded = []string{"look", "look-stock", "look-vans"}
-
-// Tenants of the site and their keys.
-var tenants = map[string]string{"shop": "key-of-shop-1", "yard": "key-of-yard-1", "partner": "key-of-partner-1"}
-
 // newSite starts a site.
-func newSite(rec *record, daemon string, l layout) (*site, error) {
-	s := &site{rec: rec, layout: l, daemon: daemon, ended: make(chan struct{})}
+func newSite(rec *record, b builds, l layout) (*site, error) {
+	s := &site{rec: rec, layout: l, builds: b, crossings: newCrossings(rec, l.faults)}
 	var err error
+	if s.folder, err = os.MkdirTemp("", folderPrefix); err != nil {
+		return nil, err
+	}
 	for _, name := range l.services {
-		g, err := newGroup(rec, name, l)
+		g, err := newGroup(rec, name, s.folder, l)
 		if err != nil {
+			s.stop()
 			return nil, err
 		}
 		s.groups = append(s.groups, g)
 	}
-	s.group = s.groups[0]
 	if s.store, err = newStore(rec, s.promote); err != nil {
+		s.stop()
 		return nil, err
 	}
-	if s.folder, err = os.MkdirTemp("", "review-"); err != nil {
-		return nil, err
-	}
-	s.config = firstConfig(l)
-	if _, err := s.store.put("config", "main", s.config); err != nil {
+	s.config = newConfig(s.store, l)
+	if err := s.config.publish(); err != nil {
+		s.stop()
 		return nil, err
 	}
-	born := time.Now().UnixMilli()
-	for _, g := range s.groups {
-		for _, d := range g.databases {
-			if _, err := s.store.put("servers", d.id, d.entryOf(1, born)); err != nil {
-				return nil, err
-			}
+	for _, m := range s.databases() {
+		m.born = time.Now().UnixMilli()
+		role := roleReplica
+		if m == m.g.primary {
+			role = rolePrimary
+		}
+		if _, err := s.store.put(kindServers, m.id, m.entry(role)); err != nil {
+			s.stop()
+			return nil, err
 		}
 	}
 	for i, zone := range l.hosts {
@@ -123,39 +97,6 @@
 	return http.StatusConflict
 }
 
-func route(service, database, kind string, timeoutMs, sloMs, priority, staleMs int) map[string]any {
-	r := map[string]any{"name": "r-" + database, "database": database, "pathPrefix": "/", "type": kind, "timeoutMs": timeoutMs,
-		"sloMs": sloMs, "priority": priority, "service": service, "maxAttempts": 2, "public": false}
-	if staleMs > 0 {
-		r["maxStalenessMs"] = staleMs
-	}
-	return r
-}
-
-func firstConfig(l layout) map[string]any {
-	services := l.services
-	routes := []map[string]any{
-		route(services[0], routeOwn, "read_your_writes", l.timeoutMs, 400, 2, 2500),
-		route(services[0], routeExtra, "primary", l.timeoutMs, 200, 1, 0),
-	}
-	var list, holders []map[string]any
-	for i, name := range services {
-		routes = append(routes, route(name, routesCurrent[i], "primary", l.timeoutMs, 200, 1, 0))
-		routes = append(routes, route(name, routesBounded[i], "bounded_staleness", 3000, 800, 2, 1500))
-		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConns": maxConnections, "protocol": "h1", "tls": false, "syncReplicas": 1})
-	}
-	for name, key := range tenants {
-		holders = append(holders, map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1, "ratePerS": 500, "burst": 500})
-	}
-	return map[string]any{
-		"version":  7,
-		"routes":   routes,
-		"services": list,
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
-		"tenants":  holders,
-	}
-}
-
 // Ports of the hosts are taken from below the range that the kernel uses for outgoing
 // connections, so that none of these occupies one before its host listens.
 const (
@@ -253,7 +194,11 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1]}
+	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1], peers: addresses[2], access: addresses[3]}
+	h.build.Store(s.builds.first())
+	if err := s.crossings.add(h); err != nil {
+		return nil, err
+	}
 	if err := s.launch(h); err != nil {
 		return nil, err
 	}
@@ -267,8 +212,12 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(s.daemon, "--config", h.file)
+	b := h.build.Load()
+	cmd := exec.Command(b.path, "--config", h.file)
 	cmd.Env = append(os.Environ(), "BRONZELOFT_BOOT="+h.file)
+	if s.layout.oneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -283,7 +232,7 @@
 		close(exited)
 	}()
 	h.cmd, h.exited = cmd, exited
-	s.rec.logf("host %s started in %s", h.name, h.zone)
+	s.rec.notef("host %s started in %s as %s", h.name, h.zone, b.name)
 	return nil
 }
 
@@ -326,8 +275,14 @@
 	}
 }
 
+// folderPrefix begins the name of a play's folder.
+const folderPrefix = "takeover-"
+
 // stop ends all processes of the site and removes its folder.
 func (s *site) stop() {
+	for _, g := range s.groups {
+		g.stop()
+	}
 	for _, h := range s.hosts {
 		select {
 		case <-h.exited:
@@ -338,13 +293,16 @@
 		}
 	}
 	if dir := os.Getenv("REVIEW_KEEP_LOGS"); dir != "" {
-		for _, h := range s.hosts {
-			if raw, err := os.ReadFile(filepath.Join(s.folder, h.name+".log")); err == nil {
-				_ = os.WriteFile(filepath.Join(dir, h.name+".log"), raw, 0o600)
+		for _, kept := range []string{"*.log", "*.journal*"} {
+			files, _ := filepath.Glob(filepath.Join(s.folder, kept)) // the pattern is valid
+			for _, file := range files {
+				if raw, err := os.ReadFile(file); err == nil {
+					_ = os.WriteFile(filepath.Join(dir, filepath.Base(file)), raw, 0o600)
+				}
 			}
 		}
 	}
-	if strings.HasPrefix(filepath.Base(s.folder), "review-") {
+	if strings.HasPrefix(filepath.Base(s.folder), folderPrefix) {
 		_ = os.RemoveAll(s.folder)
 	}
 }
