Document fleets of several versions: design, operation, what is not covered

OPERATIONS.md told operators to replace all hosts of the earlier version before relying on either, which an upgrade host by host cannot do.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -6,7 +6,8 @@
 // that no order can take effect that was decided before. Whoever replaces the primary
 // takes the lease, then reads the end of each log, and chooses the replica with the
 // longest one. No database has to be stopped for that, so no order without a fence
-// takes part in it. A replica whose log end cannot be read may hold the only copy of
+// takes part in it; only for hosts of older rules (see Rules) are replicas paused
+// besides. A replica whose log end cannot be read may hold the only copy of
 // an acknowledged commit. A successor may be chosen without it only if all of these
 // apply:
 //   - it is no longer listed;
