Wait for a promotion without waiting for the store

The wait for the successor read the hosts' entries and wrote the floor between two queries of the databases: with a store that does not answer, up to 0.4 s each during which the new primary was not looked for. Both run beside the wait now and are ended or awaited before the lease is released.

Without the watch for older hosts, or the write of the floor, their specs fail as before; the specs of mixed fleets pass under the race detector.

--- a/gateway/floors.go
+++ b/gateway/floors.go
@@ -34,34 +34,37 @@
 	return nil
 }
 
-// keepFloor stores the floor of the lease beside it, while the order that was given under
-// it is under way.
-func (a *replacement) keepFloor(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+// lastFloor returns what is kept beside the lease.
+func (a *replacement) lastFloor() succession.KeptFloor {
+	return succession.KeptFloor{Term: max(a.leaseTerm, a.newestTerm()), Floor: a.floor}
+}
+
+// keepFloor raises what is kept beside the lease, while the order that was given under it is
+// under way.
+func (a *replacement) keepFloor(last succession.KeptFloor) {
+	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
-	if a.floorKept == a.floor {
-		return
-	}
 	store := a.s.g.platform.Objects()
 	object, err := store.Get(ctx, kindFloors, a.s.name)
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
-		a.log.Warn("Floor not kept: reading it failed.", "floor", a.floor.String(), "error", err)
+		a.log.Warn("Floor not kept: reading it failed.", "floor", last.Floor.String(), "error", err)
 		return
 	}
 	var kept succession.KeptFloor
 	if err == nil && json.Unmarshal(object.Value, &kept) != nil {
 		kept = succession.KeptFloor{}
 	}
-	next := succession.KeptFloor{Term: max(kept.Term, a.leaseTerm, a.newestTerm()), Floor: position.Max(kept.Floor, a.floor)}
+	next := succession.KeptFloor{Term: max(kept.Term, last.Term), Floor: position.Max(kept.Floor, last.Floor)}
+	if next == kept {
+		return
+	}
 	value, err := json.Marshal(next)
 	if err == nil && object.Version == 0 {
 		_, err = store.Create(ctx, kindFloors, a.s.name, value)
-	} else if err == nil && next != kept {
+	} else if err == nil {
 		_, err = store.Update(ctx, kindFloors, a.s.name, object.Version, value)
 	}
 	if err != nil {
-		a.log.Warn("Floor not kept.", "floor", a.floor.String(), "error", err)
-		return
+		a.log.Warn("Floor not kept.", "floor", last.Floor.String(), "error", err)
 	}
-	a.floorKept = a.floor
 }
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -7,8 +7,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -32,10 +34,11 @@
 
 // pausing is an attempt's state of pausing replicas.
 type pausing struct {
-	needed     bool      // hosts of older rules may acknowledge commits
-	readAt     time.Time // when the hosts' entries were last read
-	term       uint64    // of the pauses, once a promotion is ordered; 0 before
-	unanswered bool      // a RESUME was not answered and may be carried out late
+	needed     bool        // hosts of older rules may acknowledge commits
+	readAt     time.Time   // when the hosts' entries were last read
+	term       uint64      // of the pauses, once a promotion is ordered; 0 before
+	unanswered bool        // a RESUME was not answered and may be carried out late
+	late       atomic.Bool // hosts of older rules may have started since an order was given
 }
 
 // lookForOlderHosts reads the hosts' entries under the lease and decides whether replicas
@@ -44,16 +47,46 @@
 	if a.pausing.needed || a.s.g.now().Sub(a.pausing.readAt) < olderHostsPoll {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
 	a.pausing.readAt = a.s.g.now()
-	older, err := a.s.g.peers.readOlderHosts(ctx)
-	if err != nil {
+	a.pausing.needed = a.olderHostsMayRun(ctx)
+}
+
+// lookAgain looks for hosts of older rules that have started since the logs were read.
+func (a *replacement) lookAgain(ctx context.Context) {
+	if a.pausing.needed || a.pausing.late.Load() || a.s.g.now().Sub(a.pausing.readAt) < olderHostsPoll {
+		return
+	}
+	a.pausing.readAt = a.s.g.now()
+	a.pausing.late.Store(a.olderHostsMayRun(ctx))
+}
+
+// olderHostsMayRun reads the hosts' entries and reports whether hosts of older rules may
+// acknowledge commits.
+func (a *replacement) olderHostsMayRun(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	older, err := a.s.g.peers.readOlderHosts(call)
+	switch {
+	case ctx.Err() != nil: // the attempt needs no answer any more
+	case err != nil:
 		a.log.Warn("Replicas are paused: the hosts' rules are unknown.", "error", err)
-	} else if len(older) > 0 {
+	case len(older) > 0:
 		a.log.Info("Replicas are paused: hosts of older rules may acknowledge commits.", "hosts", strings.Join(older, " "))
+	default:
+		return false
+	}
+	return true
+}
+
+// watchForOlderHosts looks for hosts of older rules until one may run or ctx ends. It runs
+// beside the attempt, whose wait for the promotion no slow store may delay.
+func (a *replacement) watchForOlderHosts(ctx context.Context) {
+	for retry.Wait(ctx, olderHostsPoll); ctx.Err() == nil; retry.Wait(ctx, olderHostsPoll) {
+		if a.olderHostsMayRun(ctx) {
+			a.pausing.late.Store(true)
+			return
+		}
 	}
-	a.pausing.needed = err != nil || len(older) > 0
 }
 
 // readOlderHosts reads the hosts' entries and returns the hosts, and the data centres with
@@ -139,13 +172,13 @@
 // pauseLate pauses replicas other than the successor while its promotion is under way: new
 // ones, and all if a host of older rules has started since the successor was chosen.
 func (a *replacement) pauseLate(ctx context.Context, successor string) {
-	before := a.pausing.needed
-	a.lookForOlderHosts(ctx)
-	if !a.pausing.needed {
-		return
-	}
-	others := a.addNewDatabases()
-	if !before {
+	var others []*controlConn
+	switch {
+	case a.pausing.needed:
+		others = a.addNewDatabases()
+	case a.pausing.late.Load():
+		a.pausing.needed = true
+		a.addNewDatabases()
 		others = a.replicas()
 	}
 	a.pause(ctx, slices.DeleteFunc(others, func(c *controlConn) bool { return c.db.ID == successor }))
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -168,7 +168,6 @@
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
 	olderLease  bool              // the lease was last written by a host of older rules
-	floorKept   position.Position // the floor that was stored beside the lease
 	pausing     pausing
 	conns       []*controlConn
 }
@@ -215,7 +214,7 @@
 		a.releaseLease("")
 	default:
 		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered)
-		a.keepFloor(a.s.g.ctx)
+		a.keepFloor(a.lastFloor())
 		a.releaseLease(a.ordered)
 	}
 }
@@ -242,13 +241,13 @@
 // even if this host fails.
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
-	chosenWithPauses := a.pausing.needed
 	a.pausing.term = a.newestTerm() + 1
 	for called := false; ; called = true {
-		a.pauseLate(ctx, database)
-		if !called && a.pausing.needed != chosenWithPauses {
+		a.lookAgain(ctx)
+		if !called && a.pausing.late.Load() {
 			return errOlderHosts
 		}
+		a.pauseLate(ctx, database)
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -79,7 +80,14 @@
 	accepted := a.s.g.now()
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, takeOverLimit)
 	defer cancel()
-	a.keepFloor(ctx)
+	watch, cancelWatch := context.WithCancel(ctx)
+	defer cancelWatch()
+	var beside sync.WaitGroup
+	floor := a.lastFloor()
+	beside.Go(func() { a.keepFloor(floor) })
+	if !a.pausing.needed {
+		beside.Go(func() { a.watchForOlderHosts(watch) })
+	}
 	var settledAfter time.Duration
 	if a.pending {
 		settledAfter = succession.PromotionLimit
@@ -93,6 +101,8 @@
 		}
 		retry.Wait(ctx, catchUpPoll)
 	}
+	cancelWatch()
+	beside.Wait()
 	a.addNewDatabases()
 	a.query(ctx, a.conns, statement.Statement{Kind: statement.Status})
 	if primary := a.newestPrimary(); primary != nil {
