--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -18,8 +18,9 @@
 // A primary confirms a commit once any replica has received it. Another database may
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given. So a commit is acknowledged to its caller only
-// if no promotion can discard it: every replica holds it; or an established replica
-// holds it, and the lease, read after that replica's report, is settled.
+// if no promotion can discard it: every replica of a current list holds it; or an
+// established replica holds it, and the lease, read after that replica's report, is
+// settled.
 
 // Timing of acknowledgements.
 const (
@@ -45,6 +46,7 @@
 type replication struct {
 	copies   map[string]*replicaCopy // by database id; an entry is dropped when its database restarts
 	settled  position.Position       // commits up to it are protected by a settled lease
+	losses   uint64                  // calls of unsettle
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
 	proving  bool                    // the same of a query whether a commit's database is still the primary
@@ -63,7 +65,14 @@
 // forget discards what rests on a database's log, which may be gone. service.mu is held.
 func (r *replication) forget(id string) {
 	delete(r.copies, id)
+	r.unsettle()
+}
+
+// unsettle discards the settled position, and what a read of the lease that is running
+// finds: the only replica that holds a commit may have ended. service.mu is held.
+func (r *replication) unsettle() {
 	r.settled = position.Position{}
+	r.losses++
 }
 
 // commit is a commit that its primary has confirmed.
@@ -131,6 +140,9 @@
 				evidence = succession.OneCopy
 			} else if evidence != succession.AllCopies {
 				s.queryReplicas(c)
+				if !s.g.databaseListCurrent(s.g.now()) {
+					s.g.relistDatabases()
+				}
 				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
 					s.readLease(c)
 				}
@@ -239,7 +251,7 @@
 		held.Established = slices.Contains(established, db.ID)
 		copies = append(copies, held)
 	}
-	if s.table.RemovedSince(now.Add(-formerMayReturn)) {
+	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
 	return succession.EvidenceFor(c.at, copies)
@@ -309,12 +321,13 @@
 			held = position.Max(held, known.Received)
 		}
 	}
+	losses := s.replication.losses
 	go func() {
 		settled := s.leaseSettled(c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
-		if settled {
+		if settled && losses == r.losses {
 			r.settled, r.pause = position.Max(r.settled, held), leaseReadEvery
 		}
 		pause := r.pause
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,7 @@
 	access     string // IP:port of the access listener
 	callers    *registry
 	started    time.Time
+	drainClock clock
 
 	config  atomic.Pointer[loadedConfiguration]
 	leaving atomic.Bool
@@ -87,8 +88,10 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
-	listVersion  atomic.Uint64 // version of entries; changed with mu held
-	serviceTotal atomic.Int64  // number of services; changed with mu held
+	listVersion  atomic.Uint64             // version of entries; changed with mu held
+	listedAt     atomic.Pointer[time.Time] // the list was the store's at this time or later; nil if it never was read
+	relisting    atomic.Bool               // a read of the list for a commit is running, or was until recently
+	serviceTotal atomic.Int64              // number of services; changed with mu held
 
 	ctx  context.Context // cancelled when the host stops
 	stop context.CancelFunc
@@ -123,6 +126,7 @@
 		storeAnsweredAt: map[string]time.Time{},
 		callers:         newRegistry(),
 		streams:         newStreams(),
+		drainClock:      clock{time.Now, retry.Wait},
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.statements, g.cancelStatements = context.WithCancel(g.ctx)
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -142,7 +142,7 @@
 func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
 	primary, _ := s.table.Leader()
 	return &replacement{
-		s: s, reason: reason, primary: primary.ID, term: s.table.Term(), acked: acked, started: now,
+		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), term: s.table.Term(), acked: acked, started: now,
 		log: s.g.log.With("part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason)),
 	}
 }
@@ -153,6 +153,7 @@
 	log     *slog.Logger
 	reason  succession.Reason
 	primary string // the presumed primary when the attempt was started; empty for none
+	proven  bool   // it has proved to be the primary
 	term    uint64 // the newest term known when the attempt was started
 	acked   position.Position
 	started time.Time
@@ -163,12 +164,20 @@
 	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
+	known       []string          // those of them that each host that counts replicas knows
 	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
 	olderLease  bool              // the lease was last written by a host of older rules
 	pausing     pausing
+	unseen      bool // the same as in succession.Lease
+	rounds      int
+	late        string // the database of the order that the lease recorded when it was acquired
+	orderTerm   uint64 // the newest term known when the last order was given
+	void        bool   // that order was for the primary of that time
+	replica     bool   // its database had reported that it is a replica
+	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
 }
 
@@ -232,6 +241,7 @@
 	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
+	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
 	errOlderHosts  = errors.New("gateway: a host of older rules has started since the logs were read")
 )
@@ -241,6 +251,10 @@
 // even if this host fails.
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
+	primary := a.newestPrimary()
+	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
+	c := a.conn(database)
+	a.replica = c != nil && c.answered && !c.report.Primary
 	a.pausing.term = a.newestTerm() + 1
 	for called := false; ; called = true {
 		a.lookAgain(ctx)
@@ -252,6 +266,10 @@
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
+		if err := a.checkRestarts(ctx, database); err != nil {
+			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
+			return err
+		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -55,7 +55,7 @@
 		svc.mu.Lock()
 		term := svc.table.Term()
 		svc.mu.Unlock()
-		a := &replacement{s: svc, log: g.log, reason: reason, primary: "a", term: max(1, term), started: time.Now()}
+		a := &replacement{s: svc, log: g.log, reason: reason, primary: "a", proven: true, term: max(1, term), started: time.Now()}
 		a.run()
 	}
 	list := func(ids ...string) {
@@ -150,6 +150,8 @@
 		Expect(primary()).To(Equal("a"))
 		time.Sleep(lead.EstablishedAfter)
 		attempt(succession.Silent)
+		Expect(primary()).To(Equal("a"), "hosts may have an older list")
+		g.ago(-lead.KnownAfter, func() { attempt(succession.Silent) })
 		Expect(primary()).To(Equal("d"))
 	})
 
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,7 +93,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	db := g.databases[id]
-	if db == nil || db.unresponsive {
+	if db == nil {
+		return nil, fmt.Errorf("dial %s: %w", id, syscall.ECONNREFUSED)
+	}
+	if db.unresponsive {
 		return nil, errors.New("no route to host")
 	}
 	return &link{db: db, values: map[string]string{}, shapes: map[string]string{}, closed: make(chan struct{})}, nil
@@ -401,10 +406,13 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Platform: p, Logger: slog.New(slog.DiscardHandler),
+		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
+	clockOffsets.Store(g, offset)
 	var err error
 	g.peers, err = listenPeers(g)
 	Expect(err).NotTo(HaveOccurred())
@@ -428,6 +436,7 @@
 		}
 	})
 	g.setDatabases(databases)
+	g.confirmDatabaseList(time.Now())
 	svc := g.service(testService)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
@@ -436,6 +445,19 @@
 	return g
 }
 
+// clockOffsets holds by how much the clocks of test gateways differ from the machine's, as
+// *atomic.Int64 of nanoseconds by *Gateway.
+var clockOffsets sync.Map
+
+// ago runs f with the host's clock set back.
+func (g *Gateway) ago(d time.Duration, f func()) {
+	v, _ := clockOffsets.Load(g)
+	offset := v.(*atomic.Int64)
+	offset.Add(-int64(d))
+	defer offset.Add(int64(d))
+	f()
+}
+
 // setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
 func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
 	s.mu.Lock()
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -21,7 +21,7 @@
 		a.query(ctx, added, statement.Statement{Kind: statement.Status})
 	}
 	if a.primary == "" && a.roster.Term == a.newestTerm() {
-		a.primary = a.roster.Primary // this host may have started after the primary's entry expired
+		a.primary, a.proven = a.roster.Primary, true // this host may have started after the primary's entry expired
 	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
@@ -82,6 +82,8 @@
 func (a *replacement) primaryGone() bool {
 	c := a.conn(a.primary)
 	switch {
+	case a.primary == "":
+		return succession.AllRead(a.candidates()) // it may be any that is not
 	case c == nil:
 		return true
 	case c.answered:
@@ -130,11 +132,11 @@
 
 // replicas returns the databases that may be replicas: all except those that
 // report that they are the primary, and the primary to be replaced if it did not
-// answer.
+// answer. One that has only announced itself as the primary may be a replica.
 func (a *replacement) replicas() []*controlConn {
 	var out []*controlConn
 	for _, c := range a.conns {
-		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered {
+		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && a.proven {
 			continue
 		}
 		out = append(out, c)
@@ -150,7 +152,7 @@
 	return newest
 }
 
-// recordEstablished records the established replicas. It is called under the lease,
+// recordEstablished records the established replicas, and those that all hosts know. It is called under the lease,
 // before the first log is read.
 func (a *replacement) recordEstablished() {
 	a.s.mu.Lock()
@@ -160,24 +162,53 @@
 		if a.s.table.KnownFor(db.ID, now) >= lead.EstablishedAfter {
 			a.established = append(a.established, db.ID)
 		}
+		if a.s.table.KnownFor(db.ID, now) >= lead.KnownAfter {
+			a.known = append(a.known, db.ID)
+		}
 	}
 }
 
 // readStoreList reads the store's list of the service's databases: this host's own may be
 // outdated, since a watch of the store may hear of no changes without an error.
-func (a *replacement) readStoreList(ctx context.Context) error {
-	platform := a.s.g.platform
+func (a *replacement) readStoreList(ctx context.Context) (err error) {
+	a.storeList, err = a.s.storedDatabases(ctx)
+	return err
+}
+
+// storedDatabases reads the store's list of the service's databases.
+func (s *service) storedDatabases(ctx context.Context) ([]routes.Database, error) {
+	platform := s.g.platform
 	objects, _, err := platform.Objects().List(ctx, platform.DatabasesKind())
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var out []routes.Database
 	for _, o := range objects {
 		// One that cannot be decoded names no database.
-		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == a.s.name {
-			a.storeList = append(a.storeList, db)
+		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == s.name {
+			out = append(out, db)
 		}
 	}
-	return nil
+	return out, nil
+}
+
+// checkRestarts fails if a database has restarted since the list was read under the
+// lease, and so without what it held: the successor, or a replica whose log, read before or
+// after that, may have held the only copy of a commit that the primary still has.
+func (a *replacement) checkRestarts(ctx context.Context, successor string) error {
+	if a.storeList == nil {
+		return nil // the order is not for a successor that this attempt has chosen
+	}
+	list, err := a.s.storedDatabases(ctx)
+	if err != nil {
+		return err
+	}
+	restarted := succession.Restarted(a.storeList, list)
+	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
+		return nil
+	}
+	a.log.Warn("Databases have restarted since the lease was acquired.", "databases", restarted, "successor", successor)
+	return errRestarted
 }
 
 // candidates converts the replicas to candidates for the choice of the successor.
@@ -186,8 +217,8 @@
 	reachable := a.s.g.peers.centresReachableSince(a.started)
 	out := make([]succession.Candidate, len(replicas))
 	for i, c := range replicas {
-		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
-			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID)}
+		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
+			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID)}
 	}
 	return out
 }
@@ -195,7 +226,7 @@
 func (a *replacement) logCandidates(candidates []succession.Candidate) {
 	for _, c := range candidates {
 		report := a.conn(c.ID).report
-		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "cut_off", c.CutOff,
+		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "known", c.Known, "cut_off", c.CutOff,
 			"received", c.Received.String(), "term", report.Term, "paused", report.Paused, "acked", a.acked.String())
 	}
 }
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -30,11 +31,16 @@
 type leaseCounter struct {
 	objectapi.Objects
 	reads, writes atomic.Int64
+	onRead        func() // called before the read of a lease, if it is set
+	onUpdate      func() // called before the update of a lease that records an order, if it is set
 }
 
 func (s *leaseCounter) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if kind == kindLeases {
 		s.reads.Add(1)
+		if s.onRead != nil {
+			s.onRead()
+		}
 	}
 	return s.Objects.Get(ctx, kind, name)
 }
@@ -42,6 +48,10 @@
 func (s *leaseCounter) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
 	if kind == kindLeases {
 		s.writes.Add(1)
+		var l succession.Lease
+		if s.onUpdate != nil && json.Unmarshal(value, &l) == nil && l.Ordered != "" {
+			s.onUpdate()
+		}
 	}
 	return s.Objects.Update(ctx, kind, name, version, value)
 }
@@ -280,7 +290,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		for _, s := range services {
-			go func() { _ = s.acknowledge(ctx, commit{primary: "a", at: at}) }()
+			go func() { _ = s.acknowledge(ctx, commit{primary: "a", at: at, term: 1}) }()
 		}
 		refused := 0
 		for ctx.Err() == nil {
@@ -312,4 +322,162 @@
 		Expect(queries).To(BeNumerically("<=", 20))
 		Expect(store.reads.Load()).To(BeNumerically("<=", 8))
 	})
+
+	// The order names only the id of a database, which may have lost its log since it was
+	// read.
+	DescribeTable("does not order a promotion after a replica has restarted while the logs were read",
+		func(restarted string) {
+			g.platform = listingPlatform{p}
+			put := func(db routes.Database, version uint64) {
+				value, err := json.Marshal(db)
+				Expect(err).NotTo(HaveOccurred())
+				if version == 0 {
+					_, err = p.api.Create(context.Background(), p.DatabasesKind(), db.ID, value)
+				} else {
+					_, err = p.api.Update(context.Background(), p.DatabasesKind(), db.ID, version, value)
+				}
+				Expect(err).NotTo(HaveOccurred())
+			}
+			for _, id := range []string{"a", "b", "c"} {
+				put(entry(id), 0)
+			}
+			dbs.withLock(func() {
+				dbs.databases["a"].unresponsive = true
+				dbs.databases["c"].end.Index++
+			})
+			store.onUpdate = func() {
+				store.onUpdate = nil
+				held, err := p.api.Get(context.Background(), p.DatabasesKind(), restarted)
+				Expect(err).NotTo(HaveOccurred())
+				again := entry(restarted)
+				again.StartMillis = 5
+				put(again, held.Version)
+			}
+			attempt(succession.Silent)
+			Expect(orders()).To(BeZero())
+			Expect(storedLease().Settled(1)).To(BeTrue())
+			attempt(succession.Silent)
+			Expect(orders()).To(Equal(1))
+		},
+		Entry("if it is the successor", "c"),
+		Entry("if it is another one, whose log may have held a commit, and the primary may return", "b"),
+	)
+
+	DescribeTable("does not acknowledge a commit because of a settled lease after the only replica that held it has ended or is about to",
+		func(end func()) {
+			dbs.withLock(func() {
+				dbs.databases["b"].notReplicating = true
+				dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}} // not listed
+			})
+			Expect(write()).To(BeNil())
+			svc.mu.Lock()
+			svc.replication.settled.Index += 10 // the end of the log of "c"
+			svc.mu.Unlock()
+			end()
+			Expect(write()).NotTo(BeNil())
+		},
+		Entry("as the list no longer has it", func() {
+			list(entry("a"), entry("b"))
+			dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
+		}),
+		Entry("as it announces its end", func() {
+			list(entry("a"), entry("b"), leaving(entry("c")))
+		}),
+		Entry("as nothing listens at its address", func() {
+			svc.recordFailure("c", time.Now(), true)
+			dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
+		}),
+	)
+
+	It("does not acknowledge a commit because of a lease that was read while the replica that held it ended", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		store.onRead = func() {
+			svc.recordFailure("c", time.Now(), true)
+			dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		}
+		Expect(write()).NotTo(BeNil())
+	})
+
+	It("does not acknowledge a commit on the copies of replicas that have ended since they reported it", func() {
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		var at position.Position
+		dbs.withLock(func() {
+			at = position.Position{Term: 1, Index: 11}
+			for _, db := range dbs.databases {
+				db.end = at
+			}
+		})
+		Expect(svc.acknowledge(context.Background(), commit{primary: "a", at: at, term: 1})).To(Succeed())
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		svc.recordFailure("c", time.Now(), true)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		Expect(svc.acknowledge(ctx, commit{primary: "a", at: at, term: 1})).NotTo(Succeed())
+	})
+
+	formerAndFloor := func() {
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
+		list(entry("b"), entry("c"))
+		svc.mu.Lock()
+		svc.table.Expire(time.Now().Add(time.Minute))
+		svc.mu.Unlock()
+	}
+
+	It("replaces a primary that has ended after another database has ended as well, though none holds its last commits", func() {
+		dbs.withLock(func() { delete(dbs.databases, "a") })
+		list(entry("a"), entry("b"), entry("c"), entry("e")) // "e" never runs
+		formerAndFloor()
+		attempt(succession.Silent)
+		Expect(orders()).To(Equal(1))
+	})
+
+	It("does not replace a primary that has ended while another former database, which may hold its last commits, is silent", func() {
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["e"] = &standin{group: dbs, id: "e", unresponsive: true}
+		})
+		list(entry("a"), entry("b"), entry("c"), entry("e"))
+		formerAndFloor()
+		attempt(succession.Silent)
+		Expect(orders()).To(BeZero())
+	})
+
+	It("does not leave the log of a replica unread because that has announced itself as the primary", func() {
+		fresh := newService(g, testService)
+		g.ago(time.Minute, func() { fresh.setDatabases([]routes.Database{announced(entry("b")), entry("c")}, 4) })
+		svc = fresh
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["b"].unresponsive = true
+			dbs.databases["b"].end.Index += 5
+		})
+		svc.mu.Lock()
+		svc.table.RecordTerm(1)
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		Expect(a.primary).To(Equal("b"))
+		a.run()
+		Expect(orders()).To(BeZero())
+	})
+
+	It("does not take a primary that it does not know for ended while a former database is silent", func() {
+		young := []routes.Database{entry("b"), entry("c")}
+		young[0].StartMillis, young[1].StartMillis = 1, 2
+		fresh := newService(g, testService)
+		g.ago(2*lead.EstablishedAfter+lead.MissingRetention, func() { fresh.setDatabases(append(young, entry("e")), 4) })
+		g.ago(lead.MissingRetention, func() { fresh.setDatabases(young, 4) })
+		svc = fresh
+		dbs.withLock(func() {
+			delete(dbs.databases, "a")
+			dbs.databases["c"].end.Index++ // "b" does not catch up
+			dbs.databases["e"] = &standin{group: dbs, id: "e", unresponsive: true}
+		})
+		svc.mu.Lock()
+		svc.table.Expire(time.Now())
+		svc.table.RecordTerm(1)
+		a := svc.newReplacement(succession.Absent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.run()
+		Expect(orders()).To(BeZero())
+	})
 })
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -5,7 +5,8 @@
 // any time or never. So a host that stands still, a network that is cut and an order
 // that is carried out late need no state. The one duration that the protocol relies on,
 // succession.PromotionLimit, is modelled as the end of the orders that had been accepted
-// when the wait for it began.
+// when the wait for it began. An order whose answer the taker has may outlast it (see
+// LateEffect).
 //
 // Two rules that the gateway adds to these decisions can be left out: a report that is
 // read while the taker waits for the senior replica is compared with its view (see
@@ -146,6 +147,8 @@
 	Void      bool  // Chosen is the present primary
 	Settled   bool  // the lease is to be released without Ordered
 	Known     uint8 // mask of the replicas that were established when the lease was taken
+	Common    uint8 // mask of those that the acknowledging host knew then
+	Restarted uint8 // mask of the databases that have restarted since the lease was taken
 	Floor     [2]uint8
 	LogsRead  bool // logs were read before the lease was taken
 	Pausing   bool // it pauses replicas, since hosts run the former protocol
@@ -212,6 +215,10 @@
 	CheckOnce           bool // a report that is read while the taker waits for the senior replica is not compared with its view
 	AnyIndex            bool // the successor may have fewer entries than another replica, if its log ends in a newer term
 	EstablishedLate     bool // a replica counts as established if it is when the logs have been read
+	AnyEstablished      bool // an established replica counts as one that the acknowledging host knows
+	IgnoreRestarts      bool // databases that have restarted since the lease was taken are promoted, or missed
+	AnyPrimary          bool // the lease is settled after the wait although the order has shown no effect
+	OwnList             bool // the taker does not read the list of databases under the lease
 }
 
 // Bounds are the sizes of a model and the faults that happen in it.
@@ -222,13 +229,19 @@
 	Expiry     bool // a lease that another host holds may be taken
 	Stops      bool // hosts may end in the middle of an attempt, and start again
 	LateCalls  int  // promotion orders whose answer may be lost
+	LateEffect bool // an order may take longer to take effect than the wait for it
 	LateResume bool // a RESUME may be carried out late
 	LateJoin   bool // a replica may join the term of a new primary late
 	OldViews   bool // an attempt may start with an outdated view of the primary and the term
 	Crashes    int  // databases that end for good
 	Restarts   int  // replicas that restart under their id with an empty log
-	Leaving    int  // the database that announces its shutdown; 0 for none
-	Newcomer   bool // hosts do not know the last database yet
+	// RestartChosen means that a replica may restart between the read of its log and the
+	// order of its promotion, RestartUnread after the lease was taken and before its log is
+	// read.
+	RestartChosen bool
+	RestartUnread bool
+	Leaving       int  // the database that announces its shutdown; 0 for none
+	Newcomer      bool // hosts do not know the last database yet
 
 	// Hosts that run the former protocol at first, and how often one may start again with
 	// the other one. The lease of such a host names no term and no floor.
@@ -245,13 +258,13 @@
 	// it has joined, not with that of the last entry.
 	CurrentTerm bool
 
+	OldList      bool // the takers hold a newcomer for established though the acknowledging host does not know it
+	OldTakerList bool // the acknowledging host holds a newcomer for established though the takers do not know it
+
 	// Faults that the protocol does not withstand.
-	OldList       bool // the takers hold a newcomer for established though the acknowledging host does not know it
-	OldTakerList  bool // the acknowledging host holds a newcomer for established though the takers do not know it
-	RestartChosen bool // a replica restarts between the read of its log and its promotion
-	RestartUnread bool // a replica restarts after the lease was taken and before its log is read
-	LoseLastCopy  bool // the last copy of a commit besides the primary's is lost
-	StartsEarly   bool // a host of the former protocol starts to acknowledge before those that replace the primary have looked for it
+	RestartOrdered bool // a replica restarts between the order of its promotion and its effect
+	LoseLastCopy   bool // the last copy of a commit besides the primary's is lost
+	StartsEarly    bool // a host of the former protocol starts to acknowledge before those that replace the primary have looked for it
 }
 
 // Model is a protocol within bounds.
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -33,8 +33,8 @@
 	case acquiring:
 		e.learn(id)
 	case looking:
-		nt.Pausing, nt.Step = s.olderHosts() && !m.NoPausing || t.Pausing, reading
-		nt.Known = s.mask(establishedByTakers)
+		nt.Pausing = s.olderHosts() && !m.NoPausing || t.Pausing
+		m.startReading(&n, nt)
 		e.add(Look, id, 0, n)
 	case reading:
 		if m.OlderStop && m.olderTaker(s, id) {
@@ -78,11 +78,12 @@
 	case accepted:
 		e.accepted(id)
 	case waiting:
-		ended := true
+		ended, late := true, false
 		for _, c := range s.Calls {
 			ended = ended && c.Awaited&(1<<id) == 0
+			late = late || c.Accepted && c.Database == t.Chosen && !t.Void
 		}
-		if ended || m.ReleaseEarly {
+		if ended || m.ReleaseEarly || m.LateEffect && late {
 			for i := range n.Calls {
 				n.Calls[i].Awaited &^= 1 << id
 			}
@@ -99,7 +100,10 @@
 	case waited:
 		// If no database reports that it is the primary, the lease is left to expire.
 		if p := s.Databases[s.Primary-1]; !p.Dead || m.StaleTerm {
-			nt.Step, nt.Settled = s.settledStep(m, id), true
+			nt.Step, nt.Settled = releasing, t.Void || s.Primary == t.Chosen || m.AnyPrimary
+			if nt.Settled {
+				nt.Step = s.settledStep(m, id)
+			}
 			if !m.StaleTerm {
 				nt.Term = max(nt.Term, p.Term)
 			}
@@ -159,7 +163,7 @@
 			n.Attempts++
 			t := Taker{Step: readingLease, Primary: s.Led[of], Term: term}
 			if m.LogsBeforeLease {
-				t.Step, t.LogsRead, t.Known = reading, true, s.mask(establishedByTakers)
+				t.Step, t.LogsRead, t.Known, t.Common = reading, true, s.mask(establishedByTakers), s.mask(knownToAcker)
 			}
 			n.Takers[id-1] = t
 			e.add(Start, id, t.Primary, n)
@@ -276,6 +280,19 @@
 	}
 }
 
+// startReading begins the reading of the logs of a taker that has taken the lease.
+func (m Model) startReading(s *State, t *Taker) {
+	t.Step, t.Known, t.Common = reading, s.mask(establishedByTakers), s.mask(knownToAcker)
+	if m.OwnList {
+		return
+	}
+	for i, d := range s.Databases {
+		if d.Seen&knownToAcker != 0 {
+			s.Databases[i].Seen |= knownToTakers // what a host knows, the store lists
+		}
+	}
+}
+
 // learn adds the step of a taker that learns whether its write was carried out.
 func (e *explorer) learn(id uint8) {
 	s := &e.s
@@ -287,6 +304,8 @@
 		nt.Version++
 		n.Lease.Writer = 0
 		switch {
+		case t.Step == recordingSent && e.m.restarted(s, t):
+			nt.Step, nt.Settled = releasing, !t.Pending
 		case t.Step == recordingSent:
 			nt.Step = calling
 		case t.Step == renewSent:
@@ -297,7 +316,7 @@
 		case e.m.mixed() && !e.m.olderTaker(s, id) && !e.m.LookBefore:
 			nt.Step = looking
 		default:
-			nt.Step, nt.Known = reading, s.mask(establishedByTakers)
+			e.m.startReading(&n, nt)
 		}
 		e.add(Learn, id, 0, n)
 	case s.Lease.Version != t.Version:
@@ -306,6 +325,15 @@
 	}
 }
 
+// restarted reports whether a taker must not give its order, since the successor has
+// restarted since the lease was taken, or another database has while the primary may return.
+func (m Model) restarted(s *State, t Taker) bool {
+	if m.IgnoreRestarts || t.Restarted == 0 || t.Void {
+		return false
+	}
+	return t.Restarted&(1<<(t.Chosen-1)) != 0 || !s.Databases[t.Primary-1].Dead
+}
+
 // report returns a database's report. Under the former protocol, replicas are paused
 // before.
 func (m Model) report(s *State, i int) Report {
@@ -354,7 +382,7 @@
 	}
 	n := *s
 	if m.EstablishedLate {
-		n.Takers[id-1].Known = s.mask(establishedByTakers)
+		n.Takers[id-1].Known, n.Takers[id-1].Common = s.mask(establishedByTakers), s.mask(knownToAcker)
 	}
 	e.decide(id, n)
 }
@@ -491,7 +519,7 @@
 func (t *Taker) learnTerm() {
 	t.Term = t.newestTerm()
 	t.Reports = [maxDatabases]Report{}
-	t.Planned, t.Target, t.LongestKnown, t.Known = false, [2]uint8{}, false, 0
+	t.Planned, t.Target, t.LongestKnown, t.Known, t.Common = false, [2]uint8{}, false, 0, 0
 }
 
 // current reports whether nothing shows that the view that an attempt began with is
@@ -520,12 +548,21 @@
 			ID: name(id), Answered: r.Read, Listed: !s.Databases[i].Dead,
 			Leaving:     m.Leaving == int(id),
 			Established: t.Known&(1<<i) != 0 || m.AnyReplica,
+			Known:       t.Known&(t.Common|m.anyOf(t.Known))&(1<<i) != 0 || m.AnyReplica,
 			StartMillis: int64(id), Received: at(r.At),
 		})
 	}
 	return all
 }
 
+// anyOf returns a mask of established replicas if each of them counts as known.
+func (m Model) anyOf(established uint8) uint8 {
+	if m.AnyEstablished {
+		return established
+	}
+	return 0
+}
+
 // best returns the database to be promoted, or false if none may be.
 func (m Model) best(s *State, id uint8, t Taker) (uint8, bool) {
 	candidates := m.candidates(s, t)
