Acknowledge on all replicas on a host that has just started

The spec "acknowledges a commit on all replicas on a host that has just started" failed before and passes.

--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -166,6 +166,13 @@
 	return now.Sub(t.listedAt)
 }
 
+// FirstListed reports whether a database's life was in the first list, and is listed and not
+// leaving.
+func (t *Table) FirstListed(id string) bool {
+	m := t.members[id]
+	return m != nil && !m.Leaving && m.missingSince.IsZero() && m.listedSince.Equal(t.listedAt)
+}
+
 // KnownFor returns for how long a database has been known since its process started. It
 // says nothing of the time before the first list: the databases of that may have started
 // just before it.
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -248,7 +248,7 @@
 		if known := s.replication.copies[db.ID]; known != nil {
 			held = known.Copy
 		}
-		held.Established = slices.Contains(established, db.ID)
+		held.Established, held.First = slices.Contains(established, db.ID), s.table.FirstListed(db.ID)
 		copies = append(copies, held)
 	}
 	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -270,6 +270,17 @@
 		Expect(write()).NotTo(BeNil())
 	})
 
+	It("acknowledges a commit on all replicas on a host that has just started", func() {
+		storeLease(`{"holder":"host-2","claim":"x"}`)
+		fresh := newService(g, testService)
+		fresh.setDatabases([]routes.Database{entry("a"), entry("b"), entry("c")}, 4)
+		g.mu.Lock()
+		g.services[testService] = fresh
+		g.mu.Unlock()
+		fresh.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(write()).To(BeNil())
+	})
+
 	// Commits that wait for a lease to be settled share the host's calls of the store
 	// with the attempts that settle it.
 	It("leaves calls of the store to attempts while commits wait for a lease that another host holds", func() {
