--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
@@ -392,10 +394,13 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Platform: p, Logger: slog.New(slog.DiscardHandler),
+		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
+	clockOffsets.Store(g, offset)
 	var err error
 	g.peers, err = listenPeers(g)
 	Expect(err).NotTo(HaveOccurred())
@@ -418,17 +423,27 @@
 			databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: p.group.primary == id}
 		}
 	})
-	g.ago(time.Minute, func() { g.setDatabases(databases) })
+	g.setDatabases(databases)
 	g.confirmDatabaseList(time.Now())
+	svc := g.service(testService)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.table = lead.New()
+	svc.table.SetDatabases(slices.Collect(maps.Values(databases)), time.Now().Add(-time.Minute))
 	return g
 }
 
+// clockOffsets holds by how much the clocks of test gateways differ from the machine's, as
+// *atomic.Int64 of nanoseconds by *Gateway.
+var clockOffsets sync.Map
+
 // ago runs f with the host's clock set back.
 func (g *Gateway) ago(d time.Duration, f func()) {
-	now := g.now
-	g.now = func() time.Time { return now().Add(-d) }
+	v, _ := clockOffsets.Load(g)
+	offset := v.(*atomic.Int64)
+	offset.Add(-int64(d))
+	defer offset.Add(int64(d))
 	f()
-	g.now = now
 }
 
 // setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
