Log the build of each host, and services that a configuration adds or drops

Deploy builds record no source revision (-buildvcs=false), but each Go program carries a build ID whose last part is a hash of its content; it is read from the program's ELF note at the start. Host started. and bronzeloft_build_info name the release, that hash and the revision if there is one; go tool buildid prints the same hash for a file.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 )
 
@@ -162,7 +163,9 @@
 	g.startWorker(g.tick)
 	g.startWorker(g.watchStalls)
 	g.startWorker(g.acceptCallers)
-	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre)
+	build := buildinfo.Get()
+	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre,
+		"release", build.Release, "build_id", build.ID, "revision", build.Revision)
 	return nil
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
 )
 
 // gatewayMetrics are the metrics of one host. No label contains a customer's key.
@@ -32,6 +33,8 @@
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	return m
 }
+	build := buildinfo.Get()
+	set.NewGauge(fmt.Sprintf(`bronzeloft_build_info{release=%q,build_id=%q,revision=%q}`, build.Release, build.ID, build.Revision), func() float64 { return 1 })
 
 // Reasons for which a connection to a database is closed.
 const (
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -189,7 +190,8 @@
 		return
 	}
 	g.mu.Lock()
-	if config.Version <= g.config.Load().Version {
+	before := g.config.Load()
+	if config.Version <= before.Version {
 		g.mu.Unlock()
 		return
 	}
@@ -198,10 +200,37 @@
 	g.mu.Unlock()
 	g.log.Info("Configuration in force.", "part", "configuration", "version", config.Version, "from", from,
 		"routes", len(config.Routes), "customers", len(config.Customers))
+	if before.Version > 0 {
+		g.logServiceChanges(before.Configuration, config)
+	}
 	g.addConfiguredServices()
 	g.sizePools()
 }
 
+// logServiceChanges logs the services that a configuration adds, drops, or changes the
+// acknowledgement of.
+func (g *Gateway) logServiceChanges(before, after *routes.Configuration) {
+	var added, dropped, changed []string
+	for name, s := range after.Services {
+		old, ok := before.Services[name]
+		switch {
+		case !ok:
+			added = append(added, name)
+		case old.SyncReplicas != s.SyncReplicas:
+			changed = append(changed, fmt.Sprintf("%s from %d to %d", name, old.SyncReplicas, s.SyncReplicas))
+		}
+	}
+	for name := range before.Services {
+		if _, ok := after.Services[name]; !ok {
+			dropped = append(dropped, name)
+		}
+	}
+	if len(added)+len(dropped)+len(changed) > 0 {
+		g.log.Warn("Configuration changes the services.", "part", "configuration", "dropped", dropped, "added", added, "sync_replicas", changed,
+			"version", after.Version, "former_version", before.Version)
+	}
+}
+
 // addConfiguredServices adds the services of the current configuration whose
 // databases have been listed.
 func (g *Gateway) addConfiguredServices() {
