Log on what evidence lost commits were acknowledged, and why a successor was chosen

The users' record of an incident holds only lines that name the request, warnings and changes, cut at 200 characters.

Each host keeps, for each service, the last 256 commits that it has acknowledged or whose acknowledgement by the home host it has passed on: request, position, evidence, each replica's report with its age, the read of the lease, the list of databases. They are recorded under service.mu, which is held there already. A confirmed commit that is not acknowledged is named with the reason, within the bound of failed requests.

WARN lines tell a change of the primary on every host, the choice of a successor with the logs of all candidates, and its outcome. A commit that the log of a new primary lacks is an ERROR line and counted in bronzeloft_acknowledged_commits_missing_total. The lines' own attributes come before host and part, and all name the build.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -49,12 +49,15 @@
 	reading  bool                    // a read of the lease is running, or was until recently
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
+	lease    leaseReport // the last read of the lease that showed it settled
+	recent   recentCommits
 }
 
 // replicaCopy is the last report of one replica. What a replica has received in a term
 // it keeps, until another database is promoted or it restarts.
 type replicaCopy struct {
 	succession.Copy
+	at       time.Time // when the query that returned it was sent
 	querying bool
 	pause    time.Duration // after the last query that showed that it lacks a commit
 }
@@ -69,6 +72,8 @@
 type commit struct {
 	primary string // id
 	at      position.Position
+	id      string // of the request
+	writes  string // ids of the writes of its transaction
 }
 
 // acknowledge waits until a commit may be acknowledged to its caller, and records it
@@ -103,9 +108,13 @@
 			return false
 		}
 		s.acked = position.Max(s.acked, c.at)
+		s.recordRecentCommit(c, evidenceLabel(evidence))
 		return true
 	})
 	s.recordAcknowledgement(c, evidence, err == nil && !replaced)
+	if err != nil || replaced {
+		s.logUnacknowledged(c, evidence, since, replaced)
+	}
 	switch {
 	case err != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "replicas have not confirmed commit "+c.at.String())
@@ -164,10 +173,13 @@
 
 // queryReplica queries a replica and records its report.
 func (s *service) queryReplica(p *pool, held *replicaCopy, c commit) {
+	sentAt := s.g.now()
 	report, ok := s.queryStatus(p)
 	s.mu.Lock()
 	if ok {
+		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
+		s.observePrimary(fromReplica, position.Position{})
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
 	lacking := !held.Holds(c.at)
@@ -228,6 +240,7 @@
 func (s *service) leaseSettled(term uint64) bool {
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
+	sentAt := s.g.now()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return true // nobody has ever replaced a primary
@@ -242,12 +255,14 @@
 		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Settled(term) {
+		s.recordLeaseRead(leaseReport{version: object.Version, term: l.Term, at: sentAt})
 		return true
 	}
 	s.mu.Lock()
 	now := s.g.now()
 	if l.Settled(l.Term) {
 		s.replication.term = max(s.replication.term, l.Term) // the primary has been replaced
+		s.observePrimary(fromLease, position.Position{})
 		s.mu.Unlock()
 		return false
 	}
--- a/gateway/acknowledgementlog.go
+++ b/gateway/acknowledgementlog.go
@@ -20,13 +20,8 @@
 // logs a sample of them.
 func (s *service) recordAcknowledgement(c commit, evidence succession.Evidence, acknowledged bool) {
 	outcome := "unknown"
-	switch {
-	case acknowledged && evidence == succession.AllCopies:
-		outcome = "all_copies"
-	case acknowledged && evidence == succession.OneCopy:
-		outcome = "lease"
-	case acknowledged:
-		outcome = "no_replicas"
+	if acknowledged {
+		outcome = evidenceLabel(evidence)
 	}
 	s.g.metrics.acknowledged(outcome)
 	now := s.g.now()
@@ -46,3 +41,15 @@
 	}
 	s.g.log.Info("Commit decided.", attrs...)
 }
+
+// evidenceLabel returns the name in logs and metrics of the evidence on which a commit
+// is acknowledged.
+func evidenceLabel(evidence succession.Evidence) string {
+	switch evidence {
+	case succession.AllCopies:
+		return "all_copies"
+	case succession.OneCopy:
+		return "lease"
+	}
+	return "no_replicas"
+}
--- /dev/null
+++ b/gateway/changelog.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
+)
+
+// logFirst logs a line whose own attributes come before the host, the part and the build,
+// so that a record that cuts its lines keeps them.
+func (g *Gateway) logFirst(part string, level slog.Level, msg string, attrs ...any) {
+	g.opt.Logger.Log(context.Background(), level, msg, append(attrs, "host", g.opt.Name, "part", part, "build", buildinfo.Short())...)
+}
--- /dev/null
+++ b/gateway/changelog_test.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/asyncwriter"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// lineBuffer collects log lines.
+type lineBuffer struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lines = append(b.lines, string(line))
+	return len(line), nil
+}
+
+// matching returns the decoded lines that contain a text.
+func (b *lineBuffer) matching(text string) (out []map[string]any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range b.lines {
+		if strings.Contains(line, text) {
+			var fields map[string]any
+			Expect(json.Unmarshal([]byte(line), &fields)).To(Succeed())
+			out = append(out, fields)
+		}
+	}
+	return out
+}
+
+// record returns what a record of an incident holds: lines that name a request and
+// warnings, cut to 200 characters.
+func (b *lineBuffer) record(id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, line := range b.lines {
+		if strings.Contains(line, fmt.Sprintf("%q", id)) || strings.Contains(line, `"level":"WARN"`) || strings.Contains(line, `"level":"ERROR"`) {
+			out = append(out, line[:min(len(line), 200)])
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// Guards against the record of issue 33, from which nobody could tell who had acknowledged
+// a lost commit, on what evidence, and why the successor was chosen.
+var _ = Describe("log of a replacement", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		out *lineBuffer
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		out = &lineBuffer{}
+		g = newLoggingTestGateway(p, slog.New(slog.NewJSONHandler(out, nil)))
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	acknowledge := func(n int) {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		for i := range n {
+			svc.recordRecentCommit(commit{primary: "a", at: position.Position{Term: 1, Index: uint64(11 + i)}, id: fmt.Sprintf("id-%d", 11+i)}, "all_copies")
+		}
+	}
+
+	It("tells the acknowledging host, its evidence and the reason for the successor in the lines that a record holds", func() {
+		w := request(statement.Write)
+		Expect(newTestSession(g, "own").serve(w).Err).To(BeNil())
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		svc.mu.Lock()
+		svc.startAttempt(svc.newReplacement(succession.Silent, svc.acked, time.Now()), (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(out.matching).WithArguments("Promotion took effect.").WithTimeout(4 * time.Second).Should(HaveLen(1))
+		Eventually(out.matching).WithArguments("Commit acknowledged.").Should(HaveLen(1))
+
+		Expect(out.record(w.ID)).To(And(
+			MatchRegexp(`"Commit acknowledged.","id":"%s","evidence":"all_copies","commit":"1/11","copies":"[bc] 1/11 `, w.ID),
+			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed, [bc] 1/11 established listed","service":"orders-db"`),
+			MatchRegexp(`"Primary changed.","service":"orders-db","from":"a","to":"[bc]",`),
+			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
+		))
+		chosen := out.matching("Successor chosen.")[0]
+		Expect(chosen).To(And(HaveKeyWithValue("reason", "silent"), HaveKeyWithValue("acked", "1/11"), HaveKeyWithValue("from", "a"),
+			HaveKeyWithValue("primary", ContainSubstring("unread")), HaveKeyWithValue("lease_before", "none"), HaveKey("fence"), HaveKey("build")))
+		Expect(out.matching("Commit acknowledged.")[0]).To(And(HaveKeyWithValue("host", "host-1"), HaveKeyWithValue("primary", "a"), HaveKey("ago_ms"), HaveKey("list"), HaveKey("build")))
+	})
+
+	It("explains at most maxCommitLines acknowledgements for each change, once, and keeps a bounded number", func() {
+		acknowledge(10000)
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 20000}, time.Now())
+		Eventually(out.matching).WithArguments("Left out log lines").WithTimeout(2 * time.Second).Should(HaveLen(1))
+		lines := out.matching("Commit acknowledged.")
+		Expect(lines).To(HaveLen(maxCommitLines))
+		Expect(lines[0]).To(HaveKeyWithValue("id", "id-10010"), "the newest first")
+		Expect(out.matching("Left out log lines")[0]).To(HaveKeyWithValue("lines", BeNumerically("==", maxRecentCommits-maxCommitLines)))
+		svc.recordPrimary("c", position.Position{Term: 3, Index: 20000}, time.Now())
+		Consistently(out.matching).WithArguments("Commit acknowledged.").WithTimeout(200 * time.Millisecond).Should(HaveLen(maxCommitLines))
+		Expect(svc.replication.recent.ring).To(HaveLen(maxRecentCommits))
+	})
+
+	It("does not make statements wait for a slow output", func() {
+		_, blocked := io.Pipe() // nobody reads
+		w := asyncwriter.New(blocked)
+		g = newLoggingTestGateway(p, slog.New(slog.NewJSONHandler(w, nil)))
+		svc = g.service(testService)
+		began := time.Now()
+		for term := range uint64(20) {
+			acknowledge(maxRecentCommits)
+			svc.recordPrimary("a", position.Position{Term: term + 1, Index: 10}, time.Now())
+		}
+		dbs.withLock(func() { dbs.term = 20 })
+		Expect(newTestSession(g, "own").serve(request(statement.Write)).Err).To(BeNil())
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		Eventually(w.Dropped).WithTimeout(10 * time.Second).Should(BeNumerically(">", 100))
+	})
+
+	DescribeTable("names acknowledged commits that the log of a new primary lacks, as an error, and counts them", func(term uint64) {
+		acknowledge(4) // 1/11 to 1/14
+		svc.recordPrimary("b", position.Position{Term: term, Index: 12}, time.Now())
+		missing := out.matching("Acknowledged commits are missing")
+		Expect(missing).To(HaveLen(1))
+		Expect(missing[0]).To(And(HaveKeyWithValue("level", "ERROR"), HaveKeyWithValue("ids", ConsistOf("id-13", "id-14")), HaveKeyWithValue("count", BeNumerically("==", 2))))
+		Expect(g.metrics.missing.Get()).To(BeEquivalentTo(2))
+		Eventually(out.matching).WithArguments(`"level":"ERROR","msg":"Commit acknowledged."`).Should(HaveLen(2))
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 13}, time.Now())
+		Expect(out.matching("Acknowledged commits are missing")).To(HaveLen(1))
+	},
+		Entry("whose end has the new term", uint64(2)),
+		Entry("whose last entry is of the former term", uint64(1)),
+	)
+
+	It("logs a change that is known from the list of databases, and the answer of the new primary after it", func() {
+		acknowledge(1)
+		list := map[string]routes.Database{}
+		for _, id := range []string{"a", "b", "c"} {
+			list[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: id == "b"}
+		}
+		g.setDatabases(list)
+		Expect(out.matching("Primary changed.")).To(ConsistOf(And(HaveKeyWithValue("to", "b"), HaveKeyWithValue("learned", "list"))))
+		Eventually(out.matching).WithArguments("id-11").Should(HaveLen(1))
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 10}, time.Now())
+		Expect(out.matching("Primary has a newer term.")).To(ConsistOf(HaveKeyWithValue("missing", BeNumerically("==", 1))))
+	})
+
+	It("names a confirmed commit that is not acknowledged, with the reason", func() {
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		_, err := p.api.Create(GinkgoT().Context(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x"}`))
+		Expect(err).NotTo(HaveOccurred())
+		w := request(statement.Write)
+		Expect(newTestSession(g, "own").serve(w).Err.Kind).To(Equal(errkind.OutcomeUnknown))
+		Expect(out.matching("Commit not acknowledged.")).To(ConsistOf(And(HaveKeyWithValue("id", w.ID),
+			HaveKeyWithValue("evidence", "not all replicas hold it and the lease is not settled"), HaveKeyWithValue("copies", ContainSubstring("b 1/10")))))
+	})
+
+	It("names the home host that has acknowledged a commit of a caller of this host", func() {
+		r := &remote{g: g, home: homeCandidate{name: "host-2"}}
+		op := &operation{Request: request(statement.Write), svc: svc, inTransaction: true, database: "a"}
+		r.recordCommit(op, statement.Answer{Position: position.Position{Term: 1, Index: 10}}, nil)
+		op.Request = request(statement.Commit)
+		r.recordCommit(op, statement.Answer{Position: position.Position{Term: 1, Index: 11}}, nil)
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 11}, time.Now())
+		Eventually(out.matching).WithArguments("Commit acknowledged.").Should(ConsistOf(And(
+			HaveKeyWithValue("id", op.ID), HaveKeyWithValue("home", "host-2"), HaveKeyWithValue("commit", "1/11"), HaveKeyWithValue("host", "host-1"))))
+	})
+
+	It("explains the acknowledgements when the host stops", func() {
+		acknowledge(2)
+		g.Close()
+		Expect(out.matching("Commit acknowledged.")).To(HaveLen(2))
+	})
+
+	It("warns when a configuration adds, drops or changes the replicas of a service", func() {
+		services := func(list ...routes.Service) *routes.Configuration {
+			c := &routes.Configuration{Version: 2, Services: map[string]routes.Service{}}
+			for _, s := range list {
+				c.Services[s.Name] = s
+			}
+			return c
+		}
+		g.logServiceChanges(services(routes.Service{Name: "x", SyncReplicas: 1}, routes.Service{Name: "y"}), services(routes.Service{Name: "x"}, routes.Service{Name: "z"}))
+		Expect(out.matching("Configuration changes the services.")).To(ConsistOf(And(HaveKeyWithValue("level", "WARN"), HaveKeyWithValue("dropped", ConsistOf("y")),
+			HaveKeyWithValue("added", ConsistOf("z")), HaveKeyWithValue("sync_replicas", ConsistOf("x from 1 to 0")))))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	callers    *registry
 	started    time.Time
 
+	commitLines sync.Mutex // held while lines about acknowledged commits are written
+
 	config  atomic.Pointer[loadedConfiguration]
 	leaving atomic.Bool
 
@@ -88,8 +90,9 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
-	listVersion  atomic.Uint64 // version of entries; changed with mu held
-	serviceTotal atomic.Int64  // number of services; changed with mu held
+	listVersion   atomic.Uint64 // version of entries; changed with mu held
+	listAppliedAt atomic.Int64  // when entries were replaced last, in nanoseconds since started
+	serviceTotal  atomic.Int64  // number of services; changed with mu held
 
 	ctx  context.Context // cancelled when the host stops
 	stop context.CancelFunc
@@ -298,6 +301,7 @@
 
 // Close stops the gateway. It does not wait for sessions or workers to end.
 func (g *Gateway) Close() {
+	g.explainAllCommits()
 	g.stop()
 	if g.listener != nil {
 		g.listener.Close()
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -37,7 +37,7 @@
 			return errLeaseHeld
 		}
 	}
-	a.leaseObject = old
+	a.leaseObject, a.trace.leaseBefore = old, leaseText(old)
 	return a.writeLease(ctx, succession.Lease{Ordered: a.pendingOrder(old)})
 }
 
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -26,10 +27,11 @@
 // local runs statements on this host's own connections.
 type local struct {
 	g        *Gateway
-	conn     *conn // holds the open transaction; nil if there is none
-	admitted bool  // the open transaction has been counted against the customer's rate
-	answered bool  // a statement of the open transaction has succeeded
-	wrote    bool  // the open transaction has written
+	conn     *conn    // holds the open transaction; nil if there is none
+	admitted bool     // the open transaction has been counted against the customer's rate
+	answered bool     // a statement of the open transaction has succeeded
+	wrote    bool     // the open transaction has written
+	writes   []string // ids of the first maxLoggedWrites writes of the open transaction
 }
 
 func newLocal(g *Gateway) *local { return &local{g: g} }
@@ -114,21 +116,34 @@
 // a commit it releases the connection and waits until the commit may be acknowledged.
 func (l *local) afterStatement(ctx context.Context, op *operation, a statement.Answer) (statement.Answer, error) {
 	l.answered = true
-	l.wrote = l.wrote || op.writes()
+	if op.writes() {
+		l.recordWrite(op.ID)
+	}
 	if op.Kind != statement.Commit {
 		return a, nil
 	}
-	c, wrote := l.conn, l.wrote
-	l.conn, l.admitted, l.answered, l.wrote = nil, false, false, false
+	c, wrote, writes := l.conn, l.wrote, strings.Join(l.writes, " ")
+	l.conn, l.admitted, l.answered, l.wrote, l.writes = nil, false, false, false, nil
 	c.pool.release(c)
 	if wrote {
-		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position}); err != nil {
+		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, id: op.ID, writes: writes}); err != nil {
 			return statement.Answer{}, err
 		}
 	}
 	return a, nil
 }
 
+// maxLoggedWrites bounds the writes of a transaction that its line names.
+const maxLoggedWrites = 12
+
+// recordWrite records that the open transaction has written.
+func (l *local) recordWrite(id string) {
+	l.wrote = true
+	if len(l.writes) < maxLoggedWrites {
+		l.writes = append(l.writes, id[:min(len(id), maxLoggedName)])
+	}
+}
+
 // attemptInTransaction opens the transaction on a database if none is open, and
 // runs the statement in it once.
 func (l *local) attemptInTransaction(ctx context.Context, op *operation) (statement.Answer, error) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	dialled       *metrics.Counter
 	storeFailures *metrics.Counter
 	unsent        *metrics.Counter
+	missing       *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -28,13 +29,14 @@
 		dialled:       set.NewCounter("bronzeloft_database_connections_opened_total"),
 		storeFailures: set.NewCounter("bronzeloft_store_failures_total"),
 		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+		missing:       set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
-	return m
-}
 	build := buildinfo.Get()
 	set.NewGauge(fmt.Sprintf(`bronzeloft_build_info{release=%q,build_id=%q,revision=%q}`, build.Release, build.ID, build.Revision), func() float64 { return 1 })
+	return m
+}
 
 // Reasons for which a connection to a database is closed.
 const (
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -108,7 +108,9 @@
 	if now.Sub(state.since) < wait || now.Sub(s.g.started) < absentFor {
 		return
 	}
-	s.startAttempt(s.newReplacement(reason, position.Max(acked, s.acked), now), (*replacement).run)
+	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
+	a.trace.rank, a.trace.views = rank, others
+	s.startAttempt(a, (*replacement).run)
 }
 
 // startAttempt starts an attempt in the background. There is one at a time: the lease
@@ -155,6 +157,7 @@
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
 	conns       []*controlConn
+	trace       replacementTrace
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
@@ -167,6 +170,7 @@
 		return
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
+	a.explainCommits()
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
@@ -175,19 +179,25 @@
 		a.giveUp(ctx)
 		return
 	}
-	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
+	var rosterObject objectapi.Object
+	if rosterObject, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
 		a.giveUp(ctx)
 		return
 	}
+	a.trace.rosterAt = rosterObject.Version
 	successor, err := a.choose(ctx)
 	if err != nil {
-		a.log.Warn("No successor was chosen.", "error", err)
+		a.log.Warn("No successor was chosen.", "error", err, "candidates", a.candidateText(a.candidates(), ""))
 		a.giveUp(ctx)
 		return
 	}
+	a.logChosen("Successor chosen.", successor)
 	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
+	if err != nil {
+		a.logNoEffect(err)
+	}
 	switch {
 	case err == nil:
 		a.awaitSettled(successor.ID)
--- /dev/null
+++ b/gateway/recentcommits.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Bounds of the record of recent acknowledgements.
+const (
+	// maxRecentCommits bounds the recent commits of a service, about 100 KB.
+	maxRecentCommits = 256
+	// recentCommitsFor is how long before a change of the primary the acknowledgements
+	// are explained. A promotion may take effect that long after its order was decided.
+	recentCommitsFor = formerMayReturn
+	// maxCommitLines bounds the lines for one change of one service's primary.
+	maxCommitLines = 200
+	// maxCommitLinesAtStop bounds the lines of all services when the host stops.
+	maxCommitLinesAtStop = 400
+	// commitLinesAtOnce is written before a pause of commitLinesPause: the queue of the
+	// log, 1024 lines, then has room for other lines.
+	commitLinesAtOnce = 50
+	commitLinesPause  = 50 * time.Millisecond
+	// maxLoggedCopies bounds the replicas that are kept of one commit.
+	maxLoggedCopies = 4
+)
+
+// copyReport is a replica's last report at the acknowledgement of a commit.
+type copyReport struct {
+	id          string
+	received    position.Position
+	term        uint64
+	age         time.Duration
+	established bool
+}
+
+// leaseReport is a read of a service's lease.
+type leaseReport struct {
+	version uint64
+	term    uint64 // that the lease recorded
+	at      time.Time
+}
+
+// recentCommit is a commit that this host has acknowledged, with what it knew then, or
+// whose acknowledgement by the home host it has passed on.
+type recentCommit struct {
+	commit
+	home        string // the home host; empty if that is this host
+	evidence    string // as in the metric of commits
+	acked       time.Time
+	copies      [maxLoggedCopies]copyReport
+	copyCount   int
+	lease       leaseReport
+	listVersion uint64
+	listAge     time.Duration
+	written     bool // its line has been written
+	missing     bool // the log of a later primary lacks it
+}
+
+// recentCommits is a ring of the commits that were acknowledged last. service.mu guards
+// it.
+type recentCommits struct {
+	ring []recentCommit
+	next int // index of the oldest entry of a full ring
+}
+
+// slot returns the entry for the next commit, a zero value.
+func (r *recentCommits) slot() *recentCommit {
+	if len(r.ring) < maxRecentCommits {
+		r.ring = append(r.ring, recentCommit{})
+		return &r.ring[len(r.ring)-1]
+	}
+	e := &r.ring[r.next]
+	*e = recentCommit{}
+	r.next = (r.next + 1) % len(r.ring)
+	return e
+}
+
+// newestFirst calls visit with each entry since a time, the newest first.
+func (r *recentCommits) newestFirst(since time.Time, visit func(*recentCommit)) {
+	for i := range r.ring {
+		e := &r.ring[(r.next-1-i+2*len(r.ring))%len(r.ring)]
+		if e.acked.Before(since) {
+			return
+		}
+		visit(e)
+	}
+}
+
+// take returns up to limit entries since a time whose lines have not been written,
+// the newest first, marks all of them as written, and returns the number left out.
+func (r *recentCommits) take(since time.Time, limit int) (out []recentCommit, omitted int) {
+	r.newestFirst(since, func(e *recentCommit) {
+		switch {
+		case e.written:
+			return
+		case len(out) < limit:
+			out = append(out, *e)
+		default:
+			omitted++
+		}
+		e.written = true
+	})
+	return out, omitted
+}
+
+// markMissing marks the commits since a time that former primaries have confirmed and
+// that the log of the present one lacks, given its end, and returns the ids of those that
+// were not marked before, the newest first. Their lines are due again.
+func (r *recentCommits) markMissing(primary string, end position.Position, since time.Time) (ids []string) {
+	r.newestFirst(since, func(e *recentCommit) {
+		former := e.at.Term < end.Term || e.at.Term == end.Term && e.primary != primary
+		if !e.missing && former && e.at.Index > end.Index {
+			e.missing, e.written = true, false
+			ids = append(ids, e.id)
+		}
+	})
+	return ids
+}
+
+// recordRecentCommit records a commit that is being acknowledged. mu is held.
+func (s *service) recordRecentCommit(c commit, evidence string) {
+	s.describeCommit(s.replication.recent.slot(), c, evidence)
+}
+
+// recordRemoteCommit records a commit that the home host has acknowledged.
+func (s *service) recordRemoteCommit(c commit, home string) {
+	now := s.g.now()
+	c.id = loggedID(c.id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.replication.recent.slot()
+	e.commit, e.home, e.acked = c, home, now
+}
+
+// loggedID returns a copy of a request's id, which may be a part of a longer line, cut to
+// maxLoggedName.
+func loggedID(id string) string { return strings.Clone(id[:min(len(id), maxLoggedName)]) }
+
+// describeCommit sets e to a commit and what this host knows now. mu is held.
+func (s *service) describeCommit(e *recentCommit, c commit, evidence string) {
+	now := s.g.now()
+	r := &s.replication
+	c.id = loggedID(c.id)
+	e.commit, e.evidence, e.acked, e.lease = c, evidence, now, r.lease
+	e.listVersion, e.listAge = s.g.listVersion.Load(), s.g.listAge(now)
+	for id, held := range r.copies {
+		if id == c.primary || !held.Answered {
+			continue
+		}
+		if e.copyCount < maxLoggedCopies {
+			e.copies[e.copyCount] = copyReport{id: id, received: held.Received, term: held.Term, age: now.Sub(held.at),
+				established: s.table.KnownFor(id, now) >= lead.EstablishedAfter}
+		}
+		e.copyCount++
+	}
+}
+
+// copyText describes the replicas' reports, such as "i-1 3/1301 12ms established, i-2
+// 3/1226 40ms". A term is given where it is not that of the log's end.
+func (e *recentCommit) copyText() string {
+	var out []byte
+	for _, c := range e.copies[:min(e.copyCount, maxLoggedCopies)] {
+		if len(out) > 0 {
+			out = append(out, ", "...)
+		}
+		out = append(append(append(out, c.id...), ' '), c.received.String()...)
+		if c.term != c.received.Term {
+			out = strconv.AppendUint(append(out, " term "...), c.term, 10)
+		}
+		out = append(strconv.AppendInt(append(out, ' '), c.age.Milliseconds(), 10), "ms"...)
+		if c.established {
+			out = append(out, " established"...)
+		}
+	}
+	if more := e.copyCount - maxLoggedCopies; more > 0 {
+		out = append(strconv.AppendInt(append(out, ", "...), int64(more), 10), " more"...)
+	}
+	return string(out)
+}
+
+// logAttrs returns the attributes of the commit's line.
+func (e *recentCommit) logAttrs(s *service, now time.Time) []any {
+	if e.home != "" {
+		return []any{"id", e.id, "home", e.home, "commit", e.at.String(), "ago_ms", now.Sub(e.acked).Milliseconds(), "primary", e.primary, "service", s.name}
+	}
+	attrs := []any{"id", e.id, "evidence", e.evidence, "commit", e.at.String(), "copies", e.copyText(), "ago_ms", now.Sub(e.acked).Milliseconds(),
+		"primary", e.primary, "service", s.name, "list", e.listVersion, "list_age_ms", e.listAge.Milliseconds()}
+	if e.lease.version > 0 {
+		attrs = append(attrs, "lease", e.lease.version, "lease_term", e.lease.term, "lease_age_ms", e.acked.Sub(e.lease.at).Milliseconds())
+	}
+	if e.writes != "" {
+		attrs = append(attrs, "writes", e.writes)
+	}
+	return attrs
+}
+
+// explainCommits logs the recent acknowledgements in the background. why names what has
+// happened. mu is held.
+func (s *service) explainCommits(why string) {
+	now := s.g.now()
+	entries, omitted := s.replication.recent.take(now.Add(-recentCommitsFor), maxCommitLines)
+	if len(entries) == 0 {
+		return
+	}
+	go func() {
+		s.g.commitLines.Lock()
+		defer s.g.commitLines.Unlock()
+		for chunk := range slices.Chunk(entries, commitLinesAtOnce) {
+			s.logCommits(chunk, why)
+			retry.Wait(s.g.ctx, commitLinesPause)
+		}
+		s.logOmitted(omitted, why)
+	}()
+}
+
+func (s *service) logCommits(entries []recentCommit, why string) {
+	now := s.g.now()
+	for i := range entries {
+		level := slog.LevelInfo
+		if entries[i].missing {
+			level = slog.LevelError
+		}
+		s.g.logFirst("request", level, "Commit acknowledged.", append(entries[i].logAttrs(s, now), "why", why)...)
+	}
+}
+
+func (s *service) logOmitted(omitted int, why string) {
+	if omitted > 0 {
+		s.g.logFirst("request", slog.LevelInfo, "Left out log lines about acknowledged commits.", "lines", omitted, "service", s.name, "why", why)
+	}
+}
+
+// explainAllCommits logs the recent acknowledgements of all services before the host
+// stops.
+func (g *Gateway) explainAllCommits() {
+	services := g.allServices()
+	limit := maxCommitLinesAtStop / max(1, len(services))
+	for _, s := range services {
+		s.mu.Lock()
+		entries, omitted := s.replication.recent.take(g.now().Add(-recentCommitsFor), limit)
+		s.mu.Unlock()
+		s.logCommits(entries, "stop")
+		s.logOmitted(omitted, "stop")
+	}
+}
+
+// recordLeaseRead records a read of the lease that showed it settled.
+func (s *service) recordLeaseRead(l leaseReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.lease = l
+}
+
+// logUnacknowledged logs a commit that its primary has confirmed and that is not
+// acknowledged, unless too many requests have failed within the second. since is when the
+// primary's confirmation arrived.
+func (s *service) logUnacknowledged(c commit, evidence succession.Evidence, since time.Time, replaced bool) {
+	if !s.g.requestLog.allow(true) {
+		return
+	}
+	reason := "no established replica holds it"
+	switch {
+	case replaced:
+		reason = "the primary was replaced"
+	case evidence != succession.NoCopy:
+		reason = "not all replicas hold it and the lease is not settled"
+	}
+	var e recentCommit
+	s.mu.Lock()
+	s.describeCommit(&e, c, reason)
+	s.mu.Unlock()
+	now := s.g.now()
+	s.g.logFirst("request", slog.LevelInfo, "Commit not acknowledged.", append(e.logAttrs(s, now), "waited_ms", now.Sub(since).Milliseconds())...)
+}
+
+// listAge returns the time since the list of databases was replaced last.
+func (g *Gateway) listAge(now time.Time) time.Duration {
+	return now.Sub(g.started) - time.Duration(g.listAppliedAt.Load())
+}
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -46,6 +46,7 @@
 	g      *Gateway
 	home   homeCandidate
 	pinned *stream // carries the open transaction; nil if there is none
+	wrote  bool    // a statement of the open transaction has written
 }
 
 // stream is a connection to another host that carries one Job and its Result at a
@@ -82,6 +83,7 @@
 		return statement.Answer{}, errkind.Wrap(errkind.OutcomeUnknown, errors.Join(errHomeUnavailable, err), "host "+r.home.name)
 	}
 	a, err := op.applyResult(result)
+	r.recordCommit(op, a, err)
 	if op.inTransaction && err == nil && op.Kind != statement.Commit {
 		r.pinned = st
 	} else {
@@ -90,6 +92,17 @@
 	return a, err
 }
 
+// recordCommit records a commit that the home host has acknowledged, for the log.
+func (r *remote) recordCommit(op *operation, a statement.Answer, err error) {
+	if err != nil {
+		return
+	}
+	r.wrote = r.wrote || op.writes()
+	if r.wrote && (!op.inTransaction || op.Kind == statement.Commit) {
+		op.svc.recordRemoteCommit(commit{primary: op.database, at: a.Position, id: op.ID}, r.home.name)
+	}
+}
+
 // exchange sends the statement and reads its result, waiting until resultSlack after
 // the deadline. Cancelling ctx aborts it; closing the stream then cancels the statement
 // on the home host. The deadline of ctx does not abort it: the home host then reports
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -36,6 +36,7 @@
 	commits           commitTracker
 	replication       replication
 	promotion         promotionState
+	observed          observedPrimary
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
 	provenTerm        uint64    // in which it did
@@ -93,6 +94,7 @@
 		p.setLeavingSince(s.table.LeavingSince(id))
 	}
 	closing = append(closing, s.dropPools()...)
+	s.observePrimary(fromList, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	for _, p := range closing {
@@ -269,6 +271,9 @@
 			s.provenPrimary, s.provenTerm = id, end.Term
 		}
 	}
+	if leader, _ := s.table.Leader(); leader.ID == id {
+		s.observePrimary(fromAnswer, end)
+	}
 	s.notifyChange()
 }
 
@@ -278,6 +283,7 @@
 	before, _ := s.table.Leader()
 	s.table.RecordNotLeader(id, sentAt)
 	after, _ := s.table.Leader()
+	s.observePrimary(fromRefusal, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	if before.ID == id && after.ID != id {
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -58,6 +58,7 @@
 		if !c.answered || !c.report.Primary || c.db.Leaving {
 			continue
 		}
+		a.logChosen("Primary is ordered again, to void a pending order.", succession.Candidate{ID: c.db.ID, Answered: true, Received: c.report.Received})
 		if err := a.order(ctx, c.db.ID); err != nil {
 			a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered, "error", err)
 			break
@@ -92,9 +93,11 @@
 	a.query(ctx, a.conns, statement.Statement{Kind: statement.Status})
 	if primary := a.newestPrimary(); primary != nil {
 		a.log.Info("Service has a primary.", "database", primary.db.ID, "term", primary.report.Term, "after_ms", a.s.g.now().Sub(a.started).Milliseconds())
+		a.logTakenEffect(primary)
 		a.releaseLease("")
 		return
 	}
+	a.logNoEffect(errNoPrimaryInTime)
 	a.log.Warn("Lease is not settled: no database reported in time that it is the primary.", "database", id)
 }
 
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -46,7 +46,7 @@
 	for {
 		a, err := l.writeOnce(ctx, op)
 		if err == nil {
-			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position})
+			err = op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, id: op.ID})
 		}
 		if err == nil {
 			return a, nil
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -379,9 +379,13 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	return newLoggingTestGateway(p, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Platform: p, Logger: logger, Now: time.Now,
 	})
 	var err error
 	g.peers, err = listenPeers(g)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -335,6 +335,7 @@
 	}
 	g.mu.Lock()
 	g.listVersion.Store(list.Version)
+	g.listAppliedAt.Store(int64(g.now().Sub(g.started)))
 	g.entries = list.Entries
 	g.mu.Unlock()
 	g.setDatabases(databases)
