--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -260,6 +260,7 @@
 	sentAt := s.g.now()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
+		s.recordLeaseRead(leaseReport{at: sentAt})
 		return true // nobody has ever replaced a primary
 	}
 	if err != nil {
--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -122,6 +123,9 @@
 		svc.recordPrimary("c", position.Position{Term: 3, Index: 20000}, time.Now())
 		Consistently(out.matching).WithArguments("Commit acknowledged.").WithTimeout(200 * time.Millisecond).Should(HaveLen(maxCommitLines))
 		Expect(svc.replication.recent.ring).To(HaveLen(maxRecentCommits))
+		Expect(testing.AllocsPerRun(100, func() {
+			svc.recordRecentCommit(commit{primary: "c", at: position.Position{Term: 3, Index: 20001}, id: "cdf1ddc2b81a5600"}, "lease")
+		})).To(BeNumerically("<=", 1))
 	})
 
 	It("does not make statements wait for a slow output", func() {
@@ -175,7 +179,7 @@
 		w := request(statement.Write)
 		Expect(newTestSession(g, "own").serve(w).Err.Kind).To(Equal(errkind.OutcomeUnknown))
 		Expect(out.matching("Commit not acknowledged.")).To(ConsistOf(And(HaveKeyWithValue("id", w.ID),
-			HaveKeyWithValue("evidence", "not all replicas hold it and the lease is not settled"), HaveKeyWithValue("copies", ContainSubstring("b 1/10")))))
+			HaveKeyWithValue("reason", "not all replicas hold it and the lease is not settled"), HaveKeyWithValue("copies", ContainSubstring("b 1/10")))))
 	})
 
 	It("names the home host that has acknowledged a commit of a caller of this host", func() {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -188,7 +188,7 @@
 	a.trace.rosterAt = rosterObject.Version
 	successor, err := a.choose(ctx)
 	if err != nil {
-		a.log.Warn("No successor was chosen.", "error", err, "candidates", a.candidateText(a.candidates(), ""))
+		a.logNoSuccessor(err)
 		a.giveUp(ctx)
 		return
 	}
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -43,7 +43,7 @@
 
 // leaseReport is a read of a service's lease.
 type leaseReport struct {
-	version uint64
+	version uint64 // 0 if nobody has ever taken it
 	term    uint64 // that the lease recorded
 	at      time.Time
 }
@@ -186,14 +186,12 @@
 	return string(out)
 }
 
-// logAttrs returns the attributes of the commit's line.
-func (e *recentCommit) logAttrs(s *service, now time.Time) []any {
-	if e.home != "" {
-		return []any{"id", e.id, "home", e.home, "commit", e.at.String(), "ago_ms", now.Sub(e.acked).Milliseconds(), "primary", e.primary, "service", s.name}
-	}
-	attrs := []any{"id", e.id, "evidence", e.evidence, "commit", e.at.String(), "copies", e.copyText(), "ago_ms", now.Sub(e.acked).Milliseconds(),
-		"primary", e.primary, "service", s.name, "list", e.listVersion, "list_age_ms", e.listAge.Milliseconds()}
-	if e.lease.version > 0 {
+// logAttrs returns the attributes of a commit's line: the id, one of its own, and what
+// this host knew.
+func (e *recentCommit) logAttrs(s *service, key, value string, more ...any) []any {
+	attrs := append([]any{"id", e.id, key, value, "commit", e.at.String(), "copies", e.copyText()}, more...)
+	attrs = append(attrs, "primary", e.primary, "service", s.name, "list", e.listVersion, "list_age_ms", e.listAge.Milliseconds())
+	if !e.lease.at.IsZero() {
 		attrs = append(attrs, "lease", e.lease.version, "lease_term", e.lease.term, "lease_age_ms", e.acked.Sub(e.lease.at).Milliseconds())
 	}
 	if e.writes != "" {
@@ -202,6 +200,22 @@
 	return attrs
 }
 
+// logAcknowledged logs an acknowledgement. why names what has happened.
+func (s *service) logAcknowledged(e *recentCommit, why string) {
+	level := slog.LevelInfo
+	if e.missing {
+		level = slog.LevelError
+	}
+	ago := s.g.now().Sub(e.acked).Milliseconds()
+	var attrs []any
+	if e.home != "" {
+		attrs = []any{"id", e.id, "home", e.home, "commit", e.at.String(), "ago_ms", ago, "primary", e.primary, "service", s.name}
+	} else {
+		attrs = e.logAttrs(s, "evidence", e.evidence, "ago_ms", ago)
+	}
+	s.g.logFirst("request", level, "Commit acknowledged.", append(attrs, "why", why)...)
+}
+
 // explainCommits logs the recent acknowledgements in the background. why names what has
 // happened. mu is held.
 func (s *service) explainCommits(why string) {
@@ -222,13 +236,8 @@
 }
 
 func (s *service) logCommits(entries []recentCommit, why string) {
-	now := s.g.now()
 	for i := range entries {
-		level := slog.LevelInfo
-		if entries[i].missing {
-			level = slog.LevelError
-		}
-		s.g.logFirst("request", level, "Commit acknowledged.", append(entries[i].logAttrs(s, now), "why", why)...)
+		s.logAcknowledged(&entries[i], why)
 	}
 }
 
@@ -275,10 +284,9 @@
 	}
 	var e recentCommit
 	s.mu.Lock()
-	s.describeCommit(&e, c, reason)
+	s.describeCommit(&e, c, "")
 	s.mu.Unlock()
-	now := s.g.now()
-	s.g.logFirst("request", slog.LevelInfo, "Commit not acknowledged.", append(e.logAttrs(s, now), "waited_ms", now.Sub(since).Milliseconds())...)
+	s.g.logFirst("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", reason, "waited_ms", s.g.now().Sub(since).Milliseconds())...)
 }
 
 // listAge returns the time since the list of databases was replaced last.
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -143,6 +143,13 @@
 	return acked
 }
 
+// logNoSuccessor logs why no successor was chosen.
+func (a *replacement) logNoSuccessor(err error) {
+	a.s.g.logFirst("promotion", slog.LevelWarn, "No successor was chosen.", "candidates", a.candidateText(a.candidates(), ""),
+		"service", a.s.name, "error", err, "primary", a.primary, "reason", string(a.reason), "acked", position.Max(a.acked, a.ackedElsewhere()).String(),
+		"floor", a.floor.String(), "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore, "pending", a.ordered)
+}
+
 // logTakenEffect logs that a database leads after this attempt's order.
 func (a *replacement) logTakenEffect(primary *controlConn) {
 	msg := "Promotion took effect."
