--- a/gateway/local.go
+++ b/gateway/local.go
@@ -126,7 +126,7 @@
 	l.conn, l.admitted, l.answered, l.wrote, l.writes = nil, false, false, false, nil
 	c.pool.release(c)
 	if wrote {
-		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, id: op.ID, writes: writes}); err != nil {
+		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter, id: op.ID, writes: writes}); err != nil {
 			return statement.Answer{}, err
 		}
 	}
@@ -160,6 +160,7 @@
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
 		endCommit = op.svc.startCommit()
+		op.sentAfter = op.svc.reportedBefore(c)
 	}
 	answers, err := c.runStatement(ctx, op, position.Position{})
 	endCommit(err == nil && lastAnswer(answers).Err == nil)
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -268,20 +268,33 @@
 	s.replication.lease = l
 }
 
+// misplaced is the reason not to acknowledge a commit whose position was reached before
+// it was sent.
+const misplaced = "the database named a position from before the commit"
+
+// missingEvidence returns the reason for which a commit has not been acknowledged.
+func (s *service) missingEvidence(c commit, evidence succession.Evidence, replaced bool) string {
+	s.mu.Lock()
+	led := s.table.Led(c.at.Term) == c.primary
+	s.mu.Unlock()
+	switch {
+	case replaced:
+		return "the primary was replaced"
+	case !led:
+		return "the database has not proved that it leads the commit's term"
+	case evidence == succession.NoCopy:
+		return "no established replica holds it"
+	}
+	return "not all replicas hold it and the lease is not settled"
+}
+
 // logUnacknowledged logs a commit that its primary has confirmed and that is not
 // acknowledged, unless too many requests have failed within the second. since is when the
 // primary's confirmation arrived.
-func (s *service) logUnacknowledged(c commit, evidence succession.Evidence, since time.Time, replaced bool) {
+func (s *service) logUnacknowledged(c commit, reason string, since time.Time) {
 	if !s.g.requestLog.allow(true) {
 		return
 	}
-	reason := "no established replica holds it"
-	switch {
-	case replaced:
-		reason = "the primary was replaced"
-	case evidence != succession.NoCopy:
-		reason = "not all replicas hold it and the lease is not settled"
-	}
 	var e recentCommit
 	s.mu.Lock()
 	s.describeCommit(&e, c, "")
--- a/internal/standin/takeover/client.go
+++ b/internal/standin/takeover/client.go
@@ -15,6 +15,7 @@
 	s      *site
 	name   string
 	tenant string
+	build  *build // of the host
 	conn   net.Conn
 	r      *bufio.Reader
 }
@@ -39,7 +40,7 @@
 	if err := conn.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write([]byte("STARTUP " + database + " " + tenants[tenant] + "\r\n")); err != nil {
+	if _, err := conn.Write([]byte("STARTUP " + database + " " + keyOf(tenant) + "\r\n")); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -51,6 +52,7 @@
 		conn.Close()
 		return nil, err
 	}
+	c.build = h.build.Load()
 	return c, nil
 }
 
