Log the first answer of a new primary, though its term was known before

A host that learned of a change from the list of databases and of its term from a replica logged nothing when the new primary answered, nor the commits that its log lacks. Found by reading; the spec of a change that the list names first failed before.

--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -168,8 +168,14 @@
 		g.setDatabases(list)
 		Expect(out.matching("Primary changed.")).To(ConsistOf(And(HaveKeyWithValue("to", "b"), HaveKeyWithValue("learned", "list"))))
 		Eventually(out.matching).WithArguments("id-11").Should(HaveLen(1))
+		svc.mu.Lock()
+		svc.replication.term = 2
+		svc.observePrimary(fromReplica, position.Position{})
+		svc.mu.Unlock()
+		Expect(out.matching("A newer term is known.")).To(ConsistOf(And(HaveKeyWithValue("to", "unknown"), HaveKeyWithValue("learned", "replica"))))
 		svc.recordPrimary("b", position.Position{Term: 2, Index: 10}, time.Now())
-		Expect(out.matching("Primary has a newer term.")).To(ConsistOf(HaveKeyWithValue("missing", BeNumerically("==", 1))))
+		Expect(out.matching("Primary has a newer term.")).To(ConsistOf(And(
+			HaveKeyWithValue("missing", BeNumerically("==", 1)), HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", "b"))))
 	})
 
 	It("names a confirmed commit that is not acknowledged, with the reason", func() {
--- a/gateway/primarychange.go
+++ b/gateway/primarychange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"time"
@@ -30,6 +31,7 @@
 	id         string
 	term       uint64
 	provenTerm uint64    // the newest term in which a primary has answered
+	former     string    // the primary before id, until id has answered in its term
 	at         time.Time // of the last line
 }
 
@@ -40,8 +42,8 @@
 	o := &s.observed
 	primary, known := s.table.Leader()
 	term := max(s.table.Term(), s.provenTerm, s.replication.term, end.Term)
-	changed, newTerm := known && primary.ID != o.id, term > o.term
-	if !changed && !newTerm && end.Term <= o.provenTerm {
+	changed, newTerm, newProof := known && primary.ID != o.id, term > o.term, end.Term > o.provenTerm
+	if !changed && !newTerm && !newProof {
 		return
 	}
 	now := s.g.now()
@@ -49,19 +51,22 @@
 		return
 	}
 	former := *o
-	if known {
-		o.id = primary.ID
+	if changed {
+		o.id, o.former = primary.ID, former.id
 	}
 	o.term, o.provenTerm = term, max(o.provenTerm, end.Term)
 	var missing []string
-	if !end.IsZero() && (changed || end.Term > former.provenTerm) {
+	if !end.IsZero() && (changed || newProof) {
 		missing = s.replication.recent.markMissing(o.id, end, now.Add(-recentCommitsFor))
 	}
-	if (!changed || former.id == "") && (!newTerm || former.term == 0) {
+	if (!changed || former.id == "") && (!newTerm || former.term == 0) && (!newProof || former.provenTerm == 0) {
 		return
 	}
 	o.at = now
-	to, msg := o.id, "Primary changed."
+	from, to, msg := cmp.Or(o.former, o.id), o.id, "Primary changed."
+	if !end.IsZero() {
+		o.former = ""
+	}
 	switch {
 	case changed && former.id != "":
 	case source == fromAnswer:
@@ -69,7 +74,7 @@
 	default:
 		to, msg = "unknown", "A newer term is known."
 	}
-	attrs := []any{"service", s.name, "from", former.id, "to", to, "term", term, "learned", source, "acked", s.acked.String()}
+	attrs := []any{"service", s.name, "from", from, "to", to, "term", term, "learned", source, "acked", s.acked.String()}
 	if !end.IsZero() {
 		attrs = append(attrs, "log", end.String(), "missing", len(missing))
 	}
@@ -77,7 +82,7 @@
 	if len(missing) > 0 {
 		s.g.metrics.missing.Add(len(missing))
 		s.g.logFirst("promotion", slog.LevelError, "Acknowledged commits are missing from the log of the new primary.",
-			"ids", missing[:min(len(missing), maxNamedRequests)], "count", len(missing), "log", end.String(), "to", to, "from", former.id, "service", s.name)
+			"ids", missing[:min(len(missing), maxNamedRequests)], "count", len(missing), "log", end.String(), "to", to, "from", from, "service", s.name)
 	}
 	s.explainCommits(fmt.Sprintf("%s leads term %d", to, term))
 }
