--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -47,7 +47,7 @@
 	settled  position.Position       // commits up to it are protected by a settled lease
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
-	proving  bool                    // the same of a query whether a database leads a commit's term
+	proving  bool                    // the same of a query whether a commit's database is still the primary
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
 	lease    leaseReport // the last read of the lease that showed it settled
@@ -74,13 +74,15 @@
 	primary string // id
 	at      position.Position
 	// after is a position that a database had reported before the commit was sent.
-	after  position.Position
+	after position.Position
+	// term is the term that the primary was known to lead before the commit was sent.
+	term   uint64
 	id     string // of the request
 	writes string // ids of the writes of its transaction
 }
 
-// leaderPause is the time between two queries whether a database leads the term of a
-// commit that it has confirmed.
+// leaderPause is the time until the next query whether a database is the primary, after one
+// that was not answered.
 const leaderPause = 50 * time.Millisecond
 
 // needsCopies reports whether commits are acknowledged only once replicas hold them. A
@@ -108,10 +110,10 @@
 	needsCopies := s.needsCopies()
 	// A commit's position lies behind all those before it; another one names what its
 	// database holds after it was rolled back.
-	if needsCopies && !c.after.Before(c.at) {
+	if needsCopies && (!c.after.Before(c.at) || c.at.Term != c.term) {
 		s.recordAcknowledgement(c, succession.NoCopy, false)
 		s.logUnacknowledged(c, misplaced, s.g.now())
-		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s", c.primary, c.at, c.after)
+		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s in term %d", c.primary, c.at, c.after, c.term)
 	}
 	since := s.g.now()
 	if needsCopies {
@@ -126,22 +128,23 @@
 		case max(r.term, s.provenTerm) > c.at.Term:
 			replaced = true
 			return true
-		case s.table.Led(c.at.Term) != c.primary:
-			// It may have been rolled back and name what it received from its successor.
-			replaced = s.table.Led(c.at.Term) != ""
-			s.proveLeader(c.primary)
-			return replaced
-		case !r.settled.Before(c.at):
-			evidence = succession.OneCopy
+		case s.ledByAnother(c, since):
+			replaced = true
+			return true
 		default:
-			if evidence = s.evidence(c); evidence == succession.AllCopies {
-				break
+			ledAfter := s.ledAfter(c, since)
+			if evidence = s.evidence(c); evidence != succession.AllCopies && !r.settled.Before(c.at) {
+				evidence = succession.OneCopy
+			} else if evidence != succession.AllCopies {
+				s.queryReplicas(c)
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+					s.readLease(c)
+				}
+				return false
 			}
-			s.queryReplicas(c)
-			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
-				s.readLease(c)
+			if !ledAfter {
+				return false
 			}
-			return false
 		}
 		s.acked = position.Max(s.acked, c.at)
 		s.recordRecentCommit(c, evidenceLabel(evidence))
@@ -149,7 +152,7 @@
 	})
 	s.recordAcknowledgement(c, evidence, err == nil && !replaced)
 	if err != nil || replaced {
-		s.logUnacknowledged(c, s.missingEvidence(c, evidence, replaced), since)
+		s.logUnacknowledged(c, s.missingEvidence(c, evidence, replaced, since), since)
 	}
 	switch {
 	case err != nil:
@@ -160,22 +163,70 @@
 	return nil
 }
 
-// proveLeader queries whether a database is the primary, and of which term, unless such a
-// query is running. mu is held.
-func (s *service) proveLeader(id string) {
-	p := s.pools[id]
+// ledAfter reports whether a commit's database was seen to be the primary after it had
+// answered; if not, it queries it. The position in an
+// answer names the end of the log when the answer is written. If the database has lost the
+// lead by then and was rolled back, that is not the commit's. mu is held.
+func (s *service) ledAfter(c commit, answered time.Time) bool {
+	if !s.table.ProvenAt(c.primary).Before(answered) {
+		return true
+	}
+	p := s.pools[c.primary]
 	if p == nil || s.replication.proving {
-		return
+		return false
 	}
 	s.replication.proving = true
 	go func() {
 		s.sample(p)
+		s.mu.Lock()
+		failed := s.table.ProvenAt(c.primary).Before(answered)
+		s.replication.proving = failed
+		s.notifyChange()
+		s.mu.Unlock()
+		if !failed {
+			return
+		}
 		retry.Wait(s.g.ctx, leaderPause)
 		s.mu.Lock()
 		s.replication.proving = false
 		s.notifyChange()
 		s.mu.Unlock()
 	}()
+	return false
+}
+
+// ledByAnother reports whether a commit's database was not the primary any more after it
+// had answered, or whether another one leads the term of the commit's position. mu is held.
+func (s *service) ledByAnother(c commit, answered time.Time) bool {
+	leader := s.table.Led(c.at.Term)
+	return leader != "" && leader != c.primary || s.table.DeniedAt(c.primary).After(answered)
+}
+
+// leaderTerm returns the term that a connection's database leads, and queries it if it is
+// not known. It returns 0 for a service without replicas.
+func (s *service) leaderTerm(c *conn) (uint64, error) {
+	if !s.needsCopies() {
+		return 0, nil
+	}
+	id := c.pool.db.ID
+	s.mu.Lock()
+	term := s.table.LedTerm(id)
+	s.mu.Unlock()
+	if term != 0 {
+		return term, nil
+	}
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	if err != nil {
+		return 0, errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.term = max(s.replication.term, report.Term)
+	if !report.Primary {
+		return 0, errkind.New(errkind.PrimaryReplaced, "database %s is a replica in term %d", id, report.Term)
+	}
+	s.table.RecordLed(report.Term, id)
+	return report.Term, nil
 }
 
 func (s *service) wake() {
@@ -341,14 +392,19 @@
 		return statement.Report{}, false // borrow has recorded a failed dial
 	}
 	defer p.checkIn(c)
-	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	return report, err == nil // status has logged or recorded the error
+}
+
+// status queries a connection's database.
+func (c *conn) status(deadline time.Time) (statement.Report, error) {
+	answers, err := c.run(deadline, controlRequest(statement.Status))
 	if err != nil {
-		return statement.Report{}, false // run has recorded the missing answer
+		return statement.Report{}, err // run has recorded the missing answer
 	}
 	r, err := c.Report(answers[0])
 	if err != nil {
-		s.g.log.Debug("Database reported no status.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
-		return statement.Report{}, false
+		c.pool.g.log.Debug("Database reported no status.", "part", "service", "service", c.pool.svc.name, "database", c.pool.db.ID, "error", err)
 	}
-	return r, true
+	return r, err
 }
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -31,6 +31,7 @@
 	admitted bool     // the open transaction has been counted against the customer's rate
 	answered bool     // a statement of the open transaction has succeeded
 	wrote    bool     // the open transaction has written
+	term     uint64   // that its database leads
 	writes   []string // ids of the first maxLoggedWrites writes of the open transaction
 }
 
@@ -126,7 +127,9 @@
 	l.conn, l.admitted, l.answered, l.wrote, l.writes = nil, false, false, false, nil
 	c.pool.release(c)
 	if wrote {
-		if err := op.svc.acknowledge(ctx, commit{primary: op.database, at: a.Position, after: op.sentAfter, id: op.ID, writes: writes}); err != nil {
+		confirmed := op.commit(a)
+		confirmed.writes = writes
+		if err := op.svc.acknowledge(ctx, confirmed); err != nil {
 			return statement.Answer{}, err
 		}
 	}
@@ -160,7 +163,7 @@
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
 		endCommit = op.svc.startCommit()
-		op.sentAfter = op.svc.reportedBefore(c)
+		op.sentAfter, op.sentIn = op.svc.reportedBefore(c), l.term
 	}
 	answers, err := c.runStatement(ctx, op, position.Position{})
 	endCommit(err == nil && lastAnswer(answers).Err == nil)
@@ -195,6 +198,10 @@
 	if err != nil {
 		return err
 	}
+	if l.term, err = op.svc.leaderTerm(c); err != nil {
+		c.pool.release(c)
+		return err
+	}
 	return l.beginOn(c, op, controlRequest(statement.Begin))
 }
 
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -213,7 +213,7 @@
 	} else {
 		attrs = e.logAttrs(s, "evidence", e.evidence, "ago_ms", ago)
 	}
-	s.g.logFirst("request", level, "Commit acknowledged.", append(attrs, "why", why)...)
+	s.g.logChange("request", level, "Commit acknowledged.", append(attrs, "why", why)...)
 }
 
 // explainCommits logs the recent acknowledgements in the background. why names what has
@@ -243,7 +243,7 @@
 
 func (s *service) logOmitted(omitted int, why string) {
 	if omitted > 0 {
-		s.g.logFirst("request", slog.LevelInfo, "Left out log lines about acknowledged commits.", "lines", omitted, "service", s.name, "why", why)
+		s.g.logChange("request", slog.LevelInfo, "Left out log lines about acknowledged commits.", "lines", omitted, "service", s.name, "why", why)
 	}
 }
 
@@ -268,22 +268,22 @@
 	s.replication.lease = l
 }
 
-// misplaced is the reason not to acknowledge a commit whose position was reached before
-// it was sent.
-const misplaced = "the database named a position from before the commit"
+// misplaced is the reason not to acknowledge a commit whose position cannot be its own.
+const misplaced = "the database named a position from before the commit or of another term"
 
-// missingEvidence returns the reason for which a commit has not been acknowledged.
-func (s *service) missingEvidence(c commit, evidence succession.Evidence, replaced bool) string {
+// missingEvidence returns the reason for which a commit has not been acknowledged that its
+// database had confirmed at answered.
+func (s *service) missingEvidence(c commit, evidence succession.Evidence, replaced bool, answered time.Time) string {
 	s.mu.Lock()
-	led := s.table.Led(c.at.Term) == c.primary
+	proven := !s.table.ProvenAt(c.primary).Before(answered)
 	s.mu.Unlock()
 	switch {
 	case replaced:
 		return "the primary was replaced"
-	case !led:
-		return "the database has not proved that it leads the commit's term"
 	case evidence == succession.NoCopy:
 		return "no established replica holds it"
+	case !proven:
+		return "the database has not shown since that it is the primary"
 	}
 	return "not all replicas hold it and the lease is not settled"
 }
@@ -299,7 +299,7 @@
 	s.mu.Lock()
 	s.describeCommit(&e, c, "")
 	s.mu.Unlock()
-	s.g.logFirst("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", reason, "waited_ms", s.g.now().Sub(since).Milliseconds())...)
+	s.g.logChange("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", reason, "waited_ms", s.g.now().Sub(since).Milliseconds())...)
 }
 
 // listAge returns the time since the list of databases was replaced last.
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -105,7 +105,7 @@
 	if c := a.conn(a.primary); c != nil {
 		primary = a.describeCandidate(succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received})
 	}
-	a.s.g.logFirst("promotion", slog.LevelWarn, msg,
+	a.s.g.logChange("promotion", slog.LevelWarn, msg,
 		"candidates", a.candidateText(a.candidates(), successor.ID), "service", a.s.name, "to", successor.ID, "reason", string(a.reason), "acked", acked.String(),
 		"from", a.primary, "primary", primary, "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore,
 		"floor", a.floor.String(), "pending", a.ordered,
@@ -145,7 +145,7 @@
 
 // logNoSuccessor logs why no successor was chosen.
 func (a *replacement) logNoSuccessor(err error) {
-	a.s.g.logFirst("promotion", slog.LevelWarn, "No successor was chosen.", "candidates", a.candidateText(a.candidates(), ""),
+	a.s.g.logChange("promotion", slog.LevelWarn, "No successor was chosen.", "candidates", a.candidateText(a.candidates(), ""),
 		"service", a.s.name, "error", err, "primary", a.primary, "reason", string(a.reason), "acked", position.Max(a.acked, a.ackedElsewhere()).String(),
 		"floor", a.floor.String(), "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore, "pending", a.ordered)
 }
@@ -168,7 +168,7 @@
 	attrs = append(attrs, "service", a.s.name, "to", a.trace.chosen.ID, "chosen_log", a.trace.chosen.Received.String(),
 		"after_ms", a.s.g.now().Sub(a.trace.orderedAt).Milliseconds(), "from", a.primary, "reason", string(a.reason), "former_term", a.term,
 		"fence", a.leaseObject.Version, "pending", a.pending)
-	a.s.g.logFirst("promotion", slog.LevelWarn, msg, attrs...)
+	a.s.g.logChange("promotion", slog.LevelWarn, msg, attrs...)
 }
 
 // explainCommits logs the commits that this host has acknowledged before it takes part in
