--- a/gateway/primarychange.go
+++ b/gateway/primarychange.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
 	"github.com/bronzeloft/bronzeloft/position"
 )
 
@@ -74,14 +75,14 @@
 	default:
 		to, msg = "unknown", "A newer term is known."
 	}
-	attrs := []any{"service", s.name, "from", from, "to", to, "term", term, "learned", source, "acked", s.acked.String()}
+	attrs := []any{"service", s.name, "from", from, "to", to, "term", term, "build", buildinfo.Short(), "learned", source, "acked", s.acked.String()}
 	if !end.IsZero() {
 		attrs = append(attrs, "log", end.String(), "missing", len(missing))
 	}
 	s.g.logFirst("promotion", slog.LevelWarn, msg, append(attrs, "former_term", former.term)...)
 	if len(missing) > 0 {
 		s.g.metrics.missing.Add(len(missing))
-		s.g.logFirst("promotion", slog.LevelError, "Acknowledged commits are missing from the log of the new primary.",
+		s.g.logChange("promotion", slog.LevelError, "Acknowledged commits are missing from the log of the new primary.",
 			"ids", missing[:min(len(missing), maxNamedRequests)], "count", len(missing), "log", end.String(), "to", to, "from", from, "service", s.name)
 	}
 	s.explainCommits(fmt.Sprintf("%s leads term %d", to, term))
