--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -199,6 +199,15 @@
 			HaveKeyWithValue("id", op.ID), HaveKeyWithValue("home", "host-2"), HaveKeyWithValue("commit", "1/11"), HaveKeyWithValue("host", "host-1"))))
 	})
 
+	It("names the id of the caller's request on the home host", func() {
+		op := &operation{Request: request(statement.Write), svc: svc, customer: testCustomer, route: routes.Route{Service: testService},
+			arrived: time.Now(), deadline: time.Now().Add(time.Second)}
+		home := &jobStream{g: g, runner: newLocal(g), ended: true}
+		Expect(home.run(GinkgoT().Context(), op.job(time.Now(), 0)).Failed).To(BeFalse())
+		g.Close()
+		Expect(out.matching("Commit acknowledged.")).To(ConsistOf(And(HaveKeyWithValue("id", op.ID), HaveKeyWithValue("evidence", "all_copies"))))
+	})
+
 	It("explains the acknowledgements when the host stops", func() {
 		acknowledge(2)
 		g.Close()
