--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -163,11 +164,13 @@
 	}
 }
 
-// copyText describes the replicas' reports, such as "i-1 3/1301 12ms established, i-2
+// copyText describes the replicas' reports, the longest log first, such as "i-1 3/1301 12ms established, i-2
 // 3/1226 40ms". A term is given where it is not that of the log's end.
 func (e *recentCommit) copyText() string {
 	var out []byte
-	for _, c := range e.copies[:min(e.copyCount, maxLoggedCopies)] {
+	copies := e.copies[:min(e.copyCount, maxLoggedCopies)]
+	slices.SortFunc(copies, func(a, b copyReport) int { return cmp.Or(b.received.Compare(a.received), cmp.Compare(a.id, b.id)) })
+	for _, c := range copies {
 		if len(out) > 0 {
 			out = append(out, ", "...)
 		}
