--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -305,7 +305,12 @@
 	s.g.logChange("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", reason, "waited_ms", s.g.now().Sub(since).Milliseconds())...)
 }
 
-// listAge returns the time since the list of databases was replaced last.
+// listAge returns the time since the list of databases was known to be the store's; it is
+// negative if it never was.
 func (g *Gateway) listAge(now time.Time) time.Duration {
-	return now.Sub(g.started) - time.Duration(g.listAppliedAt.Load())
+	at := g.listedAt.Load()
+	if at == nil {
+		return -time.Millisecond
+	}
+	return now.Sub(*at)
 }
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -44,6 +44,9 @@
 	if l.Ordered != "" {
 		out += ", ordered " + l.Ordered
 	}
+	if l.Unseen {
+		out += fmt.Sprintf(", accepted and not seen, %d rounds", l.Rounds)
+	}
 	return out
 }
 
@@ -95,7 +98,7 @@
 	return out
 }
 
-var errNoPrimaryInTime = errors.New("gateway: no database reported in time that it is the primary")
+var errNoEffectInTime = errors.New("gateway: the order has not shown its effect in time")
 
 // logChosen logs the reasons for ordering a database's promotion in one line.
 func (a *replacement) logChosen(msg string, successor succession.Candidate) {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -393,10 +394,13 @@
 }
 
 func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
+	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: logger, Now: time.Now,
+		Platform: p, Logger: logger,
+		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
+	clockOffsets.Store(g, offset)
 	var err error
 	g.peers, err = listenPeers(g)
 	Expect(err).NotTo(HaveOccurred())
@@ -420,6 +424,7 @@
 		}
 	})
 	g.setDatabases(databases)
+	g.confirmDatabaseList(time.Now())
 	svc := g.service(testService)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
@@ -428,6 +433,19 @@
 	return g
 }
 
+// clockOffsets holds by how much the clocks of test gateways differ from the machine's, as
+// *atomic.Int64 of nanoseconds by *Gateway.
+var clockOffsets sync.Map
+
+// ago runs f with the host's clock set back.
+func (g *Gateway) ago(d time.Duration, f func()) {
+	v, _ := clockOffsets.Load(g)
+	offset := v.(*atomic.Int64)
+	offset.Add(-int64(d))
+	defer offset.Add(int64(d))
+	f()
+}
+
 // setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
 func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
 	s.mu.Lock()
