--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -283,6 +283,8 @@
 	switch {
 	case replaced:
 		return "the primary was replaced"
+	case evidence == succession.NoCopy && !s.g.databaseListCurrent(s.g.now()):
+		return "the list of databases is not known to be current"
 	case evidence == succession.NoCopy:
 		return "no established replica holds it"
 	case !proven:
