--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -135,7 +135,7 @@
 func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
 	primary, _ := s.table.Leader()
 	return &replacement{
-		s: s, reason: reason, primary: primary.ID, term: s.table.Term(), acked: acked, started: now,
+		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), term: s.table.Term(), acked: acked, started: now,
 		log: s.g.log.With("part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason)),
 	}
 }
@@ -146,6 +146,7 @@
 	log     *slog.Logger
 	reason  succession.Reason
 	primary string // the presumed primary when the attempt was started; empty for none
+	proven  bool   // it has proved to be the primary
 	term    uint64 // the newest term known when the attempt was started
 	acked   position.Position
 	started time.Time
@@ -166,6 +167,7 @@
 	late        string // the database of the order that the lease recorded when it was acquired
 	orderTerm   uint64 // the newest term known when the last order was given
 	void        bool   // that order was for the primary of that time
+	replica     bool   // its database had reported that it is a replica
 	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
 	trace       replacementTrace
@@ -233,6 +235,7 @@
 	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
+	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
 )
 
@@ -243,11 +246,17 @@
 	var backoff retry.Backoff
 	primary := a.newestPrimary()
 	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
+	c := a.conn(database)
+	a.replica = c != nil && c.answered && !c.report.Primary
 	for {
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
+		if err := a.checkRestarts(ctx, database); err != nil {
+			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
+			return err
+		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -110,6 +110,9 @@
 	if primary != nil && state.Outcome() == succession.Settles {
 		a.log.Info("Service has a primary.", "database", primary.db.ID, "term", primary.report.Term, "after_ms", a.s.g.now().Sub(a.started).Milliseconds())
 		a.logTakenEffect(primary)
+		if received := primary.report.Received; received.Index < a.floor.Index {
+			a.log.Error("Primary leads with a shorter log than it had when it was chosen: it has restarted in between.", "database", primary.db.ID, "received", received.String(), "chosen_with", a.floor.String())
+		}
 		a.releaseLease("")
 		return
 	}
@@ -133,7 +136,7 @@
 func (a *replacement) settlement(id string, accepted time.Time) succession.Settlement {
 	out := succession.Settlement{Since: a.s.g.now().Sub(accepted), Earlier: a.pending, Void: a.void, Unseen: a.unseen, Rounds: a.rounds}
 	if primary := a.newestPrimary(); primary != nil && primary.db.ID == id {
-		a.effect = a.effect || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
+		a.effect = a.effect || a.replica || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
 	}
 	out.Effect = a.effect
 	return out
