--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -90,7 +90,7 @@
 	for _, flag := range []struct {
 		name string
 		set  bool
-	}{{"established", c.Established}, {"listed", c.Listed}, {"unlisted", !c.Listed}, {"leaving", c.Leaving}, {"cut_off", c.CutOff}, {"paused", paused > 0}} {
+	}{{"established", c.Established}, {"listed", c.Listed}, {"unlisted", !c.Listed}, {"leaving", c.Leaving}, {"cut_off", c.CutOff}, {"refused", c.Refused}, {"paused", paused > 0}} {
 		if flag.set {
 			out += " " + flag.name
 		}
