--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -52,12 +52,15 @@
 	proving  bool                    // the same of a query whether a commit's database is still the primary
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
+	lease    leaseReport // the last read of the lease that showed it settled
+	recent   recentCommits
 }
 
 // replicaCopy is the last report of one replica. What a replica has received in a term
 // it keeps, until another database is promoted or it restarts.
 type replicaCopy struct {
 	succession.Copy
+	at       time.Time // when the query that returned it was sent
 	querying bool
 	pause    time.Duration // after the last query that showed that it lacks a commit
 }
@@ -82,7 +85,9 @@
 	// after is a position that a database had reported before the commit was sent.
 	after position.Position
 	// term is the term that the primary was known to lead before the commit was sent.
-	term uint64
+	term   uint64
+	id     string // of the request
+	writes string // ids of the writes of its transaction
 }
 
 // leaderPause is the time until the next query whether a database is the primary, after one
@@ -116,6 +121,7 @@
 	// database holds after it was rolled back.
 	if needsCopies && (!c.after.Before(c.at) || c.at.Term != c.term) {
 		s.recordAcknowledgement(c, succession.NoCopy, false)
+		s.logUnacknowledged(c, misplaced, s.g.now())
 		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s in term %d", c.primary, c.at, c.after, c.term)
 	}
 	since := s.g.now()
@@ -153,9 +159,13 @@
 			}
 		}
 		s.acked = position.Max(s.acked, c.at)
+		s.recordRecentCommit(c, evidenceLabel(evidence))
 		return true
 	})
 	s.recordAcknowledgement(c, evidence, err == nil && !replaced)
+	if err != nil || replaced {
+		s.logUnacknowledged(c, s.missingEvidence(c, evidence, replaced, since), since)
+	}
 	switch {
 	case err != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "replicas have not confirmed commit "+c.at.String())
@@ -280,11 +290,14 @@
 
 // queryReplica queries a replica and records its report.
 func (s *service) queryReplica(p *pool, held *replicaCopy, c commit) {
+	sentAt := s.g.now()
 	report, ok := s.queryStatus(p)
 	s.mu.Lock()
 	if ok {
+		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
 		s.promotion.sawPaused = s.promotion.sawPaused || isPaused(report)
+		s.observePrimary(fromReplica, position.Position{})
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
 	lacking := !held.Holds(c.at)
@@ -346,8 +359,10 @@
 func (s *service) leaseSettled(term uint64) bool {
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
+	sentAt := s.g.now()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
+		s.recordLeaseRead(leaseReport{at: sentAt})
 		return true // nobody has ever replaced a primary
 	}
 	if err != nil {
@@ -360,12 +375,14 @@
 		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Settled(term) {
+		s.recordLeaseRead(leaseReport{version: object.Version, term: l.Term, at: sentAt})
 		return true
 	}
 	s.mu.Lock()
 	now := s.g.now()
 	if l.Settled(l.Term) {
 		s.replication.term = max(s.replication.term, l.Term) // the primary has been replaced
+		s.observePrimary(fromLease, position.Position{})
 		s.mu.Unlock()
 		return false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 )
 
@@ -72,6 +73,8 @@
 	started    time.Time
 	drainClock clock
 
+	commitLines sync.Mutex // held while lines about acknowledged commits are written
+
 	config  atomic.Pointer[loadedConfiguration]
 	leaving atomic.Bool
 
@@ -166,7 +169,9 @@
 	g.startWorker(g.tick)
 	g.startWorker(g.watchStalls)
 	g.startWorker(g.acceptCallers)
-	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre)
+	build := buildinfo.Get()
+	g.log.Info("Host started.", "part", "host", "callers", g.opt.Callers, "peers", g.opt.Peers, "data_centre", g.opt.DataCentre,
+		"release", build.Release, "build_id", build.ID, "revision", build.Revision)
 	return nil
 }
 
@@ -299,6 +304,7 @@
 
 // Close stops the gateway. It does not wait for sessions or workers to end.
 func (g *Gateway) Close() {
+	g.explainAllCommits()
 	g.stop()
 	if g.listener != nil {
 		g.listener.Close()
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -37,7 +37,7 @@
 			return errLeaseHeld
 		}
 	}
-	a.leaseObject = old
+	a.leaseObject, a.trace.leaseBefore = old, leaseText(old)
 	ordered := a.pendingOrder(old)
 	if a.olderLease {
 		if err := a.readFloor(ctx); err != nil {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -118,7 +118,9 @@
 	if s.table.ListedFor(now) < lead.EstablishedAfter {
 		return // nothing tells the replicas that hosts know from those that have just started
 	}
-	s.startAttempt(s.newReplacement(reason, position.Max(acked, s.acked), now), (*replacement).run)
+	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
+	a.trace.rank, a.trace.views = rank, others
+	s.startAttempt(a, (*replacement).run)
 }
 
 // startAttempt starts an attempt in the background. There is one at a time: the lease
@@ -179,6 +181,7 @@
 	replica     bool   // its database had reported that it is a replica
 	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
+	trace       replacementTrace
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
@@ -191,6 +194,7 @@
 		return
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
+	a.explainCommits()
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
@@ -200,7 +204,8 @@
 		a.giveUp(ctx)
 		return
 	}
-	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
+	var rosterObject objectapi.Object
+	if rosterObject, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
 		a.giveUp(ctx)
 		return
@@ -208,14 +213,19 @@
 	if a.olderLease {
 		a.leaseTerm = max(a.leaseTerm, a.roster.Term)
 	}
+	a.trace.rosterAt = rosterObject.Version
 	successor, err := a.choose(ctx)
 	if err != nil {
-		a.log.Warn("No successor was chosen.", "error", err)
+		a.logNoSuccessor(err)
 		a.giveUp(ctx)
 		return
 	}
+	a.logChosen("Successor chosen.", successor)
 	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
+	if err != nil {
+		a.logNoEffect(err)
+	}
 	switch {
 	case err == nil:
 		a.awaitSettled(successor.ID)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -60,6 +60,7 @@
 // or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
+		a.logChosen("A late order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
 		err := a.order(ctx, late.db.ID)
 		if err == nil {
 			a.awaitSettled(late.db.ID)
@@ -71,6 +72,7 @@
 		if !c.answered || !c.report.Primary || c.db.Leaving {
 			continue
 		}
+		a.logChosen("Primary is ordered again, to void a pending order.", succession.Candidate{ID: c.db.ID, Answered: true, Received: c.report.Received})
 		if err := a.order(ctx, c.db.ID); err != nil {
 			a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered, "error", err)
 			break
@@ -122,6 +124,7 @@
 	primary, state := a.newestPrimary(), a.settlement(id, accepted)
 	if primary != nil && state.Outcome() == succession.Settles {
 		a.log.Info("Service has a primary.", "database", primary.db.ID, "term", primary.report.Term, "after_ms", a.s.g.now().Sub(a.started).Milliseconds())
+		a.logTakenEffect(primary)
 		if received := primary.report.Received; received.Index < a.floor.Index {
 			a.log.Error("Primary leads with a shorter log than it had when it was chosen: it has restarted in between.", "database", primary.db.ID, "received", received.String(), "chosen_with", a.floor.String())
 		}
@@ -134,6 +137,7 @@
 		a.unseen, a.rounds = true, 0
 	}
 	a.pending, a.ordered = true, id
+	a.logNoEffect(errNoEffectInTime)
 	a.log.Warn("Lease is not settled: an accepted order has not shown its effect.", "database", id, "rounds", a.rounds)
 	writeCtx, cancelWrite := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancelWrite()
