Take no database for the primary of a term that only its answer names

Cause: the answer to a Begin names the position when it is written. A database that had lost the lead since it carried out the Begin, and had joined the term of its successor, was recorded as the primary of that term, for as long as the term lasts. It went into the record of databases, and a host that knew no primary left its log unread when it chose a successor: commits that only it held were lost. The same happened to a primary that had proved to lead an earlier term, on a host that had heard of a newer one.

Change: a database leads a term that was known before it was queried. The presumed primary's log is left unread only if no database reports a newer term than the one in which it proved to be the primary.

Result: both specs ordered a promotion without the replica's log before, and order none now. The spec of the record of databases expected one answer to prove the lead of a new term, which is the fault; it now requires that one does not and that two do.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -128,7 +128,7 @@
 		r := &s.replication
 		switch {
 		case !needsCopies:
-		case max(r.term, s.provenTerm) > c.at.Term:
+		case max(r.term, s.namedTerm) > c.at.Term:
 			replaced = true
 			return true
 		case s.ledByAnother(c, since):
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -82,6 +82,9 @@
 		if err == nil {
 			c.answered = true
 			a.s.mu.Lock()
+			if c.report.Primary {
+				a.s.table.RecordLed(c.report.Term, c.db.ID)
+			}
 			a.s.table.RecordTerm(c.report.Term)
 			a.s.mu.Unlock()
 			return
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -132,8 +132,12 @@
 // mu is held.
 func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
 	primary, _ := s.table.Leader()
+	provenTerm := s.table.LedTerm(primary.ID)
+	if s.provenPrimary == primary.ID {
+		provenTerm = max(provenTerm, s.provenTerm)
+	}
 	return &replacement{
-		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), term: s.table.Term(), acked: acked, started: now,
+		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), provenTerm: provenTerm, term: s.table.Term(), acked: acked, started: now,
 		log: s.g.log.With("part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason)),
 	}
 }
@@ -149,6 +153,8 @@
 	acked   position.Position
 	started time.Time
 
+	provenTerm uint64 // in which the primary did; 0 if that is not known
+
 	leaseObject objectapi.Object // the lease as last read or written
 	roster      succession.Roster
 	storeList   []routes.Database // of the service, as listed by the store under the lease
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -419,6 +419,8 @@
 		Eventually(func() map[string]succession.Place { return recorded().Databases }).Should(And(HaveLen(3), HaveKey("a")))
 		Expect(recorded().Primary).To(Equal("a"))
 		svc.recordPrimary("b", position.Position{Term: 2, Index: 11}, time.Now())
+		Expect(recorded().Primary).To(Equal("a"), "another database may lead the term that was only named")
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 11}, time.Now())
 		Eventually(func() string { return recorded().Primary }).Should(Equal("b"))
 	})
 
--- /dev/null
+++ b/gateway/review33_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Guards against the loss of an acknowledged commit (LOST): what a database has shown at
+// one time was taken to hold at a later one.
+var _ = Describe("what a database has shown", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+	})
+
+	entry := func(id string) routes.Database {
+		return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
+	}
+	orders := func() (n int) {
+		dbs.withLock(func() { n = len(dbs.orders) })
+		return n
+	}
+	attempt := func(reason succession.Reason) {
+		svc.mu.Lock()
+		a := svc.newReplacement(reason, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.run()
+	}
+
+	// The answer to a Begin names the position when it is written. The database may have
+	// lost the lead since it carried out the Begin, and be a replica of that term.
+	It("does not make it the primary of the term that its answer to a Begin names", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"].beginHook = func() {
+				dbs.term, dbs.primary = 2, "b"
+				for _, db := range dbs.databases {
+					db.end = position.Position{Term: 2, Index: 11}
+				}
+			}
+		})
+		svc.sample(svc.pools["a"])
+		svc.sample(svc.pools["b"])
+		Expect(svc.syncRoster()).To(Succeed())
+
+		By("reading the log of the replica that alone holds a commit of that term, on another host")
+		dbs.withLock(func() {
+			delete(dbs.databases, "b")
+			dbs.databases["a"].end.Index = 12
+			dbs.databases["a"].unresponsive = true
+		})
+		svc = newService(g, testService)
+		svc.setDatabasesAgo(time.Minute, entry("a"), entry("c"))
+		svc.table.RecordTerm(2)
+		attempt(succession.Absent)
+		Expect(orders()).To(BeZero())
+	})
+
+	It("does not make it the primary of a newer term that this host has heard of", func() {
+		dbs.withLock(func() {
+			dbs.term, dbs.primary = 2, "b"
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["a"].end = position.Position{Term: 2, Index: 12} // no other replica has it
+			dbs.databases["c"].end = position.Position{Term: 2, Index: 11}
+			delete(dbs.databases, "b")
+		})
+		svc.setDatabasesAgo(time.Minute, entry("a"), entry("c"))
+		svc.table.Expire(time.Now().Add(time.Minute))
+		for range 2 {
+			attempt(succession.Silent)
+		}
+		Expect(orders()).To(BeZero())
+	})
+})
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -40,6 +40,8 @@
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
 	provenTerm        uint64    // in which it did
+	namedTerm         uint64    // the newest term that a primary's answer named
+	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
@@ -272,9 +274,14 @@
 	s.table.RecordLeader(id, end.Term, sentAt)
 	if !end.IsZero() {
 		s.samples.Add(floor.Sample{Position: end, At: sentAt})
-		if end.Term > s.provenTerm {
+		// A database may lose the lead before it names the newer term of another one. It
+		// leads a term that was known when it was queried, or the first that is known.
+		if s.namedTerm == 0 || end.Term == s.namedTerm && sentAt.After(s.namedAt) {
 			s.provenPrimary, s.provenTerm = id, end.Term
 		}
+		if end.Term > s.namedTerm {
+			s.namedTerm, s.namedAt = end.Term, s.g.now()
+		}
 	}
 	s.notifyChange()
 }
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -63,6 +63,7 @@
 	unsigned       bool          // answers carry no signature
 	unpositioned   bool          // answers carry no position
 	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
+	beginHook      func()        // the same for the next Begin
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -206,6 +207,10 @@
 			return l.refuse(errkind.PrimaryReplaced)
 		}
 		l.open, l.readOnly, l.wrote = true, false, nil
+		if hook := l.db.beginHook; hook != nil {
+			l.db.beginHook = nil
+			hook()
+		}
 	case statement.BeginRead:
 		if l.db.end.Before(r.After) {
 			return l.refuse(errkind.DatabaseBehind)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -21,7 +21,7 @@
 		a.query(ctx, added, statement.Statement{Kind: statement.Status})
 	}
 	if a.primary == "" && a.roster.Term == a.newestTerm() {
-		a.primary, a.proven = a.roster.Primary, true // this host may have started after the primary's entry expired
+		a.primary, a.proven, a.provenTerm = a.roster.Primary, true, a.roster.Term // this host may have started after the primary's entry expired
 	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
@@ -128,11 +128,13 @@
 
 // replicas returns the databases that may be replicas: all except those that
 // report that they are the primary, and the primary to be replaced if it did not
-// answer. One that has only announced itself as the primary may be a replica.
+// answer. One that has only announced itself as the primary, or has been replaced in a
+// newer term, may be a replica.
 func (a *replacement) replicas() []*controlConn {
+	proven := a.proven && !slices.ContainsFunc(a.conns, func(c *controlConn) bool { return a.provenTerm != 0 && c.report.Term > a.provenTerm })
 	var out []*controlConn
 	for _, c := range a.conns {
-		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && a.proven {
+		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && proven {
 			continue
 		}
 		out = append(out, c)
