Date a report of the primary by its query

Cause: an attempt recorded a database that had reported to be the primary as seen at the time when it looked at the report, up to 400 ms after the query. A commit that the database had confirmed in between counted as confirmed by a database that still was the primary, and was acknowledged although it had been rolled back.

Change: the attempt records the time at which it sent the query.

Result: the spec of a primary that loses the lead while another database is queried acknowledged the commit before, and does not now.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -19,9 +20,10 @@
 	db       routes.Database
 	conn     Connection // nil before the first query and after a failed one
 	report   statement.Report
-	answered bool // the last query was answered
-	refused  bool // the last query showed that the database is not running at its address
-	former   bool // no longer listed
+	askedAt  time.Time // when the query was sent that it answers
+	answered bool      // the last query was answered
+	refused  bool      // the last query showed that the database is not running at its address
+	former   bool      // no longer listed
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each one of
@@ -117,13 +119,14 @@
 		c.conn = conn
 	}
 	deadline, _ := ctx.Deadline()
+	askedAt := a.s.g.now()
 	answers, err := c.conn.Run(deadline, statement.Request{Statement: st})
 	if err != nil {
 		return err
 	}
 	report, err := c.conn.Report(answers[0])
 	if err == nil {
-		c.report = report
+		c.report, c.askedAt = report, askedAt
 	}
 	return err
 }
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -86,4 +87,27 @@
 		}
 		Expect(orders()).To(BeZero())
 	})
+
+	It("does not make it the primary after a commit when it reported that before", func() {
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = true }) // the attempt waits for it
+		svc.mu.Lock()
+		svc.promotion.running = true
+		svc.mu.Unlock()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			attempt(succession.Silent)
+		}()
+		time.Sleep(150 * time.Millisecond)
+		kept := position.Position{Term: 1, Index: 11}
+		dbs.withLock(func() {
+			dbs.primary = "d"
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["a"].end, dbs.databases["b"].end = kept, kept // another session's
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Expect(svc.acknowledge(ctx, commit{primary: "a", at: kept, after: position.Position{Term: 1, Index: 10}, term: 1})).NotTo(Succeed())
+		<-ended
+	})
 })
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -119,7 +119,7 @@
 			return errNewerTerm
 		}
 		if c.report.Primary && !(expected && c.db.ID == a.primary) {
-			a.s.recordPrimary(c.db.ID, position.Position{}, a.s.g.now())
+			a.s.recordPrimary(c.db.ID, position.Position{}, c.askedAt)
 			return errHasPrimary
 		}
 	}
