Order no promotion of a database that has restarted while its entry had lapsed

Cause: restarts were found by comparing two lists of the store. A database that this host knew, but that the first list lacked, could restart without its log and be promoted. No list at all counted as an order without a choice.

Change: the databases whose logs were read are compared, those of the list first.

Result: the spec ordered the promotion before, and does not now.

--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +34,17 @@
 	entry := func(id string) routes.Database {
 		return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
 	}
+	putEntry := func(db routes.Database) {
+		value, err := json.Marshal(db)
+		Expect(err).NotTo(HaveOccurred())
+		held, err := p.api.Get(context.Background(), p.DatabasesKind(), db.ID)
+		if err != nil {
+			_, err = p.api.Create(context.Background(), p.DatabasesKind(), db.ID, value)
+		} else {
+			_, err = p.api.Update(context.Background(), p.DatabasesKind(), db.ID, held.Version, value)
+		}
+		Expect(err).NotTo(HaveOccurred())
+	}
 	orders := func() (n int) {
 		dbs.withLock(func() { n = len(dbs.orders) })
 		return n
@@ -110,4 +122,25 @@
 		Expect(svc.acknowledge(ctx, commit{primary: "a", at: kept, after: position.Position{Term: 1, Index: 10}, term: 1})).NotTo(Succeed())
 		<-ended
 	})
+
+	It("does not order its promotion after it has restarted while its entry had lapsed", func() {
+		g.platform = listingPlatform{p}
+		for _, id := range []string{"a", "b"} {
+			putEntry(entry(id))
+		}
+		dbs.withLock(func() {
+			dbs.databases["a"].unresponsive = true
+			dbs.databases["c"].end.Index++
+		})
+		store := &leaseCounter{Objects: p.api}
+		store.onUpdate = func() {
+			store.onUpdate = nil
+			again := entry("c")
+			again.StartMillis = 5
+			putEntry(again)
+		}
+		p.api = store
+		attempt(succession.Silent)
+		Expect(orders()).To(BeZero())
+	})
 })
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -180,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var out []routes.Database
+	out := []routes.Database{} // nil is a list that was not read
 	for _, o := range objects {
 		// One that cannot be decoded names no database.
 		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == s.name {
@@ -201,7 +202,14 @@
 	if err != nil {
 		return err
 	}
-	restarted := succession.Restarted(a.storeList, list)
+	known := map[string]routes.Database{}
+	for _, c := range a.conns {
+		known[c.db.ID] = c.db // its entry may have lapsed when the list was read
+	}
+	for _, db := range a.storeList {
+		known[db.ID] = db
+	}
+	restarted := succession.Restarted(slices.Collect(maps.Values(known)), list)
 	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
 		return nil
 	}
