Spec: an order without an answer that was accepted and is late

Fails: the lease counts as settled PromotionLimit after the order for the present primary, although an earlier order whose answer was lost may have been accepted just before that one. Only an order that is known to have been accepted is waited for VoidRounds times as long. It takes promotions of more than 2 s and a lost answer.

--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -34,6 +34,10 @@
 	entry := func(id string) routes.Database {
 		return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
 	}
+	storeLease := func(value string) {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+	}
 	putEntry := func(db routes.Database) {
 		value, err := json.Marshal(db)
 		Expect(err).NotTo(HaveOccurred())
@@ -143,4 +147,26 @@
 		attempt(succession.Silent)
 		Expect(orders()).To(BeZero())
 	})
+
+	// An order that had no answer may have been accepted just before the one for the
+	// present primary, and be late.
+	It("does not show that an order without an answer was not accepted, and is late", func() {
+		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1}`)
+		dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
+		svc.mu.Lock()
+		svc.promotion.unsettled = true
+		svc.mu.Unlock()
+		lead := time.After(succession.PromotionLimit + 500*time.Millisecond)
+		acked := false
+		for waiting := true; waiting; {
+			svc.maybeReplacePrimary(time.Now())
+			select {
+			case <-lead:
+				waiting = false
+			case <-time.After(20 * time.Millisecond):
+				acked = acked || orders() > 0 && svc.leaseSettled(1)
+			}
+		}
+		Expect(acked).To(BeFalse())
+	})
 })
