--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -38,11 +38,17 @@
 		}
 	}
 	a.leaseObject = old
-	return a.writeLease(ctx, succession.Lease{Ordered: a.pendingOrder(old)})
+	ordered := a.pendingOrder(old)
+	if a.olderLease {
+		if err := a.readFloor(ctx); err != nil {
+			return err
+		}
+	}
+	return a.writeLease(ctx, succession.Lease{Ordered: ordered})
 }
 
-// unknownOrder is the value of Ordered after a lease that could not be decoded,
-// since that lease may have recorded an order.
+// unknownOrder is the value of Ordered after a lease that could not be decoded, or that
+// was written by a host of older rules: there may be an order that it does not record.
 const unknownOrder = "unknown"
 
 // pendingOrder records and returns the database of the order that the previous
@@ -50,12 +56,16 @@
 func (a *replacement) pendingOrder(old objectapi.Object) string {
 	var held succession.Lease
 	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
-		a.pending, a.ordered = true, unknownOrder
+		a.pending, a.ordered, a.olderLease = true, unknownOrder, true
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
 	a.late, a.unseen, a.rounds = held.Ordered, held.Unseen, held.Rounds
-	return held.Ordered
+	a.olderLease = len(old.Value) > 0 && held.ByOlderRules()
+	if a.olderLease && held.Ordered == "" {
+		a.pending, a.ordered = true, unknownOrder
+	}
+	return a.ordered
 }
 
 // writeLease replaces the lease object last read or written by this attempt. The
@@ -91,15 +101,17 @@
 
 // canAcquireLease reports whether a lease is free: released, held by this host,
 // or unchanged for leaseTerm by this host's clock. A lease that cannot be decoded
-// counts as held by another host, and so does one that only is to be settled: the host
-// that released it settles it first, so that two hosts do not order in turns.
+// counts as held by another host, and so does one with a pending order that only is to
+// be settled: the host that released it settles it first, so that two hosts do not order
+// in turns.
 func (a *replacement) canAcquireLease(old objectapi.Object) bool {
 	var held succession.Lease
 	if err := json.Unmarshal(old.Value, &held); err != nil {
 		a.log.Warn("Cannot decode the lease.", "error", err)
 		held = succession.Lease{} // decoding may have set some of the fields
 	}
-	if held.Holder == a.s.g.opt.Name || held.Released && a.reason != succession.Unsettled {
+	settles := a.reason == succession.Unsettled || a.reason == succession.Paused
+	if held.Holder == a.s.g.opt.Name || held.Released && (held.Ordered == "" || !settles) {
 		return true
 	}
 	now := a.s.g.now()
@@ -113,8 +125,11 @@
 }
 
 // releaseLease releases the lease and records in it the database, if any, whose
-// promotion may still take effect.
+// promotion may still take effect. If there is none, it resumes paused replicas before.
 func (a *replacement) releaseLease(ordered string) {
+	if ordered == "" && !a.resume() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
 	released := succession.Lease{Released: true, Ordered: ordered}
