Do not take a primary for ended because the presumed one answers as a replica

Cause: an attempt took the primary for ended once the database that it presumed to be the primary answered as a replica. On a host that has not learned which database leads the newer term, that one may be alive: a replica that hosts may not know was chosen while the logs grew.

Change: then the primary is unknown, and has ended only if all logs were read.

--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -104,6 +105,26 @@
 		Expect(orders()).To(BeZero())
 	})
 
+	It("does not make a former primary that answers as a replica the one that has ended", func() {
+		replicas := []routes.Database{entry("b"), entry("c"), entry("a")}
+		replicas[0].StartMillis, replicas[1].StartMillis, replicas[2].StartMillis = 1, 2, 3
+		svc = newService(g, testService)
+		g.ago(2*lead.EstablishedAfter+lead.MissingRetention, func() { svc.setDatabases(append(replicas, entry("e")), 4) })
+		g.ago(lead.MissingRetention, func() { svc.setDatabases(replicas, 4) })
+		dbs.withLock(func() {
+			dbs.term, dbs.primary = 2, "e"
+			dbs.databases["c"].end.Index++ // the others do not catch up
+			dbs.databases["e"] = &standin{group: dbs, id: "e", unresponsive: true}
+		})
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		svc.mu.Lock()
+		svc.table.Expire(time.Now())
+		svc.table.RecordTerm(2)
+		svc.mu.Unlock()
+		attempt(succession.Silent)
+		Expect(orders()).To(BeZero())
+	})
+
 	It("does not make it the primary after a commit when it reported that before", func() {
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true }) // the attempt waits for it
 		svc.mu.Lock()
@@ -156,12 +177,12 @@
 		svc.mu.Lock()
 		svc.promotion.unsettled = true
 		svc.mu.Unlock()
-		lead := time.After(succession.PromotionLimit + 500*time.Millisecond)
+		promoted := time.After(succession.PromotionLimit + 500*time.Millisecond)
 		acked := false
 		for waiting := true; waiting; {
 			svc.maybeReplacePrimary(time.Now())
 			select {
-			case <-lead:
+			case <-promoted:
 				waiting = false
 			case <-time.After(20 * time.Millisecond):
 				acked = acked || orders() > 0 && svc.leaseSettled(1)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -83,12 +83,12 @@
 func (a *replacement) primaryGone() bool {
 	c := a.conn(a.primary)
 	switch {
-	case a.primary == "":
+	case a.primary == "" || c != nil && c.answered && !c.report.Primary:
 		return succession.AllRead(a.candidates()) // it may be any that is not
 	case c == nil:
 		return true
 	case c.answered:
-		return !c.report.Primary
+		return false
 	}
 	return !a.listed(c.db.ID) && a.s.g.peers.centresReachableSince(a.started)[c.db.DataCentre]
 }
