Spec: an answer that names a position reported before the commit was sent

The check of that position had no spec that failed without it: those of a database that was rolled back are covered by its term and by the query after the answer as well.

--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -116,6 +116,17 @@
 		}),
 	)
 
+	It("is not acknowledged when its answer names a position that was reported before it was sent", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"].commitHook = func() {
+				for _, db := range dbs.databases {
+					db.end = position.Position{Term: 1, Index: 10}
+				}
+			}
+		})
+		Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
+	})
+
 	It("is acknowledged on a host that learns with the commit that its database leads the term", func() {
 		g = newTestGateway(p)
 		Expect(outcome()).To(Equal("acknowledged"))
