--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -19,11 +20,12 @@
 	db       routes.Database
 	conn     Connection // nil before the first query and after a failed one
 	report   statement.Report
-	answered bool // the last query was answered
-	refused  bool // the last query showed that the database is not running at its address
-	former   bool // no longer listed
-	sent     bool // the last query may have reached the database
-	paused   bool // a Pause was sent, and no Resume answered since
+	askedAt  time.Time // when the query was sent that it answers
+	answered bool      // the last query was answered
+	refused  bool      // the last query showed that the database is not running at its address
+	former   bool      // no longer listed
+	sent     bool      // the last query may have reached the database
+	paused   bool      // a Pause was sent, and no Resume answered since
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each one of
@@ -84,6 +86,9 @@
 		if err == nil {
 			c.answered = true
 			a.s.mu.Lock()
+			if c.report.Primary {
+				a.s.table.RecordLed(c.report.Term, c.db.ID)
+			}
 			a.s.table.RecordTerm(c.report.Term)
 			a.s.mu.Unlock()
 			return
@@ -117,13 +122,14 @@
 	}
 	c.sent = true
 	deadline, _ := ctx.Deadline()
+	askedAt := a.s.g.now()
 	answers, err := c.conn.Run(deadline, statement.Request{Statement: st})
 	if err != nil {
 		return err
 	}
 	report, err := c.conn.Report(answers[0])
 	if err == nil {
-		c.report = report
+		c.report, c.askedAt = report, askedAt
 	}
 	return err
 }
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -21,7 +22,7 @@
 		a.query(ctx, added, statement.Statement{Kind: statement.Status})
 	}
 	if a.primary == "" && a.roster.Term == a.newestTerm() {
-		a.primary, a.proven = a.roster.Primary, true // this host may have started after the primary's entry expired
+		a.primary, a.proven, a.provenTerm = a.roster.Primary, true, a.roster.Term // this host may have started after the primary's entry expired
 	}
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
@@ -82,12 +83,12 @@
 func (a *replacement) primaryGone() bool {
 	c := a.conn(a.primary)
 	switch {
-	case a.primary == "":
+	case a.primary == "" || c != nil && c.answered && !c.report.Primary:
 		return succession.AllRead(a.candidates()) // it may be any that is not
 	case c == nil:
 		return true
 	case c.answered:
-		return !c.report.Primary
+		return false
 	}
 	return !a.listed(c.db.ID) && a.s.g.peers.centresReachableSince(a.started)[c.db.DataCentre]
 }
@@ -123,7 +124,7 @@
 			return errNewerTerm
 		}
 		if c.report.Primary && !(expected && c.db.ID == a.primary) {
-			a.s.recordPrimary(c.db.ID, position.Position{}, a.s.g.now())
+			a.s.recordPrimary(c.db.ID, position.Position{}, c.askedAt)
 			return errHasPrimary
 		}
 	}
@@ -132,11 +133,13 @@
 
 // replicas returns the databases that may be replicas: all except those that
 // report that they are the primary, and the primary to be replaced if it did not
-// answer. One that has only announced itself as the primary may be a replica.
+// answer. One that has only announced itself as the primary, or has been replaced in a
+// newer term, may be a replica.
 func (a *replacement) replicas() []*controlConn {
+	proven := a.proven && !slices.ContainsFunc(a.conns, func(c *controlConn) bool { return a.provenTerm != 0 && c.report.Term > a.provenTerm })
 	var out []*controlConn
 	for _, c := range a.conns {
-		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && a.proven {
+		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && proven {
 			continue
 		}
 		out = append(out, c)
@@ -182,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var out []routes.Database
+	out := []routes.Database{} // nil is a list that was not read
 	for _, o := range objects {
 		// One that cannot be decoded names no database.
 		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == s.name {
@@ -203,7 +206,14 @@
 	if err != nil {
 		return err
 	}
-	restarted := succession.Restarted(a.storeList, list)
+	known := map[string]routes.Database{}
+	for _, c := range a.conns {
+		known[c.db.ID] = c.db // its entry may have lapsed when the list was read
+	}
+	for _, db := range a.storeList {
+		known[db.ID] = db
+	}
+	restarted := succession.Restarted(slices.Collect(maps.Values(known)), list)
 	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
 		return nil
 	}
