Settle a lease anew that a version without stated rules has released

The new entries 'released by a version that states no rules' and 'that is released and names a term' hold with it; the fixtures of the other specs state the present rules. The mutation of the model that settles older leases still loses a commit.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -25,6 +25,8 @@
 	// Floor is the end of the log of the successor that was chosen last. Each later
 	// successor's log is at least as long.
 	Floor position.Position `json:"floor,omitzero"`
+	// Rules is the version of the rules that the writer follows; see Rules.
+	Rules uint32 `json:"rules,omitempty"`
 }
 
 // Settled reports whether no order that was given so far can still replace the
--- a/database/succession/rules.go
+++ b/database/succession/rules.go
@@ -9,10 +9,10 @@
 // primary pausing each replica before its log is read, until no order can take effect.
 const Rules = 1
 
-// ByOlderRules reports whether the lease was last written by a host of a version
-// whose leases name no term. Such a host may drop an order that can still take effect, and
-// does not keep the term and the floor.
-func (l Lease) ByOlderRules() bool { return l.Term == 0 }
+// ByOlderRules reports whether the lease was last written by a host of older rules. Such a
+// host may drop an order that can still take effect: it doesn't keep fields that it does not
+// know, and takes an order for ended PromotionLimit after it was accepted, or at once.
+func (l Lease) ByOlderRules() bool { return l.Rules < Rules }
 
 // KeptFloor is the term and the floor of a service's lease, kept beside it.
 type KeptFloor struct {
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -191,11 +191,12 @@
 var _ = Describe("a lease", func() {
 	DescribeTable("is settled only if nothing can replace the primary of the term any more",
 		func(l succession.Lease, want bool) { Expect(l.Settled(2)).To(Equal(want)) },
-		Entry("released", succession.Lease{Holder: "a", Released: true, Term: 2}, true),
-		Entry("released in an earlier term", succession.Lease{Holder: "a", Released: true, Term: 1}, true),
-		Entry("held", succession.Lease{Holder: "a", Term: 2}, false),
-		Entry("released with an order pending", succession.Lease{Holder: "a", Released: true, Ordered: "b", Term: 2}, false),
-		Entry("released in a later term", succession.Lease{Holder: "a", Released: true, Term: 3}, false),
+		Entry("released", succession.Lease{Holder: "a", Released: true, Term: 2, Rules: succession.Rules}, true),
+		Entry("released in an earlier term", succession.Lease{Holder: "a", Released: true, Term: 1, Rules: succession.Rules}, true),
+		Entry("held", succession.Lease{Holder: "a", Term: 2, Rules: succession.Rules}, false),
+		Entry("released with an order pending", succession.Lease{Holder: "a", Released: true, Ordered: "b", Term: 2, Rules: succession.Rules}, false),
+		Entry("released in a later term", succession.Lease{Holder: "a", Released: true, Term: 3, Rules: succession.Rules}, false),
+		Entry("released by a version that states no rules", succession.Lease{Holder: "a", Released: true, Term: 2}, false),
 		Entry("of unknown content", succession.Lease{}, false),
 	)
 })
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -72,7 +72,7 @@
 // object's new version becomes the fence. The newest term and the floor are kept from
 // lease to lease.
 func (a *replacement) writeLease(ctx context.Context, l succession.Lease) error {
-	l.Holder, l.Claim = a.s.g.opt.Name, uuid.NewString()
+	l.Holder, l.Claim, l.Rules = a.s.g.opt.Name, uuid.NewString(), succession.Rules
 	l.Term, l.Floor = max(a.leaseTerm, a.newestTerm()), a.floor
 	if l.Ordered != "" {
 		l.Unseen, l.Rounds = a.unseen, a.rounds
--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -289,6 +289,7 @@
 			Expect(storedLease().Settled(1)).To(BeTrue())
 		},
 		Entry("that is released", `{"holder":"host-2","claim":"x","released":true}`),
+		Entry("that is released and names a term", `{"holder":"host-2","claim":"x","released":true,"term":1}`),
 		Entry("that this host's own older version released", `{"holder":"host-1","claim":"x","released":true}`),
 	)
 
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -218,7 +218,7 @@
 
 		By("having an order pending that none of the replicas may follow")
 		dbs.withLock(func() { dbs.databases["c"].end = position.Position{Term: 2, Index: 20} })
-		value, err := json.Marshal(succession.Lease{Holder: "host-1", Claim: "x", Released: true, Ordered: "b", Term: 2})
+		value, err := json.Marshal(succession.Lease{Holder: "host-1", Claim: "x", Released: true, Ordered: "b", Term: 2, Rules: succession.Rules})
 		Expect(err).NotTo(HaveOccurred())
 		held, err := p.api.Get(context.Background(), kindLeases, testService)
 		Expect(err).NotTo(HaveOccurred())
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -172,7 +172,7 @@
 	// An order that had no answer may have been accepted just before the one for the
 	// present primary, and be late.
 	It("does not show that an order without an answer was not accepted, and is late", func() {
-		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1}`)
+		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1,"rules":1}`)
 		dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
 		svc.mu.Lock()
 		svc.promotion.unsettled = true
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -154,7 +154,7 @@
 
 	It("does not acknowledge a commit on one replica if the order that the lease records cannot be decoded", func() {
 		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"ordered":7,"term":1}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"ordered":7,"term":1,"rules":1}`)
 		Expect(write()).NotTo(BeNil())
 	})
 
@@ -196,7 +196,7 @@
 	})
 
 	It("replaces a primary after it has read in the lease of a newer term than any database reports", func() {
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2,"rules":1}`)
 		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
 		for range 4 {
 			attempt(succession.Silent)
@@ -206,13 +206,13 @@
 
 	It("does not take a released lease of a newer term to settle it", func() {
 		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":2,"rules":1}`)
 		Expect(write()).NotTo(BeNil())
 		Expect(store.writes.Load()).To(BeZero())
 	})
 
 	It("replaces a silent primary after a successor shorter than the floor was chosen, once its replica holds its log", func() {
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"rules":1,"floor":{"Term":1,"Index":20}}`)
 		dbs.withLock(func() { delete(dbs.databases, "a") })
 		svc = newService(g, testService)
 		svc.setDatabasesAgo(time.Minute, entry("b"), entry("c"))
@@ -427,7 +427,7 @@
 	})
 
 	formerAndFloor := func() {
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"floor":{"Term":1,"Index":20}}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"rules":1,"floor":{"Term":1,"Index":20}}`)
 		list(entry("b"), entry("c"))
 		svc.mu.Lock()
 		svc.table.Expire(time.Now().Add(time.Minute))
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -96,7 +96,7 @@
 			`{"holder":"host-2","claim":"x","released":true,"ordered":"b"}`),
 		Entry("while the lease of this host's previous process is not released", `{"holder":"host-1","claim":"x","ordered":"b"}`),
 		Entry("while the lease cannot be decoded", `7`),
-		Entry("when the lease was released in a later term", `{"holder":"host-2","claim":"x","released":true,"term":2}`),
+		Entry("when the lease was released in a later term", `{"holder":"host-2","claim":"x","released":true,"term":2,"rules":1}`),
 	)
 
 	It("is not acknowledged on one replica while the store is down, but on all of them", func() {
@@ -114,7 +114,7 @@
 
 	It("is acknowledged on one replica if the lease is settled", func() {
 		onlyCReceives()
-		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1}`)
+		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"rules":1}`)
 		Expect(write()).To(BeNil())
 	})
 
@@ -129,7 +129,7 @@
 
 	It("is acknowledged again after a lease without a pending order was left unsettled", func() {
 		onlyCReceives()
-		storeLease(`{"holder":"host-2","claim":"x","term":1}`)
+		storeLease(`{"holder":"host-2","claim":"x","term":1,"rules":1}`)
 		Expect(write().Kind).To(Equal(errkind.OutcomeUnknown))
 		svc.mu.Lock()
 		svc.promotion.observedLease.at = time.Now().Add(-leaseTerm)
@@ -259,7 +259,7 @@
 		dbs.withLock(func() { delete(dbs.databases, "b") })
 		onlyC := entriesOf("a", "c")
 		g.ago(time.Minute, func() { g.setDatabases(onlyC) })
-		storeLease(`{"holder":"host-1","claim":"x","ordered":"b","unseen":true,"term":1}`)
+		storeLease(`{"holder":"host-1","claim":"x","ordered":"b","unseen":true,"term":1,"rules":1}`)
 		svc.mu.Lock()
 		svc.promotion.unsettled = true
 		svc.mu.Unlock()
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -85,7 +85,7 @@
 	// and before it names the end of its log, which other databases hold.
 	DescribeTable("is not acknowledged when its database was rolled back before it answered",
 		func(rollBack func()) {
-			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","released":true,"term":2}`))
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","released":true,"term":2,"rules":1}`))
 			Expect(err).NotTo(HaveOccurred())
 			dbs.withLock(func() { dbs.databases["a"].commitHook = rollBack })
 			Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -317,8 +317,11 @@
 // value returns the lease as package succession sees it.
 func (m Model) value(l Lease) succession.Lease {
 	out := succession.Lease{Holder: fmt.Sprint(l.Holder), Released: l.Released, Term: uint64(l.Term)}
+	if l.Term != 0 {
+		out.Rules = succession.Rules // older hosts name no term
+	}
 	if m.FormerSettled {
-		out.Term = max(out.Term, 1)
+		out.Term, out.Rules = max(out.Term, 1), succession.Rules
 	}
 	if l.Ordered != 0 {
 		out.Ordered = name(l.Ordered)
