--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -60,6 +60,9 @@
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
 	observedLease      leaseObservation
+	sawPaused          bool      // a replica was seen paused
+	checkingPaused     bool      // a check for paused replicas is running
+	nextPausedCheck    time.Time // earliest next check for paused replicas
 }
 
 func rendezvousScore(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
@@ -96,6 +99,9 @@
 	} else {
 		s.keepRoster(now)
 	}
+	if reason == succession.None && known && (rank == 0 || state.sawPaused) {
+		s.checkPaused(now)
+	}
 	if reason == succession.None || now.Before(state.nextAttempt) {
 		return
 	}
@@ -124,6 +130,9 @@
 		s.mu.Lock()
 		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		if a.pausing.unanswered {
+			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
+		}
 		s.mu.Unlock()
 	}()
 }
@@ -160,7 +169,9 @@
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
-	unseen      bool              // the same as in succession.Lease
+	olderLease  bool              // the lease was last written by a host of older rules
+	pausing     pausing
+	unseen      bool // the same as in succession.Lease
 	rounds      int
 	late        string // the database of the order that the lease recorded when it was acquired
 	orderTerm   uint64 // the newest term known when the last order was given
@@ -183,6 +194,7 @@
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
+	a.lookForOlderHosts(ctx)
 	if err = a.readStoreList(ctx); err != nil {
 		a.log.Warn("Listing the databases failed.", "error", err)
 		a.giveUp(ctx)
@@ -193,6 +205,9 @@
 		a.giveUp(ctx)
 		return
 	}
+	if a.olderLease {
+		a.leaseTerm = max(a.leaseTerm, a.roster.Term)
+	}
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.log.Warn("No successor was chosen.", "error", err)
@@ -208,6 +223,7 @@
 		a.releaseLease("")
 	default:
 		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered)
+		a.keepFloor(a.lastFloor())
 		a.releaseLease(a.ordered)
 	}
 }
@@ -227,6 +243,7 @@
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
 	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
+	errOlderHosts  = errors.New("gateway: a host of older rules has started since the logs were read")
 )
 
 // order repeats the promotion call until its outcome is known or ctx ends. Before
@@ -238,7 +255,13 @@
 	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
 	c := a.conn(database)
 	a.replica = c != nil && c.answered && !c.report.Primary
-	for {
+	a.pausing.term = a.newestTerm() + 1
+	for called := false; ; called = true {
+		a.lookAgain(ctx)
+		if !called && a.pausing.late.Load() {
+			return errOlderHosts
+		}
+		a.pauseLate(ctx, database)
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
