--- a/gateway/service.go
+++ b/gateway/service.go
@@ -38,9 +38,12 @@
 	replication       replication
 	replicated        bool // a configuration required replicas of the service
 	promotion         promotionState
+	observed          observedPrimary
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
 	provenTerm        uint64    // in which it did
+	namedTerm         uint64    // the newest term that a primary's answer named
+	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
@@ -101,6 +104,7 @@
 		p.setLeavingSince(s.table.LeavingSince(id))
 	}
 	closing = append(closing, s.dropPools()...)
+	s.observePrimary(fromList, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	for _, p := range closing {
@@ -299,9 +303,17 @@
 	s.table.RecordLeader(id, end.Term, sentAt)
 	if !end.IsZero() {
 		s.samples.Add(floor.Sample{Position: end, At: sentAt})
-		if end.Term > s.provenTerm {
+		// A database may lose the lead before it names the newer term of another one. It
+		// leads a term that was known when it was queried, or the first that is known.
+		if s.namedTerm == 0 || end.Term == s.namedTerm && sentAt.After(s.namedAt) {
 			s.provenPrimary, s.provenTerm = id, end.Term
 		}
+		if end.Term > s.namedTerm {
+			s.namedTerm, s.namedAt = end.Term, s.g.now()
+		}
+	}
+	if leader, _ := s.table.Leader(); leader.ID == id {
+		s.observePrimary(fromAnswer, end)
 	}
 	s.notifyChange()
 }
@@ -312,6 +324,7 @@
 	before, _ := s.table.Leader()
 	s.table.RecordNotLeader(id, sentAt)
 	after, _ := s.table.Leader()
+	s.observePrimary(fromRefusal, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	if before.ID == id && after.ID != id {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -59,7 +59,7 @@
 
 // commit describes the commit that an answer to the operation's statement confirms.
 func (op *operation) commit(a statement.Answer) commit {
-	return commit{primary: op.database, at: a.Position, after: op.sentAfter, term: op.sentIn}
+	return commit{primary: op.database, at: a.Position, after: op.sentAfter, term: op.sentIn, id: op.ID}
 }
 
 // canResend reports whether a statement that failed with err has certainly not run
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -65,6 +65,7 @@
 	unsigned       bool          // answers carry no signature
 	unpositioned   bool          // answers carry no position
 	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
+	beginHook      func()        // the same for the next Begin
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -212,6 +213,10 @@
 			return l.refuse(errkind.PrimaryReplaced)
 		}
 		l.open, l.readOnly, l.wrote = true, false, nil
+		if hook := l.db.beginHook; hook != nil {
+			l.db.beginHook = nil
+			hook()
+		}
 	case statement.BeginRead:
 		if l.db.end.Before(r.After) {
 			return l.refuse(errkind.DatabaseBehind)
@@ -406,10 +411,14 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	return newLoggingTestGateway(p, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
 	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler),
+		Platform: p, Logger: logger,
 		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
 	clockOffsets.Store(g, offset)
