--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -156,6 +156,17 @@
 		Expect(confirmed("a")).To(BeTrue())
 	})
 
+	It("orders nothing if an older host has started since the logs were read", func() {
+		ctx := context.Background()
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Stalled, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		Expect(a.acquireLease(ctx)).To(Succeed())
+		storeEntry("host-2", older)
+		Expect(a.order(ctx, "b")).To(MatchError(errOlderHosts))
+		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+	})
+
 	It("pauses the other replicas if an older host starts while the promotion is under way", func() {
 		dbs := dbs // the order is carried out after the spec has ended if it fails
 		effect := make(chan struct{})
