--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -406,10 +406,14 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	return newLoggingTestGateway(p, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
 	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler),
+		Platform: p, Logger: logger,
 		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
 	clockOffsets.Store(g, offset)
