--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -297,6 +297,7 @@
 		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
 		s.observePrimary(fromReplica, position.Position{})
+		s.promotion.sawPaused = s.promotion.sawPaused || isPaused(report)
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
 	lacking := !held.Holds(c.at)
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -42,6 +42,7 @@
 	hosts   int
 	demands share.Demands
 	groups  []*gossippb.Group
+	rules   uint32 // the least that its hosts state
 }
 
 // contact is the current period of uninterrupted contact with a data centre: its
@@ -168,12 +169,16 @@
 	add := func(values ...any) { _, _ = fmt.Fprintln(h, values...) } // a hash accepts every write
 	add(summary.Leaving, summary.Configuration)
 	for _, c := range summary.Centres {
+		add(c.Rules)
 		groups := slices.Clone(c.Groups)
 		slices.SortFunc(groups, func(a, b *gossippb.Group) int {
 			return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Host, b.Host))
 		})
 		for _, g := range groups {
 			add(g.Service, g.Host, g.Primary, g.Unreachable, g.Stuck)
+			for _, l := range g.Leaving {
+				add(l.Database)
+			}
 		}
 	}
 	return h.Sum64()
@@ -190,16 +195,16 @@
 	}
 	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
 	add(own.Demands)
-	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups)
+	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
-	c.Hosts = uint32(max(1, p.placement.Live(now)))
+	c.Hosts, c.Rules = uint32(max(1, p.placement.Live(now))), p.leastRules(now)
 	for name, h := range p.hostsByName {
 		if h.dataCentre != p.g.opt.DataCentre || now.Sub(h.lastSeen) >= reportTTL {
 			continue
 		}
 		add(h.demands)
 		if !h.leaving {
-			c.Groups = appendWatched(c.Groups, name, h.groups)
+			c.Groups = appendWatched(c.Groups, name, h.groups, now.Sub(h.lastSeen))
 		}
 	}
 	p.mu.Unlock()
@@ -209,19 +214,39 @@
 	return c
 }
 
-// appendWatched appends a host's group reports on the services that it watches.
-func appendWatched(to []*gossippb.Group, host string, groups []*gossippb.Group) []*gossippb.Group {
+// appendWatched appends a host's group reports, of the given age, on the services that
+// it watches.
+func appendWatched(to []*gossippb.Group, host string, groups []*gossippb.Group, age time.Duration) []*gossippb.Group {
 	for _, g := range groups {
 		if g.Watching {
 			to = append(to, &gossippb.Group{
 				Service: g.Service, Primary: g.Primary, Unreachable: g.Unreachable, Stuck: g.Stuck,
-				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host,
+				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host, Leaving: aged(g.Leaving, age),
 			})
 		}
 	}
 	return to
 }
 
+// aged returns a report of leaving databases that was made the given time ago as one
+// that is made now.
+func aged(reported []*gossippb.Leaving, by time.Duration) []*gossippb.Leaving {
+	out := make([]*gossippb.Leaving, len(reported))
+	for i, l := range reported {
+		out[i] = &gossippb.Leaving{Database: l.Database, Start: l.Start, AgeMs: l.AgeMs + uint32(max(0, by).Milliseconds())}
+	}
+	return out
+}
+
+// recordLeaving applies group reports that other hosts made at the given time.
+func (g *Gateway) recordLeaving(groups []*gossippb.Group, at time.Time) {
+	for _, group := range groups {
+		if s := g.service(group.Service); s != nil && len(group.Leaving) > 0 {
+			s.recordLeaving(group.Leaving, at)
+		}
+	}
+}
+
 // centreSummaries returns the recent summaries of other data centres, for the
 // hosts of this one. mu is held.
 func (p *peers) centreSummaries(now time.Time) []*gossippb.Centre {
@@ -231,7 +256,7 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -253,13 +278,14 @@
 		p.mu.Unlock()
 		return
 	}
-	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups}
+	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules}
 	p.centres[in.Name] = c
 	p.recordContact(in.Name, at)
 	for _, g := range in.Groups {
 		p.recordAcked(g)
 	}
 	p.mu.Unlock()
+	p.g.recordLeaving(in.Groups, at)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
 }
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -22,6 +22,8 @@
 	answered bool // the last query was answered
 	refused  bool // the last query showed that the database is not running at its address
 	former   bool // no longer listed
+	sent     bool // the last query may have reached the database
+	paused   bool // a Pause was sent, and no Resume answered since
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each one of
@@ -75,7 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c.answered, c.refused = false, false
+	c.answered, c.refused, c.sent = false, false, false
 	var backoff retry.Backoff
 	for {
 		err := a.roundTrip(ctx, c, st)
@@ -113,6 +115,7 @@
 		}
 		c.conn = conn
 	}
+	c.sent = true
 	deadline, _ := ctx.Deadline()
 	answers, err := c.conn.Run(deadline, statement.Request{Statement: st})
 	if err != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,18 @@
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	build := buildinfo.Get()
 	set.NewGauge(fmt.Sprintf(`bronzeloft_build_info{release=%q,build_id=%q,revision=%q}`, build.Release, build.ID, build.Revision), func() float64 { return 1 })
+	for _, rules := range []string{"present", "older"} {
+		set.NewGauge(fmt.Sprintf(`bronzeloft_hosts{rules=%q}`, rules), func() float64 {
+			if g.peers == nil {
+				return 0
+			}
+			present, older := g.peers.hostsByRules()
+			if rules == "older" {
+				return float64(older)
+			}
+			return float64(present)
+		})
+	}
 	return m
 }
 
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -44,6 +44,9 @@
 	if l.Ordered != "" {
 		out += ", ordered " + l.Ordered
 	}
+	if l.ByOlderRules() {
+		out += ", by older rules"
+	}
 	if l.Unseen {
 		out += fmt.Sprintf(", accepted and not seen, %d rounds", l.Rounds)
 	}
@@ -112,7 +115,7 @@
 		"candidates", a.candidateText(a.candidates(), successor.ID), "service", a.s.name, "to", successor.ID, "reason", string(a.reason), "acked", acked.String(),
 		"from", a.primary, "primary", primary, "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore,
 		"floor", a.floor.String(), "pending", a.ordered,
-		"rank", a.trace.rank, "views", viewText(a.trace.views),
+		"pauses", a.pausing.needed, "rank", a.trace.rank, "views", viewText(a.trace.views),
 		"list", a.s.g.listVersion.Load(), "listed_databases", len(a.storeList), "record", a.trace.rosterAt, "recorded_databases", len(a.roster.Databases),
 		"after_ms", a.s.g.now().Sub(a.started).Milliseconds())
 }
@@ -150,7 +153,8 @@
 func (a *replacement) logNoSuccessor(err error) {
 	a.s.g.logChange("promotion", slog.LevelWarn, "No successor was chosen.", "candidates", a.candidateText(a.candidates(), ""),
 		"service", a.s.name, "error", err, "primary", a.primary, "reason", string(a.reason), "acked", position.Max(a.acked, a.ackedElsewhere()).String(),
-		"floor", a.floor.String(), "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore, "pending", a.ordered)
+		"floor", a.floor.String(), "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore, "pending", a.ordered,
+		"pauses", a.pausing.needed)
 }
 
 // logTakenEffect logs that a database leads after this attempt's order.
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -32,6 +33,9 @@
 	a.log.Info("Lease acquired to settle it.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
+	if a.pending && a.ordered != unknownOrder {
+		a.pauseAll(ctx) // an older host may have started after the order was given without pauses
+	}
 	a.giveUp(ctx)
 }
 
@@ -92,7 +96,16 @@
 	accepted := a.s.g.now()
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, takeOverLimit)
 	defer cancel()
+	watch, cancelWatch := context.WithCancel(ctx)
+	defer cancelWatch()
+	var beside sync.WaitGroup
+	floor := a.lastFloor()
+	beside.Go(func() { a.keepFloor(floor) })
+	if !a.pausing.needed {
+		beside.Go(func() { a.watchForOlderHosts(watch) })
+	}
 	for {
+		a.pauseLate(ctx, id)
 		isPrimary := a.sampleSuccessor(id)
 		state := a.settlement(id, accepted)
 		if isPrimary && !a.pending || state.Since >= succession.PromotionLimit {
@@ -104,6 +117,8 @@
 		}
 		retry.Wait(ctx, catchUpPoll)
 	}
+	cancelWatch()
+	beside.Wait()
 	a.addNewDatabases()
 	a.query(a.s.g.ctx, a.conns, statement.Statement{Kind: statement.Status})
 	primary, state := a.newestPrimary(), a.settlement(id, accepted)
