Report ready only once the list of databases has been read

Cause: a configuration that came before the list of databases applied the empty list, to add its services, and so marked it as read. The host reported that it was ready, and refused its callers with "service orders has no databases" until the store had answered.

Change: the services of a configuration are added from a list that has been read.

Measured: the spec fails without the change.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -208,9 +208,11 @@
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
 	g.mu.Lock()
-	databases := g.databases
+	databases, listed := g.databases, g.listed
 	g.mu.Unlock()
-	g.setDatabases(databases)
+	if listed {
+		g.setDatabases(databases)
+	}
 }
 
 // anyCustomer returns a customer's name for connections on which the host runs
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -81,6 +81,22 @@
 	})
 })
 
+// Guards against requests that a host refuses for lack of databases while it reports
+// that it is ready.
+var _ = Describe("a host that has the configuration before the list of databases", func() {
+	It("is not ready until it has the list", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a", "b")))
+		g.started = g.started.Add(-peerDiscoveryTimeout)
+		databases := g.databases
+		g.databases, g.listed, g.services = map[string]routes.Database{}, false, map[string]*service{}
+		g.addConfiguredServices()
+		Expect(g.Ready()).To(BeFalse())
+		g.setDatabases(databases)
+		Expect(g.Ready()).To(BeTrue())
+		Expect(g.service(testService)).NotTo(BeNil())
+	})
+})
+
 var _ = Describe("watching the store", func() {
 	var (
 		g     *Gateway
