--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -23,6 +25,16 @@
 	Capacity   float64 `json:"capacity,omitempty"` // share of a core
 }
 
+// maxHostEntryBytes bounds a host's entry, which has a few short fields.
+const maxHostEntryBytes = 64 << 10
+
+func decodeHostEntry(value []byte) (entry hostEntry, err error) {
+	if len(value) > maxHostEntryBytes {
+		return entry, eris.Errorf("entry has %d bytes, more than %d", len(value), maxHostEntryBytes)
+	}
+	return entry, json.Unmarshal(value, &entry)
+}
+
 // syncHosts stores this host's entry and periodically reads those of the others. A
 // host that hears from serving hosts and is none itself needs no others.
 func (p *peers) syncHosts() {
@@ -102,8 +114,8 @@
 		return false
 	}
 	for _, o := range entries {
-		var entry hostEntry
-		if err := json.Unmarshal(o.Value, &entry); err != nil {
+		entry, err := decodeHostEntry(o.Value)
+		if err != nil {
 			p.g.log.Warn("Cannot decode a host's entry.", "part", "peers", "name", logged(o.Name), "error", err)
 			continue
 		}
