Serve the stand-in store's lists in pages, and sign each answer anew

Cause: what is left of the two specs with odd entries that failed beside load, in the stand-ins. The store sent 6 MB in one page, where a page holds about 1 MB, and held its lock until the reader had taken it, so that the three lists of a start waited for each other, each with 1 s for a call. Every answer of the stand-in's databases had the same signature, so that hosts closed a connection at each second statement ("answer does not match the statement"), as the log shows.

Change: pages of 1 MiB with at least one object, written without the lock; signatures are numbered.

--- a/internal/standin/site/databases.go
+++ b/internal/standin/site/databases.go
@@ -20,6 +20,7 @@
 	url     string
 
 	mu      sync.Mutex // guards the fields below and those of each Database
+	signed  uint64     // number of signatures given, no two of which are equal
 	term    uint64
 	index   uint64
 	primary string
@@ -181,6 +182,12 @@
 	return fmt.Sprintf("%d.%d", d.group.term, d.group.index)
 }
 
+// sign returns the signed end of an answer. mu is held.
+func (g *Databases) sign() string {
+	g.signed++
+	return fmt.Sprintf("COMPLETE sig%d\r\n", g.signed)
+}
+
 // run runs one statement and returns its answer without the READY line, and the
 // new state of the connection.
 func (d *Database) run(text, state string) (answer, next string) {
@@ -202,10 +209,10 @@
 		return complete, "I"
 	case verb == "READ", verb == "EXECUTE":
 		d.reads++
-		return "ROW " + d.ID + "\r\nCOMPLETE sig\r\n", state
+		return "ROW " + d.ID + "\r\n" + g.sign(), state
 	case verb == "WRITE":
 		g.index++
-		return "COMPLETE sig\r\n", state
+		return g.sign(), state
 	case verb == "STATUS", verb == "PAUSE", verb == "RESUME", verb == "DEMOTE":
 		role := "replica"
 		if isPrimary {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -44,8 +44,11 @@
 	deleted bool
 }
 
-// pageItems is the number of objects in one page of a list.
-const pageItems = 500
+// Limits of one page of a list, which holds at least one object.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 // StartStore starts a store on a free port of the loopback interface.
 func StartStore() (*Store, error) {
@@ -170,22 +173,32 @@
 		s.watch(w, r)
 		return
 	}
+	items, more, revision := s.page(r.PathValue("kind"), query.Get("after"))
+	reply(w, fmt.Sprintf(`{"items":[%s],"hasMore":%t,"currentRev":%d}`, strings.Join(items, ","), more, revision))
+}
+
+// page returns the objects of a kind that one page after a name holds, whether there
+// are more, and the store's revision.
+func (s *Store) page(kind, after string) (items []string, more bool, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
 	var names []string
-	for name := range s.objects[r.PathValue("kind")] {
-		if name > query.Get("after") {
+	for name := range s.objects[kind] {
+		if name > after {
 			names = append(names, name)
 		}
 	}
 	slices.Sort(names)
-	more := len(names) > pageItems
-	items := make([]string, 0, len(names))
-	for _, name := range names[:min(pageItems, len(names))] {
-		items = append(items, s.objects[r.PathValue("kind")][name].json())
+	size := 0
+	for _, name := range names {
+		item := s.objects[kind][name].json()
+		if size += len(item); len(items) == pageItems || len(items) > 0 && size > pageBytes {
+			return items, true, s.revision
+		}
+		items = append(items, item)
 	}
-	reply(w, fmt.Sprintf(`{"items":[%s],"hasMore":%t,"currentRev":%d}`, strings.Join(items, ","), more, s.revision))
+	return items, false, s.revision
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -245,16 +258,24 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	kind, name := r.PathValue("kind"), r.PathValue("name")
+	o, ok := s.putIf(r.PathValue("kind"), r.PathValue("name"), string(in.Spec), in.Meta.Revision, r.Method == http.MethodPost)
+	if !ok {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	reply(w, o.json())
+}
+
+// putIf stores an object and returns true, unless it exists and create is set, or
+// revision is neither 0 nor the stored one.
+func (s *Store) putIf(kind, name, spec string, revision uint64, create bool) (object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.objects[kind][name]
-	conflict := in.Meta.Revision != 0 && in.Meta.Revision != old.revision
-	if exists && r.Method == http.MethodPost || conflict {
-		w.WriteHeader(http.StatusConflict)
-		return
+	if exists && create || revision != 0 && revision != old.revision {
+		return object{}, false
 	}
-	reply(w, s.put(kind, name, string(in.Spec)).json())
+	return s.put(kind, name, spec), true
 }
 
 func reply(w http.ResponseWriter, body string) {
