--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -135,6 +135,14 @@
 // entry reaches all hosts that the store reaches in less.
 const EstablishedAfter = 2 * time.Second
 
+// KnownAfter is how long a replica must have been listed so that each host that counts
+// replicas knows it: such a host's list is at most ListMaxAge old. A host that the store
+// does not reach keeps its list.
+const (
+	KnownAfter = 30 * time.Second
+	ListMaxAge = 25 * time.Second
+)
+
 // Established returns the replicas that every host may be expected to know, in the
 // order of their ids: those that answer, are not leaving and have been listed for
 // EstablishedAfter. A replica that is not listed, or has just started, may be unknown to
@@ -150,8 +158,24 @@
 	return out
 }
 
-// KnownFor returns for how long a database has been known since its process started;
-// for those of the first list, since the zero time.
+// ListedFor returns for how long there has been a list of the service's databases.
+func (t *Table) ListedFor(now time.Time) time.Duration {
+	if t.listedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.listedAt)
+}
+
+// FirstListed reports whether a database's life was in the first list, and is listed and not
+// leaving.
+func (t *Table) FirstListed(id string) bool {
+	m := t.members[id]
+	return m != nil && !m.Leaving && m.missingSince.IsZero() && m.listedSince.Equal(t.listedAt)
+}
+
+// KnownFor returns for how long a database has been known since its process started. It
+// says nothing of the time before the first list: the databases of that may have started
+// just before it.
 func (t *Table) KnownFor(id string, now time.Time) time.Duration {
 	m := t.members[id]
 	if m == nil {
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -6,7 +6,8 @@
 // that no order can take effect that was decided before. Whoever replaces the primary
 // takes the lease, then reads the end of each log, and chooses the replica with the
 // longest one. No database has to be stopped for that, so no order without a fence
-// takes part in it. A replica whose log end cannot be read may hold the only copy of
+// takes part in it; only for hosts of older rules (see Rules) are replicas paused
+// besides. A replica whose log end cannot be read may hold the only copy of
 // an acknowledged commit. A successor may be chosen without it only if all of these
 // apply:
 //   - it is no longer listed;
@@ -45,6 +46,7 @@
 	Leaving   Reason = "leaving"   // it is shutting down
 	Stalled   Reason = "stuck"     // it answers, but its commits are not acknowledged
 	Unsettled Reason = "unsettled" // the primary is kept, but the lease of an earlier attempt must be settled
+	Paused    Reason = "paused"    // the primary is kept, but replicas that an earlier attempt paused must be resumed
 )
 
 // View is the state of a service's primary as one host sees it.
@@ -101,12 +103,16 @@
 type Candidate struct {
 	ID       string
 	Answered bool // its log end is known
+	Refused  bool // nothing listens at its address, or another database does
 	Listed   bool // it is in the platform's list of databases, or was until recently
 	CutOff   bool // no host of its data centre is reachable
 	Leaving  bool
 	// Established is set for a replica that had been in the platform's list for
 	// lead.EstablishedAfter before the first log was read.
 	Established bool
+	// Known is set for a replica that had been in the list for lead.KnownAfter by then, so
+	// that each host that counts replicas knows it.
+	Known       bool
 	StartMillis int64 // start time of its process, Unix milliseconds
 	Received    position.Position
 }
@@ -120,13 +126,17 @@
 // While the logs grow, the longest one is not enough: a host may have acknowledged a
 // commit because every replica that it knows holds it, one of which was read before it
 // received the commit. A replica that hosts may not know is therefore not chosen if
-// there is another one; it is for the caller to wait until that has caught up.
+// there is another one; it is for the caller to wait until that has caught up. Once the
+// primary has ended, the logs grow no more, and the longest one holds the others.
 func Choose(all []Candidate, acked, floor position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
 	if !ok || unreadMayBeAlive(all) || !best.Established && hasEstablished(all) {
 		return Candidate{}, false
 	}
-	if (lacks(best, acked) || lacks(best, floor)) && (hasUnread(all) || !primaryGone) {
+	if !primaryGone && !best.Known && (hasKnown(all) || isJunior(best, all)) {
+		return Candidate{}, false
+	}
+	if (lacks(best, acked) || lacks(best, floor)) && (!AllRead(all) || !primaryGone) {
 		return Candidate{}, false
 	}
 	return best, true
@@ -168,6 +178,20 @@
 	return a.StartMillis < b.StartMillis
 }
 
+func isJunior(c Candidate, all []Candidate) bool {
+	senior, ok := Senior(all)
+	return ok && senior.ID != c.ID
+}
+
+func hasKnown(all []Candidate) bool {
+	for _, c := range all {
+		if c.Answered && c.Known {
+			return true
+		}
+	}
+	return false
+}
+
 func hasEstablished(all []Candidate) bool {
 	for _, c := range all {
 		if c.Answered && c.Established {
@@ -187,14 +211,16 @@
 	return best, best.ID != ""
 }
 
-// hasUnread reports whether the log end of any replica is unknown.
-func hasUnread(all []Candidate) bool {
+// AllRead reports whether the log ends of all replicas are known, except those of replicas
+// that have ended: they are no longer listed, hosts of their data centres are reachable, and
+// their addresses accept no connection to them.
+func AllRead(all []Candidate) bool {
 	for _, c := range all {
-		if !c.Answered {
-			return true
+		if !c.Answered && (c.Listed || c.CutOff || !c.Refused) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // unreadMayBeAlive reports whether any replica whose log end is unknown may still
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -18,8 +18,9 @@
 // A primary confirms a commit once any replica has received it. Another database may
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given. So a commit is acknowledged to its caller only
-// if no promotion can discard it: every replica holds it; or an established replica
-// holds it, and the lease, read after that replica's report, is settled.
+// if no promotion can discard it: every replica of a current list holds it; or an
+// established replica holds it, and the lease, read after that replica's report, is
+// settled.
 
 // Timing of acknowledgements.
 const (
@@ -45,16 +46,21 @@
 type replication struct {
 	copies   map[string]*replicaCopy // by database id; an entry is dropped when its database restarts
 	settled  position.Position       // commits up to it are protected by a settled lease
+	losses   uint64                  // calls of unsettle
 	term     uint64                  // the newest term that any replica reported
 	reading  bool                    // a read of the lease is running, or was until recently
+	proving  bool                    // the same of a query whether a commit's database is still the primary
 	pause    time.Duration           // after the last read of the lease
 	outcomes acknowledgementLog
+	lease    leaseReport // the last read of the lease that showed it settled
+	recent   recentCommits
 }
 
 // replicaCopy is the last report of one replica. What a replica has received in a term
 // it keeps, until another database is promoted or it restarts.
 type replicaCopy struct {
 	succession.Copy
+	at       time.Time // when the query that returned it was sent
 	querying bool
 	pause    time.Duration // after the last query that showed that it lacks a commit
 }
@@ -62,13 +68,47 @@
 // forget discards what rests on a database's log, which may be gone. service.mu is held.
 func (r *replication) forget(id string) {
 	delete(r.copies, id)
+	r.unsettle()
+}
+
+// unsettle discards the settled position, and what a read of the lease that is running
+// finds: the only replica that holds a commit may have ended. service.mu is held.
+func (r *replication) unsettle() {
 	r.settled = position.Position{}
+	r.losses++
 }
 
 // commit is a commit that its primary has confirmed.
 type commit struct {
 	primary string // id
 	at      position.Position
+	// after is a position that a database had reported before the commit was sent.
+	after position.Position
+	// term is the term that the primary was known to lead before the commit was sent.
+	term   uint64
+	id     string // of the request
+	writes string // ids of the writes of its transaction
+}
+
+// leaderPause is the time until the next query whether a database is the primary, after one
+// that was not answered.
+const leaderPause = 50 * time.Millisecond
+
+// needsCopies reports whether commits are acknowledged only once replicas hold them. A
+// configuration that no longer has the service, or its replicas, doesn't change that: the
+// commits of its callers are under way, and databases may be promoted as before.
+func (s *service) needsCopies() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.recordReplicas() || s.replicated
+}
+
+// recordReplicas records whether the configuration in force requires replicas of the
+// service, and reports whether it has the service. mu is held.
+func (s *service) recordReplicas() (configured bool) {
+	config, configured := s.g.config.Load().Services[s.name]
+	s.replicated = s.replicated || config.SyncReplicas != 0
+	return configured
 }
 
 // acknowledge waits until a commit may be acknowledged to its caller, and records it
@@ -76,7 +116,14 @@
 // not wait. It fails with OutcomeUnknown if ctx ends before that, or if the primary has
 // been replaced.
 func (s *service) acknowledge(ctx context.Context, c commit) error {
-	needsCopies := s.g.config.Load().Services[s.name].SyncReplicas != 0
+	needsCopies := s.needsCopies()
+	// A commit's position lies behind all those before it; another one names what its
+	// database holds after it was rolled back.
+	if needsCopies && (!c.after.Before(c.at) || c.at.Term != c.term) {
+		s.recordAcknowledgement(c, succession.NoCopy, false)
+		s.logUnacknowledged(c, misplaced, s.g.now())
+		return errkind.New(errkind.OutcomeUnknown, "database %s named position %s for a commit that was sent after %s in term %d", c.primary, c.at, c.after, c.term)
+	}
 	since := s.g.now()
 	if needsCopies {
 		defer time.AfterFunc(allCopiesPatience, s.wake).Stop()
@@ -90,22 +137,35 @@
 		case max(r.term, s.provenTerm) > c.at.Term:
 			replaced = true
 			return true
-		case !r.settled.Before(c.at):
-			evidence = succession.OneCopy
+		case s.ledByAnother(c, since):
+			replaced = true
+			return true
 		default:
-			if evidence = s.evidence(c); evidence == succession.AllCopies {
-				break
+			ledAfter := s.ledAfter(c, since)
+			if evidence = s.evidence(c); evidence != succession.AllCopies && !r.settled.Before(c.at) {
+				evidence = succession.OneCopy
+			} else if evidence != succession.AllCopies {
+				s.queryReplicas(c)
+				if !s.g.databaseListCurrent(s.g.now()) {
+					s.g.relistDatabases()
+				}
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+					s.readLease(c)
+				}
+				return false
 			}
-			s.queryReplicas(c)
-			if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
-				s.readLease(c)
+			if !ledAfter {
+				return false
 			}
-			return false
 		}
 		s.acked = position.Max(s.acked, c.at)
+		s.recordRecentCommit(c, evidenceLabel(evidence))
 		return true
 	})
 	s.recordAcknowledgement(c, evidence, err == nil && !replaced)
+	if err != nil || replaced {
+		s.logUnacknowledged(c, s.missingEvidence(c, evidence, replaced, since), since)
+	}
 	switch {
 	case err != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "replicas have not confirmed commit "+c.at.String())
@@ -115,6 +175,72 @@
 	return nil
 }
 
+// ledAfter reports whether a commit's database was seen to be the primary after it had
+// answered; if not, it queries it. The position in an
+// answer names the end of the log when the answer is written. If the database has lost the
+// lead by then and was rolled back, that is not the commit's. mu is held.
+func (s *service) ledAfter(c commit, answered time.Time) bool {
+	if !s.table.ProvenAt(c.primary).Before(answered) {
+		return true
+	}
+	p := s.pools[c.primary]
+	if p == nil || s.replication.proving {
+		return false
+	}
+	s.replication.proving = true
+	go func() {
+		s.sample(p)
+		s.mu.Lock()
+		failed := s.table.ProvenAt(c.primary).Before(answered)
+		s.replication.proving = failed
+		s.notifyChange()
+		s.mu.Unlock()
+		if !failed {
+			return
+		}
+		retry.Wait(s.g.ctx, leaderPause)
+		s.mu.Lock()
+		s.replication.proving = false
+		s.notifyChange()
+		s.mu.Unlock()
+	}()
+	return false
+}
+
+// ledByAnother reports whether a commit's database was not the primary any more after it
+// had answered, or whether another one leads the term of the commit's position. mu is held.
+func (s *service) ledByAnother(c commit, answered time.Time) bool {
+	leader := s.table.Led(c.at.Term)
+	return leader != "" && leader != c.primary || s.table.DeniedAt(c.primary).After(answered)
+}
+
+// leaderTerm returns the term that a connection's database leads, and queries it if it is
+// not known. It returns 0 for a service without replicas.
+func (s *service) leaderTerm(c *conn) (uint64, error) {
+	if !s.needsCopies() {
+		return 0, nil
+	}
+	id := c.pool.db.ID
+	s.mu.Lock()
+	term := s.table.LedTerm(id)
+	s.mu.Unlock()
+	if term != 0 {
+		return term, nil
+	}
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	if err != nil {
+		return 0, errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.term = max(s.replication.term, report.Term)
+	if !report.Primary {
+		return 0, errkind.New(errkind.PrimaryReplaced, "database %s is a replica in term %d", id, report.Term)
+	}
+	s.table.RecordLed(report.Term, id)
+	return report.Term, nil
+}
+
 func (s *service) wake() {
 	s.mu.Lock()
 	s.notifyChange()
@@ -132,10 +258,10 @@
 		if known := s.replication.copies[db.ID]; known != nil {
 			held = known.Copy
 		}
-		held.Established = slices.Contains(established, db.ID)
+		held.Established, held.First = slices.Contains(established, db.ID), s.table.FirstListed(db.ID)
 		copies = append(copies, held)
 	}
-	if s.table.RemovedSince(now.Add(-formerMayReturn)) {
+	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
 	return succession.EvidenceFor(c.at, copies)
@@ -164,10 +290,14 @@
 
 // queryReplica queries a replica and records its report.
 func (s *service) queryReplica(p *pool, held *replicaCopy, c commit) {
+	sentAt := s.g.now()
 	report, ok := s.queryStatus(p)
 	s.mu.Lock()
 	if ok {
+		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
+		s.promotion.sawPaused = s.promotion.sawPaused || isPaused(report)
+		s.observePrimary(fromReplica, position.Position{})
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
 	lacking := !held.Holds(c.at)
@@ -204,12 +334,13 @@
 			held = position.Max(held, known.Received)
 		}
 	}
+	losses := s.replication.losses
 	go func() {
 		settled := s.leaseSettled(c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
-		if settled {
+		if settled && losses == r.losses {
 			r.settled, r.pause = position.Max(r.settled, held), leaseReadEvery
 		}
 		pause := r.pause
@@ -228,8 +359,10 @@
 func (s *service) leaseSettled(term uint64) bool {
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
+	sentAt := s.g.now()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
+		s.recordLeaseRead(leaseReport{at: sentAt})
 		return true // nobody has ever replaced a primary
 	}
 	if err != nil {
@@ -242,12 +375,14 @@
 		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Settled(term) {
+		s.recordLeaseRead(leaseReport{version: object.Version, term: l.Term, at: sentAt})
 		return true
 	}
 	s.mu.Lock()
 	now := s.g.now()
 	if l.Settled(l.Term) {
 		s.replication.term = max(s.replication.term, l.Term) // the primary has been replaced
+		s.observePrimary(fromLease, position.Position{})
 		s.mu.Unlock()
 		return false
 	}
@@ -271,14 +406,19 @@
 		return statement.Report{}, false // borrow has recorded a failed dial
 	}
 	defer p.checkIn(c)
-	answers, err := c.run(s.g.now().Add(sampleTimeout), controlRequest(statement.Status))
+	report, err := c.status(s.g.now().Add(sampleTimeout))
+	return report, err == nil // status has logged or recorded the error
+}
+
+// status queries a connection's database.
+func (c *conn) status(deadline time.Time) (statement.Report, error) {
+	answers, err := c.run(deadline, controlRequest(statement.Status))
 	if err != nil {
-		return statement.Report{}, false // run has recorded the missing answer
+		return statement.Report{}, err // run has recorded the missing answer
 	}
 	r, err := c.Report(answers[0])
 	if err != nil {
-		s.g.log.Debug("Database reported no status.", "part", "service", "service", s.name, "database", p.db.ID, "error", err)
-		return statement.Report{}, false
+		c.pool.g.log.Debug("Database reported no status.", "part", "service", "service", c.pool.svc.name, "database", c.pool.db.ID, "error", err)
 	}
-	return r, true
+	return r, err
 }
--- a/gateway/hostlist.go
+++ b/gateway/hostlist.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
@@ -23,6 +24,7 @@
 	DataCentre string  `json:"dataCentre"`
 	Access     string  `json:"access,omitempty"`   // IP:port of its access listener
 	Capacity   float64 `json:"capacity,omitempty"` // share of a core
+	Rules      uint32  `json:"rules,omitempty"`    // see succession.Rules; absent in entries of older versions
 }
 
 // maxHostEntryBytes bounds a host's entry, which has a few short fields.
@@ -75,7 +77,7 @@
 // storeEntry creates or replaces this host's entry and reports whether it
 // succeeded.
 func (p *peers) storeEntry() bool {
-	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre, Access: p.g.access, Capacity: p.g.opt.Capacity})
+	value, err := json.Marshal(hostEntry{Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre, Access: p.g.access, Capacity: p.g.opt.Capacity, Rules: succession.Rules})
 	if err != nil {
 		p.g.log.Error("Cannot encode this host's entry.", "part", "peers", "error", err)
 		return false
@@ -106,6 +108,7 @@
 // succeeded. After the first successful read it sends a round of messages without
 // waiting for the next tick.
 func (p *peers) listHosts() bool {
+	at := p.g.now()
 	entries, _, err := p.g.platform.Objects().List(p.g.ctx, kindHosts)
 	if err != nil {
 		if p.g.ctx.Err() == nil {
@@ -122,6 +125,7 @@
 		p.addHost(o.Name, entry)
 	}
 	p.mu.Lock()
+	p.rules.recordEntries(entries, at)
 	first := !p.listed
 	p.listed = true
 	p.mu.Unlock()
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -59,6 +60,9 @@
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
 	observedLease      leaseObservation
+	sawPaused          bool      // a replica was seen paused
+	checkingPaused     bool      // a check for paused replicas is running
+	nextPausedCheck    time.Time // earliest next check for paused replicas
 }
 
 func rendezvousScore(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
@@ -95,6 +99,9 @@
 	} else {
 		s.keepRoster(now)
 	}
+	if reason == succession.None && known && (rank == 0 || state.sawPaused) {
+		s.checkPaused(now)
+	}
 	if reason == succession.None || now.Before(state.nextAttempt) {
 		return
 	}
@@ -108,7 +115,12 @@
 	if now.Sub(state.since) < wait || now.Sub(s.g.started) < absentFor {
 		return
 	}
-	s.startAttempt(s.newReplacement(reason, position.Max(acked, s.acked), now), (*replacement).run)
+	if s.table.ListedFor(now) < lead.EstablishedAfter {
+		return // nothing tells the replicas that hosts know from those that have just started
+	}
+	a := s.newReplacement(reason, position.Max(acked, s.acked), now)
+	a.trace.rank, a.trace.views = rank, others
+	s.startAttempt(a, (*replacement).run)
 }
 
 // startAttempt starts an attempt in the background. There is one at a time: the lease
@@ -120,6 +132,9 @@
 		s.mu.Lock()
 		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		if a.pausing.unanswered {
+			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
+		}
 		s.mu.Unlock()
 	}()
 }
@@ -129,7 +144,7 @@
 func (s *service) newReplacement(reason succession.Reason, acked position.Position, now time.Time) *replacement {
 	primary, _ := s.table.Leader()
 	return &replacement{
-		s: s, reason: reason, primary: primary.ID, term: s.table.Term(), acked: acked, started: now,
+		s: s, reason: reason, primary: primary.ID, proven: s.table.LeaderProven(), term: s.table.Term(), acked: acked, started: now,
 		log: s.g.log.With("part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason)),
 	}
 }
@@ -140,6 +155,7 @@
 	log     *slog.Logger
 	reason  succession.Reason
 	primary string // the presumed primary when the attempt was started; empty for none
+	proven  bool   // it has proved to be the primary
 	term    uint64 // the newest term known when the attempt was started
 	acked   position.Position
 	started time.Time
@@ -150,11 +166,22 @@
 	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
+	known       []string          // those of them that each host that counts replicas knows
 	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
 	ordered     string            // the database that this order promotes
+	olderLease  bool              // the lease was last written by a host of older rules
+	pausing     pausing
+	unseen      bool // the same as in succession.Lease
+	rounds      int
+	late        string // the database of the order that the lease recorded when it was acquired
+	orderTerm   uint64 // the newest term known when the last order was given
+	void        bool   // that order was for the primary of that time
+	replica     bool   // its database had reported that it is a replica
+	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
+	trace       replacementTrace
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
@@ -167,27 +194,38 @@
 		return
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
+	a.explainCommits()
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
+	a.lookForOlderHosts(ctx)
 	if err = a.readStoreList(ctx); err != nil {
 		a.log.Warn("Listing the databases failed.", "error", err)
 		a.giveUp(ctx)
 		return
 	}
-	if _, a.roster, err = a.s.readRoster(ctx); err != nil {
+	var rosterObject objectapi.Object
+	if rosterObject, a.roster, err = a.s.readRoster(ctx); err != nil {
 		a.log.Warn("Reading the record of the databases failed.", "error", err)
 		a.giveUp(ctx)
 		return
 	}
+	if a.olderLease {
+		a.leaseTerm = max(a.leaseTerm, a.roster.Term)
+	}
+	a.trace.rosterAt = rosterObject.Version
 	successor, err := a.choose(ctx)
 	if err != nil {
-		a.log.Warn("No successor was chosen.", "error", err)
+		a.logNoSuccessor(err)
 		a.giveUp(ctx)
 		return
 	}
+	a.logChosen("Successor chosen.", successor)
 	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
+	if err != nil {
+		a.logNoEffect(err)
+	}
 	switch {
 	case err == nil:
 		a.awaitSettled(successor.ID)
@@ -195,6 +233,7 @@
 		a.releaseLease("")
 	default:
 		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered)
+		a.keepFloor(a.lastFloor())
 		a.releaseLease(a.ordered)
 	}
 }
@@ -212,7 +251,9 @@
 	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
 	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
+	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
+	errOlderHosts  = errors.New("gateway: a host of older rules has started since the logs were read")
 )
 
 // order repeats the promotion call until its outcome is known or ctx ends. Before
@@ -220,11 +261,25 @@
 // even if this host fails.
 func (a *replacement) order(ctx context.Context, database string) error {
 	var backoff retry.Backoff
-	for {
+	primary := a.newestPrimary()
+	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
+	c := a.conn(database)
+	a.replica = c != nil && c.answered && !c.report.Primary
+	a.pausing.term = a.newestTerm() + 1
+	for called := false; ; called = true {
+		a.lookAgain(ctx)
+		if !called && a.pausing.late.Load() {
+			return errOlderHosts
+		}
+		a.pauseLate(ctx, database)
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
+		if err := a.checkRestarts(ctx, database); err != nil {
+			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
+			return err
+		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -36,7 +36,9 @@
 	sampling          bool          // a sample query is in flight
 	commits           commitTracker
 	replication       replication
+	replicated        bool // a configuration required replicas of the service
 	promotion         promotionState
+	observed          observedPrimary
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
 	provenTerm        uint64    // in which it did
@@ -76,7 +78,13 @@
 func (s *service) setDatabases(list []routes.Database, size int) {
 	now := s.g.now()
 	s.mu.Lock()
+	s.recordReplicas()
+	before := s.table.Established(now)
 	restarted := s.table.SetDatabases(list, now)
+	after := s.table.Established(now)
+	if slices.ContainsFunc(before, func(id string) bool { return !slices.Contains(after, id) }) {
+		s.replication.unsettle()
+	}
 	var closing []*pool
 	for _, id := range restarted {
 		s.replication.forget(id)
@@ -94,6 +102,7 @@
 		p.setLeavingSince(s.table.LeavingSince(id))
 	}
 	closing = append(closing, s.dropPools()...)
+	s.observePrimary(fromList, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	for _, p := range closing {
@@ -296,6 +305,9 @@
 			s.provenPrimary, s.provenTerm = id, end.Term
 		}
 	}
+	if leader, _ := s.table.Leader(); leader.ID == id {
+		s.observePrimary(fromAnswer, end)
+	}
 	s.notifyChange()
 }
 
@@ -305,6 +317,7 @@
 	before, _ := s.table.Leader()
 	s.table.RecordNotLeader(id, sentAt)
 	after, _ := s.table.Leader()
+	s.observePrimary(fromRefusal, position.Position{})
 	s.notifyChange()
 	s.mu.Unlock()
 	if before.ID == id && after.ID != id {
@@ -333,6 +346,9 @@
 	s.mu.Lock()
 	wasUnreachable := s.table.Unreachable(id, now)
 	s.table.RecordFailure(id, sentAt, refused)
+	if refused {
+		s.replication.forget(id) // its process has ended
+	}
 	isUnreachable := s.table.Unreachable(id, now)
 	s.mu.Unlock()
 	if isUnreachable && !wasUnreachable {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
@@ -53,11 +56,15 @@
 	end            position.Position
 	unresponsive   bool // answers nothing and refuses new connections
 	notReplicating bool // receives no commits from the primary
+	paused         uint64
+	joinsLate      bool // it still reports the term before the last promotion
 	received       []statement.Kind
 	reads          int
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
 	unsigned       bool          // answers carry no signature
+	unpositioned   bool          // answers carry no position
+	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
 	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -86,7 +93,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	db := g.databases[id]
-	if db == nil || db.unresponsive {
+	if db == nil {
+		return nil, fmt.Errorf("dial %s: %w", id, syscall.ECONNREFUSED)
+	}
+	if db.unresponsive {
 		return nil, errors.New("no route to host")
 	}
 	return &link{db: db, values: map[string]string{}, shapes: map[string]string{}, closed: make(chan struct{})}, nil
@@ -110,7 +120,11 @@
 	g := l.db.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return statement.Report{Primary: g.primary == l.db.id, Term: g.term, Received: l.db.end}, nil
+	term := g.term
+	if l.db.joinsLate {
+		term--
+	}
+	return statement.Report{Primary: g.primary == l.db.id, Term: term, Received: l.db.end, Paused: l.db.paused}, nil
 }
 
 func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
@@ -183,6 +197,9 @@
 	if l.db.unsigned {
 		a.Signature = ""
 	}
+	if l.db.unpositioned {
+		a.Position = position.Position{}
+	}
 	return a, nil
 }
 
@@ -216,6 +233,12 @@
 		return l.read(r, isPrimary)
 	case statement.Write:
 		return l.write(r, isPrimary)
+	case statement.Pause:
+		if !isPrimary && r.Term > g.term {
+			l.db.paused = r.Term
+		}
+	case statement.Resume:
+		l.db.paused = 0
 	case statement.Commit:
 		l.open = false
 		if len(l.wrote) > 0 {
@@ -267,7 +290,7 @@
 	g.ran = append(g.ran, r.ID)
 	replicated := 0
 	for _, other := range g.databases {
-		if other != l.db && !other.notReplicating && !other.unresponsive {
+		if other != l.db && other.paused <= g.term && !other.notReplicating && !other.unresponsive {
 			other.end = l.db.end
 			replicated++
 		}
@@ -279,6 +302,10 @@
 		l.db.loseNextAnswer = false
 		return statement.Answer{}, errStandinTimeout
 	}
+	if hook := l.db.commitHook; hook != nil {
+		l.db.commitHook = nil
+		hook()
+	}
 	return l.succeed()
 }
 
@@ -379,10 +406,17 @@
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
 func newTestGateway(p *fakePlatform) *Gateway {
+	return newLoggingTestGateway(p, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
+	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Platform: p, Logger: logger,
+		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
+	clockOffsets.Store(g, offset)
 	var err error
 	g.peers, err = listenPeers(g)
 	Expect(err).NotTo(HaveOccurred())
@@ -406,9 +440,36 @@
 		}
 	})
 	g.setDatabases(databases)
+	g.confirmDatabaseList(time.Now())
+	svc := g.service(testService)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.table = lead.New()
+	svc.table.SetDatabases(slices.Collect(maps.Values(databases)), time.Now().Add(-time.Minute))
 	return g
 }
 
+// clockOffsets holds by how much the clocks of test gateways differ from the machine's, as
+// *atomic.Int64 of nanoseconds by *Gateway.
+var clockOffsets sync.Map
+
+// ago runs f with the host's clock set back.
+func (g *Gateway) ago(d time.Duration, f func()) {
+	v, _ := clockOffsets.Load(g)
+	offset := v.(*atomic.Int64)
+	offset.Add(-int64(d))
+	defer offset.Add(int64(d))
+	f()
+}
+
+// setDatabasesAgo applies a list of the service's databases as of a time ago, and now.
+func (s *service) setDatabasesAgo(ago time.Duration, list ...routes.Database) {
+	s.mu.Lock()
+	s.table.SetDatabases(list, time.Now().Add(-ago))
+	s.mu.Unlock()
+	s.setDatabases(list, 4)
+}
+
 // updateRoute changes a route of the test configuration.
 func (g *Gateway) updateRoute(name string, change func(*routes.Route)) {
 	config := *g.config.Load().Configuration
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -1,6 +1,6 @@
 // Command takeover plays takeovers with real processes: it starts the project's daemon as
-// separate processes on loopback addresses, serves the platform's store, the
-// promotion calls and the databases itself, runs the callers, and checks one rule
+// separate processes on loopback addresses, and its own binary as their databases, serves
+// the platform's store and the promotion calls, runs the callers, and checks one rule
 // from what callers and databases have seen.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
@@ -10,9 +10,9 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -30,35 +30,63 @@
 	exitFailed = 2
 )
 
+// modeDatabase is the first argument of a database's process.
+const modeDatabase = "database"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == modeDatabase {
+		os.Exit(runDatabase(os.Args[2:]))
+	}
 	name := flag.String("case", "takeover", "case to play")
 	daemon := flag.String("daemon", "target/bronzeloft", "the project's daemon")
+	older := flag.String("older", "", "a daemon of another version; the fleet starts as it, is upgraded host by host, rolled back in part, and upgraded again")
 	out := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	seed := flag.Uint64("seed", 1, "seed of the faults")
+	layout := flag.String("layout", "small", "layout of the site: small or large")
+	plan := flag.String("plan", "faults", "plan of the faults: faults, or record for the day of issue 33")
+	with := flag.String("with", "", "comma-separated variants: late-ready, no-position, held-answers, slow-promotions, late-news, restarts, no-routes, no-service, calm")
 	flag.Parse()
-	os.Exit(run(*name, *daemon, *out, *trouble, *seed))
+	os.Exit(run(options{name: *name, daemon: *daemon, older: *older, out: *out, trouble: *trouble, seed: *seed, layout: *layout, plan: *plan, with: *with}))
+}
+
+// options are those of the command line.
+type options struct {
+	name, daemon, older, out string
+	trouble                  bool
+	seed                     uint64
+	layout, plan, with       string
 }
 
-func run(name, daemon, out string, trouble bool, seed uint64) int {
-	play := cases[name]
+func run(o options) int {
+	play := cases[o.name]
 	if play == nil {
-		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", o.name)
 		return exitFailed
 	}
-	file, err := os.Create(out)
+	file, err := os.Create(o.out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	defer file.Close()
 	rec := &record{file: file, started: time.Now()}
-	daemon, err = filepath.Abs(daemon)
+	builds, err := newBuilds(o.daemon, o.older)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	with, err := parseVariants(o.with)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	l, err := newLayout(rec, o.layout, o.plan, with, o.seed)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	s, err := newSite(rec, daemon, takeoverLayout(rec, seed))
+	s, err := newSite(rec, builds, l)
 	if err != nil {
 		rec.logf("the site did not start: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -66,7 +94,7 @@
 	}
 	defer s.stop()
 	stopOnSignal(s)
-	broken, err := play(s, trouble)
+	broken, err := play(s, o.trouble)
 	switch {
 	case err != nil:
 		rec.logf("the case could not run: %v", err)
@@ -94,7 +122,7 @@
 // record is the record of one play.
 type record struct {
 	mu      sync.Mutex
-	file    *os.File
+	file    io.Writer
 	started time.Time
 	notes   []note
 }
