Pause after an error of the socket for messages of other hosts

Cause: a socket that returns an error at once, again and again, kept the receiver in a loop without a wait.

Change: the receiver pauses 20 ms after an error.

--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -127,3 +130,29 @@
 		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
 	})
 })
+
+// lineCounter is a log handler that counts lines.
+type lineCounter struct {
+	slog.Handler
+	lines *atomic.Int64
+}
+
+func (lineCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+func (c lineCounter) Handle(context.Context, slog.Record) error {
+	c.lines.Add(1)
+	return nil
+}
+
+var _ = Describe("receiving the messages of other hosts", func() {
+	// Guards against a host that keeps its processor busy with a socket that fails at once.
+	It("pauses after an error of the socket", func() {
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		var lines atomic.Int64
+		g.log = slog.New(lineCounter{slog.DiscardHandler, &lines})
+		Expect(g.peers.conn.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		g.startWorker(g.peers.receive)
+		time.Sleep(10 * receivePause)
+		Expect(lines.Load()).To(And(BeNumerically(">", 0), BeNumerically("<=", 10)))
+	})
+})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -236,6 +236,9 @@
 	}
 }
 
+// receivePause keeps receive from spinning while the socket returns errors at once.
+const receivePause = 20 * time.Millisecond
+
 // receive reads and handles the other hosts' messages until the socket closes.
 func (p *peers) receive() {
 	buf := make([]byte, maxDatagram)
@@ -246,6 +249,7 @@
 				return
 			}
 			p.g.log.Debug("Receiving a message from another host failed.", "part", "peers", "error", err)
+			retry.Wait(p.g.ctx, receivePause)
 			continue
 		}
 		var msg gossippb.Gossip
