Compare start times before an order with the entries of the databases only

Cause: an attempt listed the whole kind a second time before each order, with the large entries of other writers, within its 2.5 s. Change: it reads the entries of the databases that it knows.

--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -5,11 +5,13 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -195,6 +197,27 @@
 	return out, nil
 }
 
+// storedEntries reads the entries of the given databases that the store has. Between them
+// there may be large ones of other writers, which a list would read too.
+func (s *service) storedEntries(ctx context.Context, ids []string) ([]routes.Database, error) {
+	platform := s.g.platform
+	entries, errs := make([]routes.Database, len(ids)), make([]error, len(ids))
+	var all sync.WaitGroup
+	for i, id := range ids {
+		all.Go(func() {
+			o, err := platform.Objects().Get(ctx, platform.DatabasesKind(), id)
+			if err == nil {
+				// One that cannot be decoded names no database.
+				entries[i], _ = platform.DecodeDatabase(o.Name, o.Value)
+			} else if !errors.Is(err, objectapi.ErrNotFound) {
+				errs[i] = err
+			}
+		})
+	}
+	all.Wait()
+	return slices.DeleteFunc(entries, func(db routes.Database) bool { return db.ID == "" }), errors.Join(errs...)
+}
+
 // checkRestarts fails if a database has restarted since the list was read under the
 // lease, and so without what it held: the successor, or a replica whose log, read before or
 // after that, may have held the only copy of a commit that the primary still has.
@@ -202,10 +225,6 @@
 	if a.storeList == nil {
 		return nil // the order is not for a successor that this attempt has chosen
 	}
-	list, err := a.s.storedDatabases(ctx)
-	if err != nil {
-		return err
-	}
 	known := map[string]routes.Database{}
 	for _, c := range a.conns {
 		known[c.db.ID] = c.db // its entry may have lapsed when the list was read
@@ -213,7 +232,11 @@
 	for _, db := range a.storeList {
 		known[db.ID] = db
 	}
-	restarted := succession.Restarted(slices.Collect(maps.Values(known)), list)
+	stored, err := a.s.storedEntries(ctx, slices.Collect(maps.Keys(known)))
+	if err != nil {
+		return err
+	}
+	restarted := succession.Restarted(slices.Collect(maps.Values(known)), stored)
 	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
 		return nil
 	}
