--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -176,9 +176,9 @@
 }
 
 // ledAfter reports whether a commit's database was seen to be the primary after it had
-// answered; if not, it queries it. The position in an
-// answer names the end of the log when the answer is written. If the database has lost the
-// lead by then and was rolled back, that is not the commit's. mu is held.
+// answered; if not, it queries it. The position in an answer names the end of the log when
+// the answer is written. If the database has lost the lead by then and was rolled back, it
+// is not that of the commit. mu is held.
 func (s *service) ledAfter(c commit, answered time.Time) bool {
 	if !s.table.ProvenAt(c.primary).Before(answered) {
 		return true
