Record remote commits without sharing the state of a transaction

After a transaction that wrote, reads outside of one were recorded as commits as well. Change: only statements of the transaction use its state, which ends with it.

--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -93,12 +93,14 @@
 }
 
 // recordCommit records a commit that the home host has acknowledged, for the log.
+// Statements outside of the transaction may run at the same time and don't touch its state.
 func (r *remote) recordCommit(op *operation, a statement.Answer, err error) {
-	if err != nil {
-		return
+	wrote := op.writes()
+	if op.inTransaction {
+		wrote = wrote || r.wrote
+		r.wrote = wrote && err == nil && op.Kind != statement.Commit
 	}
-	r.wrote = r.wrote || op.writes()
-	if r.wrote && (!op.inTransaction || op.Kind == statement.Commit) {
+	if wrote && err == nil && (!op.inTransaction || op.Kind == statement.Commit) {
 		op.svc.recordRemoteCommit(commit{primary: op.database, at: a.Position, id: op.ID}, r.home.name)
 	}
 }
@@ -135,7 +137,7 @@
 	if s == nil {
 		return
 	}
-	r.pinned = nil
+	r.pinned, r.wrote = nil, false
 	go func() {
 		err := s.SetDeadline(time.Now().Add(rollbackTimeout))
 		if err == nil {
