Decode hosts' entries in one place

Cause: the entries that tell which rules hosts follow were decoded apart from listHosts, without its bound of 64 KiB, so that large values of another writer were scanned at each look for older hosts, every 100 ms while an order is under way. Change: both places call decodeHostEntry. An entry over the bound, which no host writes and listHosts rejects already, names no host here either.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -66,8 +66,8 @@
 func (f *fleetRules) recordEntries(entries []objectapi.Object, at time.Time) {
 	f.entries, f.entriesAt = make(map[string]uint32, len(entries)), at
 	for _, o := range entries {
-		var entry hostEntry
-		if err := json.Unmarshal(o.Value, &entry); err != nil {
+		entry, err := decodeHostEntry(o.Value)
+		if err != nil {
 			continue // logged by listHosts
 		}
 		if _, ok := peerAddress(entry.Address); ok && entry.DataCentre != "" {
@@ -110,7 +110,7 @@
 	return "", false
 }
 
-// least returns the least rules that this host and the live hosts of its data centre
+// leastRules returns the least rules that this host and the live hosts of its data centre
 // state. mu is held.
 func (p *peers) leastRules(now time.Time) uint32 {
 	least := uint32(succession.Rules)
@@ -153,9 +153,9 @@
 	store := p.g.platform.Objects()
 	old, err := store.Get(p.g.ctx, kindHosts, name)
 	if err == nil {
-		var entry hostEntry
-		if json.Unmarshal(old.Value, &entry) != nil || entry.Rules == 0 {
-			return
+		entry, decodeErr := decodeHostEntry(old.Value)
+		if decodeErr != nil || entry.Rules == 0 {
+			return // logged by listHosts, or corrected by another host
 		}
 		entry.Rules = 0
 		var value []byte
