Pause all replicas from the reading of their logs until a promotion takes effect

What the former primary confirms with another replica is lost as a confirmed commit.

Change: each replacement pauses each replica before its log counts, the successor too (planned: last, once it holds the primary's log and what the others have). An answer without the pause counts as none. Before each call the replicas are queried: paused still, with the log that was read, or the choice is made anew. While an order is under way they are queried every 60 ms and paused again; in the new term too while an earlier order may take effect. They stay paused while an order is pending or voided. The evidence for acknowledgements is as before, so a late PAUSE or RESUME alone loses nothing. No replica is paused if one is unread anyway. A leaving primary is not replaced while a replica can't be paused, until 2 s after its announcement: then without it, as before; no host acknowledges what that replica confirms. Replicas left paused are found by the first host in rank (every 5 s, every second for 10 s after a reason to replace the primary) and by hosts whose writes are not confirmed; an attempt because commits stall resumes them instead of promoting. A RESUME is sent only to replicas that may be paused above the newest term. The look for older hosts during an attempt is gone; rules stay 1 (fleet-versions.md says why).

Replaced in pausing_test.go, as the rule that they state is the cause: "decides whether a replica may confirm" asserted that commits go on and no PAUSE is sent when all hosts state the present rules; it now asserts in all its cases, and for a host that starts during the order, that none is confirmed. "confirms commits only by the successor while a leaving primary is replaced" asserted that they go on there; now none may, and the successor's log is the longest. "orders nothing if an older host has started" and "pauses the other replicas if an older host starts" concerned a choice that no longer exists: replicas are paused before, and the first table has the case. promotion_test.go: a leaving primary with a replica cut off is still replaced, not before 2 s, and nothing is stopped but replicas from receiving, none for good. changelog_test.go: candidates are logged as paused. The site's stand-in databases answered PAUSE without a pause in it, which now counts as unread; they report it.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -5,9 +5,11 @@
 // replica holds it; or one replica holds it and, read after that, the lease showed
 // that no order can take effect that was decided before. Whoever replaces the primary
 // takes the lease, then reads the end of each log, and chooses the replica with the
-// longest one. No database has to be stopped for that, so no order without a fence
-// takes part in it; only for hosts of older rules (see Rules) are replicas paused
-// besides. A replica whose log end cannot be read may hold the only copy of
+// longest one. Before that it pauses the replicas, until its order has taken effect: it is
+// not known as of when a promoted database leads with what it had received. The evidence
+// does not rest on that, since a pause carries no fence: neither a late order for a database
+// nor a late end of a pause alone loses an acknowledged commit.
+// A replica whose log end cannot be read may hold the only copy of
 // an acknowledged commit. A successor may be chosen without it only if all of these
 // apply:
 //   - it is no longer listed;
--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -102,7 +102,7 @@
 
 		Expect(out.record(w.ID)).To(And(
 			MatchRegexp(`"Commit acknowledged.","id":"%s","evidence":"all_copies","commit":"1/11","copies":"[bc] 1/11 `, w.ID),
-			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed, [bc] 1/11 established listed","service":"orders-db"`),
+			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed paused, [bc] 1/11 established listed paused","service":"orders-db"`),
 			MatchRegexp(`"Primary changed.","service":"orders-db","from":"a","to":"[bc]","term":[12],"build":"`),
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
 		))
--- a/gateway/commits.go
+++ b/gateway/commits.go
@@ -12,6 +12,7 @@
 	lastID      uint64
 	sent        map[uint64]time.Time // send times of these writes, by id
 	newestAcked time.Time            // send time of the most recently sent write that was acknowledged
+	failedAt    time.Time            // when a write last ended without an acknowledgement
 }
 
 // commitStallTimeout is the age at which an unacknowledged commit shows that the
@@ -26,9 +27,12 @@
 	return c.lastID
 }
 
-func (c *commitTracker) end(id uint64, acknowledged bool) {
+func (c *commitTracker) end(id uint64, acknowledged bool, now time.Time) {
 	at := c.sent[id]
 	delete(c.sent, id)
+	if !acknowledged {
+		c.failedAt = now
+	}
 	if acknowledged && c.newestAcked.Before(at) {
 		c.newestAcked = at
 	}
@@ -36,9 +40,12 @@
 
 // stalled reports whether a write has been in flight for commitStallTimeout and
 // none that was sent after it has been acknowledged.
-func (c *commitTracker) stalled(now time.Time) bool {
+func (c *commitTracker) stalled(now time.Time) bool { return c.waitingFor(commitStallTimeout, now) }
+
+// waitingFor reports the same for a time other than commitStallTimeout.
+func (c *commitTracker) waitingFor(d time.Duration, now time.Time) bool {
 	for _, at := range c.sent {
-		if now.Sub(at) >= commitStallTimeout && c.newestAcked.Before(at) {
+		if now.Sub(at) >= d && c.newestAcked.Before(at) {
 			return true
 		}
 	}
@@ -53,8 +60,9 @@
 	id := s.commits.start(now)
 	s.mu.Unlock()
 	return func(acknowledged bool) {
+		now := s.g.now()
 		s.mu.Lock()
-		s.commits.end(id, acknowledged)
+		s.commits.end(id, acknowledged, now)
 		s.mu.Unlock()
 	}
 }
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -11,6 +11,7 @@
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -25,7 +26,10 @@
 	refused  bool      // the last query showed that the database is not running at its address
 	former   bool      // no longer listed
 	sent     bool      // the last query may have reached the database
-	paused   bool      // a Pause was sent, and no Resume answered since
+	pausedTo uint64    // the newest term of a Pause that was sent, and of no Resume answered since; 0 for none
+	// Set when the successor was chosen: the log was read, and ended there.
+	read       bool
+	chosenWith position.Position
 }
 
 // addNewDatabases adds a controlConn for each present or former database, and each one of
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -14,9 +14,9 @@
 
 // A fleet may run several versions while it is upgraded host by host, or back. Each
 // host states the takeover rules that it follows in its entry in the store, which the
-// version that starts under its name replaces, and in its messages. A host that
-// replaces a primary decides under the lease, from the entries and the messages,
-// whether some host may rely on older rules (see pausing.go).
+// version that starts under its name replaces, and in its messages. The operator sees in
+// the log and the metrics which hosts follow older ones. Whoever replaces a primary pauses
+// replicas whatever the others state (see pausing.go), on which hosts of rules 0 rely.
 
 // Timing of the knowledge about other hosts' rules.
 const (
@@ -140,7 +140,7 @@
 	case len(older) == 0:
 		p.g.log.Warn("All known hosts follow the present takeover rules.", "part", "peers", "rules", succession.Rules, "before", strings.Join(before, " "))
 	default:
-		p.g.log.Warn("Hosts of older takeover rules are in the fleet; replicas are paused while a primary is replaced.", "part", "peers", "rules", succession.Rules, "hosts", strings.Join(older, " "))
+		p.g.log.Warn("Hosts of older takeover rules are in the fleet.", "part", "peers", "rules", succession.Rules, "hosts", strings.Join(older, " "))
 	}
 	if wrong {
 		p.g.startWorker(func() { p.correctEntry(contradicted) })
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -2,113 +2,56 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
-// Hosts of older rules acknowledge a commit on one replica that is not paused, whatever
-// the lease says. While there may be such hosts, a replacement pauses each replica
-// before it reads its log, and resumes them once no order can take effect any more.
-// Hosts of the present rules never rely on a pause: neither PAUSE nor RESUME carries
-// a fence, so either may be carried out late.
+// A promoted database leads with what it had received, but the platform does not state as
+// of when: of the call, of its effect, or of some time in between. So each replacement
+// pauses all replicas before it reads the logs that count, and none may receive anything
+// until the order has taken effect, or can take effect no more.
+//
+// Neither PAUSE nor RESUME carries a fence, so either may be carried out late. The evidence
+// for a commit (see acknowledge.go) does not rest on pauses: a late one alone loses nothing.
 
 // Timing of pauses.
 const (
-	// olderHostsPoll is the time between two reads of the hosts' entries while an order is
-	// under way, in case a host of older rules starts.
-	olderHostsPoll = 100 * time.Millisecond
+	// keepPausedEvery is the time between two queries whether replicas are still paused while
+	// an order is under way.
+	keepPausedEvery = 60 * time.Millisecond
+	// keepPausedTimeout bounds such a query: the effect of the order is awaited meanwhile.
+	keepPausedTimeout = 150 * time.Millisecond
+	// unpausedPatience is how long after its announcement a leaving primary is not replaced
+	// while a replica cannot be paused. Several attempts are left until the primary ends.
+	unpausedPatience = 2 * time.Second
 	// pausedCheckEvery is the time between checks for replicas that an attempt has left
-	// paused. A check occupies a slot of each database for less than a millisecond.
+	// paused, while there is a sign of it. A check occupies a slot of each database for less
+	// than a millisecond.
 	pausedCheckEvery = time.Second
+	// routineCheckEvery is that time on the first host in rank while there is no sign.
+	routineCheckEvery = 5 * time.Second
+	// pausedSuspectAfter is the age at which an unacknowledged commit is a sign of paused
+	// replicas. It is shorter than commitStallTimeout.
+	pausedSuspectAfter = 300 * time.Millisecond
+	// pausedSignFor is how long a sign that replicas may have been left paused counts. It is
+	// longer than a lease that was left to expire is held.
+	pausedSignFor = 10 * time.Second
 )
 
 // pausing is an attempt's state of pausing replicas.
 type pausing struct {
-	needed     bool        // hosts of older rules may acknowledge commits
-	readAt     time.Time   // when the hosts' entries were last read
-	term       uint64      // of the pauses, once a promotion is ordered; 0 before
-	unanswered bool        // a RESUME was not answered and may be carried out late
-	late       atomic.Bool // hosts of older rules may have started since an order was given
-}
-
-// lookForOlderHosts reads the hosts' entries under the lease and decides whether replicas
-// are paused. Once they are, it stays at that for the attempt.
-func (a *replacement) lookForOlderHosts(ctx context.Context) {
-	if a.pausing.needed || a.s.g.now().Sub(a.pausing.readAt) < olderHostsPoll {
-		return
-	}
-	a.pausing.readAt = a.s.g.now()
-	a.pausing.needed = a.olderHostsMayRun(ctx)
-}
-
-// lookAgain looks for hosts of older rules that have started since the logs were read.
-func (a *replacement) lookAgain(ctx context.Context) {
-	if a.pausing.needed || a.pausing.late.Load() || a.s.g.now().Sub(a.pausing.readAt) < olderHostsPoll {
-		return
-	}
-	a.pausing.readAt = a.s.g.now()
-	a.pausing.late.Store(a.olderHostsMayRun(ctx))
-}
-
-// olderHostsMayRun reads the hosts' entries and reports whether hosts of older rules may
-// acknowledge commits.
-func (a *replacement) olderHostsMayRun(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	older, err := a.s.g.peers.readOlderHosts(call)
-	switch {
-	case ctx.Err() != nil: // the attempt needs no answer any more
-	case err != nil:
-		a.log.Warn("Replicas are paused: the hosts' rules are unknown.", "error", err)
-	case len(older) > 0:
-		a.log.Info("Replicas are paused: hosts of older rules may acknowledge commits.", "hosts", strings.Join(older, " "))
-	default:
-		return false
-	}
-	return true
-}
-
-// watchForOlderHosts looks for hosts of older rules until one may run or ctx ends. It runs
-// beside the attempt, whose wait for the promotion no slow store may delay.
-func (a *replacement) watchForOlderHosts(ctx context.Context) {
-	for retry.Wait(ctx, olderHostsPoll); ctx.Err() == nil; retry.Wait(ctx, olderHostsPoll) {
-		if a.olderHostsMayRun(ctx) {
-			a.pausing.late.Store(true)
-			return
-		}
-	}
-}
-
-// readOlderHosts reads the hosts' entries and returns the hosts, and the data centres with
-// hosts, that may follow older rules than this build.
-func (p *peers) readOlderHosts(ctx context.Context) ([]string, error) {
-	at := p.g.now()
-	entries, _, err := p.g.platform.Objects().List(ctx, kindHosts)
-	if err != nil {
-		return nil, fmt.Errorf("listing the hosts' entries: %w", err)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.rules.recordEntries(entries, at)
-	return p.rules.holders(p.g.now()), nil
-}
-
-// olderHosts returns the hosts, and the data centres with hosts, that may follow older
-// rules than this build, as last read and heard.
-func (p *peers) olderHosts() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.rules.holders(p.g.now())
+	term       uint64    // of the pauses, once a promotion is ordered; 0 before
+	ordered    string    // the database of that promotion
+	earlier    bool      // an order given before that one may take effect after it
+	planned    bool      // the primary confirms commits on its own, and serves until it is replaced
+	lookedAt   time.Time // when the replicas were last queried while an order was under way
+	unanswered bool      // a RESUME was not answered and may be carried out late
 }
 
 // pause pauses replicas and reads their logs.
@@ -116,46 +59,64 @@
 	if len(replicas) == 0 {
 		return
 	}
-	term := a.pausing.term
-	if term == 0 {
-		term = a.newestTerm() + 1
-	}
+	term := a.pauseTerm()
 	a.query(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: term})
 	for _, c := range replicas {
-		c.paused = c.paused || c.sent
+		if c.sent {
+			c.pausedTo = max(c.pausedTo, term)
+		}
 		if c.answered && !c.report.Primary && !isPaused(c.report) {
 			c.answered = false // its log may still grow
 		}
 	}
 }
 
-// pauseAll pauses all replicas, if that is needed, those that appear meanwhile too, so
-// that their logs do not grow after they were read.
-func (a *replacement) pauseAll(ctx context.Context) {
-	a.lookForOlderHosts(ctx)
-	if !a.pausing.needed {
-		return
+// pauseTerm returns the least term of a primary from which paused replicas receive again: the
+// one that this attempt's order begins. While an earlier order may take effect after that, or
+// has begun that term for another database, it is the next one.
+func (a *replacement) pauseTerm() uint64 {
+	next := a.newestTerm() + 1
+	if a.pausing.term == 0 {
+		return next
 	}
+	if primary := a.newestPrimary(); a.pausing.earlier || primary != nil && primary.db.ID != a.pausing.ordered {
+		return next
+	}
+	return a.pausing.term
+}
+
+// pauseAll pauses all replicas, those that appear meanwhile too, so that their logs do not
+// grow after they were read.
+func (a *replacement) pauseAll(ctx context.Context) {
 	a.pause(ctx, a.replicas())
 	for added := a.addNewDatabases(); len(added) > 0; added = a.addNewDatabases() {
 		a.pause(ctx, added)
 	}
+	a.recordLogs()
 }
 
-// pauseBeside pauses the replicas other than the planned successor of a primary that
-// still serves, and waits until the successor holds what they and the primary hold. From
-// then on every commit is confirmed by the successor.
-func (a *replacement) pauseBeside(ctx context.Context, successor string) error {
-	a.lookForOlderHosts(ctx)
-	if !a.pausing.needed {
-		return nil
+// recordLogs records the logs on which the choice of the successor rests.
+func (a *replacement) recordLogs() {
+	for _, c := range a.conns {
+		c.read, c.chosenWith = c.answered && !c.report.Primary, c.report.Received
 	}
-	others := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.db.ID == successor })
-	a.pause(ctx, others)
-	for _, c := range a.candidates() {
-		if !c.Answered && (c.Listed || c.CutOff) {
-			return errNoSuccessor // it cannot be paused
+}
+
+// pausePlanned pauses the replicas of a primary that still serves, the successor last: only
+// once it holds what the primary and the others do, and can be the only one that confirms
+// more commits.
+func (a *replacement) pausePlanned(ctx context.Context, successor string) error {
+	if a.pausing.planned = !a.s.needsCopies(); a.pausing.planned {
+		return nil // the successor would miss the commits until it leads
+	}
+	a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.db.ID == successor }))
+	if c, ok := a.unread(); ok {
+		// It may confirm commits that the successor does not receive. No host acknowledges
+		// them, as the successor lacks them, but hosts cannot say that they have failed.
+		if !a.leavingFor(unpausedPatience) {
+			return errNoSuccessor
 		}
+		a.log.Warn("A replica that cannot be paused may confirm commits until the successor leads.", "database", c)
 	}
 	if err := a.checkView(); err != nil {
 		return err
@@ -166,22 +127,79 @@
 			target = position.Max(target, c.report.Received)
 		}
 	}
-	return a.catchUp(ctx, a.conn(successor), target)
+	if err := a.catchUp(ctx, a.conn(successor), target); err != nil {
+		return err
+	}
+	a.pause(ctx, []*controlConn{a.conn(successor)})
+	if !a.conn(successor).answered {
+		return errNotPaused
+	}
+	a.recordLogs()
+	return a.checkView()
+}
+
+// unread returns a replica that may run and has not answered the last query, such as a Pause.
+func (a *replacement) unread() (id string, ok bool) {
+	for _, c := range a.candidates() {
+		if !c.Answered && (c.Listed || c.CutOff) {
+			return c.ID, true
+		}
+	}
+	return "", false
+}
+
+// leavingFor reports whether hosts have known for d that the primary is leaving.
+func (a *replacement) leavingFor(d time.Duration) bool {
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	since := a.s.table.LeavingSince(a.primary)
+	return !since.IsZero() && a.s.g.now().Sub(since) >= d
+}
+
+// checkPauses shows that no log has grown since the successor was chosen: each replica that
+// was read then is still paused and has the same log. It runs right before each call for the
+// successor. The order may have taken effect by an earlier call that had no answer.
+func (a *replacement) checkPauses(ctx context.Context, called bool) error {
+	if a.void || a.pausing.planned {
+		return nil
+	}
+	replicas := slices.DeleteFunc(slices.Clone(a.conns), func(c *controlConn) bool { return !c.read })
+	a.query(ctx, replicas, statement.Statement{Kind: statement.Status})
+	if primary := a.newestPrimary(); primary != nil && primary.report.Term > a.orderTerm {
+		if called && primary.db.ID == a.pausing.ordered {
+			return nil
+		}
+		return errNewerTerm
+	}
+	for _, c := range replicas {
+		if !c.answered || !isPaused(c.report) || c.report.Received != c.chosenWith {
+			a.log.Warn("Replica is not known to be paused with the log that was read.", "database", c.db.ID, "answered", c.answered,
+				"term", c.report.Term, "paused", c.report.Paused, "received", c.report.Received.String(), "read", c.chosenWith.String())
+			return errNotPaused
+		}
+	}
+	if added := a.addNewDatabases(); len(added) > 0 {
+		return errNotPaused
+	}
+	return nil
 }
 
-// pauseLate pauses replicas other than the successor while its promotion is under way: new
-// ones, and all if a host of older rules has started since the successor was chosen.
-func (a *replacement) pauseLate(ctx context.Context, successor string) {
-	var others []*controlConn
-	switch {
-	case a.pausing.needed:
-		others = a.addNewDatabases()
-	case a.pausing.late.Load():
-		a.pausing.needed = true
-		a.addNewDatabases()
-		others = a.replicas()
-	}
-	a.pause(ctx, slices.DeleteFunc(others, func(c *controlConn) bool { return c.db.ID == successor }))
+// keepPaused queries the replicas while an order is under way, and pauses those that may
+// receive from a primary of before, and new ones.
+func (a *replacement) keepPaused(ctx context.Context) {
+	if a.pausing.planned || a.s.g.now().Sub(a.pausing.lookedAt) < keepPausedEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepPausedTimeout)
+	defer cancel()
+	a.pausing.lookedAt = a.s.g.now()
+	a.addNewDatabases()
+	running := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.refused })
+	a.query(ctx, running, statement.Statement{Kind: statement.Status})
+	term := a.pauseTerm()
+	a.pause(ctx, slices.DeleteFunc(running, func(c *controlConn) bool {
+		return !c.answered || c.report.Primary || isPaused(c.report) || c.report.Term >= term
+	}))
 }
 
 // resume resumes the replicas that may be paused. It shows first that this host still
@@ -190,11 +208,13 @@
 func (a *replacement) resume() bool {
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, 2*controlTimeout)
 	defer cancel()
+	newest := a.newestTerm()
 	var paused []*controlConn
 	for _, c := range a.conns {
 		// A promotion ends pauses. A replica that has not joined the primary's term yet would
 		// receive from the former one.
-		if joining := c.answered && c.report.Term < a.newestTerm(); !joining && (c.paused || c.answered && isPaused(c.report)) {
+		joining := c.answered && c.report.Term < newest
+		if !joining && (c.pausedTo > newest || c.answered && isPaused(c.report)) {
 			paused = append(paused, c)
 		}
 	}
@@ -207,8 +227,9 @@
 	}
 	a.query(ctx, paused, statement.Statement{Kind: statement.Resume})
 	for _, c := range paused {
-		c.paused = !c.answered
-		if !c.answered && c.sent {
+		if c.answered {
+			c.pausedTo = 0
+		} else if c.sent {
 			a.pausing.unanswered = true
 			a.log.Warn("Database did not answer a RESUME, which may be carried out late.", "database", c.db.ID)
 		}
@@ -217,15 +238,25 @@
 	return !a.pausing.unanswered
 }
 
-// checkPaused starts a check for paused replicas in a fleet with hosts of older rules, or
-// after one was seen paused. A host that paused them and then failed, or was cut off,
-// cannot resume them itself. mu is held.
-func (s *service) checkPaused(now time.Time) {
+// checkPaused starts a check for paused replicas. A host that paused them and then failed, or
+// was cut off, cannot resume them itself. Signs of it are a paused replica, commits that the
+// primary does not confirm and, for the first host in rank, that the primary was to be
+// replaced a short time ago. mu is held.
+func (s *service) checkPaused(now time.Time, rank int) {
 	state := &s.promotion
-	if state.checkingPaused || now.Before(state.nextPausedCheck) || !state.sawPaused && len(s.g.peers.olderHosts()) == 0 {
+	every := routineCheckEvery
+	switch unconfirmed := s.commits.waitingFor(pausedSuspectAfter, now) || s.commits.failedAt.After(state.lastPausedCheck); {
+	case state.sawPaused || unconfirmed:
+		every = pausedCheckEvery
+	case rank != 0:
 		return
+	case now.Sub(state.pausedSign) < pausedSignFor:
+		every = pausedCheckEvery
 	}
-	state.checkingPaused, state.nextPausedCheck = true, now.Add(pausedCheckEvery)
+	if state.checkingPaused || now.Sub(state.lastPausedCheck) < every {
+		return
+	}
+	state.checkingPaused, state.lastPausedCheck = true, now
 	pools := slices.Collect(maps.Values(s.pools))
 	go func() {
 		paused := s.anyPaused(pools)
@@ -233,12 +264,18 @@
 		defer s.mu.Unlock()
 		state.checkingPaused, state.sawPaused = false, paused
 		now := s.g.now()
-		if paused && !state.running && state.reason == succession.None && !s.g.leaving.Load() && !now.Before(state.nextAttempt) {
+		if paused && !state.running && keepsPrimary(state.reason) && !s.g.leaving.Load() && !now.Before(state.nextAttempt) {
 			s.startAttempt(s.newReplacement(succession.Paused, s.acked, now), (*replacement).settle)
 		}
 	}()
 }
 
+// keepsPrimary reports whether replicas that are paused without a replacement under way are
+// to be resumed first: commits stall because of it.
+func keepsPrimary(reason succession.Reason) bool {
+	return reason == succession.None || reason == succession.Stalled
+}
+
 // anyPaused queries the databases and reports whether one of them is paused.
 func (s *service) anyPaused(pools []*pool) bool {
 	reports := make([]statement.Report, len(pools))
--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -45,6 +45,7 @@
 		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
 	})
 
+	none := func() {}
 	const older = `{"address":"127.0.0.1:9","dataCentre":"dc-a"}`
 	const present = `{"address":"127.0.0.1:9","dataCentre":"dc-a","rules":1}`
 	storeEntry := func(name, value string) {
@@ -96,44 +97,47 @@
 		return l
 	}
 
-	DescribeTable("decides whether a replica may confirm a commit once its log was read",
-		func(prepare func(), may bool) {
+	DescribeTable("lets no replica confirm a commit once its log was read",
+		func(prepare, duringOrder func()) {
 			prepare()
-			var during bool
+			during := true
 			dbs.withLock(func() {
 				dbs.promoteHook = func(o succession.Order) error {
+					duringOrder()
 					during = confirmed("a")
 					return dbs.applyOrder(o)
 				}
 			})
 			attempt(succession.Stalled)
-			Expect(during).To(Equal(may))
+			Expect(during).To(BeFalse())
 			dbs.withLock(func() { Expect(dbs.primary).NotTo(Equal("a")) })
-			Expect(received(statement.Pause) > 0).To(Equal(!may))
+			Expect(received(statement.Pause)).To(BeNumerically(">", 0))
 			Expect(confirmed(func() (id string) { dbs.withLock(func() { id = dbs.primary }); return id }())).To(BeTrue(), "replicas are paused for good")
 			Expect(storedLease().Settled(2)).To(BeTrue())
 		},
-		Entry("if every host states the present rules", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(1)) }, true),
-		Entry("if a host's entry states no rules", func() { storeEntry("host-2", older) }, false),
-		Entry("if a host states none in its messages, only in its entry", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(0)) }, false),
+		Entry("if every host states the present rules", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(1)) }, none),
+		Entry("if a host's entry states no rules", func() { storeEntry("host-2", older) }, none),
+		Entry("if a host of older rules starts while the order is given", none, func() { storeEntry("host-2", older) }),
+		Entry("if a host states none in its messages, only in its entry", func() { storeEntry("host-2", present); g.peers.handleMessage(heard(0)) }, none),
 		Entry("if the hosts of another data centre state none", func() {
 			g.peers.handleMessage(&gossippb.Gossip{Host: "host-3", Address: "127.0.0.1:9", DataCentre: "dc-b", Boot: 1, Sequence: 1, Rules: 1, Centres: []*gossippb.Centre{{Name: "dc-b", Hosts: 2}}})
-		}, false),
-		Entry("if the entries cannot be read", func() { p.api = hostsUnreadable{p.api} }, false),
-		Entry("if an entry is another writer's", func() { storeEntry("host-2", `{"slots":7}`); storeEntry("host-3", `[]`) }, true),
+		}, none),
+		Entry("if the entries cannot be read", func() { p.api = hostsUnreadable{p.api} }, none),
+		Entry("if an entry is another writer's", func() { storeEntry("host-2", `{"slots":7}`); storeEntry("host-3", `[]`) }, none),
 	)
 
-	It("confirms commits only by the successor while a leaving primary is replaced", func() {
+	// Until then every commit is confirmed by the successor, which is paused last.
+	It("confirms no commit by a replica that the successor of a leaving primary may lack", func() {
 		storeEntry("host-2", older)
 		dbs.withLock(func() {
 			dbs.promoteHook = func(o succession.Order) error {
 				before := ends()
-				if !confirmed("a") {
-					return errors.New("the successor does not receive")
+				if confirmed("a") {
+					return errors.New("a replica receives")
 				}
 				for id, end := range ends() {
-					if id != "a" && id != o.Database && end != before[id] {
-						return errors.New("another replica receives: " + id)
+					if id != "a" && end != before[id] || end > before[o.Database] && id != "a" {
+						return errors.New("the successor's log is not the longest, or another replica receives: " + id)
 					}
 				}
 				return dbs.applyOrder(o)
@@ -144,11 +148,10 @@
 			Expect(dbs.orders).To(HaveLen(1))
 			Expect(dbs.primary).NotTo(Equal("a"))
 		})
-		Expect(received(statement.Pause)).To(Equal(1))
+		Expect(received(statement.Pause)).To(Equal(2))
 	})
 
 	It("promotes nothing if a replica that may confirm commits cannot be paused", func() {
-		storeEntry("host-2", older)
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
 		attempt(succession.Leaving)
 		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
@@ -156,56 +159,6 @@
 		Expect(confirmed("a")).To(BeTrue())
 	})
 
-	It("orders nothing if an older host has started since the logs were read", func() {
-		ctx := context.Background()
-		svc.mu.Lock()
-		a := svc.newReplacement(succession.Stalled, position.Position{}, time.Now())
-		svc.mu.Unlock()
-		Expect(a.acquireLease(ctx)).To(Succeed())
-		storeEntry("host-2", older)
-		Expect(a.order(ctx, "b")).To(MatchError(errOlderHosts))
-		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
-	})
-
-	It("pauses the other replicas if an older host starts while the promotion is under way", func() {
-		dbs := dbs // the order is carried out after the spec has ended if it fails
-		effect := make(chan struct{})
-		dbs.withLock(func() {
-			dbs.promoteHook = func(o succession.Order) error {
-				storeEntry("host-2", older)
-				go func() {
-					defer close(effect)
-					time.Sleep(4 * olderHostsPoll)
-					_ = dbs.applyOrder(o)
-				}()
-				return nil
-			}
-		})
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			defer GinkgoRecover()
-			attempt(succession.Stalled)
-		}()
-		Eventually(func() (n int) {
-			dbs.withLock(func() {
-				for _, db := range dbs.databases {
-					if db.paused != 0 {
-						n++
-					}
-				}
-			})
-			return n
-		}).WithTimeout(3 * olderHostsPoll).WithPolling(5 * time.Millisecond).Should(Equal(1))
-		Eventually(done).WithTimeout(3 * time.Second).Should(BeClosed())
-		Eventually(effect).Should(BeClosed())
-		dbs.withLock(func() {
-			for _, db := range dbs.databases {
-				Expect(db.paused).To(BeZero(), db.id)
-			}
-		})
-	})
-
 	It("does not resume replicas that another host may have paused since", func() {
 		storeEntry("host-2", older)
 		dbs.withLock(func() {
@@ -271,6 +224,14 @@
 			dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
 		},
 		Entry("while there are older hosts", func() { storeEntry("host-2", older); g.peers.listHosts() }, "b", "c"),
+		Entry("while there are no commits", none, "b", "c"),
+		Entry("while the primary confirms no commit", func() {
+			dbs.withLock(func() { dbs.databases["b"].paused, dbs.databases["c"].paused = 2, 2 })
+			svc.mu.Lock()
+			svc.promotion.lastPausedCheck, svc.homeRank = time.Now(), 1
+			svc.mu.Unlock()
+			go func() { _ = newTestSession(g, "own").serve(request(statement.Write)) }()
+		}, "b", "c"),
 		Entry("once one is seen paused", func() {
 			dbs.withLock(func() { dbs.databases["b"].paused = 2 })
 			Expect(newTestSession(g, "own").serve(request(statement.Write)).Err).To(BeNil())
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -60,9 +60,10 @@
 	lastPrimary        string    // the last known primary
 	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
 	observedLease      leaseObservation
-	sawPaused          bool      // a replica was seen paused
-	checkingPaused     bool      // a check for paused replicas is running
-	nextPausedCheck    time.Time // earliest next check for paused replicas
+	sawPaused          bool // a replica was seen paused
+	checkingPaused     bool // a check for paused replicas is running
+	lastPausedCheck    time.Time
+	pausedSign         time.Time // last time when replicas may have been left paused
 }
 
 func rendezvousScore(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
@@ -99,8 +100,11 @@
 	} else {
 		s.keepRoster(now)
 	}
-	if reason == succession.None && known && (rank == 0 || state.sawPaused) {
-		s.checkPaused(now)
+	if reason != succession.None {
+		state.pausedSign = now
+	}
+	if known && keepsPrimary(reason) {
+		s.checkPaused(now, rank)
 	}
 	if reason == succession.None || now.Before(state.nextAttempt) {
 		return
@@ -204,7 +208,6 @@
 	defer a.closeConns()
 	var err error
 	a.recordEstablished()
-	a.lookForOlderHosts(ctx)
 	if err = a.readStoreList(ctx); err != nil {
 		a.log.Warn("Listing the databases failed.", "error", err)
 		a.giveUp(ctx)
@@ -259,7 +262,8 @@
 	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
 	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
-	errOlderHosts  = errors.New("gateway: a host of older rules has started since the logs were read")
+	errNotPaused   = errors.New("gateway: the log of a replica may have grown since it was read")
+	errLeftPaused  = errors.New("gateway: replicas were left paused, so that the primary's commits stall")
 )
 
 // order repeats the promotion call until its outcome is known or ctx ends. Before
@@ -271,13 +275,8 @@
 	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
 	c := a.conn(database)
 	a.replica = c != nil && c.answered && !c.report.Primary
-	a.pausing.term = a.newestTerm() + 1
+	a.pausing.term, a.pausing.ordered, a.pausing.earlier = a.newestTerm()+1, database, a.pending
 	for called := false; ; called = true {
-		a.lookAgain(ctx)
-		if !called && a.pausing.late.Load() {
-			return errOlderHosts
-		}
-		a.pauseLate(ctx, database)
 		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
@@ -286,6 +285,10 @@
 			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
 			return err
 		}
+		if err := a.checkPauses(ctx, called); err != nil {
+			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
+			return err
+		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -231,14 +231,25 @@
 		Expect(storedLease().Ordered).To(Equal("b"))
 	})
 
-	It("replaces a leaving primary although a replica is cut off, without stopping any database", func() {
+	It("replaces a leaving primary although a replica is cut off, only after some time, without stopping any database but replicas from receiving", func() {
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+		leaving := []routes.Database{
+			{ID: "a", Service: testService, Address: "a", DataCentre: "dc-a", Slots: 4, Leaving: true},
+			{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4},
+			{ID: "c", Service: testService, Address: "c", DataCentre: "dc-a", Slots: 4},
+		}
+		svc.setDatabasesAgo(0, leaving...)
 		attempt(succession.Leaving)
+		Expect(primary()).To(Equal("a"))
+		g.ago(-unpausedPatience, func() { attempt(succession.Leaving) })
 		Expect(primary()).To(Equal("b"))
 		dbs.withLock(func() {
 			for _, db := range dbs.databases {
 				for _, kind := range db.received {
-					Expect(kind).To(BeElementOf(statement.Status, statement.Begin, statement.Rollback))
+					Expect(kind).To(BeElementOf(statement.Status, statement.Begin, statement.Rollback, statement.Pause, statement.Resume))
+				}
+				if db.id != "c" {
+					Expect(db.paused).To(BeNumerically("<=", dbs.term), "left paused")
 				}
 			}
 		})
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,9 +34,6 @@
 	a.log.Info("Lease acquired to settle it.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
-	if a.pending && a.ordered != unknownOrder {
-		a.pauseAll(ctx) // an older host may have started after the order was given without pauses
-	}
 	a.giveUp(ctx)
 }
 
@@ -59,6 +57,8 @@
 // the pending order if no database reports that it is the primary, if that one is leaving,
 // or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
+	a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.read && c.answered }))
+	a.recordLogs()
 	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
 		a.logChosen("A late order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
 		err := a.order(ctx, late.db.ID)
@@ -96,16 +96,11 @@
 	accepted := a.s.g.now()
 	ctx, cancel := context.WithTimeout(a.s.g.ctx, takeOverLimit)
 	defer cancel()
-	watch, cancelWatch := context.WithCancel(ctx)
-	defer cancelWatch()
 	var beside sync.WaitGroup
 	floor := a.lastFloor()
 	beside.Go(func() { a.keepFloor(floor) })
-	if !a.pausing.needed {
-		beside.Go(func() { a.watchForOlderHosts(watch) })
-	}
 	for {
-		a.pauseLate(ctx, id)
+		a.keepPaused(ctx)
 		isPrimary := a.sampleSuccessor(id)
 		state := a.settlement(id, accepted)
 		if isPrimary && !a.pending || state.Since >= succession.PromotionLimit {
@@ -117,7 +112,6 @@
 		}
 		retry.Wait(ctx, catchUpPoll)
 	}
-	cancelWatch()
 	beside.Wait()
 	a.addNewDatabases()
 	a.query(a.s.g.ctx, a.conns, statement.Statement{Kind: statement.Status})
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -45,6 +45,8 @@
 	fence       uint64
 	orders      []succession.Order
 	promoteHook func(succession.Order) error // called by promote instead of applyOrder if set
+	cutAtCall   bool                         // a promoted database leads with what it had when the call was made
+	atCall      map[uint64]position.Position // by fence, the end of the ordered database's log when the call was made
 	ran         []string                     // ids of writes and commits that took effect
 	committed   [][]string                   // ids of the writes of each committed transaction
 }
@@ -57,6 +59,7 @@
 	unresponsive   bool // answers nothing and refuses new connections
 	notReplicating bool // receives no commits from the primary
 	paused         uint64
+	ignoresPause   bool // it answers PAUSE, and receives on
 	joinsLate      bool // it still reports the term before the last promotion
 	received       []statement.Kind
 	reads          int
@@ -71,7 +74,7 @@
 }
 
 func newGroup(ids ...string) *group {
-	g := &group{term: 1, primary: ids[0], databases: map[string]*standin{}}
+	g := &group{term: 1, primary: ids[0], databases: map[string]*standin{}, atCall: map[uint64]position.Position{}}
 	for _, id := range ids {
 		g.databases[id] = &standin{group: g, id: id, end: position.Position{Term: 1, Index: 10}}
 	}
@@ -239,7 +242,7 @@
 	case statement.Write:
 		return l.write(r, isPrimary)
 	case statement.Pause:
-		if !isPrimary && r.Term > g.term {
+		if !isPrimary && r.Term > g.term && !l.db.ignoresPause {
 			l.db.paused = r.Term
 		}
 	case statement.Resume:
@@ -319,6 +322,9 @@
 func (g *group) promote(o succession.Order) error {
 	g.mu.Lock()
 	g.orders = append(g.orders, o)
+	if db := g.databases[o.Database]; db != nil {
+		g.atCall[o.Fence] = db.end
+	}
 	hook := g.promoteHook
 	g.mu.Unlock()
 	if hook != nil {
@@ -343,6 +349,9 @@
 	}
 	g.term++
 	g.primary = o.Database
+	if at, ok := g.atCall[o.Fence]; ok && g.cutAtCall {
+		db.end = at
+	}
 	for _, other := range g.databases {
 		if db.end.Before(other.end) {
 			other.end = db.end
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -32,9 +32,16 @@
 	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary {
 		return a.choosePlanned(ctx, primary)
 	}
+	if a.reason == succession.Stalled && !a.pending && slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && isPaused(c.report) }) {
+		return succession.Candidate{}, errLeftPaused
+	}
 	if err := a.awaitSenior(ctx); err != nil {
 		return succession.Candidate{}, err
 	}
+	if _, ok := a.unread(); ok {
+		a.logCandidates(a.candidates())
+		return succession.Candidate{}, errNoSuccessor // no reason to pause the others, whose primary may still serve
+	}
 	a.pauseAll(ctx)
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
@@ -283,7 +290,9 @@
 		}
 		best, ok := succession.Senior(slices.DeleteFunc(staying, func(c succession.Candidate) bool { return c.Received.Before(target) }))
 		if ok && (best.ID == senior.ID || a.s.g.now().Sub(started) >= seniorLimit) {
-			return best, a.pauseBeside(ctx, best.ID)
+			err := a.pausePlanned(ctx, best.ID)
+			best.Received = a.conn(best.ID).report.Received
+			return best, err
 		}
 		retry.Wait(ctx, catchUpPoll)
 		if ctx.Err() != nil {
--- a/internal/standin/site/databases.go
+++ b/internal/standin/site/databases.go
@@ -6,13 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
 // Databases is a stand-in for one service's databases and for the platform's
-// promotion call. Replicas hold every commit at once. It is safe for concurrent use.
+// promotion call. Replicas hold every commit at once, paused or not. It is safe for concurrent use.
 type Databases struct {
 	service string
 	store   *Store
@@ -34,6 +35,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	reads    int
+	paused   uint64 // term of the last PAUSE, until a RESUME or a promotion
 }
 
 // StartDatabases starts the named databases of a service; the first is the primary.
@@ -139,6 +141,9 @@
 	if g.primary != order.ID {
 		g.term++
 		g.primary = order.ID
+		for _, db := range g.members {
+			db.paused = 0
+		}
 	}
 }
 
@@ -198,7 +203,7 @@
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
 		_, text, _ = strings.Cut(rest, " ")
 	}
-	verb, _, _ := strings.Cut(text, " ")
+	verb, argument, _ := strings.Cut(text, " ")
 	isPrimary := g.primary == d.ID
 	switch {
 	case text == "BEGIN" && !isPrimary, verb == "WRITE" && !isPrimary:
@@ -218,7 +223,13 @@
 		if isPrimary {
 			role = "primary"
 		}
-		return fmt.Sprintf("ROW %s %d %d.%d 0 1 0 1\r\n%s", role, g.term, g.term, g.index, complete), state
+		switch term, err := strconv.ParseUint(argument, 10, 64); {
+		case verb == "RESUME":
+			d.paused = 0
+		case verb == "PAUSE" && err == nil && !isPrimary && term > g.term:
+			d.paused = term
+		}
+		return fmt.Sprintf("ROW %s %d %d.%d %d 1 0 1\r\n%s", role, g.term, g.term, g.index, d.paused, complete), state
 	}
 	return complete, state
 }
