Replace a leaving primary although its replicas have stayed paused for an earlier order

Cause: replicas stay paused while an order is pending, and a planned replacement waited for one of them to catch up with the primary, which goes on committing what nobody confirms. Change: if all replicas that answer are paused already, the longest log is chosen as for a primary that does not serve. Spec: "stayed paused for an earlier order" failed before.

--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -171,6 +171,19 @@
 		Expect(write()).To(BeTrue(), "replicas are left paused")
 	})
 
+	// They cannot catch up with what the primary commits and nobody confirms.
+	It("is ordered in place of a leaving primary although replicas have stayed paused for an earlier order", func() {
+		dbs.withLock(func() {
+			dbs.promoteHook = func(succession.Order) error { return errStandinTimeout }
+		})
+		attempt(succession.Leaving)
+		dbs.withLock(func() { dbs.promoteHook = nil })
+		Expect(confirmed("a")).To(BeFalse())
+		attempt(succession.Leaving)
+		Expect(primary()).NotTo(Equal("a"))
+		Expect(write()).To(BeTrue(), "replicas are left paused")
+	})
+
 	It("leaves replicas paused while its order may still take effect, and no longer", func() {
 		dbs := dbs
 		dbs.withLock(func() {
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -148,6 +148,14 @@
 	return "", false
 }
 
+// allPaused reports whether all replicas that have answered are paused, for an order that is
+// pending or by a host that has failed. None of them catches up with a primary that still
+// serves; but what it has committed since is confirmed by none.
+func (a *replacement) allPaused() bool {
+	answered := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return !c.answered })
+	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !isPaused(c.report) })
+}
+
 // leavingFor reports whether hosts have known for d that the primary is leaving.
 func (a *replacement) leavingFor(d time.Duration) bool {
 	a.s.mu.Lock()
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -29,7 +29,7 @@
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
-	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary {
+	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary && !a.allPaused() {
 		return a.choosePlanned(ctx, primary)
 	}
 	if a.reason == succession.Stalled && !a.pending && slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && isPaused(c.report) }) {
