Let a primary that comes back under another id lead its term

Cause: the first database that reported to be the primary of a term was taken for it for good. A primary that crashes may come back in its term under another id, with its log, if no other was promoted; its commits then counted as those of a database that has lost the lead, and none was acknowledged until the next promotion. Change: another database of the list that reports the term replaces the first one if that is no longer listed or had the same address. A former primary that is listed still does not lead a later term by one wrong report.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -25,7 +25,7 @@
 	term       uint64            // newest term seen
 	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
 	listedAt   time.Time         // when SetDatabases was called first
-	led        map[uint64]string // by term, the database that first reported that it is its primary
+	led        map[uint64]string // by term, the database that reported that it is its primary
 }
 
 // ledTerms is the number of terms, up to the newest one, whose primaries are kept.
@@ -228,9 +228,12 @@
 // RecordLed records that a database reported that it is the primary of a term. The
 // position in another answer of a primary does not show its term: it names the end of the
 // log when the answer is written, which may be after the database has lost the lead.
+//
+// The first one to report it leads a term, unless it has ended: a primary may come back in
+// its term under another id, with its log.
 func (t *Table) RecordLed(term uint64, id string) {
 	t.RecordTerm(term)
-	if t.led[term] == "" {
+	if first := t.led[term]; first == "" || first != id && t.Listed(id) && (!t.Listed(first) || t.members[first].Address == t.members[id].Address) {
 		t.led[term] = id
 		maps.DeleteFunc(t.led, func(old uint64, _ string) bool { return old+ledTerms <= t.term })
 	}
--- a/database/lead/lead_test.go
+++ b/database/lead/lead_test.go
@@ -101,6 +101,29 @@
 		Expect(table.Former()).To(BeEmpty())
 	})
 
+	It("takes the first database that reports it for the primary of a term, and another one only once that has ended", func() {
+		table.RecordLed(2, "a")
+		table.RecordLed(2, "b")
+		Expect(table.Led(2)).To(Equal("a"))
+		Expect(table.LedTerm("b")).To(BeZero())
+
+		By("listing another one at its address")
+		again := db("d", "x", true)
+		again.Address = "a"
+		table.SetDatabases(append(list(), again), at(1000))
+		table.RecordLed(2, "d")
+		Expect(table.Led(2)).To(Equal("d"))
+		table.RecordLed(2, "b")
+		Expect(table.LedTerm("d")).To(BeEquivalentTo(2))
+
+		By("listing it no more")
+		table.SetDatabases(list()[1:], at(2000))
+		table.RecordLed(2, "a")
+		Expect(table.Led(2)).To(Equal("d"), "one that is not listed either")
+		table.RecordLed(2, "b")
+		Expect(table.Led(2)).To(Equal("b"))
+	})
+
 	It("discards the recorded state of a database that has restarted", func() {
 		table.RecordLeader("a", 1, at(10))
 		again := list()
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -33,6 +33,24 @@
 		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
 	})
 
+	// It acknowledged nothing more in its term.
+	It("is none of a primary that has come back under another id, and leads the same term", func() {
+		write := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
+		Expect(write()).To(BeTrue())
+		dbs.withLock(func() {
+			dbs.databases["a2"] = &standin{group: dbs, id: "a2", end: dbs.databases["a"].end}
+			dbs.primary = "a2"
+			delete(dbs.databases, "a")
+		})
+		g.setDatabases(map[string]routes.Database{
+			"a2": {ID: "a2", Service: testService, Address: "a", DataCentre: "dc-a", Slots: 4, Primary: true},
+			"b":  {ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4},
+			"c":  {ID: "c", Service: testService, Address: "c", DataCentre: "dc-a", Slots: 4},
+		})
+		svc.recordPrimary("a2", position.Position{Term: 1, Index: 11}, time.Now())
+		Expect(write()).To(BeTrue())
+	})
+
 	onlyUnlistedReceives := func() {
 		dbs.withLock(func() {
 			dbs.databases["b"].notReplicating, dbs.databases["c"].notReplicating = true, true
