Settle a lease without pauses if its order took effect long ago

Cause: whoever settles a lease whose holder has died pauses the replicas and orders the present primary, for 2 s and more if orders are lost, also if the order that the lease records is the one by which that primary leads. Nothing can replace it then. Change: replicas stay as they are if the recorded order's database leads a newer term than the lease names, and this host has known that term for PromotionLimit: orders accepted before that one have ended, others are refused. Spec: both sides of the limit.

--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -184,6 +184,31 @@
 		Expect(write()).To(BeTrue(), "replicas are left paused")
 	})
 
+	DescribeTable("leads on without pauses while the lease of the host that has promoted it is settled, once no earlier order can take effect",
+		func(ago time.Duration, want bool) {
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-1","claim":"x","ordered":"a","term":1,"rules":1}`))
+			Expect(err).NotTo(HaveOccurred())
+			dbs.withLock(func() {
+				dbs.term = 2
+				for _, db := range dbs.databases {
+					db.end.Term = 2
+				}
+			})
+			g.ago(ago, func() { svc.recordPrimary("a", position.Position{Term: 2, Index: 10}, g.now()) })
+			got := !want
+			during(func(succession.Order) { got = confirmed("a") })
+			svc.mu.Lock()
+			a := svc.newReplacement(succession.Unsettled, position.Position{}, time.Now())
+			svc.mu.Unlock()
+			a.settle()
+			Expect(got).To(Equal(want))
+			Expect(svc.leaseSettled(2)).To(BeTrue())
+			Expect(confirmed("a")).To(BeTrue(), "replicas are left paused")
+		},
+		Entry("long ago", succession.PromotionLimit+time.Second, true),
+		Entry("just now", time.Duration(0), false),
+	)
+
 	It("leaves replicas paused while its order may still take effect, and no longer", func() {
 		dbs := dbs
 		dbs.withLock(func() {
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -49,7 +49,7 @@
 	term       uint64    // of the pauses, once a promotion is ordered; 0 before
 	ordered    string    // the database of that promotion
 	earlier    bool      // an order given before that one may take effect after it
-	planned    bool      // the primary confirms commits on its own, and serves until it is replaced
+	none       bool      // no replica is paused: commits do not need them, or no order can replace the primary
 	lookedAt   time.Time // when the replicas were last queried while an order was under way
 	unanswered bool      // a RESUME was not answered and may be carried out late
 }
@@ -106,8 +106,8 @@
 // once it holds what the primary and the others do, and can be the only one that confirms
 // more commits.
 func (a *replacement) pausePlanned(ctx context.Context, successor string) error {
-	if a.pausing.planned = !a.s.needsCopies(); a.pausing.planned {
-		return nil // the successor would miss the commits until it leads
+	if a.pausing.none = !a.s.needsCopies(); a.pausing.none {
+		return nil // the primary confirms commits on its own, which the successor would miss
 	}
 	a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.db.ID == successor }))
 	if c, ok := a.unread(); ok {
@@ -148,6 +148,18 @@
 	return "", false
 }
 
+// orderTookEffect reports whether the order that the lease recorded is known to have taken
+// effect so long ago that no earlier one can any more.
+func (a *replacement) orderTookEffect() bool {
+	primary := a.newestPrimary()
+	if a.unseen || primary == nil || primary.db.ID != a.late || primary.report.Term <= a.leaseTerm {
+		return false
+	}
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	return a.s.namedTerm >= primary.report.Term && a.s.g.now().Sub(a.s.namedAt) >= succession.PromotionLimit
+}
+
 // allPaused reports whether all replicas that have answered are paused, for an order that is
 // pending or by a host that has failed. None of them catches up with a primary that still
 // serves; but what it has committed since is confirmed by none.
@@ -168,7 +180,7 @@
 // was read then is still paused and has the same log. It runs right before each call for the
 // successor. The order may have taken effect by an earlier call that had no answer.
 func (a *replacement) checkPauses(ctx context.Context, called bool) error {
-	if a.void || a.pausing.planned {
+	if a.void || a.pausing.none {
 		return nil
 	}
 	replicas := slices.DeleteFunc(slices.Clone(a.conns), func(c *controlConn) bool { return !c.read })
@@ -195,7 +207,7 @@
 // keepPaused queries the replicas while an order is under way, and pauses those that may
 // receive from a primary of before, and new ones.
 func (a *replacement) keepPaused(ctx context.Context) {
-	if a.pausing.planned || a.s.g.now().Sub(a.pausing.lookedAt) < keepPausedEvery {
+	if a.pausing.none || a.s.g.now().Sub(a.pausing.lookedAt) < keepPausedEvery {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, keepPausedTimeout)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -57,8 +57,10 @@
 // the pending order if no database reports that it is the primary, if that one is leaving,
 // or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
-	a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.read && c.answered }))
-	a.recordLogs()
+	if a.pausing.none = a.orderTookEffect(); !a.pausing.none {
+		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.read && c.answered }))
+		a.recordLogs()
+	}
 	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
 		a.logChosen("A late order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
 		err := a.order(ctx, late.db.ID)
