Play successors that lead with what they had at the call

Change: with the variant cut-at-call the log of a promoted database is cut to what it held when the call was accepted. The cuts of successors are the variant deaf-successor, which is on as before in every play without cut-at-call.

--- a/internal/standin/takeover/control.go
+++ b/internal/standin/takeover/control.go
@@ -26,13 +26,15 @@
 	Leader   string
 	Upstream string
 	IDs      []string // the log of the primary when it was promoted
+	Kept     *int     // entries with which a database is to lead, at most
 }
 
 // state is the answer to an order.
 type state struct {
-	Role string
-	Term int
-	IDs  []string // of its log, for orderLead
+	Role   string
+	Term   int
+	Length int      // of its log
+	IDs    []string // of its log, for orderLead
 }
 
 // serveControl carries out the platform's orders.
@@ -61,6 +63,9 @@
 			d.gate = make(chan struct{})
 		}
 	case o.Do == orderLead && o.Term > d.term:
+		if o.Kept != nil {
+			d.cutTo(*o.Kept)
+		}
 		d.term, d.leader, d.demoted, d.paused = o.Term, d.ID, false, 0
 		d.applied, d.confirmed = len(d.log), map[string]int{}
 		d.open()
@@ -71,7 +76,7 @@
 	case o.Do == orderLearn:
 		d.open()
 	}
-	out := state{Role: d.role(), Term: d.term}
+	out := state{Role: d.role(), Term: d.term, Length: len(d.log)}
 	if o.Do == orderLead {
 		out.IDs = idsOf(d.log)
 	}
--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -139,6 +139,13 @@
 func (d *database) truncate(kept int) {
 	if kept < len(d.log) {
 		d.busyUntil = time.Now().Add(rollbackTime)
+	}
+	d.cutTo(kept)
+}
+
+// cutTo removes all entries behind the first ones. mu is held.
+func (d *database) cutTo(kept int) {
+	if kept < len(d.log) {
 		d.log = d.log[:kept:kept]
 		d.journal.write(journalLine{Kept: &kept})
 	}
--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -108,30 +108,54 @@
 // promote accepts a promotion call and carries it out later, whichever database is the
 // primary by then.
 func (g *group) promote(id string, fence uint64) int {
+	m := g.accept(id, fence)
+	if m == nil {
+		return http.StatusConflict
+	}
+	after := promoteTime
+	if g.with.slowPromotions {
+		after = g.faults.between(promoteTime, slowestPromotion)
+	}
+	g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", id, fence, after.Milliseconds())
+	held := make(chan *int, 1)
+	go func() { held <- g.heldAtCall(m) }()
+	g.faults.later(after, func() { g.lead(m, <-held) })
+	return http.StatusOK
+}
+
+// accept returns the database that a promotion call names, or nil if the call is refused.
+func (g *group) accept(id string, fence uint64) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if fence < g.fence {
-		return http.StatusConflict
+		return nil
 	}
 	g.fence = fence
 	for _, m := range g.databases {
-		if m.id != id || m.isDown() {
-			continue
-		}
-		after := promoteTime
-		if g.with.slowPromotions {
-			after = g.faults.between(promoteTime, slowestPromotion)
+		if m.id == id && !m.isDown() {
+			return m
 		}
-		g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", id, fence, after.Milliseconds())
-		g.faults.later(after, func() { g.lead(m) })
-		return http.StatusOK
 	}
-	return http.StatusConflict
+	return nil
+}
+
+// heldAtCall returns the length of the log with which a database is to lead, or nil for
+// all that it has received by then. One that stands still receives nothing.
+func (g *group) heldAtCall(m *member) *int {
+	if !g.with.cutAtCall {
+		return nil
+	}
+	now, err := m.order(order{Do: orderState})
+	if err != nil {
+		return nil // it has ended
+	}
+	return &now.Length
 }
 
-// lead makes a database the primary of the next term with what it has received. Nothing
-// is answered while this is carried out, except by a process that stands still.
-func (g *group) lead(m *member) {
+// lead makes a database the primary of the next term with what it has received, or with
+// the first entries of it. Nothing is answered while this is carried out, except by a
+// process that stands still.
+func (g *group) lead(m *member, held *int) {
 	for !m.runs() {
 		if m.isDown() {
 			return
@@ -154,7 +178,7 @@
 			}
 		})
 	}
-	reached, err := m.order(order{Do: orderLead, Term: term})
+	reached, err := m.order(order{Do: orderLead, Term: term, Kept: held})
 	if err != nil {
 		g.rec.notef("promotion of %s: %v", m.id, err)
 		g.each(m, func(other *member) {
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -45,7 +45,7 @@
 	seed := flag.Uint64("seed", 1, "seed of the faults")
 	layout := flag.String("layout", "small", "layout of the site: small or large")
 	plan := flag.String("plan", "faults", "plan of the faults: faults, or record for the day of issue 33")
-	with := flag.String("with", "", "comma-separated variants: late-ready, no-position, held-answers, slow-promotions, late-news, restarts, no-routes, no-service, calm")
+	with := flag.String("with", "", "comma-separated variants: "+variantNames())
 	flag.Parse()
 	os.Exit(run(options{name: *name, daemon: *daemon, older: *older, out: *out, trouble: *trouble, seed: *seed, layout: *layout, plan: *plan, with: *with}))
 }
--- a/internal/standin/takeover/takeover.go
+++ b/internal/standin/takeover/takeover.go
@@ -128,7 +128,7 @@
 	calm := t.s.layout.with.calm
 	t.f.disrupt(!calm)
 	t.mu.Lock()
-	t.starving, t.hitting = true, !calm
+	t.starving, t.hitting = t.s.layout.with.starves(), !calm
 	t.mu.Unlock()
 	for _, c := range t.s.builds.changes(t.f.seed, len(t.s.hosts), plan.length) {
 		t.busy.Go(func() {
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -93,13 +93,31 @@
 		Expect(instruct(p.replica.Address, order{Do: orderLead, Term: 4}).IDs).To(Equal([]string{"id"}))
 	})
 
+	It("leads with what it held when the call was accepted, if told so", func() {
+		p := startPair(true)
+		c := openSession(p.primary.Address)
+		c.send("WRITE a 1")
+		Expect(c.answer()).To(HaveLen(2))
+		held := instruct(p.replica.Address, order{Do: orderState}).Length
+		c.send("WRITE a 2")
+		Expect(c.answer()).To(Equal([]string{"COMPLETE 7.i-1.id", "READY I 3.1002"}))
+		led := instruct(p.replica.Address, order{Do: orderLead, Term: 4, Kept: &held})
+		Expect(led.IDs).To(HaveLen(1))
+		stored, err := readJournal(p.replica.Journal)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.log).To(HaveLen(1))
+		session := openSession(p.replica.Address)
+		session.send("READ a")
+		Expect(session.answer()).To(ContainElement("ROW 1"))
+	})
+
 	It("does not answer a commit that a promotion rolls back, and leads no longer", func() {
 		p := startPair(false)
 		c := openSession(p.primary.Address)
 		c.send("WRITE a 1")
 		Expect(c.answer()).To(BeEmpty())
 		led := instruct(p.replica.Address, order{Do: orderLead, Term: 4})
-		Expect(led).To(Equal(state{Role: rolePrimary, Term: 4, IDs: []string{}}))
+		Expect(led).To(Equal(state{Role: rolePrimary, Term: 4, Length: 0, IDs: []string{}}))
 		Expect(instruct(p.primary.Address, order{Do: orderLearn, Term: 4, Leader: "i-2", IDs: led.IDs}).Role).To(Equal(roleReplica))
 		Expect(c.answer()).To(BeEmpty())
 		stored, err := readJournal(p.primary.Journal)
@@ -108,6 +126,16 @@
 	})
 })
 
+var _ = Describe("variants", func() {
+	It("cut off ordered databases, except with cut-at-call alone", func() {
+		for text, starves := range map[string]bool{"": true, "calm": true, "cut-at-call": false, "calm,cut-at-call,deaf-successor": true} {
+			v, err := parseVariants(text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(v.starves()).To(Equal(starves), text)
+		}
+	})
+})
+
 var _ = Describe("a plan", func() {
 	It("is that of its seed", func() {
 		for name, plan := range plans {
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -18,14 +20,43 @@
 	restarts       bool // replicas start again without their logs
 	noRoutes       bool // configurations take the routes of a service away
 	noService      bool // configurations take a service's entry away
+	cutAtCall      bool // a successor leads with what it had received when the call was accepted
+	deafSuccessor  bool // databases whose promotion is ordered receive nothing more, at times
 	calm           bool // orders and calls of the store are answered, and hosts run on
 }
 
+// starves reports whether databases whose promotion is ordered are cut off. A successor
+// that receives nothing more leads with what it had at the call anyway, and the other
+// replicas cannot be found to be ahead of it by then.
+func (v variants) starves() bool { return v.deafSuccessor || !v.cutAtCall }
+
+// byName returns the variants under the names of the command line.
+func (v *variants) byName() map[string]*bool {
+	return map[string]*bool{
+		"late-ready":      &v.lateReady,
+		"no-position":     &v.noPosition,
+		"held-answers":    &v.heldAnswers,
+		"slow-promotions": &v.slowPromotions,
+		"late-news":       &v.lateNews,
+		"restarts":        &v.restarts,
+		"no-routes":       &v.noRoutes,
+		"no-service":      &v.noService,
+		"cut-at-call":     &v.cutAtCall,
+		"deaf-successor":  &v.deafSuccessor,
+		"calm":            &v.calm,
+	}
+}
+
+// variantNames lists the names of the variants.
+func variantNames() string {
+	var v variants
+	return strings.Join(slices.Sorted(maps.Keys(v.byName())), ", ")
+}
+
 // parseVariants reads a comma-separated list.
 func parseVariants(text string) (variants, error) {
 	var v variants
-	names := map[string]*bool{"late-ready": &v.lateReady, "no-position": &v.noPosition, "held-answers": &v.heldAnswers, "slow-promotions": &v.slowPromotions, "late-news": &v.lateNews,
-		"restarts": &v.restarts, "no-routes": &v.noRoutes, "no-service": &v.noService, "calm": &v.calm}
+	names := v.byName()
 	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
 		set := names[name]
 		if set == nil {
