Vary what positions and logs of the databases mean

Change: the variants entry-term, jumping-numbers, position-before, gaps and lapsing-entries, and as-recorded for cut-at-call with the first two. An entry has its number; replicas confirm numbers, with gaps those that they have only; rollbacks and stale reads are found by what the journals contain instead of by length.

--- a/internal/standin/takeover/announce.go
+++ b/internal/standin/takeover/announce.go
@@ -58,9 +58,9 @@
 	}
 	a.mu.Unlock()
 	a.m.mu.Lock()
-	unchanged := a.m.announced == now.Role
+	unchanged, hidden := a.m.announced == now.Role, a.m.hidden > 0
 	a.m.mu.Unlock()
-	if unchanged && (!due || a.s.store.has(kindServers, a.m.id)) {
+	if unchanged && (hidden || !due || a.s.store.has(kindServers, a.m.id)) {
 		return
 	}
 	if _, err := a.s.store.put(kindServers, a.m.id, a.m.entry(now.Role)); err != nil {
--- a/internal/standin/takeover/control.go
+++ b/internal/standin/takeover/control.go
@@ -67,10 +67,10 @@
 			d.cutTo(*o.Kept)
 		}
 		d.term, d.leader, d.demoted, d.paused = o.Term, d.ID, false, 0
-		d.applied, d.confirmed = len(d.log), map[string]int{}
+		d.applied, d.confirmed = len(d.log), map[string]receipts{}
 		d.open()
 	case o.Do == orderLearn && o.Term > d.term:
-		d.truncate(commonLength(d.log, o.IDs))
+		d.rollBack(o.IDs)
 		d.term, d.leader, d.upstream, d.paused, d.demoted = o.Term, o.Leader, o.Upstream, 0, false
 		d.open()
 	case o.Do == orderLearn:
--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,13 +33,13 @@
 
 	mu        sync.Mutex // guards the fields below
 	changed   chan struct{}
-	gate      chan struct{} // closed, except while a promotion is carried out
-	term      int           // the newest that it knows
-	leader    string        // id of the primary of that term
-	upstream  string        // the address at which it reaches the primary
-	log       []entry       // received
-	applied   int           // entries of the log
-	confirmed map[string]int
+	gate      chan struct{}       // closed, except while a promotion is carried out
+	term      int                 // the newest that it knows
+	leader    string              // id of the primary of that term
+	upstream  string              // the address at which it reaches the primary
+	log       []entry             // received
+	applied   int                 // entries of the log
+	confirmed map[string]receipts // by replica, of the entries of the term
 	paused    int
 	demoted   bool // a primary that was made a replica
 	busyUntil time.Time
@@ -52,7 +53,17 @@
 	Term                          int
 	Leader, Upstream              string
 	Seed                          uint64
-	LateReady, NoPosition         bool
+	behaviour
+}
+
+// behaviour is what variants change about a database.
+type behaviour struct {
+	LateReady, NoPosition, PositionBefore, EntryTerm, JumpingNumbers, Gaps bool
+}
+
+func (v variants) behaviour() behaviour {
+	return behaviour{LateReady: v.lateReady, NoPosition: v.noPosition, PositionBefore: v.positionBefore,
+		EntryTerm: v.entryTerm, JumpingNumbers: v.jumpingNumbers, Gaps: v.gaps}
 }
 
 // runDatabase is the main function of a database's process, which ends when its
@@ -84,7 +95,7 @@
 	open := make(chan struct{})
 	close(open)
 	d := &database{databaseSettings: set, slots: make(chan struct{}, slotsPerDatabase), changed: make(chan struct{}), gate: open,
-		term: set.Term, leader: set.Leader, upstream: set.Upstream, confirmed: map[string]int{},
+		term: set.Term, leader: set.Leader, upstream: set.Upstream, confirmed: map[string]receipts{},
 		random: rand.New(rand.NewPCG(set.Seed, uint64(time.Now().UnixNano())))}
 	if stored, err := readJournal(set.Journal); err == nil {
 		d.log, d.applied = stored.log, len(stored.log)
@@ -135,12 +146,17 @@
 	}
 }
 
-// truncate rolls back all entries behind the first ones. mu is held.
-func (d *database) truncate(kept int) {
-	if kept < len(d.log) {
+// rollBack removes the entries that the log of a promoted database lacks. mu is held.
+func (d *database) rollBack(promoted []string) {
+	kept, more := retained(d.log, promoted)
+	if kept+len(more) < len(d.log) {
 		d.busyUntil = time.Now().Add(rollbackTime)
 	}
 	d.cutTo(kept)
+	if len(more) > 0 {
+		d.append(more)
+		d.applied = len(d.log)
+	}
 }
 
 // cutTo removes all entries behind the first ones. mu is held.
@@ -152,6 +168,16 @@
 	d.applied = min(d.applied, kept)
 }
 
+// holds reports whether the log has a commit. mu is held.
+func (d *database) holds(id string) bool {
+	for _, e := range slices.Backward(d.log) {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // chance draws whether something of a share happens.
 func (d *database) chance(share float64) bool {
 	d.mu.Lock()
--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,7 +42,6 @@
 // rollback is a commit that a promotion has rolled back.
 type rollback struct {
 	entry    entry
-	number   int // in the log, from 1
 	at       time.Time
 	primary  string               // id of the database that had committed it
 	promoted string               // id
@@ -236,18 +236,21 @@
 		g.rec.notef("%v", err)
 		return 0
 	}
-	old := files[former.id].log
-	kept := commonLength(old, ids)
+	has := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		has[id] = true
+	}
+	gone := slices.DeleteFunc(slices.Clone(files[former.id].log), func(e entry) bool { return has[e.ID] })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, e := range old[kept:] {
-		r := rollback{entry: e, number: kept + i + 1, at: at, primary: former.id, promoted: promoted.id, received: map[string]time.Time{}}
+	for _, e := range gone {
+		r := rollback{entry: e, at: at, primary: former.id, promoted: promoted.id, received: map[string]time.Time{}}
 		for id, f := range files {
-			if received, ok := f.receivedAt(r.number, e.ID); ok && id != former.id {
+			if received, ok := f.receivedAt(e.ID); ok && id != former.id {
 				r.received[id] = received
 			}
 		}
 		g.rolledBack = append(g.rolledBack, r)
 	}
-	return len(old) - kept
+	return len(gone)
 }
--- a/internal/standin/takeover/journal.go
+++ b/internal/standin/takeover/journal.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"math"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -12,23 +14,19 @@
 	ID     string    `json:"id"` // of the COMMIT, or of the single write
 	At     time.Time `json:"at"`
 	Term   int       `json:"term"`
+	Number int       `json:"number"` // grows from entry to entry
 	Writes []write   `json:"writes"`
 }
 
 type write struct{ ID, Item, Data string }
 
-// progress is a growth of a database's log.
-type progress struct {
-	at       time.Time
-	received int
-}
-
 // ran is a statement that a database has run.
 type ran struct {
 	At      time.Time `json:"at"`
 	ID      string    `json:"id"`
 	Text    string    `json:"text"`
-	Applied int       `json:"applied"` // entries of the log that it ran on
+	Applied int       `json:"applied"` // number of the last entry that it ran on
+	line    int       // of the journal
 }
 
 // journalLine is a line of a database's journal: an entry that was appended, or the
@@ -70,21 +68,27 @@
 
 // logFile is what a journal holds.
 type logFile struct {
-	log     []entry
-	history []progress
-	ran     []ran
+	log   []entry
+	stays map[string][]stay // of commits in the log, by id
+	ran   []ran
+}
+
+// stay is the time from the receipt of a commit to its removal.
+type stay struct {
+	at          time.Time
+	line, until int // of the journal
 }
 
 // readJournal reads the journal of a database, which may be running.
 func readJournal(path string) (logFile, error) {
-	var out logFile
+	out := logFile{stays: map[string][]stay{}}
 	file, err := os.Open(path)
 	if err != nil {
 		return out, err
 	}
 	defer file.Close()
 	lines := bufio.NewReader(file)
-	for {
+	for n := 0; ; n++ {
 		raw, err := lines.ReadBytes('\n')
 		if err != nil {
 			return out, nil // its last line may be incomplete
@@ -96,36 +100,46 @@
 		switch {
 		case line.Entry != nil:
 			out.log = append(out.log, *line.Entry)
-			out.history = append(out.history, progress{line.At, len(out.log)})
+			out.stays[line.Entry.ID] = append(out.stays[line.Entry.ID], stay{line.At, n, math.MaxInt})
 		case line.Kept != nil:
+			for _, e := range out.log[*line.Kept:] {
+				stays := out.stays[e.ID]
+				stays[len(stays)-1].until = n
+			}
 			out.log = out.log[:*line.Kept]
 		case line.Ran != nil:
+			line.Ran.line = n
 			out.ran = append(out.ran, *line.Ran)
 		}
 	}
 }
 
-// receivedAt returns when a commit was received, if the log holds it.
-func (f logFile) receivedAt(number int, id string) (time.Time, bool) {
-	if number > len(f.log) || f.log[number-1].ID != id {
+// receivedAt returns when a commit was received last, if the log holds it.
+func (f logFile) receivedAt(id string) (time.Time, bool) {
+	stays := f.stays[id]
+	if len(stays) == 0 || stays[len(stays)-1].until != math.MaxInt {
 		return time.Time{}, false
 	}
-	var at time.Time
-	for _, p := range f.history {
-		if p.received == number {
-			at = p.at // the last time counts, after rollbacks
-		}
-	}
-	return at, true
+	return stays[len(stays)-1].at, true
+}
+
+// heldAt reports whether the log held a commit at a line of the journal.
+func (f logFile) heldAt(line int, id string) bool {
+	return slices.ContainsFunc(f.stays[id], func(s stay) bool { return s.line < line && line < s.until })
 }
 
-// commonLength returns the number of entries up to which a log has the ids of another.
-func commonLength(log []entry, ids []string) int {
-	n := min(len(log), len(ids))
-	for n > 0 && log[n-1].ID != ids[n-1] {
-		n--
+// retained returns the number of entries up to which another log has all of a log, and
+// those behind that it has too, if logs have gaps.
+func retained(log []entry, other []string) (int, []entry) {
+	has := make(map[string]bool, len(other))
+	for _, id := range other {
+		has[id] = true
+	}
+	first := slices.IndexFunc(log, func(e entry) bool { return !has[e.ID] })
+	if first < 0 {
+		return len(log), nil
 	}
-	return n
+	return first, slices.DeleteFunc(slices.Clone(log[first:]), func(e entry) bool { return !has[e.ID] })
 }
 
 func idsOf(log []entry) []string {
--- a/internal/standin/takeover/judge.go
+++ b/internal/standin/takeover/judge.go
@@ -105,13 +105,13 @@
 // acknowledged before they began. g.mu and mu are held.
 func (t *takeover) stale(files map[string]logFile, log []entry) int {
 	type place struct {
-		number int
-		acked  time.Time
+		entry
+		acked time.Time
 	}
 	var places []place // of the acknowledged commits that were not rolled back
-	for i, e := range log {
+	for _, e := range log {
 		if at, ok := t.acked[e.ID]; ok {
-			places = append(places, place{i + 1, at})
+			places = append(places, place{e, at})
 		}
 	}
 	count := 0
@@ -121,10 +121,10 @@
 			continue
 		}
 		for _, p := range places {
-			if p.number > r.Applied && p.acked.Before(read.began) {
+			if p.acked.Before(read.began) && (p.Number > r.Applied || !files[r.database].heldAt(r.line, p.ID)) {
 				count++
-				t.sayf("STALE: read %s, sent at %.3f s, ran at %.3f s on %s with %d commits; commit %d (%s) was acknowledged by %s at %.3f s",
-					r.ID, t.s.rec.seconds(read.began), t.s.rec.seconds(r.At), r.database, r.Applied, p.number, log[p.number-1].ID, t.ackedBy[log[p.number-1].ID], t.s.rec.seconds(p.acked))
+				t.sayf("STALE: read %s, sent at %.3f s, ran at %.3f s on %s up to %d; commit %d (%s) was acknowledged by %s at %.3f s",
+					r.ID, t.s.rec.seconds(read.began), t.s.rec.seconds(r.At), r.database, r.Applied, p.Number, p.ID, t.ackedBy[p.ID], t.s.rec.seconds(p.acked))
 				break
 			}
 		}
@@ -163,7 +163,7 @@
 		}
 		sort.Strings(holders)
 		t.sayf("LOST: commit %d.%d (%s) of %s at %.3f s, received by [%s], acknowledged by %s at %.3f s; %s was promoted without it at %.3f s",
-			r.entry.Term, r.number+1000, r.entry.ID, r.primary, sec(r.entry.At), strings.Join(holders, ", "), t.ackedBy[r.entry.ID], sec(acked), r.promoted, sec(r.at))
+			r.entry.Term, r.entry.Number, r.entry.ID, r.primary, sec(r.entry.At), strings.Join(holders, ", "), t.ackedBy[r.entry.ID], sec(acked), r.promoted, sec(r.at))
 	}
 	t.sayf("time line of the first promotion of %s that lost commits (%d in all):", g.service, len(lost))
 	from, until = from.Add(-linesBefore), until.Add(linesAfter)
--- a/internal/standin/takeover/member.go
+++ b/internal/standin/takeover/member.go
@@ -35,6 +35,7 @@
 	seq       int
 	born      int64
 	announced string // the role in its entry
+	hidden    int    // number of reasons for which its entry is missing
 }
 
 func newMember(g *group, zone, folder string) (*member, error) {
@@ -68,7 +69,7 @@
 // start starts the database's process, which follows or is a primary of a term.
 func (m *member) start(leader *member, term int) error {
 	set := databaseSettings{ID: m.id, Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.id,
-		Upstream: m.upstream[leader], Seed: m.g.faults.seed, LateReady: m.g.with.lateReady, NoPosition: m.g.with.noPosition}
+		Upstream: m.upstream[leader], Seed: m.g.faults.seed, behaviour: m.g.with.behaviour()}
 	raw, err := json.Marshal(set)
 	if err != nil {
 		return err
@@ -163,6 +164,20 @@
 	return m.down
 }
 
+// hide keeps the entry of the database out of the store for a time, as after heartbeats
+// that did not arrive.
+func (m *member) hide(length time.Duration, remove func()) {
+	by := func(n int) {
+		m.mu.Lock()
+		m.hidden += n
+		m.mu.Unlock()
+	}
+	by(1)
+	remove()
+	time.Sleep(length)
+	by(-1)
+}
+
 // freeze stops the database's process for a time.
 func (m *member) freeze(length time.Duration) {
 	m.signal(syscall.SIGSTOP, 1)
--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -165,6 +165,10 @@
 	return out
 }
 
+// gapBefore is the mean time from the beginning of a gap in a replica's log to the faults
+// around it, in which entries behind the gap arrive.
+const gapBefore = 3 * time.Second
+
 // serviceSteps returns the faults of a service that the variants add around a moment.
 func serviceSteps(r *rand.Rand, l layout, g int, around time.Duration) []step {
 	var out []step
@@ -181,5 +185,12 @@
 	if l.with.restarts {
 		out = append(out, step{at: after(), length: 200 * time.Millisecond, kind: "restart of a replica", group: g, zone: r.IntN(len(l.databases))})
 	}
+	if l.with.gaps {
+		out = append(out, step{at: after() - gapBefore, length: length, kind: "replica receives nothing", group: g, zone: r.IntN(len(l.databases))},
+			step{at: after() - gapBefore, length: 200 * time.Millisecond, kind: "restart of a replica", group: g, zone: r.IntN(len(l.databases))})
+	}
+	if l.with.lapsingEntries {
+		out = append(out, step{at: after(), length: length, kind: "lapse of a replica's entry", group: g, zone: r.IntN(len(l.databases))})
+	}
 	return out
 }
--- /dev/null
+++ b/internal/standin/takeover/position.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// Numbers of entries.
+const (
+	firstNumber = 1000 // precedes the first one, unless numbers jump
+	termNumbers = 1000 // between the beginnings of two terms, if they jump
+)
+
+// nextNumber returns the number of the next entry of the log. mu is held.
+func (d *database) nextNumber() int {
+	last := d.numberAt(len(d.log))
+	if d.JumpingNumbers {
+		last = max(last, (d.term-firstTerm)*termNumbers)
+	}
+	return last + 1
+}
+
+// numberAt returns the number of the last of the first n entries. mu is held.
+func (d *database) numberAt(n int) int {
+	switch {
+	case n > 0:
+		return d.log[n-1].Number
+	case d.JumpingNumbers:
+		return 0
+	}
+	return firstNumber
+}
+
+// position returns the position that is named for the first n entries. mu is held.
+func (d *database) position(n int) string {
+	term := d.term
+	if d.EntryTerm {
+		if term = firstTerm; n > 0 {
+			term = d.log[n-1].Term
+		}
+	}
+	return fmt.Sprintf("%d.%d", term, d.numberAt(n))
+}
+
+// parsePosition returns the number that the log has to reach to cover a position, or one
+// beyond every log for a newer term. A log covers all of an older term: what it lacks of it
+// was rolled back. mu is held.
+func (d *database) parsePosition(text string) int {
+	term, number, _ := strings.Cut(text, ".")
+	t, err1 := strconv.Atoi(term)
+	n, err2 := strconv.Atoi(number)
+	switch {
+	case err1 != nil || err2 != nil || t > d.term:
+		return math.MaxInt
+	case t < d.term:
+		kept := sort.Search(len(d.log), func(i int) bool { return d.log[i].Term > t })
+		return min(n, d.numberAt(kept))
+	}
+	return n
+}
+
+// isBehind reports whether what is applied does not cover a position, if one is given. mu
+// is held.
+func (d *database) isBehind(after string) bool {
+	return after != "" && d.parsePosition(after) > d.numberAt(d.applied)
+}
--- a/internal/standin/takeover/replication.go
+++ b/internal/standin/takeover/replication.go
@@ -6,20 +6,24 @@
 	"fmt"
 	"net"
 	"slices"
-	"sort"
-	"strconv"
-	"strings"
 	"time"
 )
 
 // wordFollow begins a connection of a replica.
 const wordFollow = "FOLLOW"
 
-// followRequest asks for the entries behind the first Received ones.
+// followRequest asks for the entries behind a number.
 type followRequest struct {
 	ID       string
 	Term     int
-	Received int
+	After    int
+	Received receipts
+}
+
+// shipment is what a primary sends to a replica at once.
+type shipment struct {
+	At      time.Time
+	Entries []entry
 }
 
 // followPause is the time after which a replica dials the primary again.
@@ -68,7 +72,7 @@
 		}
 	}()
 	d.mu.Lock()
-	request := followRequest{ID: d.ID, Term: term, Received: len(d.log)}
+	request := followRequest{ID: d.ID, Term: term, After: d.numberAt(len(d.log)), Received: d.received()}
 	d.mu.Unlock()
 	raw, err := json.Marshal(request)
 	if err != nil {
@@ -80,27 +84,33 @@
 	r := bufio.NewReader(conn)
 	for {
 		line, err := readLine(r)
-		var entries []entry
-		if err != nil || json.Unmarshal([]byte(line), &entries) != nil {
+		var sent shipment
+		if err != nil || json.Unmarshal([]byte(line), &sent) != nil {
+			return
+		}
+		if d.Gaps && time.Since(sent.At) > gapAfter {
 			return
 		}
 		d.awaitGate()
-		received, ok := d.receive(term, entries)
+		received, ok := d.receive(term, sent.Entries)
 		if !ok {
 			return
 		}
-		if _, err := fmt.Fprintf(conn, "%d\r\n", received); err != nil {
+		if raw, err = json.Marshal(received); err != nil {
+			return
+		}
+		if _, err := fmt.Fprintf(conn, "%s\r\n", raw); err != nil {
 			return
 		}
 	}
 }
 
-// receive appends what the primary of a term has sent, and returns the length of the log.
-func (d *database) receive(term int, entries []entry) (int, bool) {
+// receive appends what the primary of a term has sent, and returns the receipts for it.
+func (d *database) receive(term int, entries []entry) (receipts, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.term != term || d.paused != 0 {
-		return 0, false
+		return receipts{}, false
 	}
 	d.append(entries)
 	received := len(d.log)
@@ -111,7 +121,10 @@
 		}
 		d.mu.Unlock()
 	})
-	return received, true
+	if d.Gaps {
+		return receipts{Each: numbersOf(entries)}, true
+	}
+	return d.received(), true
 }
 
 // append appends entries to the log. mu is held.
@@ -139,23 +152,27 @@
 	d.mu.Unlock()
 	go func() {
 		for line := range lines {
-			n, err := strconv.Atoi(line)
+			var more receipts
+			err := json.Unmarshal([]byte(line), &more)
 			d.awaitGate()
 			d.mu.Lock()
 			if err == nil && d.term == req.Term {
-				d.confirmed[req.ID] = max(d.confirmed[req.ID], n)
+				d.confirmed[req.ID] = d.confirmed[req.ID].add(more)
 				d.notify()
 			}
 			d.mu.Unlock()
 		}
 	}()
-	for sent := req.Received; ; {
+	for sent := -1; ; {
 		d.awaitGate()
 		d.mu.Lock()
-		if d.term != req.Term || !d.leads() || sent > len(d.log) {
+		if d.term != req.Term || !d.leads() || req.After > d.numberAt(len(d.log)) {
 			d.mu.Unlock()
 			return
 		}
+		if sent < 0 {
+			sent = d.sendFrom(req.After)
+		}
 		entries, changed := slices.Clone(d.log[sent:min(sent+batch, len(d.log))]), d.changed
 		d.mu.Unlock()
 		if len(entries) == 0 {
@@ -163,7 +180,7 @@
 			continue
 		}
 		time.Sleep(receiveDelay)
-		raw, err := json.Marshal(entries)
+		raw, err := json.Marshal(shipment{At: time.Now(), Entries: entries})
 		if err != nil {
 			return
 		}
@@ -173,35 +190,3 @@
 		sent += len(entries)
 	}
 }
-
-// isConfirmed reports whether a replica has confirmed n entries. mu is held.
-func (d *database) isConfirmed(n int) bool {
-	for _, received := range d.confirmed {
-		if received >= n {
-			return true
-		}
-	}
-	return false
-}
-
-// firstNumber precedes the number of the first entry of a log.
-const firstNumber = 1000
-
-// position returns a position in the log. mu is held.
-func (d *database) position(n int) string { return fmt.Sprintf("%d.%d", d.term, firstNumber+n) }
-
-// parsePosition returns the number of entries that a position stands for, or a number
-// beyond every log for a newer term. mu is held.
-func (d *database) parsePosition(text string) int {
-	term, number, _ := strings.Cut(text, ".")
-	t, err1 := strconv.Atoi(term)
-	n, err2 := strconv.Atoi(number)
-	switch {
-	case err1 != nil || err2 != nil || t > d.term:
-		return 1 << 30
-	case t < d.term:
-		kept := sort.Search(len(d.log), func(i int) bool { return d.log[i].Term > t })
-		return min(n-firstNumber, kept)
-	}
-	return n - firstNumber
-}
--- a/internal/standin/takeover/statements.go
+++ b/internal/standin/takeover/statements.go
@@ -121,7 +121,7 @@
 func (c *link) begin(readOnly bool, after string) []string {
 	d := c.d
 	d.mu.Lock()
-	isPrimary, behind, term := d.leads(), after != "" && d.parsePosition(after) > d.applied, d.term
+	isPrimary, behind, term := d.leads(), d.isBehind(after), d.term
 	d.mu.Unlock()
 	switch {
 	case c.open:
@@ -147,9 +147,9 @@
 func (c *link) run(id, text, item, data string, writes bool, after string) []string {
 	d := c.d
 	d.mu.Lock()
-	isPrimary, behind := d.leads(), after != "" && d.parsePosition(after) > d.applied
+	isPrimary, behind := d.leads(), d.isBehind(after)
 	lost := c.open && !c.readOnly && (d.term != c.began || !isPrimary)
-	applied := d.applied
+	applied := d.numberAt(d.applied)
 	d.mu.Unlock()
 	switch {
 	case writes && !isPrimary || lost:
@@ -221,11 +221,14 @@
 		return c.refuse("READONLY")
 	}
 	term := d.term
-	d.append([]entry{{ID: id, At: time.Now(), Term: term, Writes: writes}})
-	n := len(d.log)
-	d.applied = n
-	position := d.position(n)
-	for d.term == term && !d.isConfirmed(n) {
+	number := d.nextNumber()
+	d.append([]entry{{ID: id, At: time.Now(), Term: term, Number: number, Writes: writes}})
+	d.applied = len(d.log)
+	position := d.position(d.applied)
+	if d.PositionBefore && d.random.Float64() < positionBeforeShare {
+		position = d.position(d.applied - 1)
+	}
+	for d.term == term && !d.isConfirmed(number) {
 		changed := d.changed
 		d.mu.Unlock()
 		<-changed
@@ -233,7 +236,7 @@
 		d.mu.Lock()
 	}
 	// A commit of a former primary has succeeded if the new one had received it.
-	c.mute = n > len(d.log) || d.log[n-1].ID != id
+	c.mute = !d.holds(id)
 	d.mu.Unlock()
 	if d.NoPosition && d.chance(noPositionShare) {
 		position = "-"
--- a/internal/standin/takeover/steps.go
+++ b/internal/standin/takeover/steps.go
@@ -70,6 +70,9 @@
 	case "restart of a replica":
 		t.restartEmpty(s, g.databases[s.zone])
 		return
+	case "lapse of a replica's entry":
+		t.lapse(s, g.databases[s.zone])
+		return
 	case "routes removed", "service removed":
 		t.reconfigure(s)
 		return
@@ -153,6 +156,20 @@
 	t.s.rec.notef("%s is back without its log", m.id)
 }
 
+// lapse keeps the entry of a replica out of the store for a time, unless it leads
+// meanwhile. The replica runs on.
+func (t *takeover) lapse(s step, m *member) {
+	m.g.mu.Lock()
+	leads := m.g.primary == m
+	m.g.mu.Unlock()
+	if leads {
+		return
+	}
+	t.s.rec.notef("%s: %s", s, m.id)
+	m.hide(s.length, func() { t.s.store.remove(kindServers, m.id) })
+	t.s.rec.notef("the entry of %s may return", m.id)
+}
+
 // reconfigure publishes a configuration without some routes or services, and after a time
 // one with them.
 func (t *takeover) reconfigure(s step) {
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -22,14 +22,10 @@
 // pair is a primary and its replica, in this process.
 type pair struct{ primary, replica databaseSettings }
 
-func startPair(replicates bool) pair {
-	folder := GinkgoT().TempDir()
-	settings := func(id string) databaseSettings {
-		address, err := freeAddress()
-		Expect(err).NotTo(HaveOccurred())
-		return databaseSettings{ID: id, Service: "orders-db", Address: address, Journal: filepath.Join(folder, id), Term: firstTerm, Leader: "i-1"}
-	}
-	p := pair{settings("i-1"), settings("i-2")}
+func startPair(replicates bool) pair { return startPairWith(replicates, variants{}) }
+
+func startPairWith(replicates bool, with variants) pair {
+	p := pair{settingsOf("i-1", with), settingsOf("i-2", with)}
 	if replicates {
 		p.replica.Upstream = p.primary.Address
 	}
@@ -38,6 +34,14 @@
 	return p
 }
 
+// settingsOf returns settings of a database that follows i-1, or is i-1, without its
+// upstream.
+func settingsOf(id string, with variants) databaseSettings {
+	address, err := freeAddress()
+	Expect(err).NotTo(HaveOccurred())
+	return databaseSettings{ID: id, Service: "orders-db", Address: address, Journal: filepath.Join(GinkgoT().TempDir(), id), Term: firstTerm, Leader: "i-1", behaviour: with.behaviour()}
+}
+
 // databaseSession is a connection to a database.
 type databaseSession struct {
 	conn net.Conn
@@ -70,11 +74,26 @@
 	}
 }
 
-func (c *databaseSession) send(text string) {
-	_, err := fmt.Fprintf(c.conn, "QUERY id %s\r\n", text)
+func (c *databaseSession) send(text string) { c.sendAs("id", text) }
+
+func (c *databaseSession) sendAs(id, text string) {
+	_, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text)
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// commit commits a write under an id and returns the READY line.
+func (c *databaseSession) commit(id string) string {
+	c.sendAs(id, "WRITE a "+id)
+	answer := c.answer()
+	Expect(answer).To(HaveLen(2))
+	return answer[1]
+}
+
+func (c *databaseSession) status() []string {
+	c.sendAs("-", "STATUS")
+	return c.answer()
+}
+
 func instruct(address string, o order) state {
 	c, err := dialControl(address)
 	Expect(err).NotTo(HaveOccurred())
@@ -126,7 +145,163 @@
 	})
 })
 
+// follower starts another replica of a primary.
+func follower(id string, of databaseSettings, with variants) databaseSettings {
+	set := settingsOf(id, with)
+	set.Upstream = of.Address
+	Expect(startDatabase(set)).To(Succeed())
+	return set
+}
+
+func idsIn(journal string) []string {
+	stored, err := readJournal(journal)
+	Expect(err).NotTo(HaveOccurred())
+	return idsOf(stored.log)
+}
+
+var _ = Describe("positions of a database of the play", func() {
+	It("name the term of the database", func() {
+		p := startPairWith(true, variants{})
+		openSession(p.primary.Address).commit("a")
+		instruct(p.replica.Address, order{Do: orderLead, Term: 4})
+		Expect(openSession(p.replica.Address).status()).To(ContainElement(HavePrefix("ROW primary 4 4.1001 ")))
+	})
+
+	It("name the term of the last entry with entry-term", func() {
+		p := startPairWith(true, variants{entryTerm: true})
+		c := openSession(p.primary.Address)
+		Expect(c.status()).To(ContainElement(HavePrefix("ROW primary 3 3.1000 ")))
+		c.commit("a")
+		led := instruct(p.replica.Address, order{Do: orderLead, Term: 4})
+		instruct(p.primary.Address, order{Do: orderLearn, Term: 4, Leader: "i-2", Upstream: p.replica.Address, IDs: led.IDs})
+		c = openSession(p.replica.Address)
+		Expect(c.status()).To(ContainElement(HavePrefix("ROW primary 4 3.1001 ")))
+		c.send("AFTER 3.1001 READ a")
+		Expect(c.answer()).To(ContainElement("READY I 3.1001"))
+		c.send("AFTER 4.1002 READ a")
+		Expect(c.answer()).To(ContainElement("ERROR LAGGING i-2"))
+		Expect(c.commit("b")).To(Equal("READY I 4.1002"))
+		c.send("AFTER 4.1002 READ a")
+		Expect(c.answer()).To(ContainElement("READY I 4.1002"))
+		c.send("AFTER 3.1005 READ a") // of which 3.1002 on was rolled back
+		Expect(c.answer()).To(ContainElement("READY I 4.1002"))
+	})
+
+	It("jump by a thousand with each term with jumping-numbers", func() {
+		p := startPairWith(true, variants{entryTerm: true, jumpingNumbers: true})
+		Expect(openSession(p.primary.Address).commit("a")).To(Equal("READY I 3.1"))
+		led := instruct(p.replica.Address, order{Do: orderLead, Term: 6})
+		instruct(p.primary.Address, order{Do: orderLearn, Term: 6, Leader: "i-2", Upstream: p.replica.Address, IDs: led.IDs})
+		c := openSession(p.replica.Address)
+		Expect(c.status()).To(ContainElement(HavePrefix("ROW primary 6 3.1 ")))
+		Expect(c.commit("b")).To(Equal("READY I 6.3001"))
+		Expect(c.commit("c")).To(Equal("READY I 6.3002"))
+		c.send("AFTER 3.700 READ a")
+		Expect(c.answer()).To(ContainElement("READY I 6.3002"))
+	})
+
+	It("lie before some commits with position-before", func() {
+		p := startPairWith(true, variants{positionBefore: true})
+		c := openSession(p.primary.Address)
+		before := 0
+		for i := range 40 {
+			switch c.commit(fmt.Sprint(i)) {
+			case fmt.Sprintf("READY I 3.%d", firstNumber+i):
+				before++
+			case fmt.Sprintf("READY I 3.%d", firstNumber+i+1):
+			default:
+				Fail("neither the position of the commit nor the one before")
+			}
+		}
+		Expect(before).To(BeNumerically("~", 20, 15))
+	})
+})
+
+var _ = Describe("a replica that has received nothing for a while", func() {
+	play := func(with variants) (pair, databaseSettings) {
+		p := startPairWith(true, with)
+		c := openSession(p.primary.Address)
+		for _, id := range []string{"a", "b", "c"} {
+			c.commit(id)
+		}
+		time.Sleep(gapAfter + 50*time.Millisecond)
+		late := follower("i-3", p.primary, with)
+		Eventually(func() []string { return openSession(late.Address).status() }).Should(ContainElement(HavePrefix("ROW replica 3 3.1003 ")))
+		c.commit("d")
+		Eventually(func() []string { return openSession(late.Address).status() }).Should(ContainElement(HavePrefix("ROW replica 3 3.1004 ")))
+		return p, late
+	}
+
+	It("receives all that it lacks", func() {
+		_, late := play(variants{})
+		Expect(idsIn(late.Journal)).To(Equal([]string{"a", "b", "c", "d"}))
+	})
+
+	It("goes on from the present entry with gaps, and the others lose what it lacks when it leads", func() {
+		p, late := play(variants{gaps: true})
+		Expect(idsIn(late.Journal)).To(Equal([]string{"c", "d"}))
+		led := instruct(late.Address, order{Do: orderLead, Term: 4})
+		Expect(led.IDs).To(Equal([]string{"c", "d"}))
+		instruct(p.replica.Address, order{Do: orderLearn, Term: 4, Leader: "i-3", Upstream: late.Address, IDs: led.IDs})
+		Expect(idsIn(p.replica.Journal)).To(Equal([]string{"c", "d"}))
+		Expect(openSession(late.Address).commit("e")).To(Equal("READY I 4.1005"))
+		Eventually(func() []string { return idsIn(p.replica.Journal) }).Should(Equal([]string{"c", "d", "e"}))
+		stored, err := readJournal(p.replica.Journal)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.stays["a"]).To(HaveLen(1))
+		Expect(stored.heldAt(stored.stays["a"][0].line+1, "a")).To(BeTrue())
+		Expect(stored.heldAt(stored.stays["a"][0].until, "a")).To(BeFalse())
+	})
+
+	It("does not confirm what it lacks with gaps", func() {
+		with := variants{gaps: true}
+		p := startPairWith(false, with)
+		c := openSession(p.primary.Address)
+		c.sendAs("a", "WRITE a 1")
+		Expect(c.answer()).To(BeEmpty())
+		time.Sleep(gapAfter)
+		late := follower("i-3", p.primary, with)
+		Expect(c.answer()).To(Equal([]string{"COMPLETE 7.i-1.a", "READY I 3.1001"}), "what still waits is sent")
+		Expect(idsIn(late.Journal)).To(Equal([]string{"a"}))
+	})
+})
+
+var _ = Describe("the entry of a database", func() {
+	It("stays away while it lapses, unless the database begins to lead", func() {
+		rec := &record{file: GinkgoWriter}
+		st, err := newStore(rec, nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(st.server.Close)
+		p := startPair(true)
+		m := &member{g: &group{rec: rec, service: "orders-db"}, id: "i-2", real: p.replica.Address, exited: make(chan struct{})}
+		a := &announcer{s: &site{rec: rec, store: st, layout: layout{heartbeat: time.Millisecond}}, m: m}
+		listed := func() bool {
+			a.announce()
+			return st.has(kindServers, m.id)
+		}
+		Expect(listed()).To(BeTrue())
+		lapse := func(during func()) {
+			m.hide(10*time.Millisecond, func() {
+				st.remove(kindServers, m.id)
+				during()
+			})
+		}
+		lapse(func() { Consistently(listed, "50ms").Should(BeFalse()) })
+		Eventually(listed).Should(BeTrue())
+		lapse(func() {
+			instruct(p.replica.Address, order{Do: orderLead, Term: 4})
+			Expect(listed()).To(BeTrue())
+		})
+	})
+})
+
 var _ = Describe("variants", func() {
+	It("come together as recorded", func() {
+		v, err := parseVariants("calm,as-recorded")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(v).To(Equal(variants{calm: true, cutAtCall: true, entryTerm: true, jumpingNumbers: true}))
+	})
+
 	It("cut off ordered databases, except with cut-at-call alone", func() {
 		for text, starves := range map[string]bool{"": true, "calm": true, "cut-at-call": false, "calm,cut-at-call,deaf-successor": true} {
 			v, err := parseVariants(text)
@@ -139,7 +314,7 @@
 var _ = Describe("a plan", func() {
 	It("is that of its seed", func() {
 		for name, plan := range plans {
-			l, err := newLayout(&record{file: GinkgoWriter}, "large", name, variants{restarts: true, noService: true}, 7)
+			l, err := newLayout(&record{file: GinkgoWriter}, "large", name, variants{restarts: true, noService: true, gaps: true, lapsingEntries: true}, 7)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(plan.of(7, l)).To(Equal(plan.of(7, l)), name)
 			Expect(plan.of(8, l)).NotTo(Equal(plan.of(7, l)), name)
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -22,6 +22,11 @@
 	noService      bool // configurations take a service's entry away
 	cutAtCall      bool // a successor leads with what it had received when the call was accepted
 	deafSuccessor  bool // databases whose promotion is ordered receive nothing more, at times
+	entryTerm      bool // a position names the term of the log's last entry
+	jumpingNumbers bool // numbers of entries jump with each term
+	positionBefore bool // READY lines after commits name the position before the commit, at times
+	gaps           bool // a replica that has received nothing for a while goes on from the present entry
+	lapsingEntries bool // the store's entries of replicas that live are missing for a time
 	calm           bool // orders and calls of the store are answered, and hosts run on
 }
 
@@ -43,6 +48,11 @@
 		"no-service":      &v.noService,
 		"cut-at-call":     &v.cutAtCall,
 		"deaf-successor":  &v.deafSuccessor,
+		"entry-term":      &v.entryTerm,
+		"jumping-numbers": &v.jumpingNumbers,
+		"position-before": &v.positionBefore,
+		"gaps":            &v.gaps,
+		"lapsing-entries": &v.lapsingEntries,
 		"calm":            &v.calm,
 	}
 }
@@ -50,14 +60,21 @@
 // variantNames lists the names of the variants.
 func variantNames() string {
 	var v variants
-	return strings.Join(slices.Sorted(maps.Keys(v.byName())), ", ")
+	return strings.Join(append(slices.Sorted(maps.Keys(v.byName())), asRecorded), ", ")
 }
 
+// asRecorded stands for the variants that the record of issue 36 fits.
+const asRecorded = "as-recorded"
+
 // parseVariants reads a comma-separated list.
 func parseVariants(text string) (variants, error) {
 	var v variants
 	names := v.byName()
 	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		if name == asRecorded {
+			v.cutAtCall, v.entryTerm, v.jumpingNumbers = true, true, true
+			continue
+		}
 		set := names[name]
 		if set == nil {
 			return v, fmt.Errorf("unknown variant %q", name)
@@ -69,12 +86,13 @@
 
 // Shares and bounds of the variants of answers.
 const (
-	lateReadyShare  = 0.5 // of the commits
-	latestReady     = 600 * time.Millisecond
-	noPositionShare = 0.1 // of the commits
-	heldShare       = 0.1 // of the commits
-	heldLeast       = 20 * time.Millisecond
-	heldMost        = 3 * time.Second
+	lateReadyShare      = 0.5 // of the commits
+	latestReady         = 600 * time.Millisecond
+	noPositionShare     = 0.1 // of the commits
+	positionBeforeShare = 0.5 // of the commits
+	heldShare           = 0.1 // of the commits
+	heldLeast           = 20 * time.Millisecond
+	heldMost            = 3 * time.Second
 )
 
 // chance draws whether something of a share happens.
