Carry what is sent to a host over one path of the rig

Cause: each pair of hosts had a path with three sockets of its own: 14,520 paths and 43,560 sockets for 121 hosts, more than there are ports and descriptors.

Change: one path leads to each host. The sender of a message is known by the address of its listener, from which hosts send, that of a connection as for connections to databases.

--- a/internal/standin/takeover/crossing.go
+++ b/internal/standin/takeover/crossing.go
@@ -28,48 +28,38 @@
 	faults *faults
 
 	mu    sync.Mutex
-	hosts map[string]*hostProcess // by name
-	from  map[string]map[string]*crossing
+	hosts map[string]*crossing    // by the name of the host to which they lead
+	peers map[string]*hostProcess // by address
 }
 
-// crossing carries what one host sends to another one.
+// crossing carries what the other hosts send to one. A message comes from the address of
+// its sender's listener; of a connection the senders tell where it comes from.
 type crossing struct {
-	all      *crossings
-	from, to *hostProcess
-	peers    string // its address
+	all   *crossings
+	to    *hostProcess
+	peers string // its address
 }
 
 func newCrossings(rec *record, f *faults) *crossings {
-	return &crossings{rec: rec, faults: f, hosts: map[string]*hostProcess{}, from: map[string]map[string]*crossing{}}
+	return &crossings{rec: rec, faults: f, hosts: map[string]*crossing{}, peers: map[string]*hostProcess{}}
 }
 
-// add opens the crossings between a new host and the others.
+// add opens the crossing to a new host.
 func (c *crossings) add(h *hostProcess) error {
+	x, err := c.open(h)
+	if err != nil {
+		return err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, other := range c.hosts {
-		if other.name == h.name {
-			continue // an earlier try to start it
-		}
-		for _, pair := range [][2]*hostProcess{{h, other}, {other, h}} {
-			x, err := c.open(pair[0], pair[1])
-			if err != nil {
-				return err
-			}
-			if c.from[x.from.name] == nil {
-				c.from[x.from.name] = map[string]*crossing{}
-			}
-			c.from[x.from.name][x.to.name] = x
-		}
-	}
-	c.hosts[h.name] = h
+	c.hosts[h.name], c.peers[h.peers] = x, h
 	return nil
 }
 
 // pairAttempts bounds the search for a port that is free for both TCP and UDP.
 const pairAttempts = 20
 
-func (c *crossings) open(from, to *hostProcess) (*crossing, error) {
+func (c *crossings) open(to *hostProcess) (*crossing, error) {
 	for range pairAttempts {
 		peers, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -80,29 +70,40 @@
 			peers.Close()
 			continue
 		}
-		x := &crossing{all: c, from: from, to: to, peers: peers.Addr().String()}
+		x := &crossing{all: c, to: to, peers: peers.Addr().String()}
 		go x.carryDatagrams(datagrams)
-		connections := &connectionPath{faults: c.faults, from: from.name, to: to.name}
+		connections := &connectionPath{faults: c.faults, to: to.name}
 		go connections.carryConnections(peers, to.peers)
 		return x, nil
 	}
 	return nil, errors.New("no port is free for both TCP and UDP")
 }
 
+// sender returns the name of the host that sends from an address, or "".
+func (c *crossings) sender(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.peers[address]; h != nil {
+		return h.name
+	}
+	return ""
+}
+
 // carryDatagrams passes on messages, unless the path is cut.
 func (x *crossing) carryDatagrams(conn net.PacketConn) {
 	to, err := net.Dial("udp", x.to.peers)
 	if err != nil {
-		x.all.rec.logf("path from %s to %s: %v", x.from.name, x.to.name, err)
+		x.all.rec.logf("path to %s: %v", x.to.name, err)
 		return
 	}
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := conn.ReadFrom(buf)
+		n, source, err := conn.ReadFrom(buf)
 		if err != nil {
 			return
 		}
-		if x.all.faults.isCut(x.from.name, x.to.name) {
+		from := x.all.sender(source.String())
+		if from == "" || x.all.faults.isCut(from, x.to.name) {
 			continue
 		}
 		if data, err := x.all.translate(x.to.name, buf[:n]); err == nil {
@@ -111,6 +112,14 @@
 	}
 }
 
+// seenBy returns the address at which a host is to reach another one. mu is held.
+func (c *crossings) seenBy(receiver, host, address string) string {
+	if x := c.hosts[host]; x != nil && host != receiver {
+		return x.peers
+	}
+	return address
+}
+
 // translate replaces the addresses in a message by those that the receiver is to use.
 func (c *crossings) translate(receiver string, data []byte) ([]byte, error) {
 	var msg gossippb.Gossip
@@ -119,13 +128,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if x := c.from[receiver][msg.Host]; x != nil {
-		msg.Address = x.peers
-	}
+	msg.Address = c.seenBy(receiver, msg.Host, msg.Address)
 	for _, h := range msg.Ranked {
-		if x := c.from[receiver][h.Name]; x != nil {
-			h.Address = x.peers
-		}
+		h.Address = c.seenBy(receiver, h.Name, h.Address)
 	}
 	return proto.Marshal(&msg)
 }
@@ -134,8 +139,8 @@
 func (c *crossings) translateEntries(reader string, body []byte) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, x := range c.from[reader] {
-		body = bytes.ReplaceAll(body, []byte(`"`+x.to.peers+`"`), []byte(`"`+x.peers+`"`))
+	for name, x := range c.hosts {
+		body = bytes.ReplaceAll(body, []byte(`"`+x.to.peers+`"`), []byte(`"`+c.seenBy(reader, name, x.to.peers)+`"`))
 	}
 	return body
 }
@@ -146,7 +151,7 @@
 // connectionPath carries connections from one end to another one.
 type connectionPath struct {
 	faults   *faults
-	from, to string
+	from, to string // from is empty for the host that has opened the connection
 }
 
 func (x *connectionPath) carryConnections(l net.Listener, address string) {
@@ -160,8 +165,13 @@
 }
 
 // carry connects one connection to an address.
-func (x *connectionPath) carry(conn net.Conn, address string) {
+func (x connectionPath) carry(conn net.Conn, address string) {
 	defer conn.Close()
+	if x.from == "" {
+		if x.from = x.faults.sender(conn); x.from == "" {
+			return
+		}
+	}
 	if !x.faults.await(nil, x.from, x.to) {
 		return
 	}
