Read only the logs of the rig's databases when a promotion takes effect

Change: lines that do not change a log are passed over unparsed, and the journals of a service are read at once.

--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -97,7 +97,7 @@
 	d := &database{databaseSettings: set, slots: make(chan struct{}, slotsPerDatabase), changed: make(chan struct{}), gate: open,
 		term: set.Term, leader: set.Leader, upstream: set.Upstream, confirmed: map[string]receipts{},
 		random: rand.New(rand.NewPCG(set.Seed, uint64(time.Now().UnixNano())))}
-	if stored, err := readJournal(set.Journal); err == nil {
+	if stored, err := readLog(set.Journal); err == nil {
 		d.log, d.applied = stored.log, len(stored.log)
 	}
 	if d.journal, err = openJournal(set.Journal); err != nil {
--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -259,7 +259,7 @@
 // recordRollbacks records the commits of the former primary that a promoted log lacks, and
 // returns their number.
 func (g *group) recordRollbacks(p *promotion, ids []string) int {
-	files, err := g.journals()
+	files, err := g.journals(readLog)
 	if err != nil {
 		g.rec.notef("%v", err)
 		return 0
--- a/internal/standin/takeover/journal.go
+++ b/internal/standin/takeover/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"math"
 	"os"
@@ -83,8 +84,23 @@
 	line, until int // of the journal
 }
 
-// readJournal reads the journal of a database, which may be running.
-func readJournal(path string) (logFile, error) {
+// readLog reads the log of a database, which may be running.
+func readLog(path string) (logFile, error) { return readLines(path, true) }
+
+// readJournal reads the log of a database, which may be running, and what it has run and
+// confirmed.
+func readJournal(path string) (logFile, error) { return readLines(path, false) }
+
+// outsideLog begins, behind the time, the lines that do not change the log.
+var outsideLog = [][]byte{[]byte(`","ran":`), []byte(`","confirmed":`)}
+
+// isOutsideLog reports whether a line does not change the log, without parsing it.
+func isOutsideLog(raw []byte) bool {
+	start := raw[:min(len(raw), 64)]
+	return slices.ContainsFunc(outsideLog, func(begin []byte) bool { return bytes.Contains(start, begin) })
+}
+
+func readLines(path string, onlyLog bool) (logFile, error) {
 	out := logFile{stays: map[string][]stay{}, confirmed: map[string]bool{}}
 	file, err := os.Open(path)
 	if err != nil {
@@ -97,6 +113,9 @@
 		if err != nil {
 			return out, nil // its last line may be incomplete
 		}
+		if onlyLog && isOutsideLog(raw) {
+			continue
+		}
 		var line journalLine
 		if err := json.Unmarshal(raw, &line); err != nil {
 			return out, err
--- a/internal/standin/takeover/judge.go
+++ b/internal/standin/takeover/judge.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -30,7 +31,7 @@
 	held := map[string]bool{}
 	strays := map[string]string{}
 	for _, g := range t.s.groups {
-		files, err := g.journals()
+		files, err := g.journals(readJournal)
 		if err != nil {
 			return false, err
 		}
@@ -112,15 +113,20 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// journals reads the journals of all databases.
-func (g *group) journals() (map[string]logFile, error) {
+// journals reads the journals of all databases at once.
+func (g *group) journals(read func(path string) (logFile, error)) (map[string]logFile, error) {
+	files, errs := make([]logFile, len(g.databases)), make([]error, len(g.databases))
+	var all sync.WaitGroup
+	for i, m := range g.databases {
+		all.Go(func() { files[i], errs[i] = read(m.journal) })
+	}
+	all.Wait()
 	out := map[string]logFile{}
-	for _, m := range g.databases {
-		f, err := readJournal(m.journal)
-		if err != nil {
-			return nil, fmt.Errorf("log of %s: %w", m.id, err)
+	for i, m := range g.databases {
+		if errs[i] != nil {
+			return nil, fmt.Errorf("log of %s: %w", m.id, errs[i])
 		}
-		out[m.id] = f
+		out[m.id] = files[i]
 	}
 	return out, nil
 }
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -112,6 +112,25 @@
 		Expect(instruct(p.replica.Address, order{Do: orderLead, Term: 4}).IDs).To(Equal([]string{"id"}))
 	})
 
+	It("keeps its log apart from what it has run and confirmed", func() {
+		p := startPair(true)
+		c := openSession(p.primary.Address)
+		c.commit("a")
+		c.commit("b")
+		var full, log logFile
+		Eventually(func() (map[string]bool, error) {
+			var err error
+			full, err = readJournal(p.primary.Journal)
+			return full.confirmed, err
+		}).Should(HaveLen(2))
+		Expect(full.ran).To(HaveLen(2))
+		log, err := readLog(p.primary.Journal)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.log).To(Equal(full.log))
+		Expect(log.stays).To(Equal(full.stays))
+		Expect(log.ran).To(BeEmpty())
+	})
+
 	It("leads with what it held when the call was accepted, if told so", func() {
 		p := startPair(true)
 		c := openSession(p.primary.Address)
