Model a promoted database that leads with the log of the order

Cause: the model lets a successor receive until its promotion takes effect.

Change: bound CutAtCall, the log that leads may be that of any moment from the order's acceptance to its effect, and bound Deaf, the successor receives nothing from the acceptance on.

Measured: 3 databases, 1 host, 1 commit, 1 attempt, 1 order. The shortest trace, a leads term 1, logs a b c:

1 a writes a commit [1] [] [] 2 a host has the confirmed commit 3-6 a taker starts and takes the lease 7-9 it reads the logs of a, b and c [1] [] [] 10 c receives the entry [1] [] [1] 11 the acknowledging host reads the log of c 12 the taker decides for b 13-15 it records the order in the lease 16-17 it orders b; the order is accepted and answered 18 the log with which b will lead is fixed b: [] 19 b receives the entry [1] [1] [1] 20 the acknowledging host reads the log of b 21 all replicas hold the commit: it is acknowledged 22 the order takes effect: b leads term 2 [] [] []

--- a/internal/takeovermodel/action.go
+++ b/internal/takeovermodel/action.go
@@ -40,6 +40,7 @@
 	CarryOutCallUnanswered
 	LoseCall
 	TimeOut
+	FixLog
 	TakeEffect
 	See
 	Wait
@@ -60,7 +61,7 @@
 	"acknowledging host has a confirmed commit", "acknowledging host reads the log of", "acknowledging host reads the lease: settled", "commit is acknowledged", "acknowledging host gives up",
 	"taker starts", "taker reads the lease and writes its claim", "lease write is carried out", "lease write is lost", "taker learns the outcome of its write",
 	"taker reads the log of", "taker gets no answer from", "taker decides", "taker gives up", "taker writes into the lease that it orders", "taker orders", "order is accepted or refused and answered", "order is accepted or refused, answer lost",
-	"order is lost", "taker gets no answer to its order", "order takes effect", "taker sees the successor", "taker starts to wait", "taker has waited", "taker reads the primary's term",
+	"order is lost", "taker gets no answer to its order", "the log that will lead is fixed:", "order takes effect", "taker sees the successor", "taker starts to wait", "taker has waited", "taker reads the primary's term",
 	"taker resumes all", "taker's RESUME is late", "late RESUME is carried out at", "taker releases the lease", "taker stops",
 	"taker looks for hosts of the former protocol", "acknowledging host starts with the other protocol", "taker starts with the other protocol",
 }
@@ -70,7 +71,7 @@
 	switch a.Kind {
 	case Discover:
 		return fmt.Sprintf("%s %s: %04b", kindNames[a.Kind], name(a.What), a.Who)
-	case Receive, Join, Crash, Restart, Witness, CarryOutResume:
+	case Receive, Join, Crash, Restart, Witness, CarryOutResume, FixLog:
 		return fmt.Sprintf("%s %s", kindNames[a.Kind], name(a.What))
 	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, Release, Stop, Look, SwitchTaker:
 		if a.What != 0 {
--- a/internal/takeovermodel/mutation_test.go
+++ b/internal/takeovermodel/mutation_test.go
@@ -66,6 +66,20 @@
 		Entry("if the floor's index is ignored", takeovermodel.Rules{AnyIndex: true, IgnoreIndex: true}, again, takeovermodel.Rules{AnyIndex: true}),
 	)
 
+	// A promotion's effect is not on the log that was read: what all replicas receive after
+	// the log that will lead is fixed is acknowledged, and gone.
+	It("loses an acknowledged commit if a promoted database leads with what it had received when it was ordered", func() {
+		r := explored(with(base, func(b *takeovermodel.Bounds) { b.LateJoin, b.CutAtCall = false, true }))
+		GinkgoWriter.Printf("%d states, depth %d\n%s", r.States, r.Depth, r)
+		Expect(r.Lost()).To(BeTrue())
+	})
+
+	It("loses none if it leads with what it has received when it leads, or receives nothing more", func() {
+		r := explored(with(base, func(b *takeovermodel.Bounds) { b.Deaf = true }))
+		Expect(r.Lost()).To(BeFalse(), r.String())
+		Expect(r.Complete).To(BeTrue())
+	})
+
 	if os.Getenv("TAKEOVERMODEL_WIDE") != "" {
 		DescribeTable("loses an acknowledged commit within wider bounds", loses,
 			Entry("if a taker does not compare the lease's term with its view", takeovermodel.Rules{IgnoreLeaseTerm: true}, with(base, func(b *takeovermodel.Bounds) { b.Takers, b.Attempts, b.Calls, b.Crashes = 2, 2, 2, 1 })),
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -111,6 +111,7 @@
 	Sender   uint8 // the taker that waits for the answer
 	Awaited  uint8 // mask of takers that wait for the order's end
 	Paused   bool  // the other replicas were paused for it
+	Cut      uint8 // 1 + the length of the log that will lead, once that is fixed
 }
 
 // Step of a taker's attempt.
@@ -230,6 +231,11 @@
 	Stops      bool // hosts may end in the middle of an attempt, and start again
 	LateCalls  int  // promotion orders whose answer may be lost
 	LateEffect bool // an order may take longer to take effect than the wait for it
+	// CutAtCall means that a promoted database may lead with what it had received at any
+	// moment from the acceptance of the order to its effect, and Deaf that it receives
+	// nothing from the acceptance on.
+	CutAtCall  bool
+	Deaf       bool
 	LateResume bool // a RESUME may be carried out late
 	LateJoin   bool // a replica may join the term of a new primary late
 	OldViews   bool // an attempt may start with an outdated view of the primary and the term
@@ -320,6 +326,13 @@
 // paused reports whether a replica receives nothing from the primary of its term.
 func (d Database) paused() bool { return d.Pause > d.Term }
 
+// cut shortens a database's log to at most length entries.
+func (d *Database) cut(length uint8) {
+	for ; d.Length > length; d.Length-- {
+		d.Log[d.Length-1] = 0
+	}
+}
+
 // has reports whether a database's log contains a commit.
 func (d Database) has(commit [2]uint8) bool {
 	return d.Length >= commit[1] && d.Log[commit[1]-1] == commit[0]
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -99,7 +99,7 @@
 		}
 		// A replica receives from the primary of its term as long as that database
 		// has not joined another one, also what is on its way from a former primary.
-		if lead := s.Led[d.Term]; d.Term != 0 && lead != 0 && !d.paused() {
+		if lead := s.Led[d.Term]; d.Term != 0 && lead != 0 && !d.paused() && !(m.Deaf && s.awaits(id)) {
 			src := s.Databases[lead-1]
 			if src.Term == d.Term && src.Length > d.Length && (!src.Dead || d.Term == s.Term) {
 				n := *s
@@ -199,6 +199,11 @@
 	return out
 }
 
+// awaits reports whether an order for a database was accepted and may take effect.
+func (s *State) awaits(id uint8) bool {
+	return slices.ContainsFunc(s.Calls[:], func(c Call) bool { return c.Accepted && c.Database == id })
+}
+
 // reading reports whether a taker reads the logs.
 func (s *State) reading() bool {
 	for _, t := range s.Takers {
@@ -216,10 +221,8 @@
 	for length < d.Length && length < primary.Length && d.Log[length] == primary.Log[length] {
 		length++
 	}
-	for i := length; i < d.Length; i++ {
-		d.Log[i] = 0
-	}
-	d.Length, d.Term = length, term
+	d.cut(length)
+	d.Term = term
 	if !d.paused() {
 		d.Pause = 0
 	}
@@ -348,6 +351,11 @@
 		switch {
 		case c.Fence == 0:
 		case c.Accepted:
+			if e.m.CutAtCall && c.Cut == 0 && c.Database != s.Primary {
+				n := *s
+				n.Calls[i].Cut = 1 + s.Databases[c.Database-1].Length
+				e.add(FixLog, uint8(i), c.Database, n)
+			}
 			e.takeEffect(i, c)
 		default:
 			e.carryOut(i, c)
@@ -414,6 +422,9 @@
 		n.Term++
 		n.Primary = c.Database
 		n.Led[n.Term] = c.Database
+		if c.Cut != 0 {
+			d.cut(c.Cut - 1)
+		}
 		d.Term, d.Pause = n.Term, 0
 		for i := range e.m.Databases {
 			if other := &n.Databases[i]; !e.m.LateJoin && !other.Dead && uint8(i+1) != n.Primary {
