Let the rig bear 121 hosts

The backlog took all 20,000 descriptors within a minute.

Change: addresses are replaced in one pass, a watch begins at its revision, and the sender of a closed connection is not searched for.

--- a/internal/standin/takeover/crossing.go
+++ b/internal/standin/takeover/crossing.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"strings"
@@ -30,6 +29,8 @@
 	mu    sync.Mutex
 	hosts map[string]*crossing    // by the name of the host to which they lead
 	peers map[string]*hostProcess // by address
+
+	replacers map[string]*strings.Replacer // of entries, by the host that reads them
 }
 
 // crossing carries what the other hosts send to one. A message comes from the address of
@@ -53,6 +54,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts[h.name], c.peers[h.peers] = x, h
+	c.replacers = map[string]*strings.Replacer{}
 	return nil
 }
 
@@ -137,12 +139,22 @@
 
 // translateEntries replaces the addresses in entries of hosts that one of them reads.
 func (c *crossings) translateEntries(reader string, body []byte) []byte {
+	return []byte(c.replacer(reader).Replace(string(body)))
+}
+
+func (c *crossings) replacer(reader string) *strings.Replacer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r := c.replacers[reader]; r != nil {
+		return r
+	}
+	var pairs []string
 	for name, x := range c.hosts {
-		body = bytes.ReplaceAll(body, []byte(`"`+x.to.peers+`"`), []byte(`"`+c.seenBy(reader, name, x.to.peers)+`"`))
+		pairs = append(pairs, `"`+x.to.peers+`"`, `"`+c.seenBy(reader, name, x.to.peers)+`"`)
 	}
-	return body
+	r := strings.NewReplacer(pairs...)
+	c.replacers[reader] = r
+	return r
 }
 
 // isHostsCall reports whether a call of the store concerns the hosts' entries.
--- a/internal/standin/takeover/sender.go
+++ b/internal/standin/takeover/sender.go
@@ -42,19 +42,25 @@
 // sender returns the host that has opened a connection, or "" if its process has ended
 // or has closed it.
 func (s *senders) sender(conn net.Conn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	inode, err := inodeOf(conn.RemoteAddr(), conn.LocalAddr())
 	if err != nil {
 		s.rec.logf("connection from %s: %v", conn.RemoteAddr(), err)
 		return ""
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if inode == closedInode {
+		return ""
+	}
 	if s.sockets[inode] == "" {
 		s.sweep()
 	}
 	return s.sockets[inode]
 }
 
+// closedInode is that of a socket that its process has closed.
+const closedInode = 0
+
 // sweep lists the sockets of all hosts. mu is held.
 func (s *senders) sweep() {
 	clear(s.sockets)
--- a/internal/standin/takeover/store.go
+++ b/internal/standin/takeover/store.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -236,8 +238,9 @@
 	for ended := false; ; {
 		s.mu.Lock()
 		events := []change{}
-		for _, c := range s.changes {
-			if c.kind == kind && c.revision > from {
+		first, _ := slices.BinarySearchFunc(s.changes, from+1, func(c change, revision uint64) int { return cmp.Compare(c.revision, revision) })
+		for _, c := range s.changes[first:] {
+			if c.kind == kind {
 				events = append(events, c)
 			}
 		}
