Layouts of the users' sites, and a plan that promotes services again

Sizes of hosts and databases, lag and times of promotions belong to the layout; hosts start eight at once. Plan again cuts off each primary about every 4.2 s. With jumping-numbers a term begins behind a full thousand also if the term before had more entries.

--- a/internal/standin/takeover/announce.go
+++ b/internal/standin/takeover/announce.go
@@ -37,7 +37,7 @@
 	defer m.mu.Unlock()
 	m.seq++
 	m.announced = role
-	return map[string]any{"service": m.g.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": slotsPerDatabase,
+	return map[string]any{"service": m.g.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": m.g.database.Slots,
 		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": m.seq, "born": m.born}
 }
 
--- a/internal/standin/takeover/config.go
+++ b/internal/standin/takeover/config.go
@@ -45,7 +45,7 @@
 		c.addRoute(name, routeOf(kindPrimary, name), kindPrimary, l.timeoutMs, 200, 1, 0)
 		c.addRoute(name, routeOf(kindOwn, name), kindOwn, l.timeoutMs, 400, 2, 2500)
 		c.addRoute(name, routeOf(kindBounded, name), kindBounded, 3000, 800, 2, 1500)
-		c.services = append(c.services, map[string]any{"name": name, "healthPath": "/health", "maxConns": maxConnections, "protocol": "h1", "tls": false, "syncReplicas": 1})
+		c.services = append(c.services, map[string]any{"name": name, "healthPath": "/health", "maxConns": l.database.Connections, "protocol": "h1", "tls": false, "syncReplicas": 1})
 	}
 	for i, name := range spareRoutes {
 		c.addRoute(l.services[i%len(l.services)], name, kindPrimary, l.timeoutMs, 200, 1, 0)
--- a/internal/standin/takeover/database.go
+++ b/internal/standin/takeover/database.go
@@ -13,14 +13,10 @@
 	"time"
 )
 
-// Properties of the databases, as in the site file.
+// Times of the databases.
 const (
-	slotsPerDatabase = 5
-	maxConnections   = 66
-	connectTime      = 12 * time.Millisecond
-	receiveDelay     = time.Millisecond
-	applyDelay       = 20 * time.Millisecond
-	rollbackTime     = 300 * time.Millisecond // for which a replica is busy after a rollback
+	receiveDelay = time.Millisecond
+	rollbackTime = 300 * time.Millisecond // for which a replica is busy after a rollback
 )
 
 // database is a process of its own, one of a service's databases, with its own view of
@@ -53,6 +49,7 @@
 	Term                          int
 	Leader, Upstream              string
 	Seed                          uint64
+	databaseLayout
 	behaviour
 }
 
@@ -94,7 +91,7 @@
 	}
 	open := make(chan struct{})
 	close(open)
-	d := &database{databaseSettings: set, slots: make(chan struct{}, slotsPerDatabase), changed: make(chan struct{}), gate: open,
+	d := &database{databaseSettings: set, slots: make(chan struct{}, set.Slots), changed: make(chan struct{}), gate: open,
 		term: set.Term, leader: set.Leader, upstream: set.Upstream, confirmed: map[string]receipts{},
 		random: rand.New(rand.NewPCG(set.Seed, uint64(time.Now().UnixNano())))}
 	if stored, err := readLog(set.Journal); err == nil {
--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -9,7 +9,6 @@
 
 // Times of promotions.
 const (
-	promoteTime      = time.Second
 	slowestPromotion = 5 * time.Second
 	latestNews       = 1500 * time.Millisecond
 )
@@ -26,6 +25,7 @@
 	service   string
 	faults    *faults
 	with      variants
+	database  databaseLayout
 	databases []*member
 
 	leading sync.Mutex // held while a promotion is carried out
@@ -74,7 +74,7 @@
 }
 
 func newGroup(rec *record, service, folder string, layout layout) (*group, error) {
-	g := &group{faults: layout.faults, with: layout.with, rec: rec, service: service, term: firstTerm}
+	g := &group{faults: layout.faults, with: layout.with, database: layout.database, rec: rec, service: service, term: firstTerm}
 	for _, zone := range layout.databases {
 		m, err := newMember(g, zone, folder)
 		if err != nil {
@@ -138,9 +138,9 @@
 		return http.StatusConflict
 	}
 	p := &promotion{promotionCall: call, called: time.Now()}
-	after := promoteTime
+	after := g.database.promotion
 	if g.with.slowPromotions {
-		after = g.faults.between(promoteTime, slowestPromotion)
+		after = g.faults.between(after, slowestPromotion)
 	}
 	g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", call.ID, call.Fence, after.Milliseconds())
 	held := make(chan *state, 1)
--- a/internal/standin/takeover/link.go
+++ b/internal/standin/takeover/link.go
@@ -58,11 +58,11 @@
 	if len(f) < 2 {
 		return
 	}
-	time.Sleep(connectTime)
+	time.Sleep(c.d.Connect)
 	d := c.d
 	d.awaitGate()
 	d.mu.Lock()
-	full := d.conns >= maxConnections
+	full := d.conns >= d.Connections
 	position := d.position(d.applied)
 	if !full {
 		d.conns++
--- a/internal/standin/takeover/member.go
+++ b/internal/standin/takeover/member.go
@@ -69,7 +69,7 @@
 // start starts the database's process, which follows or is a primary of a term.
 func (m *member) start(leader *member, term int) error {
 	set := databaseSettings{ID: m.id, Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.id,
-		Upstream: m.upstream[leader], Seed: m.g.faults.seed, behaviour: m.g.with.behaviour()}
+		Upstream: m.upstream[leader], Seed: m.g.faults.seed, databaseLayout: m.g.database, behaviour: m.g.with.behaviour()}
 	raw, err := json.Marshal(set)
 	if err != nil {
 		return err
--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -14,12 +14,14 @@
 }{
 	"faults": {faultsFor, faultsOf},
 	"record": {recordFor, recordOf},
+	"again":  {againFor, againOf},
 }
 
 // Times for which faults come.
 const (
 	faultsFor = 26 * time.Second
 	recordFor = 42 * time.Second
+	againFor  = 42 * time.Second
 )
 
 // step is one fault of the plan. Who is the primary is found when it begins.
@@ -140,6 +142,48 @@
 	return plan
 }
 
+// againEvery is the mean time between two rounds of the plan again.
+const againEvery = 4200 * time.Millisecond
+
+// againOf promotes every service again within seconds: in each round its primary is cut
+// off from hosts, from its replicas or from both, and at times a replica receives nothing.
+func againOf(seed uint64, l layout) []step {
+	r := rand.New(rand.NewPCG(seed, streamPlan))
+	between := func(least, most int) time.Duration {
+		return time.Duration(least+r.IntN(most-least)) * time.Millisecond
+	}
+	var plan []step
+	add := func(s step) {
+		s.order = r.Perm(len(l.hosts))
+		if s.at >= 0 && s.at+s.length < againFor {
+			plan = append(plan, s)
+		}
+	}
+	for at := time.Second; at < againFor; at += againEvery {
+		for g := range l.services {
+			begin := at + between(0, 600)
+			cut := step{at: begin, length: between(1500, 3000), kind: "primary cut", group: g}
+			way := r.IntN(3)
+			if way != 1 {
+				cut.share = []float64{0.55, 0.7, 0.85, 1}[r.IntN(4)]
+			}
+			cut.primary = way != 0
+			add(cut)
+			if r.Float64() < 0.4 {
+				add(step{at: begin - between(0, 1000), length: between(800, 3000), kind: "replica receives nothing", group: g, zone: r.IntN(len(l.databases))})
+			}
+			for _, s := range serviceSteps(r, l, g, begin) {
+				add(s)
+			}
+		}
+	}
+	if !l.with.calm {
+		plan = append(plan, hostSteps(r, l, againFor)...)
+	}
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
+	return plan
+}
+
 // hostSteps returns faults of hosts and of their paths to the store.
 func hostSteps(r *rand.Rand, l layout, until time.Duration) []step {
 	var out []step
--- a/internal/standin/takeover/position.go
+++ b/internal/standin/takeover/position.go
@@ -11,14 +11,14 @@
 // Numbers of entries.
 const (
 	firstNumber = 1000 // precedes the first one, unless numbers jump
-	termNumbers = 1000 // between the beginnings of two terms, if they jump
+	termNumbers = 1000 // that a term has at least, if they jump
 )
 
 // nextNumber returns the number of the next entry of the log. mu is held.
 func (d *database) nextNumber() int {
 	last := d.numberAt(len(d.log))
-	if d.JumpingNumbers {
-		last = max(last, (d.term-firstTerm)*termNumbers)
+	if d.JumpingNumbers && d.termAt(len(d.log)) < d.term {
+		last = max((d.term-firstTerm)*termNumbers, (last/termNumbers+1)*termNumbers)
 	}
 	return last + 1
 }
@@ -34,23 +34,26 @@
 	return firstNumber
 }
 
+// termAt returns the term of the last of the first n entries. mu is held.
+func (d *database) termAt(n int) int {
+	if n == 0 {
+		return firstTerm
+	}
+	return d.log[n-1].Term
+}
+
 // position returns the position that is named for the first n entries. mu is held.
 func (d *database) position(n int) string {
 	term := d.term
 	if d.EntryTerm {
-		if term = firstTerm; n > 0 {
-			term = d.log[n-1].Term
-		}
+		term = d.termAt(n)
 	}
 	return fmt.Sprintf("%d.%d", term, d.numberAt(n))
 }
 
 // lastEntry returns the position of the last entry in the form of the record. mu is held.
 func (d *database) lastEntry() string {
-	if len(d.log) == 0 {
-		return fmt.Sprintf("%d/%d", firstTerm, d.numberAt(0))
-	}
-	return d.log[len(d.log)-1].place()
+	return entry{Term: d.termAt(len(d.log)), Number: d.numberAt(len(d.log))}.place()
 }
 
 // place returns the position of an entry in the form of the record.
--- a/internal/standin/takeover/replication.go
+++ b/internal/standin/takeover/replication.go
@@ -114,7 +114,7 @@
 	}
 	d.append(entries)
 	received := len(d.log)
-	time.AfterFunc(applyDelay, func() {
+	time.AfterFunc(d.Lag, func() {
 		d.mu.Lock()
 		if d.term == term {
 			d.applied = max(d.applied, min(received, len(d.log)))
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -9,7 +10,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -74,11 +77,9 @@
 			return nil, err
 		}
 	}
-	for i, zone := range l.hosts {
-		if err := s.startHost(fmt.Sprintf("edge-%d", i+1), zone); err != nil {
-			s.stop()
-			return nil, err
-		}
+	if err := s.startHosts(); err != nil {
+		s.stop()
+		return nil, err
 	}
 	if err := s.awaitReady(); err != nil {
 		s.stop()
@@ -134,8 +135,8 @@
 access = "%s"
 data_centres = [%s]
 promotion_url = "http://%s"
-memory_mb = 206
-cpu_share = 0.272
+memory_mb = %d
+cpu_share = %g
 
 [platform]
 url = "http://%s"
@@ -158,24 +159,41 @@
 // listenTime is how long a host takes to open its listeners.
 const listenTime = 300 * time.Millisecond
 
-func (s *site) startHost(name, zone string) error {
+// startedAtOnce is the number of hosts that are started at once.
+const startedAtOnce = 8
+
+// startHosts starts all hosts, a few at once.
+func (s *site) startHosts() error {
+	s.hosts = make([]*hostProcess, len(s.layout.hosts))
+	errs := make([]error, len(s.hosts))
+	for from := 0; from < len(s.hosts); from += startedAtOnce {
+		var all sync.WaitGroup
+		for i := from; i < min(from+startedAtOnce, len(s.hosts)); i++ {
+			all.Go(func() { s.hosts[i], errs[i] = s.startHost(fmt.Sprintf("edge-%d", i+1), s.layout.hosts[i]) })
+		}
+		all.Wait()
+	}
+	s.hosts = slices.DeleteFunc(s.hosts, func(h *hostProcess) bool { return h == nil })
+	return errors.Join(errs...)
+}
+
+func (s *site) startHost(name string, size hostLayout) (*hostProcess, error) {
 	for range startAttempts {
-		h, err := s.tryHost(name, zone)
+		h, err := s.tryHost(name, size)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		select {
 		case <-h.exited:
 		case <-time.After(listenTime):
-			s.hosts = append(s.hosts, h)
-			return nil
+			return h, nil
 		}
 	}
-	return fmt.Errorf("host %s did not start", name)
+	return nil, fmt.Errorf("host %s did not start", name)
 }
 
 // tryHost starts a host on ports that are free.
-func (s *site) tryHost(name, zone string) (*hostProcess, error) {
+func (s *site) tryHost(name string, size hostLayout) (*hostProcess, error) {
 	var addresses [4]string
 	for i := range addresses {
 		a, err := freeAddress()
@@ -190,11 +208,11 @@
 		return nil, err
 	}
 	quoted := `"` + strings.Join(s.layout.zones, `","`) + `"`
-	text := fmt.Sprintf(template, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], quoted, platform, platform)
+	text := fmt.Sprintf(template, name, size.zone, addresses[0], addresses[1], addresses[2], addresses[3], quoted, platform, size.memoryMB, size.cpuShare, platform)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	h := &hostProcess{name: name, zone: zone, file: file, callers: addresses[0], ready: addresses[1], peers: addresses[2], access: addresses[3]}
+	h := &hostProcess{name: name, zone: size.zone, file: file, callers: addresses[0], ready: addresses[1], peers: addresses[2], access: addresses[3]}
 	h.build.Store(s.builds.first())
 	if err := s.crossings.add(h); err != nil {
 		return nil, err
@@ -236,10 +254,13 @@
 	return nil
 }
 
+// readyTime is how much longer a site takes to be ready for each host.
+const readyTime = 500 * time.Millisecond
+
 // awaitReady waits until all hosts are ready, and a little longer so that they know
 // each other.
 func (s *site) awaitReady() error {
-	end := time.Now().Add(20 * time.Second)
+	end := time.Now().Add(20*time.Second + time.Duration(len(s.hosts))*readyTime)
 	for _, h := range s.hosts {
 		for !h.isReady() {
 			if time.Now().After(end) {
--- a/internal/standin/takeover/takeover.go
+++ b/internal/standin/takeover/takeover.go
@@ -65,7 +65,7 @@
 	background.Go(func() { s.announce(stop) })
 	background.Go(func() { t.watchOwnStalls(stop) })
 	for i, h := range s.hosts {
-		for _, service := range s.layout.services {
+		for _, service := range s.layout.servicesOf(i) {
 			for _, kind := range s.layout.clients {
 				writers.Go(func() {
 					t.work(&worker{name: fmt.Sprintf("%s-%s-%s", h.name, service, kind), host: h, service: service, kind: kind, tenant: tenant(i % s.layout.tenants)}, stop)
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -39,7 +39,7 @@
 func settingsOf(id string, with variants) databaseSettings {
 	address, err := freeAddress()
 	Expect(err).NotTo(HaveOccurred())
-	return databaseSettings{ID: id, Service: "orders-db", Address: address, Journal: filepath.Join(GinkgoT().TempDir(), id), Term: firstTerm, Leader: "i-1", behaviour: with.behaviour()}
+	return databaseSettings{ID: id, Service: "orders-db", Address: address, Journal: filepath.Join(GinkgoT().TempDir(), id), Term: firstTerm, Leader: "i-1", databaseLayout: usualDatabase, behaviour: with.behaviour()}
 }
 
 // databaseSession is a connection to a database.
@@ -217,6 +217,8 @@
 		Expect(c.commit("c")).To(Equal("READY I 6.3002"))
 		c.send("AFTER 3.700 READ a")
 		Expect(c.answer()).To(ContainElement("READY I 6.3002"))
+		d := &database{databaseSettings: databaseSettings{behaviour: behaviour{JumpingNumbers: true}}, term: 4, log: []entry{{Term: 3, Number: 2345}}}
+		Expect(d.nextNumber()).To(Equal(3001), "also if the term before had more than a thousand")
 	})
 
 	It("lie before some commits with position-before", func() {
@@ -352,6 +354,27 @@
 	})
 })
 
+var _ = Describe("a layout", func() {
+	It("has the hosts and databases of its site", func() {
+		for name, want := range map[string][]int{"pluta-hq": {4, 4, 3, 3}, "krkt-forum-grown": {32, 30, 32, 27}} {
+			l, err := newLayout(&record{file: GinkgoWriter}, name, "again", variants{}, 7)
+			Expect(err).NotTo(HaveOccurred())
+			counts := make([]int, len(l.zones))
+			for _, h := range l.hosts {
+				counts[slices.Index(l.zones, h.zone)]++
+			}
+			Expect(counts).To(Equal(want), name)
+			used := map[string]bool{}
+			for i := range l.hosts {
+				for _, s := range l.servicesOf(i) {
+					used[s] = true
+				}
+			}
+			Expect(used).To(HaveLen(len(l.services)), name)
+		}
+	})
+})
+
 var _ = Describe("a plan", func() {
 	It("is that of its seed", func() {
 		for name, plan := range plans {
@@ -362,6 +385,26 @@
 		}
 	})
 
+	It("cuts every primary off about every 4.2 s, for 1.5 to 3 s, if services are to be promoted again", func() {
+		l, err := newLayout(&record{file: GinkgoWriter}, "pluta-hq", "again", variants{calm: true}, 7)
+		Expect(err).NotTo(HaveOccurred())
+		cuts := map[int][]step{}
+		for _, s := range againOf(7, l) {
+			if s.kind == "primary cut" {
+				cuts[s.group] = append(cuts[s.group], s)
+				Expect(s.length).To(And(BeNumerically(">=", 1500*time.Millisecond), BeNumerically("<", 3*time.Second)))
+				Expect(s.share > 0 || s.primary).To(BeTrue(), "cut off from something")
+			}
+		}
+		Expect(cuts).To(HaveLen(3))
+		for _, of := range cuts {
+			Expect(len(of)).To(BeNumerically(">=", 9))
+			for i := range of[1:] {
+				Expect(of[i+1].at - of[i].at).To(BeNumerically("~", againEvery, 600*time.Millisecond))
+			}
+		}
+	})
+
 	It("upgrades all hosts, rolls half of them back, and upgrades these again", func() {
 		b := builds{newer: &build{name: "newer"}, older: &build{name: "older"}}
 		var toNewer, toOlder []int
