Log refused sessions of one kind once in 30 s

Cause: a refused login names no request, and callers with a name that does not exist come again and again. Change: of the sessions refused for one kind of error a host logs one in 30 s, with the number of those omitted since (omitted).

--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -16,6 +17,11 @@
 	successesPerSecond = 2
 )
 
+// refusedSessionEvery is the least time between two lines about sessions that were refused
+// for the same kind of error. Such a line names no request, and callers that know no better
+// come again and again.
+const refusedSessionEvery = 30 * time.Second
+
 // requestLog logs refused and failed requests and a sample of the served ones,
 // each up to a maximum rate.
 type requestLog struct {
@@ -27,10 +33,19 @@
 	failures    int
 	successes   int
 	suppressed  int // lines about failures since windowStart
+	refused     map[errkind.Kind]*refusedSessions
+
+	failureLines atomic.Uint64 // lines about failures that were allowed
+}
+
+// refusedSessions are the sessions that were refused for one kind of error.
+type refusedSessions struct {
+	next    time.Time // earliest next line
+	omitted int       // since the last line
 }
 
 func newRequestLog(log *slog.Logger, now func() time.Time) *requestLog {
-	return &requestLog{log: log.With("part", "request"), now: now, windowStart: now()}
+	return &requestLog{log: log.With("part", "request"), now: now, windowStart: now(), refused: map[errkind.Kind]*refusedSessions{}}
 }
 
 // allow counts a line against its rate and reports whether it may be written.
@@ -53,12 +68,33 @@
 			l.suppressed++
 			return false
 		}
+		l.failureLines.Add(1)
 		return true
 	}
 	l.successes++
 	return l.successes <= successesPerSecond
 }
 
+// allowRefused counts a refused session and reports whether its line may be written, and
+// how many were omitted since the last one of this kind.
+func (l *requestLog) allowRefused(kind errkind.Kind) (omitted int, ok bool) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.refused[kind]
+	if r == nil {
+		r = &refusedSessions{}
+		l.refused[kind] = r
+	}
+	if now.Before(r.next) {
+		r.omitted++
+		return 0, false
+	}
+	omitted = r.omitted
+	r.next, r.omitted = now.Add(refusedSessionEvery), 0
+	return omitted, true
+}
+
 // served logs and counts a request that succeeded.
 func (l *requestLog) served(s *session, op *operation, a statement.Answer) {
 	took := l.now().Sub(op.arrived)
@@ -72,6 +108,14 @@
 // outcome is unknown.
 func (l *requestLog) failed(s *session, op *operation, err *errkind.Error) {
 	s.g.metrics.failed(err.Kind)
+	var more []any
+	if op.ID == "" && op.arrived.IsZero() {
+		omitted, ok := l.allowRefused(err.Kind)
+		if !ok {
+			return
+		}
+		more = []any{"omitted", omitted}
+	}
 	if !l.allow(true) {
 		return
 	}
@@ -79,7 +123,7 @@
 	if !op.arrived.IsZero() {
 		took = l.now().Sub(op.arrived)
 	}
-	l.log.Info("Request failed.", op.logAttrs(s, took, "kind", err.Kind.String(), "outcome", err.Kind.Answer().Outcome.String(), "cause", err.Error())...)
+	l.log.Info("Request failed.", op.logAttrs(s, took, append(more, "kind", err.Kind.String(), "outcome", err.Kind.Answer().Outcome.String(), "cause", err.Error())...)...)
 }
 
 // logAttrs returns the log attributes that explain how a request was handled.
--- a/gateway/requestlog_test.go
+++ b/gateway/requestlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -52,4 +53,31 @@
 		Expect(lines["Request served."]).To(Equal(seconds * successesPerSecond))
 		Expect(suppressed).To(Equal(seconds * (perSecond - failuresPerSecond)))
 	})
+
+	It("logs refused sessions of one kind at most once in a while, with the number omitted", func() {
+		out := &lineBuffer{}
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		g.requestLog = newRequestLog(slog.New(slog.NewJSONHandler(out, nil)), func() time.Time { return now })
+		refuse := func(name string, kind errkind.Kind) {
+			newSession(g, &rejectedCaller{}).reject(errkind.New(kind, "no route %s", name))
+		}
+		for i := range 40 {
+			refuse(fmt.Sprint("x", i), errkind.UnknownDatabase)
+		}
+		refuse("own", errkind.BadKey)
+		g.requestLog.failed(newTestSession(g, "own"), &operation{Request: request(statement.Read)}, errkind.New(errkind.UnknownDatabase, "gone"))
+		Expect(out.matching("Request failed.")).To(HaveLen(3))
+		Expect(out.matching("no route x0")).To(HaveLen(1))
+		now = now.Add(refusedSessionEvery)
+		refuse("y", errkind.UnknownDatabase)
+		Expect(out.matching("no route y")).To(ConsistOf(And(HaveKeyWithValue("omitted", BeNumerically("==", 39)), HaveKeyWithValue("kind", "unknown_database"))))
+		Expect(out.matching("Suppressed")).To(BeEmpty())
+	})
 })
+
+// rejectedCaller is a caller that is only told why it is rejected.
+type rejectedCaller struct{ Caller }
+
+func (*rejectedCaller) Reject(*errkind.Error) error { return nil }
+func (*rejectedCaller) Close() error                { return nil }
