Sum up a replacement in one late line, with the logs at its three moments

No line had the other replicas' logs while the order was under way. Change: 300 ms after the end of a replacement "Replacement ended." has, right after the message, the position known to be acknowledged at the choice, the term, the service, and the ends of the logs of all databases at the choice, at the call and at the effect, such as "i-1 6/3077p>=p>6/3080": = is the one before, - no answer, p paused. The logs at the call are read on the pools' connections, beside the call. The line is written again after 5 s if more than two lines about failed requests have followed it. Other messages keep their names.

--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -17,6 +17,7 @@
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/asyncwriter"
+	"github.com/bronzeloft/bronzeloft/internal/logcut"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -48,6 +49,13 @@
 	return out
 }
 
+// bytes returns the lines as they stand in a file.
+func (b *lineBuffer) bytes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return []byte(strings.Join(b.lines, ""))
+}
+
 // record returns what a record of an incident holds: lines that name a request and
 // warnings, cut to 200 characters.
 func (b *lineBuffer) record(id string) string {
@@ -106,12 +114,32 @@
 			MatchRegexp(`"Primary changed.","service":"orders-db","from":"a","to":"[bc]","term":[12],"build":"`),
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
 		))
+		Eventually(out.matching).WithArguments("Replacement ended.").Should(HaveLen(1))
+		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11","term":2,"service":"orders-db","logs":"[bc] 1/11>=>=, [bc] 1/11>=>=, a ->->-"`))
+		Expect(out.matching("Replacement ended.")[0]).To(And(HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", BeElementOf("b", "c")),
+			HaveKeyWithValue("outcome", "Promotion took effect."), HaveKeyWithValue("reason", "silent")))
 		chosen := out.matching("Successor chosen.")[0]
 		Expect(chosen).To(And(HaveKeyWithValue("reason", "silent"), HaveKeyWithValue("acked", "1/11"), HaveKeyWithValue("from", "a"),
 			HaveKeyWithValue("primary", ContainSubstring("unread")), HaveKeyWithValue("lease_before", "none"), HaveKey("fence"), HaveKey("build")))
 		Expect(out.matching("Commit acknowledged.")[0]).To(And(HaveKeyWithValue("host", "host-1"), HaveKeyWithValue("primary", "a"), HaveKey("ago_ms"), HaveKey("list"), HaveKey("build")))
 	})
 
+	It("writes a deciding line again once if lines about failed requests have followed it", func() {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			g.logDeciding("promotion", slog.LevelWarn, "Replacement ended.", "acked", "1/11")
+		}()
+		Eventually(out.matching).WithArguments("Replacement ended.").Should(HaveLen(1))
+		time.Sleep(10 * time.Millisecond)
+		for range maxFollowing + 1 {
+			g.requestLog.failed(newTestSession(g, "own"), &operation{Request: request(statement.Read)}, errkind.New(errkind.NoPrimary, "none"))
+		}
+		Eventually(done).WithTimeout(repeatAfter + 2*time.Second).Should(BeClosed())
+		Expect(out.matching("Replacement ended.")).To(HaveLen(2))
+		Expect(logcut.Cut(out.bytes(), nil, time.Time{}, time.Time{})).To(ContainElement(ContainSubstring("Replacement ended.")))
+	})
+
 	It("explains at most maxCommitLines acknowledgements for each change, once, and keeps a bounded number", func() {
 		acknowledge(10000)
 		svc.recordPrimary("b", position.Position{Term: 2, Index: 20000}, time.Now())
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -287,6 +287,7 @@
 			return err
 		}
 		order := succession.Order{Service: a.s.name, Database: database, Holder: a.s.g.opt.Name, Fence: a.leaseObject.Version}
+		a.readLogsAtCall()
 		err := a.s.g.platform.Promote(ctx, order)
 		a.log.Info("Promotion ordered.", "database", database, "fence", order.Fence, "error", errorText(err))
 		a.s.g.metrics.ordered(err)
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -24,6 +24,8 @@
 	rosterAt    uint64            // version of the record of the databases
 	orderedAt   time.Time         // when the choice was logged
 	chosen      succession.Candidate
+	acked       position.Position // the last one that was known to be acknowledged at the choice
+	logs        logReadings
 }
 
 // leaseText describes a lease, such as "120 of edge-3, released, term 3, floor 3/1301,
@@ -104,6 +106,8 @@
 func (a *replacement) logChosen(msg string, successor succession.Candidate) {
 	a.trace.orderedAt, a.trace.chosen = a.s.g.now(), successor
 	acked := position.Max(a.acked, a.ackedElsewhere())
+	a.trace.acked = acked
+	a.recordLogs(atChoice)
 	primary := "unknown"
 	if c := a.conn(a.primary); c != nil {
 		primary = a.describeCandidate(succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received})
@@ -160,11 +164,18 @@
 		msg = "Another database leads than the one ordered."
 	}
 	a.logOutcome(msg, "primary", primary.db.ID, "term", primary.report.Term, "log", primary.report.Received.String())
+	a.recordLogs(atEffect)
+	a.logEnd(primary.db.ID, primary.report.Term, msg)
 }
 
 // logNoEffect logs that this attempt's order is not known to have taken effect.
 func (a *replacement) logNoEffect(err error) {
-	a.logOutcome("Promotion is not known to have taken effect.", "error", errorText(err))
+	msg := "Promotion is not known to have taken effect."
+	a.logOutcome(msg, "error", errorText(err))
+	if errors.Is(err, errNoEffectInTime) {
+		a.recordLogs(atEffect) // they have just been read
+	}
+	a.logEnd(a.trace.chosen.ID, a.newestTerm(), msg)
 }
 
 func (a *replacement) logOutcome(msg string, attrs ...any) {
@@ -174,6 +185,19 @@
 	a.s.g.logChange("promotion", slog.LevelWarn, msg, attrs...)
 }
 
+// logEnd logs the replacement in one line, a little later: the ends of the logs at the
+// choice, at the call and at the effect, that of the given database first.
+func (a *replacement) logEnd(primary string, term uint64, outcome string) {
+	head := []any{"acked", a.trace.acked.String(), "term", term, "service", a.s.name}
+	rest := []any{"from", a.primary, "to", a.trace.chosen.ID, "outcome", outcome, "reason", string(a.reason), "views", viewText(a.trace.views),
+		"list", a.s.g.listVersion.Load(), "floor", a.floor.String(), "pending", a.pending,
+		"fence", a.leaseObject.Version, "after_ms", a.s.g.now().Sub(a.trace.orderedAt).Milliseconds()}
+	a.afterEnd(func() {
+		logs := []any{"logs", a.trace.logs.text(primary)} // with the answers that came during the delay
+		a.s.g.logDeciding("promotion", slog.LevelWarn, "Replacement ended.", slices.Concat(head, logs, rest)...)
+	})
+}
+
 // explainCommits logs the commits that this host has acknowledged before it takes part in
 // the replacement.
 func (a *replacement) explainCommits() {
