--- a/internal/standin/takeover/link.go
+++ b/internal/standin/takeover/link.go
@@ -25,6 +25,8 @@
 	ended chan struct{} // closed when the connection is no longer served
 	mute  bool          // no further answer is sent
 
+	committed string // id of the commit that the next answer confirms
+
 	open, readOnly, failed bool
 	began                  int // term of the open transaction
 	writes                 []write
@@ -56,11 +58,11 @@
 	if len(f) < 2 {
 		return
 	}
-	time.Sleep(connectTime)
+	time.Sleep(c.d.Connect)
 	d := c.d
 	d.awaitGate()
 	d.mu.Lock()
-	full := d.conns >= maxConnections
+	full := d.conns >= d.Connections
 	position := d.position(d.applied)
 	if !full {
 		d.conns++
@@ -100,6 +102,10 @@
 		if !c.send(answer...) {
 			return
 		}
+		if c.committed != "" {
+			d.journal.write(journalLine{Confirmed: c.committed})
+			c.committed = ""
+		}
 	}
 }
 
