Accept peers again after Accept has failed

A host whose process once had no file descriptor left for a connection of another host took none from any of them until it was restarted: statements that others forward to it as the home host failed on dialling and ran on the next host in rank.

Mesh.Serve returned the first error of Accept. It goes on now after a pause, as the listener for callers does, and ends only when the listener is closed.

'accepts peers again after Accept has failed' timed out without a peer before the change (after three EMFILE); it passes now, with and without the race detector.

--- a/link/peer/mesh.go
+++ b/link/peer/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
@@ -84,9 +86,13 @@
 	}
 }
 
+// acceptPause keeps the accept loop from spinning while the process is out of file
+// descriptors.
+const acceptPause = 20 * time.Millisecond
+
 // Serve accepts connections of peers until the listener or the Mesh is closed. It
 // returns nil when Close ends it, ErrClosed when the Mesh was closed before the call,
-// and otherwise the error of the listener's Accept. Close closes the listener.
+// and net.ErrClosed if the listener is closed otherwise. Close closes the listener.
 func (m *Mesh) Serve(listener net.Listener) error {
 	m.mu.Lock()
 	if m.closed {
@@ -101,7 +107,12 @@
 			if m.ctx.Err() != nil {
 				return nil
 			}
-			return err
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			m.cfg.Logger.Error("Accepting a peer's connection failed.", "err", err)
+			retry.Wait(m.ctx, acceptPause)
+			continue
 		}
 		m.accept(raw)
 	}
--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,3 +231,45 @@
 		Expect(request(a, b, "x")).To(Equal("x"))
 	})
 })
+
+// failingListener fails its first calls of Accept, as one does while the process has no
+// file descriptor left.
+type failingListener struct {
+	net.Listener
+	mu       sync.Mutex
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	l.failures--
+	failed := l.failures >= 0
+	l.mu.Unlock()
+	if failed {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+var _ = Describe("a listener", func() {
+	It("accepts peers again after Accept has failed", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		b := &node{Mesh: peer.New(peer.Config{Self: raw.Addr().String(), DataCentre: "dc1", BootID: "boot-1"}), address: raw.Addr().String()}
+		DeferCleanup(b.Close)
+		served := make(chan error, 1)
+		go func() { served <- b.Serve(&failingListener{Listener: raw, failures: 3}) }()
+		connect(start(nil, nil), b)
+		b.Close()
+		Eventually(served).Should(Receive(BeNil()))
+	})
+
+	It("ends when it is closed", func() {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		b := peer.New(peer.Config{Self: raw.Addr().String(), DataCentre: "dc1", BootID: "boot-1"})
+		DeferCleanup(b.Close)
+		Expect(raw.Close()).To(Succeed())
+		Expect(b.Serve(raw)).To(MatchError(net.ErrClosed))
+	})
+})
