Wait for an order without an answer as for an accepted one that is late

Callers could lose an acknowledged commit: a promotion order had no answer, the former primary answered again and was ordered, which voids the earlier order, and 2 s later the lease counted as settled, so that commits were acknowledged on one copy. If the platform had accepted the first order and carried it out later than that, its database took over without them.

Cause: only an order that was known to be accepted was waited for beyond PromotionLimit. One without an answer may have been accepted just before the order that voids it, and be as late.

What ends the uncertainty: the fence is checked when a call is carried out, so an accepted order keeps all earlier ones from being accepted; an order for the present primary changes nothing; a newer term under the ordered database shows that order's effect. None of them shows that an earlier order for another database was not accepted. So the lease records whether an order for a database other than the last one may be pending (Unseen), and then neither the effect of the last order nor one order for the present primary settles it, but VoidRounds of those, 6 s. That holds for a lease that a host of older rules rewrote, too, which may have dropped such an order. Rounds start anew with an order for another database.

To keep that short, the last order is given again if it is the only one and nothing is lost by it: each replica was read and its database holds what any of them holds, the floor and the last acknowledged position. Its effect is seen after a promotion's time, and the lease is settled 2 s after its acceptance as before, instead of 6 s. It replaces a primary that answers; the order that is pending might do that anyway. An order that is known to be accepted is given again as before.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -16,8 +16,10 @@
 	// Ordered is the database of a promotion order that may still take effect. It is
 	// recorded before the order is given.
 	Ordered string `json:"ordered,omitempty"`
-	// Unseen is set if an order was accepted and its effect has not been seen. It is that of
-	// Ordered, unless the present primary was ordered after it. Rounds counts those orders.
+	// Accepted is set if the platform has answered that order.
+	Accepted bool `json:"accepted,omitempty"`
+	// Unseen is set if an order for a database other than Ordered may still take effect too.
+	// Rounds counts the orders for the present primary since then; see VoidRounds.
 	Unseen bool `json:"unseen,omitempty"`
 	Rounds int  `json:"rounds,omitempty"`
 	// Term is the newest term that a holder of the lease has known of.
@@ -39,7 +41,6 @@
 
 // PromotionLimit bounds the time from the platform's acceptance of an order to the
 // change of the primary. It is twice the time that a promotion takes. An order whose
-// answer is lost may be accepted until a later one, with a higher fence, has been. An
-// order that is known to have been accepted, and takes longer, stays pending; see
-// Settlement.
+// answer is lost may be accepted until a later one, with a higher fence, has been. One
+// that takes longer stays pending; see Settlement.
 const PromotionLimit = 2 * time.Second
--- a/database/succession/settlement.go
+++ b/database/succession/settlement.go
@@ -3,7 +3,7 @@
 import "time"
 
 // VoidRounds is the number of orders for the present primary, PromotionLimit apart, after
-// which an earlier order that was accepted counts as void though its effect has not been
+// which an earlier order for another database counts as void though its effect has not been
 // seen.
 const VoidRounds = 3
 
@@ -13,8 +13,8 @@
 	Since   time.Duration // since the last order was accepted
 	Void    bool          // it was for the primary of that time
 	Effect  bool          // its database has led a term newer than those known when it was given
-	Earlier bool          // an earlier order may have been accepted
-	Unseen  bool          // an earlier order was accepted, and its effect has not been seen
+	Earlier bool          // an earlier order may still take effect
+	Other   bool          // an earlier order for another database may
 	Rounds  int           // orders for the present primary, since then, that were waited for
 }
 
@@ -28,19 +28,18 @@
 	Unsettles                   // the last order, or an earlier one, may still take effect
 )
 
-// Outcome decides whether the orders are settled. An order that was accepted ends with its
-// effect, or with that of a later one. The present primary's order has none to be seen; it
-// keeps earlier ones from being accepted, and those accepted before take effect within
-// PromotionLimit, or VoidRounds times that if one of them is known to be late.
+// Outcome decides whether the orders are settled. An order ends with its effect. An accepted
+// one keeps earlier ones, whose fences are lower, from being accepted; but one that had no
+// answer may have been accepted just before, and be as late as one that was answered. For the
+// same database it changes nothing once that is the primary, or is over within
+// PromotionLimit; for another one it is waited for VoidRounds times that.
 func (s Settlement) Outcome() SettlementOutcome {
 	switch {
 	case s.Effect && !s.Earlier:
 		return Settles
 	case s.Since < PromotionLimit:
 		return Waiting
-	case s.Effect:
-		return Settles
-	case s.Void && (!s.Unseen || s.Rounds+1 >= VoidRounds):
+	case (s.Effect || s.Void) && (!s.Other || s.Rounds+1 >= VoidRounds):
 		return Settles
 	}
 	return Unsettles
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -60,8 +60,8 @@
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
-	a.late, a.unseen, a.rounds = held.Ordered, held.Unseen, held.Rounds
 	a.olderLease = len(old.Value) > 0 && held.ByOlderRules()
+	a.late, a.accepted, a.unseen, a.rounds = held.Ordered, held.Accepted, held.Unseen || a.olderLease, held.Rounds
 	if a.olderLease && held.Ordered == "" {
 		a.pending, a.ordered = true, unknownOrder
 	}
@@ -75,7 +75,8 @@
 	l.Holder, l.Claim, l.Rules = a.s.g.opt.Name, uuid.NewString(), succession.Rules
 	l.Term, l.Floor = max(a.leaseTerm, a.newestTerm()), a.floor
 	if l.Ordered != "" {
-		l.Unseen, l.Rounds = a.unseen, a.rounds
+		l.Accepted = a.accepted && l.Ordered == a.ordered
+		l.Unseen, l.Rounds = l.Unseen || a.unseen, a.rounds
 	}
 	value, err := json.Marshal(l)
 	if err != nil {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -179,7 +179,9 @@
 	ordered     string            // the database that this order promotes
 	olderLease  bool              // the lease was last written by a host of older rules
 	pausing     pausing
-	unseen      bool // the same as in succession.Lease
+	accepted    bool // the same as in succession.Lease
+	unseen      bool
+	other       bool // when the last order was given, one for another database could still take effect
 	rounds      int
 	late        string // the database of the order that the lease recorded when it was acquired
 	orderTerm   uint64 // the newest term known when the last order was given
@@ -271,6 +273,10 @@
 	a.orderTerm, a.void, a.effect = a.newestTerm(), primary != nil && primary.db.ID == database, false
 	c := a.conn(database)
 	a.replica = c != nil && c.answered && !c.report.Primary
+	a.other = a.unseen || a.pending && a.ordered != database
+	if !a.void {
+		a.rounds = 0
+	}
 	a.pausing.term = a.newestTerm() + 1
 	for called := false; ; called = true {
 		a.lookAgain(ctx)
@@ -278,7 +284,7 @@
 			return errOlderHosts
 		}
 		a.pauseLate(ctx, database)
-		if err := a.writeLease(ctx, succession.Lease{Ordered: database}); err != nil {
+		if err := a.writeLease(ctx, succession.Lease{Ordered: database, Unseen: a.other}); err != nil {
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
@@ -293,7 +299,8 @@
 		if err == nil || errors.Is(err, succession.ErrRefused) {
 			return err
 		}
-		a.pending, a.ordered = true, database
+		a.accepted = a.accepted && a.ordered == database
+		a.pending, a.ordered, a.unseen = true, database, a.other
 		if !backoff.Pause(ctx) {
 			return err
 		}
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -45,7 +45,7 @@
 		out += ", ordered " + l.Ordered
 	}
 	if l.Unseen {
-		out += fmt.Sprintf(", accepted and not seen, %d rounds", l.Rounds)
+		out += fmt.Sprintf(", others before it, %d rounds", l.Rounds)
 	}
 	return out
 }
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -190,4 +190,26 @@
 		}
 		Expect(acked).To(BeFalse())
 	})
+
+	It("does not show that an order without an answer was not accepted if it is not given again", func() {
+		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1,"rules":1}`)
+		dbs.withLock(func() {
+			dbs.databases["c"].notReplicating = true
+			dbs.databases["b"].end.Index = 11
+		})
+		svc.mu.Lock()
+		svc.promotion.unsettled = true
+		svc.mu.Unlock()
+		var first time.Time
+		settled := func() bool {
+			svc.maybeReplacePrimary(time.Now())
+			if first.IsZero() && orders() > 0 {
+				first = time.Now()
+			}
+			return !first.IsZero() && svc.leaseSettled(1)
+		}
+		Eventually(settled).WithTimeout(12 * time.Second).WithPolling(20 * time.Millisecond).Should(BeTrue())
+		Expect(time.Since(first)).To(BeNumerically(">=", succession.VoidRounds*succession.PromotionLimit))
+		dbs.withLock(func() { Expect(dbs.orders).To(HaveEach(HaveField("Database", "a"))) })
+	})
 })
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -53,20 +55,21 @@
 	}
 }
 
-// voidPendingOrder ends the orders that may still take effect. One that was accepted and
-// is late is given again, so that its effect shows its end. Otherwise the current primary
-// is ordered, so that no earlier order can be accepted any more. It releases the lease with
+// voidPendingOrder ends the orders that may still take effect. If there is only one,
+// and nothing is lost by it, it is given again: its effect shows its end sooner than orders for
+// the present primary do. Otherwise the current primary is ordered, so
+// that no earlier order can be accepted any more. It releases the lease with
 // the pending order if no database reports that it is the primary, if that one is leaving,
 // or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
-	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
-		a.logChosen("A late order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
+	if late := a.conn(a.ordered); !a.unseen && late != nil && a.mayRepeat(late) {
+		a.logChosen("A pending order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
 		err := a.order(ctx, late.db.ID)
 		if err == nil {
 			a.awaitSettled(late.db.ID)
 			return
 		}
-		a.log.Warn("The order that is late was not given again.", "database", late.db.ID, "error", err)
+		a.log.Warn("The pending order was not given again.", "database", late.db.ID, "error", err)
 	}
 	for _, c := range a.conns {
 		if !c.answered || !c.report.Primary || c.db.Leaving {
@@ -83,9 +86,22 @@
 	a.releaseLease(a.ordered)
 }
 
-// mayRepeat reports whether the database of an order that is late still is one to promote.
+// mayRepeat reports whether the database of a pending order still is one to promote. If the
+// order may not have been accepted, it must hold what every replica holds: a database that was
+// missing from the hosts' lists for a while may lack commits that were acknowledged without it.
 func (a *replacement) mayRepeat(c *controlConn) bool {
-	return c.answered && !c.report.Primary && !c.db.Leaving && !c.report.Received.Before(a.floor) && c.report.Received.Index >= a.floor.Index
+	holds := func(at position.Position) bool {
+		return !c.report.Received.Before(at) && c.report.Received.Index >= at.Index
+	}
+	if !c.answered || c.report.Primary || c.db.Leaving || !holds(a.floor) {
+		return false
+	}
+	if a.accepted {
+		return true
+	}
+	candidates := a.candidates()
+	return succession.AllRead(candidates) && holds(a.acked) &&
+		!slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && !holds(o.Received) })
 }
 
 // awaitSettled is called when the platform has accepted an order. It waits until
@@ -131,14 +147,13 @@
 		a.releaseLease("")
 		return
 	}
-	if a.void {
+	if a.void || a.effect {
 		a.rounds++
-	} else {
-		a.unseen, a.rounds = true, 0
 	}
-	a.pending, a.ordered = true, id
+	a.accepted = !a.void && !a.effect
+	a.pending, a.ordered, a.unseen = true, id, a.other
 	a.logNoEffect(errNoEffectInTime)
-	a.log.Warn("Lease is not settled: an accepted order has not shown its effect.", "database", id, "rounds", a.rounds)
+	a.log.Warn("Lease is not settled: an order may still take effect.", "database", id, "effect", a.effect, "rounds", a.rounds)
 	writeCtx, cancelWrite := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancelWrite()
 	if err := a.writeLease(writeCtx, succession.Lease{Ordered: id}); err != nil {
@@ -149,7 +164,7 @@
 // settlement returns what is known of the orders, the last of which was that of the given
 // database, from the last reports.
 func (a *replacement) settlement(id string, accepted time.Time) succession.Settlement {
-	out := succession.Settlement{Since: a.s.g.now().Sub(accepted), Earlier: a.pending, Void: a.void, Unseen: a.unseen, Rounds: a.rounds}
+	out := succession.Settlement{Since: a.s.g.now().Sub(accepted), Earlier: a.pending, Other: a.other, Void: a.void, Rounds: a.rounds}
 	if primary := a.newestPrimary(); primary != nil && primary.db.ID == id {
 		a.effect = a.effect || a.replica || primary.report.Term > a.orderTerm || id == a.late && primary.report.Term > a.leaseTerm
 	}
