Void a pending order by the primary of the newest term only

Callers could lose acknowledged commits: a host that voided a pending order promoted a former primary, which had not heard yet that another database led, and so discarded what the new primary's commits had added.

Cause: voidPendingOrder ordered the first database that claimed to be the primary, in the order in which the attempt had added them. It orders the one that leads the newest known term now, and leaves the order pending if that one does not answer.

--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -169,6 +169,33 @@
 		Expect(orders()).To(BeZero())
 	})
 
+	// A former primary may not have heard yet that another database leads.
+	It("does not make it the one to be ordered again when a newer term is known", func() {
+		storeLease(`{"holder":"host-1","claim":"x","ordered":"c","term":1,"rules":1}`)
+		ordered := entry("c")
+		ordered.Leaving = true // the order is not given again
+		svc.setDatabasesAgo(time.Minute, entry("a"), entry("b"), ordered)
+		dbs.withLock(func() {
+			dbs.term, dbs.primary = 2, "b"
+			dbs.databases["a"].unaware = true
+			for _, id := range []string{"b", "c"} {
+				dbs.databases[id].end = position.Position{Term: 2, Index: 12}
+			}
+		})
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 12}, time.Now())
+		attempt(succession.Unsettled)
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(1))
+			Expect(dbs.orders[0].Database).To(Equal("b"))
+			Expect(dbs.primary).To(Equal("b"))
+		})
+
+		By("hearing of the newer term only from a replica")
+		dbs.withLock(func() { dbs.databases["b"].unresponsive = true })
+		attempt(succession.Unsettled)
+		Expect(orders()).To(Equal(1))
+	})
+
 	// An order that had no answer may have been accepted just before the one for the
 	// present primary, and be late.
 	It("does not show that an order without an answer was not accepted, and is late", func() {
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -59,8 +59,8 @@
 // and nothing is lost by it, it is given again: its effect shows its end sooner than orders for
 // the present primary do. Otherwise the current primary is ordered, so
 // that no earlier order can be accepted any more. It releases the lease with
-// the pending order if no database reports that it is the primary, if that one is leaving,
-// or if the order is not answered.
+// the pending order if no database reports that it leads the newest known term, if that one is
+// leaving, or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	if late := a.conn(a.ordered); !a.unseen && late != nil && a.mayRepeat(late) {
 		a.logChosen("A pending order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
@@ -71,19 +71,18 @@
 		}
 		a.log.Warn("The pending order was not given again.", "database", late.db.ID, "error", err)
 	}
-	for _, c := range a.conns {
-		if !c.answered || !c.report.Primary || c.db.Leaving {
-			continue
-		}
-		a.logChosen("Primary is ordered again, to void a pending order.", succession.Candidate{ID: c.db.ID, Answered: true, Received: c.report.Received})
-		if err := a.order(ctx, c.db.ID); err != nil {
-			a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered, "error", err)
-			break
-		}
-		a.awaitSettled(c.db.ID)
+	c := a.newestPrimary()
+	if c == nil || c.db.Leaving {
+		a.releaseLease(a.ordered)
+		return
+	}
+	a.logChosen("Primary is ordered again, to void a pending order.", succession.Candidate{ID: c.db.ID, Answered: true, Received: c.report.Received})
+	if err := a.order(ctx, c.db.ID); err != nil {
+		a.log.Warn("Lease is not settled: a promotion order may still take effect.", "database", a.ordered, "error", err)
+		a.releaseLease(a.ordered)
 		return
 	}
-	a.releaseLease(a.ordered)
+	a.awaitSettled(c.db.ID)
 }
 
 // mayRepeat reports whether the database of a pending order still is one to promote. If the
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -58,6 +58,7 @@
 	notReplicating bool // receives no commits from the primary
 	paused         uint64
 	joinsLate      bool // it still reports the term before the last promotion
+	unaware        bool // the same, and that it is the primary
 	received       []statement.Kind
 	reads          int
 	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
@@ -122,10 +123,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	term := g.term
-	if l.db.joinsLate {
+	if l.db.joinsLate || l.db.unaware {
 		term--
 	}
-	return statement.Report{Primary: g.primary == l.db.id, Term: term, Received: l.db.end, Paused: l.db.paused}, nil
+	return statement.Report{Primary: g.primary == l.db.id || l.db.unaware, Term: term, Received: l.db.end, Paused: l.db.paused}, nil
 }
 
 func (l *link) Run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
