Name every unacknowledged commit, and show the copies of an acknowledged one on a cut line

In "Commit acknowledged." the copies were cut after the first. Change: a host keeps the last 256 such commits of a service, and those whose lines were not allowed get theirs within 2 s, at most 100 and a count.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -54,6 +54,9 @@
 	outcomes acknowledgementLog
 	lease    leaseReport // the last read of the lease that showed it settled
 	recent   recentCommits
+	// unacknowledged are the commits that were confirmed and not acknowledged.
+	unacknowledged recentCommits
+	flushing       bool // lines about them are due
 }
 
 // replicaCopy is the last report of one replica. What a replica has received in a term
--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -109,7 +109,7 @@
 		Eventually(out.matching).WithArguments("Commit acknowledged.").Should(HaveLen(1))
 
 		Expect(out.record(w.ID)).To(And(
-			MatchRegexp(`"Commit acknowledged.","id":"%s","evidence":"all_copies","commit":"1/11","copies":"[bc] 1/11 `, w.ID),
+			MatchRegexp(`"Commit acknowledged.","id":"%s","evidence":"all_copies","copies":"[bc] 1/11 [0-9]+ms( new)?, [bc] 1/11 [0-9]+ms( new)?","commit":"1/11"`, w.ID),
 			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed, [bc] 1/11 established listed","service":"orders-db"`),
 			MatchRegexp(`"Primary changed.","service":"orders-db","from":"a","to":"[bc]","term":[12],"build":"`),
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
@@ -124,6 +124,15 @@
 		Expect(out.matching("Commit acknowledged.")[0]).To(And(HaveKeyWithValue("host", "host-1"), HaveKeyWithValue("primary", "a"), HaveKey("ago_ms"), HaveKey("list"), HaveKey("build")))
 	})
 
+	It("keeps a bounded number of commits that are not acknowledged, and of their lines", func() {
+		for i := range 2000 {
+			svc.logUnacknowledged(commit{primary: "a", at: position.Position{Term: 1, Index: uint64(11 + i)}, id: fmt.Sprintf("id-%d", 11+i)}, misplaced, time.Now())
+		}
+		Expect(svc.replication.unacknowledged.ring).To(HaveLen(maxRecentCommits))
+		Eventually(out.matching).WithArguments("Left out log lines about commits that were not acknowledged.").WithTimeout(4 * time.Second).Should(HaveLen(1))
+		Expect(len(out.matching("Commit not acknowledged."))).To(BeNumerically("<=", failuresPerSecond+maxUnacknowledgedLines))
+	})
+
 	It("writes a deciding line again once if lines about failed requests have followed it", func() {
 		done := make(chan struct{})
 		go func() {
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -25,6 +25,10 @@
 	maxCommitLines = 200
 	// maxCommitLinesAtStop bounds the lines of all services when the host stops.
 	maxCommitLinesAtStop = 400
+	// maxUnacknowledgedLines bounds the lines for one service in unacknowledgedDelay about
+	// commits that were not acknowledged, beside those within the limit of failed requests.
+	maxUnacknowledgedLines = 100
+	unacknowledgedDelay    = 2 * time.Second
 	// commitLinesAtOnce is written before a pause of commitLinesPause: the queue of the
 	// log, 1024 lines, then has room for other lines.
 	commitLinesAtOnce = 50
@@ -61,8 +65,16 @@
 	lease       leaseReport
 	listVersion uint64
 	listAge     time.Duration
-	written     bool // its line has been written
-	missing     bool // the log of a later primary lacks it
+	written     bool          // its line has been written
+	missing     bool          // the log of a later primary lacks it
+	reason      string        // not to acknowledge it; empty if it was acknowledged
+	waited      time.Duration // for the evidence, if it was not acknowledged
+}
+
+// byFormer reports whether a former primary has confirmed the commit, given the present one
+// and the end of its log.
+func (e *recentCommit) byFormer(primary string, end position.Position) bool {
+	return e.at.Term < end.Term || e.at.Term == end.Term && e.primary != primary
 }
 
 // recentCommits is a ring of the commits that were acknowledged last. service.mu guards
@@ -117,8 +129,7 @@
 // were not marked before, the newest first. Their lines are due again.
 func (r *recentCommits) markMissing(primary string, end position.Position, since time.Time) (ids []string) {
 	r.newestFirst(since, func(e *recentCommit) {
-		former := e.at.Term < end.Term || e.at.Term == end.Term && e.primary != primary
-		if !e.missing && former && e.at.Index > end.Index {
+		if !e.missing && e.byFormer(primary, end) && e.at.Index > end.Index {
 			e.missing, e.written = true, false
 			ids = append(ids, e.id)
 		}
@@ -164,8 +175,9 @@
 	}
 }
 
-// copyText describes the replicas' reports, the longest log first, such as "i-1 3/1301 12ms established, i-2
-// 3/1226 40ms". A term is given where it is not that of the log's end.
+// copyText describes the replicas' reports, the longest log first, such as "i-1 3/1301 12ms, i-2
+// 3/1226 40ms new". A term is given where it is not that of the log's end, and new for a
+// replica that is not established.
 func (e *recentCommit) copyText() string {
 	var out []byte
 	copies := e.copies[:min(e.copyCount, maxLoggedCopies)]
@@ -179,8 +191,8 @@
 			out = strconv.AppendUint(append(out, " term "...), c.term, 10)
 		}
 		out = append(strconv.AppendInt(append(out, ' '), c.age.Milliseconds(), 10), "ms"...)
-		if c.established {
-			out = append(out, " established"...)
+		if !c.established {
+			out = append(out, " new"...)
 		}
 	}
 	if more := e.copyCount - maxLoggedCopies; more > 0 {
@@ -192,7 +204,7 @@
 // logAttrs returns the attributes of a commit's line: the id, one of its own, and what
 // this host knew.
 func (e *recentCommit) logAttrs(s *service, key, value string, more ...any) []any {
-	attrs := append([]any{"id", e.id, key, value, "commit", e.at.String(), "copies", e.copyText()}, more...)
+	attrs := append([]any{"id", e.id, key, value, "copies", e.copyText(), "commit", e.at.String()}, more...)
 	attrs = append(attrs, "primary", e.primary, "service", s.name, "list", e.listVersion, "list_age_ms", e.listAge.Milliseconds())
 	if !e.lease.at.IsZero() {
 		attrs = append(attrs, "lease", e.lease.version, "lease_term", e.lease.term, "lease_age_ms", e.acked.Sub(e.lease.at).Milliseconds())
@@ -294,17 +306,50 @@
 }
 
 // logUnacknowledged logs a commit that its primary has confirmed and that is not
-// acknowledged, unless too many requests have failed within the second. since is when the
-// primary's confirmation arrived.
+// acknowledged: at once, or a little later if too many requests have failed within the
+// second. since is when the primary's confirmation arrived.
 func (s *service) logUnacknowledged(c commit, reason string, since time.Time) {
-	if !s.g.requestLog.allow(true) {
-		return
+	allowed := s.g.requestLog.allow(true)
+	s.mu.Lock()
+	r := &s.replication
+	e := r.unacknowledged.slot()
+	s.describeCommit(e, c, "")
+	e.reason, e.waited, e.written = reason, e.acked.Sub(since), allowed
+	entry := *e
+	if !allowed && !r.flushing {
+		r.flushing = true
+		go func() {
+			retry.Wait(s.g.ctx, unacknowledgedDelay)
+			s.flushUnacknowledged()
+		}()
+	}
+	s.mu.Unlock()
+	if allowed {
+		s.logUnacknowledgedEntry(&entry)
 	}
-	var e recentCommit
+}
+
+func (s *service) logUnacknowledgedEntry(e *recentCommit) {
+	s.g.logChange("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", e.reason, "waited_ms", e.waited.Milliseconds())...)
+}
+
+// flushUnacknowledged logs the commits that were not acknowledged and whose lines are due.
+func (s *service) flushUnacknowledged() {
 	s.mu.Lock()
-	s.describeCommit(&e, c, "")
+	entries, omitted := s.replication.unacknowledged.take(s.g.now().Add(-recentCommitsFor), maxUnacknowledgedLines)
+	s.replication.flushing = false
 	s.mu.Unlock()
-	s.g.logChange("request", slog.LevelInfo, "Commit not acknowledged.", e.logAttrs(s, "reason", reason, "waited_ms", s.g.now().Sub(since).Milliseconds())...)
+	s.g.commitLines.Lock()
+	defer s.g.commitLines.Unlock()
+	for chunk := range slices.Chunk(entries, commitLinesAtOnce) {
+		for i := range chunk {
+			s.logUnacknowledgedEntry(&chunk[i])
+		}
+		retry.Wait(s.g.ctx, commitLinesPause)
+	}
+	if omitted > 0 {
+		s.g.logChange("request", slog.LevelInfo, "Left out log lines about commits that were not acknowledged.", "lines", omitted, "service", s.name)
+	}
 }
 
 // listAge returns the time since the list of databases was known to be the store's; it is
