Log on every host how the commits before a change of the primary compare with its log

The comparison took place only at an answer with a newer term: where a position has the term of the last entry, the first answer of a primary that the list had announced before was not compared, and the next has commits of the new term. Change: 1 s after a host learns of a change it logs "Commits checked.": missing, of how many commits of the last 15 s; past_choice, how many lie after the position with which the successor was chosen (from the lease, one read); the oldest of these, the last one, unacknowledged ones, and the ids of up to 40. The first answer of a primary is compared whatever its term. A host that has not heard of the primary asks it once, and says "unknown" if it does not answer. "Replacement ended." has the last acknowledged position at the choice and at the first answer (acked "3/1282>3/1456"), the end of the primary's log at its first answer, and the ids of commits that this lacks. Result: specs of each; a spec of a successor that loses an entry at the call shows the facts on the cut record.

--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -115,7 +115,7 @@
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
 		))
 		Eventually(out.matching).WithArguments("Replacement ended.").Should(HaveLen(1))
-		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11","term":2,"service":"orders-db","logs":"[bc] 1/11>=>=, [bc] 1/11>=>=, a ->->-"`))
+		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11>1/11","term":2,"service":"orders-db","logs":"[bc] 1/11>=>=, [bc] 1/11>=>=, a ->->-"`))
 		Expect(out.matching("Replacement ended.")[0]).To(And(HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", BeElementOf("b", "c")),
 			HaveKeyWithValue("outcome", "Promotion took effect."), HaveKeyWithValue("reason", "silent")))
 		chosen := out.matching("Successor chosen.")[0]
@@ -124,6 +124,122 @@
 		Expect(out.matching("Commit acknowledged.")[0]).To(And(HaveKeyWithValue("host", "host-1"), HaveKeyWithValue("primary", "a"), HaveKey("ago_ms"), HaveKey("list"), HaveKey("build")))
 	})
 
+	It("shows on a cut record that a successor has lost what it had when it was chosen, after refused logins too", func() {
+		kept, lost := request(statement.Write), request(statement.Write)
+		session := newTestSession(g, "own")
+		Expect(session.serve(kept).Err).To(BeNil())
+		Expect(session.serve(lost).Err).To(BeNil())
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		dbs.promoteHook = func(o succession.Order) error {
+			time.Sleep(50 * time.Millisecond) // the logs are read during the call
+			dbs.withLock(func() { dbs.databases[o.Database].end = position.Position{Term: 1, Index: 11} })
+			return dbs.applyOrder(o)
+		}
+		svc.mu.Lock()
+		svc.startAttempt(svc.newReplacement(succession.Silent, svc.acked, time.Now()), (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(5 * time.Second).Should(HaveLen(1))
+		Eventually(out.matching).WithArguments("Replacement ended.").WithTimeout(5 * time.Second).Should(HaveLen(1))
+		for i := range 20 {
+			newSession(g, &rejectedCaller{}).reject(errkind.New(errkind.UnknownDatabase, "no route x%d", i))
+		}
+
+		shown := strings.Join(logcut.Cut(out.bytes(), []string{lost.ID}, time.Time{}, time.Time{}), "\n")
+		Expect(shown).To(And(
+			MatchRegexp(`"level":"ERROR","msg":"Commit acknowledged.","id":"%s","evidence":"all_copies","copies":"[bc] 1/12 [0-9]+ms( new)?, [bc] 1/12 [0-9]+ms( new)?","commit":"1/12"`, lost.ID),
+			MatchRegexp(`"Replacement ended.","acked":"1/12>1/12","term":2,"service":"orders-db","logs":"([bc]) 1/12>=>1/11, [bc] 1/12>=>1/11, a ->->-"`),
+			MatchRegexp(`"Commits checked.","missing":"1 of 2","past_choice":0,"oldest":"%s","service":"orders-db","last":"1/12","log":"1/11"`, lost.ID),
+		))
+		shown = strings.Join(logcut.Cut(out.bytes(), nil, time.Time{}, time.Time{}), "\n")
+		Expect(shown).To(And(ContainSubstring(`"Replacement ended.","acked":"1/12>1/12"`), ContainSubstring(`"Commits checked.","missing":"1 of 2"`)),
+			"a host whose lines name no request")
+	})
+
+	It("compares the log of a primary that the list has announced at its first answer, although that has the term of its last entry", func() {
+		acknowledge(4) // 1/11 to 1/14
+		list := map[string]routes.Database{}
+		for _, id := range []string{"a", "b", "c"} {
+			list[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: id == "b"}
+		}
+		g.setDatabases(list)
+		svc.recordPrimary("b", position.Position{Term: 1, Index: 13}, time.Now())
+		Expect(out.matching("Acknowledged commits are missing")).To(ConsistOf(HaveKeyWithValue("ids", ConsistOf("id-14"))))
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 20}, time.Now())
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
+			HaveKeyWithValue("missing", "1 of 4"), HaveKeyWithValue("oldest", "id-14"), HaveKeyWithValue("last", "1/14"),
+			HaveKeyWithValue("log", "1/13"), HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", "b"), HaveKeyWithValue("level", "WARN"))))
+	})
+
+	DescribeTable("says that the coverage of commits is unknown", func(learn func(), primary string) {
+		acknowledge(3)
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		svc.mu.Lock()
+		svc.replication.term = 2
+		svc.observePrimary(fromReplica, position.Position{})
+		svc.mu.Unlock()
+		learn()
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
+			HaveKeyWithValue("missing", "unknown of 3"), HaveKeyWithValue("last", "1/13"), HaveKeyWithValue("log", "0/0"), HaveKeyWithValue("to", primary))))
+		svc.recordPrimary("b", position.Position{Term: 1, Index: 13}, time.Now())
+		Eventually(out.matching).WithArguments(`"missing":"0 of 3"`).WithTimeout(3 * time.Second).Should(HaveLen(1))
+	},
+		Entry("while no database is known to lead the newest term", func() {}, "unknown"),
+		Entry("while the new primary has not answered", func() {
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			svc.table.RecordLeader("b", 2, time.Now())
+		}, "b"),
+	)
+
+	It("counts the commits after the position of the choice, which a later end of the new primary's log seems to cover", func() {
+		_, err := p.api.Create(GinkgoT().Context(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","term":1,"floor":{"Term":1,"Index":12}}`))
+		Expect(err).NotTo(HaveOccurred())
+		acknowledge(4) // 1/11 to 1/14
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 2001}, time.Now())
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
+			HaveKeyWithValue("missing", "0 of 4"), HaveKeyWithValue("past_choice", BeNumerically("==", 2)), HaveKeyWithValue("oldest", "id-13"),
+			HaveKeyWithValue("ids", ConsistOf("id-13", "id-14")), HaveKeyWithValue("choice", "1/12"), HaveKeyWithValue("log", "2/2001"))))
+	})
+
+	It("checks the commits again once a primary answers that had not before the check", func() {
+		acknowledge(3)
+		dbs.withLock(func() { dbs.databases["b"].unresponsive = true })
+		svc.mu.Lock()
+		svc.table.RecordLeader("b", 1, time.Now())
+		svc.observePrimary(fromList, position.Position{})
+		svc.mu.Unlock()
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(HaveKeyWithValue("missing", "unknown of 3")))
+		svc.recordPrimary("b", position.Position{Term: 1, Index: 13}, time.Now())
+		Eventually(out.matching).WithArguments(`"missing":"0 of 3"`).WithTimeout(3 * time.Second).Should(HaveLen(1))
+		svc.recordPrimary("b", position.Position{Term: 1, Index: 14}, time.Now())
+		Consistently(out.matching).WithArguments("Commits checked.").WithTimeout(commitCheckDelay + 300*time.Millisecond).Should(HaveLen(2))
+	})
+
+	It("asks the new primary for the end of its log if it has not answered before the check", func() {
+		acknowledge(3)
+		Expect(dbs.applyOrder(succession.Order{Service: testService, Database: "b"})).To(Succeed())
+		svc.mu.Lock()
+		svc.table.RecordLeader("b", 2, time.Now())
+		svc.observePrimary(fromList, position.Position{})
+		svc.mu.Unlock()
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
+			HaveKeyWithValue("missing", "3 of 3"), HaveKeyWithValue("log", "1/10"), HaveKeyWithValue("to", "b"))))
+	})
+
+	It("logs every commit that is not acknowledged although failed requests use up their lines, and counts those that are not covered", func() {
+		for range failuresPerSecond {
+			g.requestLog.failed(newTestSession(g, "own"), &operation{Request: request(statement.Read)}, errkind.New(errkind.NoPrimary, "none"))
+		}
+		for i := range 3 {
+			svc.logUnacknowledged(commit{primary: "a", at: position.Position{Term: 1, Index: uint64(11 + i)}, id: fmt.Sprintf("id-%d", 11+i)}, "no established replica holds it", time.Now())
+		}
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 12}, time.Now())
+		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
+			HaveKeyWithValue("missing", "0 of 0"), HaveKeyWithValue("unacked", "1 of 3"), HaveKeyWithValue("acked", "0/0"), HaveKeyWithValue("ids", ConsistOf("id-13")))))
+		Eventually(out.matching).WithArguments("Commit not acknowledged.").WithTimeout(4 * time.Second).Should(HaveLen(3))
+		Expect(out.matching("Commit not acknowledged.")).To(ContainElement(And(HaveKeyWithValue("id", "id-13"), HaveKeyWithValue("commit", "1/13"), HaveKeyWithValue("reason", "no established replica holds it"))))
+	})
+
 	It("keeps a bounded number of commits that are not acknowledged, and of their lines", func() {
 		for i := range 2000 {
 			svc.logUnacknowledged(commit{primary: "a", at: position.Position{Term: 1, Index: uint64(11 + i)}, id: fmt.Sprintf("id-%d", 11+i)}, misplaced, time.Now())
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -165,6 +165,11 @@
 	}
 	a.logOutcome(msg, "primary", primary.db.ID, "term", primary.report.Term, "log", primary.report.Received.String())
 	a.recordLogs(atEffect)
+	if end, _, _, ok := a.s.firstAnswerOf(primary.db.ID, a.started); ok {
+		first := primary.report
+		first.Received = end // by now its log may have commits of the new term
+		a.trace.logs.record(atEffect, primary.db.ID, first, true)
+	}
 	a.logEnd(primary.db.ID, primary.report.Term, msg)
 }
 
@@ -185,13 +190,22 @@
 	a.s.g.logChange("promotion", slog.LevelWarn, msg, attrs...)
 }
 
-// logEnd logs the replacement in one line, a little later: the ends of the logs at the
-// choice, at the call and at the effect, that of the given database first.
+// logEnd logs the replacement in one line, a little later: the last commit known to be
+// acknowledged at the choice and at the primary's first answer, and the ends of the logs at
+// the choice, at the call and at the effect, those of the given database first.
 func (a *replacement) logEnd(primary string, term uint64, outcome string) {
-	head := []any{"acked", a.trace.acked.String(), "term", term, "service", a.s.name}
+	acked := a.trace.acked.String()
+	_, ackedAtEffect, missing, ok := a.s.firstAnswerOf(primary, a.started)
+	if ok {
+		acked += ">" + ackedAtEffect.String()
+	}
+	head := []any{"acked", acked, "term", term, "service", a.s.name}
 	rest := []any{"from", a.primary, "to", a.trace.chosen.ID, "outcome", outcome, "reason", string(a.reason), "views", viewText(a.trace.views),
 		"list", a.s.g.listVersion.Load(), "floor", a.floor.String(), "pending", a.pending,
 		"fence", a.leaseObject.Version, "after_ms", a.s.g.now().Sub(a.trace.orderedAt).Milliseconds()}
+	if len(missing) > 0 {
+		rest = append(rest, "ids", missing)
+	}
 	a.afterEnd(func() {
 		logs := []any{"logs", a.trace.logs.text(primary)} // with the answers that came during the delay
 		a.s.g.logDeciding("promotion", slog.LevelWarn, "Replacement ended.", slices.Concat(head, logs, rest)...)
