Model the protocol that pauses all replicas; explore on several processors

Cause: without pauses the model loses a commit if the log of the order leads. The protocol that pauses every replica from the reading of its log until the order can take effect no more was not modelled.

Change: it is the model's protocol now; the one without pauses is Rules.Unpaused. New: the check before the order, the pause of a planned successor, RESUME under a renewed lease, which is left to expire if a RESUME is not answered, late PAUSEs and RESUMEs, a host that stands still before its RESUMEs. One rule is not in the gateway: a commit that all replicas hold is acknowledged only once the host has read the lease as settled in the commit's term (AllCopiesAtOnce leaves it out). Without it an order for the present primary, given while an earlier order takes effect, is a promotion of the former primary, whose log was fixed. Explorations use up to three processors and a hash table of their own; visited states are the same.

Specs: those of the protocol without pauses run as before, under Unpaused. The ones that hold are run with pauses and CutAtCall besides. "one of four databases ends while the logs are read" was stated as not withstood; that stays so without pauses, and with them it is stated that nothing is lost.

--- a/internal/takeovermodel/action.go
+++ b/internal/takeovermodel/action.go
@@ -48,6 +48,10 @@
 	FindPrimary
 	Resume
 	ResumeLate
+	PauseLate
+	CarryOutPause
+	LoseResume
+	Check
 	CarryOutResume
 	Release
 	Stop
@@ -62,7 +66,7 @@
 	"taker starts", "taker reads the lease and writes its claim", "lease write is carried out", "lease write is lost", "taker learns the outcome of its write",
 	"taker reads the log of", "taker gets no answer from", "taker decides", "taker gives up", "taker writes into the lease that it orders", "taker orders", "order is accepted or refused and answered", "order is accepted or refused, answer lost",
 	"order is lost", "taker gets no answer to its order", "the log that will lead is fixed:", "order takes effect", "taker sees the successor", "taker starts to wait", "taker has waited", "taker reads the primary's term",
-	"taker resumes all", "taker's RESUME is late", "late RESUME is carried out at", "taker releases the lease", "taker stops",
+	"taker resumes all", "taker's RESUME is late", "taker gets no answer to its PAUSE of", "late PAUSE is carried out at", "late RESUME is lost:", "taker checks that replicas are paused:", "late RESUME is carried out at", "taker releases the lease", "taker stops",
 	"taker looks for hosts of the former protocol", "acknowledging host starts with the other protocol", "taker starts with the other protocol",
 }
 
@@ -71,9 +75,9 @@
 	switch a.Kind {
 	case Discover:
 		return fmt.Sprintf("%s %s: %04b", kindNames[a.Kind], name(a.What), a.Who)
-	case Receive, Join, Crash, Restart, Witness, CarryOutResume, FixLog:
+	case Receive, Join, Crash, Restart, Witness, CarryOutResume, CarryOutPause, LoseResume, FixLog:
 		return fmt.Sprintf("%s %s", kindNames[a.Kind], name(a.What))
-	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, Release, Stop, Look, SwitchTaker:
+	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, PauseLate, Check, Release, Stop, Look, SwitchTaker:
 		if a.What != 0 {
 			return fmt.Sprintf("%s %s (taker %d)", kindNames[a.Kind], name(a.What), a.Who)
 		}
--- a/internal/takeovermodel/explore.go
+++ b/internal/takeovermodel/explore.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Result is the outcome of an exploration.
@@ -33,66 +35,129 @@
 	return b.String()
 }
 
-// parent is how a state was reached first.
-type parent struct {
+// maxWorkers bounds the processors that an exploration uses.
+const maxWorkers = 3
+
+// shards is the number of parts of the set of visited states. Each is changed by one worker.
+const shards = 16
+
+// batch is how many states a worker expands at a time.
+const batch = 256
+
+// found is a state, and how it was reached.
+type found struct {
 	hash   uint64
-	action Action
+	parent parent
+	state  State
+}
+
+// exploration is the state of Explore. Visited states are known by a hash of 64 bits.
+type exploration struct {
+	m    Model
+	seed maphash.Seed
+	seen [shards]visited
 }
 
-// Explore visits the states of a model breadth first, at most limit, until it finds one
-// in which a commit is lost. Visited states are known by a hash of 64 bits.
+// Explore visits the states of a model breadth first, at most about limit, until it finds
+// one in which a commit is lost.
 func (m Model) Explore(limit int) Result {
-	seed := maphash.MakeSeed()
-	first := m.Initial()
-	firstHash := maphash.Comparable(seed, first)
-	seen := map[uint64]parent{firstHash: {}}
-	frontier := []State{first}
-	r := Result{Complete: true}
+	e := exploration{m: m, seed: maphash.MakeSeed()}
+	first := found{state: m.Initial()}
+	first.hash = e.hash(first.state)
+	e.seen[first.hash%shards].add(first.hash, parent{})
+	frontier := []found{first}
+	r := Result{Complete: true, States: 1}
 	for len(frontier) > 0 {
-		var next []State
-		for _, s := range frontier {
-			from := maphash.Comparable(seed, s)
-			m.Next(s, func(a Action, to State) {
-				h := maphash.Comparable(seed, to)
-				if _, ok := seen[h]; ok || r.Trace != nil {
-					return
-				}
-				if len(seen) >= limit {
-					r.Complete = false
-					return
-				}
-				seen[h] = parent{from, a}
-				if _, lost := to.Lost(); lost {
-					r.Trace = m.trace(seed, seen, firstHash, h)
-					return
-				}
-				next = append(next, to)
-			})
-			if r.Trace != nil || !r.Complete {
-				r.States = len(seen)
+		frontier = e.insert(e.expand(frontier))
+		r.States += len(frontier)
+		for _, f := range frontier {
+			if _, lost := f.state.Lost(); lost {
+				r.Trace = e.trace(first.hash, f.hash)
 				return r
 			}
 		}
-		frontier = next
+		if r.States >= limit {
+			r.Complete = false
+			return r
+		}
 		r.Depth++
 	}
-	r.States = len(seen)
 	return r
 }
 
+// hash returns the hash of a state, which is not 0.
+func (e *exploration) hash(s State) uint64 { return max(1, maphash.Comparable(e.seed, s)) }
+
+// inParallel calls do for the numbers below n, on several processors.
+func inParallel(n int, do func(int)) {
+	workers := min(n, maxWorkers, runtime.GOMAXPROCS(0))
+	numbers := make(chan int, n)
+	for i := range n {
+		numbers <- i
+	}
+	close(numbers)
+	var all sync.WaitGroup
+	for range workers {
+		all.Go(func() {
+			for i := range numbers {
+				do(i)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// expand returns the states that follow those of a frontier and were not visited before,
+// by batch and shard. It changes nothing, so that workers need no locks.
+func (e *exploration) expand(frontier []found) [][shards][]found {
+	batches := slices.Collect(slices.Chunk(frontier, batch))
+	next := make([][shards][]found, len(batches))
+	inParallel(len(batches), func(i int) {
+		var own visited
+		for _, f := range batches[i] {
+			e.m.Next(f.state, func(a Action, to State) {
+				h := e.hash(to)
+				if e.seen[h%shards].has(h) || !own.add(h, parent{}) {
+					return
+				}
+				next[i][h%shards] = append(next[i][h%shards], found{h, parent{f.hash, a}, to})
+			})
+		}
+	})
+	return next
+}
+
+// insert records states as visited and returns those that several batches have not found
+// before.
+func (e *exploration) insert(next [][shards][]found) []found {
+	var fresh [shards][]found
+	inParallel(shards, func(i int) {
+		for _, b := range next {
+			for _, f := range b[i] {
+				if e.seen[i].add(f.hash, f.parent) {
+					fresh[i] = append(fresh[i], f)
+				}
+			}
+		}
+	})
+	return slices.Concat(fresh[:]...)
+}
+
 // trace replays the path to a state.
-func (m Model) trace(seed maphash.Seed, seen map[uint64]parent, first, last uint64) []Line {
-	var hashes []uint64
-	for h := last; h != first; h = seen[h].hash {
-		hashes = append(hashes, h)
+func (e *exploration) trace(first, last uint64) []Line {
+	var path []parent
+	hashes := []uint64{last}
+	for h := last; h != first; {
+		p := e.seen[h%shards].parent(h)
+		path, hashes = append(path, p), append(hashes, p.hash)
+		h = p.hash
 	}
-	slices.Reverse(hashes)
-	s := m.Initial()
+	s := e.m.Initial()
 	var lines []Line
-	for _, h := range hashes {
+	for i := len(path) - 1; i >= 0; i-- {
 		var line Line
-		m.Next(s, func(a Action, to State) {
-			if a == seen[h].action && maphash.Comparable(seed, to) == h {
+		e.m.Next(s, func(a Action, to State) {
+			if a == path[i].action && e.hash(to) == hashes[i] {
 				line = Line{a, to}
 			}
 		})
--- a/internal/takeovermodel/fleet_test.go
+++ b/internal/takeovermodel/fleet_test.go
@@ -1,8 +1,6 @@
 package takeovermodel_test
 
 import (
-	"os"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -30,7 +28,12 @@
 		}
 	}
 
-	DescribeTable("loses no acknowledged commit when", func(b bounds) { explore(rules{}, b, false) },
+	DescribeTable("loses no acknowledged commit when", func(b bounds) {
+		explore(rules{Unpaused: true}, b, false)
+		if wide || !b.SwitchTakers {
+			explore(rules{}, with(b, func(b *bounds) { b.CutAtCall = true }), false)
+		}
+	},
 		Entry("the acknowledging host runs the former one", acker),
 		Entry("and an order is not answered", with(acker, func(b *bounds) { b.LateCalls = 1 })),
 		Entry("and a leaving primary is replaced", with(acker, func(b *bounds) { b.Leaving, b.Commits = 2, 2 })),
@@ -45,13 +48,16 @@
 
 	It("loses no acknowledged commit when a host replaces the primary and then starts with the other protocol", func() {
 		b := with(taker, func(b *bounds) { b.SwitchTakers, b.Switches, b.Attempts, b.LateCalls = true, 1, 2, 0 })
-		r := takeovermodel.Model{Bounds: b}.Explore(stateLimit)
+		r := takeovermodel.Model{Rules: rules{Unpaused: true}, Bounds: b}.Explore(stateLimit)
 		GinkgoWriter.Printf("%d states, complete: %t\n%s", r.States, r.Complete, r)
 		Expect(r.Lost()).To(BeFalse(), r.String())
 		Expect(r.Complete).To(BeTrue())
 	})
 
-	DescribeTable("loses an acknowledged commit", func(r rules, b bounds) { explore(r, b, true) },
+	DescribeTable("loses an acknowledged commit", func(r rules, b bounds) {
+		r.Unpaused = true
+		explore(r, b, true)
+	},
 		Entry("if replicas are not paused for hosts of the former protocol", rules{NoPausing: true}, acker),
 		Entry("if replicas are resumed that have not joined the primary's term", rules{ResumeStale: true}, acker),
 		Entry("if the hosts' entries are read before the lease is taken",
@@ -61,23 +67,23 @@
 	)
 
 	It("loses none if the entries are read once, under the lease, and no host starts later", func() {
-		explore(rules{LookOnce: true}, with(starts, func(b *bounds) { b.SwitchIdle, b.Stops = true, false }), false)
+		explore(rules{Unpaused: true, LookOnce: true}, with(starts, func(b *bounds) { b.SwitchIdle, b.Stops = true, false }), false)
 	})
 
 	// What the protocol does not withstand.
-	DescribeTable("loses an acknowledged commit when", func(b bounds) { explore(rules{}, b, true) },
+	DescribeTable("loses an acknowledged commit when", func(b bounds) { explore(rules{Unpaused: true}, b, true) },
 		Entry("a host of the former one starts to acknowledge before the host that replaces the primary has looked for it", with(starts, func(b *bounds) { b.StartsEarly = true })),
 		Entry("a RESUME is carried out late", with(acker, func(b *bounds) { b.LateResume, b.Attempts = true, 2 })),
 		Entry("several orders take effect, and the acknowledging host runs the former one", with(acker, func(b *bounds) { b.LateCalls, b.Attempts = 1, 2 })),
 	)
 
-	if os.Getenv("TAKEOVERMODEL_WIDE") != "" {
+	if wide {
 		// The rule on the number of entries hides this one.
 		It("loses an acknowledged commit if the floor is kept in the lease only", func() {
 			b := bounds{Databases: 3, Takers: 2, Commits: 1, Attempts: 3, Calls: 1, Expiry: true, LateJoin: true, OlderTakers: 2, OlderStop: true, CurrentTerm: true}
-			r := takeovermodel.Model{Rules: rules{AnyIndex: true, ForgetFloor: true}, Bounds: b}.Explore(stateLimit)
+			r := takeovermodel.Model{Rules: rules{Unpaused: true, AnyIndex: true, ForgetFloor: true}, Bounds: b}.Explore(stateLimit)
 			Expect(r.Lost()).To(BeTrue())
-			r = takeovermodel.Model{Rules: rules{AnyIndex: true}, Bounds: b}.Explore(stateLimit)
+			r = takeovermodel.Model{Rules: rules{Unpaused: true, AnyIndex: true}, Bounds: b}.Explore(stateLimit)
 			GinkgoWriter.Printf("%d states, complete: %t\n%s", r.States, r.Complete, r)
 			Expect(r.Lost()).To(BeFalse(), r.String())
 			Expect(r.Complete).To(BeTrue())
--- a/internal/takeovermodel/mutation_test.go
+++ b/internal/takeovermodel/mutation_test.go
@@ -1,8 +1,6 @@
 package takeovermodel_test
 
 import (
-	"os"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -12,15 +10,20 @@
 )
 
 // Each rule is needed: without it, the model loses a commit.
-var _ = Describe("the protocol with evidence, one rule left out,", func() {
+var _ = Describe("the protocol with evidence and without pauses, one rule left out,", func() {
 	again := takeovermodel.Bounds{Databases: 3, Takers: 1, Commits: 1, Attempts: 2, Calls: 2, Expiry: true, Stops: true, LateJoin: true, CurrentTerm: true}
 	base := takeovermodel.Bounds{Databases: 3, Takers: 1, Commits: 1, Attempts: 1, Calls: 1, Expiry: true, LateJoin: true}
 
 	loses := func(rules takeovermodel.Rules, bounds takeovermodel.Bounds, whole ...takeovermodel.Rules) {
+		rules.Unpaused = true
+		keptRules := unpaused
+		for _, r := range whole {
+			keptRules.AnyIndex = r.AnyIndex
+		}
 		r := takeovermodel.Model{Rules: rules, Bounds: bounds}.Explore(stateLimit)
 		GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
 		Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
-		kept := explored(bounds, whole...)
+		kept := explored(keptRules, bounds)
 		GinkgoWriter.Printf("with the rule: %d states, complete: %t\n", kept.States, kept.Complete)
 		Expect(kept.Lost()).To(BeFalse(), kept.String())
 		Expect(kept.Complete).To(BeTrue(), "%d states", kept.States)
@@ -69,18 +72,18 @@
 	// A promotion's effect is not on the log that was read: what all replicas receive after
 	// the log that will lead is fixed is acknowledged, and gone.
 	It("loses an acknowledged commit if a promoted database leads with what it had received when it was ordered", func() {
-		r := explored(with(base, func(b *takeovermodel.Bounds) { b.LateJoin, b.CutAtCall = false, true }))
+		r := explored(unpaused, with(base, func(b *takeovermodel.Bounds) { b.LateJoin, b.CutAtCall = false, true }))
 		GinkgoWriter.Printf("%d states, depth %d\n%s", r.States, r.Depth, r)
 		Expect(r.Lost()).To(BeTrue())
 	})
 
 	It("loses none if it leads with what it has received when it leads, or receives nothing more", func() {
-		r := explored(with(base, func(b *takeovermodel.Bounds) { b.Deaf = true }))
+		r := explored(unpaused, with(base, func(b *takeovermodel.Bounds) { b.Deaf = true }))
 		Expect(r.Lost()).To(BeFalse(), r.String())
 		Expect(r.Complete).To(BeTrue())
 	})
 
-	if os.Getenv("TAKEOVERMODEL_WIDE") != "" {
+	if wide {
 		DescribeTable("loses an acknowledged commit within wider bounds", loses,
 			Entry("if a taker does not compare the lease's term with its view", takeovermodel.Rules{IgnoreLeaseTerm: true}, with(base, func(b *takeovermodel.Bounds) { b.Takers, b.Attempts, b.Calls, b.Crashes = 2, 2, 2, 1 })),
 		)
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -49,7 +49,8 @@
 	Writes   [maxWrites]Write // of the lease, on their way
 	Calls    [maxCalls]Call   // promotion orders on their way or under way
 	MaxFence uint8
-	Resumes  uint8 // mask of databases to which a RESUME is on its way
+	Resumes  uint8               // mask of databases to which a RESUME is on its way
+	Pauses   [maxDatabases]uint8 // terms of the PAUSEs that are on their way
 
 	Takers   [maxTakers]Taker
 	Attempts uint8 // started so far
@@ -124,6 +125,7 @@
 	catchingUp
 	recording
 	recordingSent
+	checking
 	calling
 	called
 	accepted
@@ -176,6 +178,7 @@
 	Commit  [2]uint8 // term and index; zero if there is none
 	Holds   uint8    // mask of the databases that reported that they hold it
 	Settled bool     // the lease was read and found settled
+	Term    uint8    // the newest one in which the lease was read and found settled
 }
 
 // at returns a position.
@@ -191,6 +194,26 @@
 	// is not paused holds it.
 	Pauses bool
 
+	// Unpaused selects the protocol without pauses on all hosts but those of the former one:
+	// replicas are paused for hosts of the former protocol only.
+	Unpaused bool
+
+	// Of the pauses:
+	UnpausedSuccessor  bool // the successor is resumed once it is chosen
+	UnpausedOthers     bool // the other replicas are resumed once it is chosen
+	UnpausedPlanned    bool // a planned successor is not paused
+	ResumePlanned      bool // a planned successor is resumed to catch up though an order is pending
+	ResumePending      bool // replicas are resumed while an order is under way
+	NoRecheck          bool // the taker does not check before the order that replicas are still paused
+	ResumeWithoutLease bool // the lease is not renewed before a RESUME
+	AllCopiesAtOnce    bool // all copies are enough before the lease was found settled in the commit's term
+	ReleaseUnanswered  bool // the lease is released although a RESUME was not answered
+
+	// Stricter than the protocol:
+	SettledForAll bool // a commit that all replicas hold is acknowledged only after the lease was read too
+	RepeatOrder   bool // while an order is pending, only its database is ordered, if it runs and does not lead
+	RecheckLogs   bool // the check before the order compares the logs as well
+
 	// In a fleet in which some hosts run the former protocol:
 	NoPausing     bool // the others do not pause replicas for them
 	LookBefore    bool // they read the hosts' entries before the lease is taken
@@ -234,13 +257,18 @@
 	// CutAtCall means that a promoted database may lead with what it had received at any
 	// moment from the acceptance of the order to its effect, and Deaf that it receives
 	// nothing from the acceptance on.
-	CutAtCall  bool
-	Deaf       bool
-	LateResume bool // a RESUME may be carried out late
-	LateJoin   bool // a replica may join the term of a new primary late
-	OldViews   bool // an attempt may start with an outdated view of the primary and the term
-	Crashes    int  // databases that end for good
-	Restarts   int  // replicas that restart under their id with an empty log
+	CutAtCall bool
+	Deaf      bool
+	// LateResume means that a RESUME may be carried out late, but before the lease of its
+	// sender expires. StalledResume means that its sender may stand still after it has renewed
+	// the lease, until others hold it.
+	LateResume    bool
+	StalledResume bool
+	LatePause     bool // a PAUSE may not be answered, and be carried out late
+	LateJoin      bool // a replica may join the term of a new primary late
+	OldViews      bool // an attempt may start with an outdated view of the primary and the term
+	Crashes       int  // databases that end for good
+	Restarts      int  // replicas that restart under their id with an empty log
 	// RestartChosen means that a replica may restart between the read of its log and the
 	// order of its promotion, RestartUnread after the lease was taken and before its log is
 	// read.
@@ -293,6 +321,9 @@
 	s := State{Term: 1, Primary: 1, Lease: Lease{Version: 1, Released: true, Term: 1}, MaxFence: 1}
 	s.Led[1] = 1
 	s.OlderAcker, s.OlderTakers = m.OlderAcker, m.OlderTakers
+	if m.readsInTerm() {
+		s.Acker.Term = 1
+	}
 	for i := range m.Databases {
 		s.Databases[i].Term, s.Databases[i].Seen = 1, seen
 	}
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -1,7 +1,6 @@
 package takeovermodel
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/bronzeloft/bronzeloft/database/succession"
@@ -244,13 +243,13 @@
 		p := s.Databases[s.Primary-1]
 		if p.Length > 0 && p.Log[p.Length-1] == s.Term && s.Acked[p.Length-1] != s.Term {
 			n := *s
-			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}}
+			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}, Term: a.Term}
 			e.add(Begin, 0, 0, n)
 		}
 		return
 	}
 	n := *s
-	n.Acker = Acker{}
+	n.Acker = Acker{Term: a.Term}
 	e.add(Abandon, 0, 0, n)
 
 	commit := at(a.Commit)
@@ -283,19 +282,29 @@
 	if settled == nil {
 		settled = succession.Lease.Settled
 	}
+	if m.readsInTerm() && !older && a.Term < a.Commit[0] && settled(m.value(s.Lease), commit.Term) {
+		n := *s
+		n.Acker.Term = a.Commit[0]
+		e.add(ReadSettled, 0, a.Commit[0], n)
+	}
 	if !older && !a.Settled && (evidence >= succession.OneCopy || m.LeaseBeforeReport) && settled(m.value(s.Lease), commit.Term) {
 		n := *s
 		n.Acker.Settled = true
 		e.add(ReadSettled, 0, 0, n)
 	}
-	if evidence == succession.AllCopies || evidence == succession.OneCopy && (a.Settled || older || m.OneCopyWithoutLease) {
+	enough := older || (!m.SettledForAll || a.Settled) && (!m.readsInTerm() || a.Term >= a.Commit[0])
+	if evidence == succession.AllCopies && enough || evidence >= succession.OneCopy && (a.Settled || older || m.OneCopyWithoutLease) {
 		n := *s
 		n.Acked[a.Commit[1]-1] = a.Commit[0]
-		n.Acker = Acker{}
+		n.Acker = Acker{Term: a.Term}
 		e.add(Acknowledge, 0, 0, n)
 	}
 }
 
+// readsInTerm reports whether a commit that all replicas hold is acknowledged only once the
+// lease was found settled in its term.
+func (m Model) readsInTerm() bool { return !m.Unpaused && !m.Pauses && !m.AllCopiesAtOnce }
+
 // underWay reports whether an attempt is under way that has taken the lease.
 func (s *State) underWay() bool {
 	return slices.ContainsFunc(s.Takers[:], func(t Taker) bool { return t.Step >= looking })
@@ -319,7 +328,7 @@
 
 // value returns the lease as package succession sees it.
 func (m Model) value(l Lease) succession.Lease {
-	out := succession.Lease{Holder: fmt.Sprint(l.Holder), Released: l.Released, Term: uint64(l.Term)}
+	out := succession.Lease{Holder: name(l.Holder), Released: l.Released, Term: uint64(l.Term)}
 	if l.Term != 0 {
 		out.Rules = succession.Rules // older hosts name no term
 	}
@@ -367,6 +376,17 @@
 			n.Resumes &^= 1 << i
 			n.Databases[i].Pause = 0
 			e.add(CarryOutResume, 0, uint8(i+1), n)
+			if !e.m.Unpaused {
+				n = *s
+				n.Resumes &^= 1 << i
+				e.add(LoseResume, 0, uint8(i+1), n)
+			}
+		}
+		if s.Pauses[i] != 0 {
+			n := *s
+			n.Databases[i].pause(s.Pauses[i])
+			n.Pauses[i] = 0
+			e.add(CarryOutPause, 0, uint8(i+1), n)
 		}
 	}
 }
--- a/internal/takeovermodel/takeovermodel_test.go
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -18,7 +18,10 @@
 // stateLimit bounds one exploration.
 const stateLimit = 6_000_000
 
-var _ = Describe("the protocol with pauses", func() {
+// wide is set if the specs explore larger bounds, which takes minutes.
+var wide = os.Getenv("TAKEOVERMODEL_WIDE") != ""
+
+var _ = Describe("the former protocol, with pauses,", func() {
 	pauses := takeovermodel.Rules{Pauses: true}
 	small := takeovermodel.Bounds{Databases: 3, Takers: 2, Commits: 1, Attempts: 2, Calls: 2}
 
@@ -45,14 +48,29 @@
 // one is one attempt of one host with every fault that the protocol withstands in it.
 var one = takeovermodel.Bounds{Databases: 3, Takers: 1, Commits: 1, Attempts: 1, Calls: 2, Expiry: true, Stops: true, LateJoin: true}
 
+func holdsUnder(rules takeovermodel.Rules, bounds takeovermodel.Bounds) {
+	GinkgoHelper()
+	r := explored(rules, bounds)
+	GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
+	Expect(r.Lost()).To(BeFalse(), r.String())
+	Expect(r.Complete).To(BeTrue(), "%d states", r.States)
+}
+
 var _ = Describe("the protocol with evidence", func() {
+	// With pauses, the log that leads may be that of any moment from the order on. Without, it
+	// is that of the effect.
 	holds := func(bounds takeovermodel.Bounds) {
 		for _, current := range []bool{false, true} {
 			bounds.CurrentTerm = current
-			r := explored(bounds)
-			GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
-			Expect(r.Lost()).To(BeFalse(), r.String())
-			Expect(r.Complete).To(BeTrue(), "%d states", r.States)
+			holdsUnder(unpaused, bounds)
+			if wide {
+				holdsUnder(takeovermodel.Rules{}, with(bounds, func(b *takeovermodel.Bounds) { b.CutAtCall = true }))
+			}
+		}
+		if !wide {
+			holdsUnder(takeovermodel.Rules{}, with(bounds, func(b *takeovermodel.Bounds) {
+				b.CutAtCall, b.LateJoin, b.CurrentTerm = true, b.Attempts == 1, b.Attempts == 2
+			}))
 		}
 	}
 
@@ -72,7 +90,7 @@
 		Entry("the senior replica is leaving", with(one, func(b *takeovermodel.Bounds) { b.Attempts, b.Leaving = 2, 2 })),
 	)
 
-	if os.Getenv("TAKEOVERMODEL_WIDE") != "" {
+	if wide {
 		DescribeTable("loses no acknowledged commit within wider bounds when", holds,
 			Entry("an order is not answered and another attempt follows", with(one, func(b *takeovermodel.Bounds) { b.Attempts, b.LateCalls = 2, 1 })),
 			Entry("a database, possibly the new primary, ends and another attempt follows", with(one, func(b *takeovermodel.Bounds) { b.Attempts, b.Crashes = 2, 1 })),
@@ -83,33 +101,49 @@
 		)
 	}
 
+	// Pauses close it: nothing is acknowledged on the copies of paused replicas.
+	It("loses an acknowledged commit without pauses, and none with them, when one of four databases ends while the logs are read, before its own is", func() {
+		bounds := with(one, func(b *takeovermodel.Bounds) { b.Crashes, b.Databases, b.Heard = 1, 4, true })
+		r := explored(unpaused, bounds)
+		GinkgoWriter.Printf("%d states, depth %d\n%s", r.States, r.Depth, r)
+		Expect(r.Lost()).To(BeTrue())
+		holdsUnder(takeovermodel.Rules{}, with(bounds, func(b *takeovermodel.Bounds) { b.CutAtCall = true }))
+	})
+
 	// What the protocol does not withstand.
 	DescribeTable("loses an acknowledged commit when",
 		func(bounds takeovermodel.Bounds) {
-			r := explored(bounds)
-			GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
-			Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
+			for _, rules := range []takeovermodel.Rules{unpaused, {}} {
+				r := explored(rules, bounds)
+				GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", r.States, r.Depth, r.Complete, r)
+				Expect(r.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", r.States, r.Complete)
+			}
 		},
 		Entry("a replica restarts empty between the order of its promotion and its effect", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.RestartChosen, b.RestartOrdered = 1, true, true })),
-		Entry("one of four databases ends while the logs are read, before its own is", with(one, func(b *takeovermodel.Bounds) { b.Crashes, b.Databases, b.Heard = 1, 4, true })),
 		Entry("the only replica with the commit ends", with(one, func(b *takeovermodel.Bounds) { b.Crashes, b.LoseLastCopy = 1, true })),
 		Entry("the only replica with the commit restarts empty", with(one, func(b *takeovermodel.Bounds) { b.Restarts, b.LoseLastCopy = 1, true })),
 	)
 })
 
-// wholes are the explorations under the protocol's own rules, by bounds.
-var wholes = map[takeovermodel.Bounds]takeovermodel.Result{}
+// unpaused is the protocol that paused replicas only for hosts of the former one.
+var unpaused = takeovermodel.Rules{Unpaused: true}
 
-// explored explores a model under the protocol's rules, or those given. Several specs
-// share the result.
-func explored(bounds takeovermodel.Bounds, rules ...takeovermodel.Rules) takeovermodel.Result {
-	if len(rules) != 0 {
-		return takeovermodel.Model{Rules: rules[0], Bounds: bounds}.Explore(stateLimit)
-	}
-	r, ok := wholes[bounds]
+// whole is an exploration of a whole protocol.
+type whole struct {
+	takeovermodel.Bounds
+	unpaused, anyIndex bool
+}
+
+var wholes = map[whole]takeovermodel.Result{}
+
+// explored explores a model under the rules of a whole protocol. Several specs share the
+// result.
+func explored(rules takeovermodel.Rules, bounds takeovermodel.Bounds) takeovermodel.Result {
+	key := whole{bounds, rules.Unpaused, rules.AnyIndex}
+	r, ok := wholes[key]
 	if !ok {
-		r = takeovermodel.Model{Bounds: bounds}.Explore(stateLimit)
-		wholes[bounds] = r
+		r = takeovermodel.Model{Rules: rules, Bounds: bounds}.Explore(stateLimit)
+		wholes[key] = r
 	}
 	return r
 }
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -62,6 +62,8 @@
 			nt.Version = s.Lease.Version // read back
 		}
 		e.add(GiveUp, id, 0, n)
+	case checking:
+		e.check(id)
 	case calling:
 		e.call(id)
 	case called:
@@ -76,6 +78,9 @@
 			e.add(TimeOut, id, 0, n)
 		}
 	case accepted:
+		if m.ResumePending {
+			e.resumePending(id)
+		}
 		e.accepted(id)
 	case waiting:
 		ended, late := true, false
@@ -113,7 +118,7 @@
 			e.add(GiveUp, id, 0, n)
 		}
 	case resuming:
-		if !m.olderTaker(s, id) && s.Lease.Version != t.Version && !m.LateResume {
+		if !m.olderTaker(s, id) && s.Lease.Version != t.Version && !m.resumesLate() {
 			n.stop(id)
 			e.add(GiveUp, id, 0, n)
 			return
@@ -130,9 +135,15 @@
 			n := *s
 			n.Resumes = 1<<m.Databases - 1
 			n.Takers[id-1].Step = releasing
+			if !m.Unpaused && !m.ReleaseUnanswered && !m.olderTaker(s, id) {
+				n.stop(id) // the lease is left to expire
+			}
 			e.add(ResumeLate, id, 0, n)
 		}
 	case releasing:
+		if m.ResumePending && !t.Settled {
+			e.resumePending(id)
+		}
 		l := m.next(&n, id, t, Lease{Released: true, Holder: m.holder(id)})
 		if !t.Settled {
 			if l.Ordered = t.Chosen; l.Ordered == 0 {
@@ -184,6 +195,9 @@
 	if m.olderTaker(s, id) {
 		return resuming
 	}
+	if m.ResumeWithoutLease {
+		return resuming
+	}
 	paused := s.Takers[id-1].Pausing
 	for _, d := range s.Databases {
 		paused = paused || d.paused()
@@ -259,6 +273,9 @@
 	if !l.Released && !m.Expiry && l.Holder != m.holder(id) {
 		return
 	}
+	if !m.Unpaused && !m.StalledResume && !l.Released && s.Resumes != 0 {
+		return // it has not expired yet
+	}
 	n := *s
 	t := &n.Takers[id-1]
 	t.Step, t.Version, t.Ordered, t.LeaseTerm, t.Floor = acquiring, l.Version, l.Ordered, l.Term, l.Floor
@@ -273,7 +290,7 @@
 			t.Floor, t.LeaseTerm = s.Kept, s.KeptTerm
 		}
 	}
-	t.Pausing = m.LookBefore && s.olderHosts()
+	t.Pausing = m.LookBefore && s.olderHosts() || !m.Unpaused && !m.olderTaker(s, id)
 	t.Pending = t.Ordered != 0
 	if n.send(id, m.next(&n, id, *t, Lease{Ordered: t.Ordered, Holder: m.holder(id)})) {
 		e.add(ReadLease, id, 0, n)
@@ -306,6 +323,8 @@
 		switch {
 		case t.Step == recordingSent && e.m.restarted(s, t):
 			nt.Step, nt.Settled = releasing, !t.Pending
+		case t.Step == recordingSent && !e.m.Unpaused && !e.m.NoRecheck && !t.Void && !e.m.olderTaker(s, id):
+			nt.Step = checking
 		case t.Step == recordingSent:
 			nt.Step = calling
 		case t.Step == renewSent:
@@ -313,7 +332,7 @@
 		case t.LogsRead:
 			e.decide(id, n)
 			return
-		case e.m.mixed() && !e.m.olderTaker(s, id) && !e.m.LookBefore:
+		case e.m.mixed() && !e.m.olderTaker(s, id) && !e.m.LookBefore && e.m.Unpaused:
 			nt.Step = looking
 		default:
 			e.m.startReading(&n, nt)
@@ -361,6 +380,12 @@
 			}
 			n.Takers[id-1].Reports[i] = m.report(&n, i)
 			e.add(Read, id, db, n)
+			if m.LatePause && t.Pausing && db != s.Primary && s.Pauses[i] == 0 {
+				n := *s
+				n.Pauses[i] = t.newestTerm() + 1
+				n.Takers[id-1].Reports[i] = Report{Skipped: true}
+				e.add(PauseLate, id, db, n)
+			}
 		}
 		if d.Dead || db == t.Primary {
 			n := *s
@@ -414,7 +439,9 @@
 		if senior, ok := succession.Senior(staying); ok {
 			pt.Step, pt.Planned, pt.Target, pt.Chosen = catchingUp, true, r.At, number(senior.ID)
 			if t.Pausing { // all but the successor
-				planned.Databases[pt.Chosen-1].Pause = 0
+				if m.Unpaused || !t.Pending || m.ResumePlanned {
+					planned.Databases[pt.Chosen-1].Pause = 0
+				}
 				for _, r := range t.Reports {
 					if r.Read && at(pt.Target).Before(at(r.At)) {
 						pt.Target = r.At
@@ -450,7 +477,7 @@
 	}
 	if r.Read && !at(r.At).Before(at(t.Target)) {
 		if t.Planned {
-			e.chosen(id, t.Chosen, *s)
+			e.planned(id)
 			return
 		}
 		e.choose(id, *s)
@@ -489,15 +516,111 @@
 // chosen adds the step of a taker that has chosen a successor.
 func (e *explorer) chosen(id, successor uint8, n State) {
 	t := &n.Takers[id-1]
+	if e.m.RepeatOrder && t.repeatable() && successor != t.Ordered {
+		t.Chosen = 0
+		e.giveUp(id, n)
+		return
+	}
 	floor := t.Reports[successor-1].At
 	if at(floor).Before(at(t.Floor)) {
 		floor = t.Floor
 	}
 	t.Step, t.Chosen, t.Floor = recording, successor, floor
 	t.learnTerm()
+	for i := range n.Databases {
+		if db := uint8(i + 1); db == successor && e.m.UnpausedSuccessor || db != successor && e.m.UnpausedOthers {
+			n.Databases[i].Pause = 0
+		}
+	}
 	e.add(Decide, id, successor, n)
 }
 
+// planned adds the step of a taker whose planned successor has caught up: it pauses the
+// successor as well, and reads its log again.
+func (e *explorer) planned(id uint8) {
+	n, m := e.s, e.m
+	t := &n.Takers[id-1]
+	if m.Unpaused {
+		e.chosen(id, t.Chosen, n)
+		return
+	}
+	for i, d := range n.Databases {
+		if t.Reports[i].Skipped && !d.Dead && uint8(i+1) != t.Primary {
+			t.Chosen = 0
+			e.giveUp(id, n) // it may not be paused
+			return
+		}
+	}
+	if m.UnpausedPlanned {
+		e.chosen(id, t.Chosen, n)
+		return
+	}
+	i := t.Chosen - 1
+	if n.Databases[i].Dead {
+		t.Reports[i] = Report{Skipped: true}
+	} else {
+		n.Databases[i].pause(t.newestTerm() + 1)
+		t.Reports[i] = m.report(&n, int(i))
+	}
+	if r := t.Reports[i]; !r.Read || !m.current(*t, false) || at(r.At).Before(at(t.Target)) {
+		t.Chosen = 0
+		e.giveUp(id, n)
+		return
+	}
+	e.chosen(id, t.Chosen, n)
+}
+
+// check adds the step of a taker that checks, before it orders the successor's promotion,
+// that the replicas are still paused.
+func (e *explorer) check(id uint8) {
+	n, m := e.s, e.m
+	t := &n.Takers[id-1]
+	ok := true
+	for i := range m.Databases {
+		d, db := n.Databases[i], uint8(i+1)
+		if d.Dead || d.Seen&knownToTakers == 0 || db == n.Primary {
+			ok = ok && db != t.Chosen && (db != n.Primary || n.Term <= t.Term)
+			continue
+		}
+		resumed := db == t.Chosen && (m.UnpausedSuccessor || m.UnpausedPlanned) || db != t.Chosen && m.UnpausedOthers
+		ok = ok && d.Term <= t.Term && (d.paused() || resumed)
+		if m.RecheckLogs && db == t.Chosen {
+			ok = ok && m.end(d) == t.Floor
+		}
+	}
+	t.Step = calling
+	chosen := t.Chosen
+	if !ok && t.Pending {
+		t.Step = releasing
+	} else if !ok {
+		t.Settled, t.Chosen, t.Step = true, 0, n.settledStep(m, id)
+	}
+	e.add(Check, id, chosen, n)
+}
+
+// resumePending adds the step of a taker that resumes replicas though an order may be
+// under way.
+func (e *explorer) resumePending(id uint8) {
+	n := e.s
+	if n.Lease.Version != n.Takers[id-1].Version {
+		return
+	}
+	for i := range n.Databases {
+		n.Databases[i].Pause = 0
+	}
+	if n != e.s {
+		e.add(Resume, id, 0, n)
+	}
+}
+
+// resumesLate reports whether a RESUME may be sent once others hold the lease.
+func (m Model) resumesLate() bool {
+	if m.Unpaused {
+		return m.LateResume
+	}
+	return m.StalledResume || m.ResumeWithoutLease
+}
+
 // newestTerm returns the newest term that the taker knows.
 func (t *Taker) newestTerm() uint8 {
 	newest := t.Term
@@ -507,6 +630,20 @@
 	return newest
 }
 
+// repeatable reports whether the database of the pending order may be ordered again.
+func (t *Taker) repeatable() bool {
+	if !t.Pending || t.Ordered == 0 || t.Ordered > maxDatabases {
+		return false
+	}
+	r := t.Reports[t.Ordered-1]
+	return r.Read && !r.Primary
+}
+
+// missesOrdered reports whether the database of the pending order does not run.
+func (t *Taker) missesOrdered() bool {
+	return t.Ordered == 0 || t.Ordered > maxDatabases || t.Reports[t.Ordered-1].Skipped
+}
+
 // pause pauses a replica. A term that is not above its own has no effect.
 func (d *Database) pause(term uint8) {
 	if term > d.Term {
@@ -604,8 +741,16 @@
 		e.add(GiveUp, id, 0, n)
 		return
 	}
+	if m := e.m; m.RepeatOrder && t.repeatable() {
+		again := n
+		at := &again.Takers[id-1]
+		at.Step, at.Chosen = recording, t.Ordered
+		at.learnTerm()
+		e.add(GiveUp, id, t.Ordered, again)
+		return
+	}
 	for i, r := range t.Reports {
-		if r.Read && r.Primary {
+		if r.Read && r.Primary && !(e.m.RepeatOrder && !t.missesOrdered()) {
 			void := n
 			vt := &void.Takers[id-1]
 			vt.Step, vt.Chosen, vt.Void = recording, uint8(i+1), true
