--- a/internal/takeovermodel/action.go
+++ b/internal/takeovermodel/action.go
@@ -16,6 +16,7 @@
 const (
 	Commit Kind = iota
 	Receive
+	ReceiveGap
 	Join
 	Crash
 	Restart
@@ -61,7 +62,7 @@
 )
 
 var kindNames = [...]string{
-	"primary writes a commit", "replica receives an entry", "replica joins the term", "replica ends", "replica restarts empty", "hosts learn of",
+	"primary writes a commit", "replica receives an entry", "replica receives an entry without the one before", "replica joins the term", "replica ends", "replica restarts empty", "hosts learn of",
 	"acknowledging host has a confirmed commit", "acknowledging host reads the log of", "acknowledging host reads the lease: settled", "commit is acknowledged", "acknowledging host gives up",
 	"taker starts", "taker reads the lease and writes its claim", "lease write is carried out", "lease write is lost", "taker learns the outcome of its write",
 	"taker reads the log of", "taker gets no answer from", "taker decides", "taker gives up", "taker writes into the lease that it orders", "taker orders", "order is accepted or refused and answered", "order is accepted or refused, answer lost",
@@ -75,7 +76,7 @@
 	switch a.Kind {
 	case Discover:
 		return fmt.Sprintf("%s %s: %04b", kindNames[a.Kind], name(a.What), a.Who)
-	case Receive, Join, Crash, Restart, Witness, CarryOutResume, CarryOutPause, LoseResume, FixLog:
+	case Receive, ReceiveGap, Join, Crash, Restart, Witness, CarryOutResume, CarryOutPause, LoseResume, FixLog:
 		return fmt.Sprintf("%s %s", kindNames[a.Kind], name(a.What))
 	case Start, ReadLease, Learn, Read, Skip, Decide, GiveUp, Record, Order, TimeOut, See, Wait, Waited, FindPrimary, Resume, ResumeLate, PauseLate, Check, Release, Stop, Look, SwitchTaker:
 		if a.What != 0 {
--- a/internal/takeovermodel/explore.go
+++ b/internal/takeovermodel/explore.go
@@ -65,7 +65,7 @@
 	first := found{state: m.Initial()}
 	first.hash = e.hash(first.state)
 	e.seen[first.hash%shards].add(first.hash, parent{})
-	frontier := []found{first}
+	frontier := []*found{&first}
 	r := Result{Complete: true, States: 1}
 	for len(frontier) > 0 {
 		frontier = e.insert(e.expand(frontier))
@@ -107,34 +107,42 @@
 	all.Wait()
 }
 
+// expansion is what follows a batch of states: the states, and pointers to them by shard.
+type expansion struct {
+	states []found
+	shards [shards][]int32
+}
+
 // expand returns the states that follow those of a frontier and were not visited before,
-// by batch and shard. It changes nothing, so that workers need no locks.
-func (e *exploration) expand(frontier []found) [][shards][]found {
+// by batch. It changes nothing, so that workers need no locks.
+func (e *exploration) expand(frontier []*found) []expansion {
 	batches := slices.Collect(slices.Chunk(frontier, batch))
-	next := make([][shards][]found, len(batches))
+	next := make([]expansion, len(batches))
 	inParallel(len(batches), func(i int) {
 		var own visited
+		x := &next[i]
+		x.states = make([]found, 0, 2*len(batches[i]))
 		for _, f := range batches[i] {
 			e.m.Next(f.state, func(a Action, to State) {
 				h := e.hash(to)
 				if e.seen[h%shards].has(h) || !own.add(h, parent{}) {
 					return
 				}
-				next[i][h%shards] = append(next[i][h%shards], found{h, parent{f.hash, a}, to})
+				x.shards[h%shards] = append(x.shards[h%shards], int32(len(x.states)))
+				x.states = append(x.states, found{h, parent{f.hash, a}, to})
 			})
 		}
 	})
 	return next
 }
 
-// insert records states as visited and returns those that several batches have not found
-// before.
-func (e *exploration) insert(next [][shards][]found) []found {
-	var fresh [shards][]found
+// insert records states as visited and returns those that were not before.
+func (e *exploration) insert(next []expansion) []*found {
+	var fresh [shards][]*found
 	inParallel(shards, func(i int) {
-		for _, b := range next {
-			for _, f := range b[i] {
-				if e.seen[i].add(f.hash, f.parent) {
+		for b := range next {
+			for _, n := range next[b].shards[i] {
+				if f := &next[b].states[n]; e.seen[i].add(f.hash, f.parent) {
 					fresh[i] = append(fresh[i], f)
 				}
 			}
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -64,6 +64,7 @@
 	KeptTerm    uint8
 
 	Faults     uint8 // databases that have crashed or restarted so far
+	Gaps       uint8 // entries that replicas have skipped so far
 	Unanswered uint8 // calls whose answer was lost so far
 }
 
@@ -168,6 +169,7 @@
 type Report struct {
 	Read    bool
 	Skipped bool
+	Running bool // it was not paused for the report: the successor of a planned replacement
 	Primary bool
 	Term    uint8
 	At      [2]uint8 // term and index of the log's end
@@ -177,6 +179,7 @@
 type Acker struct {
 	Commit  [2]uint8 // term and index; zero if there is none
 	Holds   uint8    // mask of the databases that reported that they hold it
+	Before  bool     // its answer named the position before it
 	Settled bool     // the lease was read and found settled
 	Term    uint8    // the newest one in which the lease was read and found settled
 }
@@ -202,7 +205,7 @@
 	UnpausedSuccessor  bool // the successor is resumed once it is chosen
 	UnpausedOthers     bool // the other replicas are resumed once it is chosen
 	UnpausedPlanned    bool // a planned successor is not paused
-	ResumePlanned      bool // a planned successor is resumed to catch up though an order is pending
+	ResumePlanned      bool // a planned successor is resumed so that it catches up
 	ResumePending      bool // replicas are resumed while an order is under way
 	NoRecheck          bool // the taker does not check before the order that replicas are still paused
 	ResumeWithoutLease bool // the lease is not renewed before a RESUME
@@ -210,6 +213,7 @@
 	ReleaseUnanswered  bool // the lease is released although a RESUME was not answered
 
 	// Stricter than the protocol:
+	AskAfter      bool // replicas are asked for a commit with AFTER, which they refuse if their log lacks it
 	SettledForAll bool // a commit that all replicas hold is acknowledged only after the lease was read too
 	RepeatOrder   bool // while an order is pending, only its database is ordered, if it runs and does not lead
 	RecheckLogs   bool // the check before the order compares the logs as well
@@ -292,6 +296,12 @@
 	// it has joined, not with that of the last entry.
 	CurrentTerm bool
 
+	// Positions that do not mean what hosts take them for. Gaps is how often a replica may
+	// receive an entry without the one before it. PositionBefore means that the answer to a
+	// commit may name the position before it.
+	Gaps           int
+	PositionBefore bool
+
 	OldList      bool // the takers hold a newcomer for established though the acknowledging host does not know it
 	OldTakerList bool // the acknowledging host holds a newcomer for established though the takers do not know it
 
@@ -369,6 +379,11 @@
 	return d.Length >= commit[1] && d.Log[commit[1]-1] == commit[0]
 }
 
+// holds reports whether a database's log contains what is at a position.
+func (d Database) holds(p position.Position) bool {
+	return p.Index == 0 || d.has([2]uint8{uint8(p.Term), uint8(p.Index)})
+}
+
 // Lost returns an acknowledged commit that the primary's log lacks.
 func (s *State) Lost() (commit [2]uint8, lost bool) {
 	for i, term := range s.Acked {
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -105,6 +105,13 @@
 				n.Databases[i].Log[d.Length] = src.Log[d.Length]
 				n.Databases[i].Length++
 				e.add(Receive, 0, id, n)
+				if int(s.Gaps) < m.Gaps && src.Length > d.Length+1 {
+					n := *s
+					n.Gaps++
+					n.Databases[i].Log[d.Length+1] = src.Log[d.Length+1]
+					n.Databases[i].Length += 2
+					e.add(ReceiveGap, 0, id, n)
+				}
 			}
 		}
 		if d.Term != s.Term {
@@ -245,6 +252,10 @@
 			n := *s
 			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}, Term: a.Term}
 			e.add(Begin, 0, 0, n)
+			if m.PositionBefore {
+				n.Acker.Before = true
+				e.add(Begin, 1, 0, n)
+			}
 		}
 		return
 	}
@@ -253,11 +264,14 @@
 	e.add(Abandon, 0, 0, n)
 
 	commit := at(a.Commit)
+	if a.Before {
+		commit.Index--
+	}
 	holds := m.Holds
 	if holds == nil {
 		holds = succession.Copy.Holds
 	}
-	var replicas []succession.Copy
+	replicas := make([]succession.Copy, 0, maxDatabases)
 	for i := range m.Databases {
 		id, d := uint8(i+1), s.Databases[i]
 		if d.Seen&knownToAcker == 0 || id == s.Led[a.Commit[0]] {
@@ -271,7 +285,7 @@
 		held.Established = d.Seen&establishedByAcker != 0
 		replicas = append(replicas, held)
 		c := succession.Copy{Answered: true, Primary: id == s.Primary, Term: uint64(d.Term), Received: at(m.end(d))}
-		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && !(older && d.paused()) && (!s.OlderAcker || m.StartsEarly || m.LookOnce || s.looked()) {
+		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && (!m.AskAfter || d.holds(commit)) && !(older && d.paused()) && (!s.OlderAcker || m.StartsEarly || m.LookOnce || s.looked()) {
 			n := *s
 			n.Acker.Holds |= bit
 			e.add(Witness, 0, id, n)
--- a/internal/takeovermodel/takeovermodel_test.go
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,7 @@
 
 func TestTakeoverModel(t *testing.T) {
 	RegisterFailHandler(Fail)
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // the states of a level are garbage after the next one
 	RunSpecs(t, "internal/takeovermodel")
 }
 
@@ -131,7 +133,7 @@
 // whole is an exploration of a whole protocol.
 type whole struct {
 	takeovermodel.Bounds
-	unpaused, anyIndex bool
+	unpaused, anyIndex, settledForAll bool
 }
 
 var wholes = map[whole]takeovermodel.Result{}
@@ -139,7 +141,7 @@
 // explored explores a model under the rules of a whole protocol. Several specs share the
 // result.
 func explored(rules takeovermodel.Rules, bounds takeovermodel.Bounds) takeovermodel.Result {
-	key := whole{bounds, rules.Unpaused, rules.AnyIndex}
+	key := whole{bounds, rules.Unpaused, rules.AnyIndex, rules.SettledForAll}
 	r, ok := wholes[key]
 	if !ok {
 		r = takeovermodel.Model{Rules: rules, Bounds: bounds}.Explore(stateLimit)
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -380,6 +380,12 @@
 			}
 			n.Takers[id-1].Reports[i] = m.report(&n, i)
 			e.add(Read, id, db, n)
+			if !m.Unpaused && !m.olderTaker(s, id) && db != s.Primary && t.mayPlan() {
+				n := *s
+				n.Takers[id-1].Reports[i] = m.report(&n, i)
+				n.Takers[id-1].Reports[i].Running = true
+				e.add(Read, id, db, n)
+			}
 			if m.LatePause && t.Pausing && db != s.Primary && s.Pauses[i] == 0 {
 				n := *s
 				n.Pauses[i] = t.newestTerm() + 1
@@ -438,8 +444,11 @@
 		pt := &planned.Takers[id-1]
 		if senior, ok := succession.Senior(staying); ok {
 			pt.Step, pt.Planned, pt.Target, pt.Chosen = catchingUp, true, r.At, number(senior.ID)
+			if !m.Unpaused && !m.ResumePlanned && !pt.Reports[pt.Chosen-1].Running {
+				ok = false
+			}
 			if t.Pausing { // all but the successor
-				if m.Unpaused || !t.Pending || m.ResumePlanned {
+				if m.Unpaused || m.ResumePlanned {
 					planned.Databases[pt.Chosen-1].Pause = 0
 				}
 				for _, r := range t.Reports {
@@ -448,9 +457,16 @@
 					}
 				}
 			}
-			e.add(Decide, id, pt.Chosen, planned)
+			if ok {
+				e.add(Decide, id, pt.Chosen, planned)
+			}
 		}
 	}
+	if t.running() != 0 {
+		n.Takers[id-1].Chosen = 0
+		e.giveUp(id, n)
+		return
+	}
 	senior, ok := succession.Senior(candidates)
 	longest, _ := succession.Longest(candidates)
 	if !ok || senior.ID == longest.ID || t.Pausing {
@@ -488,6 +504,7 @@
 	nt.Reports[i] = Report{Skipped: true}
 	if !s.Databases[i].Dead {
 		nt.Reports[i] = m.report(s, int(i))
+		nt.Reports[i].Running = r.Running
 	}
 	if nt.Reports[i] != r {
 		e.add(Read, id, t.Chosen, n)
@@ -630,6 +647,20 @@
 	return newest
 }
 
+// running returns the replica that was read without a pause, if any.
+func (t *Taker) running() uint8 {
+	for i, r := range t.Reports {
+		if r.Running {
+			return uint8(i + 1)
+		}
+	}
+	return 0
+}
+
+// mayPlan reports whether a taker may read the next replica without a pause: the primary
+// still serves, and it has read no other one so.
+func (t *Taker) mayPlan() bool { return t.Reports[t.Primary-1].Primary && t.running() == 0 }
+
 // repeatable reports whether the database of the pending order may be ordered again.
 func (t *Taker) repeatable() bool {
 	if !t.Pending || t.Ordered == 0 || t.Ordered > maxDatabases {
@@ -675,7 +706,7 @@
 
 // candidates returns the replicas as the taker sees them.
 func (m Model) candidates(s *State, t Taker) []succession.Candidate {
-	var all []succession.Candidate
+	all := make([]succession.Candidate, 0, maxDatabases)
 	for i := range m.Databases {
 		r, id := t.Reports[i], uint8(i+1)
 		if !r.Read && !r.Skipped || r.Read && r.Primary || id == t.Primary && !r.Read {
