--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -49,7 +49,8 @@
 	Writes   [maxWrites]Write // of the lease, on their way
 	Calls    [maxCalls]Call   // promotion orders on their way or under way
 	MaxFence uint8
-	Resumes  uint8 // mask of databases to which a RESUME is on its way
+	Resumes  uint8               // mask of databases to which a RESUME is on its way
+	Pauses   [maxDatabases]uint8 // terms of the PAUSEs that are on their way
 
 	Takers   [maxTakers]Taker
 	Attempts uint8 // started so far
@@ -63,6 +64,7 @@
 	KeptTerm    uint8
 
 	Faults     uint8 // databases that have crashed or restarted so far
+	Gaps       uint8 // entries that replicas have skipped so far
 	Unanswered uint8 // calls whose answer was lost so far
 }
 
@@ -124,6 +126,7 @@
 	catchingUp
 	recording
 	recordingSent
+	checking
 	calling
 	called
 	accepted
@@ -166,6 +169,7 @@
 type Report struct {
 	Read    bool
 	Skipped bool
+	Running bool // it was not paused for the report: the successor of a planned replacement
 	Primary bool
 	Term    uint8
 	At      [2]uint8 // term and index of the log's end
@@ -175,7 +179,9 @@
 type Acker struct {
 	Commit  [2]uint8 // term and index; zero if there is none
 	Holds   uint8    // mask of the databases that reported that they hold it
+	Before  bool     // its answer named the position before it
 	Settled bool     // the lease was read and found settled
+	Term    uint8    // the newest one in which the lease was read and found settled
 }
 
 // at returns a position.
@@ -191,6 +197,27 @@
 	// is not paused holds it.
 	Pauses bool
 
+	// Unpaused selects the protocol without pauses on all hosts but those of the former one:
+	// replicas are paused for hosts of the former protocol only.
+	Unpaused bool
+
+	// Of the pauses:
+	UnpausedSuccessor  bool // the successor is resumed once it is chosen
+	UnpausedOthers     bool // the other replicas are resumed once it is chosen
+	UnpausedPlanned    bool // a planned successor is not paused
+	ResumePlanned      bool // a planned successor is resumed so that it catches up
+	ResumePending      bool // replicas are resumed while an order is under way
+	NoRecheck          bool // the taker does not check before the order that replicas are still paused
+	ResumeWithoutLease bool // the lease is not renewed before a RESUME
+	AllCopiesAtOnce    bool // all copies are enough before the lease was found settled in the commit's term
+	ReleaseUnanswered  bool // the lease is released although a RESUME was not answered
+
+	// Stricter than the protocol:
+	AskAfter      bool // replicas are asked for a commit with AFTER, which they refuse if their log lacks it
+	SettledForAll bool // a commit that all replicas hold is acknowledged only after the lease was read too
+	RepeatOrder   bool // while an order is pending, only its database is ordered, if it runs and does not lead
+	RecheckLogs   bool // the check before the order compares the logs as well
+
 	// In a fleet in which some hosts run the former protocol:
 	NoPausing     bool // the others do not pause replicas for them
 	LookBefore    bool // they read the hosts' entries before the lease is taken
@@ -234,13 +261,18 @@
 	// CutAtCall means that a promoted database may lead with what it had received at any
 	// moment from the acceptance of the order to its effect, and Deaf that it receives
 	// nothing from the acceptance on.
-	CutAtCall  bool
-	Deaf       bool
-	LateResume bool // a RESUME may be carried out late
-	LateJoin   bool // a replica may join the term of a new primary late
-	OldViews   bool // an attempt may start with an outdated view of the primary and the term
-	Crashes    int  // databases that end for good
-	Restarts   int  // replicas that restart under their id with an empty log
+	CutAtCall bool
+	Deaf      bool
+	// LateResume means that a RESUME may be carried out late, but before the lease of its
+	// sender expires. StalledResume means that its sender may stand still after it has renewed
+	// the lease, until others hold it.
+	LateResume    bool
+	StalledResume bool
+	LatePause     bool // a PAUSE may not be answered, and be carried out late
+	LateJoin      bool // a replica may join the term of a new primary late
+	OldViews      bool // an attempt may start with an outdated view of the primary and the term
+	Crashes       int  // databases that end for good
+	Restarts      int  // replicas that restart under their id with an empty log
 	// RestartChosen means that a replica may restart between the read of its log and the
 	// order of its promotion, RestartUnread after the lease was taken and before its log is
 	// read.
@@ -264,6 +296,12 @@
 	// it has joined, not with that of the last entry.
 	CurrentTerm bool
 
+	// Positions that do not mean what hosts take them for. Gaps is how often a replica may
+	// receive an entry without the one before it. PositionBefore means that the answer to a
+	// commit may name the position before it.
+	Gaps           int
+	PositionBefore bool
+
 	OldList      bool // the takers hold a newcomer for established though the acknowledging host does not know it
 	OldTakerList bool // the acknowledging host holds a newcomer for established though the takers do not know it
 
@@ -293,6 +331,9 @@
 	s := State{Term: 1, Primary: 1, Lease: Lease{Version: 1, Released: true, Term: 1}, MaxFence: 1}
 	s.Led[1] = 1
 	s.OlderAcker, s.OlderTakers = m.OlderAcker, m.OlderTakers
+	if m.readsInTerm() {
+		s.Acker.Term = 1
+	}
 	for i := range m.Databases {
 		s.Databases[i].Term, s.Databases[i].Seen = 1, seen
 	}
@@ -338,6 +379,11 @@
 	return d.Length >= commit[1] && d.Log[commit[1]-1] == commit[0]
 }
 
+// holds reports whether a database's log contains what is at a position.
+func (d Database) holds(p position.Position) bool {
+	return p.Index == 0 || d.has([2]uint8{uint8(p.Term), uint8(p.Index)})
+}
+
 // Lost returns an acknowledged commit that the primary's log lacks.
 func (s *State) Lost() (commit [2]uint8, lost bool) {
 	for i, term := range s.Acked {
