Keep a session's own position for each service

After an operator had moved a read_your_writes route to another service, each read of a session that had written before failed as LAGGING until its time-out, for as long as the session lasted, if the databases of the other service had shorter logs.

Cause: the position of the session's last commit, which lies in the log of one service, was required of the databases of the other one. The session keeps one position for each service now, so that it sees its writes again after a move back.

--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -24,7 +24,7 @@
 	database   string               // the database of the last attempt, or of the one that succeeded
 	floor      position.Position    // that the log of the database must have reached; zero for none
 	state      sessionstate.Session // the session's state when the statement arrived
-	lastCommit position.Position    // position of the session's last commit
+	lastCommit position.Position    // position of the session's last commit in the service
 	sentAfter  position.Position    // reported before the last write or commit was sent
 	sentIn     uint64               // the term that its database led then
 	sent       *atomic.Bool         // set when the statement is sent to a database; nil if not needed
@@ -38,13 +38,13 @@
 // execution. If the session's key is no longer valid, it discards the transaction.
 func (s *session) newOperation(req statement.Request) (*operation, error) {
 	now := s.g.now()
-	op := &operation{Request: req, arrived: now, state: s.state, lastCommit: s.lastCommit}
+	op := &operation{Request: req, arrived: now, state: s.state}
 	route, err := s.route()
 	if err != nil {
 		s.discardTransaction()
 		return nil, err
 	}
-	op.route, op.customer = route, s.customer
+	op.route, op.customer, op.lastCommit = route, s.customer, s.lastCommits[route.Service]
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultStatementTimeout
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -33,7 +33,7 @@
 	key         string
 	customer    string // holder of the key; may be empty on an open route
 	state       sessionstate.Session
-	lastCommit  position.Position // of the session's last commit
+	lastCommits map[string]position.Position // of the session's last commit, by service: its route may move to another one
 	tx          *transaction
 	stage       atomic.Int32 // a drainStage
 	wakePending atomic.Bool  // drain was called and receive has not noticed it yet
@@ -255,11 +255,18 @@
 		a, err = s.g.fallbackFor(op.svc, home).run(ctx, op)
 	}
 	if err == nil {
-		s.lastCommit = position.Max(s.lastCommit, a.Position)
+		s.recordCommit(op.route.Service, a.Position)
 	}
 	return a, err
 }
 
+func (s *session) recordCommit(service string, at position.Position) {
+	if s.lastCommits == nil {
+		s.lastCommits = map[string]position.Position{}
+	}
+	s.lastCommits[service] = position.Max(s.lastCommits[service], at)
+}
+
 const (
 	// homeHedgeAfter is the fraction of the latency objective after which a read
 	// that a silent home host has not answered is also run on the next host.
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -47,6 +48,35 @@
 		}
 	})
 
+	// The position lies in the log of another service's databases.
+	It("does not wait for its own commit in the databases of another service that its route moves to", func() {
+		s := newTestSession(g, "own")
+		w := served(s.serve(request(statement.Write)))
+		config := *g.config.Load().Configuration
+		config.Services = maps.Clone(config.Services)
+		config.Services["stock-db"] = routes.Service{Name: "stock-db", MaxConns: 40, SyncReplicas: 1}
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+		dbs.withLock(func() {
+			dbs.primary = "x"
+			dbs.databases["x"] = &standin{group: dbs, id: "x", end: position.Position{Term: 1, Index: 3}}
+		})
+		databases := map[string]routes.Database{"x": {ID: "x", Service: "stock-db", Address: "x", DataCentre: "dc-a", Slots: 4, Primary: true}}
+		for _, id := range []string{"a", "b", "c"} {
+			databases[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: id == "a"}
+		}
+		g.setDatabases(databases)
+		g.updateRoute("own", func(r *routes.Route) { r.Service = "stock-db" })
+		Expect(served(s.serve(request(statement.Read))).Position.Index).To(BeEquivalentTo(3))
+
+		By("moving back")
+		dbs.withLock(func() {
+			dbs.primary = "a"
+			dbs.databases["b"].end.Index, dbs.databases["c"].end.Index = 10, 10
+		})
+		g.updateRoute("own", func(r *routes.Route) { r.Service = testService })
+		Expect(served(s.serve(request(statement.Read))).Position.Before(w.Position)).To(BeFalse())
+	})
+
 	It("reads on a current route in a read-write transaction on the primary", func() {
 		s := newTestSession(g, "current")
 		a := served(s.serve(request(statement.Read)))
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -7,7 +7,6 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/errkind"
-	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -152,7 +151,7 @@
 		return a
 	}
 	if t.wrote {
-		s.lastCommit = position.Max(s.lastCommit, a.Position)
+		s.recordCommit(t.route.Service, a.Position)
 	}
 	s.tx = nil
 	a.State = statement.Idle
