--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -127,6 +127,29 @@
 		Expect(outcome()).To(Equal(errkind.OutcomeUnknown.String()))
 	})
 
+	// No newer term is known, which would end the wait too.
+	DescribeTable("is not waited for until its deadline once its database is known not to lead any more",
+		func(replace func()) {
+			dbs.withLock(func() { replace() })
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			started := time.Now()
+			err := svc.acknowledge(ctx, commit{primary: "a", at: position.Position{Term: 1, Index: 10}, after: position.Position{Term: 1, Index: 9}, term: 1})
+			Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+			Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+		},
+		Entry("as it reports itself", func() { dbs.primary = "d" }),
+		Entry("as another one reports that leads its term", func() {
+			dbs.databases["a"].unresponsive = true
+			time.AfterFunc(50*time.Millisecond, func() {
+				svc.mu.Lock()
+				svc.table.RecordLed(1, "b")
+				svc.mu.Unlock()
+				svc.wake()
+			})
+		}),
+	)
+
 	It("is acknowledged on a host that learns with the commit that its database leads the term", func() {
 		g = newTestGateway(p)
 		Expect(outcome()).To(Equal("acknowledged"))
