Wait for a connection to query databases for a commit's acknowledgement

Commits on a host with two connections to each database (one that is not the home host, or any host while the configuration allows few) were answered seconds late, or with an unknown outcome at their deadline, while statements waited for every connection to the primary or to a replica.

Cause: the query whether the primary still leads, and those of the replicas' logs, borrowed an idle connection only, and were given up and tried again 50 to 100 ms later if there was none. With statements waiting, a connection is idle for an instant only. Just a Begin among them shows the lead, and nothing else a replica's log.

These queries wait for the turn of an urgent statement now, for 300 ms at most. The periodic sample still takes an idle connection only.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -189,7 +189,7 @@
 	}
 	s.replication.proving = true
 	go func() {
-		s.sample(p)
+		s.sampleInTurn(p)
 		s.mu.Lock()
 		failed := s.table.ProvenAt(c.primary).Before(answered)
 		s.replication.proving = failed
@@ -401,11 +401,11 @@
 func (s *service) queryStatus(p *pool) (statement.Report, bool) {
 	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
 	defer cancel()
-	c, err := p.borrow(ctx, s.g.anyCustomer())
-	if err != nil || c == nil {
-		return statement.Report{}, false // borrow has recorded a failed dial
+	c, giveBack, err := p.borrowInTurn(ctx)
+	if err != nil {
+		return statement.Report{}, false // borrowInTurn has recorded a failed dial
 	}
-	defer p.checkIn(c)
+	defer giveBack()
 	report, err := c.status(s.g.now().Add(sampleTimeout))
 	return report, err == nil // status has logged or recorded the error
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -339,6 +339,26 @@
 	return p.dial(ctx, db, customer)
 }
 
+// borrowInTurn is borrow, but if all connections are in use, it waits until ctx ends for the
+// turn of an urgent statement. giveBack returns the connection.
+func (p *pool) borrowInTurn(ctx context.Context) (c *conn, giveBack func(), err error) {
+	customer := p.g.anyCustomer()
+	if c, err = p.borrow(ctx, customer); c != nil || err != nil {
+		return c, func() { p.checkIn(c) }, err
+	}
+	deadline, _ := ctx.Deadline()
+	id, err := p.turns.Acquire(ctx, fair.Item{Customer: customer, Urgent: true, Deadline: p.g.now().Add(time.Until(deadline))})
+	if err != nil {
+		return nil, nil, err
+	}
+	if c, err = p.checkOut(ctx, customer); err != nil {
+		p.turns.Release(id)
+		return nil, nil, err
+	}
+	c.turn = id
+	return c, func() { p.release(c) }, nil
+}
+
 // close closes the idle connections; those in use are closed when checked in.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -81,6 +81,19 @@
 	s.verifyPrimary(c, s.g.now().Add(sampleTimeout))
 }
 
+// sampleInTurn is sample, but waits for a connection if all are in use: statements other than
+// a Begin do not show who is the primary.
+func (s *service) sampleInTurn(p *pool) {
+	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
+	defer cancel()
+	c, giveBack, err := p.borrowInTurn(ctx)
+	if err != nil {
+		return // borrowInTurn has recorded a failed dial
+	}
+	defer giveBack()
+	_ = s.verifyPrimary(c, s.g.now().Add(sampleTimeout)) // it has recorded the result
+}
+
 // verifyPrimary returns nil if a connection's database is the primary, and records
 // whether it is.
 func (s *service) verifyPrimary(c *conn, deadline time.Time) error {
--- a/gateway/unproven_commit_test.go
+++ b/gateway/unproven_commit_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -150,6 +152,41 @@
 		}),
 	)
 
+	// A host that is not the home host has two connections to each database.
+	DescribeTable("is acknowledged soon though statements wait for every connection", func(busy ...string) {
+		var working sync.WaitGroup
+		ctx, stop := context.WithCancel(context.Background())
+		for _, id := range busy {
+			p := svc.pools[id]
+			p.setMax(spareConns)
+			for range 3 * spareConns {
+				working.Go(func() {
+					for ctx.Err() == nil {
+						c, err := p.acquire(ctx, fair.Item{Customer: testCustomer, Deadline: time.Now().Add(time.Second)})
+						if err == nil {
+							time.Sleep(20 * time.Millisecond)
+							p.release(c)
+						}
+					}
+				})
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		started := time.Now()
+		for i := range 5 {
+			svc.mu.Lock()
+			clear(svc.replication.copies)
+			svc.mu.Unlock()
+			Expect(svc.acknowledge(ctx, commit{primary: "a", at: position.Position{Term: 1, Index: uint64(i + 6)}, after: position.Position{Term: 1, Index: 5}, term: 1})).To(Succeed())
+		}
+		stop()
+		working.Wait()
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	},
+		Entry("to its database", "a"),
+		Entry("to the replicas", "b", "c"),
+	)
+
 	It("is acknowledged on a host that learns with the commit that its database leads the term", func() {
 		g = newTestGateway(p)
 		Expect(outcome()).To(Equal("acknowledged"))
