Choose the database of a pending order again if nothing speaks against it

Callers' writes had no known outcome for up to six seconds after a promotion: an order had no answer, the next attempt ordered another replica with the same log, and the lease stayed unsettled for VoidRounds, since the first order may be as late.

Cause: of two replicas with the same log either was chosen, whatever an earlier order had named.

Change: the pending order's database is chosen if its log is the one chosen, hosts know it as well, and it is not leaving. Its effect ends both orders.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -144,6 +144,19 @@
 	return best, true
 }
 
+// Prefer returns the candidate with an id if nothing speaks for best against it: it has the
+// same log, is at least as well known to hosts, and is not leaving. An order for the database of a pending one
+// can be settled sooner than one for another database; see Settlement.
+func Prefer(id string, best Candidate, all []Candidate) Candidate {
+	for _, c := range all {
+		if c.ID == id && c.Answered && c.Received == best.Received && !c.Leaving &&
+			(c.Established || !best.Established) && (c.Known || !best.Known) {
+			return c
+		}
+	}
+	return best
+}
+
 // Outgrown reports whether a candidate that answered holds more entries than best. Of
 // two logs of different terms neither may hold the other.
 func Outgrown(best Candidate, all []Candidate) bool {
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -155,6 +155,22 @@
 			}
 		})
 	})
+
+	DescribeTable("is the database of a pending order if that has the same log and is as well known",
+		func(change func(*succession.Candidate), want string) {
+			best := succession.Candidate{ID: "a", Answered: true, Received: pos(7), Established: true, Known: true}
+			pending := best
+			pending.ID = "b"
+			change(&pending)
+			Expect(succession.Prefer("b", best, []succession.Candidate{best, pending}).ID).To(Equal(want))
+		},
+		Entry("the same", func(*succession.Candidate) {}, "b"),
+		Entry("a shorter log", func(c *succession.Candidate) { c.Received = pos(6) }, "a"),
+		Entry("unread", func(c *succession.Candidate) { c.Answered = false }, "a"),
+		Entry("leaving", func(c *succession.Candidate) { c.Leaving = true }, "a"),
+		Entry("not established", func(c *succession.Candidate) { c.Established = false }, "a"),
+		Entry("not known to all hosts", func(c *succession.Candidate) { c.Known = false }, "a"),
+	)
 })
 
 var _ = Describe("the evidence for a commit", func() {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -53,6 +53,9 @@
 	if !ok || succession.Outgrown(best, candidates) {
 		return best, errNoSuccessor
 	}
+	if a.pending {
+		best = succession.Prefer(a.ordered, best, candidates)
+	}
 	return best, nil
 }
 
