--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -115,7 +115,7 @@
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
 		))
 		Eventually(out.matching).WithArguments("Replacement ended.").Should(HaveLen(1))
-		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11","term":2,"service":"orders-db","logs":"[bc] 1/11>=>=, [bc] 1/11>=>=, a ->->-"`))
+		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11","term":2,"service":"orders-db","logs":"[bc] 1/11p>=p?>=, [bc] 1/11p>=p?>=, a ->->-"`))
 		Expect(out.matching("Replacement ended.")[0]).To(And(HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", BeElementOf("b", "c")),
 			HaveKeyWithValue("outcome", "Promotion took effect."), HaveKeyWithValue("reason", "silent")))
 		chosen := out.matching("Successor chosen.")[0]
--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -97,6 +97,7 @@
 	// A RESUME of an earlier attempt may be carried out at any time.
 	It("is not ordered after a replica has received more since it was chosen", func() {
 		ctx := context.Background()
+		Expect(write()).To(BeTrue())
 		svc.mu.Lock()
 		a := svc.newReplacement(succession.Stalled, position.Position{}, time.Now())
 		svc.mu.Unlock()
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -92,11 +92,11 @@
 	for added := a.addNewDatabases(); len(added) > 0; added = a.addNewDatabases() {
 		a.pause(ctx, added)
 	}
-	a.recordLogs()
+	a.keepRead()
 }
 
-// recordLogs records the logs on which the choice of the successor rests.
-func (a *replacement) recordLogs() {
+// keepRead records the logs on which the choice of the successor rests.
+func (a *replacement) keepRead() {
 	for _, c := range a.conns {
 		c.read, c.chosenWith = c.answered && !c.report.Primary, c.report.Received
 	}
@@ -134,7 +134,7 @@
 	if !a.conn(successor).answered {
 		return errNotPaused
 	}
-	a.recordLogs()
+	a.keepRead()
 	return a.checkView()
 }
 
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -59,7 +59,7 @@
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	if a.pausing.none = a.orderTookEffect(); !a.pausing.none {
 		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.read && c.answered }))
-		a.recordLogs()
+		a.keepRead()
 	}
 	if late := a.conn(a.ordered); a.unseen && late != nil && a.mayRepeat(late) {
 		a.logChosen("A late order is given again.", succession.Candidate{ID: late.db.ID, Answered: true, Received: late.report.Received})
