--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -92,11 +92,11 @@
 	for added := a.addNewDatabases(); len(added) > 0; added = a.addNewDatabases() {
 		a.pause(ctx, added)
 	}
-	a.keepRead()
+	a.recordReadLogs()
 }
 
-// keepRead records the logs on which the choice of the successor rests.
-func (a *replacement) keepRead() {
+// recordReadLogs records the logs on which the choice of the successor rests.
+func (a *replacement) recordReadLogs() {
 	for _, c := range a.conns {
 		c.read, c.chosenWith = c.answered && !c.report.Primary, c.report.Received
 	}
@@ -134,7 +134,7 @@
 	if !a.conn(successor).answered {
 		return errNotPaused
 	}
-	a.keepRead()
+	a.recordReadLogs()
 	return a.checkView()
 }
 
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -169,6 +169,33 @@
 		Expect(orders()).To(BeZero())
 	})
 
+	// A former primary may not have heard yet that another database leads.
+	It("does not make it the one to be ordered again when a newer term is known", func() {
+		storeLease(`{"holder":"host-1","claim":"x","ordered":"c","term":1,"rules":1}`)
+		ordered := entry("c")
+		ordered.Leaving = true // the order is not given again
+		svc.setDatabasesAgo(time.Minute, entry("a"), entry("b"), ordered)
+		dbs.withLock(func() {
+			dbs.term, dbs.primary = 2, "b"
+			dbs.databases["a"].unaware = true
+			for _, id := range []string{"b", "c"} {
+				dbs.databases[id].end = position.Position{Term: 2, Index: 12}
+			}
+		})
+		svc.recordPrimary("b", position.Position{Term: 2, Index: 12}, time.Now())
+		attempt(succession.Unsettled)
+		dbs.withLock(func() {
+			Expect(dbs.orders).To(HaveLen(1))
+			Expect(dbs.orders[0].Database).To(Equal("b"))
+			Expect(dbs.primary).To(Equal("b"))
+		})
+
+		By("hearing of the newer term only from a replica")
+		dbs.withLock(func() { dbs.databases["b"].unresponsive = true })
+		attempt(succession.Unsettled)
+		Expect(orders()).To(Equal(1))
+	})
+
 	// An order that had no answer may have been accepted just before the one for the
 	// present primary, and be late.
 	It("does not show that an order without an answer was not accepted, and is late", func() {
@@ -190,4 +217,26 @@
 		}
 		Expect(acked).To(BeFalse())
 	})
+
+	It("does not show that an order without an answer was not accepted if it is not given again", func() {
+		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1,"rules":1}`)
+		dbs.withLock(func() {
+			dbs.databases["c"].notReplicating = true
+			dbs.databases["b"].end.Index = 11
+		})
+		svc.mu.Lock()
+		svc.promotion.unsettled = true
+		svc.mu.Unlock()
+		var first time.Time
+		settled := func() bool {
+			svc.maybeReplacePrimary(time.Now())
+			if first.IsZero() && orders() > 0 {
+				first = time.Now()
+			}
+			return !first.IsZero() && svc.leaseSettled(1)
+		}
+		Eventually(settled).WithTimeout(12 * time.Second).WithPolling(20 * time.Millisecond).Should(BeTrue())
+		Expect(time.Since(first)).To(BeNumerically(">=", succession.VoidRounds*succession.PromotionLimit))
+		dbs.withLock(func() { Expect(dbs.orders).To(HaveEach(HaveField("Database", "a"))) })
+	})
 })
