Resume replicas that were paused before they joined the newest term

Cause: a replica that is cut off while another database is promoted still reports the former term. If an attempt paused it above the newest term, nobody resumed it afterwards: such replicas were left out, as they would receive from the former primary. A replica that was paused before the promotion, and joins by itself, started such attempts too. Change: a replica counts as left paused if it receives nothing from the primary of the newest term either; then it is resumed. That primary's predecessor has lost the lead by then. A lease is settled without pausing replicas again that are paused already. Specs: both cases ("has not joined ... left paused only if"). The spec that one paused up to the new term is not resumed is as before.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -310,7 +310,7 @@
 	if ok {
 		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
-		s.promotion.sawPaused = s.promotion.sawPaused || isPaused(report)
+		s.promotion.sawPaused = s.promotion.sawPaused || leftPaused(report, max(s.replication.term, s.table.Term()))
 		s.observePrimary(fromReplica, position.Position{})
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
 	}
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -165,7 +165,7 @@
 // serves; but what it has committed since is confirmed by none.
 func (a *replacement) allPaused() bool {
 	answered := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return !c.answered })
-	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !isPaused(c.report) })
+	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !leftPaused(c.report, a.newestTerm()) })
 }
 
 // leavingFor reports whether hosts have known for d that the primary is leaving.
@@ -231,10 +231,9 @@
 	newest := a.newestTerm()
 	var paused []*controlConn
 	for _, c := range a.conns {
-		// A promotion ends pauses. A replica that has not joined the primary's term yet would
-		// receive from the former one.
-		joining := c.answered && c.report.Term < newest
-		if !joining && (c.pausedTo > newest || c.answered && isPaused(c.report)) {
+		// A promotion ends pauses. A replica that has not joined the primary's term yet, and is
+		// paused up to that, would receive from the former one.
+		if c.pausedTo > newest || c.answered && leftPaused(c.report, newest) {
 			paused = append(paused, c)
 		}
 	}
@@ -304,8 +303,18 @@
 		all.Go(func() { reports[i], _ = s.queryStatus(p) }) // one that cannot be queried is checked the next time
 	}
 	all.Wait()
-	return slices.ContainsFunc(reports, isPaused)
+	s.mu.Lock()
+	newest := max(s.table.Term(), s.replication.term)
+	s.mu.Unlock()
+	for _, r := range reports {
+		newest = max(newest, r.Term)
+	}
+	return slices.ContainsFunc(reports, func(r statement.Report) bool { return leftPaused(r, newest) })
 }
 
+// leftPaused reports whether a replica receives nothing from the primary of the newest term
+// either, which it may not have joined yet.
+func leftPaused(r statement.Report, newest uint64) bool { return !r.Primary && r.Paused > newest }
+
 // isPaused reports whether a replica receives nothing from the primary of its term.
 func isPaused(r statement.Report) bool { return !r.Primary && r.Paused > r.Term }
--- a/gateway/pausing_test.go
+++ b/gateway/pausing_test.go
@@ -194,6 +194,30 @@
 		Expect(storedLease().Settled(2)).To(BeTrue())
 	})
 
+	DescribeTable("takes a replica that has not joined the new primary's term for left paused only if that primary cannot reach it either",
+		func(pausedTo uint64, left bool) {
+			dbs.withLock(func() {
+				dbs.term, dbs.primary = 2, "b"
+				dbs.databases["c"].joinsLate, dbs.databases["c"].paused = true, pausedTo
+			})
+			svc.recordPrimary("b", position.Position{Term: 2, Index: 10}, time.Now())
+			Expect(svc.anyPaused(svc.allPools())).To(Equal(left))
+			svc.mu.Lock()
+			a := svc.newReplacement(succession.Paused, position.Position{}, time.Now())
+			svc.mu.Unlock()
+			a.settle()
+			dbs.withLock(func() {
+				if left {
+					Expect(dbs.databases["c"].paused).To(BeZero())
+				} else {
+					Expect(dbs.databases["c"].paused).To(Equal(pausedTo))
+				}
+			})
+		},
+		Entry("paused before the promotion", uint64(2), false),
+		Entry("paused after it", uint64(3), true),
+	)
+
 	It("leaves the lease to expire if a RESUME may be carried out late", func() {
 		storeEntry("host-2", older)
 		dbs.withLock(func() {
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -60,7 +60,7 @@
 // leaving, or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	if a.pausing.none = a.orderTookEffect(); !a.pausing.none {
-		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.read && c.answered }))
+		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.answered && isPaused(c.report) }))
 		a.recordReadLogs()
 	}
 	if late := a.conn(a.ordered); !a.unseen && late != nil && a.mayRepeat(late) {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -32,7 +32,7 @@
 	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary && !a.allPaused() {
 		return a.choosePlanned(ctx, primary)
 	}
-	if a.reason == succession.Stalled && !a.pending && slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && isPaused(c.report) }) {
+	if a.reason == succession.Stalled && !a.pending && slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && leftPaused(c.report, a.newestTerm()) }) {
 		return succession.Candidate{}, errLeftPaused
 	}
 	if err := a.awaitSenior(ctx); err != nil {
