Read the lease for a check of the commits only if there are any

Cause: the read of the lease by "Commits checked." counts against the host's budget of calls of the store, from which a replacement that is under way writes its lease; and past_choice was 0 where the lease had not been read. Change: no read without commits of the last 15 s or while this host replaces the service's primary, and 200 ms for it, not 400; past_choice is then unknown.

--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -166,7 +166,7 @@
 		Expect(out.matching("Acknowledged commits are missing")).To(ConsistOf(HaveKeyWithValue("ids", ConsistOf("id-14"))))
 		svc.recordPrimary("b", position.Position{Term: 2, Index: 20}, time.Now())
 		Eventually(out.matching).WithArguments("Commits checked.").WithTimeout(3 * time.Second).Should(ConsistOf(And(
-			HaveKeyWithValue("missing", "1 of 4"), HaveKeyWithValue("oldest", "id-14"), HaveKeyWithValue("last", "1/14"),
+			HaveKeyWithValue("missing", "1 of 4"), HaveKeyWithValue("past_choice", "unknown"), HaveKeyWithValue("oldest", "id-14"), HaveKeyWithValue("last", "1/14"),
 			HaveKeyWithValue("log", "1/13"), HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", "b"), HaveKeyWithValue("level", "WARN"))))
 	})
 
@@ -228,7 +228,7 @@
 
 	It("logs every commit that is not acknowledged although failed requests use up their lines, and counts those that are not covered", func() {
 		for range failuresPerSecond {
-			g.requestLog.failed(newTestSession(g, "own"), &operation{Request: request(statement.Read)}, errkind.New(errkind.NoPrimary, "none"))
+			g.requestLog.failed(newTestSession(g, "own"), &operation{Request: request(statement.Read)}, errkind.New(errkind.OutcomeUnknown, "none"))
 		}
 		for i := range 3 {
 			svc.logUnacknowledged(commit{primary: "a", at: position.Position{Term: 1, Index: uint64(11 + i)}, id: fmt.Sprintf("id-%d", 11+i)}, "no established replica holds it", time.Now())
--- a/gateway/commitcheck.go
+++ b/gateway/commitcheck.go
@@ -21,6 +21,10 @@
 // usually answered.
 const commitCheckDelay = time.Second
 
+// choiceReadTimeout bounds the read of the lease for a check. It leaves the budget of calls
+// of the store to the replacement that may be under way.
+const choiceReadTimeout = 200 * time.Millisecond
+
 // scheduleCommitCheck starts a check of the commits before a change of the primary, unless
 // one is due. mu is held.
 func (s *service) scheduleCommitCheck(now time.Time) {
@@ -72,12 +76,24 @@
 	return out
 }
 
+// hasAcknowledged reports whether this host has commits since a time to compare with the
+// position of the choice, and does not replace the primary itself at the moment.
+func (s *service) hasAcknowledged(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for _, r := range []*recentCommits{&s.replication.recent, &s.replication.unacknowledged} {
+		r.newestFirst(since, func(*recentCommit) { found = true })
+	}
+	return found && !s.promotion.running
+}
+
 // positionOfChoice returns the end of the log of the successor when it was chosen, as the
 // lease records it, or zero if that cannot be read. The first end of the new primary's log
 // that this host has seen may have commits of the new term: then it covers more than the
 // log with which that one began to lead.
 func (s *service) positionOfChoice() position.Position {
-	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
+	ctx, cancel := context.WithTimeout(s.g.ctx, choiceReadTimeout)
 	defer cancel()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if err != nil {
@@ -128,15 +144,22 @@
 		}
 	}
 	s.flushUnacknowledged()
-	choice := s.positionOfChoice()
 	since := o.checkSince.Add(-recentCommitsFor)
+	var choice position.Position
+	if s.hasAcknowledged(since) {
+		choice = s.positionOfChoice()
+	}
 	s.mu.Lock()
 	s.observed.uncompared = o.end.IsZero() && s.observed.checkSince.IsZero()
 	acked := s.replication.recent.tally(o.id, o.end, choice, since)
 	unacked := s.replication.unacknowledged.tally(o.id, o.end, choice, since)
 	s.mu.Unlock()
 
-	attrs := []any{"missing", acked.text(o.end), "past_choice", acked.pastChoice}
+	var pastChoice any = acked.pastChoice
+	if choice.IsZero() && acked.commits > 0 {
+		pastChoice = "unknown"
+	}
+	attrs := []any{"missing", acked.text(o.end), "past_choice", pastChoice}
 	if acked.oldest != "" {
 		attrs = append(attrs, "oldest", acked.oldest)
 	} else {
