Name requests of unknown outcome beside a flood of refused ones

Cause: failed requests share 30 lines a second. Change: requests whose outcome is unknown have a limit of their own, 30 a second, and so have the lines about commits that are not acknowledged.

--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -26,7 +26,7 @@
 	// maxCommitLinesAtStop bounds the lines of all services when the host stops.
 	maxCommitLinesAtStop = 400
 	// maxUnacknowledgedLines bounds the lines for one service in unacknowledgedDelay about
-	// commits that were not acknowledged, beside those within the limit of failed requests.
+	// commits that were not acknowledged, beside those within the limit of unknown outcomes.
 	maxUnacknowledgedLines = 100
 	unacknowledgedDelay    = 2 * time.Second
 	// commitLinesAtOnce is written before a pause of commitLinesPause: the queue of the
@@ -312,7 +312,7 @@
 // acknowledged: at once, or a little later if too many requests have failed within the
 // second. since is when the primary's confirmation arrived.
 func (s *service) logUnacknowledged(c commit, reason string, since time.Time) {
-	allowed := s.g.requestLog.allow(true)
+	allowed := s.g.requestLog.allow(unknownOutcome)
 	s.mu.Lock()
 	r := &s.replication
 	e := r.unacknowledged.slot()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -10,6 +10,16 @@
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
+// lineClass is a class of log lines about requests, each of which has its own limit.
+type lineClass int
+
+const (
+	servedRequest  lineClass = iota
+	refusedRequest           // it has certainly not run
+	unknownOutcome           // it may have run: the only line that names it may be this one
+	lineClasses
+)
+
 // Maximum log lines per second about requests. Fewer than 100 lines a second
 // cost a small host less than 1 % of its CPU.
 const (
@@ -17,6 +27,9 @@
 	successesPerSecond = 2
 )
 
+// linesPerSecond are the limits by class.
+var linesPerSecond = [lineClasses]int{servedRequest: successesPerSecond, refusedRequest: failuresPerSecond, unknownOutcome: failuresPerSecond}
+
 // refusedSessionEvery is the least time between two lines about sessions that were refused
 // for the same kind of error. Such a line names no request, and callers that know no better
 // come again and again.
@@ -30,8 +43,7 @@
 
 	mu          sync.Mutex // guards the fields below; a leaf lock
 	windowStart time.Time
-	failures    int
-	successes   int
+	lines       [lineClasses]int
 	suppressed  int // lines about failures since windowStart
 	refused     map[errkind.Kind]*refusedSessions
 
@@ -49,12 +61,12 @@
 }
 
 // allow counts a line against its rate and reports whether it may be written.
-func (l *requestLog) allow(failure bool) bool {
+func (l *requestLog) allow(class lineClass) bool {
 	now := l.now()
 	l.mu.Lock()
 	if now.Sub(l.windowStart) >= time.Second {
 		suppressed := l.suppressed
-		l.windowStart, l.failures, l.successes, l.suppressed = now, 0, 0, 0
+		l.windowStart, l.lines, l.suppressed = now, [lineClasses]int{}, 0
 		defer func() {
 			if suppressed > 0 {
 				l.log.Info("Suppressed log lines about failed requests.", "lines", suppressed)
@@ -62,17 +74,16 @@
 		}()
 	}
 	defer l.mu.Unlock()
-	if failure {
-		l.failures++
-		if l.failures > failuresPerSecond {
-			l.suppressed++
-			return false
-		}
+	l.lines[class]++
+	allowed := l.lines[class] <= linesPerSecond[class]
+	switch {
+	case class == servedRequest:
+	case allowed:
 		l.failureLines.Add(1)
-		return true
+	default:
+		l.suppressed++
 	}
-	l.successes++
-	return l.successes <= successesPerSecond
+	return allowed
 }
 
 // allowRefused counts a refused session and reports whether its line may be written, and
@@ -99,7 +110,7 @@
 func (l *requestLog) served(s *session, op *operation, a statement.Answer) {
 	took := l.now().Sub(op.arrived)
 	s.g.metrics.observe(op, took)
-	if l.allow(false) {
+	if l.allow(servedRequest) {
 		l.log.Info("Request served.", op.logAttrs(s, took, "position", a.Position.String())...)
 	}
 }
@@ -116,7 +127,11 @@
 		}
 		more = []any{"omitted", omitted}
 	}
-	if !l.allow(true) {
+	class := unknownOutcome
+	if err.Kind.Answer().Outcome == errkind.NotRun {
+		class = refusedRequest
+	}
+	if !l.allow(class) {
 		return
 	}
 	took := time.Duration(0)
--- a/gateway/requestlog_test.go
+++ b/gateway/requestlog_test.go
@@ -54,6 +54,25 @@
 		Expect(suppressed).To(Equal(seconds * (perSecond - failuresPerSecond)))
 	})
 
+	It("names requests whose outcome is unknown beside a flood of refused ones, up to their own limit", func() {
+		out := &lineBuffer{}
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		g := newTestGateway(newFakePlatform(newGroup("a")))
+		g.requestLog = newRequestLog(slog.New(slog.NewJSONHandler(out, nil)), func() time.Time { return now })
+		s := newTestSession(g, "own")
+		for range 500 {
+			g.requestLog.failed(s, &operation{Request: request(statement.Write)}, errkind.New(errkind.NoPrimary, "none"))
+		}
+		for range 2 * failuresPerSecond {
+			g.requestLog.failed(s, &operation{Request: request(statement.Write)}, errkind.New(errkind.OutcomeUnknown, "lost"))
+		}
+		Expect(out.matching(`"kind":"outcome_unknown"`)).To(HaveLen(failuresPerSecond))
+		Expect(out.matching(`"kind":"no_primary"`)).To(HaveLen(failuresPerSecond))
+		now = now.Add(time.Second)
+		g.requestLog.failed(s, &operation{Request: request(statement.Write)}, errkind.New(errkind.OutcomeUnknown, "lost"))
+		Expect(out.matching("Suppressed")).To(ConsistOf(HaveKeyWithValue("lines", BeNumerically("==", (500-failuresPerSecond)+failuresPerSecond))))
+	})
+
 	It("logs refused sessions of one kind at most once in a while, with the number omitted", func() {
 		out := &lineBuffer{}
 		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
