--- a/gateway/changelog_test.go
+++ b/gateway/changelog_test.go
@@ -110,12 +110,12 @@
 
 		Expect(out.record(w.ID)).To(And(
 			MatchRegexp(`"Commit acknowledged.","id":"%s","evidence":"all_copies","copies":"[bc] 1/11 [0-9]+ms( new)?, [bc] 1/11 [0-9]+ms( new)?","commit":"1/11"`, w.ID),
-			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed, [bc] 1/11 established listed","service":"orders-db"`),
+			MatchRegexp(`"Successor chosen.","candidates":"[bc] 1/11 established listed paused, [bc] 1/11 established listed paused","service":"orders-db"`),
 			MatchRegexp(`"Primary changed.","service":"orders-db","from":"a","to":"[bc]","term":[12],"build":"`),
 			MatchRegexp(`"Promotion took effect.","primary":"[bc]","term":2`),
 		))
 		Eventually(out.matching).WithArguments("Replacement ended.").Should(HaveLen(1))
-		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11>1/11","term":2,"service":"orders-db","logs":"[bc] 1/11>=>=, [bc] 1/11>=>=, a ->->-"`))
+		Expect(out.record(w.ID)).To(MatchRegexp(`"Replacement ended.","acked":"1/11>1/11","term":2,"service":"orders-db","logs":"[bc] 1/11p>=>=, [bc] 1/11p>=>=, a ->->-"`))
 		Expect(out.matching("Replacement ended.")[0]).To(And(HaveKeyWithValue("from", "a"), HaveKeyWithValue("to", BeElementOf("b", "c")),
 			HaveKeyWithValue("outcome", "Promotion took effect."), HaveKeyWithValue("reason", "silent")))
 		chosen := out.matching("Successor chosen.")[0]
@@ -147,7 +147,7 @@
 		shown := strings.Join(logcut.Cut(out.bytes(), []string{lost.ID}, time.Time{}, time.Time{}), "\n")
 		Expect(shown).To(And(
 			MatchRegexp(`"level":"ERROR","msg":"Commit acknowledged.","id":"%s","evidence":"all_copies","copies":"[bc] 1/12 [0-9]+ms( new)?, [bc] 1/12 [0-9]+ms( new)?","commit":"1/12"`, lost.ID),
-			MatchRegexp(`"Replacement ended.","acked":"1/12>1/12","term":2,"service":"orders-db","logs":"([bc]) 1/12>=>1/11, [bc] 1/12>=>1/11, a ->->-"`),
+			MatchRegexp(`"Replacement ended.","acked":"1/12>1/12","term":2,"service":"orders-db","logs":"([bc]) 1/12p>=p>1/11, [bc] 1/12p>=p>1/11, a ->->-"`),
 			MatchRegexp(`"Commits checked.","missing":"1 of 2","past_choice":0,"oldest":"%s","service":"orders-db","last":"1/12","log":"1/11"`, lost.ID),
 		))
 		shown = strings.Join(logcut.Cut(out.bytes(), nil, time.Time{}, time.Time{}), "\n")
