--- a/internal/takeovermodel/pauses_test.go
+++ b/internal/takeovermodel/pauses_test.go
@@ -71,6 +71,17 @@
 		Entry("if a lease does not keep the order of the one before", rules{ForgetOrder: true}, two),
 	)
 
+	// A replica that restarts is not paused any more, so that either check finds it.
+	It("loses an acknowledged commit if neither restarts nor pauses are checked before the order", func() {
+		restart := with(two, func(b *bounds) { b.Attempts, b.Restarts, b.RestartChosen = 1, 1, true })
+		loses(rules{NoRecheck: true, IgnoreRestarts: true}, restart)
+		for _, one := range []rules{{NoRecheck: true}, {IgnoreRestarts: true}} {
+			r := takeovermodel.Model{Rules: one, Bounds: restart}.Explore(stateLimit)
+			Expect(r.Lost()).To(BeFalse(), r.String())
+			Expect(r.Complete).To(BeTrue())
+		}
+	})
+
 	It("loses an acknowledged commit if a host stands still before its RESUMEs, unless all copies need the lease as well", func() {
 		loses(rules{}, stalled)
 		holdsUnder(rules{SettledForAll: true}, stalled)
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -14,6 +14,11 @@
 // (succession.Outgrown; see AnyIndex). Without them the model loses a commit if databases
 // report the end of their log with the term that they have joined.
 //
+// Replicas are paused from the reading of their logs until no order can take effect, since a
+// promoted database may lead with what it had received when it was ordered (see CutAtCall).
+// One rule of the model is not the gateway's: a commit that all replicas hold is acknowledged
+// only once the lease was found settled in the commit's term (see AllCopiesAtOnce).
+//
 // The specs explore small bounds. With TAKEOVERMODEL_WIDE set in the environment they
 // explore larger ones, which takes minutes.
 package takeovermodel
