--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 // Times of promotions.
 const (
-	promoteTime      = time.Second
 	slowestPromotion = 5 * time.Second
 	latestNews       = 1500 * time.Millisecond
 )
@@ -25,6 +25,7 @@
 	service   string
 	faults    *faults
 	with      variants
+	database  databaseLayout
 	databases []*member
 
 	leading sync.Mutex // held while a promotion is carried out
@@ -38,18 +39,42 @@
 	fence      uint64
 }
 
+// promotionCall is a call to the platform.
+type promotionCall struct {
+	Service, ID string
+	Host        string `json:"-"`
+	Fence       uint64 `json:"-"`
+}
+
+// promotion is a call that was accepted. The last fields are set when it takes effect.
+type promotion struct {
+	promotionCall
+	called time.Time
+	held   *state // of the database then; nil if it ended meanwhile
+
+	effect time.Time
+	term   int
+	log    string // position of the last entry with which the database leads
+	former string // id of the primary of the term before
+}
+
+func (p *promotion) logAtCall() string {
+	if p.held == nil {
+		return "unknown"
+	}
+	return p.held.Last
+}
+
 // rollback is a commit that a promotion has rolled back.
 type rollback struct {
+	*promotion
 	entry    entry
-	number   int // in the log, from 1
-	at       time.Time
-	primary  string               // id of the database that had committed it
-	promoted string               // id
-	received map[string]time.Time // when other databases received it, by id
+	received map[string]time.Time // when other databases than the former primary received it, by id
+	lived    bool                 // one of these ran
 }
 
 func newGroup(rec *record, service, folder string, layout layout) (*group, error) {
-	g := &group{faults: layout.faults, with: layout.with, rec: rec, service: service, term: firstTerm}
+	g := &group{faults: layout.faults, with: layout.with, database: layout.database, rec: rec, service: service, term: firstTerm}
 	for _, zone := range layout.databases {
 		m, err := newMember(g, zone, folder)
 		if err != nil {
@@ -107,31 +132,54 @@
 
 // promote accepts a promotion call and carries it out later, whichever database is the
 // primary by then.
-func (g *group) promote(id string, fence uint64) int {
+func (g *group) promote(call promotionCall) int {
+	m := g.accept(call)
+	if m == nil {
+		return http.StatusConflict
+	}
+	p := &promotion{promotionCall: call, called: time.Now()}
+	after := g.database.promotion
+	if g.with.slowPromotions {
+		after = g.faults.between(after, slowestPromotion)
+	}
+	g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", call.ID, call.Fence, after.Milliseconds())
+	held := make(chan *state, 1)
+	go func() {
+		now, err := m.order(order{Do: orderState}) // one that stands still receives nothing
+		if err != nil {
+			g.rec.notef("state of %s at the call: %v", m.id, err)
+			held <- nil
+			return
+		}
+		held <- &now
+	}()
+	g.faults.later(after, func() {
+		p.held = <-held
+		g.lead(m, p)
+	})
+	return http.StatusOK
+}
+
+// accept returns the database that a promotion call names, or nil if the call is refused.
+func (g *group) accept(call promotionCall) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if fence < g.fence {
-		return http.StatusConflict
+	if call.Fence < g.fence {
+		return nil
 	}
-	g.fence = fence
+	g.fence = call.Fence
 	for _, m := range g.databases {
-		if m.id != id || m.isDown() {
-			continue
+		if m.id == call.ID && !m.isDown() {
+			return m
 		}
-		after := promoteTime
-		if g.with.slowPromotions {
-			after = g.faults.between(promoteTime, slowestPromotion)
-		}
-		g.rec.notef("promotion of %s accepted with fence %d, to take effect after %d ms", id, fence, after.Milliseconds())
-		g.faults.later(after, func() { g.lead(m) })
-		return http.StatusOK
 	}
-	return http.StatusConflict
+	return nil
 }
 
-// lead makes a database the primary of the next term with what it has received. Nothing
-// is answered while this is carried out, except by a process that stands still.
-func (g *group) lead(m *member) {
+// lead makes a database the primary of the next term with what it has received, or had
+// received when the call was accepted. Nothing is answered while this is carried out,
+// except by a process that stands still.
+func (g *group) lead(m *member, p *promotion) {
 	for !m.runs() {
 		if m.isDown() {
 			return
@@ -154,7 +202,11 @@
 			}
 		})
 	}
-	reached, err := m.order(order{Do: orderLead, Term: term})
+	lead := order{Do: orderLead, Term: term}
+	if g.with.cutAtCall && p.held != nil {
+		lead.Kept = &p.held.Length
+	}
+	reached, err := m.order(lead)
 	if err != nil {
 		g.rec.notef("promotion of %s: %v", m.id, err)
 		g.each(m, func(other *member) {
@@ -164,13 +216,13 @@
 		})
 		return
 	}
-	at := time.Now()
+	p.effect, p.term, p.log, p.former = time.Now(), term, reached.Last, former.id
 	g.mu.Lock()
 	g.term, g.primary, g.promoted = term, m, reached.IDs
 	g.promotions++
 	g.mu.Unlock()
-	lost := g.recordRollbacks(former, m, reached.IDs, at)
-	g.rec.notef("database %s is the primary of %s in term %d with %d commits; %d are rolled back", m.id, g.service, term, len(reached.IDs), lost)
+	lost := g.recordRollbacks(p, reached.IDs)
+	g.rec.notef("database %s is the primary of %s in term %d with %d commits, log %s, at the call %s; %d are rolled back", m.id, g.service, term, len(reached.IDs), p.log, p.logAtCall(), lost)
 	learn := func(other *member) {
 		o := order{Do: orderLearn, Term: term, Leader: m.id, Upstream: other.upstream[m], IDs: reached.IDs}
 		_, _ = other.order(o) // one that is down is told when it starts
@@ -206,24 +258,36 @@
 
 // recordRollbacks records the commits of the former primary that a promoted log lacks, and
 // returns their number.
-func (g *group) recordRollbacks(former, promoted *member, ids []string, at time.Time) int {
-	files, err := g.journals()
+func (g *group) recordRollbacks(p *promotion, ids []string) int {
+	files, err := g.journals(readLog)
 	if err != nil {
 		g.rec.notef("%v", err)
 		return 0
 	}
-	old := files[former.id].log
-	kept := commonLength(old, ids)
+	has := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		has[id] = true
+	}
+	gone := slices.DeleteFunc(slices.Clone(files[p.former].log), func(e entry) bool { return has[e.ID] })
+	alive := map[string]bool{}
+	for _, m := range g.databases {
+		alive[m.id] = !m.isDown()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, e := range old[kept:] {
-		r := rollback{entry: e, number: kept + i + 1, at: at, primary: former.id, promoted: promoted.id, received: map[string]time.Time{}}
+	for _, e := range gone {
+		r := rollback{promotion: p, entry: e, received: map[string]time.Time{}}
 		for id, f := range files {
-			if received, ok := f.receivedAt(r.number, e.ID); ok && id != former.id {
+			received, ok := f.receivedAt(e.ID)
+			if id == p.ID { // it may have removed it just now
+				received, ok = f.lastReceipt(e.ID)
+			}
+			if ok && id != p.former {
 				r.received[id] = received
+				r.lived = r.lived || alive[id]
 			}
 		}
 		g.rolledBack = append(g.rolledBack, r)
 	}
-	return len(old) - kept
+	return len(gone)
 }
