Prefer the database of a pending order in the model, as the gateway does

Change: the model's choice uses succession.Prefer under the protocol with pauses.

An order for the present primary while an earlier one takes effect still loses a commit if all copies are enough at once (AllCopiesAtOnce).

--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -753,6 +753,9 @@
 		gone = !r.Primary
 	}
 	best, ok := succession.Choose(candidates, acked, floor, gone)
+	if t.Pending && t.Ordered <= maxDatabases && !m.Unpaused {
+		best = succession.Prefer(name(t.Ordered), best, candidates)
+	}
 	if !m.AnyIndex && succession.Outgrown(best, candidates) {
 		return 0, false
 	}
