Keep gaps of the rig apart from restarts without logs

Cause: the variant gaps let replicas receive nothing and restarted others without their logs, so that its losses had two causes.

Change: gaps adds replicas that receive nothing; restarts without logs come with restarts.

--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -230,8 +230,7 @@
 		out = append(out, step{at: after(), length: 200 * time.Millisecond, kind: "restart of a replica", group: g, zone: r.IntN(len(l.databases))})
 	}
 	if l.with.gaps {
-		out = append(out, step{at: after() - gapBefore, length: length, kind: "replica receives nothing", group: g, zone: r.IntN(len(l.databases))},
-			step{at: after() - gapBefore, length: 200 * time.Millisecond, kind: "restart of a replica", group: g, zone: r.IntN(len(l.databases))})
+		out = append(out, step{at: after() - gapBefore, length: length, kind: "replica receives nothing", group: g, zone: r.IntN(len(l.databases))})
 	}
 	if l.with.lapsingEntries {
 		out = append(out, step{at: after(), length: length, kind: "lapse of a replica's entry", group: g, zone: r.IntN(len(l.databases))})
