--- a/internal/standin/takeover/judge.go
+++ b/internal/standin/takeover/judge.go
@@ -23,6 +23,12 @@
 	stale                  int // reads of the primary that missed an acknowledged commit
 }
 
+// broken reports whether the rule was broken. confirmed is whether what hosts were told
+// counts too.
+func (v verdict) broken(confirmed bool) bool {
+	return v.lost+v.stale > 0 || confirmed && v.confirmedLost > 0
+}
+
 // judge reports whether an acknowledged commit was lost or a read of the primary was
 // stale.
 func (t *takeover) judge(trouble bool) (bool, error) {
@@ -72,7 +78,7 @@
 	}
 	t.sayf("seed %d: acknowledged commits: %d, promotions that took effect: %d, commits rolled back: %d, reads of the primary: %d, own stalls: %.1f s; LOST: %d (a known replica had %d), CONFIRMED LOST: %d, STALE: %d",
 		t.f.seed, len(t.acked), v.promotions, v.rolledBack, len(t.reads), t.stalled.Seconds(), v.lost, v.lostHeld, v.confirmedLost, v.stale)
-	if v.lost+v.stale > 0 || t.s.layout.judgesConfirmed && v.confirmedLost > 0 {
+	if v.broken(t.s.layout.judgesConfirmed) {
 		return true, nil
 	}
 	if len(t.acked) < leastAcked || trouble && v.promotions < leastPromotions {
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -317,6 +317,14 @@
 })
 
 var _ = Describe("the judge", func() {
+	It("finds the rule broken by what callers were told, and on request by what hosts were told", func() {
+		Expect(verdict{promotions: 3, rolledBack: 5}.broken(true)).To(BeFalse())
+		Expect(verdict{lost: 1}.broken(false)).To(BeTrue())
+		Expect(verdict{stale: 1}.broken(false)).To(BeTrue())
+		Expect(verdict{confirmedLost: 1}.broken(false)).To(BeFalse())
+		Expect(verdict{confirmedLost: 1}.broken(true)).To(BeTrue())
+	})
+
 	It("counts commits that callers were told of, and those that hosts were told of", func() {
 		began := time.Now()
 		after := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
