Take a refused PAUSE or RESUME for one that did not run

Replicas stayed paused for up to 3.5 s, and no commit was acknowledged on one copy meanwhile, after an attempt that ended without a promotion while replicas were overloaded: they refused its RESUMEs as BUSY until its time was up, and the lease was left to expire.

Cause: each RESUME that was sent and not answered counted as one that may be carried out late. PROTOCOL.md: after BUSY there was no run. The lease is released now, and the check for paused replicas, once a second then, resumes them.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -86,7 +86,11 @@
 	c.answered, c.refused, c.sent = false, false, false
 	var backoff retry.Backoff
 	for {
+		mayHaveRun := c.sent
 		err := a.roundTrip(ctx, c, st)
+		if errkind.Of(err) == errkind.DatabaseBusy {
+			c.sent = mayHaveRun // a refused statement has not run
+		}
 		if err == nil {
 			c.answered = true
 			a.s.mu.Lock()
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -247,11 +247,16 @@
 	}
 	a.query(ctx, paused, statement.Statement{Kind: statement.Resume})
 	for _, c := range paused {
-		if c.answered {
+		switch {
+		case c.answered:
 			c.pausedTo = 0
-		} else if c.sent {
+		case c.sent:
 			a.pausing.unanswered = true
 			a.log.Warn("Database did not answer a RESUME, which may be carried out late.", "database", c.db.ID)
+		default:
+			a.s.mu.Lock()
+			a.s.promotion.sawPaused = true // the next check resumes it, if it runs
+			a.s.mu.Unlock()
 		}
 	}
 	a.log.Info("Replicas were resumed.", "fence", a.leaseObject.Version, "replicas", len(paused))
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -64,13 +64,14 @@
 	unaware        bool // the same, and that it is the primary
 	received       []statement.Kind
 	reads          int
-	holdReads      chan struct{} // reads wait until it is closed; nil if reads do not wait
-	loseNextAnswer bool          // the next commit takes effect, but its answer is lost
-	unsigned       bool          // answers carry no signature
-	unpositioned   bool          // answers carry no position
-	commitHook     func()        // called, with the group's lock held, between the next commit and its answer
-	beginHook      func()        // the same for the next Begin
-	refuseNextSet  bool          // the next Set is refused as if the database were overloaded
+	holdReads      chan struct{}  // reads wait until it is closed; nil if reads do not wait
+	loseNextAnswer bool           // the next commit takes effect, but its answer is lost
+	unsigned       bool           // answers carry no signature
+	unpositioned   bool           // answers carry no position
+	commitHook     func()         // called, with the group's lock held, between the next commit and its answer
+	beginHook      func()         // the same for the next Begin
+	busyFor        statement.Kind // statements of this kind are refused as if the database were overloaded; none if 0
+	refuseNextSet  bool           // the next Set is refused as if the database were overloaded
 	resets         int
 }
 
@@ -211,6 +212,9 @@
 // execute runs a statement. The group's mutex is held.
 func (l *link) execute(r statement.Request) (statement.Answer, error) {
 	g, isPrimary := l.db.group, l.db.group.primary == l.db.id
+	if l.db.busyFor != 0 && r.Kind == l.db.busyFor {
+		return l.refuse(errkind.DatabaseBusy)
+	}
 	switch r.Kind {
 	case statement.Begin:
 		if !isPrimary {
