Resume replicas after the first round of voiding an order

Cause: an order for another database that had no answer is waited for in three rounds of PromotionLimit (2 s), and replicas stayed paused through all of them.

Change: once an order that voids has been accepted for PromotionLimit, the replicas are resumed under the renewed lease; the lease stays unsettled for the other rounds, so no commit is acknowledged on one copy. A commit that all replicas hold counts if a round has passed in its own term (Lease.Waited), not if only in an earlier one.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -39,6 +39,13 @@
 	return l.Released && l.Ordered == "" && !l.ByOlderRules() && l.Term <= term
 }
 
+// Waited reports whether all orders that were given before a lease was read take effect
+// beyond PromotionLimit or not at all: it is settled, or a later order was accepted that long ago
+// in the same term.
+func (l Lease) Waited(term uint64) bool {
+	return l.Settled(term) || l.Rounds > 0 && l.Term == term && !l.ByOlderRules()
+}
+
 // PromotionLimit bounds the time from the platform's acceptance of an order to the
 // change of the primary. It is twice the time that a promotion takes. An order whose
 // answer is lost may be accepted until a later one, with a higher fence, has been. One
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -215,6 +215,19 @@
 		Entry("released by a version that states no rules", succession.Lease{Holder: "a", Released: true, Term: 2}, false),
 		Entry("of unknown content", succession.Lease{}, false),
 	)
+
+	DescribeTable("shows that earlier orders were waited for if it is settled, or a round of voiding has passed in the same term",
+		func(l succession.Lease, term uint64, want bool) {
+			l.Rules = succession.Rules
+			Expect(l.Waited(term)).To(Equal(want))
+		},
+		Entry("settled", succession.Lease{Released: true, Term: 2}, uint64(2), true),
+		Entry("settled in an earlier term", succession.Lease{Released: true, Term: 2}, uint64(3), true),
+		Entry("an order pending", succession.Lease{Released: true, Ordered: "a", Term: 2}, uint64(2), false),
+		Entry("a round passed", succession.Lease{Ordered: "a", Unseen: true, Rounds: 1, Term: 2}, uint64(2), true),
+		Entry("a round passed in an earlier term", succession.Lease{Ordered: "a", Unseen: true, Rounds: 1, Term: 2}, uint64(3), false),
+		Entry("a round passed in a later term", succession.Lease{Ordered: "a", Unseen: true, Rounds: 1, Term: 3}, uint64(2), false),
+	)
 })
 
 var _ = Describe("a roster", func() {
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -19,8 +19,8 @@
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given, with a log of any moment since. So a commit is
 // acknowledged to its caller only if no promotion can discard it: every replica of a
-// current list holds it, and the lease has been read as settled in its term, so that no
-// order of an earlier term is under way; or an established replica holds it, and the
+// current list holds it, and the lease has shown in its term that no order of an earlier
+// one is under way; or an established replica holds it, and the
 // lease, read after that replica's report, is settled.
 
 // Timing of acknowledgements.
@@ -48,15 +48,16 @@
 	copies  map[string]*replicaCopy // by database id; an entry is dropped when its database restarts
 	settled position.Position       // commits up to it are protected by a settled lease
 	losses  uint64                  // calls of unsettle
-	// settledTerm is the newest term that was known when the lease was read as settled.
-	settledTerm uint64
-	term        uint64        // the newest term that any replica reported
-	reading     bool          // a read of the lease is running, or was until recently
-	proving     bool          // the same of a query whether a commit's database is still the primary
-	pause       time.Duration // after the last read of the lease
-	outcomes    acknowledgementLog
-	lease       leaseReport // the last read of the lease that showed it settled
-	recent      recentCommits
+	// waitedTerm is the newest term in which the lease showed that orders of earlier terms have
+	// been waited for; see succession.Lease.Waited.
+	waitedTerm uint64
+	term       uint64        // the newest term that any replica reported
+	reading    bool          // a read of the lease is running, or was until recently
+	proving    bool          // the same of a query whether a commit's database is still the primary
+	pause      time.Duration // after the last read of the lease
+	outcomes   acknowledgementLog
+	lease      leaseReport // the last read of the lease that showed it settled
+	recent     recentCommits
 	// unacknowledged are the commits that were confirmed and not acknowledged.
 	unacknowledged recentCommits
 	flushing       bool // lines about them are due
@@ -149,7 +150,7 @@
 		default:
 			ledAfter := s.ledAfter(c, since)
 			if evidence = s.evidence(c); evidence == succession.AllCopies {
-				if r.settledTerm != c.at.Term {
+				if r.waitedTerm != c.at.Term {
 					s.readLease(c)
 					return false
 				}
@@ -234,7 +235,7 @@
 	id := c.pool.db.ID
 	s.mu.Lock()
 	term := s.table.LedTerm(id)
-	if term != 0 && s.replication.settledTerm != term {
+	if term != 0 && s.replication.waitedTerm != term {
 		s.readLease(commit{primary: id, at: position.Position{Term: term}}) // while the commit runs
 	}
 	s.mu.Unlock()
@@ -353,9 +354,6 @@
 		settled := s.leaseSettled(c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
-		if settled {
-			r.settledTerm = max(r.settledTerm, c.at.Term)
-		}
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
 		if settled && losses == r.losses {
 			r.settled, r.pause = position.Max(r.settled, held), leaseReadEvery
@@ -380,6 +378,7 @@
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		s.recordLeaseRead(leaseReport{at: sentAt})
+		s.recordWaited(term)
 		return true // nobody has ever replaced a primary
 	}
 	if err != nil {
@@ -391,6 +390,9 @@
 		s.g.log.Warn("Cannot decode the lease.", "part", "promotion", "service", s.name, "error", err)
 		l = succession.Lease{} // decoding may have set some of the fields
 	}
+	if l.Waited(term) {
+		s.recordWaited(term)
+	}
 	if l.Settled(term) {
 		s.recordLeaseRead(leaseReport{version: object.Version, term: l.Term, at: sentAt})
 		return true
@@ -413,6 +415,12 @@
 	return false
 }
 
+func (s *service) recordWaited(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replication.waitedTerm = max(s.replication.waitedTerm, term)
+}
+
 // queryStatus returns a database's status report, and false if the database cannot be
 // queried.
 func (s *service) queryStatus(p *pool) (statement.Report, bool) {
--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -234,4 +235,31 @@
 		}).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(BeTrue())
 		Expect(confirmed(primary())).To(BeTrue())
 	})
+
+	// The platform states some hundred ms for a promotion. The lease stays unsettled for
+	// longer, so that no commit is acknowledged on one copy.
+	It("leaves replicas paused for PromotionLimit after an order that voids its own, and commits are acknowledged on all copies then", func() {
+		dbs.withLock(func() {
+			dbs.databases["c"].end.Index++ // so that the order for "b" is not given again
+		})
+		value, err := json.Marshal(succession.Lease{Holder: "host-1", Claim: "x", Ordered: "b", Term: 1, Rules: succession.Rules})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.api.Create(context.Background(), kindLeases, testService, value)
+		Expect(err).NotTo(HaveOccurred())
+		got := true
+		during(func(succession.Order) { got = confirmed("a") })
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Unsettled, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		setRunning(true)
+		started := time.Now()
+		a.settle()
+		Expect(got).To(BeFalse())
+		Expect(time.Since(started)).To(BeNumerically(">=", succession.PromotionLimit))
+		Expect(svc.leaseSettled(1)).To(BeFalse())
+		Expect(write()).To(BeTrue())
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		Expect(write()).To(BeFalse())
+		setRunning(false)
+	})
 })
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -226,25 +226,39 @@
 // holds the lease: another one may have paused them since. It reports whether the lease may
 // be released: it is left to expire if a RESUME is not answered.
 func (a *replacement) resume() bool {
-	ctx, cancel := context.WithTimeout(a.s.g.ctx, 2*controlTimeout)
+	paused := a.pausedReplicas()
+	if len(paused) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
+	if err := a.writeLease(ctx, succession.Lease{}); err != nil {
+		a.log.Warn("Replicas stay paused: the lease could not be renewed.", "error", err)
+		return false
+	}
+	return a.resumeReplicas(paused)
+}
+
+// pausedReplicas returns the replicas that may be paused. A promotion ends pauses. A replica
+// that has not joined the primary's term yet, and is paused up to that, would receive from the
+// former one.
+func (a *replacement) pausedReplicas() (out []*controlConn) {
 	newest := a.newestTerm()
-	var paused []*controlConn
 	for _, c := range a.conns {
-		// A promotion ends pauses. A replica that has not joined the primary's term yet, and is
-		// paused up to that, would receive from the former one.
 		if c.pausedTo > newest || c.answered && leftPaused(c.report, newest) {
-			paused = append(paused, c)
+			out = append(out, c)
 		}
 	}
+	return out
+}
+
+// resumeReplicas resumes replicas right after a write of the lease, and reports whether each
+// RESUME that was sent has been answered.
+func (a *replacement) resumeReplicas(paused []*controlConn) bool {
 	if len(paused) == 0 {
 		return true
 	}
-	if err := a.writeLease(ctx, succession.Lease{}); err != nil {
-		a.log.Warn("Replicas stay paused: the lease could not be renewed.", "error", err)
-		return false
-	}
-	a.query(ctx, paused, statement.Statement{Kind: statement.Resume})
+	a.query(a.s.g.ctx, paused, statement.Statement{Kind: statement.Resume})
 	for _, c := range paused {
 		switch {
 		case c.answered:
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -291,7 +291,7 @@
 func (s *service) missingEvidence(c commit, evidence succession.Evidence, replaced bool, answered time.Time) string {
 	s.mu.Lock()
 	proven := !s.table.ProvenAt(c.primary).Before(answered)
-	settledTerm := s.replication.settledTerm
+	waitedTerm := s.replication.waitedTerm
 	s.mu.Unlock()
 	switch {
 	case replaced:
@@ -300,7 +300,7 @@
 		return "the list of databases is not known to be current"
 	case evidence == succession.NoCopy:
 		return "no established replica holds it"
-	case evidence == succession.AllCopies && settledTerm != c.at.Term:
+	case evidence == succession.AllCopies && waitedTerm != c.at.Term:
 		return "the lease has not been settled in its term"
 	case !proven:
 		return "the database has not shown since that it is the primary"
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -59,7 +59,7 @@
 // the pending order if no database reports that it leads the newest known term, if that one is
 // leaving, or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
-	if a.pausing.none = a.orderTookEffect(); !a.pausing.none {
+	if a.pausing.none = a.orderTookEffect() || a.unseen && a.rounds > 0; !a.pausing.none {
 		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.answered && isPaused(c.report) }))
 		a.recordReadLogs()
 	}
@@ -152,6 +152,10 @@
 	defer cancelWrite()
 	if err := a.writeLease(writeCtx, succession.Lease{Ordered: id}); err != nil {
 		a.log.Info("Recording that an order is late failed.", "database", id, "error", err)
+		return
+	}
+	if a.rounds > 0 {
+		a.resumeReplicas(a.pausedReplicas()) // an order takes effect within PromotionLimit, or is beyond what the platform states
 	}
 }
 
