Pause a replica once more if the first PAUSE had no answer

Cause: a PAUSE whose answer is lost takes the whole time of one statement, and one replica without an answer ends the attempt, with RESUMEs for the others. Change: a replica to which the statement was sent, and that is not gone, is asked again. Spec: "first answer to its pause was lost" failed before.

--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -173,6 +173,13 @@
 		Expect(write()).To(BeTrue(), "replicas are left paused")
 	})
 
+	It("is ordered although a replica's first answer to its pause was lost", func() {
+		dbs.withLock(func() { dbs.databases["c"].losePauses = 1 })
+		attempt(succession.Stalled)
+		Expect(primary()).NotTo(Equal("a"))
+		Expect(write()).To(BeTrue(), "replicas are left paused")
+	})
+
 	It("is chosen only among replicas that were all paused", func() {
 		dbs.withLock(func() { dbs.databases["c"].ignoresPause = true })
 		attempt(succession.Stalled)
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -60,11 +60,19 @@
 		return
 	}
 	term := a.pauseTerm()
-	a.query(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: term})
+	st := statement.Statement{Kind: statement.Pause, Term: term}
+	a.query(ctx, replicas, st)
+	var lost []*controlConn // the statement, or its answer: the database may be reachable all the same
 	for _, c := range replicas {
 		if c.sent {
 			c.pausedTo = max(c.pausedTo, term)
 		}
+		if c.sent && !c.answered && !c.refused && !c.former {
+			lost = append(lost, c)
+		}
+	}
+	a.query(ctx, lost, st)
+	for _, c := range replicas {
 		if c.answered && !c.report.Primary && !isPaused(c.report) {
 			c.answered = false // its log may still grow
 		}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -60,6 +60,7 @@
 	notReplicating bool // receives no commits from the primary
 	paused         uint64
 	ignoresPause   bool // it answers PAUSE, and receives on
+	losePauses     int  // so many answers to PAUSE are lost, and come no sooner than the deadline
 	joinsLate      bool // it still reports the term before the last promotion
 	unaware        bool // the same, and that it is the primary
 	received       []statement.Kind
@@ -165,6 +166,14 @@
 		return statement.Answer{}, errStandinTimeout
 	}
 	l.db.received = append(l.db.received, r.Kind)
+	if r.Kind == statement.Pause && l.db.losePauses > 0 {
+		l.db.losePauses--
+		_, err := l.execute(r)
+		g.mu.Unlock()
+		time.Sleep(time.Until(deadline))
+		g.mu.Lock()
+		return statement.Answer{}, errors.Join(err, errStandinTimeout)
+	}
 	return l.execute(r)
 }
 
