Discard what has not left the host of a PAUSE or RESUME that was given up

Replicas could receive commits while an order was under way, or stay paused after an attempt, because of a statement of an attempt that had given it up.

Cause: a control connection without an answer in time was closed, and a closed connection still delivers what its buffers hold, for as long as the system retransmits it, once a cut has ended. Pooled connections are reset for that reason; these are now too. What has left the host already may still be carried out late.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -102,7 +102,7 @@
 			return
 		}
 		if errkind.Of(err) != errkind.DatabaseBusy && c.conn != nil {
-			c.conn.Close()
+			c.conn.Reset() // a PAUSE or RESUME that has not left this host must not be delivered later
 			c.conn = nil
 		}
 		if c.refused = notRunning(err); c.refused || !backoff.Pause(ctx) {
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -84,4 +84,17 @@
 		}).WithTimeout(2 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
 		Expect(write()).To(BeTrue())
 	})
+
+	// A closed connection still delivers what its buffers hold.
+	It("are not ended later by a RESUME whose connection was given up", func() {
+		dbs.withLock(func() {
+			dbs.promoteHook = func(succession.Order) error {
+				dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+				return succession.ErrRefused
+			}
+		})
+		a := attempt(succession.Stalled)
+		Expect(a.pausing.unanswered).To(BeTrue())
+		dbs.withLock(func() { Expect(dbs.databases["c"].resets).To(BeNumerically(">", 0)) })
+	})
 })
