Let an attempt to replace a primary end before a drained host exits

A service could acknowledge no commit, its replicas paused, for seconds after a host was stopped as planned while it replaced or settled: the others had to wait until its lease had expired, 3.5 s.

Cause: draining waited for sessions only, and the end of the process cancels the attempt.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -39,8 +40,9 @@
 // closes idle sessions once no new callers arrive, and rolls back transactions after
 // half of the grace period. exitMargin before the end of the grace period it cancels
 // the statements that are still running, and closes their sessions once they are
-// answered. Drain returns when no session is left, at the latest answerMargin after
-// that, or when ctx ends. The listeners stay open until Close.
+// answered. It lets an attempt to replace a primary end, so that no other host has to wait until
+// the lease has expired. Drain returns when no session and no attempt is left, at the latest
+// answerMargin after that, or when ctx ends. The listeners stay open until Close.
 func (g *Gateway) Drain(ctx context.Context) {
 	clock := g.drainClock
 	started := clock.now()
@@ -49,11 +51,11 @@
 	g.log.Info("Draining the host.", "part", "host", "sessions", g.callers.count(), "grace_ms", g.opt.Grace.Milliseconds())
 	clock.wait(ctx, rotationDelay)
 	end := started.Add(g.opt.Grace - exitMargin)
-	for stage := drainIdle; ctx.Err() == nil && g.callers.count() > 0; clock.wait(ctx, drainPoll) {
+	for stage := drainIdle; ctx.Err() == nil && (g.callers.count() > 0 || g.replacing()); clock.wait(ctx, drainPoll) {
 		now := clock.now()
 		switch {
 		case now.After(end.Add(answerMargin)):
-			g.log.Warn("Sessions did not end in time.", "part", "host", "sessions", g.callers.count())
+			g.log.Warn("Sessions or attempts to replace a primary did not end in time.", "part", "host", "sessions", g.callers.count())
 			return
 		case !now.Before(end):
 			stage = drainAll
@@ -67,3 +69,12 @@
 	}
 	g.log.Info("Draining finished.", "part", "host", "sessions", g.callers.count(), "after_ms", clock.now().Sub(started).Milliseconds())
 }
+
+// replacing reports whether an attempt to replace a primary, or to settle its lease, is running.
+func (g *Gateway) replacing() bool {
+	return slices.ContainsFunc(g.allServices(), func(s *service) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.promotion.running
+	})
+}
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -97,4 +97,27 @@
 		Expect(a.pausing.unanswered).To(BeTrue())
 		dbs.withLock(func() { Expect(dbs.databases["c"].resets).To(BeNumerically(">", 0)) })
 	})
+
+	// The others wait until its lease has expired.
+	It("do not outlast a host that is stopped as planned while its order is under way", func() {
+		dbs := dbs
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				time.AfterFunc(time.Second, func() { _ = dbs.applyOrder(o) })
+				return nil
+			}
+		})
+		g.opt.Grace = 10 * time.Second
+		svc.mu.Lock()
+		svc.startAttempt(svc.newReplacement(succession.Stalled, position.Position{}, time.Now()), (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(paused).Should(Equal(2))
+		g.drainClock.wait = func(ctx context.Context, d time.Duration) bool {
+			time.Sleep(min(d, 50*time.Millisecond)) // the delay of the rotation is not the point
+			return ctx.Err() == nil
+		}
+		g.Drain(context.Background())
+		g.Close()
+		Expect(storedLease().Settled(2)).To(BeTrue())
+	})
 })
