Spec of a commit that is lost after a late RESUME

Callers can lose an acknowledged commit: a RESUME that an earlier attempt sent reaches all replicas after a later one has paused them and ordered a promotion; until they are paused again (60 ms or less) a commit that all hold is acknowledged, and the successor leads with its log of the call.

Cause: all copies need the lease read as settled once a term and host; an order of the same term after that is held off by the pauses only, and a RESUME carries no fence. It takes a RESUME that is over 3.5 s late: the lease is left to expire if one is not answered, a database drops a dark connection after 3 s, and the sender's own deadline is 0.8 s. Not fixed: a read of the lease after the copies, as for one copy, ends it, and costs one read for each commit or batch of commits.

The comment on pauses said that a late one alone loses nothing.

--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -18,7 +18,9 @@
 // until the order has taken effect, or can take effect no more.
 //
 // Neither PAUSE nor RESUME carries a fence, so either may be carried out late. The evidence
-// for a commit (see acknowledge.go) does not rest on pauses: a late one alone loses nothing.
+// of all copies (see acknowledge.go) rests on pauses for orders of the commit's own term: a
+// RESUME that all replicas carry out after a later attempt has paused them, before its order
+// takes effect, loses what is acknowledged in between. keepPaused pauses them again.
 
 // Timing of pauses.
 const (
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -59,6 +59,33 @@
 		return n
 	}
 
+	// A host that has renewed its lease to resume them may stand still until another one has
+	// paused them again and ordered a promotion; so may its RESUMEs on their way. That the lease
+	// was settled in the term shows nothing of orders that were given in it since.
+	It("do not let a commit be lost that all replicas received after a late RESUME", func() {
+		Expect(write()).To(BeTrue(), "the lease has been read as settled")
+		acknowledged, last := false, position.Position{}
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				dbs.withLock(func() {
+					for _, db := range dbs.databases {
+						db.paused = 0
+					}
+				})
+				acknowledged = write()
+				dbs.withLock(func() { last = dbs.databases["a"].end })
+				return dbs.applyOrder(o)
+			}
+		})
+		attempt(succession.Stalled)
+		dbs.withLock(func() {
+			Expect(dbs.primary).NotTo(Equal("a"))
+			if acknowledged {
+				Expect(dbs.databases[dbs.primary].end.Index).To(BeNumerically(">=", last.Index), "lost")
+			}
+		})
+	})
+
 	// A refusal shows that the RESUME is not carried out late.
 	It("do not keep the lease held because an overloaded replica refused a RESUME", func() {
 		dbs.withLock(func() {
