--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -51,7 +51,7 @@
 	paused := func() (n int) {
 		dbs.withLock(func() {
 			for _, db := range dbs.databases {
-				if db.paused != 0 {
+				if db.paused > dbs.term {
 					n++
 				}
 			}
@@ -59,6 +59,33 @@
 		return n
 	}
 
+	// A host that has renewed its lease to resume them may stand still until another one has
+	// paused them again and ordered a promotion; so may its RESUMEs on their way. That the lease
+	// was settled in the term shows nothing of orders that were given in it since.
+	It("do not let a commit be lost that all replicas received after a late RESUME", func() {
+		Expect(write()).To(BeTrue(), "the lease has been read as settled")
+		acknowledged, last := false, position.Position{}
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				dbs.withLock(func() {
+					for _, db := range dbs.databases {
+						db.paused = 0
+					}
+				})
+				acknowledged = write()
+				dbs.withLock(func() { last = dbs.databases["a"].end })
+				return dbs.applyOrder(o)
+			}
+		})
+		attempt(succession.Stalled)
+		dbs.withLock(func() {
+			Expect(dbs.primary).NotTo(Equal("a"))
+			if acknowledged {
+				Expect(dbs.databases[dbs.primary].end.Index).To(BeNumerically(">=", last.Index), "lost")
+			}
+		})
+	})
+
 	// A refusal shows that the RESUME is not carried out late.
 	It("do not keep the lease held because an overloaded replica refused a RESUME", func() {
 		dbs.withLock(func() {
@@ -84,4 +111,82 @@
 		}).WithTimeout(2 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
 		Expect(write()).To(BeTrue())
 	})
+
+	// A closed connection still delivers what its buffers hold.
+	It("are not ended later by a RESUME whose connection was given up", func() {
+		dbs.withLock(func() {
+			dbs.promoteHook = func(succession.Order) error {
+				dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
+				return succession.ErrRefused
+			}
+		})
+		a := attempt(succession.Stalled)
+		Expect(a.pausing.unanswered).To(BeTrue())
+		dbs.withLock(func() { Expect(dbs.databases["c"].resets).To(BeNumerically(">", 0)) })
+	})
+
+	// The others wait until its lease has expired.
+	It("do not outlast a host that is stopped as planned while its order is under way", func() {
+		dbs := dbs
+		dbs.withLock(func() {
+			dbs.promoteHook = func(o succession.Order) error {
+				time.AfterFunc(time.Second, func() { _ = dbs.applyOrder(o) })
+				return nil
+			}
+		})
+		g.opt.Grace = 10 * time.Second
+		svc.mu.Lock()
+		svc.startAttempt(svc.newReplacement(succession.Stalled, position.Position{}, time.Now()), (*replacement).run)
+		svc.mu.Unlock()
+		Eventually(paused).Should(Equal(2))
+		g.drainClock.wait = func(ctx context.Context, d time.Duration) bool {
+			time.Sleep(min(d, 50*time.Millisecond)) // the delay of the rotation is not the point
+			return ctx.Err() == nil
+		}
+		g.Drain(context.Background())
+		g.Close()
+		Expect(storedLease().Settled(2)).To(BeTrue())
+	})
+
+	DescribeTable("do not keep commits of a service that is promoted four times from being acknowledged, or lose one",
+		func(hook func(n int, o succession.Order) error) {
+			n := 0
+			dbs.withLock(func() {
+				dbs.promoteHook = func(o succession.Order) error {
+					n++
+					return hook(n, o)
+				}
+			})
+			last := position.Position{}
+			for range 4 {
+				before := ""
+				dbs.withLock(func() { before = dbs.primary })
+				Eventually(func() string {
+					attempt(succession.Stalled)
+					id := ""
+					dbs.withLock(func() { id = dbs.primary })
+					return id
+				}).WithTimeout(12 * time.Second).ShouldNot(Equal(before))
+				dbs.withLock(func() { Expect(dbs.databases[dbs.primary].end.Index).To(BeNumerically(">=", last.Index), "lost") })
+				Eventually(func() bool {
+					svc.maybeReplacePrimary(time.Now())
+					return write()
+				}).WithTimeout(12 * time.Second).Should(BeTrue())
+				dbs.withLock(func() { last = dbs.databases[dbs.primary].end })
+			}
+			Expect(paused()).To(BeZero())
+		},
+		Entry("by orders that are answered", func(_ int, o succession.Order) error { return dbs.applyOrder(o) }),
+		Entry("by orders every second of which has no answer", func(n int, o succession.Order) error {
+			err := dbs.applyOrder(o)
+			if n%2 == 0 {
+				return errStandinTimeout
+			}
+			return err
+		}),
+		Entry("by orders whose effect is late", func(_ int, o succession.Order) error {
+			time.AfterFunc(700*time.Millisecond, func() { _ = dbs.applyOrder(o) })
+			return nil
+		}),
+	)
 })
