--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -54,6 +54,7 @@
 		dbs.withLock(func() { n = len(dbs.orders) })
 		return n
 	}
+	const unanswered = `{"holder":"host-1","claim":"x","ordered":"c","term":1,"rules":1}`
 	attempt := func(reason succession.Reason) {
 		svc.mu.Lock()
 		a := svc.newReplacement(reason, position.Position{}, time.Now())
@@ -218,6 +219,26 @@
 		Expect(acked).To(BeFalse())
 	})
 
+	DescribeTable("decides whether a pending order is given again",
+		func(lease string, prepare func(), acked uint64, want string) {
+			storeLease(lease)
+			dbs.withLock(prepare)
+			svc.mu.Lock()
+			a := svc.newReplacement(succession.Unsettled, position.Position{Term: 1, Index: acked}, time.Now())
+			svc.mu.Unlock()
+			a.settle()
+			dbs.withLock(func() { Expect(dbs.orders).To(HaveExactElements(HaveField("Database", want))) })
+		},
+		Entry("if nothing is lost", unanswered, func() {}, uint64(10), "c"),
+		Entry("unless a replica does not answer", unanswered, func() { dbs.databases["b"].unresponsive = true }, uint64(10), "a"),
+		Entry("unless another replica holds more", unanswered, func() { dbs.databases["b"].end.Index = 11 }, uint64(10), "a"),
+		Entry("unless more has been acknowledged", unanswered, func() {}, uint64(11), "a"),
+		Entry("unless its database does not answer", unanswered, func() { dbs.databases["c"].unresponsive = true }, uint64(10), "a"),
+		Entry("unless another order is pending", `{"holder":"host-1","claim":"x","ordered":"c","unseen":true,"term":1,"rules":1}`, func() {}, uint64(10), "a"),
+		Entry("if it was accepted, though another replica holds more", `{"holder":"host-1","claim":"x","ordered":"c","accepted":true,"term":1,"rules":1}`,
+			func() { dbs.databases["b"].end.Index = 11 }, uint64(11), "c"),
+	)
+
 	It("does not show that an order without an answer was not accepted if it is not given again", func() {
 		storeLease(`{"holder":"host-1","claim":"x","released":true,"ordered":"c","term":1,"rules":1}`)
 		dbs.withLock(func() {
