--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -165,7 +165,7 @@
 // serves; but what it has committed since is confirmed by none.
 func (a *replacement) allPaused() bool {
 	answered := slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return !c.answered })
-	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !isPaused(c.report) })
+	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !leftPaused(c.report, a.newestTerm()) })
 }
 
 // leavingFor reports whether hosts have known for d that the primary is leaving.
@@ -226,32 +226,50 @@
 // holds the lease: another one may have paused them since. It reports whether the lease may
 // be released: it is left to expire if a RESUME is not answered.
 func (a *replacement) resume() bool {
-	ctx, cancel := context.WithTimeout(a.s.g.ctx, 2*controlTimeout)
+	paused := a.pausedReplicas()
+	if len(paused) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
 	defer cancel()
+	if err := a.writeLease(ctx, succession.Lease{}); err != nil {
+		a.log.Warn("Replicas stay paused: the lease could not be renewed.", "error", err)
+		return false
+	}
+	return a.resumeReplicas(paused)
+}
+
+// pausedReplicas returns the replicas that may be paused. A promotion ends pauses. A replica
+// that has not joined the primary's term yet, and is paused up to that, would receive from the
+// former one.
+func (a *replacement) pausedReplicas() (out []*controlConn) {
 	newest := a.newestTerm()
-	var paused []*controlConn
 	for _, c := range a.conns {
-		// A promotion ends pauses. A replica that has not joined the primary's term yet would
-		// receive from the former one.
-		joining := c.answered && c.report.Term < newest
-		if !joining && (c.pausedTo > newest || c.answered && isPaused(c.report)) {
-			paused = append(paused, c)
+		if c.pausedTo > newest || c.answered && leftPaused(c.report, newest) {
+			out = append(out, c)
 		}
 	}
+	return out
+}
+
+// resumeReplicas resumes replicas right after a write of the lease, and reports whether each
+// RESUME that was sent has been answered.
+func (a *replacement) resumeReplicas(paused []*controlConn) bool {
 	if len(paused) == 0 {
 		return true
 	}
-	if err := a.writeLease(ctx, succession.Lease{}); err != nil {
-		a.log.Warn("Replicas stay paused: the lease could not be renewed.", "error", err)
-		return false
-	}
-	a.query(ctx, paused, statement.Statement{Kind: statement.Resume})
+	a.query(a.s.g.ctx, paused, statement.Statement{Kind: statement.Resume})
 	for _, c := range paused {
-		if c.answered {
+		switch {
+		case c.answered:
 			c.pausedTo = 0
-		} else if c.sent {
+		case c.sent:
 			a.pausing.unanswered = true
 			a.log.Warn("Database did not answer a RESUME, which may be carried out late.", "database", c.db.ID)
+		default:
+			a.s.mu.Lock()
+			a.s.promotion.sawPaused = true // the next check resumes it, if it runs
+			a.s.mu.Unlock()
 		}
 	}
 	a.log.Info("Replicas were resumed.", "fence", a.leaseObject.Version, "replicas", len(paused))
@@ -304,8 +322,18 @@
 		all.Go(func() { reports[i], _ = s.queryStatus(p) }) // one that cannot be queried is checked the next time
 	}
 	all.Wait()
-	return slices.ContainsFunc(reports, isPaused)
+	s.mu.Lock()
+	newest := max(s.table.Term(), s.replication.term)
+	s.mu.Unlock()
+	for _, r := range reports {
+		newest = max(newest, r.Term)
+	}
+	return slices.ContainsFunc(reports, func(r statement.Report) bool { return leftPaused(r, newest) })
 }
 
+// leftPaused reports whether a replica receives nothing from the primary of the newest term
+// either, which it may not have joined yet.
+func leftPaused(r statement.Report, newest uint64) bool { return !r.Primary && r.Paused > newest }
+
 // isPaused reports whether a replica receives nothing from the primary of its term.
 func isPaused(r statement.Report) bool { return !r.Primary && r.Paused > r.Term }
--- a/gateway/recentcommits.go
+++ b/gateway/recentcommits.go
@@ -26,7 +26,7 @@
 	// maxCommitLinesAtStop bounds the lines of all services when the host stops.
 	maxCommitLinesAtStop = 400
 	// maxUnacknowledgedLines bounds the lines for one service in unacknowledgedDelay about
-	// commits that were not acknowledged, beside those within the limit of failed requests.
+	// commits that were not acknowledged, beside those within the limit of unknown outcomes.
 	maxUnacknowledgedLines = 100
 	unacknowledgedDelay    = 2 * time.Second
 	// commitLinesAtOnce is written before a pause of commitLinesPause: the queue of the
@@ -291,7 +291,7 @@
 func (s *service) missingEvidence(c commit, evidence succession.Evidence, replaced bool, answered time.Time) string {
 	s.mu.Lock()
 	proven := !s.table.ProvenAt(c.primary).Before(answered)
-	settledTerm := s.replication.settledTerm
+	waitedTerm := s.replication.waitedTerm
 	s.mu.Unlock()
 	switch {
 	case replaced:
@@ -300,7 +300,7 @@
 		return "the list of databases is not known to be current"
 	case evidence == succession.NoCopy:
 		return "no established replica holds it"
-	case evidence == succession.AllCopies && settledTerm != c.at.Term:
+	case evidence == succession.AllCopies && waitedTerm != c.at.Term:
 		return "the lease has not been settled in its term"
 	case !proven:
 		return "the database has not shown since that it is the primary"
@@ -312,7 +312,7 @@
 // acknowledged: at once, or a little later if too many requests have failed within the
 // second. since is when the primary's confirmation arrived.
 func (s *service) logUnacknowledged(c commit, reason string, since time.Time) {
-	allowed := s.g.requestLog.allow(true)
+	allowed := s.g.requestLog.allow(unknownOutcome)
 	s.mu.Lock()
 	r := &s.replication
 	e := r.unacknowledged.slot()
