Read the lease again before counting all copies after a pause was seen

Callers can lose an acknowledged commit: RESUMEs of an earlier attempt reach all replicas after a later one has paused them and ordered a promotion.

Cause: all copies rested on a lease that was read once a term and host, however many orders followed in that term.

Change: a host that pauses replicas, or sees one paused in a report, reads the lease again first. It costs one read for each pause that is seen.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -51,6 +51,7 @@
 	// waitedTerm is the newest term in which the lease showed that orders of earlier terms have
 	// been waited for; see succession.Lease.Waited.
 	waitedTerm uint64
+	pauses     uint64        // reports of paused replicas, and pauses by this host
 	term       uint64        // the newest term that any replica reported
 	reading    bool          // a read of the lease is running, or was until recently
 	proving    bool          // the same of a query whether a commit's database is still the primary
@@ -311,6 +312,9 @@
 	if ok {
 		held.at = sentAt
 		s.replication.term = max(s.replication.term, report.Term)
+		if isPaused(report) {
+			s.replication.recordPause()
+		}
 		s.promotion.sawPaused = s.promotion.sawPaused || leftPaused(report, max(s.replication.term, s.table.Term()))
 		s.observePrimary(fromReplica, position.Position{})
 		held.Copy = succession.Copy{Answered: true, Primary: report.Primary, Term: report.Term, Received: report.Received}
@@ -375,10 +379,13 @@
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
 	sentAt := s.g.now()
+	s.mu.Lock()
+	pauses := s.replication.pauses
+	s.mu.Unlock()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		s.recordLeaseRead(leaseReport{at: sentAt})
-		s.recordWaited(term)
+		s.recordWaited(term, pauses)
 		return true // nobody has ever replaced a primary
 	}
 	if err != nil {
@@ -391,7 +398,7 @@
 		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Waited(term) {
-		s.recordWaited(term)
+		s.recordWaited(term, pauses)
 	}
 	if l.Settled(term) {
 		s.recordLeaseRead(leaseReport{version: object.Version, term: l.Term, at: sentAt})
@@ -415,10 +422,23 @@
 	return false
 }
 
-func (s *service) recordWaited(term uint64) {
+// recordWaited records that the lease has shown orders of earlier terms to be waited for, unless
+// replicas were paused since its read began.
+func (s *service) recordWaited(term, pauses uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replication.waitedTerm = max(s.replication.waitedTerm, term)
+	if s.replication.pauses == pauses {
+		s.replication.waitedTerm = max(s.replication.waitedTerm, term)
+	}
+}
+
+// recordPause records that replicas are paused for an order. Until the lease has been read
+// again, commits that all replicas hold do not count: a RESUME of an earlier attempt may have been
+// carried out late, and the order may take effect with its log of the call. service.mu is
+// held.
+func (r *replication) recordPause() {
+	r.waitedTerm = 0
+	r.pauses++
 }
 
 // queryStatus returns a database's status report, and false if the database cannot be
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -62,6 +62,9 @@
 		return
 	}
 	term := a.pauseTerm()
+	a.s.mu.Lock()
+	a.s.replication.recordPause()
+	a.s.mu.Unlock()
 	a.query(ctx, replicas, statement.Statement{Kind: statement.Pause, Term: term})
 	for _, c := range replicas {
 		if c.sent {
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -62,17 +62,20 @@
 	// A host that has renewed its lease to resume them may stand still until another one has
 	// paused them again and ordered a promotion; so may its RESUMEs on their way. That the lease
 	// was settled in the term shows nothing of orders that were given in it since.
-	It("do not let a commit be lost that all replicas received after a late RESUME", func() {
-		Expect(write()).To(BeTrue(), "the lease has been read as settled")
+	lateResume := func(beforeIt func(*Gateway), by func() *Gateway) {
+		host := by()
+		send := func() bool { return newTestSession(host, "own").serve(request(statement.Write)).Err == nil }
+		Expect(send()).To(BeTrue(), "the lease has been read as settled")
 		acknowledged, last := false, position.Position{}
 		dbs.withLock(func() {
 			dbs.promoteHook = func(o succession.Order) error {
+				beforeIt(host)
 				dbs.withLock(func() {
 					for _, db := range dbs.databases {
 						db.paused = 0
 					}
 				})
-				acknowledged = write()
+				acknowledged = send()
 				dbs.withLock(func() { last = dbs.databases["a"].end })
 				return dbs.applyOrder(o)
 			}
@@ -84,6 +87,29 @@
 				Expect(dbs.databases[dbs.primary].end.Index).To(BeNumerically(">=", last.Index), "lost")
 			}
 		})
+	}
+	another := func() *Gateway {
+		other := newTestGateway(p)
+		other.service(testService).recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		return other
+	}
+	none := func(*Gateway) {}
+
+	It("do not let a commit be lost that all replicas received after a late RESUME, by the host that has paused them", func() {
+		lateResume(none, func() *Gateway { return g })
+	})
+
+	It("do not let a commit be lost that all replicas received after a late RESUME, by a host that has seen the pause", func() {
+		lateResume(func(host *Gateway) {
+			s := host.service(testService)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			Expect(s.acknowledge(ctx, commit{primary: "a", at: position.Position{Term: 1, Index: 12}, term: 1})).NotTo(Succeed())
+		}, another)
+	})
+
+	It("do not let a commit be lost that all replicas received after a late RESUME, by a host that has not seen the pause", func() {
+		lateResume(none, another)
 	})
 
 	// A refusal shows that the RESUME is not carried out late.
