Give a pending order again only after reading the lists of databases

Callers could lose acknowledged commits: a host that settles a lease gave a pending order, which the platform may never have accepted, again though a replica with a longer log ran that this host had not heard of.

It reads both now, for 1 s at most, and gives the order again only if it has; otherwise it orders the present primary, which needs no lists.

Spec: 'given again while the store lists a replica' failed before. Specs of pauses, settling and late orders pass.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -173,6 +173,7 @@
 	leaseObject objectapi.Object // the lease as last read or written
 	roster      succession.Roster
 	storeList   []routes.Database // of the service, as listed by the store under the lease
+	listsRead   bool              // storeList and roster were read under the lease
 	leaseTerm   uint64            // the newest term that the lease recorded when it was acquired
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
@@ -221,6 +222,7 @@
 		a.giveUp(ctx)
 		return
 	}
+	a.listsRead = true
 	if a.olderLease {
 		a.leaseTerm = max(a.leaseTerm, a.roster.Term)
 	}
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -189,4 +190,29 @@
 			return nil
 		}),
 	)
+
+	// Other hosts have acknowledged commits that it holds and the ordered one lacks.
+	It("do not end by an order given again while the store lists a replica with a longer log that this host has not heard of", func() {
+		g.platform = listingPlatform{p}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			value, err := json.Marshal(routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = p.api.Create(context.Background(), p.DatabasesKind(), id, value)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-1","claim":"x","released":true,"ordered":"b","term":1,"rules":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		dbs.withLock(func() {
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 12}}
+		})
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Unsettled, position.Position{}, time.Now())
+		svc.promotion.running = true
+		svc.mu.Unlock()
+		a.settle()
+		dbs.withLock(func() {
+			Expect(dbs.orders).NotTo(BeEmpty())
+			Expect(dbs.orders).NotTo(ContainElement(HaveField("Database", "b")))
+		})
+	})
 })
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -34,10 +34,34 @@
 	}
 	a.log.Info("Lease acquired to settle it.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
+	if a.pending {
+		if err := a.readDatabases(ctx); err != nil {
+			a.log.Info("Reading the lists of databases failed.", "error", err)
+		}
+	}
 	a.query(ctx, a.addNewDatabases(), statement.Statement{Kind: statement.Status})
 	a.giveUp(ctx)
 }
 
+// settleListTimeout bounds the reads of the lists of databases before an order is voided, for
+// which they are not needed.
+const settleListTimeout = time.Second
+
+// readDatabases reads the store's list and the record of the databases. If that fails, the
+// attempt uses the databases that this host knows.
+func (a *replacement) readDatabases(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleListTimeout)
+	defer cancel()
+	if err := a.readStoreList(ctx); err != nil {
+		return err
+	}
+	_, roster, err := a.s.readRoster(ctx)
+	if err == nil {
+		a.roster, a.listsRead = roster, true
+	}
+	return err
+}
+
 // giveUp ends an attempt without a successor. The lease is settled only once no
 // earlier order can still take effect. While the primary is leaving, earlier orders are
 // not voided, since one of them may replace it.
@@ -87,7 +111,8 @@
 }
 
 // mayRepeat reports whether the database of a pending order still is one to promote. If the
-// order may not have been accepted, it must hold what every replica holds: a database that was
+// order may not have been accepted, it must hold what every replica of the store's list and the
+// record holds: a database that was
 // missing from the hosts' lists for a while may lack commits that were acknowledged without it.
 func (a *replacement) mayRepeat(c *controlConn) bool {
 	holds := func(at position.Position) bool {
@@ -100,7 +125,7 @@
 		return true
 	}
 	candidates := a.candidates()
-	return succession.AllRead(candidates) && holds(a.acked) &&
+	return a.listsRead && succession.AllRead(candidates) && holds(a.acked) &&
 		!slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && !holds(o.Received) })
 }
 
