Specs of pauses that no spec needed

Left out one at a time, nothing failed without: the pauses in the new term while an earlier order may take effect; the conditions that no other order is pending, and that the recorded order is older than the term, for settling without pauses. Each turns an entry red now.

--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -215,4 +215,56 @@
 			Expect(dbs.orders).NotTo(ContainElement(HaveField("Database", "b")))
 		})
 	})
+
+	DescribeTable("are not left out when a lease is settled although its database has led for long",
+		func(lease string) {
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(lease))
+			Expect(err).NotTo(HaveOccurred())
+			dbs.withLock(func() {
+				dbs.term = 2
+				for _, db := range dbs.databases {
+					db.end.Term = 2
+				}
+			})
+			g.ago(succession.PromotionLimit+time.Second, func() { svc.recordPrimary("a", position.Position{Term: 2, Index: 10}, g.now()) })
+			during := 0
+			dbs.withLock(func() {
+				dbs.promoteHook = func(o succession.Order) error {
+					during = max(during, paused())
+					return dbs.applyOrder(o)
+				}
+			})
+			svc.mu.Lock()
+			a := svc.newReplacement(succession.Unsettled, position.Position{}, time.Now())
+			svc.promotion.running = true
+			svc.mu.Unlock()
+			a.settle()
+			Expect(during).To(Equal(2))
+		},
+		Entry("if an order for another one may be pending too", `{"holder":"host-1","claim":"x","ordered":"a","unseen":true,"term":1,"rules":1}`),
+		Entry("if the order was given in the term that it leads", `{"holder":"host-1","claim":"x","ordered":"a","term":2,"rules":1}`),
+		Entry("if the order is for another one", `{"holder":"host-1","claim":"x","ordered":"z","term":1,"rules":1}`),
+	)
+
+	It("go on in the new term while an earlier order for another database may take effect", func() {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-1","claim":"x","ordered":"z","term":1,"rules":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			attempt(succession.Stalled)
+		}()
+		Eventually(func() uint64 {
+			least := uint64(0)
+			dbs.withLock(func() {
+				for id, db := range dbs.databases {
+					if id != dbs.primary && dbs.term == 2 && (least == 0 || db.paused < least) {
+						least = db.paused
+					}
+				}
+			})
+			return least
+		}).WithTimeout(1500 * time.Millisecond).WithPolling(5 * time.Millisecond).Should(Equal(uint64(3)))
+		Eventually(done).WithTimeout(6 * time.Second).Should(BeClosed())
+	})
 })
