Specs of the evidence for commits of prepared statements

The stand-in ran every EXECUTE as a read, so no spec showed that a commit that a prepared WRITE has made is acknowledged on evidence only. It runs one that was prepared to write as a write now. Four entries: on its own and in a transaction, on this host and forwarded. Red if writes() leaves out EXECUTE, or if a Job leaves out FormWrites.

--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -267,4 +267,51 @@
 		}).WithTimeout(1500 * time.Millisecond).WithPolling(5 * time.Millisecond).Should(Equal(uint64(3)))
 		Eventually(done).WithTimeout(6 * time.Second).Should(BeClosed())
 	})
+
+	// A replica lacks the commit, and the lease is held.
+	DescribeTable("keep a commit from being acknowledged that a prepared statement has written",
+		func(forwarded, inTransaction bool) {
+			_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","rules":1}`))
+			Expect(err).NotTo(HaveOccurred())
+			dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+			var st statement.Request
+			sess := newTestSession(g, "own")
+			prepare := request(statement.Prepare, "w")
+			prepare.Writes, prepare.Shape = true, "q1"
+			Expect(sess.serve(prepare).Err).To(BeNil())
+			jobs := &jobStream{g: g, runner: newLocal(g), ended: true}
+			run := func(kind statement.Kind) error {
+				st = request(kind, "w", "1")
+				if !forwarded {
+					if a := sess.serve(st); a.Err != nil {
+						return a.Err
+					}
+					return nil
+				}
+				op, err := sess.newOperation(st)
+				Expect(err).NotTo(HaveOccurred())
+				op.inTransaction, op.began = inTransaction, op.arrived
+				transaction := uint64(0)
+				if inTransaction {
+					transaction = 1
+				}
+				_, err = op.applyResult(jobs.run(context.Background(), op.job(g.now(), transaction)))
+				return err
+			}
+			if !inTransaction {
+				Expect(run(statement.Execute)).To(HaveOccurred())
+			} else {
+				if !forwarded {
+					Expect(run(statement.Begin)).To(Succeed())
+				}
+				Expect(run(statement.Execute)).To(Succeed())
+				Expect(run(statement.Commit)).To(HaveOccurred())
+			}
+			dbs.withLock(func() { Expect(dbs.ran).NotTo(BeEmpty(), "the commit took effect") })
+		},
+		Entry("on its own", false, false),
+		Entry("in a transaction", false, true),
+		Entry("on its own on the home host", true, false),
+		Entry("in a transaction on the home host", true, true),
+	)
 })
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -88,6 +88,7 @@
 	db       *standin
 	values   map[string]string // of Set statements, by name
 	shapes   map[string]string // of prepared statements, by name
+	writers  map[string]bool   // prepared statements that write, by name
 	open     bool              // a transaction is open
 	readOnly bool              // the open transaction is read-only
 	wrote    []string          // ids of the writes of the open transaction
@@ -105,7 +106,7 @@
 	if db.unresponsive {
 		return nil, errors.New("no route to host")
 	}
-	return &link{db: db, values: map[string]string{}, shapes: map[string]string{}, closed: make(chan struct{})}, nil
+	return &link{db: db, values: map[string]string{}, shapes: map[string]string{}, writers: map[string]bool{}, closed: make(chan struct{})}, nil
 }
 
 func (l *link) Close() error { l.once.Do(func() { close(l.closed) }); return nil }
@@ -239,10 +240,13 @@
 		}
 		l.values[r.Name] = r.Args
 	case statement.Reset:
-		l.values, l.shapes = map[string]string{}, map[string]string{}
+		l.values, l.shapes, l.writers = map[string]string{}, map[string]string{}, map[string]bool{}
 	case statement.Prepare:
-		l.shapes[r.Name] = r.Shape
+		l.shapes[r.Name], l.writers[r.Name] = r.Shape, r.Writes
 	case statement.Read, statement.Execute:
+		if r.Kind == statement.Execute && l.writers[r.Name] {
+			return l.write(r, isPrimary)
+		}
 		return l.read(r, isPrimary)
 	case statement.Write:
 		return l.write(r, isPrimary)
