--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -7,8 +7,8 @@
 // takes the lease, then reads the end of each log, and chooses the replica with the
 // longest one. Before that it pauses the replicas, until its order has taken effect: it is
 // not known as of when a promoted database leads with what it had received. The evidence
-// does not rest on that, since a pause carries no fence: neither a late order for a database
-// nor a late end of a pause alone loses an acknowledged commit.
+// of one replica does not rest on that. That of all replicas does, for orders of the commit's
+// term, although a pause carries no fence: the late end of one can lose an acknowledged commit.
 // A replica whose log end cannot be read may hold the only copy of
 // an acknowledged commit. A successor may be chosen without it only if all of these
 // apply:
