Decide in one place which logs lack a position and which replicas may run unread

The plans of the rig drew times and ended in the same lines, three and two times, and two spec files had the same attempt.

Change: Candidate.Lacks and Candidate.UnreadMayRun serve both packages; millisecondsOf and withHostSteps the plans; runAttempt the specs. Decisions, draws and assertions are as before.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -20,6 +20,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/position"
@@ -132,13 +133,13 @@
 // primary has ended, the logs grow no more, and the longest one holds the others.
 func Choose(all []Candidate, acked, floor position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
-	if !ok || unreadMayBeAlive(all) || !best.Established && hasEstablished(all) {
+	if !ok || slices.ContainsFunc(all, Candidate.UnreadMayRun) || !best.Established && hasEstablished(all) {
 		return Candidate{}, false
 	}
 	if !primaryGone && !best.Known && (hasKnown(all) || isJunior(best, all)) {
 		return Candidate{}, false
 	}
-	if (lacks(best, acked) || lacks(best, floor)) && (!AllRead(all) || !primaryGone) {
+	if (best.Lacks(acked) || best.Lacks(floor)) && (!AllRead(all) || !primaryGone) {
 		return Candidate{}, false
 	}
 	return best, true
@@ -168,13 +169,16 @@
 	return false
 }
 
-// lacks reports whether a candidate's log ends before a position that was reached in
+// Lacks reports whether a candidate's log ends before a position that was reached in
 // the same or an earlier term. The log of a replica that has joined a newer term, and
 // does not hold all of the earlier ones yet, is shorter.
-func lacks(c Candidate, at position.Position) bool {
+func (c Candidate) Lacks(at position.Position) bool {
 	return c.Received.Before(at) || c.Received.Index < at.Index
 }
 
+// UnreadMayRun reports whether a candidate's log end is unknown and it may still be running.
+func (c Candidate) UnreadMayRun() bool { return !c.Answered && (c.Listed || c.CutOff) }
+
 // Senior returns the established candidate that hosts have had the longest time to
 // learn of, one that is not leaving if there is any.
 func Senior(all []Candidate) (senior Candidate, ok bool) {
@@ -238,17 +242,6 @@
 	return true
 }
 
-// unreadMayBeAlive reports whether any replica whose log end is unknown may still
-// be running.
-func unreadMayBeAlive(all []Candidate) bool {
-	for _, c := range all {
-		if !c.Answered && (c.Listed || c.CutOff) {
-			return true
-		}
-	}
-	return false
-}
-
 // better reports whether a is preferred to b: the longer log first, then an
 // established database, then the more senior one.
 func better(a, b Candidate) bool {
--- a/gateway/growing_log_test.go
+++ b/gateway/growing_log_test.go
@@ -38,15 +38,7 @@
 		svc.promotion.running = running
 		svc.mu.Unlock()
 	}
-	attempt := func(reason succession.Reason) *replacement {
-		svc.mu.Lock()
-		a := svc.newReplacement(reason, position.Position{}, time.Now())
-		svc.mu.Unlock()
-		setRunning(true)
-		defer setRunning(false)
-		a.run()
-		return a
-	}
+	attempt := func(reason succession.Reason) *replacement { return runAttempt(svc, reason) }
 	write := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
 	// confirmed writes to a database and reports whether a replica confirmed it.
 	confirmed := func(id string) bool {
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -154,7 +154,7 @@
 // unread returns a replica that may run and has not answered the last query, such as a Pause.
 func (a *replacement) unread() (id string, ok bool) {
 	for _, c := range a.candidates() {
-		if !c.Answered && (c.Listed || c.CutOff) {
+		if c.UnreadMayRun() {
 			return c.ID, true
 		}
 	}
--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -31,17 +31,7 @@
 		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
 	})
 
-	attempt := func(reason succession.Reason) *replacement {
-		svc.mu.Lock()
-		a := svc.newReplacement(reason, position.Position{}, time.Now())
-		svc.promotion.running = true
-		svc.mu.Unlock()
-		a.run()
-		svc.mu.Lock()
-		svc.promotion.running = false
-		svc.mu.Unlock()
-		return a
-	}
+	attempt := func(reason succession.Reason) *replacement { return runAttempt(svc, reason) }
 	write := func() bool { return newTestSession(g, "own").serve(request(statement.Write)).Err == nil }
 	storedLease := func() (l succession.Lease) {
 		held, err := p.api.Get(context.Background(), kindLeases, testService)
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -8,7 +8,6 @@
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
-	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -115,18 +114,16 @@
 // record holds: a database that was
 // missing from the hosts' lists for a while may lack commits that were acknowledged without it.
 func (a *replacement) mayRepeat(c *controlConn) bool {
-	holds := func(at position.Position) bool {
-		return !c.report.Received.Before(at) && c.report.Received.Index >= at.Index
-	}
-	if !c.answered || c.report.Primary || c.db.Leaving || !holds(a.floor) {
+	late := succession.Candidate{Received: c.report.Received}
+	if !c.answered || c.report.Primary || c.db.Leaving || late.Lacks(a.floor) {
 		return false
 	}
 	if a.accepted {
 		return true
 	}
 	candidates := a.candidates()
-	return a.listsRead && succession.AllRead(candidates) && holds(a.acked) &&
-		!slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && !holds(o.Received) })
+	return a.listsRead && succession.AllRead(candidates) && !late.Lacks(a.acked) &&
+		!slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
 }
 
 // awaitSettled is called when the platform has accepted an order. It waits until
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -437,6 +437,23 @@
 
 // newTestGateway returns a gateway with a test configuration and the group's
 // databases. It listens for other hosts but not for callers.
+// runAttempt replaces a service's primary for a reason. While it runs, the host starts no
+// other attempt.
+func runAttempt(svc *service, reason succession.Reason) *replacement {
+	setRunning := func(running bool) {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		svc.promotion.running = running
+	}
+	svc.mu.Lock()
+	a := svc.newReplacement(reason, position.Position{}, time.Now())
+	svc.mu.Unlock()
+	setRunning(true)
+	defer setRunning(false)
+	a.run()
+	return a
+}
+
 func newTestGateway(p *fakePlatform) *Gateway {
 	return newLoggingTestGateway(p, slog.New(slog.DiscardHandler))
 }
--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -44,9 +44,7 @@
 // faultsOf returns the faults of a seed: series that follow each other and overlap.
 func faultsOf(seed uint64, l layout) []step {
 	r := rand.New(rand.NewPCG(seed, streamPlan))
-	between := func(least, most int) time.Duration {
-		return time.Duration(least+r.IntN(most-least)) * time.Millisecond
-	}
+	between := millisecondsOf(r)
 	var plan []step
 	add := func(s step) {
 		s.order = r.Perm(len(l.hosts))
@@ -99,9 +97,7 @@
 // that are gone. What makes the primaries silent varies.
 func recordOf(seed uint64, l layout) []step {
 	r := rand.New(rand.NewPCG(seed, streamPlan))
-	between := func(least, most int) time.Duration {
-		return time.Duration(least+r.IntN(most-least)) * time.Millisecond
-	}
+	between := millisecondsOf(r)
 	var plan []step
 	add := func(s step) {
 		s.order = r.Perm(len(l.hosts))
@@ -135,11 +131,7 @@
 			}
 		}
 	}
-	if !l.with.calm {
-		plan = append(plan, hostSteps(r, l, recordFor)...)
-	}
-	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
-	return plan
+	return withHostSteps(r, l, plan, recordFor)
 }
 
 // againEvery is the mean time between two rounds of the plan again.
@@ -149,9 +141,7 @@
 // off from hosts, from its replicas or from both, and at times a replica receives nothing.
 func againOf(seed uint64, l layout) []step {
 	r := rand.New(rand.NewPCG(seed, streamPlan))
-	between := func(least, most int) time.Duration {
-		return time.Duration(least+r.IntN(most-least)) * time.Millisecond
-	}
+	between := millisecondsOf(r)
 	var plan []step
 	add := func(s step) {
 		s.order = r.Perm(len(l.hosts))
@@ -177,8 +167,20 @@
 			}
 		}
 	}
+	return withHostSteps(r, l, plan, againFor)
+}
+
+// millisecondsOf returns a function that draws a time from least to below most, in milliseconds.
+func millisecondsOf(r *rand.Rand) func(least, most int) time.Duration {
+	return func(least, most int) time.Duration {
+		return time.Duration(least+r.IntN(most-least)) * time.Millisecond
+	}
+}
+
+// withHostSteps adds the faults of hosts to a plan, unless the play is calm, and sorts it.
+func withHostSteps(r *rand.Rand, l layout, plan []step, until time.Duration) []step {
 	if !l.with.calm {
-		plan = append(plan, hostSteps(r, l, againFor)...)
+		plan = append(plan, hostSteps(r, l, until)...)
 	}
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	return plan
