--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -22,6 +22,11 @@
 	Address     string `json:"address"` // IP:port
 	DataCentre  string `json:"dataCentre"`
 	StartMillis int64  `json:"startMillis"` // start time of its process, Unix milliseconds
+	// Retiring is set for a database whose log no longer counts as the only copy of a commit.
+	// It is taken off the roster once another one holds what its log may hold.
+	Retiring bool `json:"retiring,omitempty"`
+	// Abandoned is set by an operator who gives up what only this log may hold.
+	Abandoned bool `json:"abandoned,omitempty"`
 }
 
 // Update returns the roster with the present databases, the primary of the given
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -113,6 +113,11 @@
 	// Established is set for a replica that had been in the platform's list for
 	// lead.EstablishedAfter before the first log was read.
 	Established bool
+	// Recorded is set for a replica whose process of this start is on the roster: its log may
+	// hold the only copy of an acknowledged commit.
+	Recorded bool
+	// Abandoned is set if an operator has given up what only its log may hold.
+	Abandoned bool
 	// Known is set for a replica that had been in the list for lead.KnownAfter by then, so
 	// that each host that counts replicas knows it.
 	Known       bool
