Take two databases of a service of the rig away at once, and let them return

The rig kept the address of a killed database open and closed what it accepted, so that no host saw a refused connection; it killed no replica that kept its log, and one database of a service at a time. Now the address of a database that is down refuses, is silent, or resets; databases return with their logs under their id or under a new one at their address, with a new born; others announce that they leave. Plan away is made of these. A replica that is down and returns with its log counts as one that had a lost commit.

--- a/internal/standin/takeover/announce.go
+++ b/internal/standin/takeover/announce.go
@@ -36,9 +36,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	m.announced = role
-	return map[string]any{"service": m.g.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": m.g.database.Slots,
-		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": m.seq, "born": m.born}
+	m.announced = role + m.state()
+	return map[string]any{"service": m.g.service, "address": m.front.address, "zone": m.zone, "version": "v1", "slots": m.g.database.Slots,
+		"state": m.state(), "coldLeftMs": 0, "dbRole": role, "seq": m.seq, "born": m.born}
+}
+
+// state returns the state in the entry. mu is held.
+func (m *member) state() string {
+	if m.draining {
+		return "draining"
+	}
+	return "ready"
 }
 
 // announce writes the entry if the database reaches the platform, and its role has changed
@@ -58,12 +66,12 @@
 	}
 	a.mu.Unlock()
 	a.m.mu.Lock()
-	unchanged, hidden := a.m.announced == now.Role, a.m.hidden > 0
+	unchanged, hidden, name := a.m.announced == now.Role+a.m.state(), a.m.hidden > 0, a.m.instance
 	a.m.mu.Unlock()
-	if unchanged && (hidden || !due || a.s.store.has(kindServers, a.m.id)) {
+	if unchanged && (hidden || !due || a.s.store.has(kindServers, name)) {
 		return
 	}
-	if _, err := a.s.store.put(kindServers, a.m.id, a.m.entry(now.Role)); err != nil {
+	if _, err := a.s.store.put(kindServers, name, a.m.entry(now.Role)); err != nil {
 		a.s.rec.logf("entry of %s: %v", a.m.id, err)
 	}
 }
@@ -73,9 +81,10 @@
 	a.mu.Lock()
 	silent := time.Since(a.last) > silentBeats*a.s.layout.heartbeat
 	a.mu.Unlock()
-	if silent && a.s.store.has(kindServers, a.m.id) {
-		a.s.store.remove(kindServers, a.m.id)
-		a.s.rec.notef("the entry of %s has lapsed", a.m.id)
+	name := a.m.name()
+	if silent && a.s.store.has(kindServers, name) {
+		a.s.store.remove(kindServers, name)
+		a.s.rec.notef("the entry of %s has lapsed", name)
 	}
 }
 
--- a/internal/standin/takeover/group.go
+++ b/internal/standin/takeover/group.go
@@ -55,7 +55,7 @@
 	effect time.Time
 	term   int
 	log    string // position of the last entry with which the database leads
-	former string // id of the primary of the term before
+	former string // first id of the primary of the term before
 }
 
 func (p *promotion) logAtCall() string {
@@ -70,7 +70,7 @@
 	*promotion
 	entry    entry
 	received map[string]time.Time // when other databases than the former primary received it, by id
-	lived    bool                 // one of these ran
+	lived    bool                 // one of these ran, or was to return with its log
 }
 
 func newGroup(rec *record, service, folder string, layout layout) (*group, error) {
@@ -105,7 +105,7 @@
 // stop ends the processes.
 func (g *group) stop() {
 	for _, m := range g.databases {
-		m.kill()
+		m.kill(absentRefused)
 	}
 }
 
@@ -126,7 +126,7 @@
 	if err := m.start(primary, known); err != nil {
 		return err
 	}
-	_, err := m.order(order{Do: orderLearn, Term: term, Leader: primary.id, Upstream: m.upstream[primary], IDs: ids})
+	_, err := m.order(order{Do: orderLearn, Term: term, Leader: primary.name(), Upstream: m.upstream[primary], IDs: ids})
 	return err
 }
 
@@ -169,7 +169,7 @@
 	}
 	g.fence = call.Fence
 	for _, m := range g.databases {
-		if m.id == call.ID && !m.isDown() {
+		if m.name() == call.ID && !m.isDown() {
 			return m
 		}
 	}
@@ -221,10 +221,10 @@
 	g.term, g.primary, g.promoted = term, m, reached.IDs
 	g.promotions++
 	g.mu.Unlock()
-	lost := g.recordRollbacks(p, reached.IDs)
+	lost := g.recordRollbacks(m, p, reached.IDs)
 	g.rec.notef("database %s is the primary of %s in term %d with %d commits, log %s, at the call %s; %d are rolled back", m.id, g.service, term, len(reached.IDs), p.log, p.logAtCall(), lost)
 	learn := func(other *member) {
-		o := order{Do: orderLearn, Term: term, Leader: m.id, Upstream: other.upstream[m], IDs: reached.IDs}
+		o := order{Do: orderLearn, Term: term, Leader: m.name(), Upstream: other.upstream[m], IDs: reached.IDs}
 		_, _ = other.order(o) // one that is down is told when it starts
 	}
 	g.each(m, func(other *member) {
@@ -258,7 +258,7 @@
 
 // recordRollbacks records the commits of the former primary that a promoted log lacks, and
 // returns their number.
-func (g *group) recordRollbacks(p *promotion, ids []string) int {
+func (g *group) recordRollbacks(m *member, p *promotion, ids []string) int {
 	files, err := g.journals(readLog)
 	if err != nil {
 		g.rec.notef("%v", err)
@@ -269,9 +269,9 @@
 		has[id] = true
 	}
 	gone := slices.DeleteFunc(slices.Clone(files[p.former].log), func(e entry) bool { return has[e.ID] })
-	alive := map[string]bool{}
-	for _, m := range g.databases {
-		alive[m.id] = !m.isDown()
+	keeps := map[string]bool{}
+	for _, d := range g.databases {
+		keeps[d.id] = d.keepsLog()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -279,12 +279,12 @@
 		r := rollback{promotion: p, entry: e, received: map[string]time.Time{}}
 		for id, f := range files {
 			received, ok := f.receivedAt(e.ID)
-			if id == p.ID { // it may have removed it just now
+			if id == m.id { // it may have removed it just now
 				received, ok = f.lastReceipt(e.ID)
 			}
 			if ok && id != p.former {
 				r.received[id] = received
-				r.lived = r.lived || alive[id]
+				r.lived = r.lived || keeps[id]
 			}
 		}
 		g.rolledBack = append(g.rolledBack, r)
--- a/internal/standin/takeover/hostlink.go
+++ b/internal/standin/takeover/hostlink.go
@@ -18,16 +18,6 @@
 	once     sync.Once
 }
 
-func (m *member) accept(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go m.carry(conn)
-	}
-}
-
 func (m *member) carry(conn net.Conn) {
 	from := m.g.faults.sender(conn)
 	if from == "" || !m.g.faults.await(nil, from, m.id) {
@@ -36,7 +26,8 @@
 	}
 	db, err := net.DialTimeout("tcp", m.real, time.Second)
 	if err != nil {
-		conn.Close()
+		m.front.awaitVoice(nil)
+		reset(conn)
 		return
 	}
 	c := &hostLink{m: m, from: from, conn: conn, db: db, gone: make(chan struct{})}
@@ -87,6 +78,7 @@
 			return
 		}
 		if _, err := c.db.Write([]byte(line + "\r\n")); err != nil {
+			c.m.front.awaitVoice(c.gone)
 			return
 		}
 	}
@@ -126,7 +118,7 @@
 	if err := conn.SetDeadline(time.Now().Add(silentAtMost)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(conn, "STARTUP %s late %s\r\n%s\r\n", m.g.service, m.id, line); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s late %s\r\n%s\r\n", m.g.service, m.name(), line); err != nil {
 		return err
 	}
 	r := bufio.NewReader(conn)
@@ -150,6 +142,7 @@
 	for {
 		n, err := c.db.Read(buf)
 		if err != nil {
+			c.m.front.awaitVoice(c.gone)
 			return
 		}
 		if strings.HasPrefix(string(buf[:n]), commitAnswer) {
--- a/internal/standin/takeover/main.go
+++ b/internal/standin/takeover/main.go
@@ -44,7 +44,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	seed := flag.Uint64("seed", 1, "seed of the faults")
 	layout := flag.String("layout", "small", "layout of the site: "+layoutNames())
-	plan := flag.String("plan", "faults", "plan of the faults: faults, record for the day of issue 33, or again for services that are promoted again within seconds")
+	plan := flag.String("plan", "faults", "plan of the faults: faults, record for the day of issue 33, again for services that are promoted again within seconds, or away for two databases of a service that are down at once")
 	with := flag.String("with", "", "comma-separated variants: "+variantNames())
 	confirmed := flag.Bool("confirmed", false, "the rule is broken also by commits that were confirmed to a host only")
 	flag.Parse()
--- a/internal/standin/takeover/member.go
+++ b/internal/standin/takeover/member.go
@@ -17,8 +17,8 @@
 // member is one database of a group: its process, and the paths to it.
 type member struct {
 	g        *group
-	id, zone string
-	address  string             // at which hosts reach it
+	id, zone string             // the id is its first one
+	front    *front             // at which hosts reach it
 	real     string             // at which its process listens
 	journal  string             // file
 	upstream map[*member]string // the addresses at which it reaches the others
@@ -28,30 +28,38 @@
 	stdin     io.Closer
 	exited    chan struct{}
 	down      bool
+	instance  string // id under which the process runs; a new one if its log was handed over
+	draining  bool
+	lost      bool // its log goes with its process
 	stopped   int    // number of reasons for which it stands still
 	role      string // as of its last answer
 	term      int    // that it was told last
 	links     map[*hostLink]struct{}
 	seq       int
 	born      int64
-	announced string // the role in its entry
+	announced string // the role and the state in its entry
 	hidden    int    // number of reasons for which its entry is missing
 }
 
 func newMember(g *group, zone, folder string) (*member, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	actual, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	id := fmt.Sprintf("i-%08x", rand.Uint32())
-	m := &member{g: g, id: id, zone: zone, address: l.Addr().String(), real: actual, journal: filepath.Join(folder, id+".journal"),
+	id := newInstance()
+	m := &member{g: g, id: id, instance: id, zone: zone, real: actual, journal: filepath.Join(folder, id+".journal"),
 		upstream: map[*member]string{}, links: map[*hostLink]struct{}{}, term: firstTerm}
-	go m.accept(l)
-	return m, nil
+	m.front, err = newFront(m.carry)
+	return m, err
+}
+
+func newInstance() string { return fmt.Sprintf("i-%08x", rand.Uint32()) }
+
+// name returns the id under which the process runs, or ran last.
+func (m *member) name() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.instance
 }
 
 // connect opens the path over which the database receives from another one.
@@ -68,7 +76,7 @@
 
 // start starts the database's process, which follows or is a primary of a term.
 func (m *member) start(leader *member, term int) error {
-	set := databaseSettings{ID: m.id, Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.id,
+	set := databaseSettings{ID: m.name(), Service: m.g.service, Address: m.real, Journal: m.journal, Term: term, Leader: leader.name(),
 		Upstream: m.upstream[leader], Seed: m.g.faults.seed, databaseLayout: m.g.database, behaviour: m.g.with.behaviour()}
 	raw, err := json.Marshal(set)
 	if err != nil {
@@ -96,10 +104,11 @@
 		return fmt.Errorf("database %s: %w", m.id, err)
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.cmd, m.stdin, m.exited, m.down = cmd, stdin, exited, false
 	m.stopped, m.term, m.role = 0, term, ""
-	return nil
+	m.seq, m.announced, m.born, m.draining, m.lost = 0, "", time.Now().UnixMilli(), false, false
+	m.mu.Unlock()
+	return m.front.enter()
 }
 
 // startTime is how long a process may take to listen.
@@ -197,21 +206,46 @@
 	}
 }
 
-// kill ends the process.
-func (m *member) kill() {
+// keepsLog reports whether the process runs, or is to start again with its log.
+func (m *member) keepsLog() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.lost
+}
+
+// loseLog states that the process will not start with its log again.
+func (m *member) loseLog() {
+	m.mu.Lock()
+	m.lost = true
+	m.mu.Unlock()
+}
+
+// kill ends the process, unless it is down. how is what its address does then.
+func (m *member) kill(how absence) bool {
 	m.mu.Lock()
 	if m.down || m.cmd == nil {
 		m.mu.Unlock()
-		return
+		return false
 	}
 	m.down = true
 	cmd, exited := m.cmd, m.exited
 	m.mu.Unlock()
+	m.front.leave(how)
 	_ = cmd.Process.Kill() // it may have ended
 	<-exited
 	m.mu.Lock()
 	m.stdin.Close()
 	m.mu.Unlock()
+	return true
+}
+
+// replace gives the next process another id. The entry of the former one goes.
+func (m *member) replace(remove func(id string)) {
+	m.mu.Lock()
+	former := m.instance
+	m.instance = newInstance()
+	m.mu.Unlock()
+	remove(former)
 }
 
 // restart starts the process again, with its log or without.
@@ -220,9 +254,6 @@
 		if err := os.Rename(m.journal, fmt.Sprintf("%s.%d", m.journal, time.Now().UnixNano())); err != nil {
 			m.g.rec.notef("log of %s: %v", m.id, err)
 		}
-		m.mu.Lock()
-		m.seq, m.announced, m.born = 0, "", time.Now().UnixMilli()
-		m.mu.Unlock()
 	}
 	if err := m.g.restart(m); err != nil {
 		m.g.rec.notef("start of %s: %v", m.id, err)
--- a/internal/standin/takeover/plan.go
+++ b/internal/standin/takeover/plan.go
@@ -15,6 +15,7 @@
 	"faults": {faultsFor, faultsOf},
 	"record": {recordFor, recordOf},
 	"again":  {againFor, againOf},
+	"away":   {awayFor, awayOf},
 }
 
 // Times for which faults come.
@@ -35,10 +36,14 @@
 	platform   bool     // the platform is cut off too
 	order      []int    // of the hosts, the first share of which is hit
 	names      []string // of routes or services
+	rank       int      // of a database: its place behind the primary
+	absence    absence  // of its address
+	handover   bool     // its log is handed over to a new database at its address
+	gone       bool     // it does not return
 }
 
 func (s step) String() string {
-	return fmt.Sprintf("%s for %d ms (service %d, share %.2f, of the primary %v, index %d, with the platform %v)", s.kind, s.length.Milliseconds(), s.group, s.share, s.primary, s.zone, s.platform)
+	return fmt.Sprintf("%s for %d ms (service %d, share %.2f, of the primary %v, index %d, with the platform %v, rank %d, %v, handed over %v, gone %v)", s.kind, s.length.Milliseconds(), s.group, s.share, s.primary, s.zone, s.platform, s.rank, s.absence, s.handover, s.gone)
 }
 
 // faultsOf returns the faults of a seed: series that follow each other and overlap.
--- a/internal/standin/takeover/site.go
+++ b/internal/standin/takeover/site.go
@@ -67,7 +67,6 @@
 		return nil, err
 	}
 	for _, m := range s.databases() {
-		m.born = time.Now().UnixMilli()
 		role := roleReplica
 		if m == m.g.primary {
 			role = rolePrimary
--- a/internal/standin/takeover/steps.go
+++ b/internal/standin/takeover/steps.go
@@ -37,6 +37,9 @@
 		}
 	case "replica receives nothing":
 		subject = g.databases[s.zone].id
+		if s.rank > 0 {
+			subject = g.behind(primary, s.rank).id
+		}
 		for _, d := range g.databases {
 			if d.id != subject {
 				paths = append(paths, pathOf(subject, d.id))
@@ -80,11 +83,16 @@
 		t.logIn(s)
 		return
 	case "crash of the primary":
-		t.s.rec.notef("%s: %s", s, primary.id)
-		primary.kill()
-		time.Sleep(s.length)
-		primary.restart(false)
-		t.s.rec.notef("%s is back", primary.id)
+		t.crash(s, primary)
+		return
+	case "crash of a database":
+		t.crash(s, g.behind(primary, s.rank))
+		return
+	case "leave of a database":
+		t.leave(s, g.behind(primary, s.rank))
+		return
+	case "loss of the hosts":
+		t.loseHosts(s)
 		return
 	case "stop", "kill":
 		h := t.s.hosts[s.zone]
@@ -150,7 +158,8 @@
 		return
 	}
 	t.s.rec.notef("%s: %s", s, m.id)
-	m.kill()
+	m.loseLog()
+	m.kill(s.absence)
 	time.Sleep(s.length)
 	m.restart(true)
 	t.s.rec.notef("%s is back without its log", m.id)
@@ -166,7 +175,7 @@
 		return
 	}
 	t.s.rec.notef("%s: %s", s, m.id)
-	m.hide(s.length, func() { t.s.store.remove(kindServers, m.id) })
+	m.hide(s.length, func() { t.s.store.remove(kindServers, m.name()) })
 	t.s.rec.notef("the entry of %s may return", m.id)
 }
 
@@ -226,7 +235,7 @@
 
 // starve cuts a database off from the others, at times, when its promotion is ordered:
 // what the primary commits until the promotion takes effect reaches other replicas only.
-func (t *takeover) starve(id string) {
+func (t *takeover) starve(name string) {
 	t.mu.Lock()
 	hit := t.starving && t.hits.Float64() < starvingShare
 	length := time.Second + time.Duration(t.hits.Int64N(int64(4*time.Second)))
@@ -234,6 +243,12 @@
 	if !hit {
 		return
 	}
+	id := name
+	for _, d := range t.s.databases() {
+		if d.name() == name {
+			id = d.id
+		}
+	}
 	var paths []path
 	for _, d := range t.s.databases() {
 		if d.id != id {
--- a/internal/standin/takeover/takeover_test.go
+++ b/internal/standin/takeover/takeover_test.go
@@ -294,7 +294,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(st.server.Close)
 		p := startPair(true)
-		m := &member{g: &group{rec: rec, service: "orders-db"}, id: "i-2", real: p.replica.Address, exited: make(chan struct{})}
+		m := &member{g: &group{rec: rec, service: "orders-db"}, id: "i-2", instance: "i-2", front: &front{}, real: p.replica.Address, exited: make(chan struct{})}
 		a := &announcer{s: &site{rec: rec, store: st, layout: layout{heartbeat: time.Millisecond}}, m: m}
 		listed := func() bool {
 			a.announce()
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -27,6 +27,7 @@
 	positionBefore bool // READY lines after commits name the position before the commit, at times
 	gaps           bool // a replica that has received nothing for a while goes on from the present entry
 	lapsingEntries bool // the store's entries of replicas that live are missing for a time
+	hostsKilled    bool // all hosts are killed a moment after databases have gone away
 	calm           bool // orders and calls of the store are answered, and hosts run on
 }
 
@@ -53,6 +54,7 @@
 		"position-before": &v.positionBefore,
 		"gaps":            &v.gaps,
 		"lapsing-entries": &v.lapsingEntries,
+		"hosts-killed":    &v.hostsKilled,
 		"calm":            &v.calm,
 	}
 }
