--- a/internal/standin/takeover/member.go
+++ b/internal/standin/takeover/member.go
@@ -30,7 +30,7 @@
 	down      bool
 	instance  string // id under which the process runs; a new one if its log was handed over
 	draining  bool
-	lost      bool // its log goes with its process
+	lost      bool   // its log goes with its process
 	stopped   int    // number of reasons for which it stands still
 	role      string // as of its last answer
 	term      int    // that it was told last
