--- a/database/succession/acknowledge.go
+++ b/database/succession/acknowledge.go
@@ -9,7 +9,10 @@
 	Established bool
 	// First is set for a replica of this host's first list, which may have been listed long
 	// before.
-	First    bool
+	First bool
+	// Recorded is set for a replica that counts on the roster that the host read last; see
+	// Roster.Counts.
+	Recorded bool
 	Answered bool
 	Primary  bool // it reports that it is the primary
 	Term     uint64
@@ -31,11 +34,12 @@
 	// replicas are.
 	NoCopy Evidence = iota
 	// OneCopy means that an established replica holds the commit. A host that takes
-	// the lease later reads that replica's log. A host that has taken it before may
-	// already have chosen another successor.
+	// the lease later reads that replica's log if the roster has it. A host that has taken it
+	// before may already have chosen another successor.
 	OneCopy
 	// AllCopies means that every replica holds the commit, whichever is promoted. One of
-	// them was listed before, so that they are not only replicas that nobody else knows.
+	// them was listed before and is on the roster, so that they are not only replicas that
+	// nobody else knows, and a takeover waits for its log.
 	AllCopies
 )
 
@@ -47,7 +51,7 @@
 		holds := c.Holds(commit)
 		all = all && holds
 		established = established || holds && c.Established
-		lasting = lasting || holds && (c.Established || c.First)
+		lasting = lasting || holds && c.Recorded && (c.Established || c.First)
 	}
 	switch {
 	case all && lasting:
--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -2,15 +2,18 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/position"
 )
 
-// Roster is the record of a service's databases that outlives the hosts. The
-// platform's list lacks a database that is cut off from the platform, and a host
-// that starts then has never seen it; it may still acknowledge commits together with
-// others that are cut off with it. The zero value is the roster of an unknown
-// service.
+// Roster is the record of a service's databases whose logs may hold the only copy of an
+// acknowledged commit. It outlives the hosts and the platform's list, which lacks a database that
+// is down or cut off from the platform. A commit is acknowledged on one copy only if the
+// roster, read after the copy was seen, has the database of it. A database is taken off in two steps:
+// it is marked as retiring, so that no commit rests on it any more, and removed once another one
+// holds what its log may hold. The zero value is the roster of an unknown service.
 type Roster struct {
 	Primary   string           `json:"primary,omitempty"` // the last database that proved to be the primary
 	Term      uint64           `json:"term,omitempty"`    // in which it did
@@ -29,19 +32,54 @@
 	Abandoned bool `json:"abandoned,omitempty"`
 }
 
-// Update returns the roster with the present databases, the primary of the given
-// term and without the databases that are gone, and whether it differs from r. An
-// empty primary, or one of an earlier term, changes nothing.
-func (r Roster) Update(present []routes.Database, primary string, term uint64, gone func(id string) bool) (Roster, bool) {
+// Counts reports whether a commit may be acknowledged because the process of a database that
+// started at the given time holds it: whoever replaces the primary reads its log.
+func (r Roster) Counts(id string, startMillis int64) bool {
+	p, ok := r.Databases[id]
+	return ok && p.StartMillis == startMillis && !p.Retiring && !p.Abandoned
+}
+
+// Add returns the roster with the present databases that it lacks, and whether it differs
+// from r. A database that is leaving takes its log with it.
+func (r Roster) Add(present []routes.Database) (Roster, bool) {
 	out := Roster{Primary: r.Primary, Term: r.Term, Databases: map[string]Place{}}
-	for id, place := range r.Databases {
-		if !gone(id) {
-			out.Databases[id] = place
+	maps.Copy(out.Databases, r.Databases)
+	for _, db := range present {
+		if _, ok := out.Databases[db.ID]; !ok && !db.Leaving {
+			out.Databases[db.ID] = placeOf(db)
 		}
 	}
+	return out, len(out.Databases) > len(r.Databases)
+}
+
+func placeOf(db routes.Database) Place {
+	return Place{Address: db.Address, DataCentre: db.DataCentre, StartMillis: db.StartMillis}
+}
+
+// Update returns the roster with the present databases and the primary of the given
+// term, and whether it differs from r. An empty primary, or one of an earlier term, changes
+// nothing. A database retires once it is no longer present, is leaving or has restarted, and
+// no longer does when it is back with the same start. If held is set (see HeldElsewhere), the
+// places that r shows as retiring are removed, and those of restarted databases replaced.
+func (r Roster) Update(present []routes.Database, primary string, term uint64, held bool) (Roster, bool) {
+	out := Roster{Primary: r.Primary, Term: r.Term, Databases: map[string]Place{}}
+	byID := map[string]routes.Database{}
 	for _, db := range present {
-		out.Databases[db.ID] = Place{Address: db.Address, DataCentre: db.DataCentre, StartMillis: db.StartMillis}
+		byID[db.ID] = db
+	}
+	for id, place := range r.Databases {
+		db, isPresent := byID[id]
+		if isPresent && !db.Leaving && db.StartMillis == place.StartMillis {
+			out.Databases[id] = placeOf(db)
+			continue
+		}
+		if place.Retiring && held {
+			continue
+		}
+		place.Retiring = true
+		out.Databases[id] = place
 	}
+	out, _ = out.Add(present)
 	if primary != "" && term > r.Term {
 		out.Primary, out.Term = primary, term
 	}
@@ -49,6 +87,46 @@
 	return out, changed
 }
 
+// RetiringIDs returns the databases of the roster that are retiring, sorted.
+func (r Roster) RetiringIDs() []string {
+	var ids []string
+	for id, place := range r.Databases {
+		if place.Retiring {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// LogReport is what one database reported of its log.
+type LogReport struct {
+	ID          string
+	StartMillis int64 // start time of its process, Unix milliseconds
+	Known       bool  // listed, and not leaving, for lead.KnownAfter
+	Primary     bool
+	Term        uint64
+	Received    position.Position
+}
+
+// HeldElsewhere reports whether another database of the roster holds all commits that may have
+// been acknowledged because of the logs of retiring ones. The reports answer queries that
+// were sent after the roster was stored, newest is the newest term known, and the lease was
+// settled in the primary's term after that.
+//
+// A commit that rests on a retiring database was confirmed before, so that it is in the log
+// of the primary. The other database is known to all hosts: one that relies on all copies
+// counts it too.
+func (r Roster) HeldElsewhere(primary LogReport, others []LogReport, newest uint64) bool {
+	if !primary.Primary || primary.Term < max(newest, r.Term) {
+		return false
+	}
+	return slices.ContainsFunc(others, func(o LogReport) bool {
+		return o.ID != primary.ID && !o.Primary && o.Known && o.Term == primary.Term && r.Counts(o.ID, o.StartMillis) &&
+			!Candidate{Received: o.Received}.Lacks(primary.Received)
+	})
+}
+
 // Missing returns the databases of the roster that are not among the present ones.
 func (r Roster) Missing(service string, present []routes.Database) []routes.Database {
 	known := map[string]bool{}
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -9,13 +9,14 @@
 // not known as of when a promoted database leads with what it had received. The evidence
 // of one replica does not rest on that. That of all replicas does, for orders of the commit's
 // term, although a pause carries no fence: the late end of one can lose an acknowledged commit.
-// A replica whose log end cannot be read may hold the only copy of
-// an acknowledged commit. A successor may be chosen without it only if all of these
-// apply:
-//   - it is no longer listed;
-//   - hosts of its data centre are reachable, which shows that it is down rather
-//     than partitioned together with the primary and hosts that acknowledge commits;
-//   - the longest log reaches the last commit that any host has acknowledged.
+//
+// A database that does not answer may return with its log, which may hold the only copy of an
+// acknowledged commit: neither silence nor a refused connection nor a lapsed entry shows
+// its end. What may stay unread follows from the roster (see Roster): a single copy counts
+// only on a database of the roster, and a successor is chosen only once the logs of all
+// databases of the roster, and of all listed ones, are read, except that of the primary which is
+// replaced. A log that lacks a position known to be acknowledged, or the floor, is
+// never promoted, unless an operator has given up each log that is unread.
 package succession
 
 import (
@@ -109,11 +110,12 @@
 	Refused  bool // nothing listens at its address, or another database does
 	Listed   bool // it is in the platform's list of databases, or was until recently
 	CutOff   bool // no host of its data centre is reachable
+	Replaced bool // it is the primary that is to be replaced: no commit rests on its log alone
 	Leaving  bool
 	// Established is set for a replica that had been in the platform's list for
 	// lead.EstablishedAfter before the first log was read.
 	Established bool
-	// Recorded is set for a replica whose process of this start is on the roster: its log may
+	// Recorded is set for a database whose process of this start is on the roster: its log may
 	// hold the only copy of an acknowledged commit.
 	Recorded bool
 	// Abandoned is set if an operator has given up what only its log may hold.
@@ -125,31 +127,52 @@
 	Received    position.Position
 }
 
-// Choose returns the successor among all replicas of a service. acked is the
+// Choose returns the successor among all databases of a service. acked is the
 // last commit that any host has acknowledged, floor the end of the log of the last
-// successor. primaryGone means that the primary is known to have ended, so that nothing
-// is gained by waiting for it. ok is false if no replica answered or an acknowledged
-// commit could be lost.
+// successor. ok is false if no replica answered or an acknowledged commit could be lost.
 //
 // While the logs grow, the longest one is not enough: a host may have acknowledged a
 // commit because every replica that it knows holds it, one of which was read before it
 // received the commit. A replica that hosts may not know is therefore not chosen if
-// there is another one; it is for the caller to wait until that has caught up. Once the
-// primary has ended, the logs grow no more, and the longest one holds the others.
+// there is another one; it is for the caller to wait until that has caught up.
+// primaryGone, if the primary seems to have ended, lifts this for replicas that are
+// established: the logs have been paused before they were read.
 func Choose(all []Candidate, acked, floor position.Position, primaryGone bool) (best Candidate, ok bool) {
 	best, ok = Longest(all)
-	if !ok || slices.ContainsFunc(all, Candidate.UnreadMayRun) || !best.Established && hasEstablished(all) {
+	if !ok || !MayLead(best, all, acked, floor) || !best.Established && hasEstablished(all) {
 		return Candidate{}, false
 	}
 	if !primaryGone && !best.Known && (hasKnown(all) || isJunior(best, all)) {
 		return Candidate{}, false
 	}
-	if (best.Lacks(acked) || best.Lacks(floor)) && (!AllRead(all) || !primaryGone) {
-		return Candidate{}, false
-	}
 	return best, true
 }
 
+// MayLead reports whether the promotion of a candidate loses no commit that was acknowledged
+// before the logs of all were read, provided that its log holds those of the others.
+func MayLead(c Candidate, all []Candidate, acked, floor position.Position) bool {
+	if slices.ContainsFunc(all, Candidate.MustBeRead) {
+		return false
+	}
+	return !c.Lacks(acked) && !c.Lacks(floor) || GivenUp(all)
+}
+
+// GivenUp reports whether there are logs that are unread, and an operator has given up each
+// of them.
+func GivenUp(all []Candidate) bool {
+	given := false
+	for _, c := range all {
+		switch {
+		case c.Answered:
+		case c.Abandoned:
+			given = true
+		case c.Recorded || c.Listed || c.Replaced:
+			return false
+		}
+	}
+	return given
+}
+
 // Prefer returns the candidate with an id if nothing speaks for best against it: it has the
 // same log, is at least as well known to hosts, and is not leaving. An order for the database of a pending one
 // can be settled sooner than one for another database; see Settlement.
@@ -181,8 +204,11 @@
 	return c.Received.Before(at) || c.Received.Index < at.Index
 }
 
-// UnreadMayRun reports whether a candidate's log end is unknown and it may still be running.
-func (c Candidate) UnreadMayRun() bool { return !c.Answered && (c.Listed || c.CutOff) }
+// MustBeRead reports whether a candidate's log end is unknown, and its log may hold the only
+// copy of an acknowledged commit.
+func (c Candidate) MustBeRead() bool {
+	return !c.Answered && !c.Replaced && !c.Abandoned && (c.Recorded || c.Listed)
+}
 
 // Senior returns the established candidate that hosts have had the longest time to
 // learn of, one that is not leaving if there is any.
@@ -235,18 +261,6 @@
 	return best, best.ID != ""
 }
 
-// AllRead reports whether the log ends of all replicas are known, except those of replicas
-// that have ended: they are no longer listed, hosts of their data centres are reachable, and
-// their addresses accept no connection to them.
-func AllRead(all []Candidate) bool {
-	for _, c := range all {
-		if !c.Answered && (c.Listed || c.CutOff || !c.Refused) {
-			return false
-		}
-	}
-	return true
-}
-
 // better reports whether a is preferred to b: the longer log first, then an
 // established database, then the more senior one.
 func better(a, b Candidate) bool {
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -68,15 +68,44 @@
 		Expect(best.ID).To(Equal("b"))
 	})
 
-	// The replica that held the commit has restarted without its log.
-	It("chooses none that lacks an acknowledged commit until the primary is known to have ended", func() {
-		all := []succession.Candidate{{ID: "a", Answered: true, Listed: true, Received: pos(5)}, {ID: "b", Answered: true, Listed: true}}
-		_, ok := succession.Choose(all, pos(6), position.Position{}, false)
-		Expect(ok).To(BeFalse())
-		best, ok := succession.Choose(all, pos(6), position.Position{}, true)
-		Expect(ok).To(BeTrue())
-		Expect(best.ID).To(Equal("a"))
-	})
+	// Guards against the loss of commits (LOST) that only a database held that was down for some
+	// seconds, with its entry lapsed and its address refusing.
+	DescribeTable("waits for each log that may hold the only copy of an acknowledged commit",
+		func(change func(*succession.Candidate), acked uint64, want bool) {
+			unread := succession.Candidate{ID: "b", Refused: true}
+			change(&unread)
+			all := []succession.Candidate{{ID: "a", Answered: true, Listed: true, Recorded: true, Received: pos(5)}, unread}
+			for _, primaryGone := range []bool{false, true} {
+				_, ok := succession.Choose(all, pos(acked), pos(5), primaryGone)
+				Expect(ok).To(Equal(want), "the primary seems gone: %t", primaryGone)
+			}
+		},
+		Entry("one that the roster has", func(c *succession.Candidate) { c.Recorded = true }, uint64(5), false),
+		Entry("one that is listed", func(c *succession.Candidate) { c.Listed = true }, uint64(5), false),
+		Entry("not the primary that is replaced", func(c *succession.Candidate) { c.Recorded, c.Listed, c.Replaced = true, true, true }, uint64(5), true),
+		Entry("not one that no commit rests on", func(c *succession.Candidate) {}, uint64(5), true),
+		Entry("not one that was given up", func(c *succession.Candidate) { c.Recorded, c.Abandoned = true, true }, uint64(5), true),
+		Entry("not one that was given up, though more was acknowledged", func(c *succession.Candidate) { c.Recorded, c.Abandoned = true, true }, uint64(6), true),
+		Entry("nor the primary if that was given up, though more was acknowledged", func(c *succession.Candidate) { c.Replaced, c.Recorded, c.Abandoned = true, true, true }, uint64(6), true),
+	)
+
+	DescribeTable("chooses none that lacks an acknowledged position, or the floor, unless each log that is unread was given up",
+		func(others []succession.Candidate, want bool) {
+			all := append([]succession.Candidate{{ID: "a", Answered: true, Listed: true, Recorded: true, Received: pos(5)}}, others...)
+			for _, primaryGone := range []bool{false, true} {
+				_, ok := succession.Choose(all, pos(6), pos(0), primaryGone)
+				Expect(ok).To(Equal(want))
+				_, ok = succession.Choose(all, pos(0), pos(6), primaryGone)
+				Expect(ok).To(Equal(want))
+			}
+		},
+		Entry("all have answered", []succession.Candidate{{ID: "b", Answered: true, Recorded: true}}, false),
+		Entry("a former database is unread", []succession.Candidate{{ID: "b", Refused: true}}, false),
+		Entry("the primary is unread", []succession.Candidate{{ID: "p", Replaced: true}}, false),
+		Entry("the primary is unread, a replica was given up", []succession.Candidate{{ID: "p", Replaced: true}, {ID: "b", Recorded: true, Abandoned: true}}, false),
+		Entry("the primary and a replica were given up", []succession.Candidate{{ID: "p", Replaced: true, Recorded: true, Abandoned: true}, {ID: "b", Recorded: true, Abandoned: true}}, true),
+		Entry("one was given up and has answered", []succession.Candidate{{ID: "b", Answered: true, Recorded: true, Abandoned: true}}, false),
+	)
 
 	// Guards against the loss of the commits that only the last successor holds, when it
 	// is replaced before the others have received its log.
@@ -124,23 +153,22 @@
 		Expect(senior.ID).To(Equal("d"))
 	})
 
-	// A commit is acknowledged once one replica has it. Whichever replicas answer,
-	// the successor's log must hold every acknowledged commit, provided that a
-	// replica that is down holds no acknowledged commit that the hosts have not
-	// recorded.
+	// A commit is acknowledged once one replica that the roster has holds it. Whichever replicas
+	// answer, and whatever is known to be acknowledged, the successor's log must hold
+	// every acknowledged commit.
 	It("never loses an acknowledged commit", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
-			var acked, recorded uint64
+			var acked uint64
 			var all []succession.Candidate
 			for i := range rapid.IntRange(1, 4).Draw(t, "replicas") {
 				c := succession.Candidate{
 					ID: string(rune('a' + i)), Received: pos(rapid.Uint64Range(0, 9).Draw(t, "received")),
 					Answered: rapid.Bool().Draw(t, "answered"), Listed: rapid.Bool().Draw(t, "listed"), CutOff: rapid.Bool().Draw(t, "cutOff"),
+					Refused: rapid.Bool().Draw(t, "refused"), Recorded: rapid.Bool().Draw(t, "recorded"),
 				}
 				all = append(all, c)
-				acked = max(acked, c.Received.Index)
-				if c.Answered || !c.Listed && !c.CutOff {
-					recorded = max(recorded, c.Received.Index)
+				if c.Recorded {
+					acked = max(acked, c.Received.Index)
 				}
 			}
 			known := append([]succession.Candidate(nil), all...)
@@ -149,7 +177,8 @@
 					known[i].Received = position.Position{}
 				}
 			}
-			best, ok := succession.Choose(known, pos(recorded), pos(0), rapid.Bool().Draw(t, "primaryGone"))
+			knownAcked := pos(rapid.Uint64Range(0, acked).Draw(t, "knownAcked"))
+			best, ok := succession.Choose(known, knownAcked, pos(0), rapid.Bool().Draw(t, "primaryGone"))
 			if ok && best.Received.Index < acked {
 				t.Fatalf("successor %s has log end %s, but index %d was acknowledged; candidates: %+v", best.ID, best.Received, acked, all)
 			}
@@ -175,7 +204,7 @@
 
 var _ = Describe("the evidence for a commit", func() {
 	commit := position.Position{Term: 2, Index: 7}
-	holding := succession.Copy{Established: true, Answered: true, Term: 2, Received: commit}
+	holding := succession.Copy{Established: true, Recorded: true, Answered: true, Term: 2, Received: commit}
 	with := func(change func(*succession.Copy)) succession.Copy {
 		c := holding
 		change(&c)
@@ -186,6 +215,7 @@
 	otherTerm := with(func(c *succession.Copy) { c.Term, c.Received.Term = 3, 3 })
 	isPrimary := with(func(c *succession.Copy) { c.Primary = true })
 	started := with(func(c *succession.Copy) { c.Established = false })
+	unrecorded := with(func(c *succession.Copy) { c.Recorded = false })
 
 	DescribeTable("is that of all replicas only if each of them holds it in its term",
 		func(want succession.Evidence, replicas ...succession.Copy) {
@@ -197,6 +227,9 @@
 		Entry("one follows a later primary", succession.OneCopy, holding, otherTerm),
 		Entry("one is the primary", succession.OneCopy, holding, isPrimary),
 		Entry("all hold it, one of them new", succession.AllCopies, holding, started),
+		Entry("all hold it, the roster has one of them", succession.AllCopies, holding, unrecorded),
+		Entry("all hold it, the roster has none of them", succession.OneCopy, unrecorded, unrecorded),
+		Entry("all hold it, the roster has a new one only", succession.OneCopy, unrecorded, started),
 		Entry("only a new one holds it", succession.NoCopy, started, behind),
 		Entry("only a new one exists", succession.NoCopy, started),
 		Entry("none holds it", succession.NoCopy, behind, otherTerm, isPrimary),
@@ -231,33 +264,102 @@
 })
 
 var _ = Describe("a roster", func() {
-	none := func(string) bool { return false }
 	db := func(id, dataCentre string) routes.Database {
 		return routes.Database{ID: id, Service: "orders", Address: id + ":1", DataCentre: dataCentre, StartMillis: 7}
 	}
+	leaving := func(db routes.Database) routes.Database { db.Leaving = true; return db }
+	restarted := func(db routes.Database) routes.Database { db.StartMillis++; return db }
+	a, b, c := db("a", "x"), db("b", "y"), db("c", "y")
+	full, _ := succession.Roster{}.Update([]routes.Database{a, b, c}, "a", 3, false)
 
-	It("adds what is present and removes only what is gone", func() {
-		r, changed := succession.Roster{}.Update([]routes.Database{db("a", "x"), db("b", "y")}, "a", 3, none)
-		Expect(changed).To(BeTrue())
-		Expect(r.Primary).To(Equal("a"))
-		_, changed = r.Update([]routes.Database{db("b", "y")}, "", 0, none)
+	It("adds what is present, and keeps the last primary", func() {
+		Expect(full.Databases).To(HaveLen(3))
+		Expect(full.Primary).To(Equal("a"))
+		r, changed := full.Update([]routes.Database{a, b, c}, "", 0, true)
+		Expect(changed).To(BeFalse())
+		Expect(r.Missing("orders", []routes.Database{b})).To(ConsistOf(a, c))
+		r, changed = full.Update([]routes.Database{a, b, c}, "b", 2, false)
 		Expect(changed).To(BeFalse())
-		Expect(r.Missing("orders", []routes.Database{db("b", "y")})).To(Equal([]routes.Database{db("a", "x")}))
-		r, changed = r.Update([]routes.Database{db("b", "y")}, "", 0, func(id string) bool { return id == "a" })
+		Expect(r.Primary).To(Equal("a"), "of the newest term")
+		r, _ = full.Update(nil, "b", 4, false)
+		Expect(r.Primary).To(Equal("b"))
+	})
+
+	It("adds what it lacks without a change of the others", func() {
+		moved := restarted(a)
+		r, changed := full.Add([]routes.Database{moved, db("d", "x"), leaving(db("e", "x"))})
 		Expect(changed).To(BeTrue())
-		Expect(r.Databases).To(HaveLen(1))
-		Expect(r.Primary).To(Equal("a"), "the last one known")
+		Expect(r.Databases).To(HaveLen(4))
+		Expect(r.Databases["a"].StartMillis).To(Equal(a.StartMillis))
+		_, changed = full.Add([]routes.Database{moved, leaving(b)})
+		Expect(changed).To(BeFalse())
 	})
 
-	It("replaces the place of a database that has restarted, and the primary only by that of a later term", func() {
-		r, _ := succession.Roster{}.Update([]routes.Database{db("a", "x")}, "a", 3, none)
-		again := db("a", "x")
-		again.Address = "a:2"
-		r, changed := r.Update([]routes.Database{again}, "b", 2, none)
+	// Guards against the loss of commits (LOST) of a database that was taken off the record
+	// while it was down for some seconds.
+	DescribeTable("retires a database in one step, and removes it in another one once its log is held elsewhere",
+		func(present []routes.Database, want map[string]int64) {
+			first, changed := full.Update(present, "a", 3, true)
+			Expect(changed).To(BeTrue())
+			Expect(first.RetiringIDs()).To(Equal([]string{"c"}), "though others hold the logs of those that retired before")
+			Expect(first.Databases["c"].StartMillis).To(Equal(c.StartMillis))
+			Expect(first.Counts("c", c.StartMillis)).To(BeFalse())
+			_, changed = first.Update(present, "a", 3, false)
+			Expect(changed).To(BeFalse())
+			second, changed := first.Update(present, "a", 3, true)
+			Expect(changed).To(BeTrue())
+			starts := map[string]int64{}
+			for id, place := range second.Databases {
+				starts[id] = place.StartMillis
+			}
+			Expect(starts).To(Equal(want))
+			Expect(second.RetiringIDs()).To(BeEmpty())
+		},
+		Entry("one that has gone", []routes.Database{a, b}, map[string]int64{"a": 7, "b": 7}),
+		Entry("one that is leaving", []routes.Database{a, b, leaving(c)}, map[string]int64{"a": 7, "b": 7}),
+		Entry("one that has restarted", []routes.Database{a, b, restarted(c)}, map[string]int64{"a": 7, "b": 7, "c": 8}),
+	)
+
+	It("no longer retires a database that is back with the same start, and takes up one that was given up", func() {
+		gone, _ := full.Update([]routes.Database{a, b}, "", 0, false)
+		place := gone.Databases["c"]
+		place.Abandoned = true
+		gone.Databases["c"] = place
+		back, changed := gone.Update([]routes.Database{a, b, c}, "", 0, true)
 		Expect(changed).To(BeTrue())
-		Expect(r.Databases["a"].Address).To(Equal("a:2"))
-		Expect(r.Primary).To(Equal("a"))
-		r, _ = r.Update(nil, "b", 4, none)
-		Expect(r.Primary).To(Equal("b"))
+		Expect(back.Counts("c", c.StartMillis)).To(BeTrue())
+		still, _ := gone.Update([]routes.Database{a, b}, "", 0, false)
+		Expect(still.Databases["c"].Abandoned).To(BeTrue())
+	})
+
+	Context("with a retiring database", func() {
+		r, _ := full.Update([]routes.Database{a, b}, "a", 3, false)
+		end := position.Position{Term: 3, Index: 9}
+		led := succession.LogReport{ID: "a", StartMillis: 7, Primary: true, Term: 3, Received: end}
+		other := succession.LogReport{ID: "b", StartMillis: 7, Known: true, Term: 3, Received: end}
+
+		DescribeTable("has what its log may hold elsewhere only if the primary has proved its lead and another database holds its log",
+			func(change func(led, other *succession.LogReport), newest uint64, want bool) {
+				led, other := led, other
+				change(&led, &other)
+				Expect(r.HeldElsewhere(led, []succession.LogReport{other}, newest)).To(Equal(want))
+			},
+			Entry("they have", func(led, other *succession.LogReport) {}, uint64(3), true),
+			Entry("in a newer term than the roster names", func(led, other *succession.LogReport) { led.Term, other.Term = 4, 4 }, uint64(4), true),
+			Entry("no primary", func(led, other *succession.LogReport) { led.Primary = false }, uint64(3), false),
+			Entry("a primary of before", func(led, other *succession.LogReport) { led.Term, other.Term = 2, 2 }, uint64(0), false),
+			Entry("a newer term is known", func(led, other *succession.LogReport) {}, uint64(4), false),
+			Entry("the other lacks a commit", func(led, other *succession.LogReport) { other.Received.Index-- }, uint64(3), false),
+			Entry("the other has joined the term and lacks entries", func(led, other *succession.LogReport) {
+				led.Received.Term, other.Received.Index = 2, 8
+			}, uint64(3), false),
+			Entry("the other is in another term", func(led, other *succession.LogReport) { other.Term = 2 }, uint64(3), false),
+			Entry("the other is a primary", func(led, other *succession.LogReport) { other.Primary = true }, uint64(3), false),
+			Entry("hosts may not know the other", func(led, other *succession.LogReport) { other.Known = false }, uint64(3), false),
+			Entry("the other has restarted", func(led, other *succession.LogReport) { other.StartMillis++ }, uint64(3), false),
+			Entry("the other retires too", func(led, other *succession.LogReport) { other.ID = "c" }, uint64(3), false),
+			Entry("there is only the primary", func(led, other *succession.LogReport) { *other = *led; other.Primary = false }, uint64(3), false),
+			Entry("the roster lacks the other", func(led, other *succession.LogReport) { other.ID = "d" }, uint64(3), false),
+		)
 	})
 })
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -19,9 +20,9 @@
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given, with a log of any moment since. So a commit is
 // acknowledged to its caller only if no promotion can discard it: every replica of a
-// current list holds it, and the lease has shown in its term that no order of an earlier
-// one is under way; or an established replica holds it, and the
-// lease, read after that replica's report, is settled.
+// current list holds it, one of which is on the roster, and the lease has shown in its term that
+// no order of an earlier one is under way; or an established replica holds it, the roster, read
+// after that replica's report, has it, and the lease, read after the roster, is settled.
 
 // Timing of acknowledgements.
 const (
@@ -57,7 +58,8 @@
 	proving    bool          // the same of a query whether a commit's database is still the primary
 	pause      time.Duration // after the last read of the lease
 	outcomes   acknowledgementLog
-	lease      leaseReport // the last read of the lease that showed it settled
+	lease      leaseReport       // the last read of the lease that showed it settled
+	roster     succession.Roster // as last read
 	recent     recentCommits
 	// unacknowledged are the commits that were confirmed and not acknowledged.
 	unacknowledged recentCommits
@@ -162,7 +164,7 @@
 				if !s.g.databaseListCurrent(s.g.now()) {
 					s.g.relistDatabases()
 				}
-				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience || s.lacksRoster(c) {
 					s.readLease(c)
 				}
 				return false
@@ -266,21 +268,37 @@
 // evidence returns the evidence for a commit from the replicas' last reports. mu is
 // held.
 func (s *service) evidence(c commit) succession.Evidence {
+	return succession.EvidenceFor(c.at, s.copies(c.primary))
+}
+
+// lacksRoster reports whether only the roster is missing for the evidence of all copies. mu is
+// held.
+func (s *service) lacksRoster(c commit) bool {
+	copies := s.copies(c.primary)
+	for i := range copies {
+		copies[i].Recorded = true
+	}
+	return succession.EvidenceFor(c.at, copies) == succession.AllCopies
+}
+
+// copies returns the last reports of all replicas that might be promoted. mu is held.
+func (s *service) copies(primary string) []succession.Copy {
 	now := s.g.now()
 	established := s.table.Established(now)
 	var copies []succession.Copy
-	for _, db := range s.table.Replicas(c.primary) {
+	for _, db := range s.table.Replicas(primary) {
 		var held succession.Copy
 		if known := s.replication.copies[db.ID]; known != nil {
 			held = known.Copy
 		}
 		held.Established, held.First = slices.Contains(established, db.ID), s.table.FirstListed(db.ID)
+		held.Recorded = s.replication.roster.Counts(db.ID, db.StartMillis)
 		copies = append(copies, held)
 	}
 	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
-	return succession.EvidenceFor(c.at, copies)
+	return copies
 }
 
 // queryReplicas queries each replica that is not known to hold a commit, unless a query
@@ -338,24 +356,32 @@
 	s.mu.Unlock()
 }
 
-// readLease starts a read of the service's lease, unless one was started within
-// leaseReadEvery. If the lease is settled, it protects what an established replica was
-// known to hold before the read. mu is held.
+// copyOf is what a replica was known to hold.
+type copyOf struct {
+	routes.Database
+	received position.Position
+}
+
+// readLease starts a read of the service's roster and then of its lease, unless one was started
+// within leaseReadEvery. If the lease is settled, it protects what established replicas that
+// count on the roster were known to hold before. mu is held.
 func (s *service) readLease(c commit) {
 	if s.replication.reading {
 		return
 	}
 	s.replication.reading = true
 	established := s.table.Established(s.g.now())
-	held := c.at
-	for id, known := range s.replication.copies {
-		if id != c.primary && slices.Contains(established, id) && known.Holds(c.at) {
-			held = position.Max(held, known.Received)
+	replicas := s.table.Replicas(c.primary)
+	var holding []copyOf
+	for _, db := range replicas {
+		known := s.replication.copies[db.ID]
+		if known != nil && slices.Contains(established, db.ID) && known.Holds(c.at) {
+			holding = append(holding, copyOf{db, known.Received})
 		}
 	}
 	losses := s.replication.losses
 	go func() {
-		settled := s.leaseSettled(c.at.Term)
+		held, settled := s.protectedCopies(replicas, holding, c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
@@ -373,6 +399,27 @@
 	}()
 }
 
+// protectedCopies reads the roster and then the lease. It returns the end of the longest log
+// among the copies that count on the roster, and whether the lease is settled in a term.
+func (s *service) protectedCopies(replicas []routes.Database, holding []copyOf, term uint64) (held position.Position, settled bool) {
+	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
+	defer cancel()
+	roster, err := s.rosterWith(ctx, replicas)
+	if err != nil {
+		s.g.log.Info("Reading the record of the databases for an acknowledgement failed.", "part", "promotion", "service", s.name, "error", err)
+		return held, false
+	}
+	s.mu.Lock()
+	s.replication.roster = roster
+	s.mu.Unlock()
+	for _, c := range holding {
+		if roster.Counts(c.ID, c.StartMillis) {
+			held = position.Max(held, c.received)
+		}
+	}
+	return held, s.leaseSettled(term)
+}
+
 // leaseSettled reads the service's lease and reports whether it is settled. If it is
 // not, an attempt to settle it is started.
 func (s *service) leaseSettled(term uint64) bool {
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -43,11 +43,9 @@
 	a.s.mu.Lock()
 	present, former := a.s.table.All(), a.s.table.Former()
 	a.s.mu.Unlock()
-	for _, db := range a.storeList {
-		if !slices.ContainsFunc(present, func(p routes.Database) bool { return p.ID == db.ID }) {
-			present = append(present, db)
-		}
-	}
+	// This host's list may not show yet that a database has restarted.
+	present = slices.DeleteFunc(present, func(db routes.Database) bool { return inList(a.storeList, db.ID) })
+	present = append(present, a.storeList...)
 	former = append(former, a.roster.Missing(a.s.name, append(present, former...))...)
 	var out []*controlConn
 	for _, db := range present {
@@ -64,6 +62,10 @@
 	return out
 }
 
+func inList(list []routes.Database, id string) bool {
+	return slices.ContainsFunc(list, func(db routes.Database) bool { return db.ID == id })
+}
+
 // query sends a statement to all given databases concurrently and waits for their
 // answers.
 func (a *replacement) query(ctx context.Context, conns []*controlConn, st statement.Statement) {
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -151,10 +151,11 @@
 	return a.checkView()
 }
 
-// unread returns a replica that may run and has not answered the last query, such as a Pause.
+// unread returns a replica that has not answered the last query, such as a Pause, and may hold
+// the only copy of an acknowledged commit.
 func (a *replacement) unread() (id string, ok bool) {
 	for _, c := range a.candidates() {
-		if c.UnreadMayRun() {
+		if c.MustBeRead() {
 			return c.ID, true
 		}
 	}
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -461,39 +459,20 @@
 			Expect(orders()).To(BeZero())
 		})
 
-		It("promotes a replica once it was in contact with their data centre and none of them runs", func() {
+		// A data centre in contact, a lapsed entry and a dead address do not show that a log is gone.
+		It("promotes no replica while one that is down may hold the only copy of a commit, and one again once it is back", func() {
 			g.peers.mu.Lock()
 			g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now().Add(time.Minute)}
 			g.peers.mu.Unlock()
+			dbs.withLock(func() { delete(dbs.databases, "a"); delete(dbs.databases, "c") })
+			attemptOfNewHost()
+			Expect(orders()).To(BeZero())
+			dbs.withLock(func() {
+				dbs.databases["c"] = &standin{group: dbs, id: "c", end: position.Position{Term: 1, Index: 12}}
+			})
 			attemptOfNewHost()
 			Expect(orders()).To(Equal(1))
-		})
-
-		It("takes a database off the record once it accepts no connection, is not listed and its data centre is in contact", func() {
-			names := func() []string {
-				_, roster, err := svc.readRoster(context.Background())
-				Expect(err).NotTo(HaveOccurred())
-				return slices.Sorted(maps.Keys(roster.Databases))
-			}
-			dbs.withLock(func() { dbs.databases["a"].unresponsive = false }) // it runs, and is cut off from the store only
-			Expect(svc.syncRoster()).To(Succeed())
-			age := func() {
-				svc.mu.Lock()
-				svc.rosterOutdated(time.Now().Add(-missingCheckEvery - time.Second))
-				svc.mu.Unlock()
-			}
-			age()
-			Expect(svc.syncRoster()).To(Succeed())
-			Expect(names()).To(Equal([]string{"a", "b", "c"}), "no contact with the data centre")
-			g.peers.mu.Lock()
-			g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now().Add(time.Minute)}
-			g.peers.mu.Unlock()
-			svc.mu.Lock()
-			svc.roster.missing = nil
-			svc.mu.Unlock()
-			age()
-			Expect(svc.syncRoster()).To(Succeed())
-			Expect(names()).To(Equal([]string{"a", "b"}))
+			dbs.withLock(func() { Expect(dbs.orders[0].Database).To(Equal("c")) })
 		})
 	})
 
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -236,7 +236,11 @@
 		Entry("unless its database does not answer", unanswered, func() { dbs.databases["c"].unresponsive = true }, uint64(10), "a"),
 		Entry("unless another order is pending", `{"holder":"host-1","claim":"x","ordered":"c","unseen":true,"term":1,"rules":1}`, func() {}, uint64(10), "a"),
 		Entry("if it was accepted, though another replica holds more", `{"holder":"host-1","claim":"x","ordered":"c","accepted":true,"term":1,"rules":1}`,
-			func() { dbs.databases["b"].end.Index = 11 }, uint64(11), "c"),
+			func() { dbs.databases["b"].end.Index = 11 }, uint64(10), "c"),
+		Entry("unless more has been acknowledged, though it was accepted", `{"holder":"host-1","claim":"x","ordered":"c","accepted":true,"term":1,"rules":1}`,
+			func() { dbs.databases["b"].end.Index = 11 }, uint64(11), "a"),
+		Entry("unless a replica does not answer, though it was accepted", `{"holder":"host-1","claim":"x","ordered":"c","accepted":true,"term":1,"rules":1}`,
+			func() { dbs.databases["b"].unresponsive = true }, uint64(10), "a"),
 	)
 
 	It("does not show that an order without an answer was not accepted if it is not given again", func() {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -4,47 +4,57 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
 
 // kindRosters is the object kind with one succession.Roster for each service. The
-// first host in rank keeps it; a replacement attempt reads it.
+// first host in rank keeps it; a replacement attempt reads it, and so does a host before it
+// acknowledges a commit on one copy.
 const kindRosters = "bronzeloft-rosters"
 
 // Timing of the rosters.
 const (
-	// rosterDelay is how long after its start a host does not write a roster, since
+	// rosterDelay is how long after its start a host does not update a roster, since
 	// its rank and the databases may still change when a fleet starts.
 	rosterDelay = 5 * time.Second
 	// rosterRetry is the time until the next call after a failed one.
 	rosterRetry = 2 * time.Second
-	// missingCheckEvery is the time between checks whether a database that is not
-	// listed still runs.
-	missingCheckEvery = 3 * time.Second
+	// removalEvery is the time between two attempts to take retiring databases off a roster.
+	removalEvery = time.Second
+	// removalQueries is how often an attempt asks the other databases for the primary's log, removalPause
+	// apart, which is longer than most of them take to receive it.
+	removalQueries = 4
+	removalPause   = 30 * time.Millisecond
 )
 
 // rosterState is this host's copy of a service's roster.
 type rosterState struct {
-	running  bool      // a call is running
-	nextCall time.Time // earliest next call
-	known    bool      // object and roster are those last read or written
-	object   objectapi.Object
-	roster   succession.Roster
-	missing  map[string]time.Time // databases of the roster that are not listed, and since when
+	running     bool      // a call is running
+	nextCall    time.Time // earliest next call
+	nextRemoval time.Time // earliest next attempt to remove retiring databases
+	known       bool      // object and roster are those last read or written
+	object      objectapi.Object
+	roster      succession.Roster
 }
 
 // keepRoster updates the service's roster in the background if it differs from what
-// this host knows. It is called on the first host in rank. mu is held.
+// this host knows, or has databases to be removed. It is called on the first host in rank. mu
+// is held.
 func (s *service) keepRoster(now time.Time) {
 	state := &s.roster
 	if state.running || now.Before(state.nextCall) || now.Sub(s.g.started) < rosterDelay {
 		return
 	}
-	if state.known && !s.rosterOutdated(now) {
+	if state.known && !s.rosterOutdated() && !s.removalDue(now) {
 		return
 	}
 	state.running = true
@@ -60,27 +70,21 @@
 	}()
 }
 
-// rosterOutdated reports whether the roster lacks something that this host knows, or
-// has a database whose presence is to be checked. mu is held.
-func (s *service) rosterOutdated(now time.Time) bool {
-	present := s.table.All()
-	missing := map[string]time.Time{}
-	check := false
-	for _, db := range s.roster.roster.Missing(s.name, present) {
-		since, ok := s.roster.missing[db.ID]
-		if !ok {
-			since = now
-		}
-		missing[db.ID] = since
-		check = check || now.Sub(since) >= missingCheckEvery
-	}
-	s.roster.missing = missing
-	_, changed := s.roster.roster.Update(present, s.provenPrimary, s.provenTerm, func(string) bool { return false })
-	return changed || check
+// rosterOutdated reports whether the roster lacks something that this host knows. mu is held.
+func (s *service) rosterOutdated() bool {
+	_, changed := s.roster.roster.Update(s.table.All(), s.provenPrimary, s.provenTerm, false)
+	return changed
+}
+
+// removalDue reports whether an attempt to remove retiring databases is due. mu is held.
+func (s *service) removalDue(now time.Time) bool {
+	_, known := s.table.Leader()
+	return known && len(s.roster.roster.RetiringIDs()) > 0 && !now.Before(s.roster.nextRemoval)
 }
 
 // syncRoster reads the roster if this host does not know it, and writes it if it has
-// changed.
+// changed. Once retiring databases are recorded as such, it removes them if another database
+// holds what their logs may hold.
 func (s *service) syncRoster() error {
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
@@ -93,25 +97,35 @@
 			return err
 		}
 	}
-	gone := s.goneDatabases(ctx, state)
+	if err := s.updateRoster(ctx, state, false); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	state = s.roster
+	due := s.removalDue(s.g.now())
+	if due {
+		s.roster.nextRemoval = s.g.now().Add(removalEvery)
+	}
+	s.mu.Unlock()
+	if !due || !s.retiringHeldElsewhere(state.roster) {
+		return nil
+	}
+	ctx, cancelUpdate := context.WithTimeout(s.g.ctx, controlTimeout)
+	defer cancelUpdate()
+	return s.updateRoster(ctx, state, true)
+}
+
+// updateRoster writes the roster with what this host knows, if it differs from the given one.
+// held is set if retiring databases may be removed.
+func (s *service) updateRoster(ctx context.Context, state rosterState, held bool) error {
 	s.mu.Lock()
-	next, changed := state.roster.Update(s.table.All(), s.provenPrimary, s.provenTerm, func(id string) bool { return gone[id] })
+	next, changed := state.roster.Update(s.table.All(), s.provenPrimary, s.provenTerm, held)
 	s.mu.Unlock()
 	if changed {
-		value, err := json.Marshal(next)
-		if err != nil {
-			return err
-		}
-		objects := s.g.platform.Objects()
-		if state.object.Version == 0 {
-			state.object, err = objects.Create(ctx, kindRosters, s.name, value)
-		} else {
-			state.object, err = objects.Update(ctx, kindRosters, s.name, state.object.Version, value)
-		}
-		if err != nil {
+		var err error
+		if state.object, err = s.writeRoster(ctx, state.object.Version, next); err != nil {
 			return err // the next call reads it again
 		}
-		s.g.log.Info("Record of the databases stored.", "part", "promotion", "service", s.name, "databases", len(next.Databases), "primary", next.Primary, "term", next.Term)
 	}
 	s.mu.Lock()
 	s.roster.known, s.roster.object, s.roster.roster = true, state.object, next
@@ -119,47 +133,132 @@
 	return nil
 }
 
-// goneDatabases returns the databases of the roster that have ended: they have not
-// been listed for missingCheckEvery, in which hosts of their data centre were in
-// contact, and accept no connection.
-func (s *service) goneDatabases(ctx context.Context, state rosterState) map[string]bool {
-	s.mu.Lock()
-	missing := state.roster.Missing(s.name, s.table.All())
-	s.mu.Unlock()
+// writeRoster replaces the given version of the roster, 0 if there is none.
+func (s *service) writeRoster(ctx context.Context, version uint64, next succession.Roster) (objectapi.Object, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	var object objectapi.Object
+	objects := s.g.platform.Objects()
+	if version == 0 {
+		object, err = objects.Create(ctx, kindRosters, s.name, value)
+	} else {
+		object, err = objects.Update(ctx, kindRosters, s.name, version, value)
+	}
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	s.g.log.Info("Record of the databases stored.", "part", "promotion", "service", s.name, "version", object.Version, "databases", len(next.Databases),
+		"retiring", next.RetiringIDs(), "primary", next.Primary, "term", next.Term)
+	return object, nil
+}
+
+// retiringHeldElsewhere queries the primary and the other databases of a roster as it is stored,
+// and reports whether what its retiring databases may hold is held elsewhere.
+func (s *service) retiringHeldElsewhere(roster succession.Roster) bool {
 	now := s.g.now()
-	gone := map[string]bool{}
-	for _, db := range missing {
-		since, ok := state.missing[db.ID]
-		if !ok || now.Sub(since) < missingCheckEvery {
-			continue
-		}
-		if s.g.peers.centresReachableSince(since)[db.DataCentre] && !s.accepts(ctx, db) {
-			gone[db.ID] = true
-			continue
+	s.mu.Lock()
+	leader, _ := s.table.Leader()
+	primary := s.pools[leader.ID]
+	var others []*pool
+	for id, p := range s.pools {
+		db, ok := s.table.Get(id)
+		if ok && id != leader.ID && s.keepsLog(db, now) && roster.Counts(id, db.StartMillis) {
+			others = append(others, p)
 		}
+	}
+	s.mu.Unlock()
+	if primary == nil || len(others) == 0 {
+		return false
+	}
+	led, ok := s.logReport(primary)
+	if !ok {
+		return false
+	}
+	held := func() bool {
 		s.mu.Lock()
-		s.roster.missing[db.ID] = now // checked again after missingCheckEvery
+		newest := max(s.table.Term(), s.replication.term, s.namedTerm)
 		s.mu.Unlock()
+		return roster.HeldElsewhere(led, s.logReports(others), newest)
 	}
-	return gone
+	for range removalQueries {
+		if held() {
+			return s.leaseSettledIn(led.Term)
+		}
+		retry.Wait(s.g.ctx, removalPause)
+	}
+	return false
+}
+
+// keepsLog reports whether a database is listed, and not leaving, and known to all hosts. mu is
+// held.
+func (s *service) keepsLog(db routes.Database, now time.Time) bool {
+	return s.table.Listed(db.ID) && !db.Leaving && s.table.KnownFor(db.ID, now) >= lead.KnownAfter
 }
 
-// accepts reports whether a database accepts a connection.
-func (s *service) accepts(ctx context.Context, db routes.Database) bool {
-	ctx, cancel := context.WithTimeout(ctx, formerTimeout)
+func (s *service) logReport(p *pool) (succession.LogReport, bool) {
+	report, ok := s.queryStatus(p)
+	if !ok {
+		return succession.LogReport{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.keepsLog(p.db, s.g.now())
+	return succession.LogReport{ID: p.db.ID, StartMillis: p.db.StartMillis, Known: known, Primary: report.Primary, Term: report.Term, Received: report.Received}, true
+}
+
+func (s *service) logReports(pools []*pool) []succession.LogReport {
+	reports := make([]succession.LogReport, len(pools))
+	var all sync.WaitGroup
+	for i, p := range pools {
+		all.Go(func() { reports[i], _ = s.logReport(p) }) // a zero report counts for nothing
+	}
+	all.Wait()
+	return reports
+}
+
+// leaseSettledIn reads the service's lease and reports whether it is settled in a term: a database
+// that leads a newer one would have been recorded in it. A former primary may not know that yet.
+func (s *service) leaseSettledIn(term uint64) bool {
+	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
-	conn, err := s.g.platform.Dial(ctx, db, s.g.anyCustomer())
+	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return true
+	}
+	var l succession.Lease
+	if err == nil {
+		err = json.Unmarshal(object.Value, &l)
+	}
 	if err != nil {
+		s.g.log.Info("Reading the lease for the record of the databases failed.", "part", "promotion", "service", s.name, "error", err)
 		return false
 	}
-	if err := conn.Close(); err != nil {
-		s.g.log.Debug("Closing a connection failed.", "part", "promotion", "database", db.ID, "error", err)
+	return l.Settled(term)
+}
+
+// rosterWith reads the roster. If none of the given databases counts on it, it adds those that
+// this host knows: until then no commit can be acknowledged.
+func (s *service) rosterWith(ctx context.Context, databases []routes.Database) (succession.Roster, error) {
+	object, roster, err := s.readRoster(ctx)
+	if err != nil || slices.ContainsFunc(databases, func(db routes.Database) bool { return roster.Counts(db.ID, db.StartMillis) }) {
+		return roster, err
+	}
+	s.mu.Lock()
+	next, changed := roster.Add(s.table.All())
+	s.mu.Unlock()
+	if !changed {
+		return roster, nil
+	}
+	if _, err = s.writeRoster(ctx, object.Version, next); isConflict(err) {
+		_, roster, err = s.readRoster(ctx)
+		return roster, err
 	}
-	return true
+	return next, err
 }
 
-// readRoster reads the service's roster. One that does not exist, or that cannot be
-// decoded, is empty.
+// readRoster reads the service's roster. One that does not exist is empty.
 func (s *service) readRoster(ctx context.Context) (objectapi.Object, succession.Roster, error) {
 	var roster succession.Roster
 	object, err := s.g.platform.Objects().Get(ctx, kindRosters, s.name)
@@ -170,8 +269,7 @@
 		return objectapi.Object{}, roster, err
 	}
 	if err := json.Unmarshal(object.Value, &roster); err != nil {
-		s.g.log.Warn("Cannot decode the record of the databases.", "part", "promotion", "service", s.name, "error", err)
-		return object, succession.Roster{}, nil
+		return object, succession.Roster{}, fmt.Errorf("decoding the record of the databases of service %s, version %d: %w", s.name, object.Version, err)
 	}
 	return object, roster, nil
 }
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -8,6 +8,7 @@
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -110,20 +111,18 @@
 }
 
 // mayRepeat reports whether the database of a pending order still is one to promote. If the
-// order may not have been accepted, it must hold what every replica of the store's list and the
-// record holds: a database that was
-// missing from the hosts' lists for a while may lack commits that were acknowledged without it.
+// order may not have been accepted, it must hold what every other one that answers holds: a
+// database that was missing from the hosts' lists for a while may lack commits that were
+// acknowledged without it.
 func (a *replacement) mayRepeat(c *controlConn) bool {
-	late := succession.Candidate{Received: c.report.Received}
-	if !c.answered || c.report.Primary || c.db.Leaving || late.Lacks(a.floor) {
+	if !c.answered || c.report.Primary || c.db.Leaving || !a.listsRead {
 		return false
 	}
-	if a.accepted {
-		return true
+	late, candidates := succession.Candidate{Received: c.report.Received}, a.candidates()
+	if !succession.MayLead(late, candidates, position.Max(a.acked, a.ackedElsewhere()), a.floor) {
+		return false
 	}
-	candidates := a.candidates()
-	return a.listsRead && succession.AllRead(candidates) && !late.Lacks(a.acked) &&
-		!slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
+	return a.accepted || !slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
 }
 
 // awaitSettled is called when the platform has accepted an order. It waits until
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -38,8 +38,9 @@
 	if err := a.awaitSenior(ctx); err != nil {
 		return succession.Candidate{}, err
 	}
-	if _, ok := a.unread(); ok {
-		a.logCandidates(a.candidates())
+	candidates := a.candidates()
+	if longest, _ := succession.Longest(candidates); !succession.MayLead(longest, candidates, a.acked, a.floor) {
+		a.logCandidates(candidates)
 		return succession.Candidate{}, errNoSuccessor // no reason to pause the others, whose primary may still serve
 	}
 	a.pauseAll(ctx)
@@ -47,15 +48,19 @@
 		return succession.Candidate{}, err
 	}
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
-	candidates := a.candidates()
+	acked = position.Max(a.acked, acked)
+	candidates = a.candidates()
 	a.logCandidates(candidates)
-	best, ok := succession.Choose(candidates, position.Max(a.acked, acked), a.floor, a.primaryGone())
+	best, ok := succession.Choose(candidates, acked, a.floor, a.primaryGone())
 	if !ok || succession.Outgrown(best, candidates) {
 		return best, errNoSuccessor
 	}
 	if a.pending {
 		best = succession.Prefer(a.ordered, best, candidates)
 	}
+	if best.Lacks(acked) || best.Lacks(a.floor) {
+		a.log.Warn("The successor's log lacks acknowledged commits, which an operator has given up.", "database", best.ID, "log", best.Received.String(), "acked", acked.String(), "floor", a.floor.String())
+	}
 	return best, nil
 }
 
@@ -91,12 +96,12 @@
 	return nil
 }
 
-// primaryGone reports whether the primary to be replaced is known to have ended.
+// primaryGone reports whether the primary to be replaced seems to have ended.
 func (a *replacement) primaryGone() bool {
 	c := a.conn(a.primary)
 	switch {
 	case a.primary == "" || c != nil && c.answered && !c.report.Primary:
-		return succession.AllRead(a.candidates()) // it may be any that is not
+		return !slices.ContainsFunc(a.candidates(), succession.Candidate.MustBeRead) // it may be any that is not read
 	case c == nil:
 		return true
 	case c.answered:
@@ -108,7 +113,7 @@
 // listed reports whether the platform lists a database, or did within
 // lead.MissingRetention: entries may vanish for as long while the store is away.
 func (a *replacement) listed(id string) bool {
-	if slices.ContainsFunc(a.storeList, func(db routes.Database) bool { return db.ID == id }) {
+	if inList(a.storeList, id) {
 		return true
 	}
 	a.s.mu.Lock()
@@ -121,9 +126,9 @@
 // was started: another host may have replaced the primary since. Only a primary
 // that is leaving or stalled is expected to report that it is the primary.
 func (a *replacement) checkView() error {
-	if a.leaseTerm > a.term {
+	if recorded := max(a.leaseTerm, a.roster.Term); recorded > a.term {
 		a.s.mu.Lock()
-		a.s.table.RecordTerm(a.leaseTerm) // for the next attempt
+		a.s.table.RecordTerm(recorded) // for the next attempt
 		a.s.mu.Unlock()
 		return errNewerTerm
 	}
@@ -143,15 +148,27 @@
 	return nil
 }
 
+// isReplaced reports whether a database is the primary that the attempt replaces, whose log need
+// not be read: it has proved to be the primary, and no newer term is known. The roster may name it
+// under the id that it had before it came back.
+func (a *replacement) isReplaced(id string) bool {
+	if id == a.roster.Primary && a.roster.Term == a.newestTerm() {
+		return true
+	}
+	if id != a.primary || !a.proven || a.roster.Term > a.provenTerm && a.roster.Primary != id {
+		return false
+	}
+	return !slices.ContainsFunc(a.conns, func(c *controlConn) bool { return a.provenTerm != 0 && c.report.Term > a.provenTerm })
+}
+
 // replicas returns the databases that may be replicas: all except those that
 // report that they are the primary, and the primary to be replaced if it did not
 // answer. One that has only announced itself as the primary, or has been replaced in a
 // newer term, may be a replica.
 func (a *replacement) replicas() []*controlConn {
-	proven := a.proven && !slices.ContainsFunc(a.conns, func(c *controlConn) bool { return a.provenTerm != 0 && c.report.Term > a.provenTerm })
 	var out []*controlConn
 	for _, c := range a.conns {
-		if c.answered && c.report.Primary || c.db.ID == a.primary && !c.answered && proven {
+		if c.answered && c.report.Primary || !c.answered && a.isReplaced(c.db.ID) {
 			continue
 		}
 		out = append(out, c)
@@ -229,8 +246,8 @@
 }
 
 // checkRestarts fails if a database has restarted since the list was read under the
-// lease, and so without what it held: the successor, or a replica whose log, read before or
-// after that, may have held the only copy of a commit that the primary still has.
+// lease, and so without what it held: the successor, or another one, of which it is not known
+// whether its log was read before or after that.
 func (a *replacement) checkRestarts(ctx context.Context, successor string) error {
 	if a.storeList == nil {
 		return nil // the order is not for a successor that this attempt has chosen
@@ -246,22 +263,35 @@
 	if err != nil {
 		return err
 	}
-	restarted := succession.Restarted(slices.Collect(maps.Values(known)), stored)
-	if len(restarted) == 0 || !slices.Contains(restarted, successor) && a.primaryGone() {
+	restarted := slices.DeleteFunc(succession.Restarted(slices.Collect(maps.Values(known)), stored), func(id string) bool { return id != successor && a.isReplaced(id) })
+	if len(restarted) == 0 {
 		return nil
 	}
 	a.log.Warn("Databases have restarted since the lease was acquired.", "databases", restarted, "successor", successor)
 	return errRestarted
 }
 
-// candidates converts the replicas to candidates for the choice of the successor.
+// candidates converts the databases to candidates for the choice of the successor. A process of
+// an earlier start that the roster still has is one too: its log cannot be read any more.
 func (a *replacement) candidates() []succession.Candidate {
 	replicas := a.replicas()
 	reachable := a.s.g.peers.centresReachableSince(a.started)
-	out := make([]succession.Candidate, len(replicas))
-	for i, c := range replicas {
-		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
-			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID)}
+	out := make([]succession.Candidate, 0, len(replicas)+1)
+	for _, c := range replicas {
+		place, recorded := a.roster.Databases[c.db.ID]
+		recorded = recorded && place.StartMillis == c.db.StartMillis
+		out = append(out, succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
+			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
+			Recorded: recorded, Abandoned: recorded && place.Abandoned})
+	}
+	for _, c := range a.conns {
+		place, recorded := a.roster.Databases[c.db.ID]
+		replaced := a.isReplaced(c.db.ID)
+		if recorded && place.StartMillis != c.db.StartMillis {
+			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: place.StartMillis, Recorded: true, Abandoned: place.Abandoned, Replaced: replaced})
+		} else if replaced && !c.answered {
+			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: c.db.StartMillis, Listed: a.listed(c.db.ID), Recorded: recorded, Abandoned: recorded && place.Abandoned, Replaced: true})
+		}
 	}
 	return out
 }
@@ -270,6 +300,7 @@
 	for _, c := range candidates {
 		report := a.conn(c.ID).report
 		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "known", c.Known, "cut_off", c.CutOff,
+			"recorded", c.Recorded, "abandoned", c.Abandoned, "replaced", c.Replaced,
 			"received", c.Received.String(), "term", report.Term, "paused", report.Paused, "acked", a.acked.String())
 	}
 }
