--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -60,6 +60,7 @@
 	outcomes   acknowledgementLog
 	lease      leaseReport       // the last read of the lease that showed it settled
 	roster     succession.Roster // as last read
+	unsettled  bool              // the last read of the lease showed that it is not settled, or had no answer
 	recent     recentCommits
 	// unacknowledged are the commits that were confirmed and not acknowledged.
 	unacknowledged recentCommits
@@ -400,8 +401,16 @@
 }
 
 // protectedCopies reads the roster and then the lease. It returns the end of the longest log
-// among the copies that count on the roster, and whether the lease is settled in a term.
+// among the copies that count on the roster, and whether the lease is settled in a term. While it
+// is not, only the lease is read: the host shares its calls of the store with attempts.
 func (s *service) protectedCopies(replicas []routes.Database, holding []copyOf, term uint64) (held position.Position, settled bool) {
+	s.mu.Lock()
+	r := &s.replication
+	leaseFirst := r.unsettled && slices.ContainsFunc(replicas, func(db routes.Database) bool { return r.roster.Counts(db.ID, db.StartMillis) })
+	s.mu.Unlock()
+	if leaseFirst && !s.leaseSettled(term) {
+		return held, false
+	}
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
 	roster, err := s.rosterWith(ctx, replicas)
@@ -417,7 +426,11 @@
 			held = position.Max(held, c.received)
 		}
 	}
-	return held, s.leaseSettled(term)
+	settled = s.leaseSettled(term)
+	s.mu.Lock()
+	s.replication.unsettled = !settled
+	s.mu.Unlock()
+	return held, settled
 }
 
 // leaseSettled reads the service's lease and reports whether it is settled. If it is
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -154,7 +154,7 @@
 // unread returns a replica that has not answered the last query, such as a Pause, and may hold
 // the only copy of an acknowledged commit.
 func (a *replacement) unread() (id string, ok bool) {
-	for _, c := range a.candidates() {
+	for _, c := range a.allLogs() {
 		if c.MustBeRead() {
 			return c.ID, true
 		}
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -99,6 +99,8 @@
 		}
 		localDatabase := routes.Database{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4}
 		g.setDatabases(map[string]routes.Database{"a": remoteDatabase("a"), "b": localDatabase, "c": remoteDatabase("c")})
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(svc.syncRoster()).To(Succeed())
 		g.setDatabases(map[string]routes.Database{"b": localDatabase})
 		svc.mu.Lock()
 		svc.table.Expire(time.Now().Add(time.Minute))
@@ -118,6 +120,11 @@
 		g.peers.contacts["dc-b"] = contact{since: time.Now().Add(-time.Minute), last: time.Now()}
 		g.peers.mu.Unlock()
 		attempt(succession.Absent)
+		dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+
+		By("reading the log of the other replica")
+		dbs.withLock(func() { dbs.databases["c"].unresponsive = false })
+		attempt(succession.Absent)
 		dbs.withLock(func() { Expect(dbs.orders).To(HaveLen(1)) })
 	})
 
--- a/gateway/review33_test.go
+++ b/gateway/review33_test.go
@@ -111,6 +111,7 @@
 		replicas[0].StartMillis, replicas[1].StartMillis, replicas[2].StartMillis = 1, 2, 3
 		svc = newService(g, testService)
 		g.ago(2*lead.EstablishedAfter+lead.MissingRetention, func() { svc.setDatabases(append(replicas, entry("e")), 4) })
+		Expect(svc.syncRoster()).To(Succeed())
 		g.ago(lead.MissingRetention, func() { svc.setDatabases(replicas, 4) })
 		dbs.withLock(func() {
 			dbs.term, dbs.primary = 2, "e"
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -118,11 +118,11 @@
 	if !c.answered || c.report.Primary || c.db.Leaving || !a.listsRead {
 		return false
 	}
-	late, candidates := succession.Candidate{Received: c.report.Received}, a.candidates()
-	if !succession.MayLead(late, candidates, position.Max(a.acked, a.ackedElsewhere()), a.floor) {
+	late, logs := succession.Candidate{Received: c.report.Received}, a.allLogs()
+	if !succession.MayLead(late, logs, position.Max(a.acked, a.ackedElsewhere()), a.floor) {
 		return false
 	}
-	return a.accepted || !slices.ContainsFunc(candidates, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
+	return a.accepted || !slices.ContainsFunc(logs, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
 }
 
 // awaitSettled is called when the platform has accepted an order. It waits until
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -38,9 +38,9 @@
 	if err := a.awaitSenior(ctx); err != nil {
 		return succession.Candidate{}, err
 	}
-	candidates := a.candidates()
-	if longest, _ := succession.Longest(candidates); !succession.MayLead(longest, candidates, a.acked, a.floor) {
-		a.logCandidates(candidates)
+	logs := a.allLogs()
+	if longest, _ := succession.Longest(logs); !succession.MayLead(longest, logs, a.acked, a.floor) {
+		a.logCandidates(logs)
 		return succession.Candidate{}, errNoSuccessor // no reason to pause the others, whose primary may still serve
 	}
 	a.pauseAll(ctx)
@@ -49,14 +49,14 @@
 	}
 	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
 	acked = position.Max(a.acked, acked)
-	candidates = a.candidates()
-	a.logCandidates(candidates)
-	best, ok := succession.Choose(candidates, acked, a.floor, a.primaryGone())
-	if !ok || succession.Outgrown(best, candidates) {
+	logs = a.allLogs()
+	a.logCandidates(logs)
+	best, ok := succession.Choose(logs, acked, a.floor, a.primaryGone())
+	if !ok || succession.Outgrown(best, logs) {
 		return best, errNoSuccessor
 	}
 	if a.pending {
-		best = succession.Prefer(a.ordered, best, candidates)
+		best = succession.Prefer(a.ordered, best, logs)
 	}
 	if best.Lacks(acked) || best.Lacks(a.floor) {
 		a.log.Warn("The successor's log lacks acknowledged commits, which an operator has given up.", "database", best.ID, "log", best.Received.String(), "acked", acked.String(), "floor", a.floor.String())
@@ -101,7 +101,7 @@
 	c := a.conn(a.primary)
 	switch {
 	case a.primary == "" || c != nil && c.answered && !c.report.Primary:
-		return !slices.ContainsFunc(a.candidates(), succession.Candidate.MustBeRead) // it may be any that is not read
+		return !slices.ContainsFunc(a.allLogs(), succession.Candidate.MustBeRead) // it may be any that is not read
 	case c == nil:
 		return true
 	case c.answered:
@@ -271,19 +271,26 @@
 	return errRestarted
 }
 
-// candidates converts the databases to candidates for the choice of the successor. A process of
-// an earlier start that the roster still has is one too: its log cannot be read any more.
+// candidates converts the replicas to candidates for the choice of the successor.
 func (a *replacement) candidates() []succession.Candidate {
 	replicas := a.replicas()
 	reachable := a.s.g.peers.centresReachableSince(a.started)
-	out := make([]succession.Candidate, 0, len(replicas)+1)
-	for _, c := range replicas {
+	out := make([]succession.Candidate, len(replicas))
+	for i, c := range replicas {
 		place, recorded := a.roster.Databases[c.db.ID]
 		recorded = recorded && place.StartMillis == c.db.StartMillis
-		out = append(out, succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
+		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
 			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
-			Recorded: recorded, Abandoned: recorded && place.Abandoned})
+			Recorded: recorded, Abandoned: recorded && place.Abandoned}
 	}
+	return out
+}
+
+// allLogs returns the candidates, and those databases that cannot be chosen though their logs may
+// matter: the primary that is replaced, if it does not answer, and processes of an earlier start
+// that the roster still has.
+func (a *replacement) allLogs() []succession.Candidate {
+	out := a.candidates()
 	for _, c := range a.conns {
 		place, recorded := a.roster.Databases[c.db.ID]
 		replaced := a.isReplaced(c.db.ID)
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -211,19 +211,26 @@
 		Expect(store.writes.Load()).To(BeZero())
 	})
 
-	It("replaces a silent primary after a successor shorter than the floor was chosen, once its replica holds its log", func() {
+	It("replaces a silent primary by none shorter than the floor, and again once its replica holds its log", func() {
 		storeLease(`{"holder":"host-2","claim":"x","released":true,"term":1,"rules":1,"floor":{"Term":1,"Index":20}}`)
 		dbs.withLock(func() { delete(dbs.databases, "a") })
 		svc = newService(g, testService)
 		svc.setDatabasesAgo(time.Minute, entry("b"), entry("c"))
 		svc.table.RecordTerm(1)
 		attempt(succession.Absent)
-		Expect(orders()).To(Equal(1), "the primary has ended")
+		Expect(orders()).To(BeZero(), "the primary may return with its log")
+		dbs.withLock(func() {
+			for _, db := range dbs.databases {
+				db.end = position.Position{Term: 1, Index: 20}
+			}
+		})
+		attempt(succession.Absent)
+		Expect(orders()).To(Equal(1))
 		first := primary()
 		Expect(first).To(BeElementOf("b", "c"))
 		dbs.withLock(func() {
 			for _, db := range dbs.databases {
-				db.end = position.Position{Term: 2, Index: 12}
+				db.end = position.Position{Term: 2, Index: 22}
 			}
 			dbs.databases[first].unresponsive = true
 		})
@@ -439,12 +446,15 @@
 		svc.mu.Unlock()
 	}
 
-	It("replaces a primary that has ended after another database has ended as well, though none holds its last commits", func() {
+	It("does not replace a primary that seems to have ended, as another database does, by one that lacks its last commits", func() {
 		dbs.withLock(func() { delete(dbs.databases, "a") })
 		list(entry("a"), entry("b"), entry("c"), entry("e")) // "e" never runs
 		formerAndFloor()
 		attempt(succession.Silent)
-		Expect(orders()).To(Equal(1))
+		Expect(orders()).To(BeZero())
+		dbs.withLock(func() { dbs.databases["c"].end.Index = 20 })
+		attempt(succession.Silent)
+		Expect(orders()).To(Equal(1), "no commit rests on the log of the other one, which the roster lacks")
 	})
 
 	It("does not replace a primary that has ended while another former database, which may hold its last commits, is silent", func() {
@@ -481,6 +491,7 @@
 		young[0].StartMillis, young[1].StartMillis = 1, 2
 		fresh := newService(g, testService)
 		g.ago(2*lead.EstablishedAfter+lead.MissingRetention, func() { fresh.setDatabases(append(young, entry("e")), 4) })
+		Expect(fresh.syncRoster()).To(Succeed())
 		g.ago(lead.MissingRetention, func() { fresh.setDatabases(young, 4) })
 		svc = fresh
 		dbs.withLock(func() {
