--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -280,6 +280,8 @@
 	RankDelay = 300 * time.Millisecond
 	// RetryDelay is the time between two attempts of one host.
 	RetryDelay = 300 * time.Millisecond
+	// WaitDelay replaces RetryDelay while a log is waited for that cannot be read.
+	WaitDelay = time.Second
 	// StalledHoldOff is how long a new primary is not replaced because of stalled
 	// commits. If its predecessor stalled as well, the cause is replicas that do not
 	// receive, and another replacement would not help.
--- a/gateway/absent_database_test.go
+++ b/gateway/absent_database_test.go
@@ -181,6 +181,17 @@
 			Expect(orders()).To(Equal([]string{"b"}))
 		})
 
+		It("is not waited for if the primary confirms commits on its own", func() {
+			config := *g.config.Load().Configuration
+			config.Services = map[string]routes.Service{testService: {Name: testService, MaxConns: 40}}
+			g.config.Store(&loadedConfiguration{Configuration: &config})
+			svc.mu.Lock()
+			svc.replicated = false
+			svc.mu.Unlock()
+			knowing()
+			Expect(orders()).To(Equal([]string{"b"}))
+		})
+
 		It("is waited for after it has come back empty under its id", func() {
 			list(entry("b"), restarted(entry("c")))
 			dbs.withLock(func() { dbs.databases["c"] = &standin{group: dbs, id: "c"} })
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -136,6 +136,9 @@
 		s.mu.Lock()
 		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		if a.waits {
+			s.promotion.nextAttempt = s.g.now().Add(succession.WaitDelay)
+		}
 		if a.pausing.unanswered {
 			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
 		}
@@ -181,6 +184,7 @@
 	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
 	pending     bool              // an unanswered order may still take effect
 	settled     bool              // the lease has been released without a pending order
+	waits       bool              // a log must be read first that could not be
 	ordered     string            // the database that this order promotes
 	olderLease  bool              // the lease was last written by a host of older rules
 	pausing     pausing
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -119,7 +119,8 @@
 		return false
 	}
 	late, logs := succession.Candidate{Received: c.report.Received}, a.allLogs()
-	if !succession.MayLead(late, logs, position.Max(a.acked, a.ackedElsewhere()), a.floor) {
+	acked, floor := a.bounds(position.Max(a.acked, a.ackedElsewhere()))
+	if !succession.MayLead(late, logs, acked, floor) {
 		return false
 	}
 	return a.accepted || !slices.ContainsFunc(logs, func(o succession.Candidate) bool { return o.Answered && late.Lacks(o.Received) })
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -39,7 +39,9 @@
 		return succession.Candidate{}, err
 	}
 	logs := a.allLogs()
-	if longest, _ := succession.Longest(logs); !succession.MayLead(longest, logs, a.acked, a.floor) {
+	acked, floor := a.bounds(a.acked)
+	if longest, _ := succession.Longest(logs); !succession.MayLead(longest, logs, acked, floor) {
+		a.waits = true
 		a.logCandidates(logs)
 		return succession.Candidate{}, errNoSuccessor // no reason to pause the others, whose primary may still serve
 	}
@@ -47,23 +49,31 @@
 	if err := a.checkView(); err != nil {
 		return succession.Candidate{}, err
 	}
-	_, acked, _ := a.s.g.peers.primaryViews(a.s.name) // hosts may have reported later commits by now
-	acked = position.Max(a.acked, acked)
+	acked, floor = a.bounds(position.Max(a.acked, a.ackedElsewhere())) // hosts may have reported later commits by now
 	logs = a.allLogs()
 	a.logCandidates(logs)
-	best, ok := succession.Choose(logs, acked, a.floor, a.primaryGone())
+	best, ok := succession.Choose(logs, acked, floor, a.primaryGone())
 	if !ok || succession.Outgrown(best, logs) {
 		return best, errNoSuccessor
 	}
 	if a.pending {
 		best = succession.Prefer(a.ordered, best, logs)
 	}
-	if best.Lacks(acked) || best.Lacks(a.floor) {
-		a.log.Warn("The successor's log lacks acknowledged commits, which an operator has given up.", "database", best.ID, "log", best.Received.String(), "acked", acked.String(), "floor", a.floor.String())
+	if best.Lacks(acked) || best.Lacks(floor) {
+		a.log.Warn("The successor's log lacks acknowledged commits, which an operator has given up.", "database", best.ID, "log", best.Received.String(), "acked", acked.String(), "floor", floor.String())
 	}
 	return best, nil
 }
 
+// bounds returns the last acknowledged commit and the floor that the log of a successor must
+// reach. A primary that confirms commits on its own takes the last of them with it.
+func (a *replacement) bounds(acked position.Position) (position.Position, position.Position) {
+	if !a.s.needsCopies() && a.primaryGone() {
+		return position.Position{}, position.Position{}
+	}
+	return acked, a.floor
+}
+
 // awaitSenior waits until the senior replica's log reaches the longest one that was
 // read, so that it is the longest. If it does not within seniorLimit, another one may
 // be chosen.
@@ -275,10 +285,11 @@
 func (a *replacement) candidates() []succession.Candidate {
 	replicas := a.replicas()
 	reachable := a.s.g.peers.centresReachableSince(a.started)
+	needsCopies := a.s.needsCopies()
 	out := make([]succession.Candidate, len(replicas))
 	for i, c := range replicas {
 		place, recorded := a.roster.Databases[c.db.ID]
-		recorded = recorded && place.StartMillis == c.db.StartMillis
+		recorded = recorded && place.StartMillis == c.db.StartMillis && needsCopies
 		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
 			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
 			Recorded: recorded, Abandoned: recorded && place.Abandoned}
@@ -291,6 +302,9 @@
 // that the roster still has.
 func (a *replacement) allLogs() []succession.Candidate {
 	out := a.candidates()
+	if !a.s.needsCopies() {
+		return out // no commit rests on a copy
+	}
 	for _, c := range a.conns {
 		place, recorded := a.roster.Databases[c.db.ID]
 		replaced := a.isReplaced(c.db.ID)
