--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -25,6 +25,8 @@
 	Address     string `json:"address"` // IP:port
 	DataCentre  string `json:"dataCentre"`
 	StartMillis int64  `json:"startMillis"` // start time of its process, Unix milliseconds
+	// FormerStarts are those of earlier processes under the same id. They retire too.
+	FormerStarts []int64 `json:"formerStarts,omitempty"`
 	// Retiring is set for a database whose log no longer counts as the only copy of a commit.
 	// It is taken off the roster once another one holds what its log may hold.
 	Retiring bool `json:"retiring,omitempty"`
@@ -58,9 +60,9 @@
 
 // Update returns the roster with the present databases and the primary of the given
 // term, and whether it differs from r. An empty primary, or one of an earlier term, changes
-// nothing. A database retires once it is no longer present, is leaving or has restarted, and
-// no longer does when it is back with the same start. If held is set (see HeldElsewhere), the
-// places that r shows as retiring are removed, and those of restarted databases replaced.
+// nothing. A database retires once it is no longer present or is leaving, and no longer does
+// when it is back with the same start; the former process of one that has restarted retires. If held
+// is set (see HeldElsewhere), what r shows as retiring is removed.
 func (r Roster) Update(present []routes.Database, primary string, term uint64, held bool) (Roster, bool) {
 	out := Roster{Primary: r.Primary, Term: r.Term, Databases: map[string]Place{}}
 	byID := map[string]routes.Database{}
@@ -68,9 +70,18 @@
 		byID[db.ID] = db
 	}
 	for id, place := range r.Databases {
+		if held {
+			place.FormerStarts = nil
+		}
 		db, isPresent := byID[id]
-		if isPresent && !db.Leaving && db.StartMillis == place.StartMillis {
-			out.Databases[id] = placeOf(db)
+		if isPresent && !db.Leaving {
+			next := placeOf(db)
+			next.FormerStarts = place.FormerStarts
+			if place.StartMillis != db.StartMillis && !(held && place.Retiring) {
+				next.FormerStarts = append(slices.Clone(place.FormerStarts), place.StartMillis)
+			}
+			next.Abandoned = place.Abandoned && len(next.FormerStarts) > 0
+			out.Databases[id] = next
 			continue
 		}
 		if place.Retiring && held {
@@ -83,15 +94,21 @@
 	if primary != "" && term > r.Term {
 		out.Primary, out.Term = primary, term
 	}
-	changed := out.Primary != r.Primary || out.Term != r.Term || !maps.Equal(out.Databases, r.Databases)
+	changed := out.Primary != r.Primary || out.Term != r.Term || !maps.EqualFunc(out.Databases, r.Databases, Place.equal)
 	return out, changed
 }
 
-// RetiringIDs returns the databases of the roster that are retiring, sorted.
+func (p Place) equal(o Place) bool {
+	return p.Address == o.Address && p.DataCentre == o.DataCentre && p.StartMillis == o.StartMillis &&
+		p.Retiring == o.Retiring && p.Abandoned == o.Abandoned && slices.Equal(p.FormerStarts, o.FormerStarts)
+}
+
+// RetiringIDs returns the databases of the roster that are retiring, or former processes of
+// which are, sorted.
 func (r Roster) RetiringIDs() []string {
 	var ids []string
 	for id, place := range r.Databases {
-		if place.Retiring {
+		if place.Retiring || len(place.FormerStarts) > 0 {
 			ids = append(ids, id)
 		}
 	}
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -308,9 +308,14 @@
 	for _, c := range a.conns {
 		place, recorded := a.roster.Databases[c.db.ID]
 		replaced := a.isReplaced(c.db.ID)
+		former := place.FormerStarts
 		if recorded && place.StartMillis != c.db.StartMillis {
-			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: place.StartMillis, Recorded: true, Abandoned: place.Abandoned, Replaced: replaced})
-		} else if replaced && !c.answered {
+			former = append(slices.Clone(former), place.StartMillis)
+		}
+		for _, start := range former {
+			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: start, Recorded: true, Abandoned: place.Abandoned, Replaced: replaced})
+		}
+		if replaced && !c.answered {
 			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: c.db.StartMillis, Listed: a.listed(c.db.ID), Recorded: recorded, Abandoned: recorded && place.Abandoned, Replaced: true})
 		}
 	}
