--- a/gateway/absent_database_test.go
+++ b/gateway/absent_database_test.go
@@ -244,6 +244,12 @@
 			Expect(write()).NotTo(BeNil())
 		})
 
+		It("is added to the roster, where others count that lack the commit", func() {
+			change(func(r *succession.Roster) { delete(r.Databases, "c") })
+			Expect(write()).To(BeNil())
+			Expect(recorded().Counts("c", 0)).To(BeTrue())
+		})
+
 		It("counts on no roster that cannot be read", func() {
 			object, err := p.api.Get(context.Background(), kindRosters, testService)
 			Expect(err).NotTo(HaveOccurred())
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -413,6 +413,12 @@
 	}
 	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
+	if len(holding) > 0 {
+		replicas = nil
+		for _, c := range holding {
+			replicas = append(replicas, c.Database)
+		}
+	}
 	roster, err := s.rosterWith(ctx, replicas)
 	if err != nil {
 		s.g.log.Info("Reading the record of the databases for an acknowledgement failed.", "part", "promotion", "service", s.name, "error", err)
