--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -283,6 +283,7 @@
 			held = succession.Copy{Answered: true, Term: commit.Term, Received: commit}
 		}
 		held.Established = d.Seen&establishedByAcker != 0
+		held.Recorded = true
 		replicas = append(replicas, held)
 		c := succession.Copy{Answered: true, Primary: id == s.Primary, Term: uint64(d.Term), Received: at(m.end(d))}
 		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && (!m.AskAfter || d.holds(commit)) && !(older && d.paused()) && (!s.OlderAcker || m.StartsEarly || m.LookOnce || s.looked()) {
