--- a/gateway/absent_database_test.go
+++ b/gateway/absent_database_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -271,6 +272,49 @@
 		Expect(write()).To(BeNil())
 	})
 
+	// The database for which a listed one was taken off the roster may be away.
+	It("is one of all replicas until a roster without it was read, however long ago it was listed", func() {
+		Expect(write()).To(BeNil())
+		svc.mu.Lock()
+		svc.table.SetDatabases([]routes.Database{entry("a"), entry("b")}, time.Now().Add(-time.Minute))
+		svc.table.Expire(time.Now().Add(-2 * formerMayReturn))
+		svc.mu.Unlock()
+		p.store.SetDown(true)
+		Expect(write()).NotTo(BeNil())
+		p.store.SetDown(false)
+		Expect(svc.syncRoster()).To(Succeed())
+		Expect(recorded().Databases).To(HaveLen(2))
+		Expect(write()).To(BeNil())
+		p.store.SetDown(true)
+		Expect(write()).To(BeNil())
+	})
+
+	// It is not paused any more, or may be about to be promoted.
+	DescribeTable("makes a commit that all replicas hold wait until the lease is settled again", func(happens func()) {
+		Expect(write()).To(BeNil())
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x"}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(write()).To(BeNil())
+		happens()
+		Expect(write()).NotTo(BeNil())
+	},
+		Entry("after it was away", func() { svc.recordFailure("c", time.Now(), false) }),
+		Entry("after its address refused", func() { svc.recordFailure("c", time.Now(), true) }),
+		Entry("after it was forgotten", func() {
+			svc.mu.Lock()
+			svc.replication.forget("c")
+			svc.mu.Unlock()
+		}),
+		Entry("after it was taken off the roster", func() {
+			svc.mu.Lock()
+			next := svc.replication.roster
+			next.Databases = maps.Clone(next.Databases)
+			delete(next.Databases, "c")
+			svc.replication.recordRoster(next)
+			svc.mu.Unlock()
+		}),
+	)
+
 	It("counts again at once as another process, though no other replica is left that could hold its log", func() {
 		svc.setDatabasesAgo(time.Minute, entry("a"), restarted(entry("b")), restarted(entry("c")))
 		Expect(write()).NotTo(BeNil())
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -52,7 +52,7 @@
 	// waitedTerm is the newest term in which the lease showed that orders of earlier terms have
 	// been waited for; see succession.Lease.Waited.
 	waitedTerm uint64
-	pauses     uint64        // reports of paused replicas, and pauses by this host
+	pauses     uint64        // calls of recheckOrders
 	term       uint64        // the newest term that any replica reported
 	reading    bool          // a read of the lease is running, or was until recently
 	proving    bool          // the same of a query whether a commit's database is still the primary
@@ -76,10 +76,30 @@
 	pause    time.Duration // after the last query that showed that it lacks a commit
 }
 
-// forget discards what rests on a database's log, which may be gone. service.mu is held.
+// forget discards what rests on a database's log, which may be gone. An order for a database
+// that this host counts no longer may be under way. service.mu is held.
 func (r *replication) forget(id string) {
 	delete(r.copies, id)
 	r.unsettle()
+	r.recheckOrders()
+}
+
+// recordRoster records the roster as last read, and forgets the databases that it lacks.
+// service.mu is held.
+func (r *replication) recordRoster(next succession.Roster) {
+	for id := range r.roster.Databases {
+		if _, ok := next.Databases[id]; !ok {
+			r.recheckOrders()
+		}
+	}
+	r.roster = next
+}
+
+// recheckOrders makes commits that all replicas hold wait until the lease has been read again.
+// service.mu is held.
+func (r *replication) recheckOrders() {
+	r.waitedTerm = 0
+	r.pauses++
 }
 
 // unsettle discards the settled position, and what a read of the lease that is running
@@ -296,6 +316,13 @@
 		held.Recorded = s.replication.roster.Counts(db.ID, db.StartMillis)
 		copies = append(copies, held)
 	}
+	// One that is not listed, or is another process, counts until a roster without it was read: the
+	// database for which a listed one was taken off the roster may be away.
+	for id, place := range s.replication.roster.Databases {
+		if db, ok := s.table.Get(id); id != primary && !place.Abandoned && (!ok || db.StartMillis != place.StartMillis) {
+			copies = append(copies, succession.Copy{})
+		}
+	}
 	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
@@ -425,7 +452,7 @@
 		return held, false
 	}
 	s.mu.Lock()
-	s.replication.roster = roster
+	s.replication.recordRoster(roster)
 	s.mu.Unlock()
 	for _, c := range holding {
 		if roster.Counts(c.ID, c.StartMillis) {
@@ -502,10 +529,7 @@
 // again, commits that all replicas hold do not count: a RESUME of an earlier attempt may have been
 // carried out late, and the order may take effect with its log of the call. service.mu is
 // held.
-func (r *replication) recordPause() {
-	r.waitedTerm = 0
-	r.pauses++
-}
+func (r *replication) recordPause() { r.recheckOrders() }
 
 // queryStatus returns a database's status report, and false if the database cannot be
 // queried.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -355,6 +355,8 @@
 	s.table.RecordFailure(id, sentAt, refused)
 	if refused {
 		s.replication.forget(id) // its process has ended
+	} else {
+		s.replication.recheckOrders() // it may have been down, and is not paused any more
 	}
 	isUnreachable := s.table.Unreachable(id, now)
 	s.mu.Unlock()
