--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -20,9 +20,9 @@
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given, with a log of any moment since. So a commit is
 // acknowledged to its caller only if no promotion can discard it: every replica of a
-// current list holds it, one of which is on the roster, and the lease has shown in its term that
-// no order of an earlier one is under way; or an established replica holds it, the roster, read
-// after that replica's report, has it, and the lease, read after the roster, is settled.
+// current list and of the roster holds it, and the lease has shown in its term that no order of an
+// earlier one is under way; or an established replica holds it, the roster, read after that
+// replica's report, has it, and the lease, read after the roster, is settled.
 
 // Timing of acknowledgements.
 const (
@@ -38,8 +38,8 @@
 	// up to leaseReadMax while the lease is not settled.
 	leaseReadEvery = 100 * time.Millisecond
 	leaseReadMax   = 300 * time.Millisecond
-	// formerMayReturn is how long a database that has vanished from the list may still be
-	// promoted by an order given before.
+	// formerMayReturn is how long a database that has vanished from the list, and that the roster
+	// lacks, may still be promoted by an order given before.
 	formerMayReturn = 15 * time.Second
 )
 
