Model databases that return with their logs, and the roster

Without the roster the model loses what only databases that are away hold: in 23 steps a commit that the taker knows to be acknowledged, by the exemption for databases that count as ended (none without the exemption), in 22 steps one that it does not know, without the exemption.

With the roster the model still loses in three ways, all by the rule that all copies are enough, whose view of the replicas or of the lease is old:

AllCopies with a holder that is on the roster as last read (25 steps from a roster of which b was removed for c, which the acknowledging host has not read yet): c goes down and the host forgets it; a commit is written, b receives it, the host has all copies (b), b was on the roster as it last read it: acknowledged. The taker reads the roster a, c; c returns and is read; b goes down, need not be read; c is promoted without the commit. Needed: a host goes on counting each database that was on the roster when it last read it, and forgets one only after it has read a roster without it.

The host forgets b, which was removed, while a takeover that has read b orders it (29 steps): c, read and paused, goes down and returns, not paused; it receives a commit, all copies (c) hold it, the lease was found settled in the term long before; b is promoted without it. Needed: the lease is found settled again after a host has forgotten a database.

Nothing is removed (27 steps, log of the call): after the check before the order both replicas go down and return, not paused, receive a commit, all copies hold it. Needed: the lease is found settled again after a replica that counts was away (on a new connection, say).

With these three rules no loss is found within the bounds of the specs.

--- /dev/null
+++ b/internal/takeovermodel/roster_test.go
@@ -0,0 +1,97 @@
+package takeovermodel_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/internal/takeovermodel"
+)
+
+// Databases go down and return with their logs; their entries lapse meanwhile, and their
+// addresses refuse connections.
+var _ = Describe("a takeover while databases are away", func() {
+	type bounds = takeovermodel.Bounds
+	type rules = takeovermodel.Rules
+	away := bounds{Databases: 3, Takers: 1, Commits: 1, Attempts: 1, Calls: 1, Expiry: true, Unplanned: true, CutAtCall: true, Outages: 2, AckedFirst: true}
+	serving := with(away, func(b *bounds) { b.AckedFirst = false })
+	once := with(away, func(b *bounds) { b.Outages, b.Removals = 1, 1 })
+	fresh := with(away, func(b *bounds) { b.Unrecorded = true })
+	added := with(serving, func(b *bounds) { b.Outages, b.Removals, b.Unrecorded = 1, 1, true })
+	removed := with(away, func(b *bounds) { b.Removed, b.Lapses = true, 1 })
+
+	losesIn := func(r rules, b bounds) {
+		GinkgoHelper()
+		found := takeovermodel.Model{Rules: r, Bounds: b}.Explore(stateLimit)
+		GinkgoWriter.Printf("%d states, depth %d\n%s", found.States, found.Depth, found)
+		Expect(found.Lost()).To(BeTrue(), "no loss in %d states, complete: %t", found.States, found.Complete)
+	}
+	holdsIn := func(r rules, b bounds) {
+		GinkgoHelper()
+		found := takeovermodel.Model{Rules: r, Bounds: b}.Explore(stateLimit)
+		GinkgoWriter.Printf("%d states, depth %d, complete: %t\n%s", found.States, found.Depth, found.Complete, found)
+		Expect(found.Lost()).To(BeFalse(), found.String())
+		Expect(found.Complete).To(BeTrue(), "%d states", found.States)
+	}
+	recorded := func(change func(*rules)) rules {
+		r := rules{Recorded: true}
+		change(&r)
+		return r
+	}
+
+	Describe("without the roster", func() {
+		heard := with(away, func(b *bounds) { b.Heard = true })
+
+		It("loses a commit that the taker knows to be acknowledged if databases that are gone count as ended", func() {
+			losesIn(rules{GoneEnd: true}, heard)
+			holdsIn(rules{}, heard)
+		})
+
+		It("loses one that the taker does not know to be acknowledged", func() { losesIn(rules{}, away) })
+	})
+
+	DescribeTable("loses no acknowledged commit with the roster when", func(b bounds) { holdsIn(rules{Recorded: true}, b) },
+		Entry("two of three databases are away at once", serving),
+		Entry("one is taken off the roster", once),
+		Entry("one is not on the roster yet", fresh),
+		Entry("one that is running is not on the roster and left unread", with(fresh, func(b *bounds) { b.Unlisted = true })),
+		Entry("hosts have forgotten one that was taken off the roster", removed),
+	)
+
+	DescribeTable("loses an acknowledged commit with the roster", func(change func(*rules), b bounds, kept bool) {
+		losesIn(recorded(change), b)
+		if kept {
+			holdsIn(rules{Recorded: true}, b)
+		}
+	},
+		Entry("if a recorded database is left unread", func(r *rules) { r.LeaveUnread = true }, away, true),
+		Entry("if one copy counts on a replica that is not recorded", func(r *rules) { r.OneCopyUnrecorded = true }, fresh, true),
+		Entry("if one copy counts on a replica that is retiring", func(r *rules) { r.RetiringCounts = true }, once, true),
+		Entry("if one copy counts on a replica that was recorded before the commit", func(r *rules) { r.RosterBeforeCommit = true }, removed, true),
+		Entry("if a database is removed in one step", func(r *rules) { r.RemoveAtOnce = true }, once, true),
+		Entry("if a database is removed while no primary leads", func(r *rules) { r.RemoveUnled = true }, with(once, func(b *bounds) { b.Outages = 2 }), wide),
+		Entry("if a database is removed without another that holds the primary's log", func(r *rules) { r.RemoveUnheld = true }, once, true),
+		Entry("if a process that has restarted empty counts as the recorded one", func(r *rules) { r.AnyStart = true }, with(away, func(b *bounds) {
+			b.Outages, b.Restarts, b.LoseLastCopy = 0, 1, true
+		}), true),
+		// Hosts that do not count it acknowledge what all others hold.
+		Entry("if a database was removed for one that hosts do not know", func(*rules) {}, with(removed, func(b *bounds) { b.Newcomer = true }), false),
+		Entry("if hosts forget a recorded database that is away", func(r *rules) { r.ForgetRecorded = true }, removed, true),
+	)
+
+	// A database that has returned is not paused any more.
+	It("loses an acknowledged commit if the lease is not read again after replicas were away", func() {
+		losesIn(rules{Recorded: true, AwayUnsettled: true}, serving)
+	})
+
+	if wide {
+		DescribeTable("loses no acknowledged commit with the roster within wider bounds when", func(b bounds) { holdsIn(rules{Recorded: true}, b) },
+			Entry("two are away, one is taken off the roster and forgotten", with(serving, func(b *bounds) { b.Removals, b.Lapses = 1, 1 })),
+			Entry("a replica is added to the roster", added),
+		)
+
+		// What is acknowledged during an attempt by a host that does not count its successor.
+		It("loses an acknowledged commit if the lease is not read again after a host has forgotten a database", func() {
+			losesIn(rules{Recorded: true, ForgetUnsettled: true}, with(serving, func(b *bounds) { b.Removals, b.Lapses = 1, 1 }))
+		})
+	}
+})
--- a/internal/takeovermodel/state.go
+++ b/internal/takeovermodel/state.go
@@ -57,6 +57,9 @@
 	Resumes  uint8               // mask of databases to which a RESUME is on its way
 	Pauses   [maxDatabases]uint8 // terms of the PAUSEs that are on their way
 
+	Roster Roster
+	Keeper Keeper
+
 	Takers   [maxTakers]Taker
 	Attempts uint8 // started so far
 	Acker    Acker
@@ -71,6 +74,9 @@
 	Faults     uint8 // databases that have crashed or restarted so far
 	Gaps       uint8 // entries that replicas have skipped so far
 	Unanswered uint8 // calls whose answer was lost so far
+	Outages    uint8 // databases that have gone down with their log so far
+	Lapses     uint8 // databases that the acknowledging host has forgotten so far
+	Removals   uint8 // databases that were retired so far
 }
 
 // Database is a database. Its log is the terms of its entries.
@@ -80,6 +86,8 @@
 	Log    [maxLog]uint8
 	Pause  uint8 // it receives from no primary of a term below this one
 	Dead   bool
+	Away   bool  // it is dead and may return with its log
+	Start  uint8 // how often it has restarted empty
 	Seen   uint8 // how well hosts know it
 }
 
@@ -92,6 +100,42 @@
 	seen = 1<<iota - 1
 )
 
+// Roster is the record of the databases whose log may hold the only copy of a commit.
+type Roster [maxDatabases]Place
+
+// Place is the entry of a database. A host changes the roster by compare-and-swap, so that a
+// late write has no effect unless it could be made now.
+type Place struct {
+	State uint8
+	Start uint8 // of the process that is recorded
+}
+
+// States of a Place.
+const (
+	absent uint8 = iota
+	recorded
+	retiring
+)
+
+// has reports whether the process that runs as a database is on the roster.
+func (r *Roster) has(s *State, i int) bool {
+	return r[i].State != absent && r[i].Start == s.Databases[i].Start
+}
+
+// Keeper is what the host that removes a database from the roster has learnt since it read
+// the roster. Any change of the roster makes its write fail.
+type Keeper struct {
+	For    uint8 // the database to be removed
+	Term   uint8 // of the primary that has answered
+	End    uint8 // of that one's log
+	Holder uint8 // the database that holds it
+}
+
+// setPlace changes the roster.
+func (s *State) setPlace(i int, p Place) {
+	s.Roster[i], s.Keeper = p, Keeper{}
+}
+
 // Lease is the lease object.
 type Lease struct {
 	Version  uint8
@@ -159,8 +203,9 @@
 	Common    uint8 // mask of those that the acknowledging host knew then
 	Restarted uint8 // mask of the databases that have restarted since the lease was taken
 	Floor     [2]uint8
-	LogsRead  bool // logs were read before the lease was taken
-	Pausing   bool // it pauses replicas, since hosts run the former protocol
+	Roster    Roster // as read under the lease
+	LogsRead  bool   // logs were read before the lease was taken
+	Pausing   bool   // it pauses replicas, since hosts run the former protocol
 
 	// While the taker waits for the senior replica.
 	Planned      bool
@@ -187,6 +232,10 @@
 	Before  bool     // its answer named the position before it
 	Settled bool     // the lease was read and found settled
 	Term    uint8    // the newest one in which the lease was read and found settled
+
+	Starts  [maxDatabases]uint8 // of the processes that reported
+	Counted uint8               // mask of those that the roster listed, read after their report
+	View    uint8               // mask of the databases on the roster as last read
 }
 
 // at returns a position.
@@ -231,6 +280,34 @@
 	ForgetFloor   bool // the floor is kept in the lease only
 	ResumeStale   bool // they resume replicas that have not joined the primary's term
 
+	// Recorded selects the roster: what a takeover leaves unread follows from it. Without it a
+	// database whose entry has lapsed and whose address refuses connections counts as ended.
+	Recorded bool
+	// GoneEnd means that a successor may lack what is known to be acknowledged once the primary
+	// and all unread replicas count as ended.
+	GoneEnd bool
+
+	// Of the roster:
+	OneCopyUnrecorded  bool // one copy is enough on a replica that is not on the roster
+	RosterBeforeReport bool // the roster may be read before the report of a replica
+	RosterBeforeCommit bool // or before the commit was written
+	RosterAfterLease   bool // the roster may be read after the lease was found settled
+	AllCopiesUnlisted  bool // all copies are enough though none of them is on the roster
+	RetiringCounts     bool // one copy is enough on a replica that is retiring
+	AnyStart           bool // hosts do not compare the start of a process with the recorded one
+	RemoveAtOnce       bool // a database is removed without being retired before
+	RemoveUnled        bool // it is removed while no primary leads, if another one answers
+	RemoveUnheld       bool // it is removed although no other one is known to hold the primary's log
+	RemoveUnknown      bool // it is removed if one holds that which hosts may not know
+	HolderRetiring     bool // or one that is retiring itself
+	LeaveUnread        bool // a takeover may leave a recorded database unread
+	RosterBeforeLease  bool // a takeover reads the roster before it takes the lease
+	ForgetRecorded     bool // hosts that count replicas forget one that may still be on the roster
+	ForgetUnsettled    bool // the lease need not be found settled again after a host has forgotten a database
+	AwayUnsettled      bool // nor after one that it counts was away, and so is not paused any more
+	NoRosterCheck      bool // the roster is not read again before the order
+	FreshRoster        bool // all copies need a roster that was read after their reports
+
 	Settled             func(l succession.Lease, term uint64) bool
 	Holds               func(c succession.Copy, commit position.Position) bool
 	OneCopyWithoutLease bool // one copy is enough
@@ -278,6 +355,19 @@
 	OldViews      bool // an attempt may start with an outdated view of the primary and the term
 	Crashes       int  // databases that end for good
 	Restarts      int  // replicas that restart under their id with an empty log
+	// Outages is how many databases go down, which may return with their log. Their entries lapse
+	// at once.
+	Outages int
+	// Unlisted means that databases that run may be missing from the lists as well, and so be
+	// forgotten and left unread.
+	Unlisted   bool
+	AckedFirst bool // commits are acknowledged before the first attempt only
+	Unplanned  bool // a primary that serves is not replaced
+	// Lapses is how many databases that have no entry the acknowledging host forgets, Removals how
+	// many are to be taken off the roster. Hosts add those that run.
+	Lapses, Removals int
+	Removed          bool // the second database was taken off the roster since the acknowledging host has read it
+	Unrecorded       bool // the newcomer is not on the roster at first
 	// RestartChosen means that a replica may restart between the read of its log and the
 	// order of its promotion, RestartUnread after the lease was taken and before its log is
 	// read.
@@ -345,9 +435,31 @@
 	if m.Newcomer {
 		s.Databases[m.Databases-1].Seen = 0
 	}
+	if m.Recorded {
+		for i := range m.Databases {
+			s.Roster[i].State = recorded
+		}
+		if m.Unrecorded {
+			s.Roster[m.Databases-1] = Place{}
+		}
+		s.Acker.View = s.rosterMask()
+		if m.Removed {
+			s.Roster[1] = Place{}
+		}
+	}
 	return s
 }
 
+// rosterMask returns the databases on the roster.
+func (s *State) rosterMask() (mask uint8) {
+	for i := range s.Roster {
+		if s.Roster[i].State != absent {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
 // end returns the end of the database's log, as it reports it.
 func (m Model) end(d Database) [2]uint8 {
 	switch {
@@ -417,6 +529,9 @@
 		if d.Dead {
 			b.WriteByte('x')
 		}
+		if p := s.Roster[i]; s.Roster != (Roster{}) && (p.State != recorded || p.Start != d.Start) {
+			fmt.Fprintf(&b, "r%d/%d", p.State, p.Start)
+		}
 		if d.Seen != seen {
 			fmt.Fprintf(&b, "?%04b", d.Seen)
 		}
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -82,8 +82,10 @@
 		d.Length++
 		e.add(Commit, 0, s.Primary, n)
 	}
+	e.roster()
 	for i := range m.Databases {
 		id, d := uint8(i+1), s.Databases[i]
+		e.outages(i)
 		if d.Dead {
 			continue
 		}
@@ -121,13 +123,7 @@
 		}
 		if int(s.Faults) < m.Restarts && (m.LoseLastCopy || s.spare(i)) && (m.RestartChosen || !s.chosen(id)) && (m.RestartOrdered || !s.ordered(id)) && (m.RestartUnread || !s.reading()) {
 			n := *s
-			n.Faults++
-			n.Databases[i] = Database{Seen: d.Seen}
-			for t := range n.Takers {
-				if step := n.Takers[t].Step; step >= reading && step <= called {
-					n.Takers[t].Restarted |= 1 << i
-				}
-			}
+			n.restart(m, i)
 			e.add(Restart, 0, id, n)
 		}
 		for _, level := range [...]uint8{knownToAcker, knownToTakers, establishedByAcker, establishedByTakers} {
@@ -140,6 +136,116 @@
 	}
 }
 
+// restart lets a replica start again under its id with an empty log.
+func (s *State) restart(m Model, i int) {
+	s.Faults++
+	former := s.Databases[i]
+	s.Databases[i] = Database{Seen: former.Seen, Start: former.Start}
+	if m.Recorded {
+		s.Databases[i].Start++
+	}
+	for t := range s.Takers {
+		if step := s.Takers[t].Step; step >= reading && step <= called {
+			s.Takers[t].Restarted |= 1 << i
+		}
+	}
+}
+
+// outages adds the steps of a database that goes down and returns with its log, and those of
+// hosts that forget one whose entry has lapsed. An order that was accepted for it is void.
+func (e *explorer) outages(i int) {
+	s, m := &e.s, e.m
+	id, d := uint8(i+1), s.Databases[i]
+	if !d.Dead && int(s.Outages) < m.Outages {
+		n := *s
+		n.Outages++
+		n.Databases[i].Dead, n.Databases[i].Away = true, true
+		for c := range n.Calls {
+			if n.Calls[c].Accepted && n.Calls[c].Database == id {
+				n.Calls[c] = Call{}
+			}
+		}
+		e.add(GoDown, 0, id, n)
+	}
+	if d.Away {
+		n := *s
+		n.Databases[i].Dead, n.Databases[i].Away, n.Databases[i].Pause = false, false, 0
+		if !m.AwayUnsettled {
+			n.Acker.Term = 0
+		}
+		e.add(Return, 0, id, n)
+		if m.Recorded && int(s.Faults) < m.Restarts && id != s.Primary {
+			n := *s
+			n.restart(m, i)
+			e.add(Restart, 0, id, n)
+		}
+	}
+	if int(s.Lapses) < m.Lapses && (d.Dead || m.Unlisted) && id != s.Primary && d.Seen&knownToAcker != 0 && (!m.Recorded || m.ForgetRecorded || s.Roster[i].State == absent) {
+		n := *s
+		n.Lapses++
+		n.Databases[i].Seen &^= knownToAcker | establishedByAcker
+		if m.Recorded && !m.ForgetRecorded {
+			n.Acker.View = s.rosterMask()
+		}
+		if !m.ForgetUnsettled {
+			n.Acker.Term = 0
+		}
+		e.add(Forget, knownToAcker, id, n)
+	}
+}
+
+// roster adds the steps of hosts that change the roster. Hosts may think at any time that a
+// database is no longer listed, or has restarted, and retire it.
+func (e *explorer) roster() {
+	s, m := &e.s, e.m
+	if m.Removals == 0 {
+		return
+	}
+	primary := s.Databases[s.Primary-1]
+	for i := range m.Databases {
+		id, d, p := uint8(i+1), s.Databases[i], s.Roster[i]
+		change := func(kind Kind, to Place) {
+			n := *s
+			n.setPlace(i, to)
+			e.add(kind, 0, id, n)
+		}
+		switch {
+		case p.State == absent && !d.Dead:
+			change(AddToRoster, Place{recorded, d.Start})
+		case p.State == recorded && id != s.Primary && int(s.Removals) < m.Removals && !m.RemoveAtOnce:
+			n := *s
+			n.Removals++
+			n.setPlace(i, Place{retiring, p.Start})
+			e.add(Retire, 0, id, n)
+		case p.State == retiring && !d.Dead && p.Start == d.Start:
+			change(Unretire, Place{recorded, p.Start})
+		}
+		if id != s.Primary && (p.State == retiring || p.State == recorded && m.RemoveAtOnce && int(s.Removals) < m.Removals) && (!primary.Dead || m.RemoveUnled) && s.Keeper.For == 0 {
+			n := *s
+			n.Keeper = Keeper{For: id, Term: s.Term, End: primary.Length}
+			if primary.Dead {
+				n.Keeper.End = 0
+			}
+			e.add(AskPrimary, 0, id, n)
+		}
+		k := s.Keeper
+		if k.For != 0 && k.Holder == 0 && k.For != id && !d.Dead && d.Term == k.Term && d.Length >= k.End && id != s.Led[k.Term] && (s.Roster.has(s, i) || m.AnyStart && p.State != absent) &&
+			(p.State == recorded || m.HolderRetiring) && (m.RemoveUnknown || d.Seen&(knownToAcker|knownToTakers) == knownToAcker|knownToTakers) {
+			n := *s
+			n.Keeper.Holder = id
+			e.add(AskHolder, 0, id, n)
+		}
+	}
+	if k := s.Keeper; k.Holder != 0 || k.For != 0 && m.RemoveUnheld {
+		n := *s
+		if m.RemoveAtOnce {
+			n.Removals++
+		}
+		n.setPlace(int(k.For-1), Place{})
+		e.add(Remove, 0, k.For, n)
+	}
+}
+
 // before returns how well hosts must know a database before they reach a level. A
 // replica is established only after every host has learnt of it.
 func (m Model) before(level uint8) uint8 {
@@ -250,7 +356,7 @@
 		p := s.Databases[s.Primary-1]
 		if p.Length > 0 && p.Log[p.Length-1] == s.Term && s.Acked[p.Length-1] != s.Term {
 			n := *s
-			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}, Term: a.Term}
+			n.Acker = Acker{Commit: [2]uint8{s.Term, p.Length}, Term: a.Term, View: a.View}
 			e.add(Begin, 0, 0, n)
 			if m.PositionBefore {
 				n.Acker.Before = true
@@ -260,7 +366,7 @@
 		return
 	}
 	n := *s
-	n.Acker = Acker{Term: a.Term}
+	n.Acker = Acker{Term: a.Term, View: a.View}
 	e.add(Abandon, 0, 0, n)
 
 	commit := at(a.Commit)
@@ -272,6 +378,7 @@
 		holds = succession.Copy.Holds
 	}
 	replicas := make([]succession.Copy, 0, maxDatabases)
+	var listed, counted []succession.Copy // how well the roster, as read, knows them
 	for i := range m.Databases {
 		id, d := uint8(i+1), s.Databases[i]
 		if d.Seen&knownToAcker == 0 || id == s.Led[a.Commit[0]] {
@@ -284,14 +391,35 @@
 		}
 		held.Established = d.Seen&establishedByAcker != 0
 		replicas = append(replicas, held)
+		held.Established = a.View&bit != 0 && (!m.FreshRoster || a.Counted&bit != 0) || m.AllCopiesUnlisted
+		listed = append(listed, held)
+		held.Established = d.Seen&establishedByAcker != 0 && (a.Counted&bit != 0 || m.OneCopyUnrecorded || m.RosterBeforeCommit && a.View&bit != 0)
+		counted = append(counted, held)
 		c := succession.Copy{Answered: true, Primary: id == s.Primary, Term: uint64(d.Term), Received: at(m.end(d))}
 		if a.Holds&bit == 0 && !d.Dead && holds(c, commit) && (!m.AskAfter || d.holds(commit)) && !(older && d.paused()) && (!s.OlderAcker || m.StartsEarly || m.LookOnce || s.looked()) {
 			n := *s
 			n.Acker.Holds |= bit
+			n.Acker.Starts[i] = d.Start
 			e.add(Witness, 0, id, n)
 		}
 	}
 	evidence := succession.EvidenceFor(commit, replicas)
+	if m.Recorded {
+		e.readRoster()
+		before := evidence
+		evidence = succession.EvidenceFor(commit, counted)
+		if evidence == succession.AllCopies {
+			evidence = succession.OneCopy
+		}
+		if succession.EvidenceFor(commit, listed) == succession.AllCopies {
+			evidence = succession.AllCopies
+		}
+		if m.RosterAfterLease && !a.Settled && before >= succession.OneCopy && (m.Settled == nil && succession.Lease.Settled(m.value(s.Lease), commit.Term)) {
+			n := *s
+			n.Acker.Settled = true
+			e.add(ReadSettled, 0, 0, n)
+		}
+	}
 	settled := m.Settled
 	if settled == nil {
 		settled = succession.Lease.Settled
@@ -307,14 +435,35 @@
 		e.add(ReadSettled, 0, 0, n)
 	}
 	enough := older || (!m.SettledForAll || a.Settled) && (!m.readsInTerm() || a.Term >= a.Commit[0])
+	if m.AckedFirst && s.Attempts > 0 {
+		return
+	}
 	if evidence == succession.AllCopies && enough || evidence >= succession.OneCopy && (a.Settled || older || m.OneCopyWithoutLease) {
 		n := *s
 		n.Acked[a.Commit[1]-1] = a.Commit[0]
-		n.Acker = Acker{Term: a.Term}
+		n.Acker = Acker{Term: a.Term, View: a.View}
 		e.add(Acknowledge, 0, 0, n)
 	}
 }
 
+// readRoster adds the step of the acknowledging host that reads the roster.
+func (e *explorer) readRoster() {
+	s, m := &e.s, e.m
+	n := *s
+	a := &n.Acker
+	a.View = s.rosterMask()
+	for i, p := range s.Roster {
+		bit := uint8(1) << i
+		counts := p.State == recorded || p.State == retiring && m.RetiringCounts
+		if counts && (a.Holds&bit != 0 || m.RosterBeforeReport) && (p.Start == a.Starts[i] || m.AnyStart) {
+			a.Counted |= bit
+		}
+	}
+	if n != *s {
+		e.add(ReadRoster, 0, 0, n)
+	}
+}
+
 // readsInTerm reports whether a commit that all replicas hold is acknowledged only once the
 // lease was found settled in its term.
 func (m Model) readsInTerm() bool { return !m.Unpaused && !m.Pauses && !m.AllCopiesAtOnce }
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -1,6 +1,8 @@
 package takeovermodel
 
 import (
+	"slices"
+
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/position"
 )
@@ -282,6 +284,9 @@
 	if m.ForgetOrder {
 		t.Ordered = 0
 	}
+	if m.RosterBeforeLease {
+		t.Roster = s.Roster
+	}
 	if !m.olderTaker(s, id) && l.Term == 0 {
 		if t.Ordered == 0 && !m.FormerSettled {
 			t.Ordered = unknownOrder
@@ -300,11 +305,14 @@
 // startReading begins the reading of the logs of a taker that has taken the lease.
 func (m Model) startReading(s *State, t *Taker) {
 	t.Step, t.Known, t.Common = reading, s.mask(establishedByTakers), s.mask(knownToAcker)
+	if !m.RosterBeforeLease {
+		t.Roster = s.Roster
+	}
 	if m.OwnList {
 		return
 	}
 	for i, d := range s.Databases {
-		if d.Seen&knownToAcker != 0 {
+		if d.Seen&knownToAcker != 0 && !(m.Outages > 0 && d.Dead) {
 			s.Databases[i].Seen |= knownToTakers // what a host knows, the store lists
 		}
 	}
@@ -369,18 +377,19 @@
 	done := true
 	for i := range m.Databases {
 		d, db := s.Databases[i], uint8(i+1)
-		if t.Reports[i].Read || t.Reports[i].Skipped || d.Seen&knownToTakers == 0 {
+		if t.Reports[i].Read || t.Reports[i].Skipped || d.Seen&knownToTakers == 0 && t.Roster[i].State == absent {
 			continue
 		}
 		done = false
-		if !d.Dead {
+		restarted := t.Roster[i].State != absent && t.Roster[i].Start != d.Start && !m.AnyStart // the recorded process does not answer
+		if !d.Dead && !restarted {
 			n := *s
 			if (m.olderTaker(s, id) || t.Pausing) && db != s.Primary {
 				n.Databases[i].pause(t.newestTerm() + 1)
 			}
 			n.Takers[id-1].Reports[i] = m.report(&n, i)
 			e.add(Read, id, db, n)
-			if !m.Unpaused && !m.olderTaker(s, id) && db != s.Primary && t.mayPlan() {
+			if !m.Unpaused && !m.olderTaker(s, id) && db != s.Primary && !m.Unplanned && t.mayPlan() {
 				n := *s
 				n.Takers[id-1].Reports[i] = m.report(&n, i)
 				n.Takers[id-1].Reports[i].Running = true
@@ -393,7 +402,7 @@
 				e.add(PauseLate, id, db, n)
 			}
 		}
-		if d.Dead || db == t.Primary {
+		if d.Dead || db == t.Primary || restarted || m.Unlisted && m.Recorded && t.Roster[i].State == absent {
 			n := *s
 			n.Takers[id-1].Reports[i] = Report{Skipped: true}
 			e.add(Skip, id, db, n)
@@ -433,7 +442,7 @@
 		return
 	}
 	candidates := m.candidates(&n, t)
-	if r := t.Reports[t.Primary-1]; r.Primary {
+	if r := t.Reports[t.Primary-1]; r.Primary && !m.Unplanned {
 		var staying []succession.Candidate
 		for _, c := range candidates {
 			if !c.Leaving {
@@ -595,14 +604,17 @@
 	ok := true
 	for i := range m.Databases {
 		d, db := n.Databases[i], uint8(i+1)
-		if d.Dead || d.Seen&knownToTakers == 0 || db == n.Primary {
+		if m.Recorded && !m.NoRosterCheck && n.Roster[i].State != absent && (t.Roster[i].State == absent || t.Roster[i].Start != n.Roster[i].Start) {
+			ok = false
+		}
+		if d.Dead || d.Seen&knownToTakers == 0 && t.Roster[i].State == absent || db == n.Primary {
 			ok = ok && db != t.Chosen && (db != n.Primary || n.Term <= t.Term)
 			continue
 		}
 		resumed := db == t.Chosen && (m.UnpausedSuccessor || m.UnpausedPlanned) || db != t.Chosen && (m.UnpausedOthers || m.PlanUnread)
 		ok = ok && d.Term <= t.Term && (d.paused() || resumed)
 	}
-	t.Step = calling
+	t.Step, t.Roster = calling, Roster{}
 	chosen := t.Chosen
 	if !ok && t.Pending {
 		t.Step = releasing
@@ -710,7 +722,8 @@
 			continue
 		}
 		all = append(all, succession.Candidate{
-			ID: name(id), Answered: r.Read, Listed: !s.Databases[i].Dead,
+			ID: name(id), Answered: r.Read, Listed: !s.Databases[i].Dead && !(m.Recorded && m.Unlisted),
+			Recorded:    t.Roster[i].State != absent,
 			Leaving:     m.Leaving == int(id),
 			Established: t.Known&(1<<i) != 0 || m.AnyReplica,
 			Known:       t.Known&(t.Common|m.anyOf(t.Known))&(1<<i) != 0 || m.AnyReplica,
@@ -752,7 +765,16 @@
 	if r := t.Reports[t.Primary-1]; r.Read {
 		gone = !r.Primary
 	}
+	if m.Recorded && !m.LeaveUnread && slices.ContainsFunc(candidates, func(c succession.Candidate) bool { return c.Recorded && !c.Answered }) {
+		return 0, false
+	}
+	if !m.Recorded && m.GoneEnd {
+		acked, floor = m.goneEnd(candidates, gone, acked, floor)
+	}
 	best, ok := succession.Choose(candidates, acked, floor, gone)
+	if ok && (best.Lacks(acked) || best.Lacks(floor)) && (m.Recorded || m.Outages > 0) {
+		return 0, false
+	}
 	if t.Pending && t.Ordered <= maxDatabases && !m.Unpaused {
 		best = succession.Prefer(name(t.Ordered), best, candidates)
 	}
@@ -762,10 +784,19 @@
 	return number(best.ID), ok
 }
 
+// goneEnd returns what a successor must hold if databases that are gone count as ended.
+func (m Model) goneEnd(all []succession.Candidate, primaryGone bool, acked, floor position.Position) (position.Position, position.Position) {
+	if primaryGone && !slices.ContainsFunc(all, func(c succession.Candidate) bool { return !c.Answered && c.Listed }) {
+		return position.Position{}, position.Position{}
+	}
+	return acked, floor
+}
+
 // giveUp adds the steps of a taker that ends its attempt without a successor. An older
 // order that may be under way is made void by an order for the present primary.
 func (e *explorer) giveUp(id uint8, n State) {
 	t := &n.Takers[id-1]
+	t.Roster = Roster{}
 	if !t.Pending {
 		t.Settled, t.Step = true, n.settledStep(e.m, id)
 		t.learnTerm()
