--- a/internal/takeovermodel/roster_test.go
+++ b/internal/takeovermodel/roster_test.go
@@ -49,7 +49,7 @@
 		It("loses one that the taker does not know to be acknowledged", func() { losesIn(rules{}, away) })
 	})
 
-	DescribeTable("loses no acknowledged commit with the roster when", func(b bounds) { holdsIn(rules{Recorded: true}, b) },
+	DescribeTable("loses no acknowledged commit with the roster when", func(b bounds) { holdsUnder(rules{Recorded: true}, b) },
 		Entry("two of three databases are away at once", serving),
 		Entry("one is taken off the roster", once),
 		Entry("one is not on the roster yet", fresh),
@@ -60,7 +60,9 @@
 	DescribeTable("loses an acknowledged commit with the roster", func(change func(*rules), b bounds, kept bool) {
 		losesIn(recorded(change), b)
 		if kept {
-			holdsIn(rules{Recorded: true}, b)
+			r := explored(rules{Recorded: true}, b)
+			Expect(r.Lost()).To(BeFalse(), r.String())
+			Expect(r.Complete).To(BeTrue(), "%d states", r.States)
 		}
 	},
 		Entry("if a recorded database is left unread", func(r *rules) { r.LeaveUnread = true }, away, true),
@@ -75,6 +77,8 @@
 		}), true),
 		// Hosts that do not count it acknowledge what all others hold.
 		Entry("if a database was removed for one that hosts do not know", func(*rules) {}, with(removed, func(b *bounds) { b.Newcomer = true }), false),
+		Entry("if the roster is read after the lease was found settled", func(r *rules) { r.RosterAfterLease = true }, added, wide),
+		Entry("if the roster is read before the lease is taken, and not again before the order", func(r *rules) { r.RosterBeforeLease, r.NoRosterCheck = true, true }, added, wide),
 		Entry("if hosts forget a recorded database that is away", func(r *rules) { r.ForgetRecorded = true }, removed, true),
 	)
 
@@ -89,6 +93,14 @@
 			Entry("a replica is added to the roster", added),
 		)
 
+		DescribeTable("loses none without rules that are not needed within these bounds", func(change func(*rules), b bounds) { holdsIn(recorded(change), b) },
+			Entry("the roster is read again before the order", func(r *rules) { r.NoRosterCheck = true }, added),
+			Entry("the roster is read under the lease, if it is read again before the order", func(r *rules) { r.RosterBeforeLease = true }, added),
+			Entry("the roster is read after the report, if it is read after the commit was written", func(r *rules) { r.RosterBeforeReport = true }, with(once, func(b *bounds) { b.Outages = 2 })),
+			Entry("the database that holds the primary's log is not retiring", func(r *rules) { r.HolderRetiring = true }, with(once, func(b *bounds) { b.Removals = 2 })),
+			Entry("one holder of all copies is recorded, if hosts forget no recorded database", func(r *rules) { r.AllCopiesUnlisted = true }, with(fresh, func(b *bounds) { b.Lapses = 1 })),
+		)
+
 		// What is acknowledged during an attempt by a host that does not count its successor.
 		It("loses an acknowledged commit if the lease is not read again after a host has forgotten a database", func() {
 			losesIn(rules{Recorded: true, ForgetUnsettled: true}, with(serving, func(b *bounds) { b.Removals, b.Lapses = 1, 1 }))
--- a/internal/takeovermodel/takeovermodel_test.go
+++ b/internal/takeovermodel/takeovermodel_test.go
@@ -133,7 +133,7 @@
 // whole is an exploration of a whole protocol.
 type whole struct {
 	takeovermodel.Bounds
-	unpaused, anyIndex, settledForAll, planUnread bool
+	unpaused, anyIndex, settledForAll, planUnread, recorded bool
 }
 
 var wholes = map[whole]takeovermodel.Result{}
@@ -141,7 +141,7 @@
 // explored explores a model under the rules of a whole protocol. Several specs share the
 // result.
 func explored(rules takeovermodel.Rules, bounds takeovermodel.Bounds) takeovermodel.Result {
-	key := whole{bounds, rules.Unpaused, rules.AnyIndex, rules.SettledForAll, rules.PlanUnread}
+	key := whole{bounds, rules.Unpaused, rules.AnyIndex, rules.SettledForAll, rules.PlanUnread, rules.Recorded}
 	r, ok := wholes[key]
 	if !ok {
 		r = takeovermodel.Model{Rules: rules, Bounds: bounds}.Explore(stateLimit)
