--- a/internal/standin/takeover/away.go
+++ b/internal/standin/takeover/away.go
@@ -13,7 +13,7 @@
 	awayEvery   = 15 * time.Second
 	deafBefore  = 2500 * time.Millisecond // for which a replica has received nothing when others end
 	deafAfter   = time.Second             // and receives nothing more after that
-	drainTime   = 7500 * time.Millisecond // from the announcement of a leave to the exit
+	drainTime   = 7500 * time.Millisecond // a little more than hosts are told
 	hostsLostIn = time.Second             // from the absences to the loss of the hosts, with hosts-killed
 	hostsBackIn = 1500 * time.Millisecond
 )
@@ -117,7 +117,7 @@
 	m.mu.Lock()
 	m.draining = true
 	m.mu.Unlock()
-	time.Sleep(drainTime)
+	time.Sleep(t.s.layout.drain)
 	if !m.kill(s.absence) {
 		return // it has crashed meanwhile
 	}
--- a/internal/standin/takeover/layout.go
+++ b/internal/standin/takeover/layout.go
@@ -20,6 +20,7 @@
 	// Each client pauses between its operations for a time between these.
 	pauseLeast, pauseMost time.Duration
 	heartbeat             time.Duration // of the databases
+	drain                 time.Duration // from the announcement of a database's leave to its exit
 	clients               []string      // kinds of routes that are used, on each host for each of its services
 	servicesPerHost       int           // that clients use
 	database              databaseLayout
@@ -138,7 +139,7 @@
 	if name == "small" && seed%3 == 0 {
 		l.databases = append(l.databases, "zone-b")
 	}
-	l.plan, l.with, l.faults = plan, with, newFaults(rec, seed)
+	l.plan, l.with, l.drain, l.faults = plan, with, drainTime, newFaults(rec, seed)
 	rec.logf("seed %d", seed)
 	return l, nil
 }
