--- a/internal/standin/takeover/away.go
+++ b/internal/standin/takeover/away.go
@@ -40,6 +40,7 @@
 	}
 	for i := range plan {
 		plan[i].order = r.Perm(len(l.hosts))
+		plan[i].handover = plan[i].handover || l.with.newIDs && !plan[i].gone
 	}
 	return withHostSteps(r, l, plan, awayFor)
 }
--- a/internal/standin/takeover/away_test.go
+++ b/internal/standin/takeover/away_test.go
@@ -272,6 +272,15 @@
 		Expect(float64(recorded) / float64(rounds)).To(BeNumerically("~", 0.5, 0.1))
 	})
 
+	It("gives every database that returns a new id with new-ids", func() {
+		_, plan := planOf(7, variants{newIDs: true})
+		for _, s := range plan {
+			if strings.HasSuffix(s.kind, " of a database") {
+				Expect(s.handover).To(Equal(!s.gone))
+			}
+		}
+	})
+
 	It("loses all hosts a second after the absences with hosts-killed, and none without", func() {
 		losses := func(with variants) (n int) {
 			_, plan := planOf(7, with)
--- a/internal/standin/takeover/variants.go
+++ b/internal/standin/takeover/variants.go
@@ -28,6 +28,7 @@
 	gaps           bool // a replica that has received nothing for a while goes on from the present entry
 	lapsingEntries bool // the store's entries of replicas that live are missing for a time
 	hostsKilled    bool // all hosts are killed a moment after databases have gone away
+	newIDs         bool // every database that returns has a new id
 	calm           bool // orders and calls of the store are answered, and hosts run on
 }
 
@@ -55,6 +56,7 @@
 		"gaps":            &v.gaps,
 		"lapsing-entries": &v.lapsingEntries,
 		"hosts-killed":    &v.hostsKilled,
+		"new-ids":         &v.newIDs,
 		"calm":            &v.calm,
 	}
 }
