--- a/internal/standin/takeover/away_test.go
+++ b/internal/standin/takeover/away_test.go
@@ -297,3 +297,10 @@
 		Expect(losses(variants{calm: true, hostsKilled: true})).To(Equal(4))
 	})
 })
+
+var _ = Describe("the judge's summary", func() {
+	It("names each service with what was acknowledged for it after the faults", func() {
+		t := &takeover{s: &site{layout: layout{services: []string{"orders-db", "stock-db"}}}, after: map[string]int{"stock-db": 12}}
+		Expect(t.afterFaults()).To(Equal("orders-db 0, stock-db 12"))
+	})
+})
--- a/internal/standin/takeover/clients.go
+++ b/internal/standin/takeover/clients.go
@@ -71,6 +71,9 @@
 			t.reads[r.id] = span{began, time.Now()}
 		case r.state == "I":
 			t.acked[r.id], t.ackedBy[r.id] = time.Now(), w.host.name+" ("+c.build.name+")"
+			if t.settling {
+				t.after[w.service]++
+			}
 		}
 		t.mu.Unlock()
 	}
--- a/internal/standin/takeover/judge.go
+++ b/internal/standin/takeover/judge.go
@@ -78,6 +78,7 @@
 	}
 	t.sayf("seed %d: acknowledged commits: %d, promotions that took effect: %d, commits rolled back: %d, reads of the primary: %d, own stalls: %.1f s; LOST: %d (a known replica had %d), CONFIRMED LOST: %d, STALE: %d",
 		t.f.seed, len(t.acked), v.promotions, v.rolledBack, len(t.reads), t.stalled.Seconds(), v.lost, v.lostHeld, v.confirmedLost, v.stale)
+	t.sayf("acknowledged after the faults: %s", t.afterFaults())
 	if v.broken(t.s.layout.judgesConfirmed) {
 		return true, nil
 	}
@@ -87,6 +88,16 @@
 	return false, nil
 }
 
+// afterFaults lists the commits that were acknowledged after the faults, by service. A service
+// without any may still wait for a log.
+func (t *takeover) afterFaults() string {
+	var out []string
+	for _, service := range t.s.layout.services {
+		out = append(out, fmt.Sprintf("%s %d", service, t.after[service]))
+	}
+	return strings.Join(out, ", ")
+}
+
 // judgeRollbacks counts and explains the commits of a service that promoted logs lack, and
 // returns all that were rolled back, by id. g.mu and mu are held.
 func (t *takeover) judgeRollbacks(g *group, files map[string]logFile, v *verdict) map[string]bool {
--- a/internal/standin/takeover/takeover.go
+++ b/internal/standin/takeover/takeover.go
@@ -45,6 +45,8 @@
 	reads    map[string]span      // answered reads of the primary, by id
 	busy     sync.WaitGroup       // faults under way
 	stalled  time.Duration        // of the stand-in itself
+	settling bool                 // the faults are over, and what was ordered is carried out
+	after    map[string]int       // commits acknowledged since, by service
 }
 
 type span struct{ began, ended time.Time }
@@ -56,7 +58,7 @@
 func playTakeover(s *site, trouble bool) (bool, error) {
 	f := s.layout.faults
 	t := &takeover{s: s, f: f, hits: rand.New(rand.NewPCG(f.seed, streamHits)), troubled: map[string]bool{}, replaced: map[string]bool{},
-		acked: map[string]time.Time{}, ackedBy: map[string]string{}, reads: map[string]span{}}
+		acked: map[string]time.Time{}, ackedBy: map[string]string{}, reads: map[string]span{}, after: map[string]int{}}
 	f.mu.Lock()
 	f.onTakeover, f.onOrder = t.hit, t.starve
 	f.mu.Unlock()
@@ -79,6 +81,9 @@
 	}
 	t.busy.Wait()
 	f.pending.Wait()
+	t.mu.Lock()
+	t.settling = true
+	t.mu.Unlock()
 	time.Sleep(settleFor)
 	f.pending.Wait()
 	time.Sleep(settleFor)
