Say in the log why each database that was not read was passed over

Change: Successor chosen, No successor was chosen and Replacement ended name each unread database with the behaviour of its address (refused, another database, reset, silent), whether it is awaited or passed over, whether the roster has its present start, and for how long it has been unlisted. The ends of logs in Replacement ended mark a refused, foreign or closed connection.

--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
@@ -37,7 +38,8 @@
 
 type formerDatabase struct {
 	routes.Database
-	removedAt time.Time
+	missingSince time.Time
+	removedAt    time.Time
 }
 
 type member struct {
@@ -155,7 +157,7 @@
 		if !m.missingSince.IsZero() && now.Sub(m.missingSince) >= MissingRetention {
 			delete(t.members, id)
 			t.forgetLeader(id)
-			t.former = append(t.former, formerDatabase{Database: m.Database, removedAt: now})
+			t.former = append(t.former, formerDatabase{Database: m.Database, missingSince: m.missingSince, removedAt: now})
 			t.former = t.former[max(0, len(t.former)-maxFormer):]
 		}
 	}
@@ -184,6 +186,20 @@
 	return false
 }
 
+// MissingSince returns since when the platform's list has lacked a database, and the zero
+// time if it is listed or has never been.
+func (t *Table) MissingSince(id string) time.Time {
+	if m := t.members[id]; m != nil {
+		return m.missingSince
+	}
+	for _, db := range slices.Backward(t.former) {
+		if db.ID == id {
+			return db.missingSince
+		}
+	}
+	return time.Time{}
+}
+
 func (t *Table) forgetLeader(id string) {
 	if t.leader == id {
 		t.leader = ""
--- a/database/lead/lead_test.go
+++ b/database/lead/lead_test.go
@@ -54,6 +54,17 @@
 		Expect(table.Term()).To(BeEquivalentTo(2))
 	})
 
+	It("knows since when a missing or a former database has not been listed", func() {
+		table.SetDatabases(list()[:2], at(1000))
+		Expect(table.MissingSince("c")).To(Equal(at(1000)))
+		table.Expire(at(60_000))
+		Expect(table.Former()).To(HaveLen(1))
+		Expect(table.MissingSince("c")).To(Equal(at(1000)))
+		Expect(table.MissingSince("a")).To(BeZero())
+		table.SetDatabases(list(), at(120_000))
+		Expect(table.MissingSince("c")).To(BeZero())
+	})
+
 	It("treats a database as the leader once it starts to announce itself as the primary", func() {
 		table.RecordLeader("a", 1, at(10))
 		changed := list()
--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -24,6 +24,7 @@
 	askedAt  time.Time // when the query was sent that it answers
 	answered bool      // the last query was answered
 	refused  bool      // the last query showed that the database is not running at its address
+	failure  failure   // why the last query was not answered
 	former   bool      // no longer listed
 	sent     bool      // the last query may have reached the database
 	pausedTo uint64    // the newest term of a Pause that was sent, and of no Resume answered since; 0 for none
@@ -83,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c.answered, c.refused, c.sent = false, false, false
+	c.answered, c.refused, c.sent, c.failure = false, false, false, ""
 	var backoff retry.Backoff
 	for {
 		mayHaveRun := c.sent
@@ -92,7 +93,7 @@
 			c.sent = mayHaveRun // a refused statement has not run
 		}
 		if err == nil {
-			c.answered = true
+			c.answered, c.failure = true, ""
 			a.s.mu.Lock()
 			if c.report.Primary {
 				a.s.table.RecordLed(c.report.Term, c.db.ID)
@@ -101,6 +102,7 @@
 			a.s.mu.Unlock()
 			return
 		}
+		c.failure = laterFailure(c.failure, failureOf(err))
 		if errkind.Of(err) != errkind.DatabaseBusy && c.conn != nil {
 			c.conn.Reset() // a PAUSE or RESUME that has not left this host must not be delivered later
 			c.conn = nil
--- a/gateway/logreadings.go
+++ b/gateway/logreadings.go
@@ -27,6 +27,7 @@
 	received position.Position
 	answered bool
 	paused   bool
+	failure  failure
 }
 
 // logReadings are the ends of the databases' logs during an attempt. They are recorded
@@ -38,6 +39,11 @@
 
 // record records a database's report.
 func (r *logReadings) record(t readingTime, id string, report statement.Report, answered bool) {
+	r.recordQuery(t, id, report, answered, "")
+}
+
+// recordQuery is record with the failure of a query that was not answered.
+func (r *logReadings) recordQuery(t readingTime, id string, report statement.Report, answered bool, why failure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byID == nil {
@@ -46,7 +52,7 @@
 	if r.byID[id] == nil {
 		r.byID[id] = &[readingTimes]logReading{}
 	}
-	r.byID[id][t] = logReading{}
+	r.byID[id][t] = logReading{failure: why}
 	if answered {
 		r.byID[id][t] = logReading{received: report.Received, answered: true, paused: isPaused(report)}
 	}
@@ -85,14 +91,14 @@
 }
 
 // readingText describes one database's readings in their order: the end of the log, "=" for
-// the one before, or "-" for a database that did not answer, and a p if it was paused.
+// the one before, or "-" for a database that did not answer, with the mark of its failure, and a p if it was paused.
 func readingText(readings *[readingTimes]logReading) string {
 	parts := make([]string, len(readings))
 	var before logReading
 	for i, r := range readings {
 		switch {
 		case !r.answered:
-			parts[i] = "-"
+			parts[i] = "-" + r.failure.mark()
 		case before.answered && before.received == r.received:
 			parts[i] = "="
 		default:
@@ -111,7 +117,7 @@
 // recordLogs records the last reports of all databases.
 func (a *replacement) recordLogs(t readingTime) {
 	for _, c := range a.conns {
-		a.trace.logs.record(t, c.db.ID, c.report, c.answered)
+		a.trace.logs.recordQuery(t, c.db.ID, c.report, c.answered, c.failure)
 	}
 }
 
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -25,6 +25,7 @@
 	orderedAt   time.Time         // when the choice was logged
 	chosen      succession.Candidate
 	acked       position.Position // the last one that was known to be acknowledged at the choice
+	unread      string            // the databases that were not read at the choice, and why
 	logs        logReadings
 }
 
@@ -54,7 +55,7 @@
 
 // candidateText describes the candidates, the one with the given id first and then the
 // longest logs, such as "i-1 3/1301 41s established listed, i-2 3/1226 40s listed, i-3
-// unread".
+// unread refused passed_over not_recorded unlisted 8s".
 func (a *replacement) candidateText(candidates []succession.Candidate, first string) string {
 	sorted := slices.SortedFunc(slices.Values(candidates), func(x, y succession.Candidate) int {
 		switch {
@@ -77,7 +78,7 @@
 	if c.Answered {
 		out += c.Received.String()
 	} else {
-		out += "unread"
+		out += a.describeUnread(c)
 	}
 	var term, paused uint64
 	if conn := a.conn(c.ID); conn != nil {
@@ -86,13 +87,13 @@
 	if c.Answered && term != c.Received.Term {
 		out += fmt.Sprintf(" term %d", term)
 	}
-	if c.StartMillis > 0 {
+	if c.StartMillis > 0 && c.Answered {
 		out += fmt.Sprintf(" %ds", (time.Now().UnixMilli()-c.StartMillis)/1000)
 	}
 	for _, flag := range []struct {
 		name string
 		set  bool
-	}{{"established", c.Established}, {"listed", c.Listed}, {"unlisted", !c.Listed}, {"leaving", c.Leaving}, {"cut_off", c.CutOff}, {"refused", c.Refused}, {"paused", paused > 0}} {
+	}{{"established", c.Established}, {"listed", c.Listed}, {"unlisted", c.Answered && !c.Listed}, {"leaving", c.Leaving}, {"cut_off", c.CutOff}, {"refused", c.Answered && c.Refused}, {"paused", paused > 0}} {
 		if flag.set {
 			out += " " + flag.name
 		}
@@ -108,12 +109,13 @@
 	acked := position.Max(a.acked, a.ackedElsewhere())
 	a.trace.acked = acked
 	a.recordLogs(atChoice)
+	a.trace.unread = a.unreadText()
 	primary := "unknown"
 	if c := a.conn(a.primary); c != nil {
-		primary = a.describeCandidate(succession.Candidate{ID: c.db.ID, Answered: c.answered, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received})
+		primary = a.describeCandidate(a.primaryCandidate(c))
 	}
 	a.s.g.logChange("promotion", slog.LevelWarn, msg,
-		"candidates", a.candidateText(a.candidates(), successor.ID), "service", a.s.name, "to", successor.ID, "reason", string(a.reason), "acked", acked.String(),
+		"candidates", a.candidateText(a.candidates(), successor.ID), "service", a.s.name, "to", successor.ID, "unread", a.trace.unread, "reason", string(a.reason), "acked", acked.String(),
 		"from", a.primary, "primary", primary, "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore,
 		"floor", a.floor.String(), "pending", a.ordered,
 		"rank", a.trace.rank, "views", viewText(a.trace.views),
@@ -153,7 +155,7 @@
 // logNoSuccessor logs why no successor was chosen.
 func (a *replacement) logNoSuccessor(err error) {
 	a.s.g.logChange("promotion", slog.LevelWarn, "No successor was chosen.", "candidates", a.candidateText(a.candidates(), ""),
-		"service", a.s.name, "error", err, "primary", a.primary, "reason", string(a.reason), "acked", position.Max(a.acked, a.ackedElsewhere()).String(),
+		"service", a.s.name, "unread", a.unreadText(), "error", err, "primary", a.primary, "reason", string(a.reason), "acked", position.Max(a.acked, a.ackedElsewhere()).String(),
 		"floor", a.floor.String(), "term", a.term, "fence", a.leaseObject.Version, "lease_before", a.trace.leaseBefore, "pending", a.ordered)
 }
 
@@ -207,7 +209,7 @@
 		rest = append(rest, "ids", missing)
 	}
 	a.afterEnd(func() {
-		logs := []any{"logs", a.trace.logs.text(primary)} // with the answers that came during the delay
+		logs := []any{"logs", a.trace.logs.text(primary), "unread", a.trace.unread} // with the answers that came during the delay
 		a.s.g.logDeciding("promotion", slog.LevelWarn, "Replacement ended.", slices.Concat(head, logs, rest)...)
 	})
 }
