Refuse at once what needs a primary while a takeover waits for a log

Cause: a service whose primary is away, and whose takeover needs the log of a database that does not answer, cannot have a primary before that returns. Its callers' statements were held until their deadlines, or for the first 3 s.

Change: an attempt that chooses no successor for want of a log records the databases that it waits for. Statements that need a primary, and reads whose accepted age no sample meets, are then refused as not run, with a retry delay; none of them has been sent to a database. Other hosts learn of it from a new field of the group reports, across data centres in an urgent summary. It ends when an attempt chooses a successor or finds no wait, when a primary is reachable, or 3.1 s after the last attempt. A WARN line names the databases at once and every 10 s while it lasts, another one its end, and the gauge bronzeloft_services_waiting_for_logs counts such services.

--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -179,6 +179,7 @@
 			for _, l := range g.Leaving {
 				add(l.Database)
 			}
+			add(g.Awaited)
 		}
 	}
 	return h.Sum64()
@@ -221,7 +222,7 @@
 		if g.Watching {
 			to = append(to, &gossippb.Group{
 				Service: g.Service, Primary: g.Primary, Unreachable: g.Unreachable, Stuck: g.Stuck,
-				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host, Leaving: aged(g.Leaving, age),
+				AckedTerm: g.AckedTerm, AckedIndex: g.AckedIndex, Watching: true, Host: host, Leaving: aged(g.Leaving, age), Awaited: g.Awaited,
 			})
 		}
 	}
@@ -306,8 +307,9 @@
 
 // hostView is one host's view of a service's primary.
 type hostView struct {
-	host string
-	view succession.View
+	host    string
+	view    succession.View
+	awaited []string // databases whose logs its attempts to replace the primary wait for
 }
 
 // hostViews returns the recent views of the other hosts that watch a service. mu
@@ -317,7 +319,7 @@
 	add := func(host string, groups []*gossippb.Group) {
 		for _, g := range groups {
 			if g.Service == service && g.Watching {
-				out = append(out, hostView{host, succession.View{Primary: g.Primary, Unreachable: g.Unreachable, Stalled: g.Stuck}})
+				out = append(out, hostView{host, succession.View{Primary: g.Primary, Unreachable: g.Unreachable, Stalled: g.Stuck}, g.Awaited})
 			}
 		}
 	}
@@ -352,3 +354,16 @@
 	}
 	return others, p.acked[service], rank
 }
+
+// databasesAwaited returns the databases whose logs other hosts' attempts to replace a
+// service's primary wait for, by their recent reports.
+func (p *peers) databasesAwaited(service string, now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, v := range p.hostViews(service, now) {
+		ids = append(ids, v.awaited...)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,7 @@
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
+	set.NewGauge("bronzeloft_services_waiting_for_logs", func() float64 { return float64(g.servicesAwaitingLogs()) })
 	for _, rules := range []string{"present", "older"} {
 		set.NewGauge(fmt.Sprintf(`bronzeloft_hosts{rules=%q}`, rules), func() float64 {
 			if g.peers == nil {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -230,10 +230,14 @@
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.logNoSuccessor(err)
+		a.recordLogWait(err)
 		a.giveUp(ctx)
 		return
 	}
 	a.logChosen("Successor chosen.", successor)
+	a.s.mu.Lock()
+	a.s.endLogWait("a successor was chosen")
+	a.s.mu.Unlock()
 	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
 	if err != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	replication       replication
 	replicated        bool // a configuration required replicas of the service
 	promotion         promotionState
+	logWait           logWait
 	observed          observedPrimary
 	roster            rosterState
 	provenPrimary     string    // the last database that proved to be the primary
@@ -223,14 +225,14 @@
 	return nil, false
 }
 
-// failFast reports whether no primary has been reachable for failFastAfter. mu is
-// held.
+// failFast reports whether no primary can be expected within a statement's timeout: none
+// has been reachable for failFastAfter, or the service waits for logs. mu is held.
 func (s *service) failFast() bool {
-	return !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
+	return len(s.databasesAwaited()) > 0 || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
-// ends, and at once if none has been reachable for failFastAfter.
+// ends, and at once if failFast holds.
 func (s *service) waitForPrimary(ctx context.Context) (*pool, error) {
 	var p *pool
 	var ok bool
@@ -239,11 +241,21 @@
 		return ok || s.failFast()
 	})
 	if err != nil || !ok {
-		return nil, errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, noPrimaryRetryAfter.Milliseconds())
+		return nil, s.noPrimaryError()
 	}
 	return p, nil
 }
 
+func (s *service) noPrimaryError() error {
+	s.mu.Lock()
+	awaited := strings.Join(s.databasesAwaited(), " ")
+	s.mu.Unlock()
+	if awaited != "" {
+		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, noPrimaryRetryAfter.Milliseconds())
+	}
+	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, noPrimaryRetryAfter.Milliseconds())
+}
+
 // readers returns the databases that may serve a customer's read, best first.
 func (s *service) readers(customer string) []*pool {
 	s.mu.Lock()
@@ -436,6 +448,7 @@
 			p.closeSpare(now)
 		}
 	}
+	s.updateLogWait(now)
 	if watching {
 		s.maybeReplacePrimary(now)
 	}
