Let operators see the logs that takeovers must read, and abandon one

Cause: a service whose last holders of an acknowledged commit never return would stay without a primary for good, and nothing but an edit of the store's objects by hand could end that.

It refuses a database that is not recorded, has another start, or is listed.

Specs of the commands run against the stand-in of the metadata store.

--- a/cmd/bronzeloftctl/main.go
+++ b/cmd/bronzeloftctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/bronzeloft/bronzeloft/internal/ctl"
 	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/platform"
 )
 
 // Limits on the rate of one command's calls to the platform.
@@ -23,6 +24,9 @@
 // hostTimeout bounds one call to a host.
 const hostTimeout = 5 * time.Second
 
+// storeTimeout bounds one call to the metadata store of a platform site.
+const storeTimeout = 5 * time.Second
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	code := ctl.Run(ctx, os.Args[1:], ctl.Env{
@@ -31,6 +35,7 @@
 		Now:    time.Now,
 		Random: rand.Reader,
 		API:    newAPI,
+		Store:  newStore,
 		HTTP:   &http.Client{Timeout: hostTimeout},
 	})
 	stop()
@@ -40,3 +45,7 @@
 func newAPI(baseURL string) objectapi.API {
 	return objectapi.NewClient(objectapi.ClientConfig{BaseURL: baseURL, CallsPerSecond: callsPerSecond, Burst: callBurst})
 }
+
+func newStore(baseURL string) objectapi.Objects {
+	return platform.NewStore(platform.StoreConfig{BaseURL: baseURL, Timeout: storeTimeout})
+}
--- a/gateway/floors.go
+++ b/gateway/floors.go
@@ -13,7 +13,7 @@
 // kindFloors is the object kind with one succession.KeptFloor for each service: what its
 // lease names too, for a holder that follows a host of older rules, which rewrites the
 // lease without it.
-const kindFloors = "bronzeloft-floors"
+const kindFloors = succession.KindFloors
 
 // readFloor raises the term and the floor of a lease that a host of older rules has written
 // to those that are kept beside it.
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -15,7 +15,7 @@
 
 // kindLeases is the object kind with one succession.Lease for each service. Only the
 // holder of the lease may replace the service's primary.
-const kindLeases = "bronzeloft-leases"
+const kindLeases = succession.KindLeases
 
 // leaseObservation is the version of another host's lease and the time at which
 // this host first saw it.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -13,7 +13,7 @@
 
 // kindRosters is the object kind with one succession.Roster for each service. The
 // first host in rank keeps it; a replacement attempt reads it.
-const kindRosters = "bronzeloft-rosters"
+const kindRosters = succession.KindRosters
 
 // Timing of the rosters.
 const (
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,6 +1,6 @@
 // Package ctl implements the operators' command line: it checks and publishes team
-// files, manages keys, and inspects and drains hosts. Clock, output and platform
-// are passed in as an Env.
+// files, manages keys, inspects and drains hosts, and shows and abandons the logs that a
+// takeover must read. Clock, output and platform are passed in as an Env.
 package ctl
 
 import (
@@ -40,10 +40,11 @@
 	Out    io.Writer
 	Err    io.Writer
 	Now    func() time.Time
-	Random io.Reader                          // source of keys
-	API    func(baseURL string) objectapi.API // the platform at a URL
-	HTTP   *http.Client                       // for the hosts' admin listeners
-	Pause  func(context.Context) error        // between attempts; nil for the default pauses
+	Random io.Reader                              // source of keys
+	API    func(baseURL string) objectapi.API     // the platform at a URL
+	Store  func(baseURL string) objectapi.Objects // the metadata store of a platform site at a URL
+	HTTP   *http.Client                           // for the hosts' admin listeners
+	Pause  func(context.Context) error            // between attempts; nil for the default pauses
 }
 
 // globals are the flags that every command accepts.
@@ -112,6 +113,9 @@
 			return err
 		}
 	}
+	if err := a.registerLogs(p); err != nil {
+		return err
+	}
 	return a.registerKeys(p)
 }
 
@@ -134,6 +138,7 @@
 // refusals are errors that a retry does not resolve; their exit code is ExitRefused.
 var refusals = []error{
 	contract.ErrNotPublished, contract.ErrChunkMissing, contract.ErrCorrupt, contract.ErrTooLarge,
+	errNoRoster, errNotRecorded, errOtherStart, errStillListed,
 	keys.ErrNoCustomer, keys.ErrNoKey, keys.ErrTooMany, keys.ErrNoneValid, keys.ErrID,
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -23,6 +23,7 @@
 	"github.com/bronzeloft/bronzeloft/internal/ctl"
 	"github.com/bronzeloft/bronzeloft/internal/standin/platformserver"
 	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/platform"
 	"github.com/bronzeloft/bronzeloft/report"
 )
 
@@ -64,6 +65,9 @@
 			}
 			return objectapi.NewClient(objectapi.ClientConfig{BaseURL: url, Timeout: timeout, AttemptTimeout: timeout, CallsPerSecond: 1000, Burst: 1000})
 		},
+		Store: func(url string) objectapi.Objects {
+			return beforeUpdate{platform.NewStore(platform.StoreConfig{BaseURL: url, Timeout: answerTimeout})}
+		},
 		HTTP:  &http.Client{Timeout: answerTimeout},
 		Pause: func(ctx context.Context) error { return ctx.Err() },
 	})
@@ -93,6 +97,9 @@
 		Entry("no host", "--platform", "http://127.0.0.1:1", "report"),
 		Entry("neither platform nor host", "status"),
 		Entry("too many arguments", "--platform", "http://127.0.0.1:1", "keys", "issue", "cluj", "iasi"),
+		Entry("no platform of logs", "log", "list"),
+		Entry("no database of a log", "--platform", "http://127.0.0.1:1", "log", "abandon", "--service", "stock-db"),
+		Entry("no start of a log", "--platform", "http://127.0.0.1:1", "log", "abandon", "--service", "stock-db", "--database", "i-1", "--confirm"),
 		Entry("unknown format", "report", "--host", "127.0.0.1:1", "--format", "pdf"),
 	)
 
