--- a/gateway/logwait.go
+++ b/gateway/logwait.go
@@ -49,21 +49,21 @@
 	}
 	candidates := a.candidates()
 	for _, c := range candidates {
-		if c.UnreadMayRun() {
+		if c.MustBeRead() {
 			ids = append(ids, c.ID)
 		}
 	}
 	best, ok := succession.Longest(candidates)
 	acked := position.Max(a.acked, a.ackedElsewhere())
 	if len(ids) == 0 && (!ok || best.Lacks(acked) || best.Lacks(a.floor)) {
-		for _, c := range a.conns {
-			if !c.answered {
-				ids = append(ids, c.db.ID) // any of them may hold what is missing
+		for _, c := range candidates {
+			if !c.Answered && !c.Abandoned {
+				ids = append(ids, c.ID) // any of them may hold what is missing
 			}
 		}
 	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids) // an earlier process of a database is a candidate of its own
 }
 
 // recordLogWait records whether this attempt, which has not chosen a successor, waits for
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -68,6 +68,9 @@
 	})
 	parts := make([]string, 0, len(sorted))
 	for _, c := range sorted {
+		if c.Replaced {
+			continue // described as the primary
+		}
 		parts = append(parts, a.describeCandidate(c))
 	}
 	return strings.Join(parts, ", ")
@@ -78,7 +81,7 @@
 	if c.Answered {
 		out += c.Received.String()
 	} else {
-		out += a.describeUnread(c)
+		out += "unread " + a.describeUnread(c)
 	}
 	var term, paused uint64
 	if conn := a.conn(c.ID); conn != nil {
@@ -221,3 +224,14 @@
 	defer a.s.mu.Unlock()
 	a.s.explainCommits("this host replaces " + a.primary)
 }
+
+// primaryCandidate describes the primary to be replaced, which is not among the candidates while it
+// answers as the primary.
+func (a *replacement) primaryCandidate(c *controlConn) succession.Candidate {
+	for _, candidate := range a.candidates() {
+		if candidate.ID == c.db.ID && candidate.StartMillis == c.db.StartMillis {
+			return candidate
+		}
+	}
+	return succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received, StartMillis: c.db.StartMillis}
+}
--- a/gateway/unread.go
+++ b/gateway/unread.go
@@ -71,32 +71,27 @@
 // describeUnread describes a database that was not read, such as "refused awaited recorded
 // unlisted 8s": how its address behaved, and what tells whether its log is needed.
 func (a *replacement) describeUnread(c succession.Candidate) string {
-	out := "unread"
-	if conn := a.conn(c.ID); conn != nil && conn.failure != "" {
-		out += " " + string(conn.failure)
-	}
-	switch {
-	case c.ID == a.primary && !slices.ContainsFunc(a.replicas(), func(r *controlConn) bool { return r.db.ID == c.ID }):
-		out += " primary" // the one to be replaced
-	case c.UnreadMayRun():
-		out += " awaited"
-	default:
-		out += " passed_over"
-	}
-	place, recorded := a.roster.Databases[c.ID]
-	recorded = recorded && place.StartMillis == c.StartMillis
-	for _, flag := range []struct {
-		name string
-		set  bool
-	}{{"abandoned", recorded && place.Abandoned}, {"retiring", recorded && place.Retiring}, {"recorded", recorded}, {"not_recorded", a.listsRead && !recorded}} {
-		if flag.set {
-			out += " " + flag.name
+	var words []string
+	add := func(word string, set bool) {
+		if set {
+			words = append(words, word)
 		}
 	}
-	if !c.Listed {
-		out += " unlisted" + a.unlistedFor(c.ID)
+	conn := a.conn(c.ID)
+	earlier := conn != nil && conn.db.StartMillis != c.StartMillis
+	add("earlier_start", earlier) // its process has ended, and another one runs under its id
+	if conn != nil && !earlier {
+		add(string(conn.failure), conn.failure != "")
 	}
-	return out
+	add("primary", c.Replaced)
+	add("awaited", c.MustBeRead())
+	add("passed_over", !c.Replaced && !c.MustBeRead())
+	add("abandoned", c.Abandoned)
+	add("retiring", a.roster.Databases[c.ID].Retiring && c.Recorded)
+	add("recorded", c.Recorded)
+	add("not_recorded", !c.Recorded && a.listsRead)
+	add("unlisted"+a.unlistedFor(c.ID), !c.Listed && !earlier)
+	return strings.Join(words, " ")
 }
 
 // unlistedFor returns for how long a database has not been listed, such as " 8s", or an
@@ -111,21 +106,18 @@
 	return fmt.Sprintf(" %ds", int(a.s.g.now().Sub(since)/time.Second))
 }
 
-// unreadText describes all databases that were not read, the primary first.
+// unreadText describes all databases that were not read, the primary that is replaced first.
 func (a *replacement) unreadText() string {
 	var parts []string
-	if c := a.conn(a.primary); c != nil && !c.answered {
-		parts = append(parts, c.db.ID+strings.TrimPrefix(a.describeUnread(a.primaryCandidate(c)), "unread"))
-	}
 	for _, c := range a.candidates() {
-		if !c.Answered && c.ID != a.primary {
-			parts = append(parts, c.ID+strings.TrimPrefix(a.describeUnread(c), "unread"))
+		text := c.ID + " " + a.describeUnread(c)
+		switch {
+		case c.Answered:
+		case c.Replaced:
+			parts = slices.Insert(parts, 0, text)
+		default:
+			parts = append(parts, text)
 		}
 	}
 	return strings.Join(parts, ", ")
 }
-
-// primaryCandidate describes the primary to be replaced as candidates does the replicas.
-func (a *replacement) primaryCandidate(c *controlConn) succession.Candidate {
-	return succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received, StartMillis: c.db.StartMillis}
-}
--- a/gateway/unread_test.go
+++ b/gateway/unread_test.go
@@ -77,13 +77,11 @@
 		Expect(out.matching("Replacement ended.")[0]).To(HaveKeyWithValue("unread", "a error primary recorded, c refused passed_over not_recorded unlisted 8s"))
 	})
 
-	It("says that a database is recorded only if that is the record of its present start, and that its log was abandoned", func() {
+	It("says that the record is of an earlier start of a database, and that the log of another one was abandoned", func() {
 		dbs.withLock(func() { dbs.databases["a"].unresponsive, dbs.databases["c"].unresponsive = true, true })
 		record(map[string]succession.Place{"a": {Address: "a", StartMillis: 7}, "c": {Address: "c", DataCentre: "dc-a", Abandoned: true}})
 		runAttempt(svc, succession.Silent)
-		lines := append(out.matching("No successor was chosen."), out.matching("Successor chosen.")...)
-		Expect(lines).To(HaveLen(1))
-		Expect(lines[0]["unread"]).To(MatchRegexp(`^a error primary not_recorded, c error (awaited|passed_over) abandoned recorded$`))
+		Expect(out.matching("Successor chosen.")).To(ConsistOf(HaveKeyWithValue("unread", "a earlier_start primary recorded, c error passed_over abandoned recorded")))
 	})
 
 	DescribeTable("tells how an address behaves", func(err error, want failure) {
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -255,7 +255,7 @@
 		return roster, place, eris.Wrapf(errNotRecorded, "service %q, database %q", c.Service, c.Database)
 	case c.Start != 0 && c.Start != place.StartMillis:
 		return roster, place, eris.Wrapf(errOtherStart, "service %q, database %q: %d, not %d", c.Service, c.Database, place.StartMillis, c.Start)
-	case slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database }):
+	case slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database && db.StartMillis == place.StartMillis }):
 		return roster, place, eris.Wrapf(errStillListed, "service %q, database %q", c.Service, c.Database)
 	}
 	return roster, place, nil
