Name awaited logs first in the lines about a wait; specs with the roster

A line cut to 200 characters ended before the database that was awaited. Specs: a recorded database that is no longer listed is awaited and named, one that an operator has given up is not, and what it alone may hold is awaited from the primary until that is given up too.

--- a/gateway/logwait.go
+++ b/gateway/logwait.go
@@ -93,7 +93,7 @@
 	if w.loggedAt.IsZero() || now.Sub(w.loggedAt) >= logWaitLineEvery {
 		w.loggedAt = now
 		s.g.logChange("promotion", slog.LevelWarn, "Service waits for the logs of databases.", "service", s.name, "databases", strings.Join(ids, " "),
-			"for_ms", now.Sub(w.since).Milliseconds(), "unread", unread, "since", wallTime(now, w.since), "primary", a.primary,
+			"unread", unread, "for_ms", now.Sub(w.since).Milliseconds(), "since", wallTime(now, w.since), "primary", a.primary,
 			"acked", position.Max(a.acked, a.trace.acked).String(), "floor", a.floor.String(), "record", a.trace.rosterAt)
 	}
 }
--- a/gateway/logwait_test.go
+++ b/gateway/logwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
@@ -139,6 +140,56 @@
 		expectRefusedAtOnce("a")
 	})
 
+	Context("that the roster has and the platform no longer lists", func() {
+		// The primary "a" and the replica "c" are down; only "c" has the last acknowledged commit.
+		BeforeEach(func() {
+			Expect(svc.syncRoster()).To(Succeed())
+			dbs.withLock(func() { dbs.databases["c"].end = position.Position{Term: 1, Index: 11} })
+			g.peers.mu.Lock()
+			g.peers.recordAcked(&gossippb.Group{Service: testService, AckedTerm: 1, AckedIndex: 11})
+			g.peers.mu.Unlock()
+			takeAway("a", "c")
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			svc.table.SetDatabases([]routes.Database{{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4}}, time.Now().Add(-10*time.Second))
+			svc.table.Expire(time.Now())
+			Expect(svc.table.All()).To(HaveLen(1))
+		})
+		replace := func() {
+			svc.mu.Lock()
+			a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+			svc.mu.Unlock()
+			a.primary, a.proven, a.provenTerm, a.term = "a", true, 1, 1
+			a.run()
+		}
+		abandon := func(id string) {
+			object, roster, err := svc.readRoster(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			place := roster.Databases[id]
+			place.Abandoned = true
+			roster.Databases[id] = place
+			_, err = svc.writeRoster(context.Background(), object.Version, roster)
+			Expect(err).NotTo(HaveOccurred())
+		}
+
+		It("names what is known of it, and refuses at once", func() {
+			replace()
+			expectRefusedAtOnce("c")
+			Expect(out.record("")).To(MatchRegexp(`"Service waits for the logs of databases.","service":"orders-db","databases":"c","unread":"c error awaited recorded unlisted [0-9]+s, a error`))
+		})
+
+		It("waits for all that may hold the missing commit once the operator has given up one, and no longer once none is left", func() {
+			abandon("c")
+			replace()
+			expectRefusedAtOnce("a")
+			dbs.withLock(func() { Expect(dbs.orders).To(BeEmpty()) })
+			abandon("a")
+			replace()
+			Expect(out.matching("Service no longer waits for the logs of databases.")).To(ConsistOf(HaveKeyWithValue("reason", "a successor was chosen")))
+			dbs.withLock(func() { Expect(dbs.primary).To(Equal("b")) })
+		})
+	})
+
 	It("is not taken to wait while a database answers as the primary", func() {
 		dbs.withLock(func() { dbs.databases["c"].unresponsive = true })
 		runAttempt(svc, succession.Silent)
@@ -207,7 +258,7 @@
 		Expect(metric()).To(ContainSubstring("bronzeloft_services_waiting_for_logs 0\n"))
 		runAttempt(svc, succession.Silent)
 		runAttempt(svc, succession.Silent)
-		Expect(out.record("")).To(ContainSubstring(`"%s","service":"orders-db","databases":"c","for_ms":0,"unread":"a error primary`, line))
+		Expect(out.record("")).To(ContainSubstring(`"%s","service":"orders-db","databases":"c","unread":"c error awaited not_recorded, a error`, line))
 		Expect(out.matching(line)).To(ConsistOf(And(HaveKey("since"), HaveKeyWithValue("level", "WARN"), HaveKeyWithValue("primary", "a"))))
 		Expect(metric()).To(ContainSubstring("bronzeloft_services_waiting_for_logs 1\n"))
 		svc.mu.Lock()
--- a/gateway/unread.go
+++ b/gateway/unread.go
@@ -106,18 +106,21 @@
 	return fmt.Sprintf(" %ds", int(a.s.g.now().Sub(since)/time.Second))
 }
 
-// unreadText describes all databases that were not read, the primary that is replaced first.
+// unreadText describes all databases that were not read: those that are awaited, then the
+// primary that is replaced, then the others.
 func (a *replacement) unreadText() string {
-	var parts []string
+	var awaited, primary, others []string
 	for _, c := range a.candidates() {
 		text := c.ID + " " + a.describeUnread(c)
 		switch {
 		case c.Answered:
+		case c.MustBeRead():
+			awaited = append(awaited, text)
 		case c.Replaced:
-			parts = slices.Insert(parts, 0, text)
+			primary = append(primary, text)
 		default:
-			parts = append(parts, text)
+			others = append(others, text)
 		}
 	}
-	return strings.Join(parts, ", ")
+	return strings.Join(slices.Concat(awaited, primary, others), ", ")
 }
--- a/gateway/unread_test.go
+++ b/gateway/unread_test.go
@@ -54,7 +54,7 @@
 		runAttempt(svc, succession.Silent)
 		Expect(out.record("")).To(MatchRegexp(`"No successor was chosen.","candidates":"b 1/10 established listed, c unread refused awaited recorded established listed"`))
 		line := out.matching("No successor was chosen.")[0]
-		Expect(line).To(And(HaveKeyWithValue("unread", "a error primary recorded, c refused awaited recorded"),
+		Expect(line).To(And(HaveKeyWithValue("unread", "c refused awaited recorded, a error primary recorded"),
 			HaveKeyWithValue("primary", "a"), HaveKeyWithValue("reason", "silent")))
 	})
 
