Treat the attempts of several hosts as one wait for logs

The state of a host now begins when it finds a wait or learns of one, and ends when neither holds; what a host has learned from others it does not report as its own. It ends its own finding once another host's lease records an order, so that statements wait for the promotion.

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -34,6 +34,8 @@
 		return err
 	default:
 		if !a.canAcquireLease(old) {
+			var held succession.Lease
+			a.orderedElsewhere = json.Unmarshal(old.Value, &held) == nil && !held.Released && held.Ordered != ""
 			return errLeaseHeld
 		}
 	}
--- a/gateway/logwait.go
+++ b/gateway/logwait.go
@@ -25,18 +25,19 @@
 // a statement cannot be expected, so those that need a primary are refused at once.
 // service.mu guards it.
 type logWait struct {
-	databases []string  // that this host's attempts wait for; empty if they don't
-	since     time.Time // of the first attempt that found it
-	foundAt   time.Time // end of the last one
-	loggedAt  time.Time
-	elsewhere []string // that other hosts' attempts wait for, by their last messages
+	found     []string  // databases that this host's last attempt waits for; empty if it doesn't
+	foundAt   time.Time // end of that attempt
+	elsewhere []string  // databases that other hosts' attempts wait for, by their last messages
+	since     time.Time // since when this host knows of the wait; zero if there is none
+	nextLine  time.Time // earliest next log line about it
+	logged    bool      // this host has written one
 }
 
 // databasesAwaited returns the databases for which the service waits as far as this host
 // knows. mu is held.
 func (s *service) databasesAwaited() []string {
-	if len(s.logWait.databases) > 0 {
-		return s.logWait.databases
+	if len(s.logWait.found) > 0 {
+		return s.logWait.found
 	}
 	return s.logWait.elsewhere
 }
@@ -77,25 +78,16 @@
 	s, now := a.s, a.s.g.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(ids) == 0 {
-		s.endLogWait("the databases that are needed answer")
-		return
-	}
 	w := &s.logWait
-	if len(w.databases) == 0 {
-		w.since, w.loggedAt = now, time.Time{}
-	}
-	changed := !slices.Equal(w.databases, ids)
-	w.databases, w.foundAt = ids, now
-	if changed {
-		s.notifyChange() // statements that wait for a primary are refused
-	}
-	if w.loggedAt.IsZero() || now.Sub(w.loggedAt) >= logWaitLineEvery {
-		w.loggedAt = now
-		s.g.logChange("promotion", slog.LevelWarn, "Service waits for the logs of databases.", "service", s.name, "databases", strings.Join(ids, " "),
-			"unread", unread, "for_ms", now.Sub(w.since).Milliseconds(), "since", wallTime(now, w.since), "primary", a.primary,
-			"acked", position.Max(a.acked, a.trace.acked).String(), "floor", a.floor.String(), "record", a.trace.rosterAt)
+	w.found, w.foundAt = ids, now
+	s.logWaitChanged(now, "the databases that are needed answer")
+	if len(ids) == 0 || now.Before(w.nextLine) {
+		return
 	}
+	w.nextLine, w.logged = now.Add(logWaitLineEvery), true
+	s.g.logChange("promotion", slog.LevelWarn, "Service waits for the logs of databases.", "service", s.name, "databases", strings.Join(ids, " "),
+		"unread", unread, "for_ms", now.Sub(w.since).Milliseconds(), "since", wallTime(now, w.since), "primary", a.primary,
+		"acked", position.Max(a.acked, a.trace.acked).String(), "floor", a.floor.String(), "record", a.trace.rosterAt)
 }
 
 // wallTime returns the time of the wall clock at which the host's clock, now at now, was at t.
@@ -103,16 +95,31 @@
 	return time.Now().Add(t.Sub(now)).UTC().Format(time.RFC3339Nano)
 }
 
-// endLogWait ends the wait of this host's attempts, if there is one. mu is held.
-func (s *service) endLogWait(reason string) {
+// logWaitChanged is called after a change of what is known of the wait. reason is why it has
+// ended, if it has. mu is held.
+func (s *service) logWaitChanged(now time.Time, reason string) {
 	w := &s.logWait
-	if len(w.databases) == 0 {
-		return
+	awaited := len(s.databasesAwaited()) > 0
+	switch {
+	case awaited && w.since.IsZero():
+		w.since = now
+		if len(w.found) == 0 {
+			w.nextLine = now.Add(logWaitLineEvery) // another host has written one
+		}
+		s.notifyChange() // statements that wait for a primary are refused
+	case !awaited && !w.since.IsZero():
+		if w.logged {
+			s.g.logChange("promotion", slog.LevelWarn, "Service no longer waits for the logs of databases.", "service", s.name,
+				"for_ms", now.Sub(w.since).Milliseconds(), "reason", reason, "since", wallTime(now, w.since))
+		}
+		*w = logWait{}
 	}
-	now := s.g.now()
-	s.g.logChange("promotion", slog.LevelWarn, "Service no longer waits for the logs of databases.", "service", s.name, "databases", strings.Join(w.databases, " "),
-		"for_ms", now.Sub(w.since).Milliseconds(), "reason", reason, "since", wallTime(now, w.since))
-	w.databases, w.since, w.foundAt = nil, time.Time{}, time.Time{}
+}
+
+// endLogWait ends the wait as far as this host's attempts have found it. mu is held.
+func (s *service) endLogWait(reason string) {
+	s.logWait.found = nil
+	s.logWaitChanged(s.g.now(), reason)
 }
 
 // updateLogWait ends a wait that no longer applies and applies the reports of other hosts.
@@ -126,17 +133,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := &s.logWait
-	switch {
-	case reachable:
-		s.endLogWait("a primary is reachable")
-	case len(w.databases) > 0 && !s.promotion.running && now.Sub(w.foundAt) >= logWaitFor:
-		s.endLogWait("this host makes no more attempts")
-	}
-	if len(elsewhere) > 0 && len(w.elsewhere) == 0 {
-		s.notifyChange()
+	w, reason := &s.logWait, "no host has found it again"
+	if reachable {
+		w.found, reason = nil, "a primary is reachable"
+	} else if !s.promotion.running && now.Sub(w.foundAt) >= logWaitFor {
+		w.found = nil // this host makes no more attempts
 	}
 	w.elsewhere = elsewhere
+	s.logWaitChanged(now, reason)
 }
 
 // servicesAwaitingLogs returns the number of services that wait for logs as far as this host
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -232,7 +232,7 @@
 	view := s.primaryView(now)
 	return &gossippb.Group{
 		Service: s.name, Primary: view.Primary, Unreachable: view.Unreachable, Stuck: view.Stalled,
-		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index, Watching: s.watching(now), Leaving: s.leaving(now), Awaited: s.logWait.databases,
+		AckedTerm: s.acked.Term, AckedIndex: s.acked.Index, Watching: s.watching(now), Leaving: s.leaving(now), Awaited: s.logWait.found,
 	}
 }
 
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -178,23 +178,25 @@
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
 	known       []string          // those of them that each host that counts replicas knows
-	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
-	pending     bool              // an unanswered order may still take effect
-	settled     bool              // the lease has been released without a pending order
-	ordered     string            // the database that this order promotes
-	olderLease  bool              // the lease was last written by a host of older rules
-	pausing     pausing
-	accepted    bool // the same as in succession.Lease
-	unseen      bool
-	other       bool // when the last order was given, one for another database could still take effect
-	rounds      int
-	late        string // the database of the order that the lease recorded when it was acquired
-	orderTerm   uint64 // the newest term known when the last order was given
-	void        bool   // that order was for the primary of that time
-	replica     bool   // its database had reported that it is a replica
-	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
-	conns       []*controlConn
-	trace       replacementTrace
+	// Another host holds the lease and has recorded an order in it.
+	orderedElsewhere bool
+	unconfirmed      []string // claims of writes of the lease whose outcome is unknown
+	pending          bool     // an unanswered order may still take effect
+	settled          bool     // the lease has been released without a pending order
+	ordered          string   // the database that this order promotes
+	olderLease       bool     // the lease was last written by a host of older rules
+	pausing          pausing
+	accepted         bool // the same as in succession.Lease
+	unseen           bool
+	other            bool // when the last order was given, one for another database could still take effect
+	rounds           int
+	late             string // the database of the order that the lease recorded when it was acquired
+	orderTerm        uint64 // the newest term known when the last order was given
+	void             bool   // that order was for the primary of that time
+	replica          bool   // its database had reported that it is a replica
+	effect           bool   // the effect of that order, or of the one that the lease recorded, has been seen
+	conns            []*controlConn
+	trace            replacementTrace
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
@@ -204,6 +206,11 @@
 	defer cancel()
 	if err := a.acquireLease(ctx); err != nil {
 		a.log.Info("Lease not acquired.", "error", err)
+		if a.orderedElsewhere {
+			a.s.mu.Lock()
+			a.s.endLogWait("another host has chosen a successor")
+			a.s.mu.Unlock()
+		}
 		return
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
