--- a/gateway/logwait.go
+++ b/gateway/logwait.go
@@ -15,7 +15,7 @@
 const (
 	// logWaitFor is how long after an attempt that found a wait it is taken to last: this
 	// host's next attempt has ended by then.
-	logWaitFor = attemptLimit + 2*succession.RetryDelay
+	logWaitFor = attemptLimit + succession.WaitDelay + succession.RetryDelay
 	// logWaitLineEvery is the time between two log lines about one wait.
 	logWaitLineEvery = 10 * time.Second
 )
@@ -48,15 +48,15 @@
 	if slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && c.report.Primary }) {
 		return nil
 	}
-	candidates := a.candidates()
+	candidates := a.allLogs()
 	for _, c := range candidates {
 		if c.MustBeRead() {
 			ids = append(ids, c.ID)
 		}
 	}
 	best, ok := succession.Longest(candidates)
-	acked := position.Max(a.acked, a.ackedElsewhere())
-	if len(ids) == 0 && (!ok || best.Lacks(acked) || best.Lacks(a.floor)) {
+	acked, floor := a.bounds(position.Max(a.acked, a.ackedElsewhere()))
+	if len(ids) == 0 && (!ok || best.Lacks(acked) || best.Lacks(floor)) {
 		for _, c := range candidates {
 			if !c.Answered && !c.Abandoned {
 				ids = append(ids, c.ID) // any of them may hold what is missing
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -136,6 +136,9 @@
 		s.mu.Lock()
 		s.promotion.running, s.promotion.unsettled = false, a.pending && !a.settled
 		s.promotion.nextAttempt = s.g.now().Add(succession.RetryDelay)
+		if a.waits {
+			s.promotion.nextAttempt = s.g.now().Add(succession.WaitDelay)
+		}
 		if a.pausing.unanswered {
 			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
 		}
@@ -178,25 +181,26 @@
 	floor       position.Position // that the log of the successor must reach
 	established []string          // replicas that every host may be expected to know, before the first log was read
 	known       []string          // those of them that each host that counts replicas knows
-	// Another host holds the lease and has recorded an order in it.
-	orderedElsewhere bool
-	unconfirmed      []string // claims of writes of the lease whose outcome is unknown
-	pending          bool     // an unanswered order may still take effect
-	settled          bool     // the lease has been released without a pending order
-	ordered          string   // the database that this order promotes
-	olderLease       bool     // the lease was last written by a host of older rules
-	pausing          pausing
-	accepted         bool // the same as in succession.Lease
-	unseen           bool
-	other            bool // when the last order was given, one for another database could still take effect
-	rounds           int
-	late             string // the database of the order that the lease recorded when it was acquired
-	orderTerm        uint64 // the newest term known when the last order was given
-	void             bool   // that order was for the primary of that time
-	replica          bool   // its database had reported that it is a replica
-	effect           bool   // the effect of that order, or of the one that the lease recorded, has been seen
-	conns            []*controlConn
-	trace            replacementTrace
+	unconfirmed []string          // claims of writes of the lease whose outcome is unknown
+	pending     bool              // an unanswered order may still take effect
+	settled     bool              // the lease has been released without a pending order
+	waits       bool              // a log must be read first that could not be
+	ordered     string            // the database that this order promotes
+	olderLease  bool              // the lease was last written by a host of older rules
+	pausing     pausing
+	accepted    bool // the same as in succession.Lease
+	unseen      bool
+	other       bool // when the last order was given, one for another database could still take effect
+	rounds      int
+	late        string // the database of the order that the lease recorded when it was acquired
+	orderTerm   uint64 // the newest term known when the last order was given
+	void        bool   // that order was for the primary of that time
+	replica     bool   // its database had reported that it is a replica
+	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
+	conns       []*controlConn
+	trace       replacementTrace
+
+	orderedElsewhere bool // another host holds the lease and has recorded an order in it
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -68,9 +68,6 @@
 	})
 	parts := make([]string, 0, len(sorted))
 	for _, c := range sorted {
-		if c.Replaced {
-			continue // described as the primary
-		}
 		parts = append(parts, a.describeCandidate(c))
 	}
 	return strings.Join(parts, ", ")
@@ -225,13 +222,10 @@
 	a.s.explainCommits("this host replaces " + a.primary)
 }
 
-// primaryCandidate describes the primary to be replaced, which is not among the candidates while it
-// answers as the primary.
+// primaryCandidate describes the primary to be replaced, which is none of the candidates.
 func (a *replacement) primaryCandidate(c *controlConn) succession.Candidate {
-	for _, candidate := range a.candidates() {
-		if candidate.ID == c.db.ID && candidate.StartMillis == c.db.StartMillis {
-			return candidate
-		}
-	}
-	return succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received, StartMillis: c.db.StartMillis}
+	place, recorded := a.roster.Databases[c.db.ID]
+	recorded = recorded && place.StartMillis == c.db.StartMillis
+	return succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received, StartMillis: c.db.StartMillis,
+		Replaced: a.isReplaced(c.db.ID), Recorded: recorded, Abandoned: recorded && place.Abandoned}
 }
--- a/gateway/unread.go
+++ b/gateway/unread.go
@@ -110,7 +110,7 @@
 // primary that is replaced, then the others.
 func (a *replacement) unreadText() string {
 	var awaited, primary, others []string
-	for _, c := range a.candidates() {
+	for _, c := range a.allLogs() {
 		text := c.ID + " " + a.describeUnread(c)
 		switch {
 		case c.Answered:
@@ -122,5 +122,8 @@
 			others = append(others, text)
 		}
 	}
+	if c := a.conn(a.primary); c != nil && !c.answered && len(primary) == 0 && a.isReplaced(a.primary) {
+		primary = append(primary, c.db.ID+" "+a.describeUnread(a.primaryCandidate(c)))
+	}
 	return strings.Join(slices.Concat(awaited, primary, others), ", ")
 }
