Show and abandon the logs of earlier processes of a database that has restarted

The roster keeps former starts beside the present one. log list shows each of them; log abandon gives them up although the platform lists the database, since it runs without what they held.

--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,6 +69,7 @@
 	DataCentre  string `json:"dataCentre"`
 	Primary     bool   `json:"primary"` // it was the last one that proved to be the primary
 	Listed      bool   `json:"listed"`  // the platform's list has it with this start
+	Former      bool   `json:"former"`  // of an earlier process under the id of the database
 	Retiring    bool   `json:"retiring"`
 	Abandoned   bool   `json:"abandoned"`
 }
@@ -81,7 +83,7 @@
 	for _, flag := range []struct {
 		name string
 		set  bool
-	}{{"primary", l.Primary}, {"retiring", l.Retiring}, {"abandoned", l.Abandoned}} {
+	}{{"primary", l.Primary}, {"earlier process", l.Former}, {"retiring", l.Retiring}, {"abandoned", l.Abandoned}} {
 		if flag.set {
 			out += ", " + flag.name
 		}
@@ -144,12 +146,17 @@
 			listed := slices.ContainsFunc(l.listed, func(db routes.Database) bool {
 				return db.ID == id && db.Service == name && db.StartMillis == place.StartMillis
 			})
-			out = append(out, recordedLog{Service: name, Database: id, StartMillis: place.StartMillis, Address: place.Address, DataCentre: place.DataCentre,
-				Primary: id == roster.Primary, Listed: listed, Retiring: place.Retiring, Abandoned: place.Abandoned})
+			log := recordedLog{Service: name, Database: id, StartMillis: place.StartMillis, Address: place.Address, DataCentre: place.DataCentre,
+				Primary: id == roster.Primary, Listed: listed, Retiring: place.Retiring, Abandoned: place.Abandoned}
+			out = append(out, log)
+			for _, start := range place.FormerStarts {
+				log.StartMillis, log.Listed, log.Primary, log.Former = start, false, false, true
+				out = append(out, log)
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b recordedLog) int {
-		return strings.Compare(a.Service+"\x00"+a.Database, b.Service+"\x00"+b.Database)
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Database, b.Database), cmp.Compare(b.StartMillis, a.StartMillis))
 	})
 	return out
 }
@@ -195,8 +202,8 @@
 type abandonment struct {
 	Service   string            `json:"service"`
 	Database  string            `json:"database"`
-	Start     int64             `json:"startMillis"`
-	Floor     position.Position `json:"floor"` // a position that every later successor reaches
+	Start     int64             `json:"startMillis"` // of the newest process; earlier ones are given up with it
+	Floor     position.Position `json:"floor"`       // a position that every later successor reaches
 	Term      uint64            `json:"term"`
 	Needed    []string          `json:"needed"` // the other databases whose logs a takeover must still read
 	Abandoned bool              `json:"abandoned"`
@@ -220,7 +227,7 @@
 		return err
 	}
 	for _, l := range logs.of(c.Service) {
-		if l.Database != c.Database && !l.Abandoned {
+		if l.Database != c.Database && !l.Abandoned && !slices.Contains(out.Needed, l.Database) {
 			out.Needed = append(out.Needed, l.Database)
 		}
 	}
@@ -253,9 +260,9 @@
 	switch {
 	case !ok:
 		return roster, place, eris.Wrapf(errNotRecorded, "service %q, database %q", c.Service, c.Database)
-	case c.Start != 0 && c.Start != place.StartMillis:
+	case c.Start != 0 && c.Start != place.StartMillis && !slices.Contains(place.FormerStarts, c.Start):
 		return roster, place, eris.Wrapf(errOtherStart, "service %q, database %q: %d, not %d", c.Service, c.Database, place.StartMillis, c.Start)
-	case slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database && db.StartMillis == place.StartMillis }):
+	case len(place.FormerStarts) == 0 && slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database && db.StartMillis == place.StartMillis }):
 		return roster, place, eris.Wrapf(errStillListed, "service %q, database %q", c.Service, c.Database)
 	}
 	return roster, place, nil
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -123,6 +123,16 @@
 		Expect(stored().Databases["i-1"].Abandoned).To(BeTrue())
 	})
 
+	It("shows earlier processes of a database that has restarted, and gives up their logs although the platform lists it", func() {
+		putRoster()
+		put(succession.KindRosters, "stock-db", succession.Roster{Primary: "i-1", Term: 3, Databases: map[string]succession.Place{"i-3": {StartMillis: 3000, FormerStarts: []int64{1500}}}})
+		lines := strings.Split(run("--platform", store.URL(), "log", "list").out, "\n")
+		Expect(lines[1]).To(MatchRegexp(`i-3 +3000 .* listed$`))
+		Expect(lines[2]).To(MatchRegexp(`i-3 +1500 .* not listed, earlier process$`))
+		Expect(abandon("--database", "i-3", "--start", "1500", "--confirm").code).To(Equal(ctl.ExitOK))
+		Expect(stored().Databases["i-3"]).To(Equal(succession.Place{StartMillis: 3000, FormerStarts: []int64{1500}, Abandoned: true}))
+	})
+
 	DescribeTable("refuses with exit code 1 and without a change", func(reason string, args ...string) {
 		putRoster()
 		updateHook = func() { Fail("the roster was updated") }
