--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -19,7 +19,7 @@
 // kindRosters is the object kind with one succession.Roster for each service. The
 // first host in rank keeps it; a replacement attempt reads it, and so does a host before it
 // acknowledges a commit on one copy.
-const kindRosters = "bronzeloft-rosters"
+const kindRosters = succession.KindRosters
 
 // Timing of the rosters.
 const (
