Count a silent host's demand in its data centre's summary as long as in its own

A host that is cut off reaches databases, and goes on admitting its share. Hosts of its own data centre count its last demand for 5 s, but the summary for the other data centres dropped it after reportTTL, 1.2 s, so that the hosts there took its share too. Change: the summary keeps the demands of a silent host for share.PeerExpiry, unless it had announced that it leaves. Result: the new spec failed before (0 in place of 5 per second). Not covered: a cut of more than PeerExpiry, after which the others take the share of hosts that still admit.

--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -17,13 +17,14 @@
 	"time"
 )
 
+// PeerExpiry is how long after its last announcement a host's demand counts.
+const PeerExpiry = 5 * time.Second
+
 const (
 	// demandTimeConstant is the time constant of the exponentially weighted mean
 	// demand: long enough to average over a few operations of a small customer,
 	// short compared with the 5 s window of quotas.
 	demandTimeConstant = 1500 * time.Millisecond
-	// peerExpiry is how long after its last announcement a host's demand counts.
-	peerExpiry = 5 * time.Second
 	// baseDemandShare is the base demand that is added for every host, as a
 	// fraction of the host's equal share of the customer's rate.
 	baseDemandShare = 0.25
@@ -158,12 +159,12 @@
 	t.expirePeers(now)
 }
 
-// expirePeers drops hosts whose last announcement is older than peerExpiry. It
+// expirePeers drops hosts whose last announcement is older than PeerExpiry. It
 // runs only when another announcement arrives, so that an isolated host keeps
 // the demands that it has.
 func (t *Table) expirePeers(now time.Time) {
 	for host, p := range t.peers {
-		if now.Sub(p.lastSeen) >= peerExpiry {
+		if now.Sub(p.lastSeen) >= PeerExpiry {
 			delete(t.peers, host)
 		}
 	}
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -185,7 +185,8 @@
 }
 
 // summarise returns the summary of this data centre, from this host's own message
-// and those received from its other hosts.
+// and those received from its other hosts. Demands of a silent host count for as long as
+// in its own data centre: it may be cut off from all hosts and still admit its share.
 func (p *peers) summarise(own *gossippb.Gossip, now time.Time) *gossippb.Centre {
 	demands := map[string]float32{}
 	add := func(list []*gossippb.Demand) {
@@ -199,11 +200,12 @@
 	p.mu.Lock()
 	c.Hosts, c.Rules = uint32(max(1, p.placement.Live(now))), p.leastRules(now)
 	for name, h := range p.hostsByName {
-		if h.dataCentre != p.g.opt.DataCentre || now.Sub(h.lastSeen) >= reportTTL {
+		silent := now.Sub(h.lastSeen)
+		if h.dataCentre != p.g.opt.DataCentre || silent >= reportTTL && (h.leaving || silent >= share.PeerExpiry) {
 			continue
 		}
 		add(h.demands)
-		if !h.leaving {
+		if !h.leaving && silent < reportTTL {
 			c.Groups = appendWatched(c.Groups, name, h.groups, now.Sub(h.lastSeen))
 		}
 	}
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -82,4 +82,29 @@
 		// centres.
 		Expect(n - 1).To(BeNumerically("~", (burst+20)/2, 2))
 	})
+
+	// Guards against a customer that exceeded its quota while hosts were cut off from the others
+	// and still reached databases: the summary for other data centres left their demand out
+	// after 1.2 s, while these hosts went on admitting their shares.
+	It("is divided among silent hosts too, by the summary for other data centres, for as long as in their own", func() {
+		message := func(host string, leaving bool) *gossippb.Gossip {
+			return &gossippb.Gossip{
+				Host: host, Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: 1, Sequence: 1, Leaving: leaving,
+				Demands: []*gossippb.Demand{{Customer: testCustomer, PerSecond: 5}},
+			}
+		}
+		g.peers.handleMessage(message("silent", false))
+		g.peers.handleMessage(message("left", true))
+		now := g.now()
+		demandAfter := func(d time.Duration) float32 {
+			demands := g.peers.summarise(&gossippb.Gossip{}, now.Add(d)).Demands
+			if len(demands) == 0 {
+				return 0
+			}
+			return demands[0].PerSecond
+		}
+		Expect(demandAfter(0)).To(BeEquivalentTo(10))
+		Expect(demandAfter(share.PeerExpiry - 100*time.Millisecond)).To(BeEquivalentTo(5))
+		Expect(demandAfter(share.PeerExpiry + 100*time.Millisecond)).To(BeZero())
+	})
 })
