Replace a primary although the store's list of the databases takes too long

Cause: an attempt reads the store's whole list of the databases' entries under the lease. Change: the list has 800 ms. After that the attempt takes this host's list and reads the changes since from the store, which show a database that this host has not heard of, and must reach the version of the lease. The logs that a takeover cannot do without are those of the roster, which is read as before. Result: the new spec failed before (primary not replaced); it fails if the changes are not applied, or if those of before the lease suffice.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -267,6 +267,7 @@
 	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
 	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
 	errNotPaused   = errors.New("gateway: the log of a replica may have grown since it was read")
+	errNoList      = errors.New("gateway: the databases have not been listed yet")
 	errLeftPaused  = errors.New("gateway: replicas were left paused, so that the primary's commits stall")
 )
 
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
@@ -200,28 +202,64 @@
 	}
 }
 
+// storeListLimit bounds the read of the store's list, which takes long if other writers have
+// left large entries.
+const storeListLimit = 800 * time.Millisecond
+
 // readStoreList reads the store's list of the service's databases: this host's own may be
-// outdated, since a watch of the store may hear of no changes without an error.
+// outdated, since a watch of the store may hear of no changes without an error. If the list
+// takes too long, this host's own with the changes since replaces it. The logs that a takeover
+// cannot do without are those of the roster.
 func (a *replacement) readStoreList(ctx context.Context) (err error) {
-	a.storeList, err = a.s.storedDatabases(ctx)
+	listCtx, cancel := context.WithTimeout(ctx, storeListLimit)
+	defer cancel()
+	if a.storeList, err = a.s.storedDatabases(listCtx); err == nil || ctx.Err() != nil {
+		return err
+	}
+	a.log.Info("Listing the databases failed; reading the changes of this host's list.", "error", err)
+	a.storeList, err = a.s.changedDatabases(ctx, a.leaseObject.Version)
 	return err
 }
 
 // storedDatabases reads the store's list of the service's databases.
 func (s *service) storedDatabases(ctx context.Context) ([]routes.Database, error) {
 	platform := s.g.platform
-	objects, _, err := platform.Objects().List(ctx, platform.DatabasesKind())
+	objects, version, err := platform.Objects().List(ctx, platform.DatabasesKind())
 	if err != nil {
 		return nil, err
 	}
+	return s.databasesOf(newDatabaseList(objects, version)), nil
+}
+
+// changedDatabases returns the service's databases as of a version of the store or later, from
+// this host's list and the changes since.
+func (s *service) changedDatabases(ctx context.Context, version uint64) ([]routes.Database, error) {
+	platform := s.g.platform
+	list := s.g.databaseList()
+	if list.Version == 0 {
+		return nil, errNoList
+	}
+	changes, reached, err := platform.Objects().Changes(ctx, platform.DatabasesKind(), list.Version)
+	if err != nil {
+		return nil, err
+	}
+	if reached < version {
+		return nil, fmt.Errorf("gateway: the changes of the databases' entries reach version %d of the store, not %d", reached, version)
+	}
+	list.apply(changes)
+	return s.databasesOf(list), nil
+}
+
+// databasesOf returns the service's databases in a list. An entry that cannot be decoded names
+// none.
+func (s *service) databasesOf(list databaseList) []routes.Database {
 	out := []routes.Database{} // nil is a list that was not read
-	for _, o := range objects {
-		// One that cannot be decoded names no database.
-		if db, err := platform.DecodeDatabase(o.Name, o.Value); err == nil && db.Service == s.name {
+	for name, value := range list.Entries {
+		if db, err := s.g.platform.DecodeDatabase(name, value); err == nil && db.Service == s.name {
 			out = append(out, db)
 		}
 	}
-	return out, nil
+	return out
 }
 
 // storedEntries reads the entries of the given databases that the store has. Between them
--- a/gateway/takeover_evidence_test.go
+++ b/gateway/takeover_evidence_test.go
@@ -56,6 +56,33 @@
 	return s.Objects.Update(ctx, kind, name, version, value)
 }
 
+// slowLists is a store that does not list a kind before the caller gives up.
+type slowLists struct {
+	objectapi.Objects
+	kind      string
+	group     *group
+	deaf      bool // it reports no changes
+	compacted bool
+}
+
+func (s *slowLists) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
+	if kind != s.kind {
+		return s.Objects.List(ctx, kind)
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (s *slowLists) Changes(ctx context.Context, kind string, version uint64) ([]objectapi.Event, uint64, error) {
+	switch {
+	case s.compacted:
+		return nil, 0, objectapi.ErrCompacted
+	case s.deaf:
+		return nil, version, nil
+	}
+	return s.Objects.Changes(ctx, kind, version)
+}
+
 var _ = Describe("the evidence of a commit and the choice of a successor", func() {
 	var (
 		dbs   *group
@@ -135,6 +162,42 @@
 		Expect(primary()).NotTo(BeElementOf("b", "c"))
 	})
 
+	// A list that holds large entries of another writer takes longer than an attempt has.
+	DescribeTable("replaces a primary although the store's list of the databases takes too long",
+		func(change func(*slowLists), want string) {
+			g.platform = listingPlatform{p}
+			put := func(ids ...string) {
+				for _, id := range ids {
+					value, err := json.Marshal(entry(id))
+					Expect(err).NotTo(HaveOccurred())
+					_, err = p.api.Create(context.Background(), p.DatabasesKind(), id, value)
+					Expect(err).NotTo(HaveOccurred())
+				}
+			}
+			put("a", "b", "c")
+			objects, version, err := p.api.List(context.Background(), p.DatabasesKind())
+			Expect(err).NotTo(HaveOccurred())
+			g.applyDatabaseObjects(objects, version)
+			put("d") // this host does not hear of it
+			dbs.withLock(func() {
+				dbs.databases["a"].unresponsive = true
+				dbs.databases["c"].end.Index = 11
+				dbs.databases["d"] = &standin{group: dbs, id: "d", end: position.Position{Term: 1, Index: 10}}
+			})
+			slow := &slowLists{Objects: p.api, kind: p.DatabasesKind(), group: dbs}
+			change(slow)
+			p.api = slow
+			attempt(succession.Silent)
+			Expect(primary()).To(Equal(want))
+		},
+		Entry("once it has read the changes since its own", func(*slowLists) {}, "c"),
+		Entry("but not while a database that only the changes show does not answer", func(s *slowLists) {
+			s.group.withLock(func() { s.group.databases["d"].unresponsive = true })
+		}, "a"),
+		Entry("but not on changes of before the lease", func(s *slowLists) { s.deaf = true }, "a"),
+		Entry("but not if the store has dropped the changes", func(s *slowLists) { s.compacted = true }, "a"),
+	)
+
 	It("does not settle the lease while its order is under way because the successor is announced as the primary", func() {
 		dbs := dbs // the order is carried out after the spec has ended
 		dbs.withLock(func() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -289,11 +289,25 @@
 
 // applyDatabaseObjects applies the store's list of the databases' entries.
 func (g *Gateway) applyDatabaseObjects(objects []objectapi.Object, version uint64) {
-	list := databaseList{Version: version, Entries: map[string]json.RawMessage{}}
+	g.applyDatabaseList(newDatabaseList(objects, version))
+}
+
+func newDatabaseList(objects []objectapi.Object, version uint64) databaseList {
+	list := databaseList{Version: version, Entries: make(map[string]json.RawMessage, len(objects))}
 	for _, o := range objects {
 		list.Entries[o.Name] = o.Value
 	}
-	g.applyDatabaseList(list)
+	return list
+}
+
+// apply applies changes to the entries.
+func (l databaseList) apply(changes []objectapi.Event) {
+	for _, e := range changes {
+		delete(l.Entries, e.Object.Name)
+		if e.Type == objectapi.Put {
+			l.Entries[e.Object.Name] = e.Object.Value
+		}
+	}
 }
 
 // confirmDatabaseList records that the list of databases was the store's at the given
@@ -359,12 +373,7 @@
 	}
 	list := g.databaseList()
 	list.Version = version
-	for _, e := range events {
-		delete(list.Entries, e.Object.Name)
-		if e.Type == objectapi.Put {
-			list.Entries[e.Object.Name] = e.Object.Value
-		}
-	}
+	list.apply(events)
 	g.replaceDatabaseList(list)
 	return version
 }
--- a/objectapi/api.go
+++ b/objectapi/api.go
@@ -80,6 +80,8 @@
 	// server's wait time ends; in the latter case it returns no events. It returns
 	// ErrCompacted when version is too old: the caller then has to list again.
 	Watch(ctx context.Context, kind string, version uint64) ([]Event, uint64, error)
+	// Changes returns what Watch does, without waiting for a change.
+	Changes(ctx context.Context, kind string, version uint64) ([]Event, uint64, error)
 }
 
 // Kinds of objects that the system stores.
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -99,12 +99,21 @@
 
 // Watch implements API.
 func (c *Client) Watch(ctx context.Context, kind string, version uint64) ([]Event, uint64, error) {
+	return c.watch(ctx, kind, version, c.cfg.WatchWait)
+}
+
+// Changes implements API.
+func (c *Client) Changes(ctx context.Context, kind string, version uint64) ([]Event, uint64, error) {
+	return c.watch(ctx, kind, version, 0)
+}
+
+func (c *Client) watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]Event, uint64, error) {
 	query := url.Values{
 		ParamVersion: {strconv.FormatUint(version, 10)},
-		ParamWait:    {strconv.FormatInt(c.cfg.WatchWait.Milliseconds(), 10)},
+		ParamWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	path := PathWatch + "/" + url.PathEscape(kind) + "?" + query.Encode()
-	answer, err := read[WatchAnswer](ctx, c, path, c.cfg.WatchWait)
+	answer, err := read[WatchAnswer](ctx, c, path, wait)
 	return answer.Events, answer.Version, err
 }
 
