--- a/host/host_test.go
+++ b/host/host_test.go
@@ -48,7 +48,7 @@
 func startSite(ctx context.Context, change ...func(*loopback.Config)) (*loopback.Site, string) {
 	GinkgoHelper()
 	key := loopback.MustKey("shop")
-	cfg := loopback.Config{Hosts: 3, Snapshot: loopback.OneService(key.Stored), Logger: slog.New(slog.DiscardHandler)}
+	cfg := loopback.Config{Hosts: 3, Snapshot: loopback.OneService(key.Stored), Logger: slog.New(slog.NewTextHandler(GinkgoWriter, nil))}
 	for _, c := range change {
 		c(&cfg)
 	}
