Void a pending order although the primary is leaving, if replicas stay paused for it

No successor could be chosen without the silent replica, no planned replacement went on because the others were paused, and nothing resumed them: no commit was confirmed until the primary ended. Change: once it has been leaving for unpausedPatience, and all replicas that answer are paused, the pending order is voided like that of another primary. Replicas are resumed after the first round, and a planned replacement goes on.

--- a/gateway/review36_test.go
+++ b/gateway/review36_test.go
@@ -332,4 +332,33 @@
 		Entry("on its own on the home host", true, false),
 		Entry("in a transaction on the home host", true, true),
 	)
+
+	// S6 of issue 36. Each database confirms again, and the primary ends soon.
+	It("do not last while a leaving primary serves and a silent replica cannot be read, although an order is pending", func() {
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-1","claim":"x","released":true,"ordered":"b","term":1,"rules":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		dbs.withLock(func() {
+			dbs.databases["b"].paused, dbs.databases["c"].paused = 2, 2
+			dbs.databases["a"].end.Index = 12 // confirmed by no replica
+			dbs.databases["c"].unresponsive = true
+		})
+		db := func(id string, leaving bool) routes.Database {
+			return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4, Primary: id == "a", Leaving: leaving}
+		}
+		svc.setDatabases([]routes.Database{db("a", true), db("b", false), db("c", false)}, 4)
+		state := func() (primary string, paused uint64) {
+			svc.maybeReplacePrimary(time.Now())
+			dbs.withLock(func() { primary, paused = dbs.primary, dbs.databases["b"].paused })
+			return primary, paused
+		}
+		Eventually(func() bool {
+			primary, paused := state()
+			return paused == 0 || primary == "b"
+		}).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(BeTrue())
+		dbs.withLock(func() {
+			if dbs.primary == "b" {
+				Expect(dbs.databases["b"].end.Index).To(BeNumerically(">=", 12), "the log of the primary, which answers, holds more")
+			}
+		})
+	})
 })
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -64,12 +64,13 @@
 
 // giveUp ends an attempt without a successor. The lease is settled only once no
 // earlier order can still take effect. While the primary is leaving, earlier orders are
-// not voided, since one of them may replace it.
+// not voided, since one of them may replace it, unless replicas stay paused for them: commits
+// stall, and no replica catches up with the primary so that a planned replacement can go on.
 func (a *replacement) giveUp(ctx context.Context) {
 	switch {
 	case !a.pending:
 		a.releaseLease("")
-	case a.reason == succession.Leaving:
+	case a.reason == succession.Leaving && !(a.allPaused() && a.leavingFor(unpausedPatience)):
 		a.releaseLease(a.ordered)
 	default:
 		a.voidPendingOrder(ctx)
@@ -81,7 +82,7 @@
 // the present primary do. Otherwise the current primary is ordered, so
 // that no earlier order can be accepted any more. It releases the lease with
 // the pending order if no database reports that it leads the newest known term, if that one is
-// leaving, or if the order is not answered.
+// leaving and not the primary to be replaced, or if the order is not answered.
 func (a *replacement) voidPendingOrder(ctx context.Context) {
 	if a.pausing.none = a.orderTookEffect() || a.unseen && a.rounds > 0; !a.pausing.none {
 		a.pause(ctx, slices.DeleteFunc(a.replicas(), func(c *controlConn) bool { return c.answered && isPaused(c.report) }))
@@ -97,7 +98,7 @@
 		a.log.Warn("The pending order was not given again.", "database", late.db.ID, "error", err)
 	}
 	c := a.newestPrimary()
-	if c == nil || c.db.Leaving {
+	if c == nil || c.db.Leaving && a.reason != succession.Leaving {
 		a.releaseLease(a.ordered)
 		return
 	}
