--- a/contract/fakeapi_test.go
+++ b/contract/fakeapi_test.go
@@ -112,6 +112,10 @@
 	return nil, 0, objectapi.ErrUnavailable
 }
 
+func (f *fakeAPI) Changes(context.Context, string, uint64) ([]objectapi.Event, uint64, error) {
+	return nil, 0, objectapi.ErrUnavailable
+}
+
 func (f *fakeAPI) Hosts(context.Context) ([]objectapi.HostState, error) {
 	return nil, objectapi.ErrUnavailable
 }
