--- a/internal/takeovermodel/roster_test.go
+++ b/internal/takeovermodel/roster_test.go
@@ -17,6 +17,7 @@
 	once := with(away, func(b *bounds) { b.Outages, b.Removals = 1, 1 })
 	fresh := with(away, func(b *bounds) { b.Unrecorded = true })
 	added := with(serving, func(b *bounds) { b.Outages, b.Removals, b.Unrecorded = 1, 1, true })
+	unlisted := with(added, func(b *bounds) { b.Outages, b.Lapses, b.Unlisted = 0, 1, true })
 	removed := with(away, func(b *bounds) { b.Removed, b.Lapses = true, 1 })
 
 	losesIn := func(r rules, b bounds) {
@@ -94,6 +95,8 @@
 		)
 
 		DescribeTable("loses none without rules that are not needed within these bounds", func(change func(*rules), b bounds) { holdsIn(recorded(change), b) },
+			Entry("the lease is settled again after a database was forgotten", func(r *rules) { r.ForgetUnsettled = true }, with(serving, func(b *bounds) { b.Removals, b.Lapses = 1, 1 })),
+			Entry("the same, and databases that run are forgotten", func(r *rules) { r.ForgetUnsettled = true }, unlisted),
 			Entry("the roster is read again before the order", func(r *rules) { r.NoRosterCheck = true }, added),
 			Entry("the roster is read under the lease, if it is read again before the order", func(r *rules) { r.RosterBeforeLease = true }, added),
 			Entry("the roster is read after the report, if it is read after the commit was written", func(r *rules) { r.RosterBeforeReport = true }, with(once, func(b *bounds) { b.Outages = 2 })),
@@ -101,9 +104,9 @@
 			Entry("one holder of all copies is recorded, if hosts forget no recorded database", func(r *rules) { r.AllCopiesUnlisted = true }, with(fresh, func(b *bounds) { b.Lapses = 1 })),
 		)
 
-		// What is acknowledged during an attempt by a host that does not count its successor.
-		It("loses an acknowledged commit if the lease is not read again after a host has forgotten a database", func() {
-			losesIn(rules{Recorded: true, ForgetUnsettled: true}, with(serving, func(b *bounds) { b.Removals, b.Lapses = 1, 1 }))
+		// What is acknowledged during an attempt by a host that does not count its successor any more.
+		It("loses an acknowledged commit if the lease is not read again after a host has forgotten a database, or one was away", func() {
+			losesIn(rules{Recorded: true, ForgetUnsettled: true, AwayUnsettled: true}, with(serving, func(b *bounds) { b.Removals, b.Lapses, b.CutAtCall = 1, 1, false }))
 		})
 	}
 })
