--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -19,9 +20,9 @@
 // be promoted at any time by a host that does not reach the primary, and the order may
 // take effect long after it was given, with a log of any moment since. So a commit is
 // acknowledged to its caller only if no promotion can discard it: every replica of a
-// current list holds it, and the lease has shown in its term that no order of an earlier
-// one is under way; or an established replica holds it, and the
-// lease, read after that replica's report, is settled.
+// current list and of the roster holds it, and the lease has shown in its term that no order of an
+// earlier one is under way; or an established replica holds it, the roster, read after that
+// replica's report, has it, and the lease, read after the roster, is settled.
 
 // Timing of acknowledgements.
 const (
@@ -37,8 +38,8 @@
 	// up to leaseReadMax while the lease is not settled.
 	leaseReadEvery = 100 * time.Millisecond
 	leaseReadMax   = 300 * time.Millisecond
-	// formerMayReturn is how long a database that has vanished from the list may still be
-	// promoted by an order given before.
+	// formerMayReturn is how long a database that has vanished from the list, and that the roster
+	// lacks, may still be promoted by an order given before.
 	formerMayReturn = 15 * time.Second
 )
 
@@ -51,13 +52,15 @@
 	// waitedTerm is the newest term in which the lease showed that orders of earlier terms have
 	// been waited for; see succession.Lease.Waited.
 	waitedTerm uint64
-	pauses     uint64        // reports of paused replicas, and pauses by this host
+	pauses     uint64        // calls of recheckOrders
 	term       uint64        // the newest term that any replica reported
 	reading    bool          // a read of the lease is running, or was until recently
 	proving    bool          // the same of a query whether a commit's database is still the primary
 	pause      time.Duration // after the last read of the lease
 	outcomes   acknowledgementLog
-	lease      leaseReport // the last read of the lease that showed it settled
+	lease      leaseReport       // the last read of the lease that showed it settled
+	roster     succession.Roster // as last read
+	unsettled  bool              // the last read of the lease showed that it is not settled, or had no answer
 	recent     recentCommits
 	// unacknowledged are the commits that were confirmed and not acknowledged.
 	unacknowledged recentCommits
@@ -73,10 +76,30 @@
 	pause    time.Duration // after the last query that showed that it lacks a commit
 }
 
-// forget discards what rests on a database's log, which may be gone. service.mu is held.
+// forget discards what rests on a database's log, which may be gone. An order for a database
+// that this host counts no longer may be under way. service.mu is held.
 func (r *replication) forget(id string) {
 	delete(r.copies, id)
 	r.unsettle()
+	r.recheckOrders()
+}
+
+// recordRoster records the roster as last read, and forgets the databases that it lacks.
+// service.mu is held.
+func (r *replication) recordRoster(next succession.Roster) {
+	for id := range r.roster.Databases {
+		if _, ok := next.Databases[id]; !ok {
+			r.recheckOrders()
+		}
+	}
+	r.roster = next
+}
+
+// recheckOrders makes commits that all replicas hold wait until the lease has been read again.
+// service.mu is held.
+func (r *replication) recheckOrders() {
+	r.waitedTerm = 0
+	r.pauses++
 }
 
 // unsettle discards the settled position, and what a read of the lease that is running
@@ -162,7 +185,7 @@
 				if !s.g.databaseListCurrent(s.g.now()) {
 					s.g.relistDatabases()
 				}
-				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience {
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience || s.lacksRoster(c) {
 					s.readLease(c)
 				}
 				return false
@@ -266,21 +289,44 @@
 // evidence returns the evidence for a commit from the replicas' last reports. mu is
 // held.
 func (s *service) evidence(c commit) succession.Evidence {
+	return succession.EvidenceFor(c.at, s.copies(c.primary))
+}
+
+// lacksRoster reports whether only the roster is missing for the evidence of all copies. mu is
+// held.
+func (s *service) lacksRoster(c commit) bool {
+	copies := s.copies(c.primary)
+	for i := range copies {
+		copies[i].Recorded = true
+	}
+	return succession.EvidenceFor(c.at, copies) == succession.AllCopies
+}
+
+// copies returns the last reports of all replicas that might be promoted. mu is held.
+func (s *service) copies(primary string) []succession.Copy {
 	now := s.g.now()
 	established := s.table.Established(now)
 	var copies []succession.Copy
-	for _, db := range s.table.Replicas(c.primary) {
+	for _, db := range s.table.Replicas(primary) {
 		var held succession.Copy
 		if known := s.replication.copies[db.ID]; known != nil {
 			held = known.Copy
 		}
 		held.Established, held.First = slices.Contains(established, db.ID), s.table.FirstListed(db.ID)
+		held.Recorded = s.replication.roster.Counts(db.ID, db.StartMillis)
 		copies = append(copies, held)
 	}
+	// One that is not listed, or is another process, counts until a roster without it was read: the
+	// database for which a listed one was taken off the roster may be away.
+	for id, place := range s.replication.roster.Databases {
+		if db, ok := s.table.Get(id); id != primary && !place.Abandoned && (!ok || db.StartMillis != place.StartMillis) {
+			copies = append(copies, succession.Copy{})
+		}
+	}
 	if s.table.RemovedSince(now.Add(-formerMayReturn)) || !s.g.databaseListCurrent(now) {
 		copies = append(copies, succession.Copy{}) // it may hold less
 	}
-	return succession.EvidenceFor(c.at, copies)
+	return copies
 }
 
 // queryReplicas queries each replica that is not known to hold a commit, unless a query
@@ -338,24 +384,32 @@
 	s.mu.Unlock()
 }
 
-// readLease starts a read of the service's lease, unless one was started within
-// leaseReadEvery. If the lease is settled, it protects what an established replica was
-// known to hold before the read. mu is held.
+// copyOf is what a replica was known to hold.
+type copyOf struct {
+	routes.Database
+	received position.Position
+}
+
+// readLease starts a read of the service's roster and then of its lease, unless one was started
+// within leaseReadEvery. If the lease is settled, it protects what established replicas that
+// count on the roster were known to hold before. mu is held.
 func (s *service) readLease(c commit) {
 	if s.replication.reading {
 		return
 	}
 	s.replication.reading = true
 	established := s.table.Established(s.g.now())
-	held := c.at
-	for id, known := range s.replication.copies {
-		if id != c.primary && slices.Contains(established, id) && known.Holds(c.at) {
-			held = position.Max(held, known.Received)
+	replicas := s.table.Replicas(c.primary)
+	var holding []copyOf
+	for _, db := range replicas {
+		known := s.replication.copies[db.ID]
+		if known != nil && slices.Contains(established, db.ID) && known.Holds(c.at) {
+			holding = append(holding, copyOf{db, known.Received})
 		}
 	}
 	losses := s.replication.losses
 	go func() {
-		settled := s.leaseSettled(c.at.Term)
+		held, settled := s.protectedCopies(replicas, holding, c.at.Term)
 		s.mu.Lock()
 		r := &s.replication
 		r.pause = min(max(2*r.pause, leaseReadEvery), leaseReadMax)
@@ -373,6 +427,45 @@
 	}()
 }
 
+// protectedCopies reads the roster and then the lease. It returns the end of the longest log
+// among the copies that count on the roster, and whether the lease is settled in a term. While it
+// is not, only the lease is read: the host shares its calls of the store with attempts.
+func (s *service) protectedCopies(replicas []routes.Database, holding []copyOf, term uint64) (held position.Position, settled bool) {
+	s.mu.Lock()
+	r := &s.replication
+	leaseFirst := r.unsettled && slices.ContainsFunc(replicas, func(db routes.Database) bool { return r.roster.Counts(db.ID, db.StartMillis) })
+	s.mu.Unlock()
+	if leaseFirst && !s.leaseSettled(term) {
+		return held, false
+	}
+	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
+	defer cancel()
+	if len(holding) > 0 {
+		replicas = nil
+		for _, c := range holding {
+			replicas = append(replicas, c.Database)
+		}
+	}
+	roster, err := s.rosterWith(ctx, replicas)
+	if err != nil {
+		s.g.log.Info("Reading the record of the databases for an acknowledgement failed.", "part", "promotion", "service", s.name, "error", err)
+		return held, false
+	}
+	s.mu.Lock()
+	s.replication.recordRoster(roster)
+	s.mu.Unlock()
+	for _, c := range holding {
+		if roster.Counts(c.ID, c.StartMillis) {
+			held = position.Max(held, c.received)
+		}
+	}
+	settled = s.leaseSettled(term)
+	s.mu.Lock()
+	s.replication.unsettled = !settled
+	s.mu.Unlock()
+	return held, settled
+}
+
 // leaseSettled reads the service's lease and reports whether it is settled. If it is
 // not, an attempt to settle it is started.
 func (s *service) leaseSettled(term uint64) bool {
@@ -436,10 +529,7 @@
 // again, commits that all replicas hold do not count: a RESUME of an earlier attempt may have been
 // carried out late, and the order may take effect with its log of the call. service.mu is
 // held.
-func (r *replication) recordPause() {
-	r.waitedTerm = 0
-	r.pauses++
-}
+func (r *replication) recordPause() { r.recheckOrders() }
 
 // queryStatus returns a database's status report, and false if the database cannot be
 // queried.
--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -390,6 +390,7 @@
 			held = succession.Copy{Answered: true, Term: commit.Term, Received: commit}
 		}
 		held.Established = d.Seen&establishedByAcker != 0
+		held.Recorded = true
 		replicas = append(replicas, held)
 		held.Established = a.View&bit != 0 && (!m.FreshRoster || a.Counted&bit != 0) || m.AllCopiesUnlisted
 		listed = append(listed, held)
