Attempt a takeover at once when an awaited database is listed again

Cause: an attempt that waits for a log is repeated after a second, so that callers were refused for up to that long after the database had returned.

Change: the next attempt is due when a list has a database that is awaited and was not listed before. The spec failed before: the next attempt stayed where it was.

--- a/gateway/logwait_test.go
+++ b/gateway/logwait_test.go
@@ -179,6 +179,31 @@
 			Expect(out.record("")).To(MatchRegexp(`"Service waits for the logs of databases.","service":"orders-db","databases":"c","unread":"c error awaited recorded unlisted [0-9]+s, a error`))
 		})
 
+		It("makes its next attempt at once when the database is listed again", func() {
+			replace()
+			later := time.Now().Add(time.Minute)
+			setNext := func() {
+				svc.mu.Lock()
+				defer svc.mu.Unlock()
+				svc.promotion.nextAttempt = later
+			}
+			next := func() time.Time {
+				svc.mu.Lock()
+				defer svc.mu.Unlock()
+				return svc.promotion.nextAttempt
+			}
+			b := routes.Database{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 4}
+			c := routes.Database{ID: "c", Service: testService, Address: "c", DataCentre: "dc-a", Slots: 4}
+			setNext()
+			svc.setDatabases([]routes.Database{b}, 4)
+			Expect(next()).To(Equal(later))
+			svc.setDatabases([]routes.Database{b, c}, 4)
+			Expect(next()).To(BeTemporally("<=", time.Now()))
+			setNext()
+			svc.setDatabases([]routes.Database{b, c}, 4)
+			Expect(next()).To(Equal(later), "it was listed before")
+		})
+
 		It("waits for all that may hold the missing commit once the operator has given up one, and no longer once none is left", func() {
 			abandon("c")
 			replace()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -84,7 +84,11 @@
 	s.mu.Lock()
 	s.recordReplicas()
 	before := s.table.Established(now)
+	unlisted := slices.DeleteFunc(slices.Clone(s.databasesAwaited()), s.table.Listed)
 	restarted := s.table.SetDatabases(list, now)
+	if slices.ContainsFunc(unlisted, s.table.Listed) {
+		s.promotion.nextAttempt = now // a database that is awaited is back
+	}
 	after := s.table.Established(now)
 	if slices.ContainsFunc(before, func(id string) bool { return !slices.Contains(after, id) }) {
 		s.replication.unsettle()
