--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -15,7 +15,7 @@
 
 // kindLeases is the object kind with one succession.Lease for each service. Only the
 // holder of the lease may replace the service's primary.
-const kindLeases = "bronzeloft-leases"
+const kindLeases = succession.KindLeases
 
 // leaseObservation is the version of another host's lease and the time at which
 // this host first saw it.
@@ -34,6 +34,8 @@
 		return err
 	default:
 		if !a.canAcquireLease(old) {
+			var held succession.Lease
+			a.orderedElsewhere = json.Unmarshal(old.Value, &held) == nil && !held.Released && held.Ordered != ""
 			return errLeaseHeld
 		}
 	}
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -199,6 +199,8 @@
 	effect      bool   // the effect of that order, or of the one that the lease recorded, has been seen
 	conns       []*controlConn
 	trace       replacementTrace
+
+	orderedElsewhere bool // another host holds the lease and has recorded an order in it
 }
 
 // run makes the attempt: it acquires the lease, reads the logs of the replicas, chooses
@@ -208,6 +210,11 @@
 	defer cancel()
 	if err := a.acquireLease(ctx); err != nil {
 		a.log.Info("Lease not acquired.", "error", err)
+		if a.orderedElsewhere {
+			a.s.mu.Lock()
+			a.s.endLogWait("another host has chosen a successor")
+			a.s.mu.Unlock()
+		}
 		return
 	}
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
@@ -234,10 +241,14 @@
 	successor, err := a.choose(ctx)
 	if err != nil {
 		a.logNoSuccessor(err)
+		a.recordLogWait(err)
 		a.giveUp(ctx)
 		return
 	}
 	a.logChosen("Successor chosen.", successor)
+	a.s.mu.Lock()
+	a.s.endLogWait("a successor was chosen")
+	a.s.mu.Unlock()
 	a.floor = successor.Received
 	err = a.order(ctx, successor.ID)
 	if err != nil {
