--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -101,13 +101,13 @@
 // contradicted returns a host that follows older rules by its messages, but not by its
 // entry: another version that started under its name has not stored one. Its last message
 // must be newer than the entry, by more than messages take.
-func (f *fleetRules) contradicted(now time.Time) (string, bool) {
+func (f *fleetRules) contradicted(now time.Time) (string, uint32, bool) {
 	for name, stated := range f.hosts {
-		if stated.rules < succession.Rules && f.entries[name] >= succession.Rules && now.Sub(stated.at) < reportTTL && stated.at.Sub(f.entriesAt) > restartGap {
-			return name, true
+		if stated.rules < f.entries[name] && now.Sub(stated.at) < reportTTL && stated.at.Sub(f.entriesAt) > restartGap {
+			return name, stated.rules, true
 		}
 	}
-	return "", false
+	return "", 0, false
 }
 
 // leastRules returns the least rules that this host and the live hosts of its data centre
@@ -129,7 +129,7 @@
 	older := p.rules.holders(now)
 	before := p.rules.older
 	p.rules.older = older
-	contradicted, wrong := p.rules.contradicted(now)
+	contradicted, stated, wrong := p.rules.contradicted(now)
 	wrong = wrong && now.Sub(p.rules.corrected) >= correctEvery
 	if wrong {
 		p.rules.corrected = now
@@ -143,27 +143,27 @@
 		p.g.log.Warn("Hosts of older takeover rules are in the fleet.", "part", "peers", "rules", succession.Rules, "hosts", strings.Join(older, " "))
 	}
 	if wrong {
-		p.g.startWorker(func() { p.correctEntry(contradicted) })
+		p.g.startWorker(func() { p.correctEntry(contradicted, stated) })
 	}
 }
 
-// correctEntry removes the rules from the entry of a host that states older ones in its
+// correctEntry lowers the rules in the entry of a host that states older ones in its
 // messages, so that hosts that do not hear it learn of it as well.
-func (p *peers) correctEntry(name string) {
+func (p *peers) correctEntry(name string, rules uint32) {
 	store := p.g.platform.Objects()
 	old, err := store.Get(p.g.ctx, kindHosts, name)
 	if err == nil {
 		entry, decodeErr := decodeHostEntry(old.Value)
-		if decodeErr != nil || entry.Rules == 0 {
+		if decodeErr != nil || entry.Rules <= rules {
 			return // logged by listHosts, or corrected by another host
 		}
-		entry.Rules = 0
+		entry.Rules = rules
 		var value []byte
 		if value, err = json.Marshal(entry); err == nil {
 			_, err = store.Update(p.g.ctx, kindHosts, name, old.Version, value)
 		}
 	}
-	p.g.log.Warn("Host follows older takeover rules than its entry states; removing them from the entry.", "part", "peers", "name", logged(name), "error", errorText(err))
+	p.g.log.Warn("Host follows older takeover rules than its entry states; correcting the entry.", "part", "peers", "name", logged(name), "rules", rules, "error", errorText(err))
 }
 
 // hostsByRules returns the number of known hosts that follow the present rules, and of
