Remove a former process from the roster although hosts may not know the one that holds its log

A database that returns after a crash, under its id or under another one at its address, left its former process on the roster until another replica had been listed for 30 s, since a host with an old roster may count the former one among all copies. If another primary was lost meanwhile, its service waited for a log that cannot return. A process that has ended holds no later commit than the primary names afterwards, so no host can count it: if a process that started later has its id or its address, any other database of the roster may hold its log. Two of the six new entries failed before ('a later process has its id', '… its address under another id').

--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -132,18 +132,32 @@
 // settled in the primary's term after that.
 //
 // A commit that rests on a retiring database was confirmed before, so that it is in the log
-// of the primary. The other database is known to all hosts: one that relies on all copies
-// counts it too.
-func (r Roster) HeldElsewhere(primary LogReport, others []LogReport, newest uint64) bool {
+// of the primary. A host with an old roster may go on counting a process that still runs among
+// all copies. The other database is then known to all hosts, so that each counts it too.
+func (r Roster) HeldElsewhere(primary LogReport, others []LogReport, newest uint64, present []routes.Database) bool {
 	if !primary.Primary || primary.Term < max(newest, r.Term) {
 		return false
 	}
+	ended := r.retiringEnded(present)
 	return slices.ContainsFunc(others, func(o LogReport) bool {
-		return o.ID != primary.ID && !o.Primary && o.Known && o.Term == primary.Term && r.Counts(o.ID, o.StartMillis) &&
+		return o.ID != primary.ID && !o.Primary && (o.Known || ended) && o.Term == primary.Term && r.Counts(o.ID, o.StartMillis) &&
 			!Candidate{Received: o.Received}.Lacks(primary.Received)
 	})
 }
 
+// retiringEnded reports whether the process of each retiring place is known to have ended: one that
+// started later has its id or its address.
+func (r Roster) retiringEnded(present []routes.Database) bool {
+	for id, place := range r.Databases {
+		if place.Retiring && !slices.ContainsFunc(present, func(db routes.Database) bool {
+			return db.StartMillis > place.StartMillis && (db.ID == id || db.Address == place.Address)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // Missing returns the databases of the roster that are not among the present ones.
 func (r Roster) Missing(service string, present []routes.Database) []routes.Database {
 	known := map[string]bool{}
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -269,6 +269,9 @@
 	}
 	leaving := func(db routes.Database) routes.Database { db.Leaving = true; return db }
 	restarted := func(db routes.Database) routes.Database { db.StartMillis++; return db }
+	at := func(id, address string, start int64) routes.Database {
+		return routes.Database{ID: id, Service: "orders", Address: address, DataCentre: "y", StartMillis: start}
+	}
 	a, b, c := db("a", "x"), db("b", "y"), db("c", "y")
 	full, _ := succession.Roster{}.Update([]routes.Database{a, b, c}, "a", 3, false)
 
@@ -367,7 +370,7 @@
 			func(change func(led, other *succession.LogReport), newest uint64, want bool) {
 				led, other := led, other
 				change(&led, &other)
-				Expect(r.HeldElsewhere(led, []succession.LogReport{other}, newest)).To(Equal(want))
+				Expect(r.HeldElsewhere(led, []succession.LogReport{other}, newest, nil)).To(Equal(want))
 			},
 			Entry("they have", func(led, other *succession.LogReport) {}, uint64(3), true),
 			Entry("in a newer term than the roster names", func(led, other *succession.LogReport) { led.Term, other.Term = 4, 4 }, uint64(4), true),
@@ -386,5 +389,21 @@
 			Entry("there is only the primary", func(led, other *succession.LogReport) { *other = *led; other.Primary = false }, uint64(3), false),
 			Entry("the roster lacks the other", func(led, other *succession.LogReport) { other.ID = "d" }, uint64(3), false),
 		)
+
+		// Guards against a service that waits for the log of a former process for ever, because
+		// its databases keep being replaced before they are known to all hosts.
+		DescribeTable("has it with a database that hosts may not know only if its process has ended",
+			func(present []routes.Database, want bool) {
+				other := other
+				other.Known = false
+				Expect(r.HeldElsewhere(led, []succession.LogReport{other}, 3, present)).To(Equal(want))
+			},
+			Entry("it is not listed", []routes.Database{a, b}, false),
+			Entry("it is listed as leaving", []routes.Database{a, b, leaving(c)}, false),
+			Entry("a later process has its id", []routes.Database{a, b, restarted(c)}, true),
+			Entry("a later process has its address under another id", []routes.Database{a, b, at("d", c.Address, 8)}, true),
+			Entry("an earlier process has its address under another id", []routes.Database{a, b, at("d", c.Address, 6)}, false),
+			Entry("a later process has another address and id", []routes.Database{a, b, at("d", "127.0.0.9:1", 8)}, false),
+		)
 	})
 })
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -157,17 +157,17 @@
 // retiringHeldElsewhere queries the primary and the other databases of a roster as it is stored,
 // and reports whether what its retiring databases may hold is held elsewhere.
 func (s *service) retiringHeldElsewhere(roster succession.Roster) bool {
-	now := s.g.now()
 	s.mu.Lock()
 	leader, _ := s.table.Leader()
 	primary := s.pools[leader.ID]
 	var others []*pool
 	for id, p := range s.pools {
 		db, ok := s.table.Get(id)
-		if ok && id != leader.ID && s.keepsLog(db, now) && roster.Counts(id, db.StartMillis) {
+		if ok && id != leader.ID && s.keepsLog(db) && roster.Counts(id, db.StartMillis) {
 			others = append(others, p)
 		}
 	}
+	present := s.table.All()
 	s.mu.Unlock()
 	if primary == nil || len(others) == 0 {
 		return false
@@ -180,7 +180,7 @@
 		s.mu.Lock()
 		newest := max(s.table.Term(), s.replication.term, s.namedTerm)
 		s.mu.Unlock()
-		return roster.HeldElsewhere(led, s.logReports(others), newest)
+		return roster.HeldElsewhere(led, s.logReports(others), newest, present)
 	}
 	for range removalQueries {
 		if held() {
@@ -191,10 +191,9 @@
 	return false
 }
 
-// keepsLog reports whether a database is listed, and not leaving, and known to all hosts. mu is
-// held.
-func (s *service) keepsLog(db routes.Database, now time.Time) bool {
-	return s.table.Listed(db.ID) && !db.Leaving && s.table.KnownFor(db.ID, now) >= lead.KnownAfter
+// keepsLog reports whether a database is listed, and not leaving. mu is held.
+func (s *service) keepsLog(db routes.Database) bool {
+	return s.table.Listed(db.ID) && !db.Leaving
 }
 
 func (s *service) logReport(p *pool) (succession.LogReport, bool) {
@@ -204,7 +203,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.keepsLog(p.db, s.g.now())
+	known := s.keepsLog(p.db) && s.table.KnownFor(p.db.ID, s.g.now()) >= lead.KnownAfter
 	return succession.LogReport{ID: p.db.ID, StartMillis: p.db.StartMillis, Known: known, Primary: report.Primary, Term: report.Term, Received: report.Received}, true
 }
 
