--- /dev/null
+++ b/gateway/review39_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// Guards against the loss of acknowledged commits (LOST) that only a recorded process held, and
+// against waits for one that has been read.
+var _ = Describe("a recorded process of a database", func() {
+	var (
+		dbs    *group
+		p      *fakePlatform
+		g      *Gateway
+		svc    *service
+		holder *standin // the replica that alone holds the last commit
+	)
+
+	entry := func(id string) routes.Database {
+		return routes.Database{ID: id, Service: testService, Address: id, DataCentre: "dc-a", Slots: 4}
+	}
+	restarted := func(db routes.Database) routes.Database { db.StartMillis = 5; return db }
+	write := func() *errkind.Error { return newTestSession(g, "own").serve(request(statement.Write)).Err }
+	list := func(entries ...routes.Database) {
+		svc.setDatabases(entries, 4)
+		svc.mu.Lock()
+		svc.table.Expire(time.Now().Add(time.Minute))
+		svc.mu.Unlock()
+	}
+	change := func(f func(*succession.Roster)) {
+		object, roster, err := svc.readRoster(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		f(&roster)
+		_, err = svc.writeRoster(context.Background(), object.Version, roster)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	orders := func() (ids []string) {
+		dbs.withLock(func() {
+			for _, o := range dbs.orders {
+				ids = append(ids, o.Database)
+			}
+		})
+		return ids
+	}
+	// fresh is an attempt by a host that knows of no acknowledged commit.
+	fresh := func(listed ...routes.Database) {
+		svc = newService(g, testService)
+		svc.setDatabasesAgo(time.Minute, listed...)
+		svc.table.RecordTerm(1)
+		runAttempt(svc, succession.Absent)
+	}
+
+	// A commit is acknowledged on the primary "a" and the replica "c"; then "a" goes down.
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		g = newTestGateway(p)
+		svc = g.service(testService)
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(svc.syncRoster()).To(Succeed())
+		dbs.withLock(func() { dbs.databases["b"].notReplicating = true })
+		Expect(write()).To(BeNil())
+		dbs.withLock(func() {
+			holder = dbs.databases["c"]
+			delete(dbs.databases, "a")
+		})
+	})
+
+	// The report does not say when its process started, and there is no entry that does.
+	It("is not taken as read because one answers that has started empty under its id and is not listed", func() {
+		dbs.withLock(func() { dbs.databases["c"] = &standin{group: dbs, id: "c"} })
+		list(entry("b"))
+		fresh(entry("b"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("is not taken as read because one answers that has started empty under its id before it has replaced its entry", func() {
+		dbs.withLock(func() { dbs.databases["c"] = &standin{group: dbs, id: "c"} })
+		list(entry("b"), entry("c"))
+		fresh(entry("b"), entry("c"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("is not given up with an earlier one under its id", func() {
+		change(func(r *succession.Roster) {
+			place := r.Databases["c"]
+			place.FormerStarts, place.Abandoned = []int64{-5}, true
+			r.Databases["c"] = place
+		})
+		dbs.withLock(func() { holder.unresponsive = true })
+		list(entry("b"), entry("c"))
+		fresh(entry("b"), entry("c"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("is not awaited by a host that knows only an earlier one, although it answers", func() {
+		change(func(r *succession.Roster) {
+			place := r.Databases["c"]
+			place.StartMillis = 5
+			r.Databases["c"] = place
+		})
+		list(entry("b")) // this host has had "c" listed with its earlier start; the entry of the later one has lapsed
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.primary, a.proven, a.provenTerm, a.term = "a", true, 1, 1
+		a.run()
+		Expect(orders()).To(Equal([]string{"c"}))
+	})
+
+	It("is not awaited because a host with an outdated list has recorded it as a former one", func() {
+		for _, present := range [][]routes.Database{{entry("a"), entry("b"), restarted(entry("c"))}, {entry("a"), entry("b"), entry("c")}, {entry("a"), entry("b"), restarted(entry("c"))}} {
+			change(func(r *succession.Roster) { *r, _ = r.Update(present, "a", 1, false) })
+		}
+		change(func(r *succession.Roster) {
+			place := r.Databases["c"]
+			Expect(place.StartMillis).To(BeEquivalentTo(5))
+			for _, start := range place.FormerStarts {
+				Expect(start).NotTo(BeEquivalentTo(5))
+			}
+		})
+	})
+
+	It("is not exempted as the primary that is replaced while a newer term is known", func() {
+		svc.mu.Lock()
+		a := svc.newReplacement(succession.Silent, position.Position{}, time.Now())
+		svc.mu.Unlock()
+		a.primary, a.proven, a.provenTerm, a.term = "c", true, 1, 2
+		a.roster = succession.Roster{Primary: "c", Term: 1}
+		Expect(a.isReplaced("c")).To(BeFalse())
+	})
+
+	// The fleet has just started, and nobody has been known for long; "c" comes back under a new id
+	// at its address, so that no process of the former id will ever answer.
+	It("is taken off although no replica has been known for long, once a later one has its address", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"] = &standin{group: dbs, id: "a", end: holder.end}
+			dbs.databases["b"].end, dbs.databases["b"].notReplicating = holder.end, false
+			delete(dbs.databases, "c")
+			dbs.databases["d"] = &standin{group: dbs, id: "d", end: holder.end}
+		})
+		later := entry("d")
+		later.Address, later.StartMillis = "c", 5
+		svc = newService(g, testService)
+		svc.setDatabasesAgo(lead.EstablishedAfter, entry("a"), entry("b"), later)
+		svc.recordPrimary("a", holder.end, time.Now())
+		Expect(svc.syncRoster()).To(Succeed())
+		_, roster, err := svc.readRoster(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(roster.RetiringIDs()).To(BeEmpty())
+	})
+})
