--- a/gateway/review39_test.go
+++ b/gateway/review39_test.go
@@ -159,4 +159,68 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(roster.RetiringIDs()).To(BeEmpty())
 	})
+
+	It("is awaited by a host that has no configuration of the service", func() {
+		dbs.withLock(func() { delete(dbs.databases, "c") })
+		list(entry("b"))
+		config := *g.config.Load().Configuration
+		config.Services = map[string]routes.Service{}
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+		fresh(entry("b"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	// The commit was acknowledged while the service had replicas.
+	It("is awaited by a host that has started since the configuration required no replica any more", func() {
+		dbs.withLock(func() { delete(dbs.databases, "c") })
+		list(entry("b"))
+		config := *g.config.Load().Configuration
+		config.Services = map[string]routes.Service{testService: {Name: testService, MaxConns: 40}}
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+		fresh(entry("b"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("is awaited although an accepted order for another one is pending", func() {
+		dbs.withLock(func() { delete(dbs.databases, "c") })
+		list(entry("b"))
+		_, err := p.api.Create(context.Background(), kindLeases, testService, []byte(`{"holder":"host-2","claim":"x","released":true,"ordered":"b","accepted":true,"term":1,"rules":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		fresh(entry("b"))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("may be away at a planned replacement only once the successor holds what the leaving primary does", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"] = &standin{group: dbs, id: "a", end: holder.end}
+			delete(dbs.databases, "c")
+		})
+		primary := entry("a")
+		primary.Leaving = true
+		attempt := func() {
+			svc = newService(g, testService)
+			svc.setDatabasesAgo(time.Minute, primary, entry("b"))
+			svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+			runAttempt(svc, succession.Leaving)
+		}
+		attempt()
+		Expect(orders()).To(BeEmpty())
+		dbs.withLock(func() {
+			dbs.databases["b"].end, dbs.databases["b"].notReplicating = holder.end, false
+		})
+		attempt()
+		Expect(orders()).To(Equal([]string{"b"}))
+	})
+
+	It("is not taken off by a host that has only retired it while the only other one with the commit is the primary", func() {
+		dbs.withLock(func() {
+			dbs.databases["a"] = &standin{group: dbs, id: "a", end: holder.end}
+			delete(dbs.databases, "c")
+		})
+		list(entry("a"), entry("b"))
+		Expect(svc.syncRoster()).To(Succeed())
+		_, roster, err := svc.readRoster(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(roster.RetiringIDs()).To(Equal([]string{"c"}))
+	})
 })
