--- a/gateway/review39_test.go
+++ b/gateway/review39_test.go
@@ -223,4 +223,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(roster.RetiringIDs()).To(Equal([]string{"c"}))
 	})
+
+	// 7315c1d does not write the fields that it does not know, and removes a database that is not
+	// listed for 3 s and accepts no connection.
+	It("is awaited although a host of an older version has rewritten the roster", func() {
+		dbs.withLock(func() { delete(dbs.databases, "c") })
+		list(entry("b"))
+		change(func(r *succession.Roster) {
+			for id, place := range r.Databases {
+				r.Databases[id] = succession.Place{Address: place.Address, DataCentre: place.DataCentre, StartMillis: place.StartMillis}
+			}
+			delete(r.Databases, "c")
+		})
+		fresh(entry("b"))
+		Expect(orders()).To(BeEmpty())
+	})
 })
