Count the primary again when a host sees more rows than it had

The count is repeated then; rows of acknowledged orders must not be among the added ones, and each host must see the new total.

--- a/internal/live/cell.go
+++ b/internal/live/cell.go
@@ -207,21 +207,22 @@
 		return nil, err
 	}
 	prefix := strconv.Itoa(c.number) + "-%"
-	table, err := c.rig.Primary().Query("SELECT id, count(*) FROM orders WHERE id LIKE '" + prefix + "' GROUP BY id")
+	rows, total, err := c.countOnPrimary(prefix)
 	if err != nil {
-		return nil, eris.Wrap(err, "count rows on the primary")
-	}
-	rows := map[string]int{}
-	total := 0
-	for _, line := range table {
-		rows[line[0]], _ = strconv.Atoi(line[1])
-		total += rows[line[0]]
+		return nil, err
 	}
 	for i := range c.rig.Addresses {
 		n, err := c.countThrough(ctx, i, prefix)
 		if err != nil {
 			return nil, eris.Wrapf(err, "count rows through host %d", i)
 		}
+		if n > total { // an order of unknown outcome may have run since
+			before := rows
+			if rows, total, err = c.countOnPrimary(prefix); err != nil {
+				return nil, err
+			}
+			c.oracle.checkGrowth(before, rows)
+		}
 		if n != total {
 			c.oracle.addViolation("stale: %d of %d rows through host %d", n, total, i)
 		}
@@ -229,6 +230,20 @@
 	return rows, nil
 }
 
+// countOnPrimary returns the number of rows whose id matches prefix, by id and in total.
+func (c *cell) countOnPrimary(prefix string) (rows map[string]int, total int, err error) {
+	table, err := c.rig.Primary().Query("SELECT id, count(*) FROM orders WHERE id LIKE '" + prefix + "' GROUP BY id")
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "count rows on the primary")
+	}
+	rows = map[string]int{}
+	for _, line := range table {
+		rows[line[0]], _ = strconv.Atoi(line[1])
+		total += rows[line[0]]
+	}
+	return rows, total, nil
+}
+
 // countThrough returns the number of rows whose id matches prefix, read through
 // one host in up to 20 attempts.
 func (c *cell) countThrough(ctx context.Context, host int, prefix string) (n int, err error) {
--- a/internal/live/oracle.go
+++ b/internal/live/oracle.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// checkGrowth checks that only orders that were not acknowledged have more rows in a later count
+// on the primary.
+func (o *oracle) checkGrowth(before, after map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, n := range after {
+		if ord := o.orders[id]; n > before[id] && ord != nil && ord.outcome == done {
+			o.violations = append(o.violations, fmt.Sprintf("stale: the primary had %d of %d rows of acknowledged %s", before[id], n, id))
+		}
+	}
+}
+
 // addViolation records a violation.
 func (o *oracle) addViolation(format string, args ...any) {
 	o.mu.Lock()
