Read a database of which only an earlier start is known as the recorded one

A host that had listed a database before it restarted, and missed the later entry, waited for the recorded process although it answers. The spec failed before; its expectation is the wait now, since a database that is not established is not chosen anyway.

--- a/gateway/controlconn.go
+++ b/gateway/controlconn.go
@@ -47,6 +47,11 @@
 	// This host's list may not show yet that a database has restarted.
 	present = slices.DeleteFunc(present, func(db routes.Database) bool { return inList(a.storeList, db.ID) })
 	present = append(present, a.storeList...)
+	for i, db := range former {
+		if place, ok := a.roster.Databases[db.ID]; ok && place.StartMillis > db.StartMillis {
+			former[i].Address, former[i].StartMillis = place.Address, place.StartMillis // a later process, of which this host has not heard
+		}
+	}
 	former = append(former, a.roster.Missing(a.s.name, append(present, former...))...)
 	var out []*controlConn
 	for _, db := range present {
