Ignore a start that lies before the recorded one when the roster is written

A host with an outdated list put the process that runs among the former ones ([7], [7, 8], then [7, 8, 7]), and a takeover waited for it although it answers.

--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -81,6 +81,10 @@
 				next.FormerStarts = append(slices.Clone(place.FormerStarts), place.StartMillis)
 			}
 			next.Abandoned = place.Abandoned && len(next.FormerStarts) > 0
+		if isPresent && db.StartMillis < place.StartMillis {
+			out.Databases[id] = place // the list is outdated
+			continue
+		}
 			out.Databases[id] = next
 			continue
 		}
