Give up the logs of earlier processes without that of the present one

'log abandon' for an earlier process of a database that has restarted gave up the running one too: if that was silent later, another database was promoted without its commits. The flag covers the earlier processes while there are any, and the present one after that; ctl gives that up only after them, and only if it is not listed.

--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -30,10 +30,17 @@
 	// Retiring is set for a database whose log no longer counts as the only copy of a commit.
 	// It is taken off the roster once another one holds what its log may hold.
 	Retiring bool `json:"retiring,omitempty"`
-	// Abandoned is set by an operator who gives up what only this log may hold.
+	// Abandoned is set by an operator who gives up what only the logs of the earlier processes may
+	// hold, or that of the present one if there are none.
 	Abandoned bool `json:"abandoned,omitempty"`
 }
 
+// GivenUp reports whether an operator has given up the log of the process that started at the
+// given time.
+func (p Place) GivenUp(startMillis int64) bool {
+	return p.Abandoned && (len(p.FormerStarts) == 0 || startMillis != p.StartMillis)
+}
+
 // Counts reports whether a commit may be acknowledged because the process of a database that
 // started at the given time holds it: whoever replaces the primary reads its log.
 func (r Roster) Counts(id string, startMillis int64) bool {
@@ -74,6 +81,10 @@
 			place.FormerStarts = nil
 		}
 		db, isPresent := byID[id]
+		if isPresent && db.StartMillis < place.StartMillis {
+			out.Databases[id] = place // the list is outdated
+			continue
+		}
 		if isPresent && !db.Leaving {
 			next := placeOf(db)
 			next.FormerStarts = place.FormerStarts
@@ -81,10 +92,6 @@
 				next.FormerStarts = append(slices.Clone(place.FormerStarts), place.StartMillis)
 			}
 			next.Abandoned = place.Abandoned && len(next.FormerStarts) > 0
-		if isPresent && db.StartMillis < place.StartMillis {
-			out.Databases[id] = place // the list is outdated
-			continue
-		}
 			out.Databases[id] = next
 			continue
 		}
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -319,7 +319,7 @@
 	// One that is not listed, or is another process, counts until a roster without it was read: the
 	// database for which a listed one was taken off the roster may be away.
 	for id, place := range s.replication.roster.Databases {
-		if db, ok := s.table.Get(id); id != primary && !place.Abandoned && (!ok || db.StartMillis != place.StartMillis) {
+		if db, ok := s.table.Get(id); id != primary && !place.GivenUp(place.StartMillis) && (!ok || db.StartMillis != place.StartMillis) {
 			copies = append(copies, succession.Copy{})
 		}
 	}
--- a/gateway/replacementlog.go
+++ b/gateway/replacementlog.go
@@ -227,5 +227,5 @@
 	place, recorded := a.roster.Databases[c.db.ID]
 	recorded = recorded && place.StartMillis == c.db.StartMillis
 	return succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received, StartMillis: c.db.StartMillis,
-		Replaced: a.isReplaced(c.db.ID), Recorded: recorded, Abandoned: recorded && place.Abandoned}
+		Replaced: a.isReplaced(c.db.ID), Recorded: recorded, Abandoned: recorded && place.GivenUp(c.db.StartMillis)}
 }
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -331,7 +331,7 @@
 		recorded = recorded && place.StartMillis == c.db.StartMillis && needsCopies
 		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
 			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
-			Recorded: recorded, Abandoned: recorded && place.Abandoned}
+			Recorded: recorded, Abandoned: recorded && place.GivenUp(c.db.StartMillis)}
 	}
 	return out
 }
@@ -352,10 +352,10 @@
 			former = append(slices.Clone(former), place.StartMillis)
 		}
 		for _, start := range former {
-			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: start, Recorded: true, Abandoned: place.Abandoned, Replaced: replaced})
+			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: start, Recorded: true, Abandoned: place.GivenUp(start), Replaced: replaced})
 		}
 		if replaced && !c.answered {
-			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: c.db.StartMillis, Listed: a.listed(c.db.ID), Recorded: recorded, Abandoned: recorded && place.Abandoned, Replaced: true})
+			out = append(out, succession.Candidate{ID: c.db.ID, StartMillis: c.db.StartMillis, Listed: a.listed(c.db.ID), Recorded: recorded, Abandoned: recorded && place.GivenUp(c.db.StartMillis), Replaced: true})
 		}
 	}
 	return out
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -138,7 +138,7 @@
 // refusals are errors that a retry does not resolve; their exit code is ExitRefused.
 var refusals = []error{
 	contract.ErrNotPublished, contract.ErrChunkMissing, contract.ErrCorrupt, contract.ErrTooLarge,
-	errNoRoster, errNotRecorded, errOtherStart, errStillListed,
+	errNoRoster, errNotRecorded, errOtherStart, errEarlierFirst, errStillListed,
 	keys.ErrNoCustomer, keys.ErrNoKey, keys.ErrTooMany, keys.ErrNoneValid, keys.ErrID,
 }
 
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -21,10 +21,11 @@
 
 // Refusals to abandon a log.
 var (
-	errNoRoster    = errors.New("the platform has no roster of the service")
-	errNotRecorded = errors.New("the database is not on the roster of the service")
-	errOtherStart  = errors.New("the roster has another start of the database")
-	errStillListed = errors.New("the database is in the platform's list, so that it runs; its log can be read once hosts reach it")
+	errNoRoster     = errors.New("the platform has no roster of the service")
+	errNotRecorded  = errors.New("the database is not on the roster of the service")
+	errOtherStart   = errors.New("the roster has another start of the database")
+	errEarlierFirst = errors.New("it has earlier processes, whose logs are to be abandoned first")
+	errStillListed  = errors.New("the database is in the platform's list, so that it runs; its log can be read once hosts reach it")
 )
 
 // logCommand groups the commands for the logs that takeovers must read, of services of a
@@ -147,10 +148,10 @@
 				return db.ID == id && db.Service == name && db.StartMillis == place.StartMillis
 			})
 			log := recordedLog{Service: name, Database: id, StartMillis: place.StartMillis, Address: place.Address, DataCentre: place.DataCentre,
-				Primary: id == roster.Primary, Listed: listed, Retiring: place.Retiring, Abandoned: place.Abandoned}
+				Primary: id == roster.Primary, Listed: listed, Retiring: place.Retiring, Abandoned: place.GivenUp(place.StartMillis)}
 			out = append(out, log)
 			for _, start := range place.FormerStarts {
-				log.StartMillis, log.Listed, log.Primary, log.Former = start, false, false, true
+				log.StartMillis, log.Listed, log.Primary, log.Former, log.Abandoned = start, false, false, true, place.GivenUp(start)
 				out = append(out, log)
 			}
 		}
@@ -202,7 +203,7 @@
 type abandonment struct {
 	Service   string            `json:"service"`
 	Database  string            `json:"database"`
-	Start     int64             `json:"startMillis"` // of the newest process; earlier ones are given up with it
+	Start     int64             `json:"startMillis"` // of the process; all earlier ones are given up together
 	Floor     position.Position `json:"floor"`       // a position that every later successor reaches
 	Term      uint64            `json:"term"`
 	Needed    []string          `json:"needed"` // the other databases whose logs a takeover must still read
@@ -222,7 +223,13 @@
 	if err != nil {
 		return err
 	}
-	out := abandonment{Service: c.Service, Database: c.Database, Start: place.StartMillis, Term: roster.Term, Abandoned: place.Abandoned, Needed: []string{}}
+	out := abandonment{Service: c.Service, Database: c.Database, Start: place.StartMillis, Term: roster.Term, Needed: []string{}}
+	if c.Start != 0 {
+		out.Start = c.Start
+	} else if len(place.FormerStarts) > 0 && !place.Abandoned {
+		out.Start = place.FormerStarts[0]
+	}
+	out.Abandoned = place.GivenUp(out.Start)
 	if err := c.readFloor(logs, &out); err != nil {
 		return err
 	}
@@ -231,7 +238,10 @@
 			out.Needed = append(out.Needed, l.Database)
 		}
 	}
-	if c.Confirm && !place.Abandoned {
+	if c.Confirm && !out.Abandoned {
+		if place.Abandoned {
+			place.FormerStarts = nil // they were given up before
+		}
 		place.Abandoned = true
 		roster.Databases[c.Database] = place
 		value, err := json.Marshal(roster.Roster)
@@ -262,12 +272,20 @@
 		return roster, place, eris.Wrapf(errNotRecorded, "service %q, database %q", c.Service, c.Database)
 	case c.Start != 0 && c.Start != place.StartMillis && !slices.Contains(place.FormerStarts, c.Start):
 		return roster, place, eris.Wrapf(errOtherStart, "service %q, database %q: %d, not %d", c.Service, c.Database, place.StartMillis, c.Start)
-	case len(place.FormerStarts) == 0 && slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database && db.StartMillis == place.StartMillis }):
+	case c.Start == place.StartMillis && len(place.FormerStarts) > 0 && !place.Abandoned:
+		return roster, place, eris.Wrapf(errEarlierFirst, "service %q, database %q", c.Service, c.Database)
+	case c.runs(place) && slices.ContainsFunc(logs.listed, func(db routes.Database) bool { return db.ID == c.Database && db.StartMillis == place.StartMillis }):
 		return roster, place, eris.Wrapf(errStillListed, "service %q, database %q", c.Service, c.Database)
 	}
 	return roster, place, nil
 }
 
+// runs reports whether the command is for the newest process of a database, which runs if it is
+// listed.
+func (c *logAbandonCommand) runs(place succession.Place) bool {
+	return len(place.FormerStarts) == 0 || c.Start == place.StartMillis || c.Start == 0 && place.Abandoned
+}
+
 // readFloor reads the position and the term that the lease of the service keeps.
 func (c *logAbandonCommand) readFloor(logs *siteLogs, out *abandonment) error {
 	object, err := logs.store.Get(c.app.ctx, succession.KindLeases, c.Service)
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -133,6 +133,18 @@
 		Expect(stored().Databases["i-3"]).To(Equal(succession.Place{StartMillis: 3000, FormerStarts: []int64{1500}, Abandoned: true}))
 	})
 
+	It("gives up the newest process of a database only after its earlier ones, and only if it is not listed", func() {
+		put(succession.KindRosters, "stock-db", succession.Roster{Primary: "i-1", Term: 3, Databases: map[string]succession.Place{"i-2": {StartMillis: 3000, FormerStarts: []int64{1500}}}})
+		res := abandon("--database", "i-2", "--start", "3000", "--confirm")
+		Expect(res.code).To(Equal(ctl.ExitRefused))
+		Expect(res.err).To(ContainSubstring("earlier processes"))
+		Expect(abandon("--database", "i-2", "--start", "1500", "--confirm").code).To(Equal(ctl.ExitOK))
+		Expect(stored().Databases["i-2"].GivenUp(1500)).To(BeTrue())
+		Expect(stored().Databases["i-2"].GivenUp(3000)).To(BeFalse())
+		Expect(abandon("--database", "i-2", "--start", "3000", "--confirm").code).To(Equal(ctl.ExitOK))
+		Expect(stored().Databases["i-2"]).To(Equal(succession.Place{StartMillis: 3000, Abandoned: true}))
+	})
+
 	DescribeTable("refuses with exit code 1 and without a change", func(reason string, args ...string) {
 		putRoster()
 		updateHook = func() { Fail("the roster was updated") }
