--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -164,14 +164,13 @@
 // not be read: it has proved to be the primary, and no newer term is known. The roster may name it
 // under the id that it had before it came back.
 func (a *replacement) isReplaced(id string) bool {
-	newest := a.newestTerm()
-	if id == a.roster.Primary && a.roster.Term == newest {
+	if id == a.roster.Primary && a.roster.Term == a.newestTerm() {
 		return true
 	}
 	if id != a.primary || !a.proven || a.roster.Term > a.provenTerm && a.roster.Primary != id {
 		return false
 	}
-	return a.provenTerm == 0 || newest <= a.provenTerm
+	return !slices.ContainsFunc(a.conns, func(c *controlConn) bool { return a.provenTerm != 0 && c.report.Term > a.provenTerm })
 }
 
 // replicas returns the databases that may be replicas: all except those that
