Collect the replicas' reports once for each look at a commit's evidence

A commit that waits for its evidence collected and sorted the reports of all replicas twice on each wake-up under the service's lock, once for the evidence and once to see whether only the roster is missing.

--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -173,7 +173,8 @@
 			return true
 		default:
 			ledAfter := s.ledAfter(c, since)
-			if evidence = s.evidence(c); evidence == succession.AllCopies {
+			copies := s.copies(c.primary)
+			if evidence = succession.EvidenceFor(c.at, copies); evidence == succession.AllCopies {
 				if r.waitedTerm != c.at.Term {
 					s.readLease(c)
 					return false
@@ -185,7 +186,7 @@
 				if !s.g.databaseListCurrent(s.g.now()) {
 					s.g.relistDatabases()
 				}
-				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience || s.lacksRoster(c) {
+				if evidence == succession.OneCopy && s.g.now().Sub(since) >= allCopiesPatience || lacksRoster(c.at, copies) {
 					s.readLease(c)
 				}
 				return false
@@ -286,20 +287,13 @@
 	s.mu.Unlock()
 }
 
-// evidence returns the evidence for a commit from the replicas' last reports. mu is
-// held.
-func (s *service) evidence(c commit) succession.Evidence {
-	return succession.EvidenceFor(c.at, s.copies(c.primary))
-}
-
-// lacksRoster reports whether only the roster is missing for the evidence of all copies. mu is
-// held.
-func (s *service) lacksRoster(c commit) bool {
-	copies := s.copies(c.primary)
+// lacksRoster reports whether only the roster is missing for the evidence of all copies.
+func lacksRoster(commit position.Position, copies []succession.Copy) bool {
+	copies = slices.Clone(copies)
 	for i := range copies {
 		copies[i].Recorded = true
 	}
-	return succession.EvidenceFor(c.at, copies) == succession.AllCopies
+	return succession.EvidenceFor(commit, copies) == succession.AllCopies
 }
 
 // copies returns the last reports of all replicas that might be promoted. mu is held.
