Pass the platform's terms in force to a host, with the bounds of evacuations and cold databases

Cause: hosts of a site do not know which terms its operator relies on, so parts that only some sites call for would run on all of them.

Change: site.contracts holds the platform's names of the terms; platform/ translates them into gateway.Features. site.evacuation, site.cold_overage and site.cold_slack hold the bounds of two of them. Nothing reads these yet.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -69,6 +69,10 @@
 		Capacity:   cfg.Site.CPUShare,
 
 		DatabaseDrain: cfg.Site.DatabaseDrain,
+		Features:      platform.Features(cfg.Site.Contracts),
+		Evacuation:    cfg.Site.Evacuation,
+		ColdOverage:   cfg.Site.ColdOverage,
+		ColdSlack:     cfg.Site.ColdSlack,
 		Platform: platform.New(platform.StoreConfig{
 			BaseURL:   cfg.Platform.URL,
 			Timeout:   cfg.Platform.Timeout,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,9 +51,24 @@
 	// DatabaseDrain is how long after its announcement a database that shuts down may be
 	// sent statements; 0 for no limit.
 	DatabaseDrain time.Duration
-	Platform      Platform
-	Logger        *slog.Logger
-	Now           func() time.Time // a clock that keeps running while the machine is suspended
+	Features      Features
+	// Evacuation is the time after the request to evacuate a data centre from which no
+	// statement reaches a database there.
+	Evacuation time.Duration
+	// ColdOverage and ColdSlack bound the requests that a cold database gets in one second,
+	// from all hosts together: the service's limit times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   int
+	Platform    Platform
+	Logger      *slog.Logger
+	Now         func() time.Time // a clock that keeps running while the machine is suspended
+}
+
+// Features are the parts of a gateway that serve terms which only some sites have.
+type Features struct {
+	UrgentFirst  bool // urgent statements go first, over all customers
+	ExpectedTime bool // databases are chosen by the expected time to their answer
+	Evacuation   bool // the operator may have a data centre evacuated
 }
 
 // Gateway is one running entry host.
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -137,4 +137,12 @@
 		duration: func(h *Host) *time.Duration { return &h.Site.DatabaseDrain }, durDef: 7 * time.Second, durLo: time.Second, durHi: time.Hour},
 	{key: "site.cpu_share", unit: "cores", doc: "Processor time of this host. Hosts with more of it are preferred for running the statements of their data centre.",
 		float: func(h *Host) *float64 { return &h.Site.CPUShare }, floatDef: 1, floatLo: 0.01, floatHi: 256},
+	{key: "site.contracts", unit: "names", doc: "The platform's names of the terms in force. pressure: urgent statements go first, over all customers. health: databases are chosen by the expected time to their answer. places: data centres may be evacuated.",
+		list: func(h *Host) *[]string { return &h.Site.Contracts }, listRule: textRule},
+	{key: "site.evacuation", unit: "duration", doc: "Time after the request to evacuate a data centre from which no statement reaches a database there.",
+		duration: func(h *Host) *time.Duration { return &h.Site.Evacuation }, durDef: 5 * time.Second, durLo: time.Second, durHi: time.Hour},
+	{key: "site.cold_overage", unit: "factor", doc: "By how much the requests to a cold database may exceed its service's limit in one second, beside site.cold_slack.",
+		float: func(h *Host) *float64 { return &h.Site.ColdOverage }, floatDef: 1, floatLo: 1, floatHi: 100},
+	{key: "site.cold_slack", unit: "requests", doc: "Requests that a cold database may get in one second beyond its service's limit times site.cold_overage.",
+		number: func(h *Host) *int { return &h.Site.ColdSlack }, numDef: 0, numLo: 0, numHi: 100000},
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -108,6 +108,15 @@
 	// DatabaseDrain is how long a database that announces its shutdown may be sent statements.
 	DatabaseDrain time.Duration
 	CPUShare      float64 // processor time of the host, as a share of a core
+	// Contracts are the platform's names of the terms in force, which switch on what serves them.
+	Contracts []string
+	// Evacuation is the time after the request to evacuate a data centre from which no statement
+	// reaches a database there.
+	Evacuation time.Duration
+	// ColdOverage and ColdSlack bound the requests that a cold database gets in one second: the
+	// service's limit times the first, plus the second.
+	ColdOverage float64
+	ColdSlack   int
 }
 
 // Secret is a string that is neither printed nor logged.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -121,12 +121,19 @@
 			"{{ip}}", "10.1.0.26", "{{internalPorts.0}}", "7560", "{{internalPorts.1}}", "7561", "{{internalPorts.2}}", "7562",
 			`{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"centru-a","centru-b"`, "{{cloud.address}}", "10.200.0.2:8466",
 			"{{limits.memoryMb}}", "206", "{{limits.cpuShare}}", "0.272", "{{platform.address}}", "10.200.1.7:8466", "{{bounds.graceS}}", "6", "{{bounds.drainMs}}", "7000",
+			"{{contracts|json}}", `["base","pressure"]`, "{{#bounds.evacuateMs}}\nevacuation = \"{{.}}ms\"\n{{/bounds.evacuateMs}}", `evacuation = "5000ms"`,
+			"{{#bounds.coldOverage}}\ncold_overage = {{.}}\n{{/bounds.coldOverage}}", "cold_overage = 1.5",
+			"{{#bounds.coldSlack}}\ncold_slack = {{.}}\n{{/bounds.coldSlack}}", "cold_slack = 5",
 		).Replace(string(template))
 		Expect(filled).NotTo(ContainSubstring("{{"))
 		h, err := settings.Parse("host.toml", []byte(filled))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(h.Site.Callers).To(Equal("10.1.0.26:8465"))
 		Expect(h.Site.DataCentres).To(Equal([]string{"centru-a", "centru-b"}))
+		Expect(h.Site.Contracts).To(Equal([]string{"base", "pressure"}))
+		Expect(h.Site.Evacuation).To(Equal(5 * time.Second))
+		Expect(h.Site.ColdOverage).To(Equal(1.5))
+		Expect(h.Site.ColdSlack).To(Equal(5))
 		Expect(h.Shutdown.Grace).To(Equal(6 * time.Second))
 		Expect(h.Site.CPUShare).To(Equal(0.272))
 		Expect(h.Site.DatabaseDrain).To(Equal(7 * time.Second))
