Bound what callers may hold on a host of a platform site

Cause: a host accepted whatever its callers sent: 100 messages of legal size took 130 MB of resident memory, session state 227 MB, a large header on the listener for other hosts 130 MB; 300 connections that stop half-way kept ordinary callers out for as long as they stayed, or held 320 descriptors.

Change: customer/intake decides which sessions a host accepts (the oldest that has not logged in gives way, one customer gets three quarters of what the others leave free) and reserves memory for messages and session state over all connections; a message that finds none waits unread and is refused as not run. A message must be complete within site.message_timeout. The HTTP listeners and the handshakes of other hosts are capped, the oldest gives way; headers have 16 KiB. The home host reserves memory for a forwarded statement before it reads it. Refusals are counted by reason.

--- a/cmd/bronzeloft/site.go
+++ b/cmd/bronzeloft/site.go
@@ -68,6 +68,9 @@
 		MaxCallers: cfg.Site.MaxCallers,
 		Capacity:   cfg.Site.CPUShare,
 
+		CallerMemory:   callerMemory(cfg.Site),
+		MessageTimeout: cfg.Site.MessageTimeout,
+
 		DatabaseDrain: cfg.Site.DatabaseDrain,
 		Features:      platform.Features(cfg.Site.Contracts),
 		Evacuation:    cfg.Site.Evacuation,
@@ -83,6 +86,23 @@
 	}
 }
 
+// Memory for callers' messages and session state where the settings name none.
+const (
+	callerMemoryShare     = 0.25 // of the process's memory
+	callerMemoryUnlimited = 256 << 20
+)
+
+// callerMemory returns the memory for callers' messages and session state, in bytes.
+func callerMemory(cfg settings.Site) int64 {
+	switch {
+	case cfg.CallerMemoryMB > 0:
+		return int64(cfg.CallerMemoryMB) << 20
+	case cfg.MemoryMB > 0:
+		return int64(callerMemoryShare * float64(cfg.MemoryMB<<20))
+	}
+	return callerMemoryUnlimited
+}
+
 // checkSettings checks the settings file and logs whether it is valid. The
 // host keeps serving with the settings read at its start in either case.
 func checkSettings(file string, logger *slog.Logger) {
--- a/database/sessionstate/sessionstate.go
+++ b/database/sessionstate/sessionstate.go
@@ -66,6 +66,18 @@
 	delete(s.Prepared, name)
 }
 
+// Bytes returns the size of the session's values and prepared statements with their names.
+func (s *Session) Bytes() int {
+	bytes := 0
+	for name, value := range s.Values {
+		bytes += len(name) + len(value)
+	}
+	for name, form := range s.Prepared {
+		bytes += len(name) + len(form.Shape)
+	}
+	return bytes
+}
+
 func withEntry[V any](m map[string]V, name string, value V) map[string]V {
 	out := make(map[string]V, len(m)+1)
 	maps.Copy(out, m)
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -103,7 +103,8 @@
 	connect := func() *scriptedCaller {
 		c := newScriptedCaller()
 		s := newSession(g, c)
-		Expect(g.callers.add(s, 10)).To(BeTrue())
+		_, accepted := g.callers.add(s)
+		Expect(accepted).To(BeTrue())
 		go s.run()
 		return c
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,10 +28,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/intake"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
 	"github.com/bronzeloft/bronzeloft/customer/share"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/internal/buildinfo"
+	"github.com/bronzeloft/bronzeloft/internal/capped"
 	"github.com/bronzeloft/bronzeloft/link/peer"
 )
 
@@ -47,7 +49,11 @@
 	Metrics    string        // IP:port of the metrics page; empty for none
 	Grace      time.Duration // from the start of Drain until the process must have exited
 	MaxCallers int           // maximum number of concurrent sessions
-	Capacity   float64       // processor time of this host, as a share of a core; 0 if unknown
+	// CallerMemory bounds the memory, in bytes, for callers' messages and session state; at
+	// least intake.MinMemory.
+	CallerMemory   int64
+	MessageTimeout time.Duration // of a caller's message, from its first byte to its last
+	Capacity       float64       // processor time of this host, as a share of a core; 0 if unknown
 	// DatabaseDrain is how long after its announcement a database that shuts down may be
 	// sent statements; 0 for no limit.
 	DatabaseDrain time.Duration
@@ -85,6 +91,7 @@
 	stalls     stallDetector
 	access     string // IP:port of the access listener
 	callers    *registry
+	memory     *intake.Memory // for callers' messages and session state
 	started    time.Time
 	drainClock clock
 
@@ -142,7 +149,8 @@
 		entries:         map[string]json.RawMessage{},
 		unreadable:      map[string]uint64{},
 		storeAnsweredAt: map[string]time.Time{},
-		callers:         newRegistry(),
+		callers:         newRegistry(opt.MaxCallers),
+		memory:          intake.NewMemory(opt.CallerMemory),
 		streams:         newStreams(),
 		drainClock:      clock{time.Now, retry.Wait},
 	}
@@ -244,8 +252,16 @@
 	httpIdleTimeout   = 30 * time.Second
 )
 
+// Bounds of the HTTP servers. They are called once a second by the platform, and by the
+// hosts that need a newer configuration or list.
+const (
+	httpConnections = 64
+	httpHeaderBytes = 16 << 10
+)
+
 func (g *Gateway) serveOn(l net.Listener, handler http.Handler) {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
+	l = capped.Listen(l, httpConnections)
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpHeaderBytes}
 	g.servers = append(g.servers, srv)
 	g.startWorker(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -399,8 +415,15 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s := newSession(g, g.platform.Accept(conn))
-		if !g.callers.add(s, g.opt.MaxCallers) {
+		s := newSession(g, nil)
+		s.caller = g.platform.Accept(conn, CallerLimits{Hold: s.holdMessage, MessageTimeout: g.opt.MessageTimeout})
+		closed, accepted := g.callers.add(s)
+		if closed != nil {
+			g.metrics.refusedCaller(refusedSlowLogin)
+			closed.caller.Close()
+		}
+		if !accepted {
+			g.metrics.refusedCaller(refusedFull)
 			s.reject(errkind.New(errkind.ConnectionLimit, "the host has reached its limit of %d sessions", g.opt.MaxCallers))
 			continue
 		}
--- a/gateway/jobstream.go
+++ b/gateway/jobstream.go
@@ -31,15 +31,36 @@
 	defer s.leave()
 	ctx, cancel := context.WithCancel(g.statements)
 	defer cancel()
-	jobs := make(chan *accesspb.Job)
-	go g.readJobs(ctx, cancel, from, raw, jobs)
+	memory := g.memory.Account()
+	defer memory.Close()
+	jobs := make(chan receivedJob)
+	go g.readJobs(ctx, cancel, from, raw, memory.HoldMessage, jobs)
 	for j := range jobs {
-		if err := writeMessage(raw, s.run(ctx, j)); err != nil {
+		result := s.serve(ctx, j)
+		_ = memory.HoldMessage(0) // ends a reservation, which never fails
+		if err := writeMessage(raw, result); err != nil {
 			return
 		}
 	}
 }
 
+// receivedJob is a Job, or the reason for which its statement is refused.
+type receivedJob struct {
+	*accesspb.Job
+	refused error
+}
+
+// serve runs one Job unless it is refused. A refused one may be part of a transaction, which
+// then ends.
+func (s *jobStream) serve(ctx context.Context, j receivedJob) *accesspb.Result {
+	if j.refused == nil {
+		return s.run(ctx, j.Job)
+	}
+	s.leave()
+	op := &operation{}
+	return op.result(statement.Answer{}, errkind.Wrap(errkind.QueueFull, j.refused, "forwarded statement"))
+}
+
 // run runs one Job. After an error, a commit or a rollback no transaction is open on
 // the stream.
 func (s *jobStream) run(ctx context.Context, j *accesspb.Job) *accesspb.Result {
@@ -94,13 +115,17 @@
 // readJobs passes on the Jobs from a stream until the stream ends. It then
 // cancels the statement that is still running for it, because the sending host
 // no longer waits for the result.
-func (g *Gateway) readJobs(ctx context.Context, cancel func(), from peer.Info, raw net.Conn, jobs chan<- *accesspb.Job) {
+func (g *Gateway) readJobs(ctx context.Context, cancel func(), from peer.Info, raw net.Conn, hold func(bytes int) error, jobs chan<- receivedJob) {
 	defer close(jobs)
 	defer cancel()
 	r := bufio.NewReader(raw)
 	for {
-		j := &accesspb.Job{}
-		if err := readMessage(r, j); err != nil {
+		j := receivedJob{Job: &accesspb.Job{}}
+		var err error
+		if j.refused, err = readHeldMessage(r, j.Job, hold); j.refused != nil {
+			g.metrics.refusedCaller(refusedStatement)
+		}
+		if err != nil {
 			if !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
 				g.log.Debug("Reading statements from another host failed.", "part", "access", "host", from.Address, "error", err)
 			}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -51,6 +51,20 @@
 	return m
 }
 
+// Reasons for which a caller, or one of its messages, is refused.
+const (
+	refusedFull      = "sessions"      // the host is full of sessions that have logged in
+	refusedSlowLogin = "slow_login"    // too many sessions have not logged in, and it was the oldest
+	refusedShare     = "session_share" // its customer holds too many of the host's sessions
+	refusedMemory    = "memory"        // other callers hold the memory for messages
+	refusedStatement = "forwarded"     // a statement of another host, for want of that memory
+)
+
+// refusedCaller counts a caller that is refused for the given reason.
+func (m *gatewayMetrics) refusedCaller(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_callers_refused_total{reason=%q}`, reason)).Inc()
+}
+
 // Reasons for which a connection to a database is closed.
 const (
 	closedBroken  = "broken"  // its state is unknown, for example after an unanswered or abandoned statement
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -28,7 +28,7 @@
 	DecodeConfiguration(value []byte) (*routes.Configuration, error)
 	DecodeDatabase(name string, value []byte) (routes.Database, error)
 	// Accept wraps an accepted connection in the callers' protocol.
-	Accept(conn net.Conn) Caller
+	Accept(conn net.Conn, limits CallerLimits) Caller
 	// Dial connects to a database on behalf of a customer. If the database answers
 	// the startup message with an error, this is returned as an errkind.Error.
 	Dial(ctx context.Context, db routes.Database, customer string) (Connection, error)
@@ -40,6 +40,14 @@
 	ReadyHandler(ready func() bool) http.Handler
 }
 
+// CallerLimits bound the messages of one caller.
+type CallerLimits struct {
+	// Hold is called before more bytes of a message, or of an answer, are kept, with their
+	// number, and with 0 before the next message. It may wait. An error ends the connection.
+	Hold           func(bytes int) error
+	MessageTimeout time.Duration // from the first byte of a message to its last
+}
+
 // Caller is one caller's connection. It is used by a single goroutine, except for
 // SetReadDeadline and Close, which any goroutine may call.
 type Caller interface {
--- a/gateway/remote.go
+++ b/gateway/remote.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -225,3 +227,24 @@
 func readMessage(r *bufio.Reader, m proto.Message) error {
 	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(r, m)
 }
+
+// readHeldMessage is readMessage, but calls hold with the size of the message before it keeps
+// it. If hold returns an error, it skips the message and reports the error as refused.
+func readHeldMessage(r *bufio.Reader, m proto.Message, hold func(bytes int) error) (refused, err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, err
+	}
+	if size > maxMessage {
+		return nil, fmt.Errorf("message of %d bytes, allowed are %d", size, maxMessage)
+	}
+	if refused = hold(int(size)); refused != nil {
+		_, err = r.Discard(int(size))
+		return refused, err
+	}
+	raw := make([]byte, size)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return nil, err
+	}
+	return nil, proto.Unmarshal(raw, m)
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/intake"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -29,6 +31,7 @@
 type session struct {
 	g           *Gateway
 	caller      Caller
+	memory      *intake.Account
 	routeName   string // name of its route: the database name that the caller connects to
 	key         string
 	customer    string // holder of the key; may be empty on an open route
@@ -39,7 +42,27 @@
 	wakePending atomic.Bool  // drain was called and receive has not noticed it yet
 }
 
-func newSession(g *Gateway, caller Caller) *session { return &session{g: g, caller: caller} }
+func newSession(g *Gateway, caller Caller) *session {
+	return &session{g: g, caller: caller, memory: g.memory.Account()}
+}
+
+// holdMessage reserves memory for a message of the caller, or for its answer.
+func (s *session) holdMessage(bytes int) error {
+	if err := s.memory.HoldMessage(bytes); err != nil {
+		s.g.metrics.refusedCaller(refusedMemory)
+		return errkind.Wrap(errkind.TooLarge, err, fmt.Sprintf("a message of %d bytes or more", bytes))
+	}
+	return nil
+}
+
+// holdState reserves memory for the session's state after a change of it.
+func (s *session) holdState() *errkind.Error {
+	if err := s.memory.HoldState(s.state.Bytes()); err != nil {
+		s.g.metrics.refusedCaller(refusedMemory)
+		return errkind.Wrap(errkind.TooLarge, err, fmt.Sprintf("session state of %d bytes", s.state.Bytes()))
+	}
+	return nil
+}
 
 // run serves the session until the caller or the host ends it.
 func (s *session) run() {
@@ -72,6 +95,7 @@
 func (s *session) end() {
 	s.discardTransaction()
 	s.caller.Close()
+	s.memory.Close()
 	s.g.callers.remove(s)
 }
 
@@ -85,6 +109,10 @@
 	if _, err := s.route(); err != nil {
 		return err
 	}
+	if !s.g.callers.assign(s, s.customer) {
+		s.g.metrics.refusedCaller(refusedShare)
+		return errkind.New(errkind.ConnectionLimit, "customer %q holds its share of the host's %d sessions", s.customer, s.g.opt.MaxCallers)
+	}
 	return s.caller.Welcome()
 }
 
@@ -360,16 +388,8 @@
 	}
 	var err *errkind.Error
 	switch req.Kind {
-	case statement.Set:
-		if !s.state.Set(req.Name, req.Args) {
-			err = errkind.New(errkind.TooLarge, "a session may hold at most %d values", sessionstate.MaxValues)
-		}
-	case statement.Prepare:
-		if !s.state.Prepare(req.Name, sessionstate.Form{Writes: req.Writes, Shape: req.Shape}) {
-			err = errkind.New(errkind.TooLarge, "a session may hold at most %d prepared statements", sessionstate.MaxPrepared)
-		}
-	case statement.Deallocate:
-		s.state.Deallocate(req.Name)
+	case statement.Set, statement.Prepare, statement.Deallocate:
+		err = s.changeState(req)
 	case statement.Execute:
 		if _, ok := s.state.Prepared[req.Name]; ok {
 			return statement.Answer{}, false
@@ -395,6 +415,29 @@
 	return statement.Answer{State: s.txState()}, true
 }
 
+// changeState changes the session's values or prepared statements. A change that is refused
+// has no effect.
+func (s *session) changeState(req statement.Request) *errkind.Error {
+	before := s.state
+	switch req.Kind {
+	case statement.Set:
+		if !s.state.Set(req.Name, req.Args) {
+			return errkind.New(errkind.TooLarge, "a session may hold at most %d values", sessionstate.MaxValues)
+		}
+	case statement.Prepare:
+		if !s.state.Prepare(req.Name, sessionstate.Form{Writes: req.Writes, Shape: req.Shape}) {
+			return errkind.New(errkind.TooLarge, "a session may hold at most %d prepared statements", sessionstate.MaxPrepared)
+		}
+	default:
+		s.state.Deallocate(req.Name)
+	}
+	err := s.holdState()
+	if err != nil {
+		s.state = before
+	}
+	return err
+}
+
 // serveFailed answers statements in a failed transaction, which the caller can
 // only end.
 func (s *session) serveFailed(req statement.Request) statement.Answer {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -400,11 +400,11 @@
 	return &fakePlatform{group: g, store: store, api: api}
 }
 
-func (p *fakePlatform) Objects() objectapi.Objects { return p.api }
-func (*fakePlatform) ConfigurationKind() string    { return "config" }
-func (*fakePlatform) ConfigurationName() string    { return "main" }
-func (*fakePlatform) DatabasesKind() string        { return "databases" }
-func (*fakePlatform) Accept(net.Conn) Caller       { return nil }
+func (p *fakePlatform) Objects() objectapi.Objects         { return p.api }
+func (*fakePlatform) ConfigurationKind() string            { return "config" }
+func (*fakePlatform) ConfigurationName() string            { return "main" }
+func (*fakePlatform) DatabasesKind() string                { return "databases" }
+func (*fakePlatform) Accept(net.Conn, CallerLimits) Caller { return nil }
 
 func (*fakePlatform) DecodeConfiguration([]byte) (*routes.Configuration, error) {
 	return nil, errors.New("not used")
--- a/link/peer/mesh.go
+++ b/link/peer/mesh.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/internal/capped"
 	"github.com/bronzeloft/bronzeloft/link/peerpb"
 )
 
@@ -40,6 +41,7 @@
 	conns     map[string]*conn              // by address; at most MaxConns plus the outbound connections
 	dialers   map[string]context.CancelFunc // by address
 	inbound   int                           // inbound connections, handshakes included
+	greeting  *capped.Conns                 // inbound connections whose handshake is not finished
 	listeners []net.Listener
 }
 
@@ -56,6 +58,7 @@
 		cancel:    cancel,
 		conns:     make(map[string]*conn),
 		dialers:   make(map[string]context.CancelFunc),
+		greeting:  capped.New(maxHandshakes),
 	}
 	m.meters = newMeters(cfg.Metrics, m)
 	for range cfg.Workers {
@@ -118,6 +121,10 @@
 	}
 }
 
+// maxHandshakes bounds the inbound connections whose handshake is not finished; one more
+// closes the oldest. A handshake takes a few milliseconds.
+const maxHandshakes = 64
+
 // accept starts serving an inbound connection, or closes it when MaxConns is
 // reached or the Mesh is closed.
 func (m *Mesh) accept(raw net.Conn) {
@@ -129,6 +136,7 @@
 		return
 	}
 	m.inbound++
+	m.greeting.Add(raw)
 	m.wg.Go(func() {
 		m.serveConn(m.ctx, raw, "")
 		m.mu.Lock()
@@ -143,6 +151,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
 	c, err := m.handshake(raw, address)
+	m.greeting.Remove(raw)
 	if err != nil {
 		m.meters.refused.Inc()
 		m.cfg.Logger.Warn("peer handshake failed", "remote", raw.RemoteAddr().String(), "err", err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -105,6 +105,9 @@
 	MaxCallers   int           // sessions at once
 	WatchWait    time.Duration // how long the store holds a watch open
 	MemoryMB     int           // of the process; 0 for no limit
+	// CallerMemoryMB is the memory for callers' messages and session state; 0 for a share of MemoryMB.
+	CallerMemoryMB int
+	MessageTimeout time.Duration // of a caller's message, from its first byte to its last
 	// DatabaseDrain is how long a database that announces its shutdown may be sent statements.
 	DatabaseDrain time.Duration
 	CPUShare      float64 // processor time of the host, as a share of a core
