--- a/internal/misuse/host_test.go
+++ b/internal/misuse/host_test.go
@@ -72,14 +72,14 @@
 
 // daemon is a running host with its stand-ins.
 type daemon struct {
-	cmd                     *exec.Cmd
-	exited                  chan struct{}
-	callers, ready, peers   string
-	access                  string
-	log                     string
-	maxResident, maxHandles int // the largest ones seen, in kB and descriptors
-	stopWatch               chan struct{}
-	watched                 sync.WaitGroup
+	cmd                   *exec.Cmd
+	exited                chan struct{}
+	callers, ready, peers string
+	access                string
+	log                   string
+	maxHandles            int // most open descriptors seen
+	stopWatch             chan struct{}
+	watched               sync.WaitGroup
 }
 
 var binary string
