Give back memory of a caller that leaves while waiting, and bound session state

A connection that ended while another goroutine waited for memory on its account (a forwarded statement read ahead, whose stream's result could not be written) got the memory after Close, and nothing gave it back. Close now marks the account.

Session state could hold the whole budget for as long as its idle sessions lasted, and every message over 16 KiB of any customer was refused meanwhile. It may hold half of the budget now, and more is refused at once.

Both specs fail without the change.

--- a/customer/intake/intake.go
+++ b/customer/intake/intake.go
@@ -98,8 +98,12 @@
 	// copies is how often a message is in memory while it is served: as received, as a
 	// statement, and as sent to a database or another host.
 	copies = 4
-	// MinMemory is the least budget, which holds two of the largest messages.
+	// MinMemory is the least budget, which holds two of the largest messages, or one beside
+	// as much session state as there may be.
 	MinMemory = 2 * copies * maxBytes
+	// stateShare is the share of the budget that session state may hold: it is held as long
+	// as its sessions last, and without a bound would keep out messages for that long.
+	stateShare = 0.5
 )
 
 // reserveWait is how long a connection waits, unread, for memory.
@@ -111,15 +115,30 @@
 // Memory is the budget for what all callers' connections of a host hold. It is safe for
 // concurrent use.
 type Memory struct {
-	budget *semaphore.Weighted
-	size   int64
-	wait   time.Duration
+	budget     *semaphore.Weighted
+	size       int64
+	stateLimit int64 // of the size, for session state
+	wait       time.Duration
+
+	mu    sync.Mutex // guards state; a leaf lock
+	state int64      // reserved for session state
 }
 
 // NewMemory returns a budget of the given number of bytes, at least MinMemory.
 func NewMemory(bytes int64) *Memory {
 	bytes = max(bytes, MinMemory)
-	return &Memory{budget: semaphore.NewWeighted(bytes), size: bytes, wait: reserveWait}
+	return &Memory{budget: semaphore.NewWeighted(bytes), size: bytes, stateLimit: int64(stateShare * float64(bytes)), wait: reserveWait}
+}
+
+// addState counts session state, or less of it, and reports whether there may be so much.
+func (m *Memory) addState(bytes int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if bytes > 0 && m.state+bytes > m.stateLimit {
+		return false
+	}
+	m.state += bytes
+	return true
 }
 
 // Account is what one connection holds of a Memory. It is safe for concurrent use, but one
@@ -130,6 +149,7 @@
 	mu      sync.Mutex // guards the fields below
 	message int64      // reserved for the message that is read or served
 	state   int64      // reserved for the session's state
+	closed  bool
 }
 
 // Account returns an account that holds nothing.
@@ -154,12 +174,21 @@
 	return a.hold(&a.message, reservation(bytes))
 }
 
-// HoldState reserves memory for session state of the given number of bytes.
+// HoldState reserves memory for session state of the given number of bytes. It is not
+// called beside Close.
 func (a *Account) HoldState(bytes int) error {
 	if bytes <= freeBytes {
 		bytes = 0
 	}
-	return a.hold(&a.state, int64(bytes))
+	more := int64(bytes) - a.state
+	if !a.memory.addState(more) {
+		return ErrNoMemory
+	}
+	err := a.hold(&a.state, int64(bytes))
+	if err != nil {
+		a.memory.addState(-more)
+	}
+	return err
 }
 
 func (a *Account) hold(held *int64, want int64) error {
@@ -182,16 +211,21 @@
 		}
 	}
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		m.budget.Release(more)
+		return ErrNoMemory
+	}
 	*held += more
-	a.mu.Unlock()
 	return nil
 }
 
-// Close ends all reservations.
+// Close ends all reservations, also one that is still waited for.
 func (a *Account) Close() {
 	a.mu.Lock()
-	held := a.message + a.state
-	a.message, a.state = 0, 0
+	message, state := a.message, a.state
+	a.message, a.state, a.closed = 0, 0, true
 	a.mu.Unlock()
-	a.memory.budget.Release(held)
+	a.memory.addState(-state)
+	a.memory.budget.Release(message + state)
 }
--- a/customer/intake/intake_test.go
+++ b/customer/intake/intake_test.go
@@ -91,4 +91,24 @@
 		a.Close()
 		Expect(b.HoldMessage(2 * maxBytes)).To(Succeed())
 	})
+
+	It("is given back when a connection ends while it waits for more", func() {
+		m.wait = time.Second
+		a, b := m.Account(), m.Account()
+		Expect(a.HoldMessage(2 * maxBytes)).To(Succeed())
+		waited := make(chan error)
+		go func() { waited <- b.HoldMessage(maxBytes) }()
+		Consistently(waited, 50*time.Millisecond).ShouldNot(Receive())
+		b.Close()
+		a.Close()
+		Eventually(waited).Should(Receive(MatchError(ErrNoMemory)))
+		Expect(a.memory.budget.TryAcquire(m.size)).To(BeTrue(), "all memory is free")
+	})
+
+	It("is there for a message of the largest size beside a crowd that fills its session state and stays idle", func() {
+		for range 20 {
+			_ = m.Account().HoldState(maxBytes) // the crowd's later ones are refused
+		}
+		Expect(m.Account().HoldMessage(maxBytes)).To(Succeed())
+	})
 })
