Count the wait for memory as part of a forwarded statement's deadline

A forwarded statement that waited up to 2 s for memory on its home host got its deadline afresh when the wait ended. The sending host had reported the outcome as unknown by then, and the write ran afterwards. The wait now ages the Job; the spec fails without the change (the write succeeds 200 ms after its deadline).

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -35,6 +35,15 @@
 	return j
 }
 
+// ageJob makes a Job by the given time older, during which it waited here.
+func ageJob(j *accesspb.Job, by time.Duration) {
+	j.ElapsedUs += micros(by)
+	j.LeftUs -= min(j.LeftUs, micros(by))
+	if j.InTransaction {
+		j.BeganUs += micros(by)
+	}
+}
+
 func micros(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
 
 func duration(micros uint64) time.Duration { return time.Duration(micros) * time.Microsecond }
--- a/gateway/jobstream.go
+++ b/gateway/jobstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"time"
 
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/accesspb"
@@ -119,10 +120,16 @@
 	defer close(jobs)
 	defer cancel()
 	r := bufio.NewReader(raw)
+	var waited time.Duration
+	timedHold := func(bytes int) error {
+		began := time.Now()
+		defer func() { waited = time.Since(began) }()
+		return hold(bytes)
+	}
 	for {
 		j := receivedJob{Job: &accesspb.Job{}}
 		var err error
-		if j.refused, err = readHeldMessage(r, j.Job, hold); j.refused != nil {
+		if j.refused, err = readHeldMessage(r, j.Job, timedHold); j.refused != nil {
 			g.metrics.refusedCaller(refusedStatement)
 		}
 		if err != nil {
@@ -131,6 +138,7 @@
 			}
 			return
 		}
+		ageJob(j.Job, waited) // the sending host does not wait longer for it
 		select {
 		case jobs <- j:
 		case <-ctx.Done():
--- a/gateway/jobstream_test.go
+++ b/gateway/jobstream_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/customer/intake"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/accesspb"
 	"github.com/bronzeloft/bronzeloft/link/peer"
@@ -102,6 +104,33 @@
 		}
 	})
 
+	// Guards against a write that runs after its sender has reported its outcome as unknown:
+	// the time for which it waited for memory was not part of its deadline.
+	It("does not run when it got memory only after its deadline", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		sending, err := net.Dial("tcp", l.Addr().String()) // unlike a pipe, it holds what has not been read
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(sending.Close)
+		receiving, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		go g.serveJobs(peer.Info{}, nil, receiving)
+
+		go g.watchStalls() // or the pause would count as a stall
+		others := g.memory.Account()
+		Expect(others.HoldMessage(intake.MinMemory)).To(Succeed())
+		late := inTransaction(statement.Write)
+		late.inTransaction, late.Args = false, strings.Repeat("x", 20<<10)
+		late.deadline = time.Now().Add(200 * time.Millisecond)
+		Expect(writeMessage(sending, late.job(time.Now(), 0))).To(Succeed())
+		time.AfterFunc(400*time.Millisecond, others.Close)
+		var result accesspb.Result
+		Expect(readMessage(bufio.NewReader(sending), &result)).To(Succeed())
+		Expect(errkind.Kind(result.ErrorKind)).To(Equal(errkind.DeadlineNotRun), result.Detail)
+		Expect(committed()).To(BeEmpty())
+	})
+
 	// Guards against a crash of the process, and against answers that reach another
 	// statement: a read was run a second time on the only known host while the first run
 	// was in progress, and both used one stream.
