Tell callers to come again when memory for their message is short

A legal message or session value that found no memory was answered as too large, which a caller takes for its own fault and does not repeat. It is queue_full now (BUSY to callers of a platform site), as for forwarded statements: not run, may be retried. The spec fails without the change.

--- a/gateway/session.go
+++ b/gateway/session.go
@@ -50,7 +50,7 @@
 func (s *session) holdMessage(bytes int) error {
 	if err := s.memory.HoldMessage(bytes); err != nil {
 		s.g.metrics.refusedCaller(refusedMemory)
-		return errkind.Wrap(errkind.TooLarge, err, fmt.Sprintf("a message of %d bytes or more", bytes))
+		return errkind.Wrap(errkind.QueueFull, err, fmt.Sprintf("a message of %d bytes or more", bytes))
 	}
 	return nil
 }
@@ -59,7 +59,7 @@
 func (s *session) holdState() *errkind.Error {
 	if err := s.memory.HoldState(s.state.Bytes()); err != nil {
 		s.g.metrics.refusedCaller(refusedMemory)
-		return errkind.Wrap(errkind.TooLarge, err, fmt.Sprintf("session state of %d bytes", s.state.Bytes()))
+		return errkind.Wrap(errkind.QueueFull, err, fmt.Sprintf("session state of %d bytes", s.state.Bytes()))
 	}
 	return nil
 }
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +12,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
+	"github.com/bronzeloft/bronzeloft/customer/intake"
 	"github.com/bronzeloft/bronzeloft/database/floor"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/position"
@@ -48,6 +50,20 @@
 		}
 	})
 
+	// A caller that is told that its message is too large never sends it again.
+	It("is told to come again when other callers hold the memory for its message or its state", func() {
+		others := g.memory.Account()
+		DeferCleanup(others.Close)
+		Expect(others.HoldState(intake.MinMemory / 2)).To(Succeed())
+		s := newTestSession(g, "own")
+		a := s.serve(request(statement.Set, "name", strings.Repeat("x", 20<<10)))
+		Expect(a.Err).To(HaveField("Kind", errkind.QueueFull))
+		Expect(s.state.Values).To(BeEmpty())
+
+		Expect(others.HoldMessage(1 << 20)).To(Succeed())
+		Expect(errkind.Of(s.holdMessage(1 << 20))).To(Equal(errkind.QueueFull))
+	})
+
 	// The position lies in the log of another service's databases.
 	It("does not wait for its own commit in the databases of another service that its route moves to", func() {
 		s := newTestSession(g, "own")
