Let messages that arrive in pieces at once end

Messages reserve memory in two steps. As many as hold all of it in their first step waited for each other in the second one, and all were refused after 2 s, also the next lot. Those in the first step hold a quarter of the budget at most now, and session state another quarter, so that one second step always fits.

--- a/customer/intake/intake.go
+++ b/customer/intake/intake.go
@@ -99,11 +99,15 @@
 	// statement, and as sent to a database or another host.
 	copies = 4
 	// MinMemory is the least budget, which holds two of the largest messages, or one beside
-	// as much session state as there may be.
+	// the session state that there may be.
 	MinMemory = 2 * copies * maxBytes
 	// stateShare is the share of the budget that session state may hold: it is held as long
 	// as its sessions last, and without a bound would keep out messages for that long.
-	stateShare = 0.5
+	stateShare = 0.25
+	// beginShare is the share of the budget for messages that have reserved their first step
+	// and may want the second one. The rest is larger than one second step, so that of these
+	// messages one at least can go on.
+	beginShare = 0.25
 )
 
 // reserveWait is how long a connection waits, unread, for memory.
@@ -116,6 +120,7 @@
 // concurrent use.
 type Memory struct {
 	budget     *semaphore.Weighted
+	begun      *semaphore.Weighted // messages in their first step; acquired before budget
 	size       int64
 	stateLimit int64 // of the size, for session state
 	wait       time.Duration
@@ -127,7 +132,10 @@
 // NewMemory returns a budget of the given number of bytes, at least MinMemory.
 func NewMemory(bytes int64) *Memory {
 	bytes = max(bytes, MinMemory)
-	return &Memory{budget: semaphore.NewWeighted(bytes), size: bytes, stateLimit: int64(stateShare * float64(bytes)), wait: reserveWait}
+	return &Memory{
+		budget: semaphore.NewWeighted(bytes), begun: semaphore.NewWeighted(int64(beginShare*float64(bytes)) / (copies * middleBytes)),
+		size: bytes, stateLimit: int64(stateShare * float64(bytes)), wait: reserveWait,
+	}
 }
 
 // addState counts session state, or less of it, and reports whether there may be so much.
@@ -141,6 +149,19 @@
 	return true
 }
 
+// acquire waits for a part of a semaphore.
+func (m *Memory) acquire(from *semaphore.Weighted, n int64) error {
+	if from.TryAcquire(n) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), m.wait)
+	defer cancel()
+	if from.Acquire(ctx, n) != nil {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // Account is what one connection holds of a Memory. It is safe for concurrent use, but one
 // goroutine at a time reserves more.
 type Account struct {
@@ -149,6 +170,7 @@
 	mu      sync.Mutex // guards the fields below
 	message int64      // reserved for the message that is read or served
 	state   int64      // reserved for the session's state
+	begun   bool       // the message is in its first step
 	closed  bool
 }
 
@@ -171,7 +193,50 @@
 // and waits for it. 0 ends the reservation. After an error, ErrNoMemory, what was held is
 // still held.
 func (a *Account) HoldMessage(bytes int) error {
-	return a.hold(&a.message, reservation(bytes))
+	want := reservation(bytes)
+	if want == copies*middleBytes {
+		if err := a.begin(); err != nil {
+			return err
+		}
+	}
+	err := a.hold(&a.message, want)
+	if err == nil && want != copies*middleBytes {
+		a.endBegin()
+	}
+	return err
+}
+
+// begin waits until the message may reserve its first step. It returns at once for an answer
+// that needs less than the message did.
+func (a *Account) begin() error {
+	a.mu.Lock()
+	reserved := a.begun || a.message >= copies*middleBytes
+	a.mu.Unlock()
+	if reserved {
+		return nil
+	}
+	if err := a.memory.acquire(a.memory.begun, 1); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || a.begun {
+		a.memory.begun.Release(1)
+	}
+	if a.closed {
+		return ErrNoMemory
+	}
+	a.begun = true
+	return nil
+}
+
+func (a *Account) endBegin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.begun {
+		a.begun = false
+		a.memory.begun.Release(1)
+	}
 }
 
 // HoldState reserves memory for session state of the given number of bytes. It is not
@@ -203,12 +268,8 @@
 		return nil
 	}
 	a.mu.Unlock()
-	if !m.budget.TryAcquire(more) {
-		ctx, cancel := context.WithTimeout(context.Background(), m.wait)
-		defer cancel()
-		if m.budget.Acquire(ctx, more) != nil {
-			return ErrNoMemory
-		}
+	if err := m.acquire(m.budget, more); err != nil {
+		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -226,6 +287,7 @@
 	message, state := a.message, a.state
 	a.message, a.state, a.closed = 0, 0, true
 	a.mu.Unlock()
+	a.endBegin()
 	a.memory.addState(-state)
 	a.memory.budget.Release(message + state)
 }
--- a/customer/intake/intake_test.go
+++ b/customer/intake/intake_test.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,4 +113,26 @@
 		}
 		Expect(m.Account().HoldMessage(maxBytes)).To(Succeed())
 	})
+
+	It("lets messages that arrive in pieces at once end, one after another", func() {
+		const crowd = 64
+		m.wait = time.Second
+		var served atomic.Int32
+		var done sync.WaitGroup
+		for range crowd {
+			done.Go(func() {
+				a := m.Account()
+				defer a.Close()
+				if a.HoldMessage(freeBytes+1) != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond) // until the next piece
+				if a.HoldMessage(maxBytes) == nil {
+					served.Add(1)
+				}
+			})
+		}
+		done.Wait()
+		Expect(served.Load()).To(BeNumerically(">=", crowd/2))
+	})
 })
