Let callers reserve no memory before their startup message

Two to four connections without a key could hold all memory for messages with half a startup message of 1 MiB each, for 5 s at a time, again and again. A startup message is 16 KiB at most now, on a site with limits; the spec fails without that.

--- a/customer/intake/intake.go
+++ b/customer/intake/intake.go
@@ -89,9 +89,9 @@
 
 // Sizes of what a connection holds, in bytes.
 const (
-	// freeBytes is what every connection may hold of a message, and of session state,
+	// FreeBytes is what every connection may hold of a message, and of session state,
 	// without a reservation.
-	freeBytes = 16 << 10
+	FreeBytes = 16 << 10
 	// middleBytes and maxBytes are the steps in which memory for a message is reserved.
 	middleBytes = 128 << 10
 	maxBytes    = 1 << 20
@@ -180,7 +180,7 @@
 // reservation returns what a message of the given size reserves.
 func reservation(bytes int) int64 {
 	switch {
-	case bytes <= freeBytes:
+	case bytes <= FreeBytes:
 		return 0
 	case bytes <= middleBytes:
 		return copies * middleBytes
@@ -242,7 +242,7 @@
 // HoldState reserves memory for session state of the given number of bytes. It is not
 // called beside Close.
 func (a *Account) HoldState(bytes int) error {
-	if bytes <= freeBytes {
+	if bytes <= FreeBytes {
 		bytes = 0
 	}
 	more := int64(bytes) - a.state
--- a/customer/intake/intake_test.go
+++ b/customer/intake/intake_test.go
@@ -80,9 +80,9 @@
 	It("is never needed for a small message or little state", func() {
 		a, b := m.Account(), m.Account()
 		Expect(a.HoldMessage(2 * maxBytes)).To(Succeed())
-		Expect(b.HoldMessage(freeBytes)).To(Succeed())
-		Expect(b.HoldState(freeBytes)).To(Succeed())
-		Expect(b.HoldState(freeBytes + 1)).To(MatchError(ErrNoMemory))
+		Expect(b.HoldMessage(FreeBytes)).To(Succeed())
+		Expect(b.HoldState(FreeBytes)).To(Succeed())
+		Expect(b.HoldState(FreeBytes + 1)).To(MatchError(ErrNoMemory))
 	})
 
 	It("is given back when a connection ends", func() {
@@ -123,7 +123,7 @@
 			done.Go(func() {
 				a := m.Account()
 				defer a.Close()
-				if a.HoldMessage(freeBytes+1) != nil {
+				if a.HoldMessage(FreeBytes+1) != nil {
 					return
 				}
 				time.Sleep(10 * time.Millisecond) // until the next piece
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -46,8 +46,15 @@
 	return &session{g: g, caller: caller, memory: g.memory.Account()}
 }
 
+// maxStartupBytes bounds the startup message, so that callers without a key reserve no
+// memory that those with one need.
+const maxStartupBytes = intake.FreeBytes
+
 // holdMessage reserves memory for a message of the caller, or for its answer.
 func (s *session) holdMessage(bytes int) error {
+	if s.routeName == "" && bytes > maxStartupBytes {
+		return errkind.New(errkind.TooLarge, "startup message of more than %d bytes", maxStartupBytes)
+	}
 	if err := s.memory.HoldMessage(bytes); err != nil {
 		s.g.metrics.refusedCaller(refusedMemory)
 		return errkind.Wrap(errkind.QueueFull, err, fmt.Sprintf("a message of %d bytes or more", bytes))
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -50,6 +50,13 @@
 		}
 	})
 
+	It("reserves no memory before it has sent its startup message", func() {
+		Expect(errkind.Of(newSession(g, nil).holdMessage(1 << 19))).To(Equal(errkind.TooLarge))
+		everything := g.memory.Account()
+		Expect(everything.HoldMessage(2 << 20)).To(Succeed())
+		everything.Close()
+	})
+
 	// A caller that is told that its message is too large never sends it again.
 	It("is told to come again when other callers hold the memory for its message or its state", func() {
 		others := g.memory.Account()
