Bound the time in which a forwarded statement arrives

A host that fell silent after the size of a statement held the memory that was reserved for it until its connection ended. A statement over 16 KiB must have arrived within site.message_timeout; the spec fails without the bound.

--- a/gateway/jobstream.go
+++ b/gateway/jobstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/customer/intake"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/accesspb"
 	"github.com/bronzeloft/bronzeloft/link/peer"
@@ -123,8 +124,13 @@
 	var waited time.Duration
 	timedHold := func(bytes int) error {
 		began := time.Now()
-		defer func() { waited = time.Since(began) }()
-		return hold(bytes)
+		err := hold(bytes)
+		waited = time.Since(began)
+		if bytes > intake.FreeBytes {
+			// Fails only on a closed stream, which the next read reports.
+			_ = raw.SetReadDeadline(time.Now().Add(g.opt.MessageTimeout))
+		}
+		return err
 	}
 	for {
 		j := receivedJob{Job: &accesspb.Job{}}
@@ -138,7 +144,8 @@
 			}
 			return
 		}
-		ageJob(j.Job, waited) // the sending host does not wait longer for it
+		_ = raw.SetReadDeadline(time.Time{}) // as above
+		ageJob(j.Job, waited)                // the sending host does not wait longer for it
 		select {
 		case jobs <- j:
 		case <-ctx.Done():
--- a/gateway/jobstream_test.go
+++ b/gateway/jobstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"net"
 	"strings"
 	"time"
@@ -104,6 +105,16 @@
 		}
 	})
 
+	It("holds no memory for a sender that falls silent in the middle of it", func() {
+		sending, receiving := net.Pipe()
+		DeferCleanup(sending.Close)
+		go g.serveJobs(peer.Info{}, nil, receiving)
+		_, err := sending.Write(binary.AppendUvarint(nil, 2<<20)) // its size, and nothing of it
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(100 * time.Millisecond) // until the memory is reserved for it
+		Expect(g.memory.Account().HoldMessage(1 << 20)).To(Succeed())
+	})
+
 	// Guards against a write that runs after its sender has reported its outcome as unknown:
 	// the time for which it waited for memory was not part of its deadline.
 	It("does not run when it got memory only after its deadline", func() {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -462,7 +462,7 @@
 	offset := &atomic.Int64{}
 	g := New(Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
-		Platform: p, Logger: logger,
+		MessageTimeout: time.Second, Platform: p, Logger: logger,
 		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
 	})
 	clockOffsets.Store(g, offset)
