--- a/settings/fields.go
+++ b/settings/fields.go
@@ -127,7 +127,7 @@
 		text: func(h *Host) *string { return &h.Site.PromotionURL }, textRule: urlRule},
 	{key: "site.data_centres", unit: "names", doc: "The site's data centres. Connections are divided among them until their hosts are known.",
 		list: func(h *Host) *[]string { return &h.Site.DataCentres }, listRule: nameRule},
-	{key: "site.max_callers", unit: "sessions", doc: "Sessions at once; more are refused.",
+	{key: "site.max_callers", unit: "sessions", doc: "Sessions at once; more are refused. One customer may hold three quarters of those that the others leave free.",
 		number: func(h *Host) *int { return &h.Site.MaxCallers }, numDef: 2000, numLo: 1, numHi: 60000},
 	{key: "site.watch_wait", unit: "duration", doc: "Time that the store holds a watch open; half of the time within which a configuration is to be in force, or more if hosts exchange messages.",
 		duration: func(h *Host) *time.Duration { return &h.Site.WatchWait }, durDef: 5 * time.Second, durLo: 100 * time.Millisecond, durHi: 30 * time.Second},
