Count only connections without a complete request on the HTTP listeners

Cause: 64 newer connections that send nothing closed a fetch in progress, and a fleet of more hosts that fetch at once could meet the bound. Change: a connection does not count while its request is served; an answer must be taken within 20 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,19 +249,20 @@
 // Timeouts of the HTTP servers, whose clients are the platform and other hosts.
 const (
 	httpHeaderTimeout = 2 * time.Second
+	httpWriteTimeout  = 20 * time.Second // a configuration of 1 MB over a slow link takes seconds
 	httpIdleTimeout   = 30 * time.Second
 )
 
-// Bounds of the HTTP servers. They are called once a second by the platform, and by the
-// hosts that need a newer configuration or list.
+// Bounds of the HTTP servers.
 const (
-	httpConnections = 64
+	httpConnections = 64 // that have not sent a complete request
 	httpHeaderBytes = 16 << 10
 )
 
 func (g *Gateway) serveOn(l net.Listener, handler http.Handler) {
 	l = capped.Listen(l, httpConnections)
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpHeaderBytes}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, WriteTimeout: httpWriteTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpHeaderBytes}
+	capped.Serve(srv)
 	g.servers = append(g.servers, srv)
 	g.startWorker(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/capped/capped.go
+++ b/internal/capped/capped.go
@@ -5,7 +5,9 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{raw, l.conns}
+	c := &conn{Conn: raw, conns: l.conns}
 	l.conns.Add(c)
 	return c, nil
 }
@@ -75,10 +77,45 @@
 type conn struct {
 	net.Conn
 	conns *Conns
+
+	mu     sync.Mutex // guards closed; taken before conns.mu
+	closed bool
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
 	c.conns.Remove(c)
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// count makes the connection count again, unless it is closed.
+func (c *conn) count() {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if !closed {
+		c.conns.Add(c)
+	}
+}
+
+// Serve sets the server up so that a connection of Listen does not count while a complete
+// request on it is served.
+func Serve(srv *http.Server) {
+	handler := srv.Handler
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.conns.Remove(c)
+			defer c.count()
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
