Evacuate a data centre on request

A third watcher follows the requests in the store; hosts pass the list on with its ages. Reads leave the databases, the primary is replaced in the planned way, and nothing is sent there from a second before the limit.

--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -76,9 +76,31 @@
 // are reused. dataCentre is that of this host. A leaving database is left out,
 // unless it is the only one known.
 func (t *Table) Readers(customer, dataCentre string, load Load, now time.Time) []string {
-	order := make([]reader, 0, len(t.members))
+	return t.readers(t.members, customer, dataCentre, load, now)
+}
+
+// ReadersOutside is Readers without the databases of data centres that are to be evacuated,
+// unless no other one is listed and reachable.
+func (t *Table) ReadersOutside(evacuated func(dataCentre string) bool, customer, dataCentre string, load Load, now time.Time) []string {
+	outside := map[string]*member{}
+	reachable := false
 	for id, m := range t.members {
-		if m.Leaving && len(t.members) > 1 {
+		if !evacuated(m.DataCentre) {
+			outside[id] = m
+			reachable = reachable || m.missingSince.IsZero() && !t.Unreachable(id, now)
+		}
+	}
+	if len(outside) == len(t.members) || !reachable {
+		return t.Readers(customer, dataCentre, load, now)
+	}
+	return t.readers(outside, customer, dataCentre, load, now)
+}
+
+// readers orders some of the databases.
+func (t *Table) readers(members map[string]*member, customer, dataCentre string, load Load, now time.Time) []string {
+	order := make([]reader, 0, len(members))
+	for id, m := range members {
+		if m.Leaving && len(members) > 1 {
 			continue
 		}
 		order = append(order, reader{id: id, grade: t.grade(id, m, dataCentre, load, now), hash: preference(customer, id)})
--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -112,6 +112,8 @@
 	CutOff   bool // no host of its data centre is reachable
 	Replaced bool // it is the primary that is to be replaced: no commit rests on its log alone
 	Leaving  bool
+	// Evacuated is set if its data centre is to be evacuated. Its log stays.
+	Evacuated bool
 	// Established is set for a replica that had been in the platform's list for
 	// lead.EstablishedAfter before the first log was read.
 	Established bool
@@ -186,6 +188,39 @@
 	return best
 }
 
+// Outside returns best, or a candidate outside of the evacuated data centres if best is in one
+// and nothing else speaks against that candidate; see Prefer.
+func Outside(best Candidate, all []Candidate) Candidate {
+	if !best.Evacuated {
+		return best
+	}
+	for _, c := range all {
+		if other := Prefer(c.ID, best, all); !c.Evacuated && other.ID == c.ID {
+			return other
+		}
+	}
+	return best
+}
+
+// Staying returns the candidates that may succeed a primary that still serves: those that are
+// not leaving, outside of the evacuated data centres. If the primary is ending, those in
+// evacuated ones may succeed it where there is no other.
+func Staying(all []Candidate, ending bool) []Candidate {
+	var staying, outside []Candidate
+	for _, c := range all {
+		if !c.Leaving {
+			staying = append(staying, c)
+		}
+		if !c.Leaving && !c.Evacuated {
+			outside = append(outside, c)
+		}
+	}
+	if _, ok := Senior(outside); ok || !ending {
+		return outside
+	}
+	return staying
+}
+
 // Outgrown reports whether a candidate that answered holds more entries than best. Of
 // two logs of different terms neither may hold the other.
 func Outgrown(best Candidate, all []Candidate) bool {
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -167,7 +167,7 @@
 func urgentState(summary *gossippb.Gossip) uint64 {
 	h := xxhash.New()
 	add := func(values ...any) { _, _ = fmt.Fprintln(h, values...) } // a hash accepts every write
-	add(summary.Leaving, summary.Configuration)
+	add(summary.Leaving, summary.Configuration, summary.Evacuations)
 	for _, c := range summary.Centres {
 		add(c.Rules)
 		groups := slices.Clone(c.Groups)
@@ -195,7 +195,7 @@
 			demands[d.Customer] += d.PerSecond
 		}
 	}
-	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
+	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration, Evacuations: own.Evacuations}
 	add(own.Demands)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -75,17 +75,21 @@
 
 // fetchNewer takes the versions that another host has and fetches from it, in the
 // background, what is newer than this host's own. One fetch runs at a time.
-func (p *peers) fetchNewer(address string, configuration, databases uint64) {
+func (p *peers) fetchNewer(address string, configuration, databases, evacuations uint64) {
+	wantEvacuations := p.g.evacuations != nil && evacuations > p.g.evacuations.version()
 	p.mu.Lock()
 	wantConfiguration := configuration > p.g.config.Load().Version
 	wantDatabases := databases > p.g.listVersion.Load()
-	if p.fetching || !wantConfiguration && !wantDatabases {
+	if p.fetching || !wantConfiguration && !wantDatabases && !wantEvacuations {
 		p.mu.Unlock()
 		return
 	}
 	p.fetching = true
 	p.mu.Unlock()
 	go func() {
+		if wantEvacuations {
+			p.fetchEvacuations(address)
+		}
 		if wantConfiguration {
 			p.fetchConfiguration(address)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,8 +90,9 @@
 
 	commitLines sync.Mutex // held while lines about acknowledged commits are written
 
-	config  atomic.Pointer[loadedConfiguration]
-	leaving atomic.Bool
+	config      atomic.Pointer[loadedConfiguration]
+	evacuations *evacuations // nil if the site has none
+	leaving     atomic.Bool
 
 	listMu     sync.Mutex        // serializes changes of the list of databases; guards unreadable
 	unreadable map[string]uint64 // hashes of logged values that cannot be decoded, by name
@@ -153,6 +154,7 @@
 	g.rates = &rates{table: share.New(1)}
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
+	g.evacuations = newEvacuations(g)
 	g.metrics = newMetrics(g)
 	return g
 }
@@ -180,6 +182,9 @@
 	}
 	g.startWorker(g.watchConfiguration)
 	g.startWorker(g.watchDatabases)
+	if g.evacuations != nil {
+		g.startWorker(g.watchEvacuations)
+	}
 	g.startWorker(g.peers.run)
 	g.startWorker(g.tick)
 	g.startWorker(g.watchStalls)
@@ -298,18 +303,22 @@
 const initialStateWait = 1500 * time.Millisecond
 
 // waitForInitialState waits until peersDiscovered holds and the host has a
-// configuration, without which every route is unknown to it. It reports whether the
-// host has one after at most initialStateWait.
+// configuration, without which every route is unknown to it, and the requests to evacuate
+// data centres. It reports whether the host has both after at most initialStateWait.
 func (g *Gateway) waitForInitialState() bool {
 	from := g.now()
-	for (!g.peersDiscovered() || g.config.Load().Version == 0) && g.now().Sub(from) < initialStateWait && g.ctx.Err() == nil {
+	ready := func() bool { return g.config.Load().Version > 0 && g.evacuations.known() }
+	for (!g.peersDiscovered() || !ready()) && g.now().Sub(from) < initialStateWait && g.ctx.Err() == nil {
 		retry.Wait(g.ctx, peerDiscoveryPoll)
 	}
-	return g.config.Load().Version > 0
+	return ready()
 }
 
-// synced reports whether the host has a configuration and a list of databases.
-func (g *Gateway) synced() bool { return g.config.Load().Version > 0 && g.hasDatabases() }
+// synced reports whether the host has a configuration, a list of databases and, where there
+// may be any, the requests to evacuate data centres.
+func (g *Gateway) synced() bool {
+	return g.config.Load().Version > 0 && g.hasDatabases() && g.evacuations.known()
+}
 
 func (g *Gateway) hasDatabases() bool {
 	g.mu.Lock()
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -215,7 +215,7 @@
 	op.floor = at
 	pools := op.svc.readers(op.customer)
 	if len(pools) == 0 {
-		return errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.svc.name)
+		return op.svc.noReadersError()
 	}
 	c, err := l.acquire(ctx, op, pools[op.attempts%len(pools)])
 	if err != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,10 @@
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	set.NewGauge("bronzeloft_services_waiting_for_logs", func() float64 { return float64(g.servicesAwaitingLogs()) })
+	if g.evacuations != nil {
+		set.NewGauge("bronzeloft_evacuated_data_centres", func() float64 { return float64(g.evacuations.count.Load()) })
+		set.NewGauge("bronzeloft_services_waiting_for_evacuation", func() float64 { return float64(g.servicesAwaitingEvacuation()) })
+	}
 	for _, rules := range []string{"present", "older"} {
 		set.NewGauge(fmt.Sprintf(`bronzeloft_hosts{rules=%q}`, rules), func() float64 {
 			if g.peers == nil {
@@ -69,6 +73,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_refused_total{kind=%q}`, k)).Inc()
 }
 
+// refusedForEvacuation counts an attempt to run a statement that was refused because a data centre
+// is evacuated.
+func (m *gatewayMetrics) refusedForEvacuation() {
+	m.set.GetOrCreateCounter("bronzeloft_evacuation_refusals_total").Inc()
+}
+
 // acknowledged counts a confirmed commit by the evidence on which it was acknowledged,
 // or as unknown.
 func (m *gatewayMetrics) acknowledged(outcome string) {
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -141,7 +141,7 @@
 	msg := &gossippb.Gossip{
 		Host: p.g.opt.Name, Address: p.conn.LocalAddr().String(), DataCentre: p.g.opt.DataCentre,
 		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
-		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
+		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(), Evacuations: p.g.evacuations.version(),
 		Capacity: p.g.opt.Capacity, Serving: slices.Contains(serving, p.g.opt.Name), Rules: succession.Rules,
 	}
 	services := p.g.serviceCount()
--- a/gateway/pausing.go
+++ b/gateway/pausing.go
@@ -182,11 +182,15 @@
 	return len(answered) > 0 && !slices.ContainsFunc(answered, func(c *controlConn) bool { return !leftPaused(c.report, a.newestTerm()) })
 }
 
-// leavingFor reports whether hosts have known for d that the primary is leaving.
+// leavingFor reports whether hosts have known for d that the primary is leaving, or this host that it
+// is to be replaced because of an evacuation.
 func (a *replacement) leavingFor(d time.Duration) bool {
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
 	since := a.s.table.LeavingSince(a.primary)
+	if since.IsZero() && a.s.primaryEvacuated() && a.s.promotion.reason == succession.Leaving {
+		since = a.s.promotion.since
+	}
 	return !since.IsZero() && a.s.g.now().Sub(since) >= d
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -120,6 +120,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, p.serveConfiguration)
 	mux.HandleFunc("GET "+databasesPath, p.serveDatabases)
+	if g.evacuations != nil {
+		mux.HandleFunc("GET "+evacuationsPath, p.serveEvacuations)
+	}
 	g.serveOn(l, mux)
 	return p, nil
 }
@@ -339,5 +342,5 @@
 	if !sameCentre {
 		msg.Databases = 0 // the list is fetched only from hosts of this data centre, which have it from the store
 	}
-	p.fetchNewer(address.String(), msg.Configuration, msg.Databases)
+	p.fetchNewer(address.String(), msg.Configuration, msg.Databases, msg.Evacuations)
 }
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -25,6 +25,10 @@
 	// DatabasesKind is the kind of the objects in which databases announce
 	// themselves.
 	DatabasesKind() string
+	// EvacuationsKind is the kind of the objects that are named by the data centres to evacuate.
+	EvacuationsKind() string
+	// CheckDataCentre returns an error if a name cannot be that of a data centre.
+	CheckDataCentre(name string) error
 	DecodeConfiguration(value []byte) (*routes.Configuration, error)
 	DecodeDatabase(name string, value []byte) (routes.Database, error)
 	// Accept wraps an accepted connection in the callers' protocol.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -115,7 +115,11 @@
 	return errkind.New(errkind.DatabaseUnavailable, "database %s is shutting down", p.db.ID)
 }
 
+// drained reports whether the database must not be sent a statement.
 func (p *pool) drained() bool {
+	if p.isClosed() {
+		return true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.checkDrain() != nil
@@ -156,6 +160,11 @@
 		p.turns.Release(id)
 		return nil, err
 	}
+	if p.isClosed() {
+		p.slots.Release(slot)
+		p.turns.Release(id)
+		return nil, p.closedError()
+	}
 	c, err := p.checkOut(ctx, item.Customer)
 	if err != nil {
 		p.slots.Release(slot)
@@ -418,9 +427,15 @@
 
 // run sends requests and records whether the database answered; if it answered
 // only some of them, nothing is recorded. After an error the connection is marked
-// broken.
+// broken. To a database whose data centre is evacuated nothing is sent, not even the end of a
+// transaction: closing the connection rolls it back. If run returns an errkind.Error, nothing was
+// sent.
 func (c *conn) run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
 	g, svc, id := c.pool.g, c.pool.svc, c.pool.db.ID
+	if c.pool.isClosed() && !onlyStatus(requests) {
+		c.broken = true
+		return nil, c.pool.closedError()
+	}
 	sentAt := g.now()
 	// The gateway's clock may have another origin than the wall clock that network
 	// deadlines use.
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -45,6 +45,9 @@
 	// primary after its promotion was ordered. It is longer than
 	// succession.PromotionLimit.
 	takeOverLimit = 2500 * time.Millisecond
+	// evacuationMaxPause bounds the time between two attempts to replace a primary because of an
+	// evacuation, which may stand for days while no other database can lead.
+	evacuationMaxPause = 10 * time.Second
 	// absentFor is how long no primary must have been known before the primary
 	// counts as absent, and how long after its start a host makes no attempt.
 	absentFor = 700 * time.Millisecond
@@ -53,12 +56,13 @@
 // promotionState is this host's state for replacing a service's primary.
 type promotionState struct {
 	reason             succession.Reason
-	since              time.Time // time of the last change of reason
-	running            bool      // an attempt is running
-	unsettled          bool      // this host's last attempt has left an order pending
-	nextAttempt        time.Time // earliest next attempt
-	lastPrimary        string    // the last known primary
-	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
+	since              time.Time     // time of the last change of reason
+	running            bool          // an attempt is running
+	unsettled          bool          // this host's last attempt has left an order pending
+	nextAttempt        time.Time     // earliest next attempt
+	lastPrimary        string        // the last known primary
+	nextStalledAttempt time.Time     // earliest attempt with the reason Stalled
+	evacuationPause    time.Duration // after the last attempt to replace the same primary because of an evacuation
 	observedLease      leaseObservation
 	sawPaused          bool // a replica was seen paused
 	checkingPaused     bool // a check for paused replicas is running
@@ -78,7 +82,8 @@
 	if !s.watching(now) {
 		return
 	}
-	reason := succession.ReasonToReplace(s.primaryView(now), known && primary.Leaving, others)
+	evacuated := s.primaryEvacuated() && s.mayLeadElsewhere()
+	reason := succession.ReasonToReplace(s.primaryView(now), known && (primary.Leaving || evacuated), others)
 	state := &s.promotion
 	if state.unsettled && reason == succession.None {
 		s.startSettling(now)
@@ -87,9 +92,9 @@
 		state.lastPrimary, state.nextStalledAttempt = primary.ID, now.Add(succession.StalledHoldOff)
 	}
 	if reason != state.reason {
-		state.reason, state.since = reason, now
+		state.reason, state.since, state.evacuationPause = reason, now, 0
 		if reason != succession.None {
-			s.g.log.Info("Primary should be replaced.", "part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason), "rank", rank, "hosts", len(others)+1)
+			s.g.log.Info("Primary should be replaced.", "part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason), "rank", rank, "hosts", len(others)+1, "evacuated", evacuated)
 		}
 	}
 	if state.running || s.g.leaving.Load() {
@@ -142,6 +147,10 @@
 		if a.pausing.unanswered {
 			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
 		}
+		if a.reason == succession.Leaving && s.primaryEvacuated() {
+			s.promotion.evacuationPause = min(max(2*s.promotion.evacuationPause, succession.RetryDelay), evacuationMaxPause)
+			s.promotion.nextAttempt = s.g.now().Add(s.promotion.evacuationPause)
+		}
 		s.mu.Unlock()
 	}()
 }
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -23,7 +23,7 @@
 
 // requestSample queries the primary for the end of its log, unless such a query is
 // in flight or was sent less than sampleMinInterval ago. The query also serves as a
-// heartbeat of the primary. If no primary is known, all databases are queried. mu
+// heartbeat of the primary. If no primary is known that may be queried, all databases are. mu
 // is held.
 func (s *service) requestSample() {
 	now := s.g.now()
@@ -31,7 +31,7 @@
 		return
 	}
 	db, ok := s.table.Leader()
-	if !ok {
+	if !ok || s.g.evacuations.closed(db.DataCentre) { // then another one is to lead
 		s.probeAll(now)
 		return
 	}
@@ -71,6 +71,9 @@
 // sample determines whether a database is the primary and, if it is, the end of
 // its log. It opens and ends a read-write transaction, which only a primary allows.
 func (s *service) sample(p *pool) {
+	if p.isClosed() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
 	defer cancel()
 	c, err := p.borrow(ctx, s.g.anyCustomer())
@@ -84,6 +87,9 @@
 // sampleInTurn is sample, but waits for a connection if all are in use: statements other than
 // a Begin do not show who is the primary.
 func (s *service) sampleInTurn(p *pool) {
+	if p.isClosed() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(s.g.ctx, sampleTimeout)
 	defer cancel()
 	c, giveBack, err := p.borrowInTurn(ctx)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -230,9 +230,10 @@
 }
 
 // failFast reports whether no primary can be expected within a statement's timeout: none
-// has been reachable for failFastAfter, or the service waits for logs. mu is held.
+// has been reachable for failFastAfter, or the service waits for logs, or the primary's data
+// centre is evacuated. mu is held.
 func (s *service) failFast() bool {
-	return len(s.databasesAwaited()) > 0 || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
+	return len(s.databasesAwaited()) > 0 || s.closedForEvacuation() || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
@@ -253,7 +254,11 @@
 func (s *service) noPrimaryError() error {
 	s.mu.Lock()
 	awaited := strings.Join(s.databasesAwaited(), " ")
+	closed := s.closedForEvacuation()
 	s.mu.Unlock()
+	if closed {
+		return s.evacuationError()
+	}
 	if awaited != "" {
 		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, noPrimaryRetryAfter.Milliseconds())
 	}
@@ -271,8 +276,14 @@
 		return 0
 	}
 	var out []*pool
-	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, load, s.g.now()) {
-		if p := s.pools[id]; p != nil {
+	var ids []string
+	if now := s.g.now(); s.g.evacuations.any() {
+		ids = s.table.ReadersOutside(s.g.evacuations.evacuated, customer, s.g.opt.DataCentre, load, now)
+	} else {
+		ids = s.table.Readers(customer, s.g.opt.DataCentre, load, now)
+	}
+	for _, id := range ids {
+		if p := s.pools[id]; p != nil && !p.isClosed() {
 			out = append(out, p)
 		}
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -340,7 +340,7 @@
 	op.floor = at
 	pools := op.svc.readers(op.customer)
 	if len(pools) == 0 {
-		return readOutcome{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
+		return readOutcome{err: op.svc.noReadersError()}
 	}
 	c, err := l.acquire(ctx, op, pools[n%len(pools)])
 	if err != nil {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -404,6 +404,8 @@
 func (*fakePlatform) ConfigurationKind() string    { return "config" }
 func (*fakePlatform) ConfigurationName() string    { return "main" }
 func (*fakePlatform) DatabasesKind() string        { return "databases" }
+func (*fakePlatform) EvacuationsKind() string      { return "evacuations" }
+func (*fakePlatform) CheckDataCentre(string) error { return nil }
 func (*fakePlatform) Accept(net.Conn) Caller       { return nil }
 
 func (*fakePlatform) DecodeConfiguration([]byte) (*routes.Configuration, error) {
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -58,6 +58,7 @@
 	if !ok || succession.Outgrown(best, logs) {
 		return best, errNoSuccessor
 	}
+	best = succession.Outside(best, logs)
 	if a.pending {
 		best = succession.Prefer(a.ordered, best, logs)
 	}
@@ -329,7 +330,7 @@
 		place, recorded := a.roster.Databases[c.db.ID]
 		recorded = recorded && place.StartMillis == c.db.StartMillis && needsCopies
 		out[i] = succession.Candidate{ID: c.db.ID, Answered: c.answered, Refused: c.refused, Listed: a.listed(c.db.ID), Leaving: c.db.Leaving, Received: c.report.Received,
-			CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
+			Evacuated: a.s.g.evacuations.evacuated(c.db.DataCentre), CutOff: !reachable[c.db.DataCentre], StartMillis: c.db.StartMillis, Established: slices.Contains(a.established, c.db.ID), Known: slices.Contains(a.known, c.db.ID),
 			Recorded: recorded, Abandoned: recorded && place.GivenUp(c.db.StartMillis)}
 	}
 	return out
@@ -363,14 +364,15 @@
 func (a *replacement) logCandidates(candidates []succession.Candidate) {
 	for _, c := range candidates {
 		report := a.conn(c.ID).report
-		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "known", c.Known, "cut_off", c.CutOff,
+		a.log.Info("Replica queried.", "database", c.ID, "answered", c.Answered, "listed", c.Listed, "established", c.Established, "known", c.Known, "cut_off", c.CutOff, "evacuated", c.Evacuated,
 			"recorded", c.Recorded, "abandoned", c.Abandoned, "replaced", c.Replaced,
 			"received", c.Received.String(), "term", report.Term, "paused", report.Paused, "acked", a.acked.String())
 	}
 }
 
 // choosePlanned returns the successor of a primary that is leaving but still serves:
-// an established replica that has received the primary's log, which holds every commit
+// an established replica outside of the evacuated data centres, or any if the primary itself
+// shuts down and there is none, that has received the primary's log, which holds every commit
 // that was acknowledged before the lease was taken. It waits for the senior one for
 // seniorLimit, and then for any. The primary serves until the successor takes over.
 func (a *replacement) choosePlanned(ctx context.Context, primary *controlConn) (succession.Candidate, error) {
@@ -381,7 +383,7 @@
 	candidates := a.candidates()
 	a.logCandidates(candidates)
 	for {
-		staying := slices.DeleteFunc(candidates, func(c succession.Candidate) bool { return c.Leaving })
+		staying := succession.Staying(candidates, primary.db.Leaving)
 		senior, ok := succession.Senior(staying)
 		if !ok {
 			return succession.Candidate{}, errNoSuccessor
