--- /dev/null
+++ b/gateway/evacuation_test.go
@@ -0,0 +1,458 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/lead"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// awayStore is a store that a host does not reach while away is set.
+type awayStore struct {
+	objectapi.Objects
+	away atomic.Bool
+}
+
+func (s *awayStore) reach() error {
+	if s.away.Load() {
+		return objectapi.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *awayStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
+	if err := s.reach(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return s.Objects.Get(ctx, kind, name)
+}
+
+func (s *awayStore) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
+	if err := s.reach(); err != nil {
+		return nil, 0, err
+	}
+	return s.Objects.List(ctx, kind)
+}
+
+func (s *awayStore) Watch(ctx context.Context, kind string, version uint64) ([]objectapi.Event, uint64, error) {
+	if err := s.reach(); err != nil {
+		return nil, 0, err
+	}
+	return s.Objects.Watch(ctx, kind, version)
+}
+
+func (s *awayStore) Create(ctx context.Context, kind, name string, value []byte) (objectapi.Object, error) {
+	if err := s.reach(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return s.Objects.Create(ctx, kind, name, value)
+}
+
+func (s *awayStore) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	if err := s.reach(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return s.Objects.Update(ctx, kind, name, version, value)
+}
+
+// evacuationLimit is the site's limit in these specs. A host stops a second before it.
+const evacuationLimit = 2500 * time.Millisecond
+
+// evacuationSite is a host in dc-a and one service's databases in several data centres.
+type evacuationSite struct {
+	dbs   *group
+	p     *fakePlatform
+	store *awayStore // as the host reaches it
+	g     *Gateway
+	svc   *service
+}
+
+// newEvacuationSite starts a host with the given databases and their data centres; a is the primary.
+// The host's periodic work and its watch of the requests run.
+func newEvacuationSite(places map[string]string) *evacuationSite {
+	s := &evacuationSite{dbs: newGroup("a")}
+	for id := range places {
+		s.dbs.databases[id] = &standin{group: s.dbs, id: id, end: position.Position{Term: 1, Index: 10}}
+	}
+	s.p = newFakePlatform(s.dbs)
+	s.store = &awayStore{Objects: s.p.api}
+	host := *s.p
+	host.api = s.store
+	s.g = newTestGatewayWith(&host, slog.New(slog.DiscardHandler), withEvacuations)
+	s.svc = s.g.service(testService)
+	list := map[string]routes.Database{}
+	for id, dc := range places {
+		list[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: dc, Slots: 4, Primary: id == "a"}
+	}
+	s.svc.mu.Lock()
+	s.svc.pools, s.svc.table = map[string]*pool{}, lead.New()
+	for _, db := range list {
+		s.svc.pools[db.ID] = newPool(s.g, s.svc, db, 8)
+	}
+	s.svc.mu.Unlock()
+	all := []routes.Database{}
+	for _, db := range list {
+		all = append(all, db)
+	}
+	s.svc.setDatabasesAgo(time.Minute, all...)
+	s.g.started = s.g.started.Add(-initialStateTimeout)
+	return s
+}
+
+func withEvacuations(opt *Options) {
+	opt.Features.Evacuation, opt.Evacuation = true, evacuationLimit
+}
+
+func (s *evacuationSite) start() *evacuationSite {
+	s.g.startWorker(s.g.watchEvacuations)
+	s.g.startWorker(s.g.tick)
+	Eventually(s.g.evacuations.known).Should(BeTrue())
+	DeferCleanup(func() {
+		s.g.Close()
+		s.g.workers.Wait()
+	})
+	return s
+}
+
+// evacuate requests the evacuation of a data centre and returns when the store has acknowledged it.
+func (s *evacuationSite) evacuate(dataCentre string) time.Time {
+	GinkgoHelper()
+	_, err := s.p.api.Create(context.Background(), s.p.EvacuationsKind(), dataCentre, []byte("{}"))
+	Expect(err).NotTo(HaveOccurred())
+	return time.Now()
+}
+
+func (s *evacuationSite) takeBack(dataCentre string) {
+	GinkgoHelper()
+	Expect(s.p.store.Delete(s.p.EvacuationsKind(), dataCentre)).To(Succeed())
+}
+
+func (s *evacuationSite) primary() (id string) {
+	s.dbs.withLock(func() { id = s.dbs.primary })
+	return id
+}
+
+func (s *evacuationSite) orders() (n int) {
+	s.dbs.withLock(func() { n = len(s.dbs.orders) })
+	return n
+}
+
+// lastRequest returns when the last request reached one of the databases.
+func (s *evacuationSite) lastRequest(ids ...string) (at time.Time) {
+	s.dbs.withLock(func() {
+		for _, id := range ids {
+			if t := s.dbs.databases[id].lastRequest; t.After(at) {
+				at = t
+			}
+		}
+	})
+	return at
+}
+
+func (s *evacuationSite) write() (statement.Answer, time.Duration) {
+	from := time.Now()
+	a := newTestSession(s.g, "current").serve(request(statement.Write))
+	return a, time.Since(from)
+}
+
+// callers is a load of writers and readers that send one statement after the other.
+type callers struct {
+	stop chan struct{}
+	all  sync.WaitGroup
+
+	mu     sync.Mutex
+	acked  []position.Position
+	writes int
+	pause  time.Duration // the longest time without an acknowledged write of any
+	lastAt time.Time
+	refuse map[errkind.Kind]int
+}
+
+func (s *evacuationSite) load(writers, readers int) *callers {
+	c := &callers{stop: make(chan struct{}), lastAt: time.Now(), refuse: map[errkind.Kind]int{}}
+	run := func(route string, kind statement.Kind) {
+		session := newTestSession(s.g, route)
+		for {
+			select {
+			case <-c.stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			c.record(kind, session.serve(nextRequest(kind)))
+		}
+	}
+	for range writers {
+		c.all.Go(func() { run("current", statement.Write) })
+	}
+	for range readers {
+		c.all.Go(func() { run("bounded", statement.Read) })
+	}
+	return c
+}
+
+var loadRequests atomic.Int64
+
+// nextRequest is request for concurrent callers.
+func nextRequest(kind statement.Kind) statement.Request {
+	return statement.Request{ID: "load" + time.Duration(loadRequests.Add(1)).String(), Statement: statement.Statement{Kind: kind, Text: "text"}}
+}
+
+func (c *callers) record(kind statement.Kind, a statement.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case a.Err != nil:
+		c.refuse[a.Err.Kind]++
+	case kind == statement.Write:
+		now := time.Now()
+		c.pause, c.lastAt = max(c.pause, now.Sub(c.lastAt)), now
+		c.acked, c.writes = append(c.acked, a.Position), c.writes+1
+	}
+}
+
+func (c *callers) end() {
+	close(c.stop)
+	c.all.Wait()
+}
+
+// Guards against requests that reach a database of an evacuated data centre later than the limit
+// after the store's acknowledgement (EVAC), and against commits that its replacement loses (LOST).
+var _ = Describe("the evacuation of a data centre", func() {
+	places := map[string]string{"a": "dc-b", "b": "dc-b", "c": "dc-a", "d": "dc-a"}
+
+	It("replaces the primary under load before the limit, and databases are used again when it is taken back", func() {
+		s := newEvacuationSite(places).start()
+		led := map[string]position.Position{}
+		s.dbs.promoteHook = func(o succession.Order) error {
+			s.dbs.withLock(func() { led[o.Database] = s.dbs.databases[o.Database].end })
+			return s.dbs.applyOrder(o)
+		}
+		c := s.load(4, 4)
+		time.Sleep(500 * time.Millisecond)
+		acked := s.evacuate("dc-b")
+		Eventually(s.primary).WithTimeout(evacuationLimit - time.Second).Should(BeElementOf("c", "d"))
+		first := s.primary()
+		time.Sleep(time.Until(acked.Add(evacuationLimit + 500*time.Millisecond)))
+		Expect(s.lastRequest("a", "b")).To(BeTemporally("<", acked.Add(evacuationLimit)))
+		s.takeBack("dc-b")
+		Eventually(func() int { return len(s.svc.readers(testCustomer)) }).Should(Equal(4))
+		time.Sleep(300 * time.Millisecond)
+		c.end()
+		Expect(s.orders()).To(Equal(1))
+		Expect(s.primary()).To(Equal(first), "nothing goes back by itself")
+		for _, at := range c.acked {
+			if at.Term == 1 {
+				Expect(led[first].Before(at)).To(BeFalse(), "acknowledged commit %s, successor's log %s", at, led[first])
+			}
+		}
+		Expect(c.writes).To(BeNumerically(">", 100))
+		Expect(c.pause).To(BeNumerically("<", 800*time.Millisecond), "a statement waits for so long")
+	})
+
+	It("sends nothing on after the limit where no log elsewhere may lead, and replaces the primary once one may", func() {
+		s := newEvacuationSite(places).start()
+		s.dbs.withLock(func() { s.dbs.databases["c"].notReplicating, s.dbs.databases["d"].notReplicating = true, true })
+		a, _ := s.write()
+		s.dbs.withLock(func() { Expect(s.dbs.databases["b"].end).To(Equal(position.Position{Term: 1, Index: 11})) })
+		tx := newTestSession(s.g, "current")
+		Expect(tx.serve(request(statement.Begin)).Err).To(BeNil())
+		Expect(tx.serve(request(statement.Write)).Err).To(BeNil())
+		acked := s.evacuate("dc-b")
+		Eventually(func() bool { return s.svc.pools["a"].isClosed() }).WithTimeout(evacuationLimit).Should(BeTrue())
+
+		By("refusing at once what only the primary can run")
+		for range 5 {
+			refused, took := s.write()
+			Expect(refused.Err).NotTo(BeNil())
+			Expect(refused.Err.Kind).To(Equal(errkind.NoPrimary))
+			Expect(took).To(BeNumerically("<", 200*time.Millisecond))
+		}
+		commit := tx.serve(request(statement.Commit))
+		Expect(commit.Err).NotTo(BeNil())
+		Expect(commit.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+		s.dbs.withLock(func() {
+			Expect(s.dbs.committed).To(BeEmpty())
+			Expect(s.dbs.databases["a"].resets).To(BeNumerically(">", 0), "which rolls back")
+		})
+		time.Sleep(time.Until(acked.Add(evacuationLimit + 500*time.Millisecond)))
+		Expect(s.lastRequest("a", "b")).To(BeTemporally("<", acked.Add(evacuationLimit)))
+		Expect(s.orders()).To(BeZero(), "a commit that was acknowledged is in none of the logs elsewhere: %v", a.Err)
+
+		By("receiving the log")
+		s.dbs.withLock(func() {
+			for _, id := range []string{"c", "d"} {
+				s.dbs.databases[id].notReplicating, s.dbs.databases[id].end = false, s.dbs.databases["a"].end
+			}
+		})
+		Eventually(s.primary).WithTimeout(evacuationMaxPause).Should(BeElementOf("c", "d"))
+		Eventually(func() error {
+			if a, _ := s.write(); a.Err != nil {
+				return a.Err
+			}
+			return nil
+		}).WithTimeout(3 * time.Second).Should(Succeed())
+	})
+
+	It("refuses at once everything of a service all of whose databases are evacuated, and serves it when one is taken back", func() {
+		s := newEvacuationSite(places).start()
+		Expect(s.g.servicesAwaitingEvacuation()).To(BeZero())
+		s.evacuate("dc-a")
+		s.evacuate("dc-b")
+		Eventually(func() bool { return s.svc.pools["a"].isClosed() && s.svc.pools["c"].isClosed() }).WithTimeout(evacuationLimit).Should(BeTrue())
+		Expect(s.g.servicesAwaitingEvacuation()).To(Equal(1))
+		time.Sleep(1100 * time.Millisecond) // the samples are older than the reads' routes accept
+		before := s.lastRequest("a", "b", "c", "d")
+		for route, kind := range map[string]statement.Kind{"current": statement.Write, "own": statement.Read, "bounded": statement.Read} {
+			from := time.Now()
+			a := newTestSession(s.g, route).serve(request(kind))
+			Expect(a.Err).NotTo(BeNil())
+			Expect(a.Err.Kind.Answer().Outcome).To(Equal(errkind.NotRun))
+			Expect(time.Since(from)).To(BeNumerically("<", 200*time.Millisecond), route)
+		}
+		Expect(s.lastRequest("a", "b", "c", "d")).To(Equal(before))
+		Expect(s.orders()).To(BeZero())
+		s.takeBack("dc-b")
+		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).Should(BeTrue())
+	})
+
+	It("of two data centres one after the other moves the primary to the third", func() {
+		s := newEvacuationSite(map[string]string{"a": "dc-b", "c": "dc-c", "d": "dc-a"}).start()
+		s.evacuate("dc-b")
+		Eventually(s.primary).WithTimeout(evacuationLimit).Should(BeElementOf("c", "d"))
+		last := map[string]string{"c": "d", "d": "c"}[s.primary()]
+		acked := s.evacuate(s.svc.pools[s.primary()].db.DataCentre)
+		Eventually(s.primary).WithTimeout(evacuationLimit).Should(Equal(last))
+		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
+		time.Sleep(time.Until(acked.Add(evacuationLimit + 300*time.Millisecond)))
+		former := map[string]string{"c": "d", "d": "c"}[last]
+		Expect(s.lastRequest("a", former)).To(BeTemporally("<", acked.Add(evacuationLimit)))
+	})
+
+	It("that is taken back while the replacement is ordered lets that end, and orders nothing more", func() {
+		s := newEvacuationSite(places)
+		s.dbs.promoteHook = func(o succession.Order) error {
+			s.takeBack("dc-b")
+			time.Sleep(100 * time.Millisecond)
+			return s.dbs.applyOrder(o)
+		}
+		s.start().evacuate("dc-b")
+		Eventually(s.primary).WithTimeout(evacuationLimit).Should(BeElementOf("c", "d"))
+		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
+		time.Sleep(time.Second)
+		Expect(s.orders()).To(Equal(1))
+	})
+
+	It("of the data centre of a successor whose promotion is under way replaces that one in turn", func() {
+		s := newEvacuationSite(map[string]string{"a": "dc-b", "c": "dc-c", "d": "dc-a"})
+		s.dbs.withLock(func() {
+			s.dbs.databases["c"].end.Index = 12 // the longest log: it must lead
+			s.dbs.databases["a"].unresponsive = true
+		})
+		var once sync.Once
+		s.dbs.promoteHook = func(o succession.Order) error {
+			once.Do(func() {
+				s.evacuate("dc-c")
+				time.Sleep(50 * time.Millisecond)
+			})
+			return s.dbs.applyOrder(o)
+		}
+		s.start()
+		s.svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		for range 3 { // a fails, as callers find
+			s.write()
+		}
+		Eventually(s.orders).WithTimeout(8 * time.Second).Should(BeNumerically(">", 0))
+		s.dbs.withLock(func() {
+			Expect(s.dbs.orders[0].Database).To(Equal("c"))
+			s.dbs.databases["d"].end = s.dbs.databases["c"].end
+			s.dbs.databases["a"].unresponsive = false
+		})
+		Eventually(s.primary).WithTimeout(8 * time.Second).Should(Equal("d"))
+	})
+
+	It("binds while the store is away, and the primary is replaced when it is back", func() {
+		s := newEvacuationSite(places).start()
+		acked := s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithPolling(time.Millisecond).Should(BeTrue())
+		s.store.away.Store(true)
+		time.Sleep(time.Until(acked.Add(evacuationLimit)))
+		if s.primary() == "a" {
+			a, took := s.write()
+			Expect(a.Err).NotTo(BeNil())
+			Expect(took).To(BeNumerically("<", 200*time.Millisecond))
+		}
+		time.Sleep(300 * time.Millisecond)
+		Expect(s.lastRequest("a", "b")).To(BeTemporally("<", acked.Add(evacuationLimit)))
+		s.store.away.Store(false)
+		Eventually(s.primary).WithTimeout(evacuationMaxPause).Should(BeElementOf("c", "d"))
+		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
+	})
+
+	It("that a host cut off from the store and all hosts learns of late binds there at once", func() {
+		s := newEvacuationSite(places).start()
+		Expect(newTestSession(s.g, "current").serve(request(statement.Write)).Err).To(BeNil())
+		s.store.away.Store(true)
+		time.Sleep(300 * time.Millisecond) // the watch that is held has ended
+		s.evacuate("dc-b")
+		time.Sleep(evacuationLimit)
+		Expect(s.g.evacuations.evacuated("dc-b")).To(BeFalse())
+		Expect(newTestSession(s.g, "current").serve(request(statement.Write)).Err).To(BeNil(), "it cannot know")
+
+		By("the primary being replaced by another host")
+		s.dbs.withLock(func() { s.dbs.term, s.dbs.primary = 2, "c" })
+		Eventually(func() (term uint64) {
+			s.write() // it is not acknowledged in the new term: this host cannot read the lease
+			s.dbs.withLock(func() { term = s.dbs.databases["c"].end.Term })
+			return term
+		}).WithTimeout(3 * time.Second).Should(BeEquivalentTo(2))
+		ran := 0
+		s.dbs.withLock(func() { ran = len(s.dbs.databases["a"].received) })
+		s.write()
+		s.dbs.withLock(func() { Expect(s.dbs.databases["a"].received[ran:]).NotTo(ContainElement(statement.Write)) })
+
+		By("reaching the store again")
+		s.store.away.Store(false)
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithTimeout(3 * time.Second).Should(BeTrue())
+		Expect(s.svc.pools["a"].isClosed()).To(BeTrue())
+	})
+
+	It("is learned from a host of another data centre, with its age", func() {
+		far := newEvacuationSite(places).start()
+		far.evacuate("dc-b")
+		Eventually(func() bool { return far.g.evacuations.evacuated("dc-b") }).Should(BeTrue())
+		near := newEvacuationSite(places)
+		near.store.away.Store(true)
+		Expect(near.g.synced()).To(BeFalse())
+		tell := func(sequence uint64) {
+			near.g.peers.handleMessage(&gossippb.Gossip{Host: "far", Address: far.g.peers.conn.LocalAddr().String(), DataCentre: "dc-c", Boot: 1, Sequence: sequence,
+				Evacuations: far.g.peers.message(nil, time.Now()).Evacuations})
+		}
+		tell(1)
+		Eventually(near.g.synced).Should(BeTrue())
+		Expect(near.g.evacuations.evacuated("dc-b")).To(BeTrue())
+		age := func(g *Gateway) time.Duration {
+			g.evacuations.mu.Lock()
+			defer g.evacuations.mu.Unlock()
+			return g.evacuations.table.Ages(time.Now())["dc-b"]
+		}
+		Expect(age(near.g)).To(And(BeNumerically(">=", age(far.g)), BeNumerically("<", age(far.g)+time.Second)))
+		far.takeBack("dc-b")
+		Eventually(func() bool { return far.g.evacuations.evacuated("dc-b") }).Should(BeFalse())
+		tell(2)
+		Eventually(func() bool { return near.g.evacuations.evacuated("dc-b") }).Should(BeFalse())
+		Expect(near.g.peers.summarise(&gossippb.Gossip{Evacuations: 7}, time.Now()).Evacuations).To(BeEquivalentTo(7))
+	})
+})
--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -42,11 +42,18 @@
 
 // startHost starts a host of a site.
 func startHost(store *site.Store, dbs *site.Databases) *gateway.Gateway {
-	g := gateway.New(gateway.Options{
+	return startHostWith(store, dbs, func(*gateway.Options) {})
+}
+
+// startHostWith starts a host of a site with some options changed.
+func startHostWith(store *site.Store, dbs *site.Databases, change func(*gateway.Options)) *gateway.Gateway {
+	opt := gateway.Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
 		Peers: "127.0.0.1:0", Access: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
 		Platform: platform.New(platform.StoreConfig{BaseURL: store.URL(), Timeout: time.Second, WatchWait: func() time.Duration { return 500 * time.Millisecond }}, dbs.URL(), time.Second),
-	})
+	}
+	change(&opt)
+	g := gateway.New(opt)
 	Expect(g.Start()).To(Succeed())
 	DeferCleanup(g.Close)
 	return g
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -64,6 +64,7 @@
 	joinsLate      bool // it still reports the term before the last promotion
 	unaware        bool // the same, and that it is the primary
 	received       []statement.Kind
+	lastRequest    time.Time // arrival of the last statement that asks for more than its state
 	reads          int
 	holdReads      chan struct{}  // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool           // the next commit takes effect, but its answer is lost
@@ -167,6 +168,9 @@
 		return statement.Answer{}, errStandinTimeout
 	}
 	l.db.received = append(l.db.received, r.Kind)
+	if r.Kind != statement.Status && r.Kind != statement.Pause && r.Kind != statement.Resume {
+		l.db.lastRequest = time.Now()
+	}
 	if r.Kind == statement.Pause && l.db.losePauses > 0 {
 		l.db.losePauses--
 		_, err := l.execute(r)
@@ -461,12 +465,19 @@
 }
 
 func newLoggingTestGateway(p *fakePlatform, logger *slog.Logger) *Gateway {
+	return newTestGatewayWith(p, logger, func(*Options) {})
+}
+
+// newTestGatewayWith returns a test gateway with some options changed.
+func newTestGatewayWith(p *fakePlatform, logger *slog.Logger, change func(*Options)) *Gateway {
 	offset := &atomic.Int64{}
-	g := New(Options{
+	opt := Options{
 		Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Grace: time.Second, MaxCallers: 10,
 		Platform: p, Logger: logger,
 		Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
-	})
+	}
+	change(&opt)
+	g := New(opt)
 	clockOffsets.Store(g, offset)
 	var err error
 	g.peers, err = listenPeers(g)
--- a/internal/standin/site/databases.go
+++ b/internal/standin/site/databases.go
@@ -35,6 +35,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	reads    int
+	requests int
 	paused   uint64 // term of the last PAUSE, until a RESUME or a promotion
 }
 
@@ -127,6 +128,17 @@
 	return 0
 }
 
+// Requests returns the number of statements that a database has received, without those that only
+// ask for its state or steer its replication.
+func (g *Databases) Requests(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if db := g.members[id]; db != nil {
+		return db.requests
+	}
+	return 0
+}
+
 func (g *Databases) promote(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		ID string `json:"id"`
@@ -205,6 +217,9 @@
 	}
 	verb, argument, _ := strings.Cut(text, " ")
 	isPrimary := g.primary == d.ID
+	if verb != "STATUS" && verb != "PAUSE" && verb != "RESUME" && verb != "DEMOTE" {
+		d.requests++
+	}
 	switch {
 	case text == "BEGIN" && !isPrimary, verb == "WRITE" && !isPrimary:
 		return "ERROR READONLY " + d.ID + "\r\n", state
