Show, start and end evacuations on the command line

bronzeloftctl evacuation list, start and end work on the platform's store; list shows since when, which databases and primaries are still there and which services have none elsewhere.

--- a/cmd/bronzeloftctl/main.go
+++ b/cmd/bronzeloftctl/main.go
@@ -46,6 +46,6 @@
 	return objectapi.NewClient(objectapi.ClientConfig{BaseURL: baseURL, CallsPerSecond: callsPerSecond, Burst: callBurst})
 }
 
-func newStore(baseURL string) objectapi.Objects {
+func newStore(baseURL string) ctl.SiteStore {
 	return platform.NewStore(platform.StoreConfig{BaseURL: baseURL, Timeout: storeTimeout})
 }
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -217,9 +217,6 @@
 	p.g.evacuations.change("host", func(t *evacuation.Table) (added, removed []string) { return t.Merge(list.Version, since) })
 }
 
-// isEvacuated reports whether the database's data centre is to be evacuated.
-func (p *pool) isEvacuated() bool { return p.g.evacuations.evacuated(p.db.DataCentre) }
-
 // isClosed reports whether no statement may be sent to the database any more because its data
 // centre is evacuated.
 func (p *pool) isClosed() bool { return p.g.evacuations.closed(p.db.DataCentre) }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -40,11 +40,11 @@
 	Out    io.Writer
 	Err    io.Writer
 	Now    func() time.Time
-	Random io.Reader                              // source of keys
-	API    func(baseURL string) objectapi.API     // the platform at a URL
-	Store  func(baseURL string) objectapi.Objects // the metadata store of a platform site at a URL
-	HTTP   *http.Client                           // for the hosts' admin listeners
-	Pause  func(context.Context) error            // between attempts; nil for the default pauses
+	Random io.Reader                          // source of keys
+	API    func(baseURL string) objectapi.API // the platform at a URL
+	Store  func(baseURL string) SiteStore     // the metadata store of a platform site at a URL
+	HTTP   *http.Client                       // for the hosts' admin listeners
+	Pause  func(context.Context) error        // between attempts; nil for the default pauses
 }
 
 // globals are the flags that every command accepts.
@@ -116,6 +116,9 @@
 	if err := a.registerLogs(p); err != nil {
 		return err
 	}
+	if err := a.registerEvacuations(p); err != nil {
+		return err
+	}
 	return a.registerKeys(p)
 }
 
@@ -138,7 +141,7 @@
 // refusals are errors that a retry does not resolve; their exit code is ExitRefused.
 var refusals = []error{
 	contract.ErrNotPublished, contract.ErrChunkMissing, contract.ErrCorrupt, contract.ErrTooLarge,
-	errNoRoster, errNotRecorded, errOtherStart, errEarlierFirst, errStillListed,
+	errNoRoster, errNotRecorded, errOtherStart, errEarlierFirst, errStillListed, errUnknownCentre, errNotEvacuated,
 	keys.ErrNoCustomer, keys.ErrNoKey, keys.ErrTooMany, keys.ErrNoneValid, keys.ErrID,
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -65,7 +65,7 @@
 			}
 			return objectapi.NewClient(objectapi.ClientConfig{BaseURL: url, Timeout: timeout, AttemptTimeout: timeout, CallsPerSecond: 1000, Burst: 1000})
 		},
-		Store: func(url string) objectapi.Objects {
+		Store: func(url string) ctl.SiteStore {
 			return beforeUpdate{platform.NewStore(platform.StoreConfig{BaseURL: url, Timeout: answerTimeout})}
 		},
 		HTTP:  &http.Client{Timeout: answerTimeout},
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -54,7 +54,7 @@
 
 // siteStore returns the client of the metadata store of a platform site, or a usageError if
 // the command line names none.
-func (a *app) siteStore() (objectapi.Objects, error) {
+func (a *app) siteStore() (SiteStore, error) {
 	if a.Platform == "" {
 		return nil, usageError{"--platform or BRONZELOFT_PLATFORM must name the platform's store"}
 	}
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -19,13 +19,13 @@
 // updateHook is called before each update of a site's store; nil for none.
 var updateHook func()
 
-type beforeUpdate struct{ objectapi.Objects }
+type beforeUpdate struct{ ctl.SiteStore }
 
 func (s beforeUpdate) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
 	if updateHook != nil {
 		updateHook()
 	}
-	return s.Objects.Update(ctx, kind, name, version, value)
+	return s.SiteStore.Update(ctx, kind, name, version, value)
 }
 
 // Guards against a service that stays without a primary because nobody can tell it that a
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -62,6 +62,7 @@
 	mux.HandleFunc("GET "+objectsPrefix+"{kind}/{name}", s.get)
 	mux.HandleFunc("POST "+objectsPrefix+"{kind}/{name}", s.write)
 	mux.HandleFunc("PUT "+objectsPrefix+"{kind}/{name}", s.write)
+	mux.HandleFunc("DELETE "+objectsPrefix+"{kind}/{name}", s.remove)
 	s.server = &http.Server{Handler: s.unlessDown(mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }() // ends with Close
 	return s, nil
@@ -102,18 +103,28 @@
 	s.put(kind, name, spec)
 }
 
-// Delete removes an object.
-func (s *Store) Delete(kind, name string) {
+// remove handles a DELETE call.
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	if !s.Delete(r.PathValue("kind"), r.PathValue("name")) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, "{}")
+}
+
+// Delete removes an object. It returns false if there is none.
+func (s *Store) Delete(kind, name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
 	if !ok {
-		return
+		return false
 	}
 	delete(s.objects[kind], name)
 	s.revision++
 	o.revision = s.revision
 	s.record(change{kind: kind, object: o, deleted: true})
+	return true
 }
 
 // put stores an object and returns it. mu is held.
--- a/objectapi/api.go
+++ b/objectapi/api.go
@@ -14,6 +14,7 @@
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"` // at most MaxValueBytes
+	Created string `json:"-"`     // when it was created, as the platform states it; empty if it does not
 }
 
 // MaxValueBytes limits the size of an object's value.
