--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -252,6 +252,20 @@
 	return false
 }
 
+// logEvacuation logs when the primary's data centre is to be evacuated and no database elsewhere may
+// lead, and when that ends. mu is held.
+func (s *service) logEvacuation(stuck bool, primary string) {
+	if stuck == s.promotion.evacuationStuck {
+		return
+	}
+	s.promotion.evacuationStuck = stuck
+	if stuck {
+		s.g.log.Warn("Primary is to be evacuated, and no database elsewhere may lead.", "part", "evacuation", "service", s.name, "primary", primary, "databases", len(s.table.All()))
+	} else {
+		s.g.log.Info("A database elsewhere may lead, or the primary need not be evacuated any more.", "part", "evacuation", "service", s.name, "primary", primary)
+	}
+}
+
 // closedForEvacuation reports whether no statement that needs the primary may be sent because of
 // an evacuation: the presumed primary's data centre is closed or, if none is known, that of every
 // database. mu is held.
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -63,6 +63,7 @@
 	lastPrimary        string        // the last known primary
 	nextStalledAttempt time.Time     // earliest attempt with the reason Stalled
 	evacuationPause    time.Duration // after the last attempt to replace the same primary because of an evacuation
+	evacuationStuck    bool          // the primary is to be evacuated, and no database elsewhere may lead
 	observedLease      leaseObservation
 	sawPaused          bool // a replica was seen paused
 	checkingPaused     bool // a check for paused replicas is running
@@ -83,6 +84,7 @@
 		return
 	}
 	evacuated := s.primaryEvacuated() && s.mayLeadElsewhere()
+	s.logEvacuation(s.primaryEvacuated() && !evacuated, primary.ID)
 	reason := succession.ReasonToReplace(s.primaryView(now), known && (primary.Leaving || evacuated), others)
 	state := &s.promotion
 	if state.unsettled && reason == succession.None {
@@ -147,7 +149,7 @@
 		if a.pausing.unanswered {
 			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
 		}
-		if a.reason == succession.Leaving && s.primaryEvacuated() {
+		if db, ok := s.table.Leader(); ok && !db.Leaving && a.reason == succession.Leaving && s.primaryEvacuated() {
 			s.promotion.evacuationPause = min(max(2*s.promotion.evacuationPause, succession.RetryDelay), evacuationMaxPause)
 			s.promotion.nextAttempt = s.g.now().Add(s.promotion.evacuationPause)
 		}
