Count an evacuation from the latest answer of the store before it

A watch is held open for up to site.watch_wait, so the last answered watch of the requests alone made a host stop up to that much too early, sometimes before the primary was replaced. Answers on the other kinds carry the store's version too.

--- a/datacentre/evacuation/evacuation.go
+++ b/datacentre/evacuation/evacuation.go
@@ -15,6 +15,8 @@
 	// Margin is the part of the limit in which nothing is sent any more: a statement may
 	// be on its way, or wait for a connection to be opened.
 	Margin = time.Second
+	// maxAnswers is the number of the store's answers that are kept.
+	maxAnswers = 16
 	// MaxCentres bounds the requests that are kept.
 	MaxCentres = 256
 )
@@ -29,6 +31,14 @@
 	version   uint64               // of the store
 	confirmed time.Time            // the list was the store's at this time or later; zero if it never was read there
 	since     map[string]time.Time // by data centre, the earliest time of the acknowledgement; zero if unknown
+	answers   []answer             // the last ones of the store, oldest first
+}
+
+// answer is an answer of the store on any kind of object: the store had its version at its time or
+// later.
+type answer struct {
+	version uint64
+	at      time.Time
 }
 
 // New returns a table without a list. A request binds from limit after its acknowledgement.
@@ -48,8 +58,27 @@
 	}
 }
 
+// RecordAnswer records that the store had a version at the given time or later. A request with a
+// newer one was made after that.
+func (t *Table) RecordAnswer(version uint64, at time.Time) {
+	t.answers = append(t.answers[max(0, len(t.answers)-maxAnswers+1):], answer{version, at})
+}
+
+// notBefore returns the earliest time at which an object can have got a version that a watch of the
+// requests reports.
+func (t *Table) notBefore(version uint64) time.Time {
+	at := t.confirmed
+	for _, a := range t.answers {
+		if a.version < version && a.at.After(at) {
+			at = a.at
+		}
+	}
+	return at
+}
+
 // Replace applies a list that this host read from the store, unless it is older than the
-// present one. It returns the data centres that were added and removed.
+// present one. An object in it may have been made before its present version. It returns the data
+// centres that were added and removed.
 func (t *Table) Replace(version uint64, names []string) (added, removed []string) {
 	since := make(map[string]time.Time, len(names))
 	for _, name := range names {
@@ -61,6 +90,7 @@
 // Change is one change of the store's list.
 type Change struct {
 	DataCentre string
+	Version    uint64 // of the object
 	Removed    bool
 }
 
@@ -76,7 +106,7 @@
 		if _, stands := since[c.DataCentre]; c.Removed {
 			delete(since, c.DataCentre)
 		} else if !stands {
-			since[c.DataCentre] = t.confirmed
+			since[c.DataCentre] = t.notBefore(c.Version)
 		}
 	}
 	added, removed = t.replace(version, since)
--- a/datacentre/evacuation/evacuation_test.go
+++ b/datacentre/evacuation/evacuation_test.go
@@ -38,6 +38,18 @@
 		Expect(t.Closed("a", at(60))).To(BeFalse())
 	})
 
+	It("count from a later answer of the store on other objects that is older than the request", func() {
+		t.Replace(5, nil)
+		t.Confirm(at(0))
+		t.RecordAnswer(7, at(2))
+		t.RecordAnswer(9, at(3))
+		t.Apply(5, 9, []evacuation.Change{{DataCentre: "b", Version: 8}, {DataCentre: "b", Version: 9}})
+		Expect(t.Closed("b", at(5.9))).To(BeFalse())
+		Expect(t.Closed("b", at(6))).To(BeTrue(), "the store had version 7 at 2 s and 9 at 3 s")
+		t.Replace(12, []string{"b", "c"})
+		Expect(t.Closed("c", at(4))).To(BeTrue(), "the object of a list may have been written again")
+	})
+
 	It("are due at once on a host whose first list shows them", func() {
 		Expect(t.Known()).To(BeFalse())
 		t.Replace(5, []string{"b"})
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -93,7 +93,7 @@
 			var changes []evacuation.Change
 			for _, ev := range events {
 				if e.names(ev.Object.Name) {
-					changes = append(changes, evacuation.Change{DataCentre: ev.Object.Name, Removed: ev.Type == objectapi.Delete})
+					changes = append(changes, evacuation.Change{DataCentre: ev.Object.Name, Version: ev.Object.Version, Removed: ev.Type == objectapi.Delete})
 				}
 			}
 			e.change("store", func(t *evacuation.Table) (added, removed []string) {
@@ -111,6 +111,16 @@
 	w.run()
 }
 
+// recordAnswer records that the store had a version at the given time or later.
+func (e *evacuations) recordAnswer(version uint64, at time.Time) {
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.RecordAnswer(version, at)
+}
+
 // maxOddNames bounds the names of which the host remembers that it has logged them.
 const maxOddNames = 1000
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -70,6 +70,7 @@
 		nextList = w.g.now().Add(relistAfter)
 		w.onList(objects, version)
 		w.current(sentAt)
+		w.g.evacuations.recordAnswer(version, sentAt)
 		if w.g.synced() && w.g.peers.serves() && !w.g.announcedState.Swap(true) {
 			w.g.peers.send() // hosts that started at the same time wait for it
 		}
@@ -119,6 +120,7 @@
 			continue
 		}
 		w.answered()
+		w.g.evacuations.recordAnswer(next, sentAt)
 		w.relist = 0
 		if len(events) > 0 {
 			applied := w.onEvents(events, version, next)
