--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -1,233 +1,19 @@
 package gateway
 
 import (
-	"context"
-	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/bronzeloft/bronzeloft/contract/routes"
-	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
-	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
-// awayStore is a store that a host does not reach while away is set.
-type awayStore struct {
-	objectapi.Objects
-	away atomic.Bool
-}
-
-func (s *awayStore) reach() error {
-	if s.away.Load() {
-		return objectapi.ErrUnavailable
-	}
-	return nil
-}
-
-func (s *awayStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
-	if err := s.reach(); err != nil {
-		return objectapi.Object{}, err
-	}
-	return s.Objects.Get(ctx, kind, name)
-}
-
-func (s *awayStore) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
-	if err := s.reach(); err != nil {
-		return nil, 0, err
-	}
-	return s.Objects.List(ctx, kind)
-}
-
-func (s *awayStore) Watch(ctx context.Context, kind string, version uint64) ([]objectapi.Event, uint64, error) {
-	if err := s.reach(); err != nil {
-		return nil, 0, err
-	}
-	return s.Objects.Watch(ctx, kind, version)
-}
-
-func (s *awayStore) Create(ctx context.Context, kind, name string, value []byte) (objectapi.Object, error) {
-	if err := s.reach(); err != nil {
-		return objectapi.Object{}, err
-	}
-	return s.Objects.Create(ctx, kind, name, value)
-}
-
-func (s *awayStore) Update(ctx context.Context, kind, name string, version uint64, value []byte) (objectapi.Object, error) {
-	if err := s.reach(); err != nil {
-		return objectapi.Object{}, err
-	}
-	return s.Objects.Update(ctx, kind, name, version, value)
-}
-
-// evacuationLimit is the site's limit in these specs. A host stops a second before it.
-const evacuationLimit = 2500 * time.Millisecond
-
-// evacuationSite is a host in dc-a and one service's databases in several data centres.
-type evacuationSite struct {
-	dbs   *group
-	p     *fakePlatform
-	store *awayStore // as the host reaches it
-	g     *Gateway
-	svc   *service
-}
-
-// newEvacuationSite starts a host with the given databases and their data centres; a is the primary.
-// The host's periodic work and its watch of the requests run.
-func newEvacuationSite(places map[string]string) *evacuationSite {
-	s := &evacuationSite{dbs: newGroup("a")}
-	for id := range places {
-		s.dbs.databases[id] = &standin{group: s.dbs, id: id, end: position.Position{Term: 1, Index: 10}}
-	}
-	s.p = newFakePlatform(s.dbs)
-	s.store = &awayStore{Objects: s.p.api}
-	host := *s.p
-	host.api = s.store
-	s.g = newTestGatewayWith(&host, slog.New(slog.DiscardHandler), withEvacuations)
-	s.svc = s.g.service(testService)
-	list := map[string]routes.Database{}
-	for id, dc := range places {
-		list[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: dc, Slots: 4, Primary: id == "a"}
-	}
-	s.svc.mu.Lock()
-	s.svc.pools, s.svc.table = map[string]*pool{}, lead.New()
-	for _, db := range list {
-		s.svc.pools[db.ID] = newPool(s.g, s.svc, db, 8)
-	}
-	s.svc.mu.Unlock()
-	all := []routes.Database{}
-	for _, db := range list {
-		all = append(all, db)
-	}
-	s.svc.setDatabasesAgo(time.Minute, all...)
-	s.g.started = s.g.started.Add(-initialStateTimeout)
-	return s
-}
-
-func withEvacuations(opt *Options) {
-	opt.Features.Evacuation, opt.Evacuation = true, evacuationLimit
-}
-
-func (s *evacuationSite) start() *evacuationSite {
-	s.g.startWorker(s.g.watchEvacuations)
-	s.g.startWorker(s.g.tick)
-	Eventually(s.g.evacuations.known).Should(BeTrue())
-	DeferCleanup(func() {
-		s.g.Close()
-		s.g.workers.Wait()
-	})
-	return s
-}
-
-// evacuate requests the evacuation of a data centre and returns when the store has acknowledged it.
-func (s *evacuationSite) evacuate(dataCentre string) time.Time {
-	GinkgoHelper()
-	_, err := s.p.api.Create(context.Background(), s.p.EvacuationsKind(), dataCentre, []byte("{}"))
-	Expect(err).NotTo(HaveOccurred())
-	return time.Now()
-}
-
-func (s *evacuationSite) takeBack(dataCentre string) {
-	GinkgoHelper()
-	Expect(s.p.store.Delete(s.p.EvacuationsKind(), dataCentre)).To(Succeed())
-}
-
-func (s *evacuationSite) primary() (id string) {
-	s.dbs.withLock(func() { id = s.dbs.primary })
-	return id
-}
-
-func (s *evacuationSite) orders() (n int) {
-	s.dbs.withLock(func() { n = len(s.dbs.orders) })
-	return n
-}
-
-// lastRequest returns when the last request reached one of the databases.
-func (s *evacuationSite) lastRequest(ids ...string) (at time.Time) {
-	s.dbs.withLock(func() {
-		for _, id := range ids {
-			if t := s.dbs.databases[id].lastRequest; t.After(at) {
-				at = t
-			}
-		}
-	})
-	return at
-}
-
-func (s *evacuationSite) write() (statement.Answer, time.Duration) {
-	from := time.Now()
-	a := newTestSession(s.g, "current").serve(request(statement.Write))
-	return a, time.Since(from)
-}
-
-// callers is a load of writers and readers that send one statement after the other.
-type callers struct {
-	stop chan struct{}
-	all  sync.WaitGroup
-
-	mu     sync.Mutex
-	acked  []position.Position
-	writes int
-	pause  time.Duration // the longest time without an acknowledged write of any
-	lastAt time.Time
-	refuse map[errkind.Kind]int
-}
-
-func (s *evacuationSite) load(writers, readers int) *callers {
-	c := &callers{stop: make(chan struct{}), lastAt: time.Now(), refuse: map[errkind.Kind]int{}}
-	run := func(route string, kind statement.Kind) {
-		session := newTestSession(s.g, route)
-		for {
-			select {
-			case <-c.stop:
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-			c.record(kind, session.serve(nextRequest(kind)))
-		}
-	}
-	for range writers {
-		c.all.Go(func() { run("current", statement.Write) })
-	}
-	for range readers {
-		c.all.Go(func() { run("bounded", statement.Read) })
-	}
-	return c
-}
-
-var loadRequests atomic.Int64
-
-// nextRequest is request for concurrent callers.
-func nextRequest(kind statement.Kind) statement.Request {
-	return statement.Request{ID: "load" + time.Duration(loadRequests.Add(1)).String(), Statement: statement.Statement{Kind: kind, Text: "text"}}
-}
-
-func (c *callers) record(kind statement.Kind, a statement.Answer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case a.Err != nil:
-		c.refuse[a.Err.Kind]++
-	case kind == statement.Write:
-		now := time.Now()
-		c.pause, c.lastAt = max(c.pause, now.Sub(c.lastAt)), now
-		c.acked, c.writes = append(c.acked, a.Position), c.writes+1
-	}
-}
-
-func (c *callers) end() {
-	close(c.stop)
-	c.all.Wait()
-}
-
 // Guards against requests that reach a database of an evacuated data centre later than the limit
 // after the store's acknowledgement (EVAC), and against commits that its replacement loses (LOST).
 var _ = Describe("the evacuation of a data centre", func() {
@@ -243,6 +29,10 @@
 		c := s.load(4, 4)
 		time.Sleep(500 * time.Millisecond)
 		acked := s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithPolling(time.Millisecond).Should(BeTrue())
+		for _, p := range s.svc.readers(testCustomer) {
+			Expect(p.db.DataCentre).To(Equal("dc-a"), "reads leave at once")
+		}
 		Eventually(s.primary).WithTimeout(evacuationLimit - time.Second).Should(BeElementOf("c", "d"))
 		first := s.primary()
 		time.Sleep(time.Until(acked.Add(evacuationLimit + 500*time.Millisecond)))
@@ -401,6 +191,22 @@
 		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
 	})
 
+	It("leaves a host that the store turns away the new primary to find, once the former one may not be asked", func() {
+		s := newEvacuationSite(places).start()
+		s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithPolling(time.Millisecond).Should(BeTrue())
+		s.store.away.Store(true)
+		Eventually(func() bool { return s.svc.pools["a"].isClosed() }).WithTimeout(evacuationLimit).Should(BeTrue())
+		s.dbs.withLock(func() { s.dbs.term, s.dbs.primary = s.dbs.term+1, "c" }) // another host has replaced it
+		Eventually(func() string {
+			s.svc.mu.Lock()
+			defer s.svc.mu.Unlock()
+			leader, _ := s.svc.table.Leader()
+			return leader.ID
+		}).WithTimeout(2 * time.Second).Should(Equal("c"))
+		Eventually(func() bool { return newTestSession(s.g, "bounded").serve(request(statement.Read)).Err == nil }).WithTimeout(2 * time.Second).Should(BeTrue())
+	})
+
 	It("that a host cut off from the store and all hosts learns of late binds there at once", func() {
 		s := newEvacuationSite(places).start()
 		Expect(newTestSession(s.g, "current").serve(request(statement.Write)).Err).To(BeNil())
