--- a/gateway/evacuation_site_test.go
+++ b/gateway/evacuation_site_test.go
@@ -95,6 +95,9 @@
 	for id, dc := range places {
 		list[id] = routes.Database{ID: id, Service: testService, Address: id, DataCentre: dc, Slots: 4, Primary: id == "a"}
 	}
+	s.g.mu.Lock()
+	s.g.databases = list
+	s.g.mu.Unlock()
 	s.svc.mu.Lock()
 	s.svc.pools, s.svc.table = map[string]*pool{}, lead.New()
 	for _, db := range list {
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
@@ -191,6 +193,37 @@
 		Eventually(func() bool { a, _ := s.write(); return a.Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
 	})
 
+	It("binds a route that the configuration moves to a service there meanwhile", func() {
+		s := newEvacuationSite(places).start()
+		s.evacuate("dc-b")
+		Eventually(s.primary).WithTimeout(evacuationLimit).Should(BeElementOf("c", "d"))
+		Eventually(func() bool { return s.svc.pools["a"].isClosed() }).WithTimeout(evacuationLimit).Should(BeTrue())
+		config := *s.g.config.Load().Configuration
+		config.Services = maps.Clone(config.Services)
+		config.Services["stock-db"] = routes.Service{Name: "stock-db", MaxConns: 40}
+		s.g.config.Store(&loadedConfiguration{Configuration: &config})
+		s.dbs.withLock(func() { s.dbs.databases["x"] = &standin{group: s.dbs, id: "x"} })
+		s.g.mu.Lock()
+		list := maps.Clone(s.g.databases)
+		s.g.mu.Unlock()
+		list["x"] = routes.Database{ID: "x", Service: "stock-db", Address: "x", DataCentre: "dc-b", Slots: 4, Primary: true}
+		s.g.listMu.Lock()
+		s.g.setDatabases(list)
+		s.g.listMu.Unlock()
+		session := newTestSession(s.g, "current")
+		move := func(service string) statement.Answer {
+			s.g.updateRoute("current", func(r *routes.Route) { r.Service = service })
+			return session.serve(request(statement.Write))
+		}
+		from := time.Now()
+		a := move("stock-db")
+		Expect(a.Err).NotTo(BeNil())
+		Expect(a.Err.Kind).To(Equal(errkind.NoPrimary))
+		Expect(time.Since(from)).To(BeNumerically("<", 200*time.Millisecond))
+		s.dbs.withLock(func() { Expect(s.dbs.databases["x"].received).NotTo(ContainElement(statement.Write)) })
+		Eventually(func() bool { return move(testService).Err == nil }).WithTimeout(3 * time.Second).Should(BeTrue())
+	})
+
 	It("leaves a host that the store turns away the new primary to find, once the former one may not be asked", func() {
 		s := newEvacuationSite(places).start()
 		s.evacuate("dc-b")
