Keep a junior database that hosts may not know from leading

Among equal logs Outside preferred a database outside of the evacuated data centres also where Choose would have refused it: neither is known to all hosts, and it is not the senior one. A host may have acknowledged a commit by the replicas that it knows, so the choice rested on less evidence than before.

Outside leaves such a database out. The evacuated one leads then, and is replaced in the planned way.

--- a/database/succession/succession.go
+++ b/database/succession/succession.go
@@ -189,13 +189,17 @@
 }
 
 // Outside returns best, or a candidate outside of the evacuated data centres if best is in one
-// and nothing else speaks against that candidate; see Prefer.
+// and nothing else speaks against that candidate; see Prefer. As for Choose, a junior one that
+// hosts may not know is no better than best.
 func Outside(best Candidate, all []Candidate) Candidate {
 	if !best.Evacuated {
 		return best
 	}
 	for _, c := range all {
-		if other := Prefer(c.ID, best, all); !c.Evacuated && other.ID == c.ID {
+		if c.Evacuated || !c.Known && isJunior(c, all) {
+			continue
+		}
+		if other := Prefer(c.ID, best, all); other.ID == c.ID {
 			return other
 		}
 	}
--- a/database/succession/succession_test.go
+++ b/database/succession/succession_test.go
@@ -200,6 +200,25 @@
 		Entry("not established", func(c *succession.Candidate) { c.Established = false }, "a"),
 		Entry("not known to all hosts", func(c *succession.Candidate) { c.Known = false }, "a"),
 	)
+
+	// Guards against a commit that a host acknowledged by the replicas that it knows, of which the
+	// senior one is the last that all hosts may be taken to know.
+	DescribeTable("prefers one outside of evacuated data centres, unless Choose would not take it",
+		func(change func(best, other *succession.Candidate), want string) {
+			best := succession.Candidate{ID: "a", Answered: true, Received: pos(7), Established: true, Known: true, Evacuated: true, StartMillis: 1}
+			other := succession.Candidate{ID: "b", Answered: true, Received: pos(7), Established: true, Known: true, StartMillis: 2}
+			change(&best, &other)
+			all := []succession.Candidate{best, other}
+			_, ok := succession.Choose(all, pos(7), pos(7), false)
+			Expect(ok).To(BeTrue())
+			Expect(succession.Outside(best, all).ID).To(Equal(want))
+		},
+		Entry("the same", func(_, _ *succession.Candidate) {}, "b"),
+		Entry("the best is outside", func(best, _ *succession.Candidate) { best.Evacuated = false }, "a"),
+		Entry("both are evacuated", func(_, other *succession.Candidate) { other.Evacuated = true }, "a"),
+		Entry("a shorter log", func(_, other *succession.Candidate) { other.Received = pos(6) }, "a"),
+		Entry("neither is known to all hosts, and the other is junior", func(best, other *succession.Candidate) { best.Known, other.Known = false, false }, "a"),
+	)
 })
 
 var _ = Describe("the evidence for a commit", func() {
