Keep the longer hold-off after an attempt for an evacuated primary

An attempt whose RESUME was not answered holds the next one off for the lease's term, since the RESUME may be carried out late and end a pause on which the next choice rests. For an evacuated primary the pause between attempts (0.3 s at first) replaced that hold-off, and the one of an attempt that waits for logs.

The later of the two times applies.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -268,6 +268,28 @@
 		Expect(s.svc.pools["a"].isClosed()).To(BeTrue())
 	})
 
+	It("makes no attempt earlier than any other one after a RESUME that may still be carried out", func() {
+		s := newEvacuationSite(map[string]string{"a": "dc-b", "b": "dc-b"}).start() // none may lead elsewhere
+		s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).Should(BeTrue())
+		after := func(unanswered bool) time.Duration {
+			s.svc.mu.Lock()
+			from := s.g.now()
+			s.svc.startAttempt(s.svc.newReplacement(succession.Leaving, position.Position{}, from), func(a *replacement) { a.pausing.unanswered = unanswered })
+			s.svc.mu.Unlock()
+			Eventually(func() bool {
+				s.svc.mu.Lock()
+				defer s.svc.mu.Unlock()
+				return s.svc.promotion.running
+			}).Should(BeFalse())
+			s.svc.mu.Lock()
+			defer s.svc.mu.Unlock()
+			return s.svc.promotion.nextAttempt.Sub(from)
+		}
+		Expect(after(true)).To(BeNumerically(">=", leaseTerm))
+		Expect(after(false)).To(BeNumerically("<", leaseTerm))
+	})
+
 	It("is learned from a host of another data centre, with its age", func() {
 		far := newEvacuationSite(places).start()
 		far.evacuate("dc-b")
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -151,7 +151,9 @@
 		}
 		if db, ok := s.table.Leader(); ok && !db.Leaving && a.reason == succession.Leaving && s.primaryEvacuated() {
 			s.promotion.evacuationPause = min(max(2*s.promotion.evacuationPause, succession.RetryDelay), evacuationMaxPause)
-			s.promotion.nextAttempt = s.g.now().Add(s.promotion.evacuationPause)
+			if next := s.g.now().Add(s.promotion.evacuationPause); next.After(s.promotion.nextAttempt) {
+				s.promotion.nextAttempt = next
+			}
 		}
 		s.mu.Unlock()
 	}()
