Ask the other hosts before an evacuated primary that one can't reach is replaced

The planned reason came before that for a primary that fails, and needs no other host's agreement. While a data centre was evacuated but not closed, a host whose own path to the primary there was broken could choose a successor without the primary's log, though the primary served all others. A service whose commits rest on the primary alone can lose acknowledged commits by that (by reading; not reproduced).

Without the change the new spec sees the reason `leaving` before that.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -290,6 +290,39 @@
 		Expect(after(false)).To(BeNumerically("<", leaseTerm))
 	})
 
+	It("replaces a primary that one host alone can't reach only once it is closed: it may serve the others", func() {
+		s := newEvacuationSite(places)
+		sequence := uint64(0)
+		reason := func() (reason succession.Reason, unreachable, closed bool) {
+			sequence++
+			s.g.peers.handleMessage(&gossippb.Gossip{Host: "near", Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: 1, Sequence: sequence,
+				Groups: []*gossippb.Group{{Service: testService, Primary: "a", Watching: true}}})
+			time.Sleep(20 * time.Millisecond)
+			s.svc.mu.Lock()
+			defer s.svc.mu.Unlock()
+			view := s.svc.primaryView(s.g.now())
+			return s.svc.promotion.reason, view.Unreachable, s.svc.pools["a"].isClosed()
+		}
+		reason()
+		s.start()
+		s.dbs.withLock(func() { s.dbs.databases["a"].unresponsive = true })
+		Eventually(func() bool {
+			go s.write()
+			_, unreachable, _ := reason()
+			return unreachable
+		}).WithTimeout(5 * time.Second).Should(BeTrue())
+		s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithPolling(time.Millisecond).Should(BeTrue())
+		checks := 0
+		for why, unreachable, closed := reason(); !closed; why, unreachable, closed = reason() {
+			Expect(unreachable).To(BeTrue())
+			Expect(why).To(Equal(succession.None))
+			checks++
+		}
+		Expect(checks).To(BeNumerically(">", 10))
+		Eventually(func() succession.Reason { why, _, _ := reason(); return why }).Should(Equal(succession.Leaving))
+	})
+
 	It("is learned from a host of another data centre, with its age", func() {
 		far := newEvacuationSite(places).start()
 		far.evacuate("dc-b")
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -85,7 +85,10 @@
 	}
 	evacuated := s.primaryEvacuated() && s.mayLeadElsewhere()
 	s.logEvacuation(s.primaryEvacuated() && !evacuated, primary.ID)
-	reason := succession.ReasonToReplace(s.primaryView(now), known && (primary.Leaving || evacuated), others)
+	view := s.primaryView(now)
+	// While others may still use the primary, it is not replaced because of this host's path alone.
+	planned := evacuated && (!view.Unreachable || s.g.evacuations.closed(primary.DataCentre))
+	reason := succession.ReasonToReplace(view, known && (primary.Leaving || planned), others)
 	state := &s.promotion
 	if state.unsettled && reason == succession.None {
 		s.startSettling(now)
