Give up a planned replacement whose evacuated primary does not answer

An attempt that an evacuation started, and whose primary did not answer its query, went on as for a primary that has failed, though one lost answer is no such sign and the other hosts were not asked.

Until the data centre is closed it chooses no successor; a primary that has failed is replaced by the hosts' views. A primary that shuts down by itself is replaced as before. Without the change the new spec sees an order at once.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/datacentre/evacuation"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/objectapi"
@@ -250,6 +251,14 @@
 	return ok && s.g.evacuations.evacuated(db.DataCentre)
 }
 
+// mayServeOthers reports whether the attempt was started because of an evacuation, and the primary
+// has not answered it but may still be used by other hosts: it has not failed by their views.
+func (a *replacement) mayServeOthers() bool {
+	primary := a.conn(a.primary)
+	return a.s.g.evacuations != nil && a.reason == succession.Leaving && primary != nil &&
+		!primary.answered && !primary.db.Leaving && !a.s.g.evacuations.closed(primary.db.DataCentre)
+}
+
 // mayLeadElsewhere reports whether a database outside of the evacuated data centres may be the
 // successor of the primary. mu is held.
 func (s *service) mayLeadElsewhere() bool {
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -323,6 +323,31 @@
 		Eventually(func() succession.Reason { why, _, _ := reason(); return why }).Should(Equal(succession.Leaving))
 	})
 
+	It("chooses no successor of a primary that does not answer an attempt, while callers may use it", func() {
+		s := newEvacuationSite(places)
+		s.g.startWorker(s.g.watchEvacuations)
+		DeferCleanup(func() {
+			s.g.Close()
+			s.g.workers.Wait()
+		})
+		Eventually(s.g.evacuations.known).Should(BeTrue())
+		s.svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		s.dbs.withLock(func() { s.dbs.databases["a"].unresponsive = true })
+		s.evacuate("dc-b")
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithPolling(time.Millisecond).Should(BeTrue())
+		attempt := func() {
+			s.svc.mu.Lock()
+			a := s.svc.newReplacement(succession.Leaving, position.Position{}, s.g.now())
+			s.svc.mu.Unlock()
+			a.run()
+		}
+		attempt()
+		Expect(s.orders()).To(BeZero())
+		Eventually(func() bool { return s.svc.pools["a"].isClosed() }).WithTimeout(evacuationLimit).Should(BeTrue())
+		attempt()
+		Expect(s.orders()).To(Equal(1))
+	})
+
 	It("is learned from a host of another data centre, with its age", func() {
 		far := newEvacuationSite(places).start()
 		far.evacuate("dc-b")
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -34,6 +34,9 @@
 	if primary := a.conn(a.primary); a.reason == succession.Leaving && primary != nil && primary.answered && primary.report.Primary && !a.allPaused() {
 		return a.choosePlanned(ctx, primary)
 	}
+	if a.mayServeOthers() {
+		return succession.Candidate{}, errNoSuccessor
+	}
 	if a.reason == succession.Stalled && !a.pending && slices.ContainsFunc(a.conns, func(c *controlConn) bool { return c.answered && leftPaused(c.report, a.newestTerm()) }) {
 		return succession.Candidate{}, errLeftPaused
 	}
