--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -45,6 +45,9 @@
 	// primary after its promotion was ordered. It is longer than
 	// succession.PromotionLimit.
 	takeOverLimit = 2500 * time.Millisecond
+	// evacuationMaxPause bounds the time between two attempts to replace a primary because of an
+	// evacuation, which may stand for days while no other database can lead.
+	evacuationMaxPause = 10 * time.Second
 	// absentFor is how long no primary must have been known before the primary
 	// counts as absent, and how long after its start a host makes no attempt.
 	absentFor = 700 * time.Millisecond
@@ -53,12 +56,14 @@
 // promotionState is this host's state for replacing a service's primary.
 type promotionState struct {
 	reason             succession.Reason
-	since              time.Time // time of the last change of reason
-	running            bool      // an attempt is running
-	unsettled          bool      // this host's last attempt has left an order pending
-	nextAttempt        time.Time // earliest next attempt
-	lastPrimary        string    // the last known primary
-	nextStalledAttempt time.Time // earliest attempt with the reason Stalled
+	since              time.Time     // time of the last change of reason
+	running            bool          // an attempt is running
+	unsettled          bool          // this host's last attempt has left an order pending
+	nextAttempt        time.Time     // earliest next attempt
+	lastPrimary        string        // the last known primary
+	nextStalledAttempt time.Time     // earliest attempt with the reason Stalled
+	evacuationPause    time.Duration // after the last attempt to replace the same primary because of an evacuation
+	evacuationStuck    bool          // the primary is to be evacuated, and no database elsewhere may lead
 	observedLease      leaseObservation
 	sawPaused          bool // a replica was seen paused
 	checkingPaused     bool // a check for paused replicas is running
@@ -78,7 +83,12 @@
 	if !s.watching(now) {
 		return
 	}
-	reason := succession.ReasonToReplace(s.primaryView(now), known && primary.Leaving, others)
+	evacuated := s.primaryEvacuated() && s.mayLeadElsewhere()
+	s.logEvacuation(s.primaryEvacuated() && !evacuated, primary.ID)
+	view := s.primaryView(now)
+	// While others may still use the primary, it is not replaced because of this host's path alone.
+	planned := evacuated && (!view.Unreachable || s.g.evacuations.closed(primary.DataCentre))
+	reason := succession.ReasonToReplace(view, known && (primary.Leaving || planned), others)
 	state := &s.promotion
 	if state.unsettled && reason == succession.None {
 		s.startSettling(now)
@@ -87,9 +97,9 @@
 		state.lastPrimary, state.nextStalledAttempt = primary.ID, now.Add(succession.StalledHoldOff)
 	}
 	if reason != state.reason {
-		state.reason, state.since = reason, now
+		state.reason, state.since, state.evacuationPause = reason, now, 0
 		if reason != succession.None {
-			s.g.log.Info("Primary should be replaced.", "part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason), "rank", rank, "hosts", len(others)+1)
+			s.g.log.Info("Primary should be replaced.", "part", "promotion", "service", s.name, "primary", primary.ID, "reason", string(reason), "rank", rank, "hosts", len(others)+1, "evacuated", evacuated)
 		}
 	}
 	if state.running || s.g.leaving.Load() {
@@ -142,6 +152,12 @@
 		if a.pausing.unanswered {
 			s.promotion.nextAttempt = s.g.now().Add(leaseTerm) // as for other hosts
 		}
+		if db, ok := s.table.Leader(); ok && !db.Leaving && a.reason == succession.Leaving && s.primaryEvacuated() {
+			s.promotion.evacuationPause = min(max(2*s.promotion.evacuationPause, succession.RetryDelay), evacuationMaxPause)
+			if next := s.g.now().Add(s.promotion.evacuationPause); next.After(s.promotion.nextAttempt) {
+				s.promotion.nextAttempt = next
+			}
+		}
 		s.mu.Unlock()
 	}()
 }
