--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -76,10 +76,11 @@
 	return e.table.Closed(dataCentre, now)
 }
 
-// watchEvacuations follows the requests to evacuate data centres.
+// watchEvacuations follows the requests to evacuate data centres. While the other watches fail it makes
+// no call once it has a list: they show when the store is back, and each call is billed.
 func (g *Gateway) watchEvacuations() {
 	e := g.evacuations
-	w := &watcher{g: g, kind: g.platform.EvacuationsKind(),
+	w := &watcher{g: g, kind: g.platform.EvacuationsKind(), held: func() bool { return e.known() && g.storeFails() },
 		onList: func(objects []objectapi.Object, version uint64) {
 			var names []string
 			for _, o := range objects {
--- a/gateway/evacuation_site_test.go
+++ b/gateway/evacuation_site_test.go
@@ -21,10 +21,12 @@
 // awayStore is a store that a host does not reach while away is set.
 type awayStore struct {
 	objectapi.Objects
-	away atomic.Bool
+	away  atomic.Bool
+	calls atomic.Int64
 }
 
 func (s *awayStore) reach() error {
+	s.calls.Add(1)
 	if s.away.Load() {
 		return objectapi.ErrUnavailable
 	}
@@ -118,6 +120,7 @@
 }
 
 func (s *evacuationSite) start() *evacuationSite {
+	s.otherWatches(true)
 	s.g.startWorker(s.g.watchEvacuations)
 	s.g.startWorker(s.g.tick)
 	Eventually(s.g.evacuations.known).Should(BeTrue())
@@ -128,6 +131,13 @@
 	return s
 }
 
+// otherWatches sets whether the store answers the host's watches of the configuration and the databases,
+// which do not run.
+func (s *evacuationSite) otherWatches(answered bool) {
+	s.g.recordStoreState(s.p.ConfigurationKind(), answered)
+	s.g.recordStoreState(s.p.DatabasesKind(), answered)
+}
+
 // evacuate requests the evacuation of a data centre and returns when the store has acknowledged it.
 func (s *evacuationSite) evacuate(dataCentre string) time.Time {
 	GinkgoHelper()
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -268,6 +268,18 @@
 		Expect(s.svc.pools["a"].isClosed()).To(BeTrue())
 	})
 
+	It("costs no call while the store does not answer the host's other watches", func() {
+		s := newEvacuationSite(places).start()
+		s.otherWatches(false)
+		time.Sleep(300 * time.Millisecond) // the watch that is held has ended
+		before := s.store.calls.Load()
+		s.evacuate("dc-b")
+		time.Sleep(time.Second)
+		Expect(s.store.calls.Load()).To(Equal(before))
+		s.otherWatches(true)
+		Eventually(func() bool { return s.g.evacuations.evacuated("dc-b") }).WithTimeout(time.Second).Should(BeTrue())
+	})
+
 	It("is learned from a host of another data centre, with its age", func() {
 		far := newEvacuationSite(places).start()
 		far.evacuate("dc-b")
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -42,6 +42,7 @@
 	onEvents    func(events []objectapi.Event, from, version uint64) uint64
 	onCurrent   func(at time.Time) // the state is that of the given time or later; may be nil
 	pause       time.Duration      // after changes, so that one call returns those that follow closely
+	held        func() bool        // makes no call while it returns true; may be nil
 	backoff     time.Duration      // after failed calls
 	relist      time.Duration      // after compacted changes
 	unavailable bool
@@ -60,6 +61,9 @@
 			retry.Wait(w.g.ctx, storeWatchCheckEvery)
 			continue
 		}
+		if w.waitsForOthers() {
+			continue
+		}
 		sentAt := w.g.now()
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
 		if err != nil {
@@ -108,6 +112,9 @@
 // it, or this host no longer has to watch.
 func (w *watcher) follow(version uint64) {
 	for w.g.ctx.Err() == nil && w.g.peers.shouldWatchStore() {
+		if w.waitsForOthers() {
+			continue
+		}
 		sentAt := w.g.now()
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
@@ -136,6 +143,15 @@
 	}
 }
 
+// waitsForOthers waits for a moment and returns true if the watcher is held.
+func (w *watcher) waitsForOthers() bool {
+	if w.held == nil || !w.held() {
+		return false
+	}
+	retry.Wait(w.g.ctx, storeWatchCheckEvery)
+	return true
+}
+
 func (w *watcher) current(at time.Time) {
 	if w.onCurrent != nil {
 		w.onCurrent(at)
@@ -455,6 +471,14 @@
 	return true
 }
 
+// storeFails reports whether the last call of this host's watch of the configuration or the
+// databases failed, or the host does not watch.
+func (g *Gateway) storeFails() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.storeAnsweredAt[g.platform.ConfigurationKind()].IsZero() || g.storeAnsweredAt[g.platform.DatabasesKind()].IsZero()
+}
+
 // storeAnswerWithin is how long an answer to a watch counts. It is longer than the
 // store holds a watch open.
 const storeAnswerWithin = 8 * time.Second
