--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -77,10 +77,11 @@
 }
 
 // watchEvacuations follows the requests to evacuate data centres. While the other watches fail it makes
-// no call once it has a list: they show when the store is back, and each call is billed.
+// no call once it has a list: they show when the store is back, and each call is billed. A list that
+// another host has sent is followed without reading it again.
 func (g *Gateway) watchEvacuations() {
 	e := g.evacuations
-	w := &watcher{g: g, kind: g.platform.EvacuationsKind(), held: func() bool { return e.known() && g.storeFails() },
+	w := &watcher{g: g, kind: g.platform.EvacuationsKind(), held: func() bool { return e.known() && g.storeFails() }, from: e.version,
 		onList: func(objects []objectapi.Object, version uint64) {
 			var names []string
 			for _, o := range objects {
--- a/gateway/evacuation_start_test.go
+++ b/gateway/evacuation_start_test.go
@@ -65,6 +65,14 @@
 		store.Put("evacuations", "dc-c", "null")
 		Eventually(func() int { return log.count("data_centre=dc-c") }).WithTimeout(3 * time.Second).Should(Equal(1))
 		Expect(log.count("names no data centre")).To(Equal(1))
+
+		By("compacting the store's history with a request in it")
+		store.SetDown(true)
+		time.Sleep(700 * time.Millisecond) // the watches that are held end within 0.5 s
+		store.Put("evacuations", "dc-d", "{}")
+		store.Compact()
+		store.SetDown(false)
+		Eventually(func() int { return log.count("data_centre=dc-d") }).WithTimeout(5 * time.Second).Should(Equal(1))
 	})
 
 	It("makes no call for it where the site has no evacuations", func() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -43,6 +43,8 @@
 	onCurrent   func(at time.Time) // the state is that of the given time or later; may be nil
 	pause       time.Duration      // after changes, so that one call returns those that follow closely
 	held        func() bool        // makes no call while it returns true; may be nil
+	from        func() uint64      // the version of a list that another host has sent, and 0 if there is none; may be nil
+	compacted   bool               // the store has dropped the changes after the last version
 	backoff     time.Duration      // after failed calls
 	relist      time.Duration      // after compacted changes
 	unavailable bool
@@ -64,6 +66,11 @@
 		if w.waitsForOthers() {
 			continue
 		}
+		if w.from != nil && !w.compacted && w.from() > 0 {
+			w.g.waitForPeerDiscovery()
+			w.follow(w.from())
+			continue
+		}
 		sentAt := w.g.now()
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
 		if err != nil {
@@ -71,7 +78,7 @@
 			continue
 		}
 		w.answered()
-		nextList = w.g.now().Add(relistAfter)
+		nextList, w.compacted = w.g.now().Add(relistAfter), false
 		w.onList(objects, version)
 		w.current(sentAt)
 		w.g.evacuations.recordAnswer(version, sentAt)
@@ -119,6 +126,7 @@
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			w.g.log.Info("Store has compacted the changes; listing again.", "part", "store", "kind", w.kind, "version", version, "error", err)
+			w.compacted = true
 			w.pauseBeforeList()
 			return
 		}
