--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -42,6 +42,9 @@
 	onEvents    func(events []objectapi.Event, from, version uint64) uint64
 	onCurrent   func(at time.Time) // the state is that of the given time or later; may be nil
 	pause       time.Duration      // after changes, so that one call returns those that follow closely
+	held        func() bool        // makes no call while it returns true; may be nil
+	from        func() uint64      // the version of a list that another host has sent, and 0 if there is none; may be nil
+	compacted   bool               // the store has dropped the changes after the last version
 	backoff     time.Duration      // after failed calls
 	relist      time.Duration      // after compacted changes
 	unavailable bool
@@ -60,6 +63,14 @@
 			retry.Wait(w.g.ctx, storeWatchCheckEvery)
 			continue
 		}
+		if w.waitsForOthers() {
+			continue
+		}
+		if w.from != nil && !w.compacted && w.from() > 0 {
+			w.g.waitForPeerDiscovery()
+			w.follow(w.from())
+			continue
+		}
 		sentAt := w.g.now()
 		objects, version, err := w.g.platform.Objects().List(w.g.ctx, w.kind)
 		if err != nil {
@@ -67,7 +78,7 @@
 			continue
 		}
 		w.answered()
-		nextList = w.g.now().Add(relistAfter)
+		nextList, w.compacted = w.g.now().Add(relistAfter), false
 		w.onList(objects, version)
 		w.current(sentAt)
 		w.g.evacuations.recordAnswer(version, sentAt)
@@ -108,10 +119,14 @@
 // it, or this host no longer has to watch.
 func (w *watcher) follow(version uint64) {
 	for w.g.ctx.Err() == nil && w.g.peers.shouldWatchStore() {
+		if w.waitsForOthers() {
+			continue
+		}
 		sentAt := w.g.now()
 		events, next, err := w.g.platform.Objects().Watch(w.g.ctx, w.kind, version)
 		if errors.Is(err, objectapi.ErrCompacted) {
 			w.g.log.Info("Store has compacted the changes; listing again.", "part", "store", "kind", w.kind, "version", version, "error", err)
+			w.compacted = true
 			w.pauseBeforeList()
 			return
 		}
@@ -136,6 +151,15 @@
 	}
 }
 
+// waitsForOthers waits for a moment and returns true if the watcher is held.
+func (w *watcher) waitsForOthers() bool {
+	if w.held == nil || !w.held() {
+		return false
+	}
+	retry.Wait(w.g.ctx, storeWatchCheckEvery)
+	return true
+}
+
 func (w *watcher) current(at time.Time) {
 	if w.onCurrent != nil {
 		w.onCurrent(at)
@@ -455,6 +479,14 @@
 	return true
 }
 
+// storeFails reports whether the last call of this host's watch of the configuration or the
+// databases failed, or the host does not watch.
+func (g *Gateway) storeFails() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.storeAnsweredAt[g.platform.ConfigurationKind()].IsZero() || g.storeAnsweredAt[g.platform.DatabasesKind()].IsZero()
+}
+
 // storeAnswerWithin is how long an answer to a watch counts. It is longer than the
 // store holds a watch open.
 const storeAnswerWithin = 8 * time.Second
