--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -325,6 +325,7 @@
 
 	It("chooses no successor of a primary that does not answer an attempt, while callers may use it", func() {
 		s := newEvacuationSite(places)
+		s.otherWatches(true)
 		s.g.startWorker(s.g.watchEvacuations)
 		DeferCleanup(func() {
 			s.g.Close()
