--- a/contract/routes/routes.go
+++ b/contract/routes/routes.go
@@ -34,6 +34,9 @@
 	Name         string
 	MaxConns     int // connections to one database, summed over all hosts
 	SyncReplicas int // replicas that hold a commit before it is acknowledged
+	// ColdRate limits the requests per second that all hosts together send to one
+	// database while it is cold after its start; 0 for no limit.
+	ColdRate float64
 }
 
 // Customer is a holder of keys, with its limits over all hosts.
@@ -96,4 +99,6 @@
 	Leaving     bool  // it accepts no new work and will shut down
 	Primary     bool  // it reports itself as the primary of its service; may be out of date
 	StartMillis int64 // start time of its process, Unix milliseconds; a different value means that it restarted
+	// ColdFor is how long it remained cold after its start when it wrote its entry.
+	ColdFor time.Duration
 }
--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -31,12 +31,11 @@
 	// isolatedAfter is the time without announcements after which a host assumes that
 	// its own are not received either: four announcements.
 	isolatedAfter = 1200 * time.Millisecond
-	// burstSlack is the number of operations by which the buckets of all hosts
-	// together may exceed the customer's burst: the platform's quotaSlack.
+	// burstSlack is Config.BurstSlack for customers: the platform's quotaSlack.
 	burstSlack = 20.0
-	// minBurst is the smallest bucket size of one host. A bucket of size 1 would
-	// be full as soon as it can admit one operation, and would accrue nothing
-	// more until that operation arrives.
+	// minBurst is Config.MinBurst for customers. A bucket of size 1 would be full
+	// as soon as it can admit one operation, and would accrue nothing more until
+	// that operation arrives.
 	minBurst = 1.2
 	// unannouncedOperations is how many operations a host counts towards its own
 	// demand before they have been announced to the others. A faster rise is known
@@ -45,6 +44,23 @@
 	unannouncedOperations = 2
 )
 
+// Config holds what differs between the windows in which limits are counted.
+type Config struct {
+	// BurstSlack is the number of operations by which the buckets of all hosts
+	// together may exceed a limit's burst.
+	BurstSlack float64
+	// MinBurst is the smallest bucket size of one host, in operations.
+	MinBurst float64
+	// Settle is the longest time in which an announcement reaches all hosts. If it is
+	// not zero, a host's own demand counts as the least that it has announced within
+	// Settle, so that the shares add up to at most one also while demands change, and
+	// does not rise while a known host is silent. New buckets are then empty.
+	Settle time.Duration
+}
+
+// Customers is the configuration for the customers' rates.
+var Customers = Config{BurstSlack: burstSlack, MinBurst: minBurst}
+
 // Limit is a customer's rate limit over all hosts.
 type Limit struct {
 	Rate  float64 // operations per second
@@ -58,6 +74,7 @@
 // concurrent use: the host guards it by a mutex. It holds the customers of the
 // configuration that SetLimits applied last.
 type Table struct {
+	cfg      Config
 	accounts map[string]*account
 	peers    map[string]*peer
 	hosts    int       // assumed to admit operations, including this one
@@ -70,9 +87,16 @@
 	tokens        float64
 	tokensAt      time.Time // time of the last update of tokens
 	demand        float64
-	lastAnnounced float64   // demand in the last announcement to the other hosts
-	prevAnnounced float64   // demand in the announcement before that; assumed received by all hosts
-	demandAt      time.Time // time of the last update of demand
+	lastAnnounced float64        // demand in the last announcement to the other hosts
+	prevAnnounced float64        // demand in the announcement before that; assumed received by all hosts
+	demandAt      time.Time      // time of the last update of demand
+	announced     []announcement // the last ones, oldest first; only with Config.Settle
+}
+
+// announcement is the demand that a host announced at a time.
+type announcement struct {
+	at     time.Time
+	demand float64
 }
 
 // peer is the last announcement of another host, or of the sum over several hosts.
@@ -82,9 +106,12 @@
 	lastSeen time.Time
 }
 
-// New returns a table for a fleet of the given number of hosts.
-func New(hosts int) *Table {
-	return &Table{accounts: map[string]*account{}, peers: map[string]*peer{}, hosts: max(1, hosts)}
+// New returns a table of customers' rates for a fleet of the given number of hosts.
+func New(hosts int) *Table { return NewWith(Customers, hosts) }
+
+// NewWith returns a table for a fleet of the given number of hosts.
+func NewWith(cfg Config, hosts int) *Table {
+	return &Table{cfg: cfg, accounts: map[string]*account{}, peers: map[string]*peer{}, hosts: max(1, hosts)}
 }
 
 // SetHosts sets the number of hosts that are assumed to admit operations.
@@ -96,7 +123,7 @@
 	for name, limit := range limits {
 		a := t.accounts[name]
 		if a == nil {
-			t.accounts[name] = &account{limit: limit, tokens: t.burst(limit, 1/float64(t.hosts)), tokensAt: now, demandAt: now}
+			t.accounts[name] = t.newAccount(limit, now)
 			continue
 		}
 		a.limit = limit
@@ -108,6 +135,16 @@
 	}
 }
 
+func (t *Table) newAccount(limit Limit, now time.Time) *account {
+	a := &account{limit: limit, tokensAt: now, demandAt: now}
+	if t.cfg.Settle > 0 {
+		a.announced = []announcement{{at: now}}
+	} else {
+		a.tokens = t.burst(limit, 1/float64(t.hosts))
+	}
+	return a
+}
+
 // Admit reports whether one more operation is admitted. If not, it also returns
 // the time until one would be. Operations of customers without a limit are always
 // admitted.
@@ -136,12 +173,13 @@
 // records the demand as announced, unless the host is isolated: the others would not
 // lower their shares for it.
 func (t *Table) Demands(now time.Time) Demands {
-	isolated := t.isolated(now)
+	isolated := t.isolated(now) || t.cfg.Settle > 0 && t.anySilent(now)
 	out := Demands{}
 	for name, a := range t.accounts {
 		a.decay(now)
 		if !isolated {
 			a.prevAnnounced, a.lastAnnounced = a.lastAnnounced, a.demand
+			a.recordAnnouncement(now, t.cfg.Settle)
 		}
 		if a.demand > minAnnouncedDemand {
 			out[name] = a.demand
@@ -179,7 +217,7 @@
 	}
 	hosts := max(t.hosts, reporting)
 	base := baseDemandShare * a.limit.Rate / float64(hosts)
-	own := min(a.demand, a.prevAnnounced+unannouncedOperations/demandTimeConstant.Seconds()) + base
+	own := t.ownDemand(a) + base
 	sum := 0.0
 	for _, p := range t.peers {
 		sum += p.demands[customer] + base*float64(p.hosts)
@@ -188,6 +226,42 @@
 	return own / (own + sum)
 }
 
+// ownDemand returns this host's demand as far as the other hosts may be assumed to
+// know it.
+func (t *Table) ownDemand(a *account) float64 {
+	if t.cfg.Settle == 0 {
+		return min(a.demand, a.prevAnnounced+unannouncedOperations/demandTimeConstant.Seconds())
+	}
+	own := a.demand
+	for _, past := range a.announced {
+		own = min(own, past.demand)
+	}
+	return own
+}
+
+// recordAnnouncement keeps the announcements within settle and the one before, which
+// the others may still count.
+func (a *account) recordAnnouncement(now time.Time, settle time.Duration) {
+	if settle == 0 {
+		return
+	}
+	a.announced = append(a.announced, announcement{at: now, demand: a.demand})
+	for len(a.announced) > 1 && now.Sub(a.announced[1].at) >= settle {
+		a.announced = a.announced[1:]
+	}
+}
+
+// anySilent reports whether a host whose demand counts has announced none for so long
+// that this host's own may not be received there either.
+func (t *Table) anySilent(now time.Time) bool {
+	for _, p := range t.peers {
+		if now.Sub(p.lastSeen) >= isolatedAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // isolated reports whether other hosts have sent no announcements for so long that
 // this host's own are not received either, as far as it knows.
 func (t *Table) isolated(now time.Time) bool {
@@ -196,7 +270,7 @@
 
 // burst returns the bucket size of a host that has the given share of the limit.
 func (t *Table) burst(limit Limit, hostShare float64) float64 {
-	return max(minBurst, limit.Burst*hostShare+burstSlack/float64(t.hosts))
+	return max(t.cfg.MinBurst, limit.Burst*hostShare+t.cfg.BurstSlack/float64(t.hosts))
 }
 
 // accrue adds the tokens since the last update; burst is the bucket size.
