Limit the statements to cold databases by shares of their rate

Change: database/cold decides until when a database is cold and what this host may send it; gateway/cold.go enforces it in conn.run, exchanges the demands, and ranks cold databases behind other readers. Nothing changes without a rate in the configuration.

--- a/contract/routes/routes.go
+++ b/contract/routes/routes.go
@@ -37,6 +37,8 @@
 	// ColdRate limits the requests per second that all hosts together send to one
 	// database while it is cold after its start; 0 for no limit.
 	ColdRate float64
+	// ColdStart is for how long a database is cold after its start.
+	ColdStart time.Duration
 }
 
 // Customer is a holder of keys, with its limits over all hosts.
--- a/database/lead/lead.go
+++ b/database/lead/lead.go
@@ -20,13 +20,14 @@
 // MissingRetention, and up to maxFormer former ones.
 type Table struct {
 	members    map[string]*member
-	leader     string            // id of the presumed primary; empty if none
-	proven     bool              // the leader has answered as the primary, and not only announced it
-	leaderAsOf time.Time         // time of the evidence for leader that was recorded last
-	term       uint64            // newest term seen
-	former     []formerDatabase  // removed by Expire, oldest first; may have been listed again
-	listedAt   time.Time         // when SetDatabases was called first
-	led        map[uint64]string // by term, the database that reported that it is its primary
+	leader     string               // id of the presumed primary; empty if none
+	proven     bool                 // the leader has answered as the primary, and not only announced it
+	leaderAsOf time.Time            // time of the evidence for leader that was recorded last
+	term       uint64               // newest term seen
+	former     []formerDatabase     // removed by Expire, oldest first; may have been listed again
+	listedAt   time.Time            // when SetDatabases was called first
+	isCold     func(id string) bool // see RankCold; nil if none is
+	led        map[uint64]string    // by term, the database that reported that it is its primary
 }
 
 // ledTerms is the number of terms, up to the newest one, whose primaries are kept.
--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -60,6 +60,7 @@
 	queuedLocal          // a replica in this host's data centre for which statements wait
 	queuedRemote         // one in another data centre
 	primary              // any other primary
+	cold                 // cold after its start
 	avoided              // refused or failed a request recently
 	unreachable          // does not answer, or is no longer listed
 )
@@ -100,6 +101,8 @@
 		return unreachable
 	case now.Before(m.avoidUntil):
 		return avoided
+	case t.isCold != nil && t.isCold(id):
+		return cold
 	case id == t.leader && local && load(id) <= maxPrimaryLoad:
 		return localPrimary
 	case id == t.leader:
@@ -119,6 +122,10 @@
 	return xxhash.Sum64String(customer + "\x00" + id)
 }
 
+// RankCold ranks the databases for which cold is true behind the other readers that can
+// serve.
+func (t *Table) RankCold(cold func(id string) bool) { t.isCold = cold }
+
 // Replicas returns all databases except id, the primary, in the order of their ids.
 func (t *Table) Replicas(id string) []routes.Database {
 	var out []routes.Database
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -41,6 +41,7 @@
 	at      time.Time // when it was made, by this host's clock
 	hosts   int
 	demands share.Demands
+	cold    []*gossippb.ColdLoad
 	groups  []*gossippb.Group
 	rules   uint32 // the least that its hosts state
 }
@@ -189,14 +190,20 @@
 // and those received from its other hosts. Demands of a silent host count for as long as
 // in its own data centre: it may be cut off from all hosts and still admit its share.
 func (p *peers) summarise(own *gossippb.Gossip, now time.Time) *gossippb.Centre {
-	demands := map[string]float32{}
+	demands, cold := map[string]float32{}, map[string]float32{}
 	add := func(list []*gossippb.Demand) {
 		for _, d := range list {
 			demands[d.Customer] += d.PerSecond
 		}
 	}
 	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
+	addCold := func(list []*gossippb.ColdLoad) {
+		for _, d := range list {
+			cold[d.Database] += d.PerSecond
+		}
+	}
 	add(own.Demands)
+	addCold(own.Cold)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
 	c.Hosts, c.Rules = uint32(max(1, p.placement.Live(now))), p.leastRules(now)
@@ -206,6 +213,7 @@
 			continue
 		}
 		add(h.demands)
+		addCold(h.cold)
 		if !h.leaving && silent < reportTTL {
 			c.Groups = appendWatched(c.Groups, name, h.groups, now.Sub(h.lastSeen))
 		}
@@ -214,6 +222,9 @@
 	for customer, perSecond := range demands {
 		c.Demands = append(c.Demands, &gossippb.Demand{Customer: customer, PerSecond: perSecond})
 	}
+	for database, perSecond := range cold {
+		c.Cold = append(c.Cold, &gossippb.ColdLoad{Database: database, PerSecond: perSecond})
+	}
 	return c
 }
 
@@ -259,7 +270,7 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules, Cold: c.cold}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -281,7 +292,7 @@
 		p.mu.Unlock()
 		return
 	}
-	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules}
+	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules, cold: in.Cold}
 	p.centres[in.Name] = c
 	p.recordContact(in.Name, at)
 	for _, g := range in.Groups {
@@ -291,6 +302,7 @@
 	p.g.recordLeaving(in.Groups, at)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
+	p.g.cold.recordDemands("data centre "+in.Name, min(c.hosts, coldHostsPerCentre), c.cold, now)
 }
 
 func demandsOf(list []*gossippb.Demand) share.Demands {
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/customer/share"
+	"github.com/bronzeloft/bronzeloft/database/cold"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// coldHostsPerCentre is the number of hosts in each data centre that send statements to
+// a database: its home host, and the next one in rank, which watches the primary.
+const coldHostsPerCentre = 2
+
+// coldPoll bounds the time after which a waiting statement looks again whether it may be
+// sent: shares change, and a database stops being cold.
+const coldPoll = 100 * time.Millisecond
+
+// coldLimits holds statements back from cold databases.
+type coldLimits struct {
+	mu     sync.Mutex // guards limits; a leaf lock
+	limits *cold.Limits
+}
+
+func newColdLimits(opt Options) *coldLimits {
+	return &coldLimits{limits: cold.New(cold.Config{Overage: max(1, opt.ColdOverage), Slack: opt.ColdSlack}, coldHostsPerCentre*len(opt.Centres))}
+}
+
+// use runs f with the limits locked.
+func (c *coldLimits) use(f func(*cold.Limits)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.limits)
+}
+
+func (c *coldLimits) isCold(id string, now time.Time) (is bool) {
+	c.use(func(l *cold.Limits) { is = l.Cold(id, now) })
+	return is
+}
+
+func (c *coldLimits) admit(id string, sample bool, now time.Time) (ok bool, wait time.Duration) {
+	c.use(func(l *cold.Limits) { ok, wait = l.Admit(id, sample, now) })
+	return ok, wait
+}
+
+// count returns the number of cold databases.
+func (c *coldLimits) count(now time.Time) (n int) {
+	c.use(func(l *cold.Limits) { n = l.Count(now) })
+	return n
+}
+
+// demands returns this host's demand for cold databases and records it as announced. It
+// is empty while no database is cold.
+func (c *coldLimits) demands(now time.Time) []*gossippb.ColdLoad {
+	var out []*gossippb.ColdLoad
+	c.use(func(l *cold.Limits) {
+		for id, perSecond := range l.Demands(now) {
+			out = append(out, &gossippb.ColdLoad{Database: id, PerSecond: float32(perSecond)})
+		}
+	})
+	return out
+}
+
+// recordDemands records the demands in a message of another host, or in the summary of
+// another data centre.
+func (c *coldLimits) recordDemands(from string, hosts int, list []*gossippb.ColdLoad, now time.Time) {
+	demands := make(share.Demands, len(list))
+	for _, load := range list {
+		demands[load.Database] = float64(load.PerSecond)
+	}
+	c.use(func(l *cold.Limits) { l.RecordDemands(from, hosts, demands, now) })
+}
+
+// reviewCold logs the databases that have become cold and those that are not any more.
+func (g *Gateway) reviewCold() {
+	now := g.now()
+	var changes []cold.Change
+	g.cold.use(func(l *cold.Limits) { changes = l.Changes(now) })
+	for _, c := range changes {
+		s := g.service(c.Service)
+		if s == nil {
+			continue // its databases get no statements
+		}
+		if c.Cold {
+			g.log.Info("Database is cold; its statements are limited.", "part", "cold", "service", c.Service, "database", c.Database, "for_ms", c.For.Milliseconds(), "per_second", c.Rate)
+		} else {
+			g.log.Info("Database is no longer cold.", "part", "cold", "service", c.Service, "database", c.Database)
+		}
+	}
+}
+
+// setColdDatabases applies a list of databases.
+func (g *Gateway) setColdDatabases(databases map[string]routes.Database) {
+	now := g.now()
+	g.cold.use(func(l *cold.Limits) { l.SetDatabases(databases, now) })
+	g.reviewCold()
+}
+
+// presumeCold records that nothing listens at a database's address: it may have started
+// again before this host learns of its new entry.
+func (g *Gateway) presumeCold(id string) {
+	now := g.now()
+	g.cold.use(func(l *cold.Limits) { l.Presume(id, now) })
+}
+
+// coldCost is the number of requests that count against the limit of a cold database:
+// those that work on data. A session's state, a ROLLBACK and a STATUS do not count.
+func coldCost(requests []statement.Request) int {
+	n := 0
+	for _, r := range requests {
+		switch r.Kind {
+		case statement.Begin, statement.BeginRead, statement.Read, statement.Write, statement.Execute, statement.Commit:
+			n++
+		}
+	}
+	return n
+}
+
+// coldGate orders the statements of one pool that wait for a cold database.
+type coldGate chan struct{}
+
+// await waits for one more request to be admitted to the connection's database, if that
+// is cold, in the order of the calls. It fails with DeadlineNotRun, at once, if that
+// cannot be before the deadline.
+func (c *conn) awaitCold(ctx context.Context, deadline time.Time) error {
+	g, id := c.pool.g, c.pool.db.ID
+	if !g.cold.isCold(id, g.now()) {
+		return nil
+	}
+	select {
+	case c.pool.cold <- struct{}{}:
+		defer func() { <-c.pool.cold }()
+	case <-ctx.Done():
+		return c.refuseCold(errkind.DeadlineNotRun, 0)
+	}
+	for {
+		now := g.now()
+		ok, wait := g.cold.admit(id, false, now)
+		if ok {
+			c.coldPaid++
+			return nil
+		}
+		if now.Add(wait).After(deadline) {
+			return c.refuseCold(errkind.DeadlineNotRun, wait)
+		}
+		timer := time.NewTimer(min(wait, coldPoll))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return c.refuseCold(errkind.DeadlineNotRun, wait)
+		}
+	}
+}
+
+// tryCold is awaitCold without waiting, also for statements that wait already. It fails
+// with DatabaseBusy, after which a read is sent to another database.
+func (c *conn) tryCold() error {
+	g, id := c.pool.g, c.pool.db.ID
+	if !g.cold.isCold(id, g.now()) {
+		return nil
+	}
+	select {
+	case c.pool.cold <- struct{}{}:
+		defer func() { <-c.pool.cold }()
+	default:
+		return c.refuseCold(errkind.DatabaseBusy, 0)
+	}
+	if ok, wait := g.cold.admit(id, false, g.now()); !ok {
+		return c.refuseCold(errkind.DatabaseBusy, wait)
+	}
+	c.coldPaid++
+	return nil
+}
+
+func (c *conn) refuseCold(kind errkind.Kind, wait time.Duration) error {
+	c.pool.g.metrics.keptFromCold.Inc()
+	return errkind.New(kind, "database %s is cold after its start, retry after %d ms", c.pool.db.ID, wait.Milliseconds()+1)
+}
+
+// payCold admits the requests that are about to be sent to a cold database and for which
+// no statement has waited: those of samples and of checks of the primary.
+func (c *conn) payCold(requests []statement.Request) error {
+	cost := coldCost(requests)
+	for ; cost > 0; cost-- {
+		if c.coldPaid > 0 {
+			c.coldPaid--
+			continue
+		}
+		if ok, wait := c.pool.g.cold.admit(c.pool.db.ID, true, c.pool.g.now()); !ok {
+			return c.refuseCold(errkind.DatabaseBusy, wait)
+		}
+	}
+	return nil
+}
+
+// admitCold admits one request of an operation to the connection's database. It does not
+// wait for a read that another database can serve.
+func (op *operation) admitCold(ctx context.Context, c *conn) error {
+	if op.elsewhere {
+		return c.tryCold()
+	}
+	return c.awaitCold(ctx, op.deadline)
+}
+
+// anyWarm reports whether another database than the given one can serve a read and is
+// not cold.
+func (s *service) anyWarm(pools []*pool, except *pool) bool {
+	now := s.g.now()
+	for _, p := range pools {
+		if p != except && !s.g.cold.isCold(p.db.ID, now) && s.readable(p.db.ID, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// readable reports whether a database answers and does not leave.
+func (s *service) readable(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	db, ok := s.table.Get(id)
+	return ok && !db.Leaving && !s.table.Unreachable(id, now)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	metrics    *gatewayMetrics
 	requestLog *requestLog
 	rates      *rates
+	cold       *coldLimits
 	peers      *peers
 	streams    *streams
 	stalls     stallDetector
@@ -151,6 +152,7 @@
 	g.started = g.now()
 	g.stalls.lastBeat = g.started
 	g.rates = &rates{table: share.New(1)}
+	g.cold = newColdLimits(opt)
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
 	g.metrics = newMetrics(g)
@@ -381,6 +383,7 @@
 		current := g.peers.servingHosts(g.now())
 		updateRanks := n%ranksEvery == 0 || !slices.Equal(serving, current)
 		serving = current
+		g.reviewCold()
 		for _, s := range g.allServices() {
 			s.tick(updateRanks)
 		}
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/database/cold"
 	"github.com/bronzeloft/bronzeloft/datacentre/placement"
 )
 
@@ -117,6 +118,8 @@
 		n += admittingIn(hosts, services)
 	}
 	p.g.rates.setHosts(n)
+	centres := p.dataCentreCount()
+	p.g.cold.use(func(l *cold.Limits) { l.SetHosts(coldHostsPerCentre*centres, now) })
 }
 
 // admittingIn returns the greatest number of hosts that admit statements in a data
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -202,7 +202,7 @@
 		c.pool.release(c)
 		return err
 	}
-	return l.beginOn(c, op, controlRequest(statement.Begin))
+	return l.beginOn(ctx, c, op, controlRequest(statement.Begin))
 }
 
 // openRead begins a read-only transaction on a database whose log has reached
@@ -217,16 +217,24 @@
 	if len(pools) == 0 {
 		return errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.svc.name)
 	}
-	c, err := l.acquire(ctx, op, pools[op.attempts%len(pools)])
+	p := pools[op.attempts%len(pools)]
+	op.elsewhere = op.svc.anyWarm(pools, p)
+	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		op.attempts++
 		return err
 	}
-	return l.beginOn(c, op, statement.Request{Statement: statement.Statement{Kind: statement.BeginRead, After: at}})
+	return l.beginOn(ctx, c, op, statement.Request{Statement: statement.Statement{Kind: statement.BeginRead, After: at}})
 }
 
 // beginOn opens the transaction on a connection and pins the connection.
-func (l *local) beginOn(c *conn, op *operation, begin statement.Request) error {
+func (l *local) beginOn(ctx context.Context, c *conn, op *operation, begin statement.Request) error {
+	err := op.admitCold(ctx, c)
+	op.elsewhere = false // its later statements need this database
+	if err != nil {
+		c.pool.release(c)
+		return err
+	}
 	before, _ := op.restoreSession(c, statement.Request{})
 	sentAt := l.g.now()
 	answers, err := c.run(op.stepDeadline(sentAt, verifyTimeout), append(before, begin)...)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	storeFailures *metrics.Counter
 	unsent        *metrics.Counter
 	missing       *metrics.Counter
+	keptFromCold  *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -30,10 +31,12 @@
 		storeFailures: set.NewCounter("bronzeloft_store_failures_total"),
 		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
 		missing:       set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
+		keptFromCold:  set.NewCounter("bronzeloft_cold_statements_kept_total"),
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	set.NewGauge("bronzeloft_services_waiting_for_logs", func() float64 { return float64(g.servicesAwaitingLogs()) })
+	set.NewGauge("bronzeloft_cold_databases", func() float64 { return float64(g.cold.count(g.now())) })
 	for _, rules := range []string{"present", "older"} {
 		set.NewGauge(fmt.Sprintf(`bronzeloft_hosts{rules=%q}`, rules), func() float64 {
 			if g.peers == nil {
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -29,6 +29,7 @@
 	sentIn     uint64               // the term that its database led then
 	sent       *atomic.Bool         // set when the statement is sent to a database; nil if not needed
 
+	elsewhere     bool // another database that is not cold may serve it
 	inTransaction bool
 	readOnly      bool      // the transaction is read-only
 	began         time.Time // when the transaction's Begin or BeginRead arrived
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -89,6 +89,8 @@
 	demands := p.demands(now)
 	withDemands := proto.CloneOf(brief)
 	withDemands.Demands, full.Demands = demands, demands
+	withDemands.Cold = p.g.cold.demands(now)
+	full.Cold = withDemands.Cold
 	summary := proto.CloneOf(brief)
 	summary.Groups, summary.Ranked, summary.LiveHosts = nil, nil, 0
 	if len(to.crossCentre) > 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -72,6 +72,7 @@
 	leaving  bool
 	groups   []*gossippb.Group
 	demands  []*gossippb.Demand
+	cold     []*gossippb.ColdLoad
 
 	storeAnswers bool // it watches the store and gets answers
 
@@ -304,7 +305,7 @@
 	started := msg.Boot != h.boot
 	h.address, h.boot, h.seq, h.lastSeen, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
 	h.dataCentre, h.access, h.storeAnswers, h.capacity = msg.DataCentre, msg.Access, msg.StoreAnswers, msg.Capacity
-	h.groups, h.demands = msg.Groups, msg.Demands
+	h.groups, h.demands, h.cold = msg.Groups, msg.Demands, msg.Cold
 	p.rules.recordMessage(msg, now)
 	if sameCentre {
 		p.placement.RecordMessage(placement.Host{Name: msg.Host, Capacity: h.capacity}, msg.Serving, msg.Leaving, now)
@@ -326,6 +327,7 @@
 	}
 	if sameCentre {
 		p.g.rates.recordDemands(msg.Host, admitting, demandsOf(msg.Demands), now)
+		p.g.cold.recordDemands(msg.Host, min(1, len(msg.Cold)), msg.Cold, now)
 	}
 	p.g.recordLeaving(msg.Groups, now)
 	for _, c := range msg.Centres {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -37,6 +37,7 @@
 	svc   *service
 	turns *turn.Queue // admits customers to connections
 	slots *turn.Queue // admits statements to the database
+	cold  coldGate
 
 	mu     sync.Mutex // guards the fields below; a leaf lock
 	db     routes.Database
@@ -64,12 +65,13 @@
 	usedAt   time.Time
 	txState  statement.State   // after the last answer
 	reported position.Position // of the last answer
+	coldPaid int               // requests admitted to a cold database and not sent yet
 	refused  bool              // a statement failed or was refused
 	broken   bool              // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
-	p := &pool{g: g, svc: svc, db: db, max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
+	p := &pool{g: g, svc: svc, db: db, cold: make(coldGate, 1), max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
 	p.turns = turn.New(fair.Config{Slots: size}, g.now)
 	p.slots = turn.New(fair.Config{Slots: p.window.Size()}, g.now)
 	return p
@@ -274,7 +276,7 @@
 // checkIn makes a connection available to other sessions, or closes it. A connection
 // on which a transaction is open or has failed is never passed on.
 func (p *pool) checkIn(c *conn) {
-	c.usedAt = p.g.now()
+	c.usedAt, c.coldPaid = p.g.now(), 0
 	c.broken = c.broken || c.txState != statement.Idle
 	p.mu.Lock()
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
@@ -399,6 +401,9 @@
 		}
 	}
 	defer c.freeSlot()
+	if err := op.admitCold(ctx, c); err != nil {
+		return nil, err
+	}
 	requests, main := op.restoreSession(c, op.Request)
 	main.After = after
 	requests = append(append(requests, main), then...)
@@ -418,9 +423,13 @@
 
 // run sends requests and records whether the database answered; if it answered
 // only some of them, nothing is recorded. After an error the connection is marked
-// broken.
+// broken. It fails with DatabaseBusy, and sends nothing, if the database is cold and may
+// not be sent them now.
 func (c *conn) run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
 	g, svc, id := c.pool.g, c.pool.svc, c.pool.db.ID
+	if err := c.payCold(requests); err != nil {
+		return nil, err
+	}
 	sentAt := g.now()
 	// The gateway's clock may have another origin than the wall clock that network
 	// deadlines use.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -270,6 +270,7 @@
 		}
 		return 0
 	}
+	s.table.RankCold(func(id string) bool { return s.g.cold.isCold(id, s.g.now()) })
 	var out []*pool
 	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, load, s.g.now()) {
 		if p := s.pools[id]; p != nil {
@@ -370,6 +371,7 @@
 	wasUnreachable := s.table.Unreachable(id, now)
 	s.table.RecordFailure(id, sentAt, refused)
 	if refused {
+		s.g.presumeCold(id)
 		s.replication.forget(id) // its process has ended
 	} else {
 		s.replication.recheckOrders() // it may have been down, and is not paused any more
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -82,6 +82,9 @@
 	}
 	defer c.pool.release(c)
 	if l.g.now().Sub(c.usedAt) >= verifyAfterIdle {
+		if err := op.admitCold(ctx, c); err != nil {
+			return statement.Answer{}, err
+		}
 		if err := op.svc.verifyPrimary(c, op.stepDeadline(l.g.now(), verifyTimeout)); err != nil {
 			return statement.Answer{}, err
 		}
@@ -312,6 +315,9 @@
 		return readOutcome{err: err}
 	}
 	defer c.pool.release(c)
+	if err := op.admitCold(ctx, c); err != nil {
+		return readOutcome{err: err}
+	}
 	before, _ := op.restoreSession(c, statement.Request{})
 	sentAt := l.g.now()
 	answers, err := c.run(op.stepDeadline(sentAt, verifyTimeout), append(before, controlRequest(statement.Begin))...)
@@ -342,7 +348,9 @@
 	if len(pools) == 0 {
 		return readOutcome{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
 	}
-	c, err := l.acquire(ctx, op, pools[n%len(pools)])
+	p := pools[n%len(pools)]
+	op.elsewhere = op.svc.anyWarm(pools, p)
+	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		return readOutcome{err: err}
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -14,6 +14,7 @@
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/retry"
+	"github.com/bronzeloft/bronzeloft/database/cold"
 	"github.com/bronzeloft/bronzeloft/database/lead"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 )
@@ -215,6 +216,7 @@
 	}
 	g.config.Store(&loadedConfiguration{Configuration: config, raw: raw})
 	g.rates.apply(config, g.now())
+	g.cold.use(func(l *cold.Limits) { l.SetServices(config.Services, g.now()) })
 	g.mu.Unlock()
 	g.log.Info("Configuration in force.", "part", "configuration", "version", config.Version, "from", from,
 		"routes", len(config.Routes), "customers", len(config.Customers))
@@ -480,12 +482,15 @@
 	for name, s := range services {
 		s.setDatabases(byService[name], g.poolSize(s))
 	}
+	g.setColdDatabases(databases)
 }
 
 // logChanges logs the differences between two lists.
 func (g *Gateway) logChanges(before, after map[string]routes.Database) {
 	for id, db := range after {
-		if old, ok := before[id]; !ok || old != db {
+		old, ok := before[id]
+		old.ColdFor = db.ColdFor // each heartbeat may change it; see reviewCold
+		if !ok || old != db {
 			g.log.Info("Database announced.", "part", "store", "database", id, "service", db.Service, "data_centre", db.DataCentre,
 				"leaving", db.Leaving, "primary", db.Primary, "born", db.StartMillis, "known", ok)
 		}
