Wait for a cold primary before a commit counts as sent

Cause: a commit that waited for its turn at a cold primary was taken for one that the primary does not answer, so the primary was replaced; the proof for which a commit waits got no turn.

Change: turns are taken before the commit is counted as sent; proofs go first, and a statement is refused as not run if its commit could not be proved in time.

--- a/database/cold/cold.go
+++ b/database/cold/cold.go
@@ -23,8 +23,8 @@
 	// minRateShare is the least part of the bound that is used as the rate, however
 	// many hosts there are.
 	minRateShare = 0.25
-	// sampleWait is how long a place for a sample is kept.
-	sampleWait = 300 * time.Millisecond
+	// dueFor is how long a place for a sample or a proof is kept; both are repeated sooner.
+	dueFor = 300 * time.Millisecond
 	// perSample is the number of other requests between two samples, unless these are
 	// sampleEvery apart: a sample costs as much as a statement.
 	perSample   = 4
@@ -56,6 +56,7 @@
 	until     time.Time // it is cold until then
 	reported  bool      // Changes has returned it as cold
 	sampleDue time.Time // when a sample was refused; zero if none waits
+	proofDue  time.Time // the same of a proof
 	sampledAt time.Time // when the last sample was admitted
 	sinceThen int       // other requests admitted since
 }
@@ -152,28 +153,46 @@
 // Cold reports whether a database is cold and its requests are limited.
 func (l *Limits) Cold(id string, now time.Time) bool { return l.cold(l.databases[id], now) }
 
+// Class is what a request is for.
+type Class uint8
+
+const (
+	// Statement is a request of a caller, or one that comes before it.
+	Statement Class = iota
+	// Sample looks for the end of the primary's log from time to time.
+	Sample
+	// Proof shows that the primary led after a commit, which waits for it.
+	Proof
+)
+
 // Admit reports whether a request may be sent to a database now, and otherwise the time
-// until one may. Samples get a fixed part of the requests, and go first until they have it.
-func (l *Limits) Admit(id string, sample bool, now time.Time) (bool, time.Duration) {
+// until one may. Proofs go first, and samples until they have had a fixed part of the
+// requests.
+func (l *Limits) Admit(id string, class Class, now time.Time) (bool, time.Duration) {
 	db := l.databases[id]
 	if !l.cold(db, now) {
 		return true, 0
 	}
+	if class == Statement && now.Sub(db.proofDue) < dueFor {
+		return false, db.proofDue.Add(dueFor).Sub(now)
+	}
 	sampleTurn := db.sinceThen >= perSample || now.Sub(db.sampledAt) >= sampleEvery
 	switch {
-	case sample && !sampleTurn:
+	case class == Sample && !sampleTurn:
 		return false, db.sampledAt.Add(sampleEvery).Sub(now)
-	case !sample && sampleTurn && now.Sub(db.sampleDue) < sampleWait:
-		return false, db.sampleDue.Add(sampleWait).Sub(now)
+	case class == Statement && sampleTurn && now.Sub(db.sampleDue) < dueFor:
+		return false, db.sampleDue.Add(dueFor).Sub(now)
 	}
 	ok, wait := l.table.Admit(id, now)
 	switch {
-	case ok && sample:
-		db.sampledAt, db.sampleDue, db.sinceThen = now, time.Time{}, 0
-	case ok:
+	case ok && class == Statement:
 		db.sinceThen++
-	case sample:
+	case ok: // a proof is a sample too
+		db.sampledAt, db.sampleDue, db.proofDue, db.sinceThen = now, time.Time{}, time.Time{}, 0
+	case class == Sample:
 		db.sampleDue = now
+	case class == Proof:
+		db.proofDue = now
 	}
 	return ok, min(wait, db.until.Sub(now))
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -43,8 +43,8 @@
 	return is
 }
 
-func (c *coldLimits) admit(id string, sample bool, now time.Time) (ok bool, wait time.Duration) {
-	c.use(func(l *cold.Limits) { ok, wait = l.Admit(id, sample, now) })
+func (c *coldLimits) admit(id string, class cold.Class, now time.Time) (ok bool, wait time.Duration) {
+	c.use(func(l *cold.Limits) { ok, wait = l.Admit(id, class, now) })
 	return ok, wait
 }
 
@@ -141,7 +141,7 @@
 	}
 	ahead := int(c.pool.coldWaiting.Add(int64(n)))
 	defer c.pool.coldWaiting.Add(-int64(n))
-	if wait := g.cold.wait(id, ahead, g.now()); g.now().Add(wait).After(deadline) {
+	if wait := g.cold.wait(id, ahead+afterwards, g.now()); g.now().Add(wait).After(deadline) {
 		return c.refuseCold(errkind.DeadlineNotRun, wait)
 	}
 	select {
@@ -150,11 +150,11 @@
 	case <-ctx.Done():
 		return c.refuseCold(errkind.DeadlineNotRun, 0)
 	}
-	if wait := g.cold.wait(id, n-c.coldPaid, g.now()); g.now().Add(wait).After(deadline) {
+	if wait := g.cold.wait(id, n-c.coldPaid+afterwards, g.now()); g.now().Add(wait).After(deadline) {
 		return c.refuseCold(errkind.DeadlineNotRun, wait)
 	}
 	for c.coldPaid < n {
-		ok, wait := g.cold.admit(id, false, g.now())
+		ok, wait := g.cold.admit(id, cold.Statement, g.now())
 		if ok {
 			c.coldPaid++
 			continue
@@ -167,6 +167,9 @@
 			return c.refuseCold(errkind.DeadlineNotRun, wait)
 		}
 	}
+	if wait := g.cold.wait(id, afterwards, g.now()); g.now().Add(wait).After(deadline) {
+		return c.refuseCold(errkind.DeadlineNotRun, wait) // a commit's outcome would remain unknown
+	}
 	return nil
 }
 
@@ -184,7 +187,7 @@
 		return c.refuseCold(errkind.DatabaseBusy, 0)
 	}
 	for c.coldPaid < n {
-		if ok, wait := g.cold.admit(id, false, g.now()); !ok {
+		if ok, wait := g.cold.admit(id, cold.Statement, g.now()); !ok {
 			return c.refuseCold(errkind.DatabaseBusy, wait)
 		}
 		c.coldPaid++
@@ -206,7 +209,7 @@
 			c.coldPaid--
 			continue
 		}
-		if ok, wait := c.pool.g.cold.admit(c.pool.db.ID, true, c.pool.g.now()); !ok {
+		if ok, wait := c.pool.g.cold.admit(c.pool.db.ID, c.coldClass, c.pool.g.now()); !ok {
 			return c.refuseCold(errkind.DatabaseBusy, wait)
 		}
 	}
@@ -224,6 +227,7 @@
 
 // Requests to a cold database that are admitted together.
 const (
+	afterwards        = 2 // the proof for which a commit waits, and a sample that comes between
 	statementOnly     = 1
 	beginAndStatement = 2 // a Begin, or a check that the database is the primary, and the statement
 )
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -162,6 +162,9 @@
 	op.database = c.pool.db.ID
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
+		if err := op.admitCold(ctx, c, statementOnly); err != nil { // before it is counted as sent
+			return statement.Answer{}, err
+		}
 		endCommit = op.svc.startCommit()
 		op.sentAfter, op.sentIn = op.svc.reportedBefore(c), l.term
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/customer/turn"
+	"github.com/bronzeloft/bronzeloft/database/cold"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/database/window"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -60,17 +61,18 @@
 // conn is a pooled connection, in use or idle.
 type conn struct {
 	Connection
-	pool     *pool
-	customer string
-	state    sessionstate.Connection
-	turn     uint64 // in pool.turns; held while a session uses the connection
-	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
-	usedAt   time.Time
-	txState  statement.State   // after the last answer
-	reported position.Position // of the last answer
-	coldPaid int               // requests admitted to a cold database and not sent yet
-	refused  bool              // a statement failed or was refused
-	broken   bool              // must be closed instead of reused
+	pool      *pool
+	customer  string
+	state     sessionstate.Connection
+	turn      uint64 // in pool.turns; held while a session uses the connection
+	slot      uint64 // in pool.slots, for the next statement; 0 if none is held
+	usedAt    time.Time
+	txState   statement.State   // after the last answer
+	reported  position.Position // of the last answer
+	coldClass cold.Class        // of the requests for which no statement has waited
+	coldPaid  int               // requests admitted to a cold database and not sent yet
+	refused   bool              // a statement failed or was refused
+	broken    bool              // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
@@ -238,7 +240,7 @@
 	}
 	p.g.metrics.dialled.Inc()
 	p.svc.recordAnswer(db.ID, sentAt)
-	return &conn{Connection: raw, pool: p, customer: customer, usedAt: p.g.now()}, nil
+	return &conn{Connection: raw, pool: p, customer: customer, usedAt: p.g.now(), coldClass: cold.Sample}, nil
 }
 
 // dialFailed records a failed connection attempt and returns its error.
@@ -279,7 +281,7 @@
 // checkIn makes a connection available to other sessions, or closes it. A connection
 // on which a transaction is open or has failed is never passed on.
 func (p *pool) checkIn(c *conn) {
-	c.usedAt, c.coldPaid = p.g.now(), 0
+	c.usedAt, c.coldPaid, c.coldClass = p.g.now(), 0, cold.Sample
 	c.broken = c.broken || c.txState != statement.Idle
 	p.mu.Lock()
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzeloft/bronzeloft/database/cold"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -91,6 +92,7 @@
 		return // borrowInTurn has recorded a failed dial
 	}
 	defer giveBack()
+	c.coldClass = cold.Proof
 	_ = s.verifyPrimary(c, s.g.now().Add(sampleTimeout)) // it has recorded the result
 }
 
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -81,10 +81,14 @@
 		return statement.Answer{}, err
 	}
 	defer c.pool.release(c)
-	if l.g.now().Sub(c.usedAt) >= verifyAfterIdle {
-		if err := op.admitCold(ctx, c, beginAndStatement); err != nil {
-			return statement.Answer{}, err
-		}
+	verify, requests := l.g.now().Sub(c.usedAt) >= verifyAfterIdle, statementOnly
+	if verify {
+		requests = beginAndStatement
+	}
+	if err := op.admitCold(ctx, c, requests); err != nil { // before the commit is counted as sent
+		return statement.Answer{}, err
+	}
+	if verify {
 		if err := op.svc.verifyPrimary(c, op.stepDeadline(l.g.now(), verifyTimeout)); err != nil {
 			return statement.Answer{}, err
 		}
