Count statements refused at a cold database as demand, and reserve a proof for commits only

Cause: a host that refused all statements since none could be sent in time announced no demand, so its share never rose.

Change: share.Table.Want; the reserve for the proof of a commit is not asked of reads.

--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -165,6 +165,14 @@
 	return false, time.Duration(wait * float64(time.Second))
 }
 
+// Want counts operations that are requested and were refused without Admit.
+func (t *Table) Want(customer string, n int, now time.Time) {
+	if a := t.accounts[customer]; a != nil {
+		a.decay(now)
+		a.demand += float64(n) / demandTimeConstant.Seconds()
+	}
+}
+
 // Wait returns the time until this host could admit n more operations, one after the
 // other, with its present share.
 func (t *Table) Wait(customer string, n int, now time.Time) time.Duration {
--- a/database/cold/cold.go
+++ b/database/cold/cold.go
@@ -197,6 +197,9 @@
 	return ok, min(wait, db.until.Sub(now))
 }
 
+// Want counts requests that could not wait, so that this host's share rises with them.
+func (l *Limits) Want(id string, n int, now time.Time) { l.table.Want(id, n, now) }
+
 // Wait returns the time until n requests may have been sent to a database.
 func (l *Limits) Wait(id string, n int, now time.Time) time.Duration {
 	db := l.databases[id]
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -133,15 +133,17 @@
 // awaitCold waits until n requests are admitted to the connection's database, if that is
 // cold, in the order of the calls. Requests that belong together are admitted together:
 // otherwise many callers would each use up one and run none. It fails with DeadlineNotRun,
-// at once, if that cannot be before the deadline.
-func (c *conn) awaitCold(ctx context.Context, n int, deadline time.Time) error {
+// at once, if that, and the after requests that the answer needs later, cannot be before the
+// deadline.
+func (c *conn) awaitCold(ctx context.Context, n, after int, deadline time.Time) error {
 	g, id := c.pool.g, c.pool.db.ID
 	if c.coldPaid >= n || !g.cold.isCold(id, g.now()) {
 		return nil
 	}
 	ahead := int(c.pool.coldWaiting.Add(int64(n)))
 	defer c.pool.coldWaiting.Add(-int64(n))
-	if wait := g.cold.wait(id, ahead+afterwards, g.now()); g.now().Add(wait).After(deadline) {
+	if wait := g.cold.wait(id, ahead+after, g.now()); g.now().Add(wait).After(deadline) {
+		g.cold.use(func(l *cold.Limits) { l.Want(id, n, g.now()) })
 		return c.refuseCold(errkind.DeadlineNotRun, wait)
 	}
 	select {
@@ -150,7 +152,8 @@
 	case <-ctx.Done():
 		return c.refuseCold(errkind.DeadlineNotRun, 0)
 	}
-	if wait := g.cold.wait(id, n-c.coldPaid+afterwards, g.now()); g.now().Add(wait).After(deadline) {
+	if wait := g.cold.wait(id, n-c.coldPaid+after, g.now()); g.now().Add(wait).After(deadline) {
+		g.cold.use(func(l *cold.Limits) { l.Want(id, n, g.now()) })
 		return c.refuseCold(errkind.DeadlineNotRun, wait)
 	}
 	for c.coldPaid < n {
@@ -167,7 +170,7 @@
 			return c.refuseCold(errkind.DeadlineNotRun, wait)
 		}
 	}
-	if wait := g.cold.wait(id, afterwards, g.now()); g.now().Add(wait).After(deadline) {
+	if wait := g.cold.wait(id, after, g.now()); after > 0 && g.now().Add(wait).After(deadline) {
 		return c.refuseCold(errkind.DeadlineNotRun, wait) // a commit's outcome would remain unknown
 	}
 	return nil
@@ -186,6 +189,9 @@
 	default:
 		return c.refuseCold(errkind.DatabaseBusy, 0)
 	}
+	if wait := g.cold.wait(id, n-c.coldPaid, g.now()); wait > 0 {
+		return c.refuseCold(errkind.DatabaseBusy, wait)
+	}
 	for c.coldPaid < n {
 		if ok, wait := g.cold.admit(id, cold.Statement, g.now()); !ok {
 			return c.refuseCold(errkind.DatabaseBusy, wait)
@@ -222,12 +228,16 @@
 	if op.elsewhere {
 		return c.tryCold(n)
 	}
-	return c.awaitCold(ctx, n, op.deadline)
+	after := 0
+	if op.writes() || op.Kind == statement.Commit {
+		after = afterCommit
+	}
+	return c.awaitCold(ctx, n, after, op.deadline)
 }
 
 // Requests to a cold database that are admitted together.
 const (
-	afterwards        = 2 // the proof for which a commit waits, and a sample that comes between
+	afterCommit       = 2 // the proof for which a commit waits, and a sample that comes between
 	statementOnly     = 1
 	beginAndStatement = 2 // a Begin, or a check that the database is the primary, and the statement
 )
