--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -275,7 +275,7 @@
 // that this host's own may not be received there either.
 func (t *Table) anySilent(now time.Time) bool {
 	for _, p := range t.peers {
-		if now.Sub(p.lastSeen) >= isolatedAfter {
+		if now.Sub(p.lastSeen) >= t.cfg.Settle {
 			return true
 		}
 	}
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -134,6 +134,7 @@
 			Expect(most).To(BeNumerically("<=", int(rate*overage+slack)))
 			Expect(answered).To(BeNumerically(">", 0))
 			_, total = requests("a", since.Add(settled))
+			GinkgoWriter.Println("once settled", total)
 			Expect(total).To(BeNumerically(">=", 0.4*rate*(loadFor-settled).Seconds()))
 			for kind := range refused {
 				Expect(kind.Answer().Outcome).To(Equal(errkind.NotRun), kind.String())
