Leave a host whose demand is not settled a part of a cold database's rate

Cause: refused statements are repeated, so announced demands grew far beyond the rate, and for two seconds after a database became cold no host counted its own.

Change: for cold databases demands count up to the rate; the base share is larger.

--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -25,8 +25,7 @@
 	// demand: long enough to average over a few operations of a small customer,
 	// short compared with the 5 s window of quotas.
 	demandTimeConstant = 1500 * time.Millisecond
-	// baseDemandShare is the base demand that is added for every host, as a
-	// fraction of the host's equal share of the customer's rate.
+	// baseDemandShare is Config.BaseShare for customers.
 	baseDemandShare = 0.25
 	// isolatedAfter is the time without announcements after which a host assumes that
 	// its own are not received either: four announcements.
@@ -51,15 +50,19 @@
 	BurstSlack float64
 	// MinBurst is the smallest bucket size of one host, in operations.
 	MinBurst float64
+	// BaseShare is the base demand that is added for every host, as a fraction of the
+	// host's equal share of the rate.
+	BaseShare float64
 	// Settle is the longest time in which an announcement reaches all hosts. If it is
 	// not zero, a host's own demand counts as the least that it has announced within
 	// Settle, so that the shares add up to at most one also while demands change, and
-	// does not rise while a known host is silent. New buckets are then empty.
+	// does not rise while a known host is silent. Demands count up to the limit's rate, so
+	// that many refused operations leave a new host its part. New buckets are then empty.
 	Settle time.Duration
 }
 
 // Customers is the configuration for the customers' rates.
-var Customers = Config{BurstSlack: burstSlack, MinBurst: minBurst}
+var Customers = Config{BurstSlack: burstSlack, MinBurst: minBurst, BaseShare: baseDemandShare}
 
 // Limit is a customer's rate limit over all hosts.
 type Limit struct {
@@ -199,10 +202,10 @@
 		a.decay(now)
 		if !isolated {
 			a.prevAnnounced, a.lastAnnounced = a.lastAnnounced, a.demand
-			a.recordAnnouncement(now, t.cfg.Settle)
+			t.recordAnnouncement(a, now)
 		}
-		if a.demand > minAnnouncedDemand {
-			out[name] = a.demand
+		if demand := t.counted(a); demand > minAnnouncedDemand {
+			out[name] = demand
 		}
 	}
 	return out
@@ -236,7 +239,7 @@
 		reporting += p.hosts
 	}
 	hosts := max(t.hosts, reporting)
-	base := baseDemandShare * a.limit.Rate / float64(hosts)
+	base := t.cfg.BaseShare * a.limit.Rate / float64(hosts)
 	own := t.ownDemand(a) + base
 	sum := 0.0
 	for _, p := range t.peers {
@@ -252,21 +255,29 @@
 	if t.cfg.Settle == 0 {
 		return min(a.demand, a.prevAnnounced+unannouncedOperations/demandTimeConstant.Seconds())
 	}
-	own := a.demand
+	own := t.counted(a)
 	for _, past := range a.announced {
 		own = min(own, past.demand)
 	}
 	return own
 }
 
+// counted returns the part of this host's demand that counts for its share.
+func (t *Table) counted(a *account) float64 {
+	if t.cfg.Settle == 0 {
+		return a.demand
+	}
+	return min(a.demand, a.limit.Rate)
+}
+
 // recordAnnouncement keeps the announcements within settle and the one before, which
 // the others may still count.
-func (a *account) recordAnnouncement(now time.Time, settle time.Duration) {
-	if settle == 0 {
+func (t *Table) recordAnnouncement(a *account, now time.Time) {
+	if t.cfg.Settle == 0 {
 		return
 	}
-	a.announced = append(a.announced, announcement{at: now, demand: a.demand})
-	for len(a.announced) > 1 && now.Sub(a.announced[1].at) >= settle {
+	a.announced = append(a.announced, announcement{at: now, demand: t.counted(a)})
+	for len(a.announced) > 1 && now.Sub(a.announced[1].at) >= t.cfg.Settle {
 		a.announced = a.announced[1:]
 	}
 }
--- a/database/cold/cold.go
+++ b/database/cold/cold.go
@@ -29,6 +29,8 @@
 	// sampleEvery apart: a sample costs as much as a statement.
 	perSample   = 4
 	sampleEvery = time.Second
+	// baseShare is the part of the rate that is divided evenly, as of the demand for it.
+	baseShare = 0.5
 	// window is the time in which the bound counts requests.
 	window = time.Second
 )
@@ -66,7 +68,7 @@
 func New(cfg Config, hosts int) *Limits {
 	return &Limits{
 		cfg: cfg, hosts: max(1, hosts), services: map[string]routes.Service{}, databases: map[string]*database{},
-		table: share.NewWith(share.Config{MinBurst: 1, Settle: settle}, hosts),
+		table: share.NewWith(share.Config{MinBurst: 1, BaseShare: baseShare, Settle: settle}, hosts),
 	}
 }
 
