Let statements at a slow cold database take turns with samples

Cause: at shares below one statement a second samples took every turn.

Change: a statement that waits goes before the second sample.

--- a/database/cold/cold.go
+++ b/database/cold/cold.go
@@ -60,6 +60,7 @@
 	sampleDue time.Time // when a sample was refused; zero if none waits
 	proofDue  time.Time // the same of a proof
 	sampledAt time.Time // when the last sample was admitted
+	refused   bool      // the last statement was
 	sinceThen int       // other requests admitted since
 }
 
@@ -178,7 +179,8 @@
 	if class == Statement && now.Sub(db.proofDue) < dueFor {
 		return false, db.proofDue.Add(dueFor).Sub(now)
 	}
-	sampleTurn := db.sinceThen >= perSample || now.Sub(db.sampledAt) >= sampleEvery
+	refused := db.refused && db.sinceThen == 0 // a statement has waited since the last sample
+	sampleTurn := db.sinceThen >= perSample || now.Sub(db.sampledAt) >= sampleEvery && !refused
 	switch {
 	case class == Sample && !sampleTurn:
 		return false, db.sampledAt.Add(sampleEvery).Sub(now)
@@ -189,6 +191,9 @@
 	switch {
 	case ok && class == Statement:
 		db.sinceThen++
+		db.refused = false
+	case class == Statement:
+		db.refused = true
 	case ok: // a proof is a sample too
 		db.sampledAt, db.sampleDue, db.proofDue, db.sinceThen = now, time.Time{}, time.Time{}, 0
 	case class == Sample:
--- a/database/cold/cold_test.go
+++ b/database/cold/cold_test.go
@@ -285,9 +285,12 @@
 		}
 	})
 
-	It("leaves every fifth request to a sample that waits, and no more of them", func() {
+	DescribeTable("leaves a part of the requests to samples that wait, and no more of them", func(rate, part float64) {
+		l.SetServices(map[string]routes.Service{"s": {Name: "s", ColdRate: rate}}, noon)
+		entry := entry
+		entry.ColdFor = time.Hour
 		list(entry, noon)
-		l.SetHosts(1, noon) // alone, it sends 5 a second: the fifth comes within 1 s
+		l.SetHosts(1, noon) // it sends all that is allowed
 		samples := 0
 		for n, now := 0, noon; n < 50; now = now.Add(step) {
 			for _, class := range []cold.Class{cold.Statement, cold.Sample} {
@@ -299,6 +302,9 @@
 				}
 			}
 		}
-		Expect(samples).To(BeNumerically("~", 10, 2))
-	})
+		Expect(samples).To(BeNumerically("~", 50*part, 2))
+	},
+		Entry("every fifth, which comes within a second", 5.0, 0.2),
+		Entry("every second one, if less than one a second is sent", 0.5, 0.5),
+	)
 })
