--- a/database/cold/cold_test.go
+++ b/database/cold/cold_test.go
@@ -275,6 +275,13 @@
 		Expect(l.Cold(database, noon.Add(time.Second))).To(BeFalse())
 	})
 
+	It("announces requests that could not wait as demand", func() {
+		list(entry, noon)
+		Expect(l.Demands(noon)).To(BeEmpty())
+		l.Want(database, 2, noon)
+		Expect(l.Demands(noon)).To(HaveKeyWithValue(database, BeNumerically(">", 0)))
+	})
+
 	It("does not matter where the configuration names no rate", func() {
 		l.SetServices(map[string]routes.Service{"s": {Name: "s"}}, noon)
 		list(entry, noon)
