Bound how long an admission to a cold database may be used, and spare the lock elsewhere

A transaction's Begin and first statement are admitted together, but the caller may rest between them: the kept admissions of many transactions could reach the database in one second. They now expire shortly after a check of the primary may take. A statement that waits is not sent any more once the database's announced shutdown is near, as checkOut requires. conn.run took the host-wide lock for each request also while no database was cold. A commit waits for its slot and its admission before it counts as sent: statements that wait for a cold database hold the slots for seconds, and the primary would count as stalled.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -153,6 +153,7 @@
 // deadline.
 func (c *conn) awaitCold(ctx context.Context, n, after int, deadline time.Time) error {
 	g, id := c.pool.g, c.pool.db.ID
+	c.expireColdPaid()
 	if c.coldPaid >= n || !g.cold.isCold(id, g.now()) {
 		return nil
 	}
@@ -173,9 +174,12 @@
 		return c.refuseCold(errkind.DeadlineNotRun, wait)
 	}
 	for c.coldPaid < n {
+		if c.pool.drained() {
+			return c.refuseCold(errkind.DatabaseUnavailable, 0) // its shutdown was announced while this waited
+		}
 		ok, wait := g.cold.admit(id, cold.Statement, g.now())
 		if ok {
-			c.coldPaid++
+			c.coldPaid, c.coldPaidAt = c.coldPaid+1, g.now()
 			continue
 		}
 		timer := time.NewTimer(min(wait, coldPoll))
@@ -196,6 +200,7 @@
 // with DatabaseBusy, after which a read is sent to another database.
 func (c *conn) tryCold(n int) error {
 	g, id := c.pool.g, c.pool.db.ID
+	c.expireColdPaid()
 	if c.coldPaid >= n || !g.cold.isCold(id, g.now()) {
 		return nil
 	}
@@ -212,11 +217,21 @@
 		if ok, wait := g.cold.admit(id, cold.Statement, g.now()); !ok {
 			return c.refuseCold(errkind.DatabaseBusy, wait)
 		}
-		c.coldPaid++
+		c.coldPaid, c.coldPaidAt = c.coldPaid+1, g.now()
 	}
 	return nil
 }
 
+// coldPaidFor is how long after the last admission the requests may be sent that were
+// admitted: those of many transactions that rest must not reach a database together.
+const coldPaidFor = verifyTimeout + 50*time.Millisecond
+
+func (c *conn) expireColdPaid() {
+	if c.coldPaid > 0 && c.pool.g.now().Sub(c.coldPaidAt) > coldPaidFor {
+		c.coldPaid = 0
+	}
+}
+
 func (c *conn) refuseCold(kind errkind.Kind, wait time.Duration) error {
 	c.pool.g.metrics.keptFromCold.Inc()
 	return errkind.New(kind, "database %s is cold after its start, retry after %d ms", c.pool.db.ID, wait.Milliseconds()+1)
@@ -225,6 +240,10 @@
 // payCold admits the requests that are about to be sent to a cold database and for which
 // no statement has waited: those of samples and of checks of the primary.
 func (c *conn) payCold(requests []statement.Request) error {
+	if !c.pool.g.cold.active.Load() {
+		return nil
+	}
+	c.expireColdPaid()
 	cost := coldCost(requests)
 	for ; cost > 0; cost-- {
 		if c.coldPaid > 0 {
@@ -251,6 +270,26 @@
 	return c.awaitCold(ctx, n, after, op.deadline)
 }
 
+// readyCommit waits until a commit may be sent to a cold database, also for a slot, which
+// statements that wait there may hold for seconds: a commit that has been counted as sent
+// and waits would make its primary count as stalled.
+func (c *conn) readyCommit(ctx context.Context, op *operation) error {
+	if !c.pool.g.cold.isCold(c.pool.db.ID, c.pool.g.now()) {
+		return nil
+	}
+	if c.slot == 0 {
+		var err error
+		if c.slot, err = c.pool.slots.Acquire(ctx, op.queueItem()); err != nil {
+			return err
+		}
+	}
+	err := op.admitCold(ctx, c, statementOnly)
+	if err != nil {
+		c.freeSlot()
+	}
+	return err
+}
+
 // Requests to a cold database that are admitted together.
 const (
 	afterCommit       = 2 // the proof for which a commit waits, and a sample that comes between
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -162,7 +162,7 @@
 	op.database = c.pool.db.ID
 	endCommit := func(bool) {}
 	if op.Kind == statement.Commit && l.wrote {
-		if err := op.admitCold(ctx, c, statementOnly); err != nil { // before it is counted as sent
+		if err := c.readyCommit(ctx, op); err != nil {
 			return statement.Answer{}, err
 		}
 		endCommit = op.svc.startCommit()
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -61,18 +61,19 @@
 // conn is a pooled connection, in use or idle.
 type conn struct {
 	Connection
-	pool      *pool
-	customer  string
-	state     sessionstate.Connection
-	turn      uint64 // in pool.turns; held while a session uses the connection
-	slot      uint64 // in pool.slots, for the next statement; 0 if none is held
-	usedAt    time.Time
-	txState   statement.State   // after the last answer
-	reported  position.Position // of the last answer
-	coldClass cold.Class        // of the requests for which no statement has waited
-	coldPaid  int               // requests admitted to a cold database and not sent yet
-	refused   bool              // a statement failed or was refused
-	broken    bool              // must be closed instead of reused
+	pool       *pool
+	customer   string
+	state      sessionstate.Connection
+	turn       uint64 // in pool.turns; held while a session uses the connection
+	slot       uint64 // in pool.slots, for the next statement; 0 if none is held
+	usedAt     time.Time
+	txState    statement.State   // after the last answer
+	reported   position.Position // of the last answer
+	coldClass  cold.Class        // of the requests for which no statement has waited
+	coldPaid   int               // requests admitted to a cold database and not sent yet
+	coldPaidAt time.Time         // when the last of them was admitted
+	refused    bool              // a statement failed or was refused
+	broken     bool              // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -96,6 +96,9 @@
 	if op.sentIn, err = op.svc.leaderTerm(c); err != nil {
 		return statement.Answer{}, err
 	}
+	if err := c.readyCommit(ctx, op); err != nil {
+		return statement.Answer{}, err
+	}
 	endCommit := op.svc.startCommit()
 	op.sentAfter = op.svc.reportedBefore(c)
 	answers, err := c.runStatement(ctx, op, position.Position{})
