Ask a cold primary for its status while its samples are held back

Two lost answers and then held-back samples made a cold primary that answers again count as unreachable after 600 ms; one that had died went unnoticed for as long as its samples were held back. A STATUS, which is not limited, replaces such a sample, every sampleInterval at most. The spec fails without it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -257,6 +257,23 @@
 	return nil
 }
 
+// heartbeatDue reports whether a STATUS, which is not limited, is to show whether a cold
+// database answers, after a sample on the connection failed. Without it, failures before a
+// sample that is held back would count as lasting, and a dead primary would go unnoticed.
+func (p *pool) heartbeatDue(c *conn) bool {
+	now := p.g.now()
+	if c.broken || !p.g.cold.isCold(p.db.ID, now) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.coldHeartbeatAt) < sampleInterval {
+		return false
+	}
+	p.coldHeartbeatAt = now
+	return true
+}
+
 // admitCold admits n requests of an operation to the connection's database. It does not
 // wait for a read that another database can serve.
 func (op *operation) admitCold(ctx context.Context, c *conn, n int) error {
--- a/gateway/coldpaid_test.go
+++ b/gateway/coldpaid_test.go
@@ -61,4 +61,16 @@
 		err := c.awaitCold(context.Background(), 1, 0, g.now().Add(5*time.Second))
 		Expect(errkind.Of(err)).To(Equal(errkind.DatabaseUnavailable))
 	})
+
+	It("shows that a cold primary answers again after two lost answers, although its samples are held back", func() {
+		start(0.01)
+		s := g.service(testService)
+		s.recordFailure("a", g.now(), false)
+		s.recordFailure("a", g.now(), false)
+		c.pool.checkIn(c)
+		s.sample(c.pool)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.table.Unreachable("a", g.now().Add(time.Second))).To(BeFalse())
+	})
 })
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -50,6 +50,8 @@
 	max    int
 	window window.Window // of statements in flight
 	closed bool
+	// coldHeartbeatAt is when a STATUS replaced a sample that was held back.
+	coldHeartbeatAt time.Time
 	// leavingSince is when the database announced its shutdown; zero if it has not.
 	leavingSince time.Time
 	// fullUntil is when the database is no longer assumed to have reached its
--- a/gateway/sample.go
+++ b/gateway/sample.go
@@ -79,7 +79,9 @@
 		return // a failed dial has been recorded; if all connections are in use, their answers show the state
 	}
 	defer p.checkIn(c)
-	s.verifyPrimary(c, s.g.now().Add(sampleTimeout))
+	if s.verifyPrimary(c, s.g.now().Add(sampleTimeout)) != nil && p.heartbeatDue(c) {
+		_, _ = c.status(s.g.now().Add(sampleTimeout)) // it has recorded the result
+	}
 }
 
 // sampleInTurn is sample, but waits for a connection if all are in use: statements other than
