Know that a database is cold before its new pool sends statements

A list of databases reached the pools before the limits, so a restarted database could get unlimited statements for a moment. Also, while no database is cold, a read takes the service's lock once less, and no time per database.

go test -race ./gateway -ginkgo.focus cold passes before and after; no new spec.

--- a/database/lead/readers.go
+++ b/database/lead/readers.go
@@ -123,7 +123,7 @@
 }
 
 // RankCold ranks the databases for which cold is true behind the other readers that can
-// serve.
+// serve; nil if none is.
 func (t *Table) RankCold(cold func(id string) bool) { t.isCold = cold }
 
 // Replicas returns all databases except id, the primary, in the order of their ids.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -314,10 +314,12 @@
 	beginAndStatement = 2 // a Begin, or a check that the database is the primary, and the statement
 )
 
-// anyWarm reports whether another database than the given one can serve a read and is
-// not cold.
+// anyWarm reports whether a database is cold and another one can serve a read and is not.
 func (s *service) anyWarm(pools []*pool, except *pool) bool {
 	now := s.g.now()
+	if !s.g.cold.isCold(except.db.ID, now) {
+		return false
+	}
 	for _, p := range pools {
 		if p != except && !s.g.cold.isCold(p.db.ID, now) && s.readable(p.db.ID, now) {
 			return true
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -270,7 +270,10 @@
 		}
 		return 0
 	}
-	s.table.RankCold(func(id string) bool { return s.g.cold.isCold(id, s.g.now()) })
+	s.table.RankCold(nil)
+	if s.g.cold.active.Load() {
+		s.table.RankCold(func(id string) bool { return s.g.cold.isCold(id, s.g.now()) })
+	}
 	var out []*pool
 	for _, id := range s.table.Readers(customer, s.g.opt.DataCentre, load, s.g.now()) {
 		if p := s.pools[id]; p != nil {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -479,10 +479,10 @@
 	}
 	services := maps.Clone(g.services)
 	g.mu.Unlock()
+	g.setColdDatabases(databases) // before their pools may send them statements
 	for name, s := range services {
 		s.setDatabases(byService[name], g.poolSize(s))
 	}
-	g.setColdDatabases(databases)
 }
 
 // logChanges logs the differences between two lists.
