--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/customer/turn"
+	"github.com/bronzeloft/bronzeloft/database/cold"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/database/window"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -37,6 +39,9 @@
 	svc   *service
 	turns *turn.Queue // admits customers to connections
 	slots *turn.Queue // admits statements to the database
+	cold  coldGate
+	// coldWaiting is the number of requests that wait for a cold database.
+	coldWaiting atomic.Int64
 
 	mu     sync.Mutex // guards the fields below; a leaf lock
 	db     routes.Database
@@ -45,6 +50,8 @@
 	max    int
 	window window.Window // of statements in flight
 	closed bool
+	// coldHeartbeatAt is when a STATUS replaced a sample that was held back.
+	coldHeartbeatAt time.Time
 	// leavingSince is when the database announced its shutdown; zero if it has not.
 	leavingSince time.Time
 	// fullUntil is when the database is no longer assumed to have reached its
@@ -56,20 +63,23 @@
 // conn is a pooled connection, in use or idle.
 type conn struct {
 	Connection
-	pool     *pool
-	customer string
-	state    sessionstate.Connection
-	turn     uint64 // in pool.turns; held while a session uses the connection
-	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
-	usedAt   time.Time
-	txState  statement.State   // after the last answer
-	reported position.Position // of the last answer
-	refused  bool              // a statement failed or was refused
-	broken   bool              // must be closed instead of reused
+	pool       *pool
+	customer   string
+	state      sessionstate.Connection
+	turn       uint64 // in pool.turns; held while a session uses the connection
+	slot       uint64 // in pool.slots, for the next statement; 0 if none is held
+	usedAt     time.Time
+	txState    statement.State   // after the last answer
+	reported   position.Position // of the last answer
+	coldClass  cold.Class        // of the requests for which no statement has waited
+	coldPaid   int               // requests admitted to a cold database and not sent yet
+	coldPaidAt time.Time         // when the last of them was admitted
+	refused    bool              // a statement failed or was refused
+	broken     bool              // must be closed instead of reused
 }
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
-	p := &pool{g: g, svc: svc, db: db, max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
+	p := &pool{g: g, svc: svc, db: db, cold: make(coldGate, 1), max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
 	p.turns = turn.New(fair.Config{Slots: size}, g.now)
 	p.slots = turn.New(fair.Config{Slots: p.window.Size()}, g.now)
 	return p
@@ -242,7 +252,7 @@
 	}
 	p.g.metrics.dialled.Inc()
 	p.svc.recordAnswer(db.ID, sentAt)
-	return &conn{Connection: raw, pool: p, customer: customer, usedAt: p.g.now()}, nil
+	return &conn{Connection: raw, pool: p, customer: customer, usedAt: p.g.now(), coldClass: cold.Sample}, nil
 }
 
 // dialFailed records a failed connection attempt and returns its error.
@@ -283,7 +293,7 @@
 // checkIn makes a connection available to other sessions, or closes it. A connection
 // on which a transaction is open or has failed is never passed on.
 func (p *pool) checkIn(c *conn) {
-	c.usedAt = p.g.now()
+	c.usedAt, c.coldPaid, c.coldClass = p.g.now(), 0, cold.Sample
 	c.broken = c.broken || c.txState != statement.Idle
 	p.mu.Lock()
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
@@ -408,6 +418,9 @@
 		}
 	}
 	defer c.freeSlot()
+	if err := op.admitCold(ctx, c, statementOnly); err != nil {
+		return nil, err
+	}
 	requests, main := op.restoreSession(c, op.Request)
 	main.After = after
 	requests = append(append(requests, main), then...)
@@ -428,14 +441,18 @@
 // run sends requests and records whether the database answered; if it answered
 // only some of them, nothing is recorded. After an error the connection is marked
 // broken. To a database whose data centre is evacuated nothing is sent, not even the end of a
-// transaction: closing the connection rolls it back. If run returns an errkind.Error, nothing was
-// sent.
+// transaction: closing the connection rolls it back. To a cold one nothing is sent that it may
+// not be sent now; run then fails with DatabaseBusy. If run returns an errkind.Error, nothing
+// was sent.
 func (c *conn) run(deadline time.Time, requests ...statement.Request) ([]statement.Answer, error) {
 	g, svc, id := c.pool.g, c.pool.svc, c.pool.db.ID
 	if c.pool.isClosed() && !onlyStatus(requests) {
 		c.broken = true
 		return nil, c.pool.closedError()
 	}
+	if err := c.payCold(requests); err != nil {
+		return nil, err
+	}
 	sentAt := g.now()
 	// The gateway's clock may have another origin than the wall clock that network
 	// deadlines use.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -275,6 +275,10 @@
 		}
 		return 0
 	}
+	s.table.RankCold(nil)
+	if s.g.cold.active.Load() {
+		s.table.RankCold(func(id string) bool { return s.g.cold.isCold(id, s.g.now()) })
+	}
 	var out []*pool
 	var ids []string
 	if now := s.g.now(); s.g.evacuations.any() {
@@ -381,6 +385,7 @@
 	wasUnreachable := s.table.Unreachable(id, now)
 	s.table.RecordFailure(id, sentAt, refused)
 	if refused {
+		s.g.presumeCold(id)
 		s.replication.forget(id) // its process has ended
 	} else {
 		s.replication.recheckOrders() // it may have been down, and is not paused any more
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -81,7 +81,14 @@
 		return statement.Answer{}, err
 	}
 	defer c.pool.release(c)
-	if l.g.now().Sub(c.usedAt) >= verifyAfterIdle {
+	verify, requests := l.g.now().Sub(c.usedAt) >= verifyAfterIdle, statementOnly
+	if verify {
+		requests = beginAndStatement
+	}
+	if err := op.admitCold(ctx, c, requests); err != nil { // before the commit is counted as sent
+		return statement.Answer{}, err
+	}
+	if verify {
 		if err := op.svc.verifyPrimary(c, op.stepDeadline(l.g.now(), verifyTimeout)); err != nil {
 			return statement.Answer{}, err
 		}
@@ -89,6 +96,9 @@
 	if op.sentIn, err = op.svc.leaderTerm(c); err != nil {
 		return statement.Answer{}, err
 	}
+	if err := c.readyCommit(ctx, op); err != nil {
+		return statement.Answer{}, err
+	}
 	endCommit := op.svc.startCommit()
 	op.sentAfter = op.svc.reportedBefore(c)
 	answers, err := c.runStatement(ctx, op, position.Position{})
@@ -312,6 +322,9 @@
 		return readOutcome{err: err}
 	}
 	defer c.pool.release(c)
+	if err := op.admitCold(ctx, c, beginAndStatement); err != nil {
+		return readOutcome{err: err}
+	}
 	before, _ := op.restoreSession(c, statement.Request{})
 	sentAt := l.g.now()
 	answers, err := c.run(op.stepDeadline(sentAt, verifyTimeout), append(before, controlRequest(statement.Begin))...)
@@ -342,7 +355,9 @@
 	if len(pools) == 0 {
 		return readOutcome{err: op.svc.noReadersError()}
 	}
-	c, err := l.acquire(ctx, op, pools[n%len(pools)])
+	p := pools[n%len(pools)]
+	op.elsewhere = op.svc.anyWarm(pools, p)
+	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		return readOutcome{err: err}
 	}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -65,6 +65,7 @@
 	unaware        bool // the same, and that it is the primary
 	received       []statement.Kind
 	lastRequest    time.Time // arrival of the last statement that asks for more than its state
+	receivedAt     []time.Time
 	reads          int
 	holdReads      chan struct{}  // reads wait until it is closed; nil if reads do not wait
 	loseNextAnswer bool           // the next commit takes effect, but its answer is lost
@@ -167,7 +168,7 @@
 	if l.db.unresponsive {
 		return statement.Answer{}, errStandinTimeout
 	}
-	l.db.received = append(l.db.received, r.Kind)
+	l.db.received, l.db.receivedAt = append(l.db.received, r.Kind), append(l.db.receivedAt, time.Now())
 	if r.Kind != statement.Status && r.Kind != statement.Pause && r.Kind != statement.Resume {
 		l.db.lastRequest = time.Now()
 	}
