Hold connections by demand where they are scarce

Home hosts exchange allotments in their messages, through the delegates; a pool gives up the idle connection with the longest expected time until its next use.

--- a/database/allotment/allotment.go
+++ b/database/allotment/allotment.go
@@ -191,7 +191,7 @@
 // are out of order, or of a home host that has been followed by another one, are ignored.
 func (t *Table) Record(a Announcement, now time.Time) {
 	p := t.peers[a.DataCentre]
-	if p == nil || a.Tenure <= p.retired[a.Host] {
+	if p == nil || a.Tenure <= p.retired[a.Host] || a.Host == p.holder.Host && a.Tenure < p.holder.Tenure {
 		return
 	}
 	switch {
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -43,6 +43,8 @@
 	demands share.Demands
 	groups  []*gossippb.Group
 	rules   uint32 // the least that its hosts state
+
+	allotments []*gossippb.Allotment
 }
 
 // contact is the current period of uninterrupted contact with a data centre: its
@@ -197,6 +199,7 @@
 	}
 	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
 	add(own.Demands)
+	c.Allotments = slices.Clone(own.Allotments)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
 	c.Hosts, c.Rules = uint32(max(1, p.placement.Live(now))), p.leastRules(now)
@@ -208,6 +211,7 @@
 		add(h.demands)
 		if !h.leaving && silent < reportTTL {
 			c.Groups = appendWatched(c.Groups, name, h.groups, now.Sub(h.lastSeen))
+			c.Allotments = append(c.Allotments, h.allotments...)
 		}
 	}
 	p.mu.Unlock()
@@ -259,7 +263,7 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules, Allotments: c.allotments}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -281,7 +285,7 @@
 		p.mu.Unlock()
 		return
 	}
-	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules}
+	c := &centreSummary{at: at, hosts: int(in.Hosts), demands: demandsOf(in.Demands), groups: in.Groups, rules: in.Rules, allotments: in.Allotments}
 	p.centres[in.Name] = c
 	p.recordContact(in.Name, at)
 	for _, g := range in.Groups {
@@ -289,6 +293,7 @@
 	}
 	p.mu.Unlock()
 	p.g.recordLeaving(in.Groups, at)
+	p.g.allotments.record(in.Allotments, now)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	metrics    *gatewayMetrics
 	requestLog *requestLog
 	rates      *rates
+	allotments *allotments
 	peers      *peers
 	streams    *streams
 	stalls     stallDetector
@@ -151,6 +152,7 @@
 	g.started = g.now()
 	g.stalls.lastBeat = g.started
 	g.rates = &rates{table: share.New(1)}
+	g.allotments = newAllotments(g)
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
 	g.metrics = newMetrics(g)
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -156,9 +156,11 @@
 	return h == nil || now.Sub(h.lastSeen) >= homeSilentAfter
 }
 
-// dataCentreCount returns the number of data centres that are configured or have
-// hosts.
-func (p *peers) dataCentreCount() int {
+// dataCentreCount returns the number of dataCentres.
+func (p *peers) dataCentreCount() int { return len(p.dataCentres()) }
+
+// dataCentres returns the data centres that are configured or have hosts.
+func (p *peers) dataCentres() map[string]bool {
 	now := p.g.now()
 	seen := map[string]bool{p.g.opt.DataCentre: true}
 	for _, centre := range p.g.opt.Centres {
@@ -176,7 +178,7 @@
 			seen[name] = true
 		}
 	}
-	return len(seen)
+	return seen
 }
 
 // isMember reports whether a host counts as a member of the fleet when
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -58,6 +58,39 @@
 	closedExcess  = "excess"  // the pool is closed or too large, or the connection was spare or its session state full
 )
 
+// Reasons for which a connection to a database is opened for a customer.
+const (
+	dialledAdding    = "adding"    // the pool has room
+	dialledReplacing = "replacing" // in place of an idle connection of another customer
+)
+
+// dialling counts an attempt to open a connection for a customer by reason.
+func (m *gatewayMetrics) dialling(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_database_dials_total{reason=%q}`, reason)).Inc()
+}
+
+// States of the connections to a database that are divided by demand.
+const (
+	connectionsAllotted = "allotted" // this host may hold
+	connectionsHeld     = "held"     // it holds
+)
+
+// connections sets what this host may hold and holds of a database's connections, and its
+// demand in check-outs a second.
+func (m *gatewayMetrics) connections(database string, allotted, held int, demand float64) {
+	set := func(name string, value float64) { m.set.GetOrCreateGauge(name, nil).Set(value) }
+	set(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsAllotted), float64(allotted))
+	set(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsHeld), float64(held))
+	set(fmt.Sprintf(`bronzeloft_database_checkouts_per_second{database=%q}`, database), demand)
+}
+
+// forgetConnections removes what connections set.
+func (m *gatewayMetrics) forgetConnections(database string) {
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsAllotted))
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsHeld))
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_checkouts_per_second{database=%q}`, database))
+}
+
 // closed counts a closed connection to a database by reason.
 func (m *gatewayMetrics) closed(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_database_connections_closed_total{reason=%q}`, reason)).Inc()
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -72,7 +72,7 @@
 
 // outgoingMessages returns this round's messages: this host's state for hosts of its
 // data centre and, on a delegate, the summary for the other data centres. The largest
-// parts are sent only to the hosts that use them: demands to delegates and to hosts
+// parts are sent only to the hosts that use them: demands and allotments to delegates and to hosts
 // that watch databases, summaries only to the latter, and last, so that they do not
 // delay the other messages. Group reports are in every message within the data
 // centre, because they show which hosts watch.
@@ -89,6 +89,8 @@
 	demands := p.demands(now)
 	withDemands := proto.CloneOf(brief)
 	withDemands.Demands, full.Demands = demands, demands
+	withDemands.Allotments = p.g.allotments.announcements()
+	full.Allotments = withDemands.Allotments
 	summary := proto.CloneOf(brief)
 	summary.Groups, summary.Ranked, summary.LiveHosts = nil, nil, 0
 	if len(to.crossCentre) > 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,6 +73,8 @@
 	groups   []*gossippb.Group
 	demands  []*gossippb.Demand
 
+	allotments []*gossippb.Allotment // as the home host of services with scarce connections
+
 	storeAnswers bool // it watches the store and gets answers
 
 	dataCentre string
@@ -174,6 +176,7 @@
 			return
 		case <-ticker.C:
 		}
+		p.g.allotments.exchange(p.g.now())
 		p.send()
 		p.connect()
 		if c := p.dataCentreCount(); c != centres {
@@ -304,7 +307,7 @@
 	started := msg.Boot != h.boot
 	h.address, h.boot, h.seq, h.lastSeen, h.leaving = address, msg.Boot, msg.Sequence, now, msg.Leaving
 	h.dataCentre, h.access, h.storeAnswers, h.capacity = msg.DataCentre, msg.Access, msg.StoreAnswers, msg.Capacity
-	h.groups, h.demands = msg.Groups, msg.Demands
+	h.groups, h.demands, h.allotments = msg.Groups, msg.Demands, msg.Allotments
 	p.rules.recordMessage(msg, now)
 	if sameCentre {
 		p.placement.RecordMessage(placement.Host{Name: msg.Host, Capacity: h.capacity}, msg.Serving, msg.Leaving, now)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -10,6 +10,7 @@
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/customer/fair"
 	"github.com/bronzeloft/bronzeloft/customer/turn"
+	"github.com/bronzeloft/bronzeloft/database/allotment"
 	"github.com/bronzeloft/bronzeloft/database/sessionstate"
 	"github.com/bronzeloft/bronzeloft/database/window"
 	"github.com/bronzeloft/bronzeloft/errkind"
@@ -30,8 +31,8 @@
 
 // pool holds at most max connections of this host to one database; there may be
 // more for a moment while some are borrowed. A connection belongs to one customer.
-// When a customer without a connection needs one and the pool is full, the
-// connection that has been idle longest is closed.
+// When a customer without a connection needs one and the pool is full, an idle
+// connection is closed (see removeIdle).
 type pool struct {
 	g     *Gateway
 	svc   *service
@@ -47,6 +48,7 @@
 	closed bool
 	// leavingSince is when the database announced its shutdown; zero if it has not.
 	leavingSince time.Time
+	usage        *allotment.Usage // nil unless connections are scarce
 	// fullUntil is when the database is no longer assumed to have reached its
 	// connection limit. Until then, a new connection is opened only in place of an
 	// idle one.
@@ -62,6 +64,7 @@
 	turn     uint64 // in pool.turns; held while a session uses the connection
 	slot     uint64 // in pool.slots, for the next statement; 0 if none is held
 	usedAt   time.Time
+	takenAt  time.Time         // of the check-out by a customer; zero for other uses
 	txState  statement.State   // after the last answer
 	reported position.Position // of the last answer
 	refused  bool              // a statement failed or was refused
@@ -129,9 +132,7 @@
 	p.max = n
 	var extra []*conn
 	for p.open > p.max && len(p.idle) > 0 {
-		extra = append(extra, p.idle[0])
-		p.idle = append(p.idle[:0], p.idle[1:]...)
-		p.open--
+		extra = append(extra, p.removeIdle())
 	}
 	p.mu.Unlock()
 	for _, c := range extra {
@@ -185,14 +186,19 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	now := p.g.now()
+	if p.usage != nil {
+		p.usage.CheckOut(customer, now)
+	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; c.customer == customer {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			p.mu.Unlock()
+			c.takenAt = now
 			return c, nil
 		}
 	}
-	databaseFull := p.g.now().Before(p.fullUntil)
+	databaseFull := now.Before(p.fullUntil)
 	evicted := p.evictIdle(databaseFull)
 	if databaseFull && evicted == nil {
 		p.mu.Unlock()
@@ -204,23 +210,69 @@
 	if evicted != nil {
 		p.g.metrics.closed(closedEvicted)
 		evicted.Close()
+		p.g.metrics.dialling(dialledReplacing)
+	} else {
+		p.g.metrics.dialling(dialledAdding)
 	}
-	return p.dial(ctx, db, customer)
+	c, err := p.dial(ctx, db, customer)
+	if c != nil {
+		c.takenAt = now
+	}
+	return c, err
 }
 
-// evictIdle removes the connection that has been idle longest from a pool that is
-// full or whose database is full. It returns nil if there is room or no
+// evictIdle removes an idle connection from a pool that is full or whose database is
+// full. It returns nil if there is room or no
 // connection is idle. mu is held.
 func (p *pool) evictIdle(databaseFull bool) *conn {
 	if p.open < p.max && !databaseFull || len(p.idle) == 0 {
 		return nil
 	}
-	c := p.idle[0]
-	p.idle = append(p.idle[:0], p.idle[1:]...)
+	return p.removeIdle()
+}
+
+// removeIdle removes and returns the idle connection that is needed least: the one with
+// the longest expected time until its next use if connections are scarce, and otherwise
+// the one that has been idle longest. mu is held, and a connection is idle.
+func (p *pool) removeIdle() *conn {
+	i := 0
+	if p.usage != nil {
+		customers := make([]string, len(p.idle))
+		for j, c := range p.idle {
+			customers[j] = c.customer
+		}
+		i = p.usage.LeastUseful(customers, p.g.now())
+	}
+	c := p.idle[i]
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
 	p.open--
 	return c
 }
 
+// setScarce sets whether the use of connections by customers is recorded, by which the pool
+// chooses what it gives up.
+func (p *pool) setScarce(scarce bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !scarce:
+		p.usage = nil
+	case p.usage == nil:
+		p.usage = allotment.NewUsage()
+	}
+}
+
+// use returns the pool's demand for connections in check-outs a second, and how many it
+// holds.
+func (p *pool) use(now time.Time) (demand float64, open int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usage != nil {
+		demand = p.usage.Demand(now)
+	}
+	return demand, p.open
+}
+
 // dial opens a connection, which the caller has already counted in open.
 func (p *pool) dial(ctx context.Context, db routes.Database, customer string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -277,6 +329,10 @@
 	c.usedAt = p.g.now()
 	c.broken = c.broken || c.txState != statement.Idle
 	p.mu.Lock()
+	if p.usage != nil && !c.takenAt.IsZero() {
+		p.usage.CheckIn(c.usedAt.Sub(c.takenAt))
+	}
+	c.takenAt = time.Time{}
 	if c.broken || p.closed || p.open > p.max || c.state.Full() {
 		p.open--
 		p.mu.Unlock()
--- a/gateway/poolsize.go
+++ b/gateway/poolsize.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/bronzeloft/bronzeloft/database/allotment"
+
 // Bounds of the connections that a host holds to one database.
 const (
 	// homesShare is the share of a database's connections that the home hosts of
@@ -15,28 +17,58 @@
 	unlimitedConns = 8
 )
 
-// poolSize returns the number of connections that this host may hold to each of a
-// service's databases. On the home host this is homesShare of the limit, divided
-// evenly among the data centres, but at least spareConns; on another host it is
+// initialPoolSize returns the number of connections that this host may hold to a new
+// database of a service. On the home host this is the even share, or the part of it that
+// is never lent if the share is divided by demand (see allotments); on another host it is
 // spareConns.
-func (g *Gateway) poolSize(s *service) int {
+func (g *Gateway) initialPoolSize(s *service) int {
 	s.mu.Lock()
 	rank := s.homeRank
 	s.mu.Unlock()
+	even := g.evenShare(s)
+	switch {
+	case rank > 0:
+		return spareConns
+	case g.scarceConnections(even):
+		return max(spareConns, allotment.Keep(even))
+	}
+	return even
+}
+
+// evenShare returns the part of a database's connections that the home host of each data
+// centre holds if all hold the same: homesShare of the limit, divided evenly, but at least
+// spareConns.
+func (g *Gateway) evenShare(s *service) int {
 	limit := g.config.Load().Services[s.name].MaxConns
 	if limit <= 0 {
 		limit = unlimitedConns * g.peers.dataCentreCount()
 	}
-	if rank > 0 {
-		return spareConns
-	}
 	return max(spareConns, int(homesShare*float64(limit))/g.peers.dataCentreCount())
 }
 
+// scarceConnections reports whether there are so many customers for the connections of an
+// even share that they are divided by demand.
+func (g *Gateway) scarceConnections(even int) bool {
+	return allotment.Scarce(len(g.config.Load().Customers), even)
+}
+
 // sizePools adjusts the pools to a change of the configuration or of the number of
 // hosts.
 func (g *Gateway) sizePools() {
 	for _, s := range g.allServices() {
-		s.setPoolSize(g.poolSize(s))
+		g.sizePoolsOf(s)
+	}
+}
+
+// sizePoolsOf adjusts the pools of one service.
+func (g *Gateway) sizePoolsOf(s *service) {
+	size := g.initialPoolSize(s)
+	shares := g.allotments.shares(s.name)
+	for _, p := range s.allPools() {
+		if n, ok := shares[p.db.ID]; ok {
+			p.setMax(max(spareConns, n))
+			continue
+		}
+		p.setMax(size)
 	}
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -158,13 +158,6 @@
 	return out
 }
 
-// setPoolSize changes the maximum number of connections to each database.
-func (s *service) setPoolSize(n int) {
-	for _, p := range s.allPools() {
-		p.setMax(n)
-	}
-}
-
 // allPools returns the pools of all databases.
 func (s *service) allPools() []*pool {
 	s.mu.Lock()
@@ -447,7 +440,7 @@
 		p.close()
 	}
 	if rankChanged {
-		s.setPoolSize(s.g.poolSize(s))
+		s.g.sizePoolsOf(s)
 	}
 	if rank > 0 {
 		for _, p := range s.allPools() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -478,7 +478,7 @@
 	services := maps.Clone(g.services)
 	g.mu.Unlock()
 	for name, s := range services {
-		s.setDatabases(byService[name], g.poolSize(s))
+		s.setDatabases(byService[name], g.initialPoolSize(s))
 	}
 }
 
