--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,6 @@
 		opt:             opt,
 		log:             opt.Logger.With("host", opt.Name),
 		now:             opt.Now,
-		platform:        opt.Platform,
 		services:        map[string]*service{},
 		databases:       map[string]routes.Database{},
 		entries:         map[string]json.RawMessage{},
@@ -156,6 +155,7 @@
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
 	g.metrics = newMetrics(g)
+	g.platform = countedPlatform{opt.Platform, g.metrics}
 	return g
 }
 
