--- /dev/null
+++ b/gateway/allotments_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/link/gossippb"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+var _ = Describe("a home host in one of three data centres, with 72 connections to a database", func() {
+	const even = 12
+	var (
+		g   *Gateway
+		svc *service
+	)
+	configure := func(customers int) {
+		config := *g.config.Load().Configuration
+		config.Services = map[string]routes.Service{testService: {Name: testService, MaxConns: 72, SyncReplicas: 1}}
+		config.Customers = map[string]routes.Customer{testCustomer: {Name: testCustomer, Keys: []string{testKey}}}
+		for i := range customers - 1 {
+			name := fmt.Sprint("customer-", i)
+			config.Customers[name] = routes.Customer{Name: name}
+		}
+		config.IndexKeys()
+		g.config.Store(&loadedConfiguration{Configuration: &config})
+	}
+	maxOf := func(id string) int {
+		p := svc.pools[id]
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.max
+	}
+	// hear passes on the rounds of the other data centres' home hosts, which know this host.
+	hear := func(round uint64, demand float32) {
+		echo := g.allotments.announcements()[0].Sender
+		for _, centre := range []string{"dc-b", "dc-c"} {
+			a := &gossippb.Allotment{
+				Service: testService, DataCentre: centre, Echoes: []*gossippb.HomeRound{echo},
+				Sender:    &gossippb.HomeRound{DataCentre: centre, Host: "home-" + centre, Tenure: 1, Round: round},
+				Databases: []*gossippb.Connections{{Database: "a", PerSecond: demand, Loans: []*gossippb.Loan{{DataCentre: "dc-a", Connections: 1}}}},
+			}
+			g.peers.handleMessage(&gossippb.Gossip{Host: "delegate", Address: "127.0.0.1:9", DataCentre: "dc-a", Boot: 1, Sequence: 2*round + uint64(centre[3]-'b'),
+				Centres: []*gossippb.Centre{{Name: centre, Hosts: 1, Allotments: []*gossippb.Allotment{a}}}})
+		}
+	}
+
+	BeforeEach(func() {
+		g = newTestGateway(newFakePlatform(newGroup("a", "b", "c")))
+		g.opt.Centres = []string{"dc-a", "dc-b", "dc-c"}
+		svc = g.service(testService)
+	})
+
+	It("holds the even share if its customers are 8", func() {
+		configure(8)
+		g.sizePools()
+		g.allotments.exchange(g.now())
+		Expect(maxOf("a")).To(Equal(even))
+		Expect(g.allotments.announcements()).To(BeEmpty())
+		Expect(svc.pools["a"].usage).To(BeNil())
+	})
+
+	It("holds a third of it after its start if they are 75, and lends and borrows when the others have answered", func() {
+		configure(75)
+		g.sizePools()
+		g.allotments.exchange(g.now())
+		Expect(maxOf("a")).To(Equal(even / 3))
+		hear(1, 31)
+		g.allotments.exchange(g.now())
+		Expect(maxOf("b")).To(Equal(even), "nobody demands it")
+		Expect(maxOf("a")).To(Equal(even/3 + 2))
+		summary := g.peers.summarise(&gossippb.Gossip{Allotments: g.allotments.announcements()}, g.now())
+		Expect(summary.Allotments).To(HaveLen(1))
+		lent := uint32(0)
+		for _, c := range summary.Allotments[0].Databases {
+			for _, l := range c.Loans {
+				Expect(c.Database).To(Equal("a"))
+				lent += l.Connections
+			}
+		}
+		Expect(lent).To(BeNumerically("==", even-even/3))
+		configure(8)
+		g.allotments.exchange(g.now())
+		Expect(maxOf("a")).To(Equal(even))
+	})
+
+	It("gives up the idle connection of the customer that uses it least", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		p := svc.pools["a"]
+		now := g.now().Add(-time.Second)
+		for range 20 {
+			p.usage.CheckOut("often", now)
+		}
+		p.usage.CheckOut("once", now)
+		p.idle, p.open = []*conn{{customer: "often"}, {customer: "once"}}, p.max
+		Expect(p.evictIdle(false).customer).To(Equal("once"))
+		p.idle, p.open = nil, 0
+	})
+
+	It("serves statements on scarce connections", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		Expect(newTestSession(g, "own").serve(request(statement.Write)).Err).NotTo(HaveOccurred())
+	})
+})
