Spread the returns of callers refused for want of a primary

Where connections are scarce, callers that are refused together are told to return as fast as the host can send their statements (500 to 800 ms); elsewhere 500 ms as before.

--- a/database/allotment/usage.go
+++ b/database/allotment/usage.go
@@ -64,6 +64,9 @@
 	u.held += (held - u.held) / meanHeldDivisor
 }
 
+// Held returns the mean time for which a connection is checked out; 0 before the first.
+func (u *Usage) Held() time.Duration { return u.held }
+
 // Demand returns the check-outs in a second.
 func (u *Usage) Demand(now time.Time) float64 { return u.all.value(demandTimeConstant, now) }
 
--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -102,6 +102,25 @@
 		p.idle, p.open = nil, 0
 	})
 
+	It("tells callers that are refused together for want of a primary to return one after the other", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		delays := func() map[time.Duration]bool {
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			out := map[time.Duration]bool{}
+			for range 20 {
+				out[svc.retryAfter().Round(time.Millisecond)] = true
+			}
+			return out
+		}
+		svc.pools["a"].usage.CheckIn(320 * time.Millisecond) // a mean of 20 ms
+		Expect(len(delays())).To(BeNumerically(">=", 15))
+		configure(8)
+		g.allotments.exchange(g.now())
+		Expect(delays()).To(Equal(map[time.Duration]bool{noPrimaryRetryAfter: true}))
+	})
+
 	It("serves statements on scarce connections", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -221,58 +221,6 @@
 	return c, err
 }
 
-// evictIdle removes an idle connection from a pool that is full or whose database is
-// full. It returns nil if there is room or no
-// connection is idle. mu is held.
-func (p *pool) evictIdle(databaseFull bool) *conn {
-	if p.open < p.max && !databaseFull || len(p.idle) == 0 {
-		return nil
-	}
-	return p.removeIdle()
-}
-
-// removeIdle removes and returns the idle connection that is needed least: the one with
-// the longest expected time until its next use if connections are scarce, and otherwise
-// the one that has been idle longest. mu is held, and a connection is idle.
-func (p *pool) removeIdle() *conn {
-	i := 0
-	if p.usage != nil {
-		customers := make([]string, len(p.idle))
-		for j, c := range p.idle {
-			customers[j] = c.customer
-		}
-		i = p.usage.LeastUseful(customers, p.g.now())
-	}
-	c := p.idle[i]
-	p.idle = append(p.idle[:i], p.idle[i+1:]...)
-	p.open--
-	return c
-}
-
-// setScarce sets whether the use of connections by customers is recorded, by which the pool
-// chooses what it gives up.
-func (p *pool) setScarce(scarce bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case !scarce:
-		p.usage = nil
-	case p.usage == nil:
-		p.usage = allotment.NewUsage()
-	}
-}
-
-// use returns the pool's demand for connections in check-outs a second, and how many it
-// holds.
-func (p *pool) use(now time.Time) (demand float64, open int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.usage != nil {
-		demand = p.usage.Demand(now)
-	}
-	return demand, p.open
-}
-
 // dial opens a connection, which the caller has already counted in open.
 func (p *pool) dial(ctx context.Context, db routes.Database, customer string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -47,6 +47,7 @@
 	namedTerm         uint64    // the newest term that a primary's answer named
 	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
+	returns           retry.Returns
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
 }
@@ -198,10 +199,27 @@
 // statement's timeout.
 const failFastAfter = 3 * time.Second
 
-// noPrimaryRetryAfter is the retry delay that is given to a caller that was
-// refused because no primary is reachable: network partitions end and successors
-// are promoted within seconds.
-const noPrimaryRetryAfter = 500 * time.Millisecond
+// Retry delays that are given to callers that were refused because no primary is
+// reachable: network partitions end and successors are promoted within seconds.
+const (
+	noPrimaryRetryAfter = 500 * time.Millisecond
+	// latestNoPrimaryRetryAfter bounds the delay where callers' returns are spread.
+	latestNoPrimaryRetryAfter = 800 * time.Millisecond
+)
+
+// retryAfter returns the retry delay for a caller that is refused because no primary is
+// reachable. Where connections are scarce, callers that are refused together are told to
+// return as fast as this host can send their statements to one database. mu is held.
+func (s *service) retryAfter() time.Duration {
+	var spacing time.Duration
+	for _, p := range s.pools {
+		spacing = max(spacing, p.spacing())
+	}
+	if spacing == 0 {
+		return noPrimaryRetryAfter
+	}
+	return s.returns.Delay(noPrimaryRetryAfter, latestNoPrimaryRetryAfter, spacing, s.g.now())
+}
 
 // reachablePrimary returns the primary's pool if the primary is reachable and may be
 // sent statements, and otherwise records since when it is not. If no primary is known,
@@ -246,11 +264,12 @@
 func (s *service) noPrimaryError() error {
 	s.mu.Lock()
 	awaited := strings.Join(s.databasesAwaited(), " ")
+	delay := s.retryAfter()
 	s.mu.Unlock()
 	if awaited != "" {
-		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, noPrimaryRetryAfter.Milliseconds())
+		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, delay.Milliseconds())
 	}
-	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, noPrimaryRetryAfter.Milliseconds())
+	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, delay.Milliseconds())
 }
 
 // readers returns the databases that may serve a customer's read, best first.
