--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -35,8 +35,9 @@
 // exchange starts a round: it applies the shares in force and prepares the announcements
 // that the next messages carry.
 func (a *allotments) exchange(now time.Time) {
+	centres := a.g.peers.dataCentres()
 	for _, s := range a.g.allServices() {
-		even := a.g.evenShare(s)
+		even := a.g.evenShare(s, len(centres))
 		scarce := a.g.scarceConnections(even)
 		for _, p := range s.allPools() {
 			p.setScarce(scarce)
@@ -48,7 +49,7 @@
 			a.drop(s)
 			continue
 		}
-		a.divide(s, even, now)
+		a.divide(s, even, centres, now)
 	}
 }
 
@@ -68,14 +69,13 @@
 }
 
 // divide runs one round of a service whose home host this host is.
-func (a *allotments) divide(s *service, even int, now time.Time) {
+func (a *allotments) divide(s *service, even int, centres map[string]bool, now time.Time) {
 	shares, demand, held := map[string]int{}, map[string]float64{}, map[string]int{}
 	for _, p := range s.allPools() {
 		id := p.db.ID
 		shares[id] = even
 		demand[id], held[id] = p.use(now)
 	}
-	centres := a.g.peers.dataCentres()
 	a.mu.Lock()
 	entry := a.entry(s.name, centres, now)
 	entry.table.SetDatabases(maps.Clone(shares))
--- a/gateway/poolsize.go
+++ b/gateway/poolsize.go
@@ -25,7 +25,7 @@
 	s.mu.Lock()
 	rank := s.homeRank
 	s.mu.Unlock()
-	even := g.evenShare(s)
+	even := g.evenShare(s, g.peers.dataCentreCount())
 	switch {
 	case rank > 0:
 		return spareConns
@@ -35,15 +35,15 @@
 	return even
 }
 
-// evenShare returns the part of a database's connections that the home host of each data
-// centre holds if all hold the same: homesShare of the limit, divided evenly, but at least
-// spareConns.
-func (g *Gateway) evenShare(s *service) int {
+// evenShare returns the part of a database's connections that the home host of each of
+// the given number of data centres holds if all hold the same: homesShare of the limit,
+// divided evenly, but at least spareConns.
+func (g *Gateway) evenShare(s *service, centres int) int {
 	limit := g.config.Load().Services[s.name].MaxConns
 	if limit <= 0 {
-		limit = unlimitedConns * g.peers.dataCentreCount()
+		limit = unlimitedConns * centres
 	}
-	return max(spareConns, int(homesShare*float64(limit))/g.peers.dataCentreCount())
+	return max(spareConns, int(homesShare*float64(limit))/centres)
 }
 
 // scarceConnections reports whether there are so many customers for the connections of an
@@ -62,13 +62,16 @@
 
 // sizePoolsOf adjusts the pools of one service.
 func (g *Gateway) sizePoolsOf(s *service) {
-	size := g.initialPoolSize(s)
 	shares := g.allotments.shares(s.name)
+	size := 0
 	for _, p := range s.allPools() {
-		if n, ok := shares[p.db.ID]; ok {
-			p.setMax(max(spareConns, n))
-			continue
+		n, divided := shares[p.db.ID]
+		if !divided {
+			if size == 0 {
+				size = g.initialPoolSize(s)
+			}
+			n = size
 		}
-		p.setMax(size)
+		p.setMax(max(spareConns, n))
 	}
 }
