Let a home host that starts hold its whole standing share

A predecessor's loans overlap the share for a moment; the reserve for successors covers them, as it does the dead host's own connections.

--- a/database/allotment/allotment.go
+++ b/database/allotment/allotment.go
@@ -9,7 +9,9 @@
 // ends before the lender counts on the connections again.
 //
 // A borrower times a loan from when it sent the round that the lender's announcement
-// echoes, so that no delay of messages prolongs it. See docs/design/connections-by-demand.md.
+// echoes, so that no delay of messages prolongs it. A host that starts does not know what
+// its predecessor lent: until those loans end, the shares exceed the limit by them, for
+// which the database's own limit leaves a reserve. See docs/design/connections-by-demand.md.
 package allotment
 
 import (
@@ -54,14 +56,13 @@
 // Table is a home host's view of the connections to one service's databases. It is not
 // safe for concurrent use.
 type Table struct {
-	self    Holder
-	centre  string
-	started time.Time
-	round   uint64
-	sentAt  map[uint64]time.Time // of this host's rounds in the last LoanTerm
-	even    map[string]int       // standing share, by database
-	demand  map[string]float64   // this host's, by database
-	peers   map[string]*peer     // by data centre
+	self   Holder
+	centre string
+	round  uint64
+	sentAt map[uint64]time.Time // of this host's rounds in the last LoanTerm
+	even   map[string]int       // standing share, by database
+	demand map[string]float64   // this host's, by database
+	peers  map[string]*peer     // by data centre
 }
 
 // peer is what the table knows of another data centre's home host.
@@ -76,7 +77,7 @@
 	given    []loan         // to the present holder, oldest first
 	former   []loan         // to its predecessors, counted to their end
 	// knowsUs is whether it has echoed a round of this tenure. It then holds no loan of
-	// this host's predecessors.
+	// this host's predecessors, and can be lent to.
 	knowsUs bool
 	// displacedSince is since when its echoes name another home host of this data centre;
 	// zero if they do not.
@@ -90,10 +91,10 @@
 	lent   map[string]int // by database
 }
 
-// New returns the table of a home host whose tenure starts now. centres are all data
+// New returns the table of a home host whose tenure starts. centres are all data
 // centres of the site.
-func New(centre string, self Holder, centres []string, now time.Time) *Table {
-	t := &Table{self: self, centre: centre, started: now, sentAt: map[uint64]time.Time{}, even: map[string]int{}, peers: map[string]*peer{}}
+func New(centre string, self Holder, centres []string) *Table {
+	t := &Table{self: self, centre: centre, sentAt: map[uint64]time.Time{}, even: map[string]int{}, peers: map[string]*peer{}}
 	for _, name := range centres {
 		if name != centre {
 			t.peers[name] = &peer{retired: map[string]uint64{}}
@@ -114,9 +115,6 @@
 	own := t.even[id]
 	for _, p := range t.peers {
 		own -= p.outstanding(id, now)
-		if t.mayHavePredecessorLoans(p, now) {
-			own = min(own, Keep(t.even[id]))
-		}
 	}
 	own = max(own, 0)
 	for _, p := range t.peers {
@@ -127,12 +125,6 @@
 	return own
 }
 
-// mayHavePredecessorLoans reports whether a peer may hold connections that a predecessor
-// of this host lent.
-func (t *Table) mayHavePredecessorLoans(p *peer, now time.Time) bool {
-	return !p.knowsUs && now.Sub(t.started) < countedFor
-}
-
 // outstanding returns how many connections of this host's share the peer may hold.
 func (p *peer) outstanding(id string, now time.Time) int {
 	return maxLent(p.given, id, now) + maxLent(p.former, id, now)
--- a/database/allotment/lend.go
+++ b/database/allotment/lend.go
@@ -55,9 +55,6 @@
 func (t *Table) borrowers(now time.Time) []string {
 	var out []string
 	for name, p := range t.peers {
-		if t.mayHavePredecessorLoans(p, now) {
-			return nil
-		}
 		if p.knowsUs && now.Sub(p.heardAt) < LoanTerm/2 {
 			out = append(out, name)
 		}
--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -111,7 +111,7 @@
 	// Tenures of a host's processes are told apart by the wall clock.
 	a.tenure = max(a.tenure+1, uint64(time.Now().UnixMilli()))
 	self := allotment.Holder{Host: a.g.opt.Name, Tenure: a.tenure}
-	next := &serviceAllotment{table: allotment.New(a.g.opt.DataCentre, self, slices.Sorted(maps.Keys(centres)), now), centres: centres}
+	next := &serviceAllotment{table: allotment.New(a.g.opt.DataCentre, self, slices.Sorted(maps.Keys(centres))), centres: centres}
 	if entry != nil {
 		next.shares = entry.shares
 	}
--- a/gateway/poolsize.go
+++ b/gateway/poolsize.go
@@ -18,21 +18,16 @@
 )
 
 // initialPoolSize returns the number of connections that this host may hold to a new
-// database of a service. On the home host this is the even share, or the part of it that
-// is never lent if the share is divided by demand (see allotments); on another host it is
-// spareConns.
+// database of a service: on the home host the even share, on another host spareConns. Where
+// connections are scarce, allotments changes the former.
 func (g *Gateway) initialPoolSize(s *service) int {
 	s.mu.Lock()
 	rank := s.homeRank
 	s.mu.Unlock()
-	even := g.evenShare(s, g.peers.dataCentreCount())
-	switch {
-	case rank > 0:
+	if rank > 0 {
 		return spareConns
-	case g.scarceConnections(even):
-		return max(spareConns, allotment.Keep(even))
 	}
-	return even
+	return g.evenShare(s, g.peers.dataCentreCount())
 }
 
 // evenShare returns the part of a database's connections that the home host of each of
