Count the loan of each predecessor of a home host

A lender counted only the largest loan of all predecessors of a home host. The second one is lent what the first left, so that both may be in use: after two changes within 7.25 s, 11 connections were lent of the 8 that may be. The loans are now counted for each predecessor.

--- a/database/allotment/allotment.go
+++ b/database/allotment/allotment.go
@@ -75,7 +75,7 @@
 	borrowed map[string]int // from this peer, by database
 	until    time.Time      // end of the use of borrowed
 	given    []loan         // to the present holder, oldest first
-	former   []loan         // to its predecessors, counted to their end
+	former   [][]loan       // to each of its predecessors, counted to their end
 	// knowsUs is whether it has echoed a round of this tenure. It then holds no loan of
 	// this host's predecessors, and can be lent to.
 	knowsUs bool
@@ -127,7 +127,17 @@
 
 // outstanding returns how many connections of this host's share the peer may hold.
 func (p *peer) outstanding(id string, now time.Time) int {
-	return maxLent(p.given, id, now) + maxLent(p.former, id, now)
+	return maxLent(p.given, id, now) + p.formerLent(id, now)
+}
+
+// formerLent returns how many connections the peer's predecessors may hold. Each may hold
+// its own loan, since a new one is lent what the former ones leave.
+func (p *peer) formerLent(id string, now time.Time) int {
+	n := 0
+	for _, loans := range p.former {
+		n += maxLent(loans, id, now)
+	}
+	return n
 }
 
 func maxLent(loans []loan, id string, now time.Time) int {
@@ -176,7 +186,11 @@
 
 func (p *peer) expire(now time.Time) {
 	over := func(l loan) bool { return now.Sub(l.sentAt) >= countedFor }
-	p.given, p.former = slices.DeleteFunc(p.given, over), slices.DeleteFunc(p.former, over)
+	p.given = slices.DeleteFunc(p.given, over)
+	for i := range p.former {
+		p.former[i] = slices.DeleteFunc(p.former[i], over)
+	}
+	p.former = slices.DeleteFunc(p.former, func(loans []loan) bool { return len(loans) == 0 })
 }
 
 // Record applies an announcement of another data centre's home host. Announcements that
@@ -213,7 +227,7 @@
 	if p.round > 0 {
 		p.retired[p.holder.Host] = p.holder.Tenure
 	}
-	p.former = append(p.former, p.given...)
+	p.former = append(p.former, p.given)
 	p.given, p.knowsUs = nil, false
 	p.holder, p.round = next, 0
 }
--- a/database/allotment/allotment_test.go
+++ b/database/allotment/allotment_test.go
@@ -258,6 +258,22 @@
 		})
 	})
 
+	It("are not lent again while two predecessors of a home host may hold theirs", func() {
+		now := time.Unix(1_000_000, 0)
+		lender := allotment.New("b", allotment.Holder{Host: "b0", Tenure: 1}, []string{"a", "b"})
+		lender.SetDatabases(map[string]int{database: even})
+		lent := 0
+		for tenure, demand := range []float64{2, 31, 31} { // of three home hosts, each dead after one loan
+			borrower := allotment.New("a", allotment.Holder{Host: fmt.Sprint("a", tenure), Tenure: uint64(tenure + 1)}, []string{"a", "b"})
+			now = now.Add(round)
+			borrower.Record(lender.Announce(map[string]float64{database: 1}, now), now)
+			lender.Record(borrower.Announce(map[string]float64{database: demand}, now), now)
+			lent += lender.Announce(map[string]float64{database: 1}, now).Lent["a"][database]
+		}
+		Expect(lent).To(And(BeNumerically(">", 0), BeNumerically("<=", even-allotment.Keep(even))))
+		Expect(lender.Share(database, now)).To(Equal(even - lent))
+	})
+
 	It("are not lent by an announcement that arrives after the loan has ended", func() {
 		w := newWorld(1)
 		w.demand = map[string]float64{"a": 31, "b": 1, "c": 1}
--- a/database/allotment/lend.go
+++ b/database/allotment/lend.go
@@ -77,10 +77,10 @@
 	n := t.even[id] - Keep(t.even[id])
 	for name, p := range t.peers {
 		if name == to {
-			n -= maxLent(p.former, id, now)
+			n -= p.formerLent(id, now)
 			continue
 		}
-		n -= max(p.outstanding(id, now), decided[name][id]+maxLent(p.former, id, now))
+		n -= max(p.outstanding(id, now), decided[name][id]+p.formerLent(id, now))
 	}
 	return n
 }
