Send messages whose allotments do not fit without them

With six data centres, 190 customers and 20 services with 3 databases each, the relayed announcements exceed the largest datagram, and a delegate's messages to the hosts that watch databases were not sent at all: neither the group reports nor the demands. Such a message now goes without the announcements; loans then end and each data centre has its standing share. They are counted.

A host that is no longer the home host of a service also held its share until the next round; its pools now shrink with the change of rank, as where connections are not scarce. Both specs failed before.

--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzeloft/bronzeloft/contract/routes"
 	"github.com/bronzeloft/bronzeloft/link/gossippb"
@@ -121,6 +123,54 @@
 		Expect(delays()).To(Equal(map[time.Duration]bool{noPrimaryRetryAfter: true}))
 	})
 
+	It("holds its spare connections as soon as another host is the home host", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		svc.mu.Lock()
+		svc.homeRank = 1
+		svc.mu.Unlock()
+		g.sizePools()
+		Expect(maxOf("a")).To(Equal(spareConns))
+	})
+
+	It("sends the hosts their other state if the allotments of six data centres exceed a message", func() {
+		sender, receiver := g.peers, newTestGateway(newFakePlatform(newGroup("a"))).peers
+		msg := sender.message(nil, sender.g.now())
+		msg.DataCentre = "dc-a"
+		for i := range 6 { // 190 customers, 20 services with 3 databases each
+			c := &gossippb.Centre{Name: fmt.Sprint("centre-", i), Hosts: 10}
+			for j := range 190 {
+				c.Demands = append(c.Demands, &gossippb.Demand{Customer: fmt.Sprint("customer-", j), PerSecond: 1})
+			}
+			for j := range 20 {
+				a := &gossippb.Allotment{Service: fmt.Sprint("service-", j), DataCentre: c.Name}
+				for k := range 6 {
+					round := &gossippb.HomeRound{DataCentre: fmt.Sprint("centre-", k), Host: fmt.Sprint("host-of-centre-", k), Tenure: 1 << 40, Round: 1000}
+					if a.Sender = round; k < 5 {
+						a.Echoes = append(a.Echoes, round)
+					}
+				}
+				for k := range 3 {
+					db := &gossippb.Connections{Database: fmt.Sprint("service-", j, "-database-", k), PerSecond: 1}
+					for l := range 5 {
+						db.Loans = append(db.Loans, &gossippb.Loan{DataCentre: fmt.Sprint("centre-", l), Connections: 1})
+					}
+					a.Databases = append(a.Databases, db)
+				}
+				c.Allotments = append(c.Allotments, a)
+			}
+			msg.Centres = append(msg.Centres, c)
+		}
+		full := proto.Size(msg)
+		Expect(full).To(BeNumerically(">", maxDatagram), "the case is none")
+		sender.sendTo(msg, []*net.UDPAddr{receiver.conn.LocalAddr().(*net.UDPAddr)})
+		Expect(receiver.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		buf := make([]byte, maxDatagram)
+		n, _, err := receiver.conn.ReadFromUDP(buf)
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("bytes", fmt.Sprintf("%d with allotments, %d without", full, n))
+	})
+
 	It("serves statements on scarce connections", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,21 +15,23 @@
 
 // gatewayMetrics are the metrics of one host. No label contains a customer's key.
 type gatewayMetrics struct {
-	set           *metrics.Set
-	dialled       *metrics.Counter
-	storeFailures *metrics.Counter
-	unsent        *metrics.Counter
-	missing       *metrics.Counter
+	set              *metrics.Set
+	dialled          *metrics.Counter
+	storeFailures    *metrics.Counter
+	unsent           *metrics.Counter
+	allotmentsUnsent *metrics.Counter
+	missing          *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
 	set := metrics.NewSet()
 	m := &gatewayMetrics{
-		set:           set,
-		dialled:       set.NewCounter("bronzeloft_database_connections_opened_total"),
-		storeFailures: set.NewCounter("bronzeloft_store_failures_total"),
-		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
-		missing:       set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
+		set:              set,
+		dialled:          set.NewCounter("bronzeloft_database_connections_opened_total"),
+		storeFailures:    set.NewCounter("bronzeloft_store_failures_total"),
+		unsent:           set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+		allotmentsUnsent: set.NewCounter("bronzeloft_peer_messages_without_allotments_total"),
+		missing:          set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -122,6 +122,9 @@
 	if len(targets) == 0 {
 		return
 	}
+	if proto.Size(msg) > maxDatagram {
+		p.dropAllotments(msg)
+	}
 	data, err := proto.Marshal(msg)
 	if err != nil || len(data) > maxDatagram {
 		p.g.log.Error("Message to other hosts cannot be encoded or exceeds the size limit.", "part", "peers", "bytes", len(data), "error", err)
@@ -137,6 +140,16 @@
 	}
 }
 
+// dropAllotments removes the announcements of allotments, so that the rest of the message
+// can be sent: without them, loans end and each data centre has its standing share.
+func (p *peers) dropAllotments(msg *gossippb.Gossip) {
+	msg.Allotments = nil
+	for _, c := range msg.Centres {
+		c.Allotments = nil
+	}
+	p.g.metrics.allotmentsUnsent.Inc()
+}
+
 // message returns this host's state, without its customers' demands, under a new
 // sequence number. serving are the serving hosts of this data centre.
 func (p *peers) message(serving []string, now time.Time) *gossippb.Gossip {
--- a/gateway/poolsize.go
+++ b/gateway/poolsize.go
@@ -57,7 +57,13 @@
 
 // sizePoolsOf adjusts the pools of one service.
 func (g *Gateway) sizePoolsOf(s *service) {
-	shares := g.allotments.shares(s.name)
+	s.mu.Lock()
+	home := s.homeRank == 0
+	s.mu.Unlock()
+	var shares map[string]int
+	if home { // otherwise its tenure ends with the next round
+		shares = g.allotments.shares(s.name)
+	}
 	size := 0
 	for _, p := range s.allPools() {
 		n, divided := shares[p.db.ID]
