Do not lend the connections in use, nor the spare ones

A home host counted check-outs only: with ten open transactions on twelve connections it lent eight, so that the shares in force left out connections that stay open, and other statements waited for turns below the transactions.

Of a standing share of two or three it kept one, but a pool never has fewer than two: lent and held together exceeded the share.

--- a/database/allotment/allotment.go
+++ b/database/allotment/allotment.go
@@ -61,6 +61,7 @@
 	round  uint64
 	sentAt map[uint64]time.Time // of this host's rounds in the last LoanTerm
 	even   map[string]int       // standing share, by database
+	inUse  map[string]int       // this host's connections that are not idle, by database
 	demand map[string]float64   // this host's, by database
 	peers  map[string]*peer     // by data centre
 }
@@ -107,8 +108,16 @@
 // in all data centres.
 func (t *Table) SetDatabases(even map[string]int) { t.even = even }
 
+// SetInUse sets how many connections to each database are in use. They are not lent, since
+// an open transaction keeps its connection for longer than an announcement is under way.
+func (t *Table) SetInUse(inUse map[string]int) { t.inUse = inUse }
+
+// leastKept is the least number of connections that a home host keeps: those that every
+// host may hold.
+const leastKept = 2
+
 // Keep returns the part of a standing share that is never lent.
-func Keep(even int) int { return (even + 2) / 3 }
+func Keep(even int) int { return min(even, max(leastKept, (even+2)/3)) }
 
 // Share returns how many connections to a database this host may hold now.
 func (t *Table) Share(id string, now time.Time) int {
--- a/database/allotment/allotment_test.go
+++ b/database/allotment/allotment_test.go
@@ -274,6 +274,19 @@
 		Expect(lender.Share(database, now)).To(Equal(even - lent))
 	})
 
+	It("of a small standing share are lent but for the two that every host may hold", func() {
+		for share := 2; share <= 4; share++ {
+			now := time.Unix(1_000_000, 0)
+			lender := allotment.New("b", allotment.Holder{Host: "b0", Tenure: 1}, []string{"a", "b"})
+			borrower := allotment.New("a", allotment.Holder{Host: "a0", Tenure: 1}, []string{"a", "b"})
+			lender.SetDatabases(map[string]int{database: share})
+			borrower.Record(lender.Announce(nil, now), now)
+			lender.Record(borrower.Announce(map[string]float64{database: 31}, now), now)
+			lender.Announce(nil, now)
+			Expect(lender.Share(database, now)).To(Equal(2), "of %d", share)
+		}
+	})
+
 	It("are not lent by an announcement that arrives after the loan has ended", func() {
 		w := newWorld(1)
 		w.demand = map[string]float64{"a": 31, "b": 1, "c": 1}
--- a/database/allotment/lend.go
+++ b/database/allotment/lend.go
@@ -74,7 +74,7 @@
 // room returns how many connections to a database can be lent to a data centre, beside the
 // loans that are outstanding or decided in this round.
 func (t *Table) room(id, to string, decided map[string]map[string]int, now time.Time) int {
-	n := t.even[id] - Keep(t.even[id])
+	n := t.even[id] - max(Keep(t.even[id]), t.inUse[id])
 	for name, p := range t.peers {
 		if name == to {
 			n -= p.formerLent(id, now)
--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -70,15 +70,17 @@
 
 // divide runs one round of a service whose home host this host is.
 func (a *allotments) divide(s *service, even int, centres map[string]bool, now time.Time) {
-	shares, demand, held := map[string]int{}, map[string]float64{}, map[string]int{}
+	shares, demand := map[string]int{}, map[string]float64{}
+	held, inUse := map[string]int{}, map[string]int{}
 	for _, p := range s.allPools() {
 		id := p.db.ID
 		shares[id] = even
-		demand[id], held[id] = p.use(now)
+		demand[id], held[id], inUse[id] = p.use(now)
 	}
 	a.mu.Lock()
 	entry := a.entry(s.name, centres, now)
 	entry.table.SetDatabases(maps.Clone(shares))
+	entry.table.SetInUse(inUse)
 	entry.announced = encodeAllotment(s.name, entry.table.Announce(demand, now))
 	for id := range shares {
 		shares[id] = entry.table.Share(id, now)
--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -123,6 +123,17 @@
 		Expect(delays()).To(Equal(map[time.Duration]bool{noPrimaryRetryAfter: true}))
 	})
 
+	It("does not lend the connections of its open transactions", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		p := svc.pools["a"]
+		p.open = 10
+		hear(1, 31)
+		g.allotments.exchange(g.now())
+		Expect(maxOf("a")).To(BeNumerically(">=", 10))
+		p.open = 0
+	})
+
 	It("holds its spare connections as soon as another host is the home host", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
--- a/gateway/poolusage.go
+++ b/gateway/poolusage.go
@@ -48,14 +48,14 @@
 }
 
 // use returns the pool's demand for connections in check-outs a second, and how many it
-// holds.
-func (p *pool) use(now time.Time) (demand float64, open int) {
+// holds and has in use.
+func (p *pool) use(now time.Time) (demand float64, open, inUse int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.usage != nil {
 		demand = p.usage.Demand(now)
 	}
-	return demand, p.open
+	return demand, p.open, p.open - len(p.idle)
 }
 
 // spacing returns the mean time between the ends of statements on this host's connections
