Bound the lines about changed shares

Now a line is written for a change by a third of the even share or more since the last line, at most one a second for each database; it has the number of changes since the last one. The spec replays a share that changes in each round.

--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -18,6 +18,22 @@
 	mu       sync.Mutex // guards the fields below; a leaf lock
 	services map[string]*serviceAllotment
 	tenure   uint64 // the last one
+
+	logged map[string]*loggedShare // by database; used only by exchange
+}
+
+// Bounds of the lines about changed shares.
+const (
+	shareLogEvery = time.Second // least time between two lines about a database
+	shareLogPart  = 3           // least change, in parts of the even share
+)
+
+// loggedShare is a share as of the last line about it.
+type loggedShare struct {
+	share   int
+	at      time.Time
+	last    int // as of the last round
+	changes int // since the line
 }
 
 // serviceAllotment is the division of the connections to one service's databases.
@@ -29,7 +45,7 @@
 }
 
 func newAllotments(g *Gateway) *allotments {
-	return &allotments{g: g, services: map[string]*serviceAllotment{}}
+	return &allotments{g: g, services: map[string]*serviceAllotment{}, logged: map[string]*loggedShare{}}
 }
 
 // exchange starts a round: it applies the shares in force and prepares the announcements
@@ -64,10 +80,30 @@
 	}
 	for id := range old.shares {
 		a.g.metrics.forgetConnections(id)
+		delete(a.logged, id)
 	}
 	a.g.sizePoolsOf(s)
 }
 
+// logShare logs a share that has changed by much since the last line about it, and how
+// often it has changed since.
+func (a *allotments) logShare(s *service, id string, n, even int, demand float64, now time.Time) {
+	l := a.logged[id]
+	if l == nil {
+		l = &loggedShare{share: even, last: even}
+		a.logged[id] = l
+	}
+	if n != l.last {
+		l.last = n
+		l.changes++
+	}
+	if max(n-l.share, l.share-n) < max(1, even/shareLogPart) || now.Sub(l.at) < shareLogEvery {
+		return
+	}
+	a.g.log.Info("Share of a database's connections changed.", "part", "pool", "service", s.name, "database", id, "before", l.share, "after", n, "even", even, "per_second", demand, "changes", l.changes)
+	l.share, l.at, l.changes = n, now, 0
+}
+
 // divide runs one round of a service whose home host this host is.
 func (a *allotments) divide(s *service, even int, centres map[string]bool, now time.Time) {
 	shares, demand := map[string]int{}, map[string]float64{}
@@ -91,13 +127,12 @@
 	a.g.sizePoolsOf(s)
 	for id, n := range shares {
 		a.g.metrics.connections(id, n, held[id], demand[id])
-		if old, ok := before[id]; !ok || old != n {
-			a.g.log.Info("Share of a database's connections changed.", "part", "pool", "service", s.name, "database", id, "before", old, "after", n, "even", even, "per_second", demand[id])
-		}
+		a.logShare(s, id, n, even, demand[id], now)
 	}
 	for id := range before {
 		if _, ok := shares[id]; !ok {
 			a.g.metrics.forgetConnections(id)
+			delete(a.logged, id)
 		}
 	}
 }
--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"net"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -182,6 +185,21 @@
 		AddReportEntry("bytes", fmt.Sprintf("%d with allotments, %d without", full, n))
 	})
 
+	It("logs a share that changes in each round at most once a second, and counts the rest", func() {
+		var out bytes.Buffer
+		g.log = slog.New(slog.NewTextHandler(&out, nil))
+		now := g.now()
+		for i := range 40 { // 12 s, between the even share and twice it
+			g.allotments.logShare(svc, "a", even+even*(i%2), even, 1, now.Add(time.Duration(i)*gossipEvery))
+		}
+		// Every fifth round is the first that is a second later and has another share.
+		Expect(strings.Count(out.String(), "Share of a database's connections changed.")).To(Equal(8))
+		Expect(strings.Count(out.String(), "changes=5")).To(Equal(7))
+		out.Reset()
+		g.allotments.logShare(svc, "b", even+1, even, 1, now)
+		Expect(out.String()).To(BeEmpty(), "too small a change")
+	})
+
 	It("serves statements on scarce connections", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
