--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"strings"
 	"time"
@@ -200,6 +201,22 @@
 		Expect(out.String()).To(BeEmpty(), "too small a change")
 	})
 
+	It("holds its share of a database that has restarted", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		hear(1, 31)
+		g.allotments.exchange(g.now())
+		share := maxOf("a")
+		Expect(share).To(BeNumerically("<", even))
+		databases, before := maps.Clone(g.databases), svc.pools["a"]
+		a := databases["a"]
+		a.StartMillis = time.Now().UnixMilli()
+		databases["a"] = a
+		g.setDatabases(databases)
+		Expect(svc.pools["a"]).NotTo(BeIdenticalTo(before))
+		Expect(maxOf("a")).To(Equal(share))
+	})
+
 	It("serves statements on scarce connections", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -122,10 +122,11 @@
 	if len(targets) == 0 {
 		return
 	}
-	if proto.Size(msg) > maxDatagram {
+	data, err := proto.Marshal(msg)
+	if err == nil && len(data) > maxDatagram {
 		p.dropAllotments(msg)
+		data, err = proto.Marshal(msg)
 	}
-	data, err := proto.Marshal(msg)
 	if err != nil || len(data) > maxDatagram {
 		p.g.log.Error("Message to other hosts cannot be encoded or exceeds the size limit.", "part", "peers", "bytes", len(data), "error", err)
 		return
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -479,6 +479,9 @@
 	g.mu.Unlock()
 	for name, s := range services {
 		s.setDatabases(byService[name], g.initialPoolSize(s))
+		if g.allotments.shares(name) != nil {
+			g.sizePoolsOf(s) // a part of a restarted database's connections may be lent
+		}
 	}
 }
 
