Count the loans of a home host's former tenure

A home host that starts a new tenure in the same process forgot what it had lent and held its whole standing share beside it; the reserve is stated for hosts that start. It now counts them to their end. One announcement that named the predecessor started a new tenure 3 s later also if nothing else was received since: it now takes announcements over 3 s.

--- a/database/allotment/allotment.go
+++ b/database/allotment/allotment.go
@@ -104,6 +104,18 @@
 	return t
 }
 
+// Renew returns the table of the home host's next tenure. Unlike a host that starts, it still
+// counts what the host has lent.
+func (t *Table) Renew(self Holder, centres []string) *Table {
+	next := New(t.centre, self, centres)
+	for name, p := range next.peers {
+		if old := t.peers[name]; old != nil {
+			p.former = append(slices.Clone(old.former), old.given)
+		}
+	}
+	return next
+}
+
 // SetDatabases sets the standing share of each database's connections. It must be the same
 // in all data centres.
 func (t *Table) SetDatabases(even map[string]int) { t.even = even }
@@ -258,14 +270,14 @@
 }
 
 // displacedAfter is how long another data centre must have named another home host of this
-// one: longer than its answer to this host's first announcement is under way.
+// one, in its announcements: longer than its answer to this host's first one is under way.
 const displacedAfter = 3 * time.Second
 
 // Displaced reports whether another data centre ignores this tenure because it has followed
 // another home host of this data centre since. This host must start a new one.
-func (t *Table) Displaced(now time.Time) bool {
+func (t *Table) Displaced() bool {
 	for _, p := range t.peers {
-		if !p.displacedSince.IsZero() && now.Sub(p.displacedSince) >= displacedAfter {
+		if !p.displacedSince.IsZero() && p.heardAt.Sub(p.displacedSince) >= displacedAfter {
 			return true
 		}
 	}
--- a/database/allotment/allotment_test.go
+++ b/database/allotment/allotment_test.go
@@ -287,6 +287,34 @@
 		}
 	})
 
+	It("that are lent stay with the borrower while the lender's home host starts a new tenure", func() {
+		w := newWorld(1)
+		w.demand = map[string]float64{"a": 31, "b": 1, "c": 1}
+		w.run(5*time.Second, func() {})
+		held := w.share("b")
+		Expect(held).To(BeNumerically("<", even))
+		w.tables["b"] = w.tables["b"].Renew(allotment.Holder{Host: "b0", Tenure: 100}, centres)
+		w.tables["b"].SetDatabases(map[string]int{database: even})
+		Expect(w.share("b")).To(Equal(held))
+		w.run(allotment.LoanTerm, func() {
+			shares, _ := w.held()
+			Expect(shares).To(BeNumerically("<=", 3*even))
+		})
+	})
+
+	It("need no new tenure for one old announcement of a data centre that is cut off since", func() {
+		now := time.Unix(1_000_000, 0)
+		t := allotment.New("b", allotment.Holder{Host: "b1", Tenure: 2}, centres)
+		a := allotment.Announcement{DataCentre: "a", Heard: allotment.Heard{Holder: allotment.Holder{Host: "a0", Tenure: 1}, Round: 1},
+			Echoes: map[string]allotment.Heard{"b": {Holder: allotment.Holder{Host: "b0", Tenure: 1}, Round: 9}}}
+		t.Record(a, now)
+		now = now.Add(10 * time.Second)
+		Expect(t.Displaced()).To(BeFalse())
+		a.Round++
+		t.Record(a, now)
+		Expect(t.Displaced()).To(BeTrue(), "it ignores this tenure")
+	})
+
 	It("are not lent by an announcement that arrives after the loan has ended", func() {
 		w := newWorld(1)
 		w.demand = map[string]float64{"a": 31, "b": 1, "c": 1}
--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -114,7 +114,7 @@
 		demand[id], held[id], inUse[id] = p.use(now)
 	}
 	a.mu.Lock()
-	entry := a.entry(s.name, centres, now)
+	entry := a.entry(s.name, centres)
 	entry.table.SetDatabases(maps.Clone(shares))
 	entry.table.SetInUse(inUse)
 	entry.announced = encodeAllotment(s.name, entry.table.Announce(demand, now))
@@ -140,17 +140,20 @@
 // entry returns a service's division, a new one at the start of a tenure: when this host
 // becomes the home host, another one was followed meanwhile, or the data centres change.
 // mu is held.
-func (a *allotments) entry(service string, centres map[string]bool, now time.Time) *serviceAllotment {
+func (a *allotments) entry(service string, centres map[string]bool) *serviceAllotment {
 	entry := a.services[service]
-	if entry != nil && maps.Equal(entry.centres, centres) && !entry.table.Displaced(now) {
+	if entry != nil && maps.Equal(entry.centres, centres) && !entry.table.Displaced() {
 		return entry
 	}
 	// Tenures of a host's processes are told apart by the wall clock.
 	a.tenure = max(a.tenure+1, uint64(time.Now().UnixMilli()))
 	self := allotment.Holder{Host: a.g.opt.Name, Tenure: a.tenure}
-	next := &serviceAllotment{table: allotment.New(a.g.opt.DataCentre, self, slices.Sorted(maps.Keys(centres))), centres: centres}
-	if entry != nil {
-		next.shares = entry.shares
+	names := slices.Sorted(maps.Keys(centres))
+	next := &serviceAllotment{centres: centres}
+	if entry == nil {
+		next.table = allotment.New(a.g.opt.DataCentre, self, names)
+	} else {
+		next.table, next.shares = entry.table.Renew(self, names), entry.shares
 	}
 	a.services[service] = next
 	return next
