Count what a home host lent before it was another's turn

A host that was not the home host for one round forgot its loans and held the whole standing share beside them: 12 in place of 4 in the new spec. Its next tenure counts them to their end.

--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -17,7 +17,8 @@
 
 	mu       sync.Mutex // guards the fields below; a leaf lock
 	services map[string]*serviceAllotment
-	tenure   uint64 // the last one
+	left     map[string]*allotment.Table // of tenures that have ended, by service
+	tenure   uint64                      // the last one
 
 	logged map[string]*loggedShare // by database; used only by exchange
 }
@@ -45,7 +46,7 @@
 }
 
 func newAllotments(g *Gateway) *allotments {
-	return &allotments{g: g, services: map[string]*serviceAllotment{}, logged: map[string]*loggedShare{}}
+	return &allotments{g: g, services: map[string]*serviceAllotment{}, left: map[string]*allotment.Table{}, logged: map[string]*loggedShare{}}
 }
 
 // exchange starts a round: it applies the shares in force and prepares the announcements
@@ -74,6 +75,9 @@
 	a.mu.Lock()
 	old := a.services[s.name]
 	delete(a.services, s.name)
+	if old != nil {
+		a.left[s.name] = old.table
+	}
 	a.mu.Unlock()
 	if old == nil {
 		return
@@ -150,10 +154,15 @@
 	self := allotment.Holder{Host: a.g.opt.Name, Tenure: a.tenure}
 	names := slices.Sorted(maps.Keys(centres))
 	next := &serviceAllotment{centres: centres}
-	if entry == nil {
+	former := a.left[service]
+	delete(a.left, service)
+	if entry != nil {
+		former, next.shares = entry.table, entry.shares
+	}
+	if former == nil {
 		next.table = allotment.New(a.g.opt.DataCentre, self, names)
 	} else {
-		next.table, next.shares = entry.table.Renew(self, names), entry.shares
+		next.table = former.Renew(self, names)
 	}
 	a.services[service] = next
 	return next
--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -217,6 +217,20 @@
 		Expect(maxOf("a")).To(Equal(share))
 	})
 
+	It("still counts what it lent if it is the home host again a round later", func() {
+		configure(75)
+		g.allotments.exchange(g.now())
+		hear(1, 31)
+		g.allotments.exchange(g.now())
+		for rank := 1; rank >= 0; rank-- {
+			svc.mu.Lock()
+			svc.homeRank = rank
+			svc.mu.Unlock()
+			g.allotments.exchange(g.now())
+		}
+		Expect(maxOf("a")).To(Equal(even / 3))
+	})
+
 	It("serves statements on scarce connections", func() {
 		configure(75)
 		g.allotments.exchange(g.now())
