--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 	requestLog *requestLog
 	rates      *rates
 	cold       *coldLimits
+	allotments *allotments
 	peers      *peers
 	streams    *streams
 	stalls     stallDetector
@@ -145,7 +146,6 @@
 		opt:             opt,
 		log:             opt.Logger.With("host", opt.Name),
 		now:             opt.Now,
-		platform:        opt.Platform,
 		services:        map[string]*service{},
 		databases:       map[string]routes.Database{},
 		entries:         map[string]json.RawMessage{},
@@ -162,10 +162,12 @@
 	g.stalls.lastBeat = g.started
 	g.rates = &rates{table: share.New(1)}
 	g.cold = newColdLimits(opt)
+	g.allotments = newAllotments(g)
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
 	g.evacuations = newEvacuations(g)
 	g.metrics = newMetrics(g)
+	g.platform = countedPlatform{opt.Platform, g.metrics}
 	return g
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,23 +15,25 @@
 
 // gatewayMetrics are the metrics of one host. No label contains a customer's key.
 type gatewayMetrics struct {
-	set           *metrics.Set
-	dialled       *metrics.Counter
-	storeFailures *metrics.Counter
-	unsent        *metrics.Counter
-	missing       *metrics.Counter
-	keptFromCold  *metrics.Counter
+	set              *metrics.Set
+	dialled          *metrics.Counter
+	storeFailures    *metrics.Counter
+	unsent           *metrics.Counter
+	allotmentsUnsent *metrics.Counter
+	missing          *metrics.Counter
+	keptFromCold     *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
 	set := metrics.NewSet()
 	m := &gatewayMetrics{
-		set:           set,
-		dialled:       set.NewCounter("bronzeloft_database_connections_opened_total"),
-		storeFailures: set.NewCounter("bronzeloft_store_failures_total"),
-		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
-		missing:       set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
-		keptFromCold:  set.NewCounter("bronzeloft_cold_statements_kept_total"),
+		set:              set,
+		dialled:          set.NewCounter("bronzeloft_database_connections_opened_total"),
+		storeFailures:    set.NewCounter("bronzeloft_store_failures_total"),
+		unsent:           set.NewCounter("bronzeloft_peer_messages_unsent_total"),
+		allotmentsUnsent: set.NewCounter("bronzeloft_peer_messages_without_allotments_total"),
+		missing:          set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
+		keptFromCold:     set.NewCounter("bronzeloft_cold_statements_kept_total"),
 	}
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
@@ -79,6 +81,39 @@
 	closedExcess  = "excess"  // the pool is closed or too large, or the connection was spare or its session state full
 )
 
+// Reasons for which a connection to a database is opened for a customer.
+const (
+	dialledAdding    = "adding"    // the pool has room
+	dialledReplacing = "replacing" // in place of an idle connection of another customer
+)
+
+// dialling counts an attempt to open a connection for a customer by reason.
+func (m *gatewayMetrics) dialling(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_database_dials_total{reason=%q}`, reason)).Inc()
+}
+
+// States of the connections to a database that are divided by demand.
+const (
+	connectionsAllotted = "allotted" // this host may hold
+	connectionsHeld     = "held"     // it holds
+)
+
+// connections sets what this host may hold and holds of a database's connections, and its
+// demand in check-outs a second.
+func (m *gatewayMetrics) connections(database string, allotted, held int, demand float64) {
+	set := func(name string, value float64) { m.set.GetOrCreateGauge(name, nil).Set(value) }
+	set(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsAllotted), float64(allotted))
+	set(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsHeld), float64(held))
+	set(fmt.Sprintf(`bronzeloft_database_checkouts_per_second{database=%q}`, database), demand)
+}
+
+// forgetConnections removes what connections set.
+func (m *gatewayMetrics) forgetConnections(database string) {
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsAllotted))
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_connections{database=%q,state=%q}`, database, connectionsHeld))
+	m.set.UnregisterMetric(fmt.Sprintf(`bronzeloft_database_checkouts_per_second{database=%q}`, database))
+}
+
 // closed counts a closed connection to a database by reason.
 func (m *gatewayMetrics) closed(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_database_connections_closed_total{reason=%q}`, reason)).Inc()
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -72,7 +72,7 @@
 
 // outgoingMessages returns this round's messages: this host's state for hosts of its
 // data centre and, on a delegate, the summary for the other data centres. The largest
-// parts are sent only to the hosts that use them: demands to delegates and to hosts
+// parts are sent only to the hosts that use them: demands and allotments to delegates and to hosts
 // that watch databases, summaries only to the latter, and last, so that they do not
 // delay the other messages. Group reports are in every message within the data
 // centre, because they show which hosts watch.
@@ -91,6 +91,8 @@
 	withDemands.Demands, full.Demands = demands, demands
 	withDemands.Cold = p.g.cold.demands(now)
 	full.Cold = withDemands.Cold
+	withDemands.Allotments = p.g.allotments.announcements()
+	full.Allotments = withDemands.Allotments
 	summary := proto.CloneOf(brief)
 	summary.Groups, summary.Ranked, summary.LiveHosts = nil, nil, 0
 	if len(to.crossCentre) > 0 {
@@ -123,6 +125,10 @@
 		return
 	}
 	data, err := proto.Marshal(msg)
+	if err == nil && len(data) > maxDatagram {
+		p.dropAllotments(msg)
+		data, err = proto.Marshal(msg)
+	}
 	if err != nil || len(data) > maxDatagram {
 		p.g.log.Error("Message to other hosts cannot be encoded or exceeds the size limit.", "part", "peers", "bytes", len(data), "error", err)
 		return
@@ -137,6 +143,16 @@
 	}
 }
 
+// dropAllotments removes the announcements of allotments, so that the rest of the message
+// can be sent: without them, loans end and each data centre has its standing share.
+func (p *peers) dropAllotments(msg *gossippb.Gossip) {
+	msg.Allotments = nil
+	for _, c := range msg.Centres {
+		c.Allotments = nil
+	}
+	p.g.metrics.allotmentsUnsent.Inc()
+}
+
 // message returns this host's state, without its customers' demands, under a new
 // sequence number. serving are the serving hosts of this data centre.
 func (p *peers) message(serving []string, now time.Time) *gossippb.Gossip {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -47,6 +47,7 @@
 	namedTerm         uint64    // the newest term that a primary's answer named
 	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
+	returns           retry.Returns
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
 }
@@ -158,13 +159,6 @@
 	return out
 }
 
-// setPoolSize changes the maximum number of connections to each database.
-func (s *service) setPoolSize(n int) {
-	for _, p := range s.allPools() {
-		p.setMax(n)
-	}
-}
-
 // allPools returns the pools of all databases.
 func (s *service) allPools() []*pool {
 	s.mu.Lock()
@@ -205,11 +199,6 @@
 // statement's timeout.
 const failFastAfter = 3 * time.Second
 
-// noPrimaryRetryAfter is the retry delay that is given to a caller that was
-// refused because no primary is reachable: network partitions end and successors
-// are promoted within seconds.
-const noPrimaryRetryAfter = 500 * time.Millisecond
-
 // reachablePrimary returns the primary's pool if the primary is reachable and may be
 // sent statements, and otherwise records since when it is not. If no primary is known,
 // it requests a sample. mu is held.
@@ -255,14 +244,15 @@
 	s.mu.Lock()
 	awaited := strings.Join(s.databasesAwaited(), " ")
 	closed := s.closedForEvacuation()
+	delay := s.retryAfter()
 	s.mu.Unlock()
 	if closed {
 		return s.evacuationError()
 	}
 	if awaited != "" {
-		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, noPrimaryRetryAfter.Milliseconds())
+		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, delay.Milliseconds())
 	}
-	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, noPrimaryRetryAfter.Milliseconds())
+	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, delay.Milliseconds())
 }
 
 // readers returns the databases that may serve a customer's read, best first.
@@ -463,7 +453,7 @@
 		p.close()
 	}
 	if rankChanged {
-		s.setPoolSize(s.g.poolSize(s))
+		s.g.sizePoolsOf(s)
 	}
 	if rank > 0 {
 		for _, p := range s.allPools() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -515,7 +515,10 @@
 	g.mu.Unlock()
 	g.setColdDatabases(databases) // before their pools may send them statements
 	for name, s := range services {
-		s.setDatabases(byService[name], g.poolSize(s))
+		s.setDatabases(byService[name], g.initialPoolSize(s))
+		if g.allotments.shares(name) != nil {
+			g.sizePoolsOf(s) // a part of a restarted database's connections may be lent
+		}
 	}
 }
 
