Choose readers by the expected time to their answer

Cause: readers were ranked by grade and hash, blind to how long each database takes, to answers that are failures, and to lag; a read left its data centre for a wait of any length.

Change: database/choice orders readers by distance, wait, service time and failures, with a share of the customers for each database and a share of the reads that leave the data centre. gateway feeds it with the outcomes of statements where Features.ExpectedTime is set; elsewhere nothing changes.

--- /dev/null
+++ b/database/choice/share.go
@@ -0,0 +1,98 @@
+package choice
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Steps of a database's share of the customers.
+const (
+	// stepEvery is the time between two steps.
+	stepEvery = 100 * time.Millisecond
+	// slowFactor and slowBy are how much longer than the best database one must be
+	// expected to take for its share to shrink, goodFactor the factor below which the
+	// share grows. Between them it stays.
+	slowFactor = 2.0
+	goodFactor = 1.3
+	slowBy     = 5 * time.Millisecond
+	shrink     = 0.5
+	grow       = 1.5
+	// probeShare is the part of the reads that is sent to a database with a share
+	// below 1 in any case, and the least share.
+	probeShare = 0.02
+	// mostLeftOut is the part of the databases whose share may be below 1.
+	mostLeftOut = 0.5
+)
+
+// step changes the shares of the usable databases, at most once in stepEvery.
+func (t *Table) step(usable []*option, now time.Time) {
+	if now.Sub(t.steppedAt) < stepEvery || len(usable) == 0 {
+		return
+	}
+	t.steppedAt = now
+	t.leaving.step()
+	sorted := slices.SortedStableFunc(slices.Values(usable), func(a, b *option) int {
+		return cmp.Compare(t.nearService(a, now), t.nearService(b, now))
+	})
+	best := t.nearService(sorted[0], now)
+	kept := len(sorted) - int(mostLeftOut*float64(len(sorted)))
+	for i, o := range sorted {
+		e, before := o.estimate, o.estimate.share
+		switch s := t.nearService(o, now); {
+		case i < kept:
+			e.share = min(1, e.share*grow)
+		case s > time.Duration(slowFactor*float64(best))+slowBy:
+			e.share = max(probeShare, e.share*shrink)
+		case s < time.Duration(goodFactor*float64(best))+slowBy && e.answers > 0:
+			e.share = min(1, e.share*grow)
+		}
+		e.answers = 0
+		if (before < 1) != (e.share < 1) {
+			t.changes = append(t.changes, ShareChange{o.ID, e.share, t.nearService(o, now), best})
+		}
+	}
+}
+
+// ShareChange is a database whose share fell below 1, or returned to 1.
+type ShareChange struct {
+	Database       string
+	Share          float64
+	Expected, Best time.Duration // time without waiting and distance, of this and of the best database
+}
+
+// Changes returns the changes since its last call.
+func (t *Table) Changes() []ShareChange {
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+// Share returns the part of the customers that may use a database.
+func (t *Table) Share(id string) float64 {
+	if e := t.databases[id]; e != nil {
+		return e.share
+	}
+	return 1
+}
+
+// nearService returns the time that a database takes without waiting here and without
+// its distance.
+func (t *Table) nearService(o *option, now time.Time) time.Duration {
+	return max(0, o.service-t.distance(o.DataCentre, now))
+}
+
+// probed returns the database that a read tests: the usable one with the smallest share
+// below 1, for probeShare of the reads.
+func probed(read Read, usable []*option) *option {
+	if read.Draw >= probeShare {
+		return nil
+	}
+	var out *option
+	for _, o := range usable {
+		if o.estimate.share < 1 && o.free() && (out == nil || o.estimate.share < out.estimate.share) {
+			out = o
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/choosing.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/choice"
+	"github.com/bronzeloft/bronzeloft/errkind"
+	"github.com/bronzeloft/bronzeloft/statement"
+)
+
+// chooser orders the readers of one service by the expected time to their answer.
+type chooser struct {
+	g       *Gateway
+	service string
+
+	mu    sync.Mutex // guards table; a leaf lock
+	table *choice.Table
+}
+
+// newChooser returns nil if the site does not ask for the choice by expected time.
+func newChooser(g *Gateway, service string) *chooser {
+	if !g.opt.Features.ExpectedTime {
+		return nil
+	}
+	c := &chooser{g: g, service: service, table: choice.New(g.opt.DataCentre)}
+	g.metrics.set.NewGauge(fmt.Sprintf(`bronzeloft_reads_leaving_share{service=%q}`, service), func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.table.Leaving()
+	})
+	return c
+}
+
+// readersFor returns the databases that may serve the operation's read, best first.
+func (s *service) readersFor(op *operation) []*pool {
+	pools := s.readers(op.customer)
+	if s.chooser == nil || len(pools) < 2 {
+		return pools
+	}
+	candidates := s.candidates(pools)
+	chosen := s.chooser.choose(choice.Read{
+		Customer: op.customer,
+		Urgent:   !s.g.opt.Features.UrgentFirst || op.route.Urgency <= urgentUpTo,
+		Draw:     rand.Float64(),
+	}, candidates)
+	byID := make(map[string]*pool, len(pools))
+	for _, p := range pools {
+		byID[p.db.ID] = p
+	}
+	for i, id := range chosen.Order {
+		pools[i] = byID[id]
+	}
+	return pools
+}
+
+// candidates describes the databases of pools, in their order.
+func (s *service) candidates(pools []*pool) []choice.Candidate {
+	out := make([]choice.Candidate, len(pools))
+	now := s.g.now()
+	s.mu.Lock()
+	leader, _ := s.table.Leader()
+	for i, p := range pools {
+		out[i] = choice.Candidate{
+			ID: p.db.ID, DataCentre: p.db.DataCentre,
+			Primary: p.db.ID == leader.ID, Usable: s.table.Usable(p.db.ID, now),
+		}
+	}
+	s.mu.Unlock()
+	for i, p := range pools {
+		out[i].Slots, out[i].Busy = p.demand()
+	}
+	return out
+}
+
+// demand returns how many statements this host may have in flight on the database, and
+// how many are in flight or wait for a slot or a connection.
+func (p *pool) demand() (slots, busy int) {
+	p.mu.Lock()
+	slots, connections := p.window.Size(), p.max
+	p.mu.Unlock()
+	waiting := max(0, p.turns.Load()-1) * float64(connections)
+	return slots, int(p.slots.Load()*float64(slots) + waiting + 0.5)
+}
+
+func (c *chooser) choose(read choice.Read, candidates []choice.Candidate) choice.Choice {
+	c.mu.Lock()
+	chosen := c.table.Choose(read, candidates, c.g.now())
+	changes := c.table.Changes()
+	c.mu.Unlock()
+	c.g.metrics.chosen(chosen.Reason)
+	for _, ch := range changes {
+		c.g.log.Info("Share of the customers that may use a database has changed.", "part", "choice", "service", c.service,
+			"database", ch.Database, "share", ch.Share, "expected", ch.Expected, "best", ch.Best)
+	}
+	if chosen.Reason != choice.Preferred && c.g.log.Enabled(c.g.ctx, slog.LevelDebug) {
+		c.g.log.Debug("Database chosen for a read.", "part", "choice", "service", c.service, "database", chosen.Order[0], "reason", string(chosen.Reason),
+			"here", chosen.Here, "there", chosen.There, "leaving_share", chosen.Share, "candidates", candidates)
+	}
+	return chosen
+}
+
+// forget forgets the databases that are not in list.
+func (c *chooser) forget(list []routes.Database) {
+	if c == nil {
+		return
+	}
+	ids := make([]string, len(list))
+	for i, db := range list {
+		ids[i] = db.ID
+	}
+	c.mu.Lock()
+	c.table.Retain(ids)
+	c.mu.Unlock()
+}
+
+// record records the outcome of a statement that was sent at sentAt on a connection.
+// The response times of writes and current reads are left out: they run on the primary
+// only, and would make it look faster or slower than it is for other reads.
+func (c *chooser) record(ctx context.Context, conn *conn, op *operation, answers []statement.Answer, err error, sentAt time.Time) {
+	if c == nil {
+		return
+	}
+	now := c.g.now()
+	db, took := conn.pool.db, now.Sub(sentAt)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch kind := outcomeKind(answers, err); {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		c.table.RecordAbandoned(db.ID, db.DataCentre, took, now)
+	case err != nil:
+		c.table.RecordFailure(db.ID, db.DataCentre, took, now)
+	case kind == errkind.DatabaseBehind:
+		c.table.RecordBehind(db.ID, db.DataCentre, took, now)
+	case kind == errkind.DatabaseBusy, kind == errkind.StatementFailed, kind == errkind.StatementTimeout, kind == errkind.WrongDatabase:
+		c.table.RecordFailure(db.ID, db.DataCentre, took, now)
+	case lastAnswer(answers).Err == nil && !op.writes() && op.route.Freshness != routes.Current:
+		c.table.RecordAnswer(db.ID, db.DataCentre, took, answerBytes(op, answers), now)
+	}
+}
+
+// outcomeKind returns the kind of the error that answered a statement, or Internal.
+func outcomeKind(answers []statement.Answer, err error) errkind.Kind {
+	if err != nil {
+		return errkind.Of(err)
+	}
+	if main := lastAnswer(answers); main.Err != nil {
+		return main.Err.Kind
+	}
+	return errkind.Internal
+}
+
+// answerBytes returns about how many bytes a statement and its answer take.
+func answerBytes(op *operation, answers []statement.Answer) int {
+	n := len(op.Text)
+	for _, row := range lastAnswer(answers).Rows {
+		n += len(row)
+	}
+	return n
+}
+
+// recordDialFailure records a connection attempt that a database refused or did not
+// answer.
+func (c *chooser) recordDialFailure(db routes.Database, sentAt time.Time) {
+	if c == nil {
+		return
+	}
+	now := c.g.now()
+	c.mu.Lock()
+	c.table.RecordFailure(db.ID, db.DataCentre, now.Sub(sentAt), now)
+	c.mu.Unlock()
+}
+
+// chosen counts a read by the reason for which its database was chosen.
+func (m *gatewayMetrics) chosen(reason choice.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bronzeloft_reads_chosen_total{reason=%q}`, reason)).Inc()
+}
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -213,7 +213,7 @@
 		return err
 	}
 	op.floor = at
-	pools := op.svc.readers(op.customer)
+	pools := op.svc.readersFor(op)
 	if len(pools) == 0 {
 		return errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.svc.name)
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -238,6 +238,7 @@
 
 // dialFailed records a failed connection attempt and returns its error.
 func (p *pool) dialFailed(err error, sentAt time.Time) error {
+	p.svc.chooser.recordDialFailure(p.db, sentAt)
 	var kindErr *errkind.Error
 	if errors.As(err, &kindErr) {
 		until := p.g.now().Add(avoidRefusingFor)
@@ -406,7 +407,9 @@
 		op.sent.Store(true)
 	}
 	stop := context.AfterFunc(ctx, c.Reset)
+	sentAt := c.pool.g.now()
 	answers, err := c.run(op.deadline, requests...)
+	c.pool.svc.chooser.record(ctx, c, op, answers, err, sentAt)
 	if !stop() {
 		c.broken = true
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -24,7 +24,8 @@
 	name string
 	// hedges limits the reads that are sent twice, so that hedging does not double
 	// the load on an overloaded database.
-	hedges *retry.Budget
+	hedges  *retry.Budget
+	chooser *chooser // nil if readers are not chosen by expected time
 
 	mu                sync.Mutex // guards the fields below; pool.mu may be acquired while it is held
 	table             *lead.Table
@@ -66,6 +67,7 @@
 	return &service{
 		g: g, name: name,
 		hedges:  retry.NewBudget(hedgeShare, hedgeBurst),
+		chooser: newChooser(g, name),
 		table:   lead.New(),
 		pools:   map[string]*pool{},
 		changed: make(chan struct{}),
@@ -86,6 +88,7 @@
 	before := s.table.Established(now)
 	unlisted := slices.DeleteFunc(slices.Clone(s.databasesAwaited()), s.table.Listed)
 	restarted := s.table.SetDatabases(list, now)
+	s.chooser.forget(list)
 	if slices.ContainsFunc(unlisted, s.table.Listed) {
 		s.promotion.nextAttempt = now // a database that is awaited is back
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -338,7 +338,7 @@
 		return readOutcome{err: err}
 	}
 	op.floor = at
-	pools := op.svc.readers(op.customer)
+	pools := op.svc.readersFor(op)
 	if len(pools) == 0 {
 		return readOutcome{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
 	}
