Replay uneven databases and waves of demand; repeat a failed read elsewhere

Cause: a read that a database ran but failed went back to its caller, although a read changes nothing and another database may answer it.

Change: where readers are chosen by expected time, such a read is repeated once on another database, within the budget of reads that are sent twice, and databases on which an attempt failed come last.

--- a/database/choice/replay_test.go
+++ b/database/choice/replay_test.go
@@ -18,6 +18,7 @@
 type replay struct {
 	policy   policy
 	hosts    int           // in each data centre
+	together bool          // all databases and hosts are in one data centre
 	perS     float64       // reads a second in each data centre
 	swing    float64       // of the demand, which moves over the data centres in period
 	period   time.Duration // of the waves
@@ -40,6 +41,7 @@
 	byExpectedTime policy = iota
 	byGrades              // any free slot: the order of lead.Readers
 	alwaysLocal
+	twoRandom // the better of two random databases by the same estimates
 )
 
 type fault int
@@ -64,7 +66,6 @@
 type server struct {
 	running int
 	queue   []func()
-	sent    map[int]int // statements received, by whole seconds/4
 }
 
 type entry struct {
@@ -97,11 +98,11 @@
 	}
 	var list []routes.Database
 	for i := range dataCentres {
-		r.databases = append(r.databases, &server{sent: map[int]int{}})
-		list = append(list, routes.Database{ID: id(i), Address: id(i), DataCentre: id(i), Slots: slots})
+		r.databases = append(r.databases, &server{})
+		list = append(list, routes.Database{ID: id(i), Address: id(i), DataCentre: r.centre(i), Slots: slots})
 	}
 	for i := range dataCentres * r.hosts {
-		e := &entry{centre: i % dataCentres, grades: lead.New(), table: choice.New(id(i % dataCentres)), idle: map[string]bool{},
+		e := &entry{centre: i % dataCentres, grades: lead.New(), table: choice.New(r.centre(i % dataCentres)), idle: map[string]bool{},
 			running: make([]int, dataCentres), queues: make([][]func(), dataCentres)}
 		e.grades.SetDatabases(list, r.clock())
 		for range dataCentres {
@@ -118,10 +119,19 @@
 	return r
 }
 
+// centre returns the data centre of a database, or of the hosts beside it.
+func (r *replay) centre(db int) string {
+	if r.together {
+		return "centre"
+	}
+	return id(db)
+}
+
 func id(i int) string { return fmt.Sprintf("database-%d", i) }
 
 func (r *replay) clock() time.Time { return noon.Add(r.now) }
 
+// at schedules a function; before run, in is the time in the replay.
 func (r *replay) at(in time.Duration, do func()) {
 	heap.Push(&r.events, event{r.now + in, len(r.events), do})
 }
@@ -169,17 +179,22 @@
 		db := number(name)
 		return float64(e.running[db]+len(e.queues[db])) / float64(e.windows[db].Size())
 	}
-	readers := e.grades.Readers(got.customer, id(e.centre), load, r.clock())
+	readers := e.grades.Readers(got.customer, r.centre(e.centre), load, r.clock())
 	if r.policy == byGrades {
 		return number(readers[0])
 	}
 	candidates := make([]choice.Candidate, len(readers))
 	for i, name := range readers {
 		db := number(name)
-		candidates[i] = choice.Candidate{ID: name, DataCentre: name, Usable: e.grades.Usable(name, r.clock()),
+		candidates[i] = choice.Candidate{ID: name, DataCentre: r.centre(db), Usable: e.grades.Usable(name, r.clock()),
 			Slots: e.windows[db].Size(), Busy: e.running[db] + len(e.queues[db])}
 	}
-	return number(e.table.Choose(choice.Read{Customer: got.customer, Urgent: true, Draw: r.random.Float64()}, candidates, r.clock()).Order[0])
+	customer := got.customer
+	if r.policy == twoRandom {
+		r.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+		candidates, customer = candidates[:2], fmt.Sprint(r.random.Int())
+	}
+	return number(e.table.Choose(choice.Read{Customer: customer, Urgent: true, Draw: r.random.Float64()}, candidates, r.clock()).Order[0])
 }
 
 func number(name string) int { return int(name[len(name)-1] - '0') }
@@ -193,12 +208,11 @@
 		delay = dialTime
 	}
 	var way time.Duration
-	if db != e.centre {
+	if db != e.centre && !r.together {
 		way = r.distance
 	}
 	sentAt := r.now + delay
 	s := r.databases[db]
-	s.sent[int(r.now.Seconds())/4]++
 	answer := func(f fault) { r.at(way, func() { r.answer(e, got, db, f, sentAt) }) }
 	r.at(delay+way, func() {
 		f := r.fault(db, r.now)
@@ -232,21 +246,21 @@
 
 // answer records an answer at the host as the gateway does.
 func (r *replay) answer(e *entry, got *read, db int, f fault, sentAt time.Duration) {
-	name, took, now := id(db), r.now-sentAt, r.clock()
+	name, centre, took, now := id(db), r.centre(db), r.now-sentAt, r.clock()
 	switch f {
 	case healthy:
-		e.table.RecordAnswer(name, name, took, statementBytes, now)
+		e.table.RecordAnswer(name, centre, took, statementBytes, now)
 		e.windows[db].RecordAnswer()
 		got.answered = r.now
 	case lags:
-		e.table.RecordBehind(name, name, took, now)
+		e.table.RecordBehind(name, centre, took, now)
 		e.grades.Avoid(name, now.Add(60*time.Millisecond))
 	case refuses:
-		e.table.RecordFailure(name, name, took, now)
+		e.table.RecordFailure(name, centre, took, now)
 		e.windows[db].RecordRefusal(now)
 		e.grades.Avoid(name, now.Add(100*time.Millisecond))
 	case fails:
-		e.table.RecordFailure(name, name, took, now)
+		e.table.RecordFailure(name, centre, took, now)
 	}
 	e.running[db]--
 	for len(e.queues[db]) > 0 && e.running[db] < e.windows[db].Size() {
--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,12 +40,29 @@
 	return c
 }
 
-// readersFor returns the databases that may serve the operation's read, best first.
-func (s *service) readersFor(op *operation) []*pool {
+// readerFor returns the database for the nth attempt of the operation's read, starting
+// at 0, or nil if the service has no databases. The attempts go through the readers in
+// their order and start again after the last. Where the readers are chosen by expected
+// time, those on which an attempt failed come last instead.
+func (s *service) readerFor(op *operation, n int) *pool {
 	pools := s.readers(op.customer)
-	if s.chooser == nil || len(pools) < 2 {
-		return pools
+	switch {
+	case len(pools) == 0:
+		return nil
+	case s.chooser == nil || len(pools) == 1:
+		return pools[n%len(pools)]
+	}
+	pools = s.orderByExpectedTime(op, pools)
+	if tried := len(op.failedOn); tried > 0 {
+		slices.SortStableFunc(pools, func(a, b *pool) int {
+			return cmp.Compare(slices.Index(op.failedOn, a.db.ID), slices.Index(op.failedOn, b.db.ID))
+		})
+		n -= tried
 	}
+	return pools[max(0, n)%len(pools)]
+}
+
+func (s *service) orderByExpectedTime(op *operation, pools []*pool) []*pool {
 	candidates := s.candidates(pools)
 	chosen := s.chooser.choose(choice.Read{
 		Customer: op.customer,
@@ -60,6 +79,13 @@
 	return pools
 }
 
+// mayRepeat reports whether a read that a database ran but failed may be run on another
+// one. It takes from the budget of the reads that are sent twice: a statement that
+// cannot succeed fails everywhere.
+func (s *service) mayRepeat(err error, started int) bool {
+	return s.chooser != nil && errkind.Of(err) == errkind.StatementFailed && started < maxParallelReads && s.hedges.Withdraw(hedgeBudgetKey)
+}
+
 // candidates describes the databases of pools, in their order.
 func (s *service) candidates(pools []*pool) []choice.Candidate {
 	out := make([]choice.Candidate, len(pools))
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -213,11 +213,11 @@
 		return err
 	}
 	op.floor = at
-	pools := op.svc.readersFor(op)
-	if len(pools) == 0 {
+	p := op.svc.readerFor(op, op.attempts)
+	if p == nil {
 		return errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.svc.name)
 	}
-	c, err := l.acquire(ctx, op, pools[op.attempts%len(pools)])
+	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		op.attempts++
 		return err
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -250,7 +250,8 @@
 				op.attempts, op.database, op.floor = started, got.database, got.floor
 				return got.answer, nil
 			}
-			if !canRetryRead(got.err) {
+			op.failedOn = append(op.failedOn, got.database)
+			if !canRetryRead(got.err) && !op.svc.mayRepeat(got.err, started) {
 				return statement.Answer{}, got.err
 			}
 			if running > 0 {
@@ -330,19 +331,19 @@
 	return readOutcome{answer: a, err: err}
 }
 
-// readReplica reads on a database whose log has reached the read's floor: the nth
-// in the order of readers, starting again after the last.
+// readReplica reads on a database whose log has reached the read's floor: that of the
+// nth attempt.
 func (l *local) readReplica(ctx context.Context, op *operation, n int) readOutcome {
 	at, err := op.floorAt(ctx, op.route, op.arrived)
 	if err != nil {
 		return readOutcome{err: err}
 	}
 	op.floor = at
-	pools := op.svc.readersFor(op)
-	if len(pools) == 0 {
+	p := op.svc.readerFor(op, n)
+	if p == nil {
 		return readOutcome{err: errkind.New(errkind.DatabaseUnavailable, "service %s has no databases", op.route.Service)}
 	}
-	c, err := l.acquire(ctx, op, pools[n%len(pools)])
+	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		return readOutcome{err: err}
 	}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -72,6 +72,7 @@
 	commitHook     func()         // called, with the group's lock held, between the next commit and its answer
 	beginHook      func()         // the same for the next Begin
 	busyFor        statement.Kind // statements of this kind are refused as if the database were overloaded; none if 0
+	failReads      bool           // reads run and fail
 	refuseNextSet  bool           // the next Set is refused as if the database were overloaded
 	resets         int
 }
@@ -256,6 +257,9 @@
 		if r.Kind == statement.Execute && l.writers[r.Name] {
 			return l.write(r, isPrimary)
 		}
+		if l.db.failReads {
+			return l.refuse(errkind.StatementFailed)
+		}
 		return l.read(r, isPrimary)
 	case statement.Write:
 		return l.write(r, isPrimary)
