Let a database that was left out return with its good answers

Cause: at hosts with few reads a database that has recovered got its next probe seconds later: a fixed 2 % of the reads probed it, whatever it answered.

Change: while its share grows, that share of the reads is sent to it, and the share is doubled in a step with a good answer.

--- a/database/choice/estimate.go
+++ b/database/choice/estimate.go
@@ -65,7 +65,8 @@
 	behind     mean // 1 for one that the log of the database had not reached
 	lost       mean // time that failures took, in nanoseconds
 	share      float64
-	answers    int // successful statements since the last step of the share
+	returning  bool // the share has grown in its last change
+	answers    int  // successful statements since the last step of the share
 }
 
 func newEstimate(dataCentre string) *estimate {
--- a/database/choice/share.go
+++ b/database/choice/share.go
@@ -17,10 +17,11 @@
 	goodFactor = 1.3
 	slowBy     = 5 * time.Millisecond
 	shrink     = 0.5
-	grow       = 1.5
+	grow       = 2.0
 	// probeShare is the part of the reads that is sent to a database with a share
-	// below 1 in any case, and the least share.
-	probeShare = 0.02
+	// below 1 in any case, and the least share. While the database returns, its share
+	// of the reads is sent.
+	probeShare = 0.03
 	// mostLeftOut is the part of the databases whose share may be below 1.
 	mostLeftOut = 0.5
 )
@@ -43,9 +44,9 @@
 		case i < kept:
 			e.share = min(1, e.share*grow)
 		case s > time.Duration(slowFactor*float64(best))+slowBy:
-			e.share = max(probeShare, e.share*shrink)
+			e.share, e.returning = max(probeShare, e.share*shrink), false
 		case s < time.Duration(goodFactor*float64(best))+slowBy && e.answers > 0:
-			e.share = min(1, e.share*grow)
+			e.share, e.returning = min(1, e.share*grow), true
 		}
 		e.answers = 0
 		if (before < 1) != (e.share < 1) {
@@ -83,14 +84,15 @@
 }
 
 // probed returns the database that a read tests: the usable one with the smallest share
-// below 1, for probeShare of the reads.
+// below 1, for the part of the reads that probes it.
 func probed(read Read, usable []*option) *option {
-	if read.Draw >= probeShare {
-		return nil
-	}
 	var out *option
 	for _, o := range usable {
-		if o.estimate.share < 1 && o.free() && (out == nil || o.estimate.share < out.estimate.share) {
+		part := probeShare
+		if o.estimate.returning {
+			part = o.estimate.share
+		}
+		if o.estimate.share < 1 && read.Draw < part && o.free() && (out == nil || o.estimate.share < out.estimate.share) {
 			out = o
 		}
 	}
