--- a/database/choice/choice.go
+++ b/database/choice/choice.go
@@ -58,7 +58,8 @@
 	// better than that of the customer, whose connections are there.
 	betterBy        = 0.25
 	betterByAtLeast = 5 * time.Millisecond
-	// primaryShare is the part of a host's slots on the primary that reads use, and
+	// primaryShare is the part of a host's slots on the primary beyond which no further
+	// read starts there, and
 	// primaryExtra what a read there counts more: only the primary serves writes.
 	primaryShare = 0.5
 	primaryExtra = 10 * time.Millisecond
@@ -158,7 +159,7 @@
 // slots returns the number of this host's slots that reads use.
 func (o *option) slots() int {
 	if o.Primary {
-		return max(1, int(primaryShare*float64(o.Slots)))
+		return 1 + int(primaryShare*float64(o.Slots))
 	}
 	return max(1, o.Slots)
 }
