Leave a database out only on evidence, and stay while a slot here is free

Change: a database is compared with the slowest of those that are kept, after at least 5 outcomes; one without answers is taken to have the long-term mean of all; a read with a free slot here stays unless the database here takes over twice the time.

--- a/database/choice/choice.go
+++ b/database/choice/choice.go
@@ -63,8 +63,8 @@
 	// primaryExtra what a read there counts more: only the primary serves writes.
 	primaryShare = 0.5
 	primaryExtra = 10 * time.Millisecond
-	// defaultResponse is the response time of databases before the first answer.
-	defaultResponse = 10 * time.Millisecond
+	// defaultService is the service time of databases before the first answer.
+	defaultService = 10 * time.Millisecond
 )
 
 // Table holds the estimates of one service's databases on one host. It is not safe
@@ -73,6 +73,7 @@
 	dataCentre string // of this host
 	databases  map[string]*estimate
 	distances  map[string]*distance // by data centre
+	service    mean                 // time of answers beyond their distance, of all databases
 	bytes      mean                 // of answers
 	steppedAt  time.Time
 	leaving    leaving
@@ -85,6 +86,7 @@
 		dataCentre: dataCentre,
 		databases:  map[string]*estimate{},
 		distances:  map[string]*distance{},
+		service:    mean{half: usualHalfLife},
 		bytes:      mean{half: halfLife},
 		leaving:    newLeaving(),
 	}
@@ -113,6 +115,7 @@
 	e.answers++
 	t.bytes.add(float64(bytes), now)
 	t.RecordRoundTrip(dataCentre, took, now)
+	t.service.add(float64(took-t.distance(dataCentre)), now)
 }
 
 // RecordAbandoned records a statement that was given up after took because another
@@ -201,7 +204,11 @@
 	}
 	if there := preferred(keep(far, (*option).free)); there != nil {
 		c.There = there.expected
-		if t.leaving.leaves(here.expected - there.expected - t.price() - margin(read.Urgent)) {
+		gain := here.expected - there.expected - t.price() - margin(read.Urgent)
+		if here.free() {
+			gain -= here.expected / 2
+		}
+		if t.leaving.leaves(gain) {
 			c.Reason = Left
 			return there, c
 		}
@@ -211,12 +218,12 @@
 
 // options evaluates the candidates.
 func (t *Table) options(read Read, candidates []Candidate, now time.Time) []*option {
-	prior := t.meanService(candidates, now)
+	prior := time.Duration(t.service.value(float64(defaultService), 1, now))
 	out := make([]*option, len(candidates))
 	for i, c := range candidates {
 		e := t.database(c.ID, c.DataCentre)
 		o := &option{Candidate: c, position: i, estimate: e, u: fraction(read.Customer, c.ID)}
-		far := t.distance(c.DataCentre, now)
+		far := t.distance(c.DataCentre)
 		once := time.Duration(e.response.value(float64(prior+far), priorWeight, now))
 		var wait time.Duration
 		if ahead := c.Busy + 1 - o.slots(); ahead > 0 {
@@ -232,25 +239,6 @@
 	return out
 }
 
-// meanService returns the mean time that the databases take beyond their distance.
-func (t *Table) meanService(candidates []Candidate, now time.Time) time.Duration {
-	var sum, n float64
-	for _, c := range candidates {
-		e := t.databases[c.ID]
-		if e == nil {
-			continue
-		}
-		if _, weight := e.response.decayed(now); weight >= 1 {
-			sum += max(0, e.response.value(0, 0, now)-float64(t.distance(c.DataCentre, now)))
-			n++
-		}
-	}
-	if n == 0 {
-		return defaultResponse
-	}
-	return time.Duration(sum / n)
-}
-
 // split divides options into those of a data centre and the others, each in the order
 // of the customer's preference, replicas first.
 func split(options []*option, dataCentre string) (near, far []*option) {
--- a/database/choice/estimate.go
+++ b/database/choice/estimate.go
@@ -8,20 +8,25 @@
 // Memory and limits of an estimate.
 const (
 	// halfLife is the time in which an observation loses half of its weight.
-	halfLife = time.Second
+	halfLife = 1500 * time.Millisecond
+	// usualHalfLife applies to the service time of all databases, which a database is
+	// taken to have that has no answers: long enough not to follow a single slow one.
+	usualHalfLife = 15 * time.Second
 	// behindHalfLife applies to refusals of a replica whose log lags: replication
 	// catches up within tenths of a second.
 	behindHalfLife = 300 * time.Millisecond
-	// priorWeight is the number of answers, at the mean of the other databases, with
+	// priorWeight is the number of answers, at the mean of all databases, with
 	// which a service time begins; priorOutcomes is that of outcomes that begin a
 	// share of failures.
-	priorWeight   = 2.0
+	priorWeight   = 4.0
 	priorOutcomes = 2.0
+	// minOutcomes is the number of outcomes without which a database is not left out.
+	minOutcomes = 5.0
 	// maxFailureShare keeps the expected time of a database that answers nothing finite.
 	maxFailureShare = 0.9
 	// failureCost is what a failed attempt takes beside its time: its connection is
 	// closed, and a new one takes a handshake; its caller may have to repeat the read.
-	failureCost = 30 * time.Millisecond
+	failureCost = 40 * time.Millisecond
 )
 
 // mean is a mean of observations whose weights decay with time.
@@ -85,6 +90,13 @@
 	return min(maxFailureShare, 1-(1-failed)*(1-behind))
 }
 
+// known reports whether there are enough outcomes to leave the database out.
+func (e *estimate) known(now time.Time) bool {
+	_, outcomes := e.failed.decayed(now)
+	behind, _ := e.behind.decayed(now)
+	return outcomes+behind >= minOutcomes
+}
+
 // withFailures returns the expected time to an answer whose attempts, with their
 // wait, take once, if each failed one is repeated.
 func (e *estimate) withFailures(once, wait time.Duration, now time.Time) time.Duration {
--- a/database/choice/leaving.go
+++ b/database/choice/leaving.go
@@ -98,7 +98,7 @@
 }
 
 // distance returns the round trip to a data centre.
-func (t *Table) distance(dataCentre string, _ time.Time) time.Duration {
+func (t *Table) distance(dataCentre string) time.Duration {
 	if d := t.distances[dataCentre]; d != nil {
 		return min(d.least, d.before)
 	}
--- a/database/choice/share.go
+++ b/database/choice/share.go
@@ -10,9 +10,9 @@
 const (
 	// stepEvery is the time between two steps.
 	stepEvery = 100 * time.Millisecond
-	// slowFactor and slowBy are how much longer than the best database one must be
-	// expected to take for its share to shrink, goodFactor the factor below which the
-	// share grows. Between them it stays.
+	// slowFactor and slowBy are how much longer than the slowest of the databases that
+	// are kept one must be expected to take for its share to shrink, goodFactor the
+	// factor below which the share grows. Between them it stays.
 	slowFactor = 2.0
 	goodFactor = 1.3
 	slowBy     = 5 * time.Millisecond
@@ -36,30 +36,30 @@
 	sorted := slices.SortedStableFunc(slices.Values(usable), func(a, b *option) int {
 		return cmp.Compare(t.nearService(a, now), t.nearService(b, now))
 	})
-	best := t.nearService(sorted[0], now)
 	kept := len(sorted) - int(mostLeftOut*float64(len(sorted)))
+	usual := t.nearService(sorted[kept-1], now)
 	for i, o := range sorted {
 		e, before := o.estimate, o.estimate.share
 		switch s := t.nearService(o, now); {
 		case i < kept:
 			e.share = min(1, e.share*grow)
-		case s > time.Duration(slowFactor*float64(best))+slowBy:
+		case s > time.Duration(slowFactor*float64(usual))+slowBy && (e.known(now) || e.share < 1):
 			e.share, e.returning = max(probeShare, e.share*shrink), false
-		case s < time.Duration(goodFactor*float64(best))+slowBy && e.answers > 0:
+		case s < time.Duration(goodFactor*float64(usual))+slowBy && e.answers > 0:
 			e.share, e.returning = min(1, e.share*grow), true
 		}
 		e.answers = 0
 		if (before < 1) != (e.share < 1) {
-			t.changes = append(t.changes, ShareChange{o.ID, e.share, t.nearService(o, now), best})
+			t.changes = append(t.changes, ShareChange{o.ID, e.share, t.nearService(o, now), usual})
 		}
 	}
 }
 
 // ShareChange is a database whose share fell below 1, or returned to 1.
 type ShareChange struct {
-	Database       string
-	Share          float64
-	Expected, Best time.Duration // time without waiting and distance, of this and of the best database
+	Database        string
+	Share           float64
+	Expected, Usual time.Duration // time without waiting and distance, of this database and of the slowest that is kept
 }
 
 // Changes returns the changes since its last call.
@@ -80,7 +80,7 @@
 // nearService returns the time that a database takes without waiting here and without
 // its distance.
 func (t *Table) nearService(o *option, now time.Time) time.Duration {
-	return max(0, o.service-t.distance(o.DataCentre, now))
+	return max(0, o.service-t.distance(o.DataCentre))
 }
 
 // probed returns the database that a read tests: the usable one with the smallest share
--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -123,7 +123,7 @@
 	c.g.metrics.chosen(chosen.Reason)
 	for _, ch := range changes {
 		c.g.log.Info("Share of the customers that may use a database has changed.", "part", "choice", "service", c.service,
-			"database", ch.Database, "share", ch.Share, "expected", ch.Expected, "best", ch.Best)
+			"database", ch.Database, "share", ch.Share, "expected", ch.Expected, "usual", ch.Usual)
 	}
 	if chosen.Reason != choice.Preferred && c.g.log.Enabled(c.g.ctx, slog.LevelDebug) {
 		c.g.log.Debug("Database chosen for a read.", "part", "choice", "service", c.service, "database", chosen.Order[0], "reason", string(chosen.Reason),
