--- a/database/choice/choice_test.go
+++ b/database/choice/choice_test.go
@@ -136,19 +136,19 @@
 		Entry("if its log lags", lags),
 	)
 
-	It("is left out only if others are not: half of the databases keep all customers", func() {
-		r := steady(byExpectedTime)
-		r.fault = func(int, time.Duration) fault { return refuses }
-		r.run()
-		for _, e := range r.entries {
-			kept := 0
-			for db := range dataCentres {
-				if e.table.Share(id(db)) == 1 {
-					kept++
-				}
+	It("is left out only if others are not: two of three keep all customers when two are five times slower", func() {
+		table := choice.New("x")
+		candidates := []choice.Candidate{{ID: "a", Usable: true, Slots: 2}, {ID: "b", Usable: true, Slots: 2}, {ID: "c", Usable: true, Slots: 2}}
+		for step := range 20 {
+			at := noon.Add(time.Duration(step) * 100 * time.Millisecond)
+			for range 5 {
+				table.RecordAnswer("a", "", 27*time.Millisecond, 700, at)
+				table.RecordAnswer("b", "", 135*time.Millisecond, 700, at)
+				table.RecordAnswer("c", "", 140*time.Millisecond, 700, at)
 			}
-			Expect(kept).To(BeNumerically(">=", 2))
+			table.Choose(choice.Read{Customer: "c", Draw: 0.5}, candidates, at)
 		}
+		Expect([]float64{table.Share("a"), table.Share("b")}).To(Equal([]float64{1, 1}))
 	})
 })
 
@@ -187,7 +187,21 @@
 		}
 	})
 
-	It("stays while a slot is free here", func() { Expect(reason(1, true)).To(Equal(choice.Preferred)) })
+	It("stays while a slot is free here, also if the database there is somewhat faster", func() {
+		for range 400 {
+			table.RecordAnswer("far", "y", 8*time.Millisecond, 700, at)
+		}
+		Expect(reason(1, true)).To(Equal(choice.Preferred))
+		Expect(reason(2, true)).To(Equal(choice.Left))
+	})
+
+	It("stays if its bytes cost more than the wait", func() {
+		Expect(reason(4, true)).To(Equal(choice.Left))
+		for range 100 {
+			table.RecordAnswer("near", "x", 20*time.Millisecond, 16<<10, at)
+		}
+		Expect(reason(4, true)).To(Equal(choice.Preferred))
+	})
 
 	It("leaves a queue here that takes longer than the distance", func() {
 		Expect(reason(4, true)).To(Equal(choice.Left))
