--- a/database/choice/choice.go
+++ b/database/choice/choice.go
@@ -59,8 +59,8 @@
 	betterBy        = 0.25
 	betterByAtLeast = 5 * time.Millisecond
 	// primaryShare is the part of a host's slots on the primary beyond which no further
-	// read starts there, and
-	// primaryExtra what a read there counts more: only the primary serves writes.
+	// read starts there, and primaryExtra what a read there counts more: only the
+	// primary serves writes.
 	primaryShare = 0.5
 	primaryExtra = 10 * time.Millisecond
 	// defaultService is the service time of databases before the first answer.
@@ -146,7 +146,6 @@
 // option is a candidate with its expected times.
 type option struct {
 	Candidate
-	position int // in the order of the candidates
 	estimate *estimate
 	service  time.Duration // expected time to an answer without waiting here
 	expected time.Duration // with waiting here
@@ -222,7 +221,7 @@
 	out := make([]*option, len(candidates))
 	for i, c := range candidates {
 		e := t.database(c.ID, c.DataCentre)
-		o := &option{Candidate: c, position: i, estimate: e, u: fraction(read.Customer, c.ID)}
+		o := &option{Candidate: c, estimate: e, u: fraction(read.Customer, c.ID)}
 		far := t.distance(c.DataCentre)
 		once := time.Duration(e.response.value(float64(prior+far), priorWeight, now))
 		var wait time.Duration
--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -191,6 +191,17 @@
 	return n
 }
 
+// recordRoundTrip records the answer to a statement that takes no slot.
+func (c *chooser) recordRoundTrip(db routes.Database, sentAt time.Time) {
+	if c == nil {
+		return
+	}
+	now := c.g.now()
+	c.mu.Lock()
+	c.table.RecordRoundTrip(db.DataCentre, now.Sub(sentAt), now)
+	c.mu.Unlock()
+}
+
 // recordDialFailure records a connection attempt that a database refused or did not
 // answer.
 func (c *chooser) recordDialFailure(db routes.Database, sentAt time.Time) {
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -234,8 +234,10 @@
 	case err != nil:
 		err = errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+op.database)
 	case begin.Kind == statement.Begin:
+		op.svc.chooser.recordRoundTrip(c.pool.db, sentAt)
 		err = op.svc.checkPrimaryBegin(c, answers, sentAt)
 	default:
+		op.svc.chooser.recordRoundTrip(c.pool.db, sentAt)
 		err = op.checkReadBegin(c, answers)
 	}
 	if err != nil {
