--- a/database/choice/choice.go
+++ b/database/choice/choice.go
@@ -158,6 +158,10 @@
 // free reports whether a read would get a slot at once.
 func (o *option) free() bool { return o.Busy < o.slots() }
 
+// mayReceive reports whether a read may leave its data centre for the database. A
+// primary is kept for writes and for the reads of its own data centre.
+func (o *option) mayReceive() bool { return !o.Primary && o.free() }
+
 // slots returns the number of this host's slots that reads use.
 func (o *option) slots() int {
 	if o.Primary {
@@ -201,7 +205,7 @@
 		c.Reason, c.There = LeftOut, there.expected
 		return there, c
 	}
-	if there := preferred(keep(far, (*option).free)); there != nil {
+	if there := preferred(keep(far, (*option).mayReceive)); there != nil {
 		c.There = there.expected
 		gain := here.expected - there.expected - t.price() - margin(read.Urgent)
 		if here.free() {
--- a/database/choice/choice_test.go
+++ b/database/choice/choice_test.go
@@ -195,6 +195,14 @@
 		Expect(reason(2, true)).To(Equal(choice.Left))
 	})
 
+	It("does not leave for a primary, which is kept for writes", func() {
+		got := table.Choose(choice.Read{Customer: "c", Urgent: true, Draw: 0.5}, []choice.Candidate{
+			{ID: "near", DataCentre: "x", Usable: true, Slots: 2, Busy: 9},
+			{ID: "far", DataCentre: "y", Usable: true, Slots: 2, Primary: true},
+		}, at)
+		Expect(got.Order[0]).To(Equal("near"))
+	})
+
 	It("stays if its bytes cost more than the wait", func() {
 		Expect(reason(4, true)).To(Equal(choice.Left))
 		for range 100 {
