Try each database once per read, and report a repeated read as run

Cause: the attempts of a read named the databases on which it failed by the connection that they got. One that got none (refused dial, full queue) named none, and with "n - failed" the next attempt went to the first reader again: the same database. After all had failed, the first stayed chosen. A second attempt beside a running one took place 1 of a new order, which may be the database of the first. A current read that failed was run on the same primary again. A read that ran and failed was reported as not run if its repetition was not sent. Change: the attempts of a read share the databases that they were started on; the next goes to the first untried one, then to the one tried longest ago. A current read is not repeated. The failure is reported if no attempt succeeds. Nothing changes where databases aren't chosen by expected time.

--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -43,7 +43,8 @@
 // readerFor returns the database for the nth attempt of the operation's read, starting
 // at 0, or nil if the service has no databases. The attempts go through the readers in
 // their order and start again after the last. Where the readers are chosen by expected
-// time, those on which an attempt failed come last instead.
+// time, an attempt goes to the first one on which none has been started; if there is
+// none, to that whose last attempt was started first.
 func (s *service) readerFor(op *operation, n int) *pool {
 	pools := s.readers(op.customer)
 	switch {
@@ -52,14 +53,29 @@
 	case s.chooser == nil || len(pools) == 1:
 		return pools[n%len(pools)]
 	}
-	pools = s.orderByExpectedTime(op, pools)
-	if tried := len(op.failedOn); tried > 0 {
-		slices.SortStableFunc(pools, func(a, b *pool) int {
-			return cmp.Compare(slices.Index(op.failedOn, a.db.ID), slices.Index(op.failedOn, b.db.ID))
-		})
-		n -= tried
+	if op.tried == nil {
+		op.tried = &triedReaders{}
 	}
-	return pools[max(0, n)%len(pools)]
+	return op.tried.next(s.orderByExpectedTime(op, pools))
+}
+
+// triedReaders are the databases on which attempts of one read were started. The
+// attempts share it: the order of the readers may change between them, and an attempt
+// that still runs, or got no connection, must not be followed by one on its database.
+type triedReaders struct {
+	mu  sync.Mutex // a leaf lock
+	ids []string   // in the order of their last attempts
+}
+
+// next returns the first of pools that comes next, and records the attempt.
+func (t *triedReaders) next(pools []*pool) *pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	chosen := slices.MinFunc(pools, func(a, b *pool) int {
+		return cmp.Compare(slices.Index(t.ids, a.db.ID), slices.Index(t.ids, b.db.ID))
+	})
+	t.ids = append(slices.DeleteFunc(t.ids, func(id string) bool { return id == chosen.db.ID }), chosen.db.ID)
+	return chosen
 }
 
 func (s *service) orderByExpectedTime(op *operation, pools []*pool) []*pool {
@@ -80,10 +96,11 @@
 }
 
 // mayRepeat reports whether a read that a database ran but failed may be run on another
-// one. It takes from the budget of the reads that are sent twice: a statement that
-// cannot succeed fails everywhere.
-func (s *service) mayRepeat(err error, started int) bool {
-	return s.chooser != nil && errkind.Of(err) == errkind.StatementFailed && started < maxParallelReads && s.hedges.Withdraw(hedgeBudgetKey)
+// one, which a current read has not. It takes from the budget of the reads that are sent
+// twice: a statement that cannot succeed fails everywhere.
+func (s *service) mayRepeat(op *operation, err error, started int) bool {
+	return s.chooser != nil && op.route.Freshness != routes.Current && errkind.Of(err) == errkind.StatementFailed &&
+		started < maxParallelReads && s.hedges.Withdraw(hedgeBudgetKey)
 }
 
 // candidates describes the databases of pools, in their order.
--- a/gateway/choosing_test.go
+++ b/gateway/choosing_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
 
@@ -50,4 +51,52 @@
 		start(false)
 		Expect(read(20)).To(Equal(20))
 	})
+
+	// attempts runs a read whose nth attempt ends with the error that fails returns, and
+	// returns the databases of the attempts.
+	attempts := func(route string, fails func(n int) error) (ids []string, err error) {
+		start(true)
+		op, err := newTestSession(g, route).newOperation(request(statement.Read))
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err = (&local{g: g}).hedgedRead(ctx, op, func(_ context.Context, op *operation, n int) readOutcome {
+			ids = append(ids, op.svc.readerFor(op, n).db.ID)
+			return readOutcome{err: fails(n)}
+		})
+		return ids, err
+	}
+	failFirst := func(err errkind.Kind) func(int) error {
+		return func(n int) error {
+			if n == 0 {
+				return errkind.New(errkind.StatementFailed, "failed")
+			}
+			return errkind.New(err, "not run")
+		}
+	}
+
+	// Guards against attempts that go on at a database to which no connection can be made.
+	It("tries each database once before it tries one again", func() {
+		ids, err := attempts("bounded", func(n int) error {
+			if n < 5 {
+				return errkind.New(errkind.DatabaseUnavailable, "connection refused")
+			}
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ids[:3]).To(ConsistOf("a", "b", "c"))
+		Expect(ids[3:]).To(Equal(ids[:3]))
+	})
+
+	It("does not report a read as not run because its repetition was not", func() {
+		ids, err := attempts("bounded", failFirst(errkind.QueueFull))
+		Expect(len(ids)).To(BeNumerically(">", 1))
+		Expect(errkind.Of(err)).To(Equal(errkind.StatementFailed))
+	})
+
+	It("does not repeat a current read, which no other database may serve", func() {
+		ids, err := attempts("current", failFirst(errkind.QueueFull))
+		Expect(ids).To(HaveLen(1))
+		Expect(errkind.Of(err)).To(Equal(errkind.StatementFailed))
+	})
 })
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -21,7 +21,7 @@
 	arrived    time.Time
 	deadline   time.Time            // of the statement
 	attempts   int                  // attempts to run it on a database
-	failedOn   []string             // the databases of the failed attempts of a read
+	tried      *triedReaders        // shared by the attempts of a read; nil if its reader is not chosen by expected time
 	database   string               // the database of the last attempt, or of the one that succeeded
 	floor      position.Position    // that the log of the database must have reached; zero for none
 	state      sessionstate.Session // the session's state when the statement arrived
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -217,6 +218,10 @@
 	results := make(chan readOutcome, maxParallelReads)
 	running, started := 0, 0
 	var sent atomic.Bool
+	var failed error // of the attempt that a database ran and failed, if it was repeated
+	if op.svc.chooser != nil {
+		op.tried = &triedReaders{}
+	}
 	// An attempt that is still running must end before the caller is answered: its
 	// statement depends on the session's state at this point.
 	defer func() {
@@ -250,15 +255,17 @@
 				op.attempts, op.database, op.floor = started, got.database, got.floor
 				return got.answer, nil
 			}
-			op.failedOn = append(op.failedOn, got.database)
-			if !canRetryRead(got.err) && !op.svc.mayRepeat(got.err, started) {
-				return statement.Answer{}, got.err
+			if !canRetryRead(got.err) {
+				if !op.svc.mayRepeat(op, got.err, started) {
+					return statement.Answer{}, cmp.Or(failed, got.err)
+				}
+				failed = got.err
 			}
 			if running > 0 {
 				continue
 			}
 			if started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
-				return statement.Answer{}, got.err
+				return statement.Answer{}, cmp.Or(failed, got.err)
 			}
 			start()
 		case <-hedgeTimer.C:
@@ -272,7 +279,7 @@
 			for ; running > 0; running-- {
 				err = moreUncertain(err, (<-results).err)
 			}
-			return statement.Answer{}, readTimeoutError(err, started)
+			return statement.Answer{}, cmp.Or(failed, readTimeoutError(err, started))
 		}
 	}
 }
