Record no failure for a statement that was not sent

Cause: a statement that this host refused to send counted as a failed attempt of the database in the choice by expected time. Change: an errkind.Error of runStatement, which means that nothing was sent, is not recorded.

--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -165,9 +165,10 @@
 
 // record records the outcome of a statement that was sent at sentAt on a connection.
 // The response times of writes and current reads are left out: they run on the primary
-// only, and would make it look faster or slower than it is for other reads.
+// only, and would make it look faster or slower than it is for other reads. A statement
+// that this host did not send says nothing of the database.
 func (c *chooser) record(ctx context.Context, conn *conn, op *operation, answers []statement.Answer, err error, sentAt time.Time) {
-	if c == nil {
+	if c == nil || errors.As(err, new(*errkind.Error)) {
 		return
 	}
 	now := c.g.now()
--- a/gateway/choosing_test.go
+++ b/gateway/choosing_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bronzeloft/bronzeloft/database/choice"
 	"github.com/bronzeloft/bronzeloft/errkind"
 	"github.com/bronzeloft/bronzeloft/statement"
 )
@@ -99,4 +100,21 @@
 		Expect(ids).To(HaveLen(1))
 		Expect(errkind.Of(err)).To(Equal(errkind.StatementFailed))
 	})
+
+	// Guards against a database that is left out because this host refuses to send to it.
+	It("does not count a statement that was not sent", func() {
+		start(true)
+		svc := g.service(testService)
+		op, err := newTestSession(g, "bounded").newOperation(request(statement.Read))
+		Expect(err).NotTo(HaveOccurred())
+		c := &conn{pool: svc.pools[failing]}
+		here := func() time.Duration {
+			return svc.chooser.choose(choice.Read{Draw: 1}, []choice.Candidate{{ID: failing, DataCentre: "dc-a", Usable: true, Slots: 1}}).Here
+		}
+		before := here()
+		for range 10 {
+			svc.chooser.record(context.Background(), c, op, nil, errkind.New(errkind.DatabaseBusy, "not sent"), g.now())
+		}
+		Expect(here()).To(Equal(before))
+	})
 })
