Compare response times by route in the choice of a database

Cause: the estimate of a database was blind to what ran on it. Where one customer's reads take six times as long as those of the others, the database that it prefers looked slow, the others left it, and so on: customers kept moving between equal databases, each move a new connection. Change: beyond the distance, a response time counts as its ratio to the mean of its route, times the mean of all reads. Not done: reads that are given up (RecordAbandoned) and failures count with their own time.

--- a/database/choice/choice.go
+++ b/database/choice/choice.go
@@ -63,6 +63,9 @@
 	// primary serves writes.
 	primaryShare = 0.5
 	primaryExtra = 10 * time.Millisecond
+	// classPrior is the number of answers, at the mean of all reads, with which the mean
+	// of a class begins.
+	classPrior = 2.0
 	// defaultService is the service time of databases before the first answer.
 	defaultService = 10 * time.Millisecond
 )
@@ -75,6 +78,8 @@
 	distances  map[string]*distance // by data centre
 	service    mean                 // time of answers beyond their distance, of all databases
 	bytes      mean                 // of answers
+	raw        mean                 // the same, before Comparable
+	classes    map[string]*mean     // the same by class of read
 	steppedAt  time.Time
 	leaving    leaving
 	changes    []ShareChange // since the last Changes
@@ -87,11 +92,34 @@
 		databases:  map[string]*estimate{},
 		distances:  map[string]*distance{},
 		service:    mean{half: usualHalfLife},
+		raw:        mean{half: usualHalfLife},
+		classes:    map[string]*mean{},
 		bytes:      mean{half: halfLife},
 		leaving:    newLeaving(),
 	}
 }
 
+// Comparable returns what a read of a class that was answered within took would have
+// taken if its class took as long as the mean of all: a database is not slow because a
+// customer's long reads go to it.
+func (t *Table) Comparable(class, dataCentre string, took time.Duration, now time.Time) time.Duration {
+	far := t.distance(dataCentre)
+	near := float64(max(0, took-far))
+	m := t.classes[class]
+	if m == nil {
+		m = &mean{half: usualHalfLife}
+		t.classes[class] = m
+	}
+	all := t.raw.value(near, 1, now)
+	usual := m.value(all, classPrior, now)
+	m.add(near, now)
+	t.raw.add(near, now)
+	if usual <= 0 {
+		return took
+	}
+	return min(took, far) + time.Duration(near*all/usual)
+}
+
 // Retain forgets all databases but the given ones.
 func (t *Table) Retain(ids []string) {
 	maps.DeleteFunc(t.databases, func(id string, _ *estimate) bool { return !slices.Contains(ids, id) })
--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -185,6 +185,7 @@
 	case kind == errkind.DatabaseBusy, kind == errkind.StatementFailed, kind == errkind.StatementTimeout, kind == errkind.WrongDatabase:
 		c.table.RecordFailure(db.ID, db.DataCentre, took, now)
 	case lastAnswer(answers).Err == nil && !op.writes() && op.route.Freshness != routes.Current:
+		took = c.table.Comparable(op.route.Name, db.DataCentre, took, now)
 		c.table.RecordAnswer(db.ID, db.DataCentre, took, answerBytes(op, answers), now)
 	}
 }
