--- a/gateway/local.go
+++ b/gateway/local.go
@@ -216,12 +216,10 @@
 		return err
 	}
 	op.floor = at
-	pools := op.svc.readers(op.customer)
-	if len(pools) == 0 {
+	p := op.svc.readerFor(op, op.attempts)
+	if p == nil {
 		return op.svc.noReadersError()
 	}
-	p := pools[op.attempts%len(pools)]
-	op.elsewhere = op.svc.anyWarm(pools, p)
 	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		op.attempts++
@@ -245,8 +243,10 @@
 	case err != nil:
 		err = errkind.Wrap(errkind.DatabaseUnavailable, err, "database "+op.database)
 	case begin.Kind == statement.Begin:
+		op.svc.chooser.recordRoundTrip(c.pool.db, sentAt)
 		err = op.svc.checkPrimaryBegin(c, answers, sentAt)
 	default:
+		op.svc.chooser.recordRoundTrip(c.pool.db, sentAt)
 		err = op.checkReadBegin(c, answers)
 	}
 	if err != nil {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -227,6 +228,10 @@
 	results := make(chan readOutcome, maxParallelReads)
 	running, started := 0, 0
 	var sent atomic.Bool
+	var failed error // of the attempt that a database ran and failed, if it was repeated
+	if op.svc.chooser != nil {
+		op.tried = &triedReaders{}
+	}
 	// An attempt that is still running must end before the caller is answered: its
 	// statement depends on the session's state at this point.
 	defer func() {
@@ -261,13 +266,16 @@
 				return got.answer, nil
 			}
 			if !canRetryRead(got.err) {
-				return statement.Answer{}, got.err
+				if !op.svc.mayRepeat(op, got.err, started) {
+					return statement.Answer{}, cmp.Or(failed, got.err)
+				}
+				failed = got.err
 			}
 			if running > 0 {
 				continue
 			}
 			if started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
-				return statement.Answer{}, got.err
+				return statement.Answer{}, cmp.Or(failed, got.err)
 			}
 			start()
 		case <-hedgeTimer.C:
@@ -281,7 +289,7 @@
 			for ; running > 0; running-- {
 				err = moreUncertain(err, (<-results).err)
 			}
-			return statement.Answer{}, readTimeoutError(err, started)
+			return statement.Answer{}, cmp.Or(failed, readTimeoutError(err, started))
 		}
 	}
 }
@@ -343,20 +351,18 @@
 	return readOutcome{answer: a, err: err}
 }
 
-// readReplica reads on a database whose log has reached the read's floor: the nth
-// in the order of readers, starting again after the last.
+// readReplica reads on a database whose log has reached the read's floor: that of the
+// nth attempt.
 func (l *local) readReplica(ctx context.Context, op *operation, n int) readOutcome {
 	at, err := op.floorAt(ctx, op.route, op.arrived)
 	if err != nil {
 		return readOutcome{err: err}
 	}
 	op.floor = at
-	pools := op.svc.readers(op.customer)
-	if len(pools) == 0 {
+	p := op.svc.readerFor(op, n)
+	if p == nil {
 		return readOutcome{err: op.svc.noReadersError()}
 	}
-	p := pools[n%len(pools)]
-	op.elsewhere = op.svc.anyWarm(pools, p)
 	c, err := l.acquire(ctx, op, p)
 	if err != nil {
 		return readOutcome{err: err}
