Order a database's requests by urgency over all customers

fair.Classes keeps a queue per class of urgency. The most urgent class that waits goes first, customers of a class take turns, and each less urgent class keeps a tenth of the slot time while it waits. At the bound a less urgent request gives way, and what cannot end in time is refused when that is known. Without Config.Classes, Queue works as before: its tests are unchanged. Each new spec failed with its mechanism taken out.

--- a/customer/fair/queue.go
+++ b/customer/fair/queue.go
@@ -35,14 +35,16 @@
 type Config struct {
 	Slots     int // requests running at once
 	MaxQueued int // requests waiting at once; 0 means DefaultMaxQueued
+	Classes   int // classes of urgency; 0 for a Queue without them
 }
 
 // Item is one request.
 type Item struct {
 	ID       uint64 // differs among requests that wait or run
 	Customer string
-	Weight   int // of the customer; below 1 counts as 1
-	Urgent   bool
+	Weight   int  // of the customer; below 1 counts as 1
+	Urgent   bool // goes before the customer's other requests, in a Queue
+	Urgency  int  // class in Classes; 0 is the most urgent
 	Deadline time.Time
 }
 
@@ -58,8 +60,10 @@
 
 // Verdict is the answer to Enqueue.
 type Verdict struct {
-	State State
-	Kind  errkind.Kind // reason of a refusal: DeadlineNotRun if the deadline has passed, else QueueFull
+	State   State
+	Kind    errkind.Kind  // reason of a refusal: DeadlineNotRun if the deadline has passed, else QueueFull
+	Wait    time.Duration // expected wait of a request that Classes queued or refused
+	GaveWay []uint64      // waiting requests that were removed for this one; they have not run
 }
 
 // Queue holds the requests of one database. It is not safe for concurrent use:
@@ -100,7 +104,7 @@
 func (q *Queue) Enqueue(item Item, now time.Time) Verdict {
 	q.tick(now)
 	if !q.now.Before(item.Deadline) {
-		return Verdict{Refused, errkind.DeadlineNotRun}
+		return Verdict{State: Refused, Kind: errkind.DeadlineNotRun}
 	}
 	item.Weight = max(1, item.Weight)
 	c := q.customer(item)
@@ -111,7 +115,7 @@
 	}
 	if !q.hasRoom(c) || q.now.Add(q.expectedWait(c, item.Urgent)).After(item.Deadline) {
 		q.markIdle(c)
-		return Verdict{Refused, errkind.QueueFull}
+		return Verdict{State: Refused, Kind: errkind.QueueFull}
 	}
 	q.push(c, item)
 	return Verdict{State: Queued}
@@ -121,10 +125,17 @@
 // start now. It has no effect if the request holds no slot.
 func (q *Queue) Done(id uint64, now time.Time) []uint64 {
 	q.tick(now)
-	r, ok := q.running[id]
-	if !ok {
+	if _, ok := q.running[id]; !ok {
 		return nil
 	}
+	q.finish(id)
+	return q.fill()
+}
+
+// finish frees the slot of a running request and returns by how much it used more than
+// was charged at its start.
+func (q *Queue) finish(id uint64) time.Duration {
+	r := q.running[id]
 	delete(q.running, id)
 	took := q.now.Sub(r.since)
 	q.service.add(took)
@@ -133,7 +144,7 @@
 	r.customer.credit.value -= took - r.cost
 	r.customer.running--
 	q.markIdle(r.customer)
-	return q.fill()
+	return took - r.cost
 }
 
 // Cancel removes a waiting request. It frees no slot.
@@ -151,10 +162,16 @@
 // their ids. The kind of their refusal is DeadlineNotRun.
 func (q *Queue) Expire(now time.Time) []uint64 {
 	q.tick(now)
+	return q.expireBefore(func(*customer) time.Time { return q.now })
+}
+
+// expireBefore removes the waiting requests whose deadline is not after the time that
+// limit returns for their customer, and returns their ids.
+func (q *Queue) expireBefore(limit func(*customer) time.Time) []uint64 {
 	var out []uint64
 	for i := 0; i < len(q.ring); {
 		c := q.ring[i]
-		out = append(out, c.expire(q.now)...)
+		out = append(out, c.expire(limit(c))...)
 		if c.waiting() == 0 {
 			q.leaveRing(c)
 			continue
--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -73,6 +73,7 @@
 	lastAnnounced float64   // demand in the last announcement to the other hosts
 	prevAnnounced float64   // demand in the announcement before that; assumed received by all hosts
 	demandAt      time.Time // time of the last update of demand
+	byUrgency     *byUrgency
 }
 
 // peer is the last announcement of another host, or of the sum over several hosts.
