--- a/customer/fair/classes_test.go
+++ b/customer/fair/classes_test.go
@@ -168,6 +168,6 @@
 		Expect(refused.Wait).To(BeNumerically(">=", 50*time.Millisecond))
 		Expect(enqueue(5, 2, 120*time.Millisecond).State).To(Equal(fair.Queued))
 		Expect(q.Expire(now.Add(60 * time.Millisecond))).To(BeEmpty())
-		Expect(q.Expire(now.Add(75 * time.Millisecond))).To(Equal([]uint64{5}), "45 ms are left and it takes 50 ms")
+		Expect(q.Expire(now.Add(75*time.Millisecond))).To(Equal([]uint64{5}), "45 ms are left and it takes 50 ms")
 	})
 })
