Serve urgent statements first where the deployment asks for it

With Features.UrgentFirst the queues for a database's connections and slots have classes of urgency; a statement of a transaction that holds a connection is of the most urgent one. A customer's tokens go to its most urgent operations first. Statements that wait, unsent, at a database that became unreachable or lost the lead look for another one; before, they waited for it until their deadline. A write is refused at once while the shortest takeover seen would end after its deadline, and a read once no reader has room for it in time. Metrics and log lines carry the urgency.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	rates      *rates
 	peers      *peers
 	streams    *streams
+	takeovers  takeovers
 	stalls     stallDetector
 	access     string // IP:port of the access listener
 	callers    *registry
--- a/gateway/local.go
+++ b/gateway/local.go
@@ -46,7 +46,7 @@
 func (l *local) run(ctx context.Context, op *operation) (statement.Answer, error) {
 	op.svc.markUsed()
 	if !op.inTransaction || !l.admitted {
-		if err := l.g.rates.admit(op.customer, l.g.now()); err != nil {
+		if err := l.admit(ctx, op); err != nil {
 			return statement.Answer{}, err
 		}
 	}
@@ -61,6 +61,41 @@
 	return a, err
 }
 
+// admit counts an operation against its customer's rate. An urgent one may have to wait for
+// its token.
+func (l *local) admit(ctx context.Context, op *operation) error {
+	if !l.g.opt.Features.UrgentFirst {
+		if err := l.g.rates.admit(op.customer, l.g.now()); err != nil {
+			return err
+		}
+		return nil
+	}
+	wait, err := l.g.rates.admitInOrder(op.customer, op.route.Urgency, op.patience(l.g.now()), l.g.now())
+	if err != nil {
+		return err
+	}
+	if wait <= 0 {
+		return nil
+	}
+	token := time.NewTimer(wait)
+	defer token.Stop()
+	select {
+	case <-token.C:
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.DeadlineNotRun, "while waiting for the rate of customer %s", op.customer)
+	}
+}
+
+// ratePatience is the part of its objective, from its arrival, within which an operation may
+// wait for a token of its customer's rate: the rest is left for running it.
+const ratePatience = 0.5
+
+// patience returns how long the operation may still wait for a token.
+func (op *operation) patience(now time.Time) time.Duration {
+	return max(0, time.Duration(float64(op.route.Objective)*ratePatience)-now.Sub(op.arrived))
+}
+
 // rollbackAsync implements runner.
 func (l *local) rollbackAsync() {
 	c := l.conn
--- a/gateway/operation.go
+++ b/gateway/operation.go
@@ -62,7 +62,15 @@
 // queueItem describes the operation to a database's queues.
 func (op *operation) queueItem() fair.Item {
 	urgent := op.route.Urgency <= urgentUpTo || op.inTransaction // an open transaction occupies a connection
-	return fair.Item{Customer: op.customer, Urgent: urgent, Deadline: op.deadline}
+	return fair.Item{Customer: op.customer, Urgent: urgent, Urgency: op.route.Urgency, Deadline: op.deadline}
+}
+
+// queueItemWithConnection describes an operation that holds a connection: it is of the
+// most urgent class, because the connection serves nobody else meanwhile.
+func (op *operation) queueItemWithConnection() fair.Item {
+	item := op.queueItem()
+	item.Urgency = 0
+	return item
 }
 
 // urgentUpTo is the highest urgency number that is queued ahead of a customer's
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -70,8 +70,8 @@
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
 	p := &pool{g: g, svc: svc, db: db, max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
-	p.turns = turn.New(fair.Config{Slots: size}, g.now)
-	p.slots = turn.New(fair.Config{Slots: p.window.Size()}, g.now)
+	p.turns = turn.New(fair.Config{Slots: size, Classes: g.urgencyClasses()}, g.now)
+	p.slots = turn.New(fair.Config{Slots: p.window.Size(), Classes: g.urgencyClasses()}, g.now)
 	return p
 }
 
@@ -147,11 +147,14 @@
 // only then checks out a connection: a waiting statement must not occupy a
 // connection that other statements of its customer could use.
 func (p *pool) acquire(ctx context.Context, item fair.Item) (*conn, error) {
+	arrived := p.g.now()
 	id, err := p.turns.Acquire(ctx, item)
 	if err != nil {
+		p.g.recordQueueWait(item, arrived, err)
 		return nil, err
 	}
 	slot, err := p.slots.Acquire(ctx, item)
+	p.g.recordQueueWait(item, arrived, err)
 	if err != nil {
 		p.turns.Release(id)
 		return nil, err
@@ -367,6 +370,7 @@
 	p.idle = nil
 	p.open -= len(idle)
 	p.mu.Unlock()
+	p.turnAway("restarted or has been removed")
 	for _, c := range idle {
 		p.g.metrics.closed(closedExcess)
 		c.Close()
@@ -394,7 +398,7 @@
 func (c *conn) runStatement(ctx context.Context, op *operation, after position.Position, then ...statement.Request) ([]statement.Answer, error) {
 	if c.slot == 0 {
 		var err error
-		if c.slot, err = c.pool.slots.Acquire(ctx, op.queueItem()); err != nil {
+		if c.slot, err = c.pool.slots.Acquire(ctx, op.queueItemWithConnection()); err != nil {
 			return nil, err
 		}
 	}
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -27,6 +27,18 @@
 	return errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds()+1)
 }
 
+// admitInOrder is admit for an operation of the given urgency. If it returns no error, the
+// operation must start after the returned time, which is at most patience.
+func (r *rates) admitInOrder(customer string, urgency int, patience time.Duration, now time.Time) (time.Duration, *errkind.Error) {
+	r.mu.Lock()
+	ok, wait := r.table.AdmitUrgency(customer, urgency, patience, now)
+	r.mu.Unlock()
+	if ok {
+		return wait, nil
+	}
+	return 0, errkind.New(errkind.OverRate, "urgency %d, retry after %d ms", urgency, wait.Milliseconds()+1)
+}
+
 func (r *rates) apply(c *routes.Configuration, now time.Time) {
 	limits := make(map[string]share.Limit, len(c.Customers))
 	for name, customer := range c.Customers {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -110,6 +110,7 @@
 func (l *requestLog) served(s *session, op *operation, a statement.Answer) {
 	took := l.now().Sub(op.arrived)
 	s.g.metrics.observe(op, took)
+	s.g.recordOutcome(op, nil)
 	if l.allow(servedRequest) {
 		l.log.Info("Request served.", op.logAttrs(s, took, "position", a.Position.String())...)
 	}
@@ -119,6 +120,7 @@
 // outcome is unknown.
 func (l *requestLog) failed(s *session, op *operation, err *errkind.Error) {
 	s.g.metrics.failed(err.Kind)
+	s.g.recordOutcome(op, err)
 	var more []any
 	if op.ID == "" && op.arrived.IsZero() {
 		omitted, ok := l.allowRefused(err.Kind)
@@ -144,7 +146,7 @@
 // logAttrs returns the log attributes that explain how a request was handled.
 func (op *operation) logAttrs(s *session, took time.Duration, more ...any) []any {
 	return append([]any{
-		"id", op.ID, "route", s.routeName, "customer", s.customer, "statement", op.Kind.String(),
+		"id", op.ID, "route", s.routeName, "customer", s.customer, "urgency", op.route.Urgency, "statement", op.Kind.String(),
 		"version", s.g.config.Load().Version, "database", op.database, "tries", op.attempts,
 		"floor", op.floor.String(), "in_transaction", s.tx != nil, "took_ms", took.Milliseconds(),
 	}, more...)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -47,6 +47,7 @@
 	namedTerm         uint64    // the newest term that a primary's answer named
 	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
+	lostPrimary       string    // the primary that was presumed then; empty if none was
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
 }
@@ -217,11 +218,13 @@
 	now := s.g.now()
 	db, ok := s.table.Leader()
 	if p := s.pools[db.ID]; ok && p != nil && !s.table.Unreachable(db.ID, now) && !p.drained() {
+		s.recordOutageEnd(db.ID, now)
 		s.unreachableSince = time.Time{}
 		return p, true
 	}
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
+		s.lostPrimary = db.ID
 	}
 	if !ok {
 		s.requestSample()
@@ -236,13 +239,14 @@
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
-// ends, and at once if failFast holds.
+// ends, and at once if failFast holds or, where urgent statements go first, a takeover would
+// end too late for the statement.
 func (s *service) waitForPrimary(ctx context.Context) (*pool, error) {
 	var p *pool
 	var ok bool
 	err := s.waitUntil(ctx, func() bool {
 		p, ok = s.reachablePrimary()
-		return ok || s.failFast()
+		return ok || s.failFast() || s.takeoverTooLate(ctx)
 	})
 	if err != nil || !ok {
 		return nil, s.noPrimaryError()
@@ -253,11 +257,12 @@
 func (s *service) noPrimaryError() error {
 	s.mu.Lock()
 	awaited := strings.Join(s.databasesAwaited(), " ")
+	retryAfter := s.primaryRetryAfter()
 	s.mu.Unlock()
 	if awaited != "" {
 		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, noPrimaryRetryAfter.Milliseconds())
 	}
-	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, noPrimaryRetryAfter.Milliseconds())
+	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, retryAfter.Milliseconds())
 }
 
 // readers returns the databases that may serve a customer's read, best first.
@@ -342,8 +347,10 @@
 	after, _ := s.table.Leader()
 	s.observePrimary(fromRefusal, position.Position{})
 	s.notifyChange()
+	p := s.pools[id]
 	s.mu.Unlock()
 	if before.ID == id && after.ID != id {
+		p.turnAway("is no longer the primary")
 		s.g.log.Info("Database is no longer the primary.", "part", "service", "service", s.name, "database", id)
 	}
 }
@@ -375,8 +382,10 @@
 		s.replication.recheckOrders() // it may have been down, and is not paused any more
 	}
 	isUnreachable := s.table.Unreachable(id, now)
+	p := s.pools[id]
 	s.mu.Unlock()
 	if isUnreachable && !wasUnreachable {
+		p.turnAway("is unreachable")
 		s.g.log.Warn("Database is unreachable.", "part", "service", "service", s.name, "database", id, "refused", refused)
 	}
 }
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -250,7 +250,7 @@
 				op.attempts, op.database, op.floor = started, got.database, got.floor
 				return got.answer, nil
 			}
-			if !canRetryRead(got.err) {
+			if !canRetryRead(got.err) || op.refusedEverywhere(got.err, started) {
 				return statement.Answer{}, got.err
 			}
 			if running > 0 {
