Judge a request's own time by a low estimate, and not by its connection's

The mean includes transactions that rest and statements without an answer. Judged by it, a queue with free slots refused what it could serve, and measured nothing more.

--- a/customer/fair/classes.go
+++ b/customer/fair/classes.go
@@ -33,6 +33,28 @@
 	*Queue
 	owed   time.Duration // slot time that the floor grants and that the class has not used
 	owedAt time.Time     // time of the last update of owed
+	need   low           // time for which a request holds a slot; unused if Config.Pinned
+}
+
+// low is an estimate in the lower part of a distribution of durations: a few long ones, such as
+// those of requests without an answer, barely raise it.
+type low struct{ mean }
+
+// Weights of a new value, as divisors, where it is below or above the estimate.
+const (
+	fallDivisor = 4
+	riseDivisor = 64
+)
+
+func (l *low) add(d time.Duration) {
+	switch {
+	case !l.known:
+		l.value, l.known = d, true
+	case d < l.value:
+		l.value += (d - l.value) / fallDivisor
+	default:
+		l.value += (d - l.value) / riseDivisor
+	}
 }
 
 // NewClasses returns an empty queue with cfg.Classes classes.
@@ -47,9 +69,8 @@
 	return q
 }
 
-// Enqueue runs a request, queues it, or refuses it. It refuses one whose deadline would
-// pass before it has waited and run as long as expected, and one for which there is
-// no room. Verdict.GaveWay names the waiting requests that it removed for it.
+// Enqueue runs a request, queues it, or refuses it. It refuses one whose deadline has passed or
+// would pass before it has waited and run for the expected time, and one for which there is no room. Verdict.GaveWay names the waiting requests that it removed for it.
 func (q *Classes) Enqueue(item Item, now time.Time) Verdict {
 	q.tick(now)
 	item.Weight = max(1, item.Weight)
@@ -57,7 +78,7 @@
 	k := max(0, min(item.Urgency, len(q.classes)-1))
 	c := q.classes[k]
 	customer := c.customer(item)
-	if left := item.Deadline.Sub(q.now); left <= 0 || left < customer.service.value {
+	if !q.now.Before(item.Deadline) {
 		c.markIdle(customer)
 		return Verdict{State: Refused, Kind: errkind.DeadlineNotRun}
 	}
@@ -67,7 +88,7 @@
 		return Verdict{State: Run}
 	}
 	wait := q.expectedWait(k, customer)
-	if !q.hasRoom(k, customer) || q.now.Add(wait+customer.service.value).After(item.Deadline) {
+	if !q.hasRoom(k, customer) || q.now.Add(wait+c.need.value).After(item.Deadline) {
 		c.markIdle(customer)
 		return Verdict{State: Refused, Kind: errkind.QueueFull, Wait: wait}
 	}
@@ -148,6 +169,9 @@
 		return nil
 	}
 	delete(q.running, id)
+	if !q.cfg.Pinned {
+		c.need.add(q.now.Sub(c.running[id].since))
+	}
 	c.owed -= c.finish(id)
 	return q.fill()
 }
@@ -236,7 +260,7 @@
 	q.tick(now)
 	var out []uint64
 	for _, c := range q.classes {
-		out = append(out, c.expireBefore(func(o *customer) time.Time { return q.now.Add(o.service.value) })...)
+		out = append(out, c.expireBefore(q.now.Add(c.need.value))...)
 	}
 	return out
 }
@@ -245,7 +269,7 @@
 func (q *Classes) TurnAway() []uint64 {
 	var out []uint64
 	for _, c := range q.classes {
-		out = append(out, c.expireBefore(func(*customer) time.Time { return endOfTime })...)
+		out = append(out, c.expireBefore(endOfTime)...)
 	}
 	return out
 }
--- a/customer/fair/queue.go
+++ b/customer/fair/queue.go
@@ -36,6 +36,9 @@
 	Slots     int // requests running at once
 	MaxQueued int // requests waiting at once; 0 means DefaultMaxQueued
 	Classes   int // classes of urgency; 0 for a Queue without them
+	// Pinned is set if a request may hold its slot for longer than it runs. Classes then leaves no
+	// time before its deadline for running it.
+	Pinned bool
 }
 
 // Item is one request.
@@ -162,16 +165,16 @@
 // their ids. The kind of their refusal is DeadlineNotRun.
 func (q *Queue) Expire(now time.Time) []uint64 {
 	q.tick(now)
-	return q.expireBefore(func(*customer) time.Time { return q.now })
+	return q.expireBefore(q.now)
 }
 
-// expireBefore removes the waiting requests whose deadline is not after the time that
-// limit returns for their customer, and returns their ids.
-func (q *Queue) expireBefore(limit func(*customer) time.Time) []uint64 {
+// expireBefore removes the waiting requests whose deadline is not after limit and returns
+// their ids.
+func (q *Queue) expireBefore(limit time.Time) []uint64 {
 	var out []uint64
 	for i := 0; i < len(q.ring); {
 		c := q.ring[i]
-		out = append(out, c.expire(limit(c))...)
+		out = append(out, c.expire(limit)...)
 		if c.waiting() == 0 {
 			q.leaveRing(c)
 			continue
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -70,7 +70,7 @@
 
 func newPool(g *Gateway, svc *service, db routes.Database, size int) *pool {
 	p := &pool{g: g, svc: svc, db: db, max: size, window: window.New(db.Slots, g.peers.dataCentreCount())}
-	p.turns = turn.New(fair.Config{Slots: size, Classes: g.urgencyClasses()}, g.now)
+	p.turns = turn.New(fair.Config{Slots: size, Classes: g.urgencyClasses(), Pinned: true}, g.now)
 	p.slots = turn.New(fair.Config{Slots: p.window.Size(), Classes: g.urgencyClasses()}, g.now)
 	return p
 }
