--- a/gateway/service.go
+++ b/gateway/service.go
@@ -233,9 +233,10 @@
 }
 
 // failFast reports whether no primary can be expected within a statement's timeout: none
-// has been reachable for failFastAfter, or the service waits for logs. mu is held.
+// has been reachable for failFastAfter, the service waits for logs or, where urgent statements
+// go first, this host's data centre is cut off. mu is held.
 func (s *service) failFast() bool {
-	return len(s.databasesAwaited()) > 0 || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
+	return s.g.opt.Features.UrgentFirst && !s.unreachableSince.IsZero() && s.g.peers.cutOff(s.g.now()) || len(s.databasesAwaited()) > 0 || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
--- a/gateway/toolate.go
+++ b/gateway/toolate.go
@@ -61,6 +61,29 @@
 	return max(noPrimaryRetryAfter, s.g.takeovers.left(s.g.now().Sub(s.unreachableSince)))
 }
 
+// cutOffAfter is the silence after which a data centre counts as out of contact: three rounds of
+// messages are lost.
+const cutOffAfter = 3*gossipEvery + 100*time.Millisecond
+
+// cutOff reports whether this host is out of contact with so many data centres that most of
+// the known ones are elsewhere: no takeover that happens there is seen here, and its databases
+// do not lead one.
+func (p *peers) cutOff(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, inContact := 1, 1 // this host's own
+	for name, c := range p.contacts {
+		if name == "" || name == p.g.opt.DataCentre || now.Sub(c.last) >= membershipTTL {
+			continue
+		}
+		known++
+		if now.Sub(c.last) < cutOffAfter {
+			inContact++
+		}
+	}
+	return 2*inContact < known
+}
+
 // refusedEverywhere reports whether a read need not be tried again, where urgent statements go
 // first: as many databases as may serve it have no room for it in time.
 func (op *operation) refusedEverywhere(err error, attempts int) bool {
--- a/gateway/urgency_test.go
+++ b/gateway/urgency_test.go
@@ -94,6 +94,22 @@
 		Expect(got.err).To(BeNil())
 	})
 
+	// The other two data centres, with the primary, are cut off from this one.
+	It("refuses writes at once in a data centre that is cut off without a primary", func() {
+		g.peers.mu.Lock()
+		for _, centre := range []string{"dc-b", "dc-c"} {
+			g.peers.recordContact(centre, g.now().Add(-1100*time.Millisecond))
+		}
+		g.peers.mu.Unlock()
+		Expect(newTestSession(g, "current").serve(request(statement.Write)).Err).To(BeNil(), "a primary that is reachable serves")
+		svc.recordNotPrimary("a", time.Now())
+		dbs.withLock(func() { dbs.primary = "" })
+		var got result
+		Eventually(write(), timeout/2).Should(Receive(&got))
+		Expect(got.err.Kind).To(Equal(errkind.NoPrimary))
+		Expect(got.took).To(BeNumerically("<", objective))
+	})
+
 	It("lets an urgent operation wait for its customer's next token, and refuses others meanwhile", func() {
 		config := *g.config.Load().Configuration
 		config.Customers = map[string]routes.Customer{testCustomer: {Name: testCustomer, Keys: []string{testKey}, Rate: 40}}
