--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -36,7 +36,7 @@
 	if ok {
 		return wait, nil
 	}
-	return 0, errkind.New(errkind.OverRate, "urgency %d, retry after %d ms", urgency, wait.Milliseconds()+1)
+	return 0, errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds()+1)
 }
 
 func (r *rates) apply(c *routes.Configuration, now time.Time) {
