--- a/customer/fair/classes.go
+++ b/customer/fair/classes.go
@@ -70,7 +70,8 @@
 }
 
 // Enqueue runs a request, queues it, or refuses it. It refuses one whose deadline has passed or
-// would pass before it has waited and run for the expected time, and one for which there is no room. Verdict.GaveWay names the waiting requests that it removed for it.
+// would pass before it has waited and run for the expected time, and one for which there is
+// no room. Verdict.GaveWay names the waiting requests that it removed for it.
 func (q *Classes) Enqueue(item Item, now time.Time) Verdict {
 	q.tick(now)
 	item.Weight = max(1, item.Weight)
--- a/customer/fair/queue.go
+++ b/customer/fair/queue.go
@@ -9,6 +9,9 @@
 // customer. A request that is expected to wait past its deadline is refused at
 // once.
 //
+// Classes does the same in several classes of urgency, of which the most urgent one goes
+// first over all customers.
+//
 // Only Done frees a slot. It must be called when the database is known to have
 // stopped working on the request, not when the caller disconnects or while the
 // outcome is unknown.
--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -10,6 +10,9 @@
 // no host's share by much. The shares add up to one except for changes of demand
 // within one exchange of announcements; the overage and the slack that the
 // platform's quota bound allows cover the difference.
+//
+// AdmitUrgency also orders a customer's operations by urgency: the most urgent ones take
+// its tokens first.
 package share
 
 import (
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -236,7 +236,14 @@
 // has been reachable for failFastAfter, the service waits for logs or, where urgent statements
 // go first, this host's data centre is cut off. mu is held.
 func (s *service) failFast() bool {
-	return s.g.opt.Features.UrgentFirst && !s.unreachableSince.IsZero() && s.g.peers.cutOff(s.g.now()) || len(s.databasesAwaited()) > 0 || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
+	if len(s.databasesAwaited()) > 0 {
+		return true
+	}
+	if s.unreachableSince.IsZero() {
+		return false
+	}
+	now := s.g.now()
+	return now.Sub(s.unreachableSince) >= failFastAfter || s.g.opt.Features.UrgentFirst && s.g.peers.cutOff(now)
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -250,13 +250,13 @@
 				op.attempts, op.database, op.floor = started, got.database, got.floor
 				return got.answer, nil
 			}
-			if !canRetryRead(got.err) || op.refusedEverywhere(got.err, started) {
+			if !canRetryRead(got.err) {
 				return statement.Answer{}, got.err
 			}
 			if running > 0 {
 				continue
 			}
-			if started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
+			if op.refusedEverywhere(got.err, started) || started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
 				return statement.Answer{}, got.err
 			}
 			start()
