--- a/gateway/urgency_test.go
+++ b/gateway/urgency_test.go
@@ -94,6 +94,22 @@
 		Expect(got.err).To(BeNil())
 	})
 
+	// Statements have taken ten seconds, and every slot is taken.
+	It("refuses a read once no database has room for it in time, not at its deadline", func() {
+		for id, p := range svc.pools {
+			var slot uint64
+			g.ago(10*time.Second, func() {
+				slot, _ = p.slots.Acquire(context.Background(), fair.Item{Customer: testCustomer, Urgency: 0, Deadline: g.now().Add(time.Hour)})
+			})
+			p.slots.Release(slot)
+			fill(id)
+		}
+		at := time.Now()
+		err := newTestSession(g, "bounded").serve(request(statement.Read)).Err
+		Expect(err.Kind).To(Equal(errkind.QueueFull))
+		Expect(time.Since(at)).To(BeNumerically("<", objective))
+	})
+
 	// The other two data centres, with the primary, are cut off from this one.
 	It("refuses writes at once in a data centre that is cut off without a primary", func() {
 		g.peers.mu.Lock()
