--- a/gateway/session.go
+++ b/gateway/session.go
@@ -237,7 +237,7 @@
 // single runs a statement outside of a transaction on the service's home host,
 // or on the next host in rank if the home host does not answer.
 func (s *session) single(ctx context.Context, op *operation) (statement.Answer, error) {
-	home := s.g.runnerForOperation(op)
+	home := s.g.runnerFor(op.svc)
 	if op.writes() {
 		return s.singleWrite(ctx, op, home)
 	}
--- a/gateway/transaction.go
+++ b/gateway/transaction.go
@@ -100,7 +100,7 @@
 		if t.answered {
 			return s.abort(op, errkind.New(errkind.TransactionAborted, "the connection that held the transaction was lost"))
 		}
-		t.runner = s.g.runnerForOperation(op)
+		t.runner = s.g.runnerFor(op.svc)
 	}
 	a, err := t.runner.run(ctx, op)
 	if isHomeUnavailable(err) && !t.answered && op.Kind != statement.Commit {
