Leave the floor of slot time also to a class whose requests are all long

A class whose one request costs more of the floor than accrues before its deadline was refused on arrival each time, so nothing waited, and the floor accrued nothing: the class never ran while a more urgent one filled the slots. A class that was refused for its expected wait now accrues until one of its requests starts, and the expected wait counts what has accrued.

--- a/customer/fair/classes.go
+++ b/customer/fair/classes.go
@@ -33,6 +33,7 @@
 	*Queue
 	owed   time.Duration // slot time that the floor grants and that the class has not used
 	owedAt time.Time     // time of the last update of owed
+	denied bool          // a request was refused for its expected wait, and none has started since
 	need   low           // time for which a request holds a slot; unused if Config.Pinned
 }
 
@@ -91,6 +92,7 @@
 	wait := q.expectedWait(k, customer)
 	if !q.hasRoom(k, customer) || q.now.Add(wait+c.need.value).After(item.Deadline) {
 		c.markIdle(customer)
+		c.denied = true
 		return Verdict{State: Refused, Kind: errkind.QueueFull, Wait: wait}
 	}
 	v := Verdict{State: Queued, Wait: wait}
@@ -103,7 +105,7 @@
 
 // expectedWait estimates the wait of one more request of a customer in class k: that
 // within its class, after the requests of the more urgent classes. It is no longer than
-// the wait in its class alone at the rate of the floor.
+// the wait in its class alone at the rate of the floor, less what that has granted already.
 func (q *Classes) expectedWait(k int, customer *customer) time.Duration {
 	if q.cfg.Slots <= 0 {
 		return 0
@@ -121,7 +123,8 @@
 	}
 	wait := scale(own+ahead/time.Duration(q.cfg.Slots), 1/left)
 	if k > 0 {
-		wait = min(wait, scale(own, 1/floorShare))
+		granted := max(0, q.classes[k].owed) / time.Duration(q.cfg.Slots)
+		wait = min(wait, max(own, scale(own-granted, 1/floorShare)))
 	}
 	return wait
 }
@@ -221,15 +224,18 @@
 func (q *Classes) start(c *class, customer *customer, id uint64) {
 	c.start(customer, id)
 	c.owed -= c.running[id].cost
+	c.denied = false
 	q.running[id] = c
 }
 
 // cost is the slot time that a request of the class is expected to use.
 func (c *class) cost() time.Duration { return max(c.service.value, minQuantum) }
 
-// accrue adds the slot time that the floor grants while the class waits.
+// accrue adds the slot time that the floor grants while the class waits. A class that is refused
+// because it would wait too long waits as well: else requests that need more of the floor than
+// accrues before their deadline would never run.
 func (c *class) accrue(slots int, now time.Time) {
-	if c.queued > 0 {
+	if c.queued > 0 || c.denied {
 		c.owed += scale(now.Sub(c.owedAt), floorShare*float64(slots))
 	} else {
 		c.owed = min(c.owed, 0)
--- a/customer/fair/classes_test.go
+++ b/customer/fair/classes_test.go
@@ -138,6 +138,17 @@
 		Expect(len(got[2].waits)).To(BeNumerically(">=", 32), "of 40 sent")
 	})
 
+	// A report takes so long that the floor grants it a start only after its deadline.
+	It("leaves its floor to a class whose requests are all long", func() {
+		streams := []stream{
+			{"reports", 2, 500 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second},
+			{"flood", 0, 4 * time.Millisecond, 11 * time.Millisecond, 2 * time.Second},
+		}
+		got := play(fair.NewClasses(fair.Config{Slots: 2, Classes: 3}), streams, 40*time.Second)
+		Expect(len(got[0].waits)).To(BeNumerically(">=", 10), "a tenth of the slot time is 16 reports")
+		Expect(len(got[0].waits)).To(BeNumerically("<=", 20))
+	})
+
 	It("divides a class among its customers, whatever one of them sends", func() {
 		streams := []stream{
 			{"flood", 0, 2 * time.Millisecond, 11 * time.Millisecond, 2 * time.Second},
