Leave the floor of a rate also to a class with a shorter objective than the most urgent one

The most urgent class took tokens in advance up to its own patience, so that the next token was always later than a less patient class may wait: that class was admitted 0 times in 15 s where its floor is 22 (new spec). Tokens are now taken in advance only as far as a class to which its floor grants an operation by then can still wait. No effect where the less urgent classes are the more patient ones. The new spec and the others of customer/share pass.

--- a/customer/share/urgency.go
+++ b/customer/share/urgency.go
@@ -28,8 +28,9 @@
 	// accrues at the rate that the demand of the more urgent classes leaves. The most
 	// urgent class has none.
 	allowance [Classes]float64
-	floor     [Classes]float64   // at most one operation that classFloor grants
-	promised  [Classes]time.Time // the last time at which a refused caller was told to return
+	floor     [Classes]float64       // at most one operation that classFloor grants
+	patience  [Classes]time.Duration // the longest seen of each class
+	promised  [Classes]time.Time     // the last time at which a refused caller was told to return
 }
 
 // AdmitUrgency is Admit for an operation of the given urgency, 0 being the most urgent. If
@@ -54,8 +55,10 @@
 	c.accrue(rate, burst, now)
 	k := max(0, min(urgency, Classes-1))
 	c.demand[k] += 1 / demandTimeConstant.Seconds()
+	c.patience[k] = max(c.patience[k], patience)
 	wait := seconds((1 - a.tokens) / rate)
-	if !c.allows(k, a.tokens, wait <= patience) {
+	soon := wait <= patience && (k > 0 || c.leavesFloors(rate, wait+seconds(1/rate)))
+	if !c.allows(k, a.tokens, soon) {
 		return false, c.promise(k, rate, wait, now)
 	}
 	a.tokens--
@@ -99,6 +102,18 @@
 	return tokens >= 1 && c.allowance[k] >= 1 || c.floor[k] >= 1 && inAdvance
 }
 
+// leavesFloors reports whether the classes to which their floor grants an operation until then can
+// still take it in advance if the next token accrues after wait.
+func (c *byUrgency) leavesFloors(rate float64, wait time.Duration) bool {
+	for k := 1; k < Classes; k++ {
+		due := c.floor[k]+classFloor*rate*wait.Seconds() >= 1
+		if due && c.demand[k] > minAnnouncedDemand && wait > c.patience[k] {
+			return false
+		}
+	}
+	return true
+}
+
 // take records an admitted operation of class k.
 func (c *byUrgency) take(k int) {
 	for i := 1; i <= k; i++ {
--- a/customer/share/urgency_test.go
+++ b/customer/share/urgency_test.go
@@ -91,6 +91,15 @@
 		}
 	})
 
+	It("keeps that part also for a class whose objective is shorter than that of the most urgent one", func() {
+		t := table()
+		got := playMix([]flow{{0, 4 * rate}, {1, 20}}, func(k int, now time.Time) (bool, time.Duration) {
+			return t.AdmitUrgency("c", k, []time.Duration{400 * time.Millisecond, 50 * time.Millisecond}[k], now)
+		})
+		Expect(got[1].ok).To(BeNumerically(">=", 15*rate*0.09))
+		Expect(got[1].longest).To(BeNumerically("<=", 50*time.Millisecond))
+	})
+
 	It("never exceeds its rate, whichever class asks for more, and wastes none of it", func() {
 		for _, flows := range [][]flow{mix, {{0, 4 * rate}}, {{2, 4 * rate}}} {
 			t, total := table(), 0
