Wait for an own primary in a data centre that is cut off

In a data centre out of contact with most others, statements that need a primary were refused as soon as it was unreachable, also where it stands in that data centre and only some calls to it had failed. The refusal at once now needs a presumed primary elsewhere, or none.

--- a/gateway/service.go
+++ b/gateway/service.go
@@ -234,7 +234,7 @@
 
 // failFast reports whether no primary can be expected within a statement's timeout: none
 // has been reachable for failFastAfter, the service waits for logs or, where urgent statements
-// go first, this host's data centre is cut off. mu is held.
+// go first, this host's data centre is cut off from the primary's. mu is held.
 func (s *service) failFast() bool {
 	if len(s.databasesAwaited()) > 0 {
 		return true
@@ -243,7 +243,7 @@
 		return false
 	}
 	now := s.g.now()
-	return now.Sub(s.unreachableSince) >= failFastAfter || s.g.opt.Features.UrgentFirst && s.g.peers.cutOff(now)
+	return now.Sub(s.unreachableSince) >= failFastAfter || s.g.opt.Features.UrgentFirst && s.leaderElsewhere() && s.g.peers.cutOff(now)
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
--- a/gateway/toolate.go
+++ b/gateway/toolate.go
@@ -84,6 +84,13 @@
 	return 2*inContact < known
 }
 
+// leaderElsewhere reports whether the presumed primary stands in another data centre, or none is
+// presumed. One in this data centre may become reachable again without a takeover. mu is held.
+func (s *service) leaderElsewhere() bool {
+	db, ok := s.table.Leader()
+	return !ok || db.DataCentre != s.g.opt.DataCentre
+}
+
 // refusedEverywhere reports whether a read need not be tried again, where urgent statements go
 // first: as many databases as may serve it have no room for it in time.
 func (op *operation) refusedEverywhere(err error, attempts int) bool {
--- a/gateway/urgency_test.go
+++ b/gateway/urgency_test.go
@@ -126,6 +126,28 @@
 		Expect(got.took).To(BeNumerically("<", objective))
 	})
 
+	// The primary stands in the data centre that is cut off. Calls to it fail for a while.
+	It("waits in a data centre that is cut off for its own primary", func() {
+		g.peers.mu.Lock()
+		for _, centre := range []string{"dc-b", "dc-c"} {
+			g.peers.recordContact(centre, g.now().Add(-1100*time.Millisecond))
+		}
+		g.peers.mu.Unlock()
+		Eventually(func() bool {
+			svc.recordFailure("a", g.now(), true)
+			svc.mu.Lock()
+			defer svc.mu.Unlock()
+			return svc.table.Unreachable("a", g.now())
+		}).Should(BeTrue())
+		waiting := write()
+		Consistently(waiting, timeout/8).ShouldNot(Receive())
+		svc.recordAnswer("a", time.Now())
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		var got result
+		Eventually(waiting, timeout).Should(Receive(&got))
+		Expect(got.err).To(BeNil())
+	})
+
 	It("lets an urgent operation wait for its customer's next token, and refuses others meanwhile", func() {
 		config := *g.config.Load().Configuration
 		config.Customers = map[string]routes.Customer{testCustomer: {Name: testCustomer, Keys: []string{testKey}, Rate: 40}}
