Let no operation take a token that accrues after its deadline

Half of the objective bounded the wait for a token, but not the time left, so a token could be taken, waited for until the deadline, and lost. The new spec saw a patience of 4 s with 1 s left; it passes now.

--- a/gateway/local.go
+++ b/gateway/local.go
@@ -93,7 +93,8 @@
 
 // patience returns how long the operation may still wait for a token.
 func (op *operation) patience(now time.Time) time.Duration {
-	return max(0, time.Duration(float64(op.route.Objective)*ratePatience)-now.Sub(op.arrived))
+	left := time.Duration(float64(op.route.Objective)*ratePatience) - now.Sub(op.arrived)
+	return max(0, min(left, op.deadline.Sub(now)))
 }
 
 // rollbackAsync implements runner.
--- a/gateway/urgency_test.go
+++ b/gateway/urgency_test.go
@@ -148,6 +148,13 @@
 		Expect(got.err).To(BeNil())
 	})
 
+	It("lets no operation take a token that accrues after its deadline", func() {
+		op := &operation{route: routes.Route{Objective: 8 * time.Second}, arrived: g.now()}
+		op.deadline = op.arrived.Add(time.Second)
+		Expect(op.patience(op.arrived)).To(BeNumerically("<=", time.Second))
+		Expect(op.patience(op.deadline.Add(time.Millisecond))).To(BeZero())
+	})
+
 	It("lets an urgent operation wait for its customer's next token, and refuses others meanwhile", func() {
 		config := *g.config.Load().Configuration
 		config.Customers = map[string]routes.Customer{testCustomer: {Name: testCustomer, Keys: []string{testKey}, Rate: 40}}
