--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -10,6 +10,9 @@
 // no host's share by much. The shares add up to one except for changes of demand
 // within one exchange of announcements; the overage and the slack that the
 // platform's quota bound allows cover the difference.
+//
+// AdmitUrgency also orders a customer's operations by urgency: the most urgent ones take
+// its tokens first.
 package share
 
 import (
@@ -94,6 +97,7 @@
 	prevAnnounced float64        // demand in the announcement before that; assumed received by all hosts
 	demandAt      time.Time      // time of the last update of demand
 	announced     []announcement // the last ones, oldest first; only with Config.Settle
+	byUrgency     *byUrgency     // nil until AdmitUrgency is called
 }
 
 // announcement is the demand that a host announced at a time.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	allotments *allotments
 	peers      *peers
 	streams    *streams
+	takeovers  takeovers
 	stalls     stallDetector
 	access     string // IP:port of the access listener
 	callers    *registry
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -49,6 +49,7 @@
 	namedAt           time.Time // when this host first heard of it
 	unreachableSince  time.Time // since when no primary is reachable; zero while one is
 	returns           retry.Returns
+	lostPrimary       string // the primary that was presumed then; empty if none was
 
 	homeRank int // the last known result of peers.homeRank; 0 on the home host
 }
@@ -209,11 +210,13 @@
 	now := s.g.now()
 	db, ok := s.table.Leader()
 	if p := s.pools[db.ID]; ok && p != nil && !s.table.Unreachable(db.ID, now) && !p.drained() {
+		s.recordOutageEnd(db.ID, now)
 		s.unreachableSince = time.Time{}
 		return p, true
 	}
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
+		s.lostPrimary = db.ID
 	}
 	if !ok {
 		s.requestSample()
@@ -222,20 +225,29 @@
 }
 
 // failFast reports whether no primary can be expected within a statement's timeout: none
-// has been reachable for failFastAfter, or the service waits for logs, or the primary's data
-// centre is evacuated. mu is held.
+// has been reachable for failFastAfter, the service waits for logs, the primary's data centre
+// is evacuated or, where urgent statements go first, this host's data centre is cut off from
+// the primary's. mu is held.
 func (s *service) failFast() bool {
-	return len(s.databasesAwaited()) > 0 || s.closedForEvacuation() || !s.unreachableSince.IsZero() && s.g.now().Sub(s.unreachableSince) >= failFastAfter
+	if len(s.databasesAwaited()) > 0 || s.closedForEvacuation() {
+		return true
+	}
+	if s.unreachableSince.IsZero() {
+		return false
+	}
+	now := s.g.now()
+	return now.Sub(s.unreachableSince) >= failFastAfter || s.g.opt.Features.UrgentFirst && s.leaderElsewhere() && s.g.peers.cutOff(now)
 }
 
 // waitForPrimary waits for a reachable primary. It fails with NoPrimary when ctx
-// ends, and at once if failFast holds.
+// ends, and at once if failFast holds or, where urgent statements go first, a takeover would
+// end too late for the statement.
 func (s *service) waitForPrimary(ctx context.Context) (*pool, error) {
 	var p *pool
 	var ok bool
 	err := s.waitUntil(ctx, func() bool {
 		p, ok = s.reachablePrimary()
-		return ok || s.failFast()
+		return ok || s.failFast() || s.takeoverTooLate(ctx)
 	})
 	if err != nil || !ok {
 		return nil, s.noPrimaryError()
@@ -247,7 +259,7 @@
 	s.mu.Lock()
 	awaited := strings.Join(s.databasesAwaited(), " ")
 	closed := s.closedForEvacuation()
-	delay := s.retryAfter()
+	delay, takeover := s.retryAfter(), s.primaryRetryAfter()
 	s.mu.Unlock()
 	if closed {
 		return s.evacuationError()
@@ -255,7 +267,7 @@
 	if awaited != "" {
 		return errkind.New(errkind.NoPrimary, "service %s has no primary until %s can be read, retry after %d ms", s.name, awaited, delay.Milliseconds())
 	}
-	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, delay.Milliseconds())
+	return errkind.New(errkind.NoPrimary, "service %s has no reachable primary, retry after %d ms", s.name, max(delay, takeover).Milliseconds())
 }
 
 // readers returns the databases that may serve a customer's read, best first.
@@ -350,8 +362,10 @@
 	after, _ := s.table.Leader()
 	s.observePrimary(fromRefusal, position.Position{})
 	s.notifyChange()
+	p := s.pools[id]
 	s.mu.Unlock()
 	if before.ID == id && after.ID != id {
+		p.turnAway("is no longer the primary")
 		s.g.log.Info("Database is no longer the primary.", "part", "service", "service", s.name, "database", id)
 	}
 }
@@ -384,8 +398,10 @@
 		s.replication.recheckOrders() // it may have been down, and is not paused any more
 	}
 	isUnreachable := s.table.Unreachable(id, now)
+	p := s.pools[id]
 	s.mu.Unlock()
 	if isUnreachable && !wasUnreachable {
+		p.turnAway("is unreachable")
 		s.g.log.Warn("Database is unreachable.", "part", "service", "service", s.name, "database", id, "refused", refused)
 	}
 }
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -274,7 +274,7 @@
 			if running > 0 {
 				continue
 			}
-			if started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
+			if op.refusedEverywhere(got.err, started) || started >= maxParallelReads+2 && !backoff.Pause(ctx) || ctx.Err() != nil {
 				return statement.Answer{}, cmp.Or(failed, got.err)
 			}
 			start()
