Keep versions, leases and rosters above a return of the store from an older copy

Cause: after a return, revisions are given out again, so that a fence could be lower than one already used, a conditional write could meet another object, and a lease or a roster could say less than was true.

Change: an object's version holds the era of the store above its revision (objectapi.VersionIn), so that versions, and with them fences, rise over a return. Answers of an older era count as none; versions of one are no condition of a write. Hosts name the era to each other. A lease of an earlier era counts as one by older rules, no lease is taken within leaseTerm of a rise, and hosts write floors and rosters again that the store lacks. Without the header the era is 0, versions are revisions, and no call is added.

--- a/database/succession/lease.go
+++ b/database/succession/lease.go
@@ -29,6 +29,18 @@
 	Floor position.Position `json:"floor,omitzero"`
 	// Rules is the version of the rules that the writer follows; see Rules.
 	Rules uint32 `json:"rules,omitempty"`
+	// Era is the newest era of the store that the writer knew; see CopiedTo.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// CopiedTo returns what a lease that was read in an era of the store says. One that was written in
+// an earlier era comes from the copy with which the store returned. The leases after it are gone,
+// and with them orders that may still take effect: it counts as one by older rules.
+func (l Lease) CopiedTo(era uint64) Lease {
+	if l.Era < era {
+		l.Rules = 0
+	}
+	return l
 }
 
 // Settled reports whether no order that was given so far can still replace the
--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -18,6 +18,10 @@
 	Primary   string           `json:"primary,omitempty"` // the last database that proved to be the primary
 	Term      uint64           `json:"term,omitempty"`    // in which it did
 	Databases map[string]Place `json:"databases,omitempty"`
+	// Era is the newest era of the store that the writer knew. Base is the version of the newest roster
+	// of an earlier era that this one covers; see Restore.
+	Era  uint64 `json:"era,omitempty"`
+	Base uint64 `json:"base,omitempty"`
 }
 
 // Place is where a database runs.
@@ -51,7 +55,8 @@
 // Add returns the roster with the present databases that it lacks, and whether it differs
 // from r. A database that is leaving takes its log with it.
 func (r Roster) Add(present []routes.Database) (Roster, bool) {
-	out := Roster{Primary: r.Primary, Term: r.Term, Databases: map[string]Place{}}
+	out := r
+	out.Databases = map[string]Place{}
 	maps.Copy(out.Databases, r.Databases)
 	for _, db := range present {
 		if _, ok := out.Databases[db.ID]; !ok && !db.Leaving {
@@ -71,7 +76,8 @@
 // when it is back with the same start; the former process of one that has restarted retires. If held
 // is set (see HeldElsewhere), what r shows as retiring is removed.
 func (r Roster) Update(present []routes.Database, primary string, term uint64, held bool) (Roster, bool) {
-	out := Roster{Primary: r.Primary, Term: r.Term, Databases: map[string]Place{}}
+	out := r
+	out.Databases = map[string]Place{}
 	byID := map[string]routes.Database{}
 	for _, db := range present {
 		byID[db.ID] = db
--- a/gateway/acknowledge.go
+++ b/gateway/acknowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -470,6 +469,12 @@
 	pauses := s.replication.pauses
 	s.mu.Unlock()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
+	if errors.Is(err, objectapi.ErrNotFound) && s.g.platform.Eras().Newest() > 0 {
+		s.mu.Lock()
+		s.startSettling(s.g.now()) // the copy from which the store returned may lack the lease
+		s.mu.Unlock()
+		return false
+	}
 	if errors.Is(err, objectapi.ErrNotFound) {
 		s.recordLeaseRead(leaseReport{at: sentAt})
 		s.recordWaited(term, pauses)
@@ -479,10 +484,9 @@
 		s.g.log.Info("Reading the lease for an acknowledgement failed.", "part", "promotion", "service", s.name, "error", err)
 		return false
 	}
-	var l succession.Lease
-	if err := json.Unmarshal(object.Value, &l); err != nil {
+	l, err := s.decodeLease(object)
+	if err != nil {
 		s.g.log.Warn("Cannot decode the lease.", "part", "promotion", "service", s.name, "error", err)
-		l = succession.Lease{} // decoding may have set some of the fields
 	}
 	if l.Waited(term) {
 		s.recordWaited(term, pauses)
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -195,7 +195,7 @@
 			demands[d.Customer] += d.PerSecond
 		}
 	}
-	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration}
+	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration, StoreEra: own.StoreEra}
 	add(own.Demands)
 	c.Groups = appendWatched(c.Groups, p.g.opt.Name, own.Groups, 0)
 	p.mu.Lock()
@@ -259,7 +259,7 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules, StoreEra: p.g.platform.Eras().Newest()}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -288,6 +288,7 @@
 		p.recordAcked(g)
 	}
 	p.mu.Unlock()
+	p.g.platform.Eras().Learn(in.StoreEra, "data centre "+in.Name)
 	p.g.recordLeaving(in.Groups, at)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
 	p.g.rates.recordDemands("data centre "+in.Name, admitting, c.demands, now)
--- a/gateway/commitcheck.go
+++ b/gateway/commitcheck.go
@@ -3,14 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"time"
 
 	"github.com/bronzeloft/bronzeloft/customer/retry"
-	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
 	"github.com/bronzeloft/bronzeloft/position"
 	"github.com/bronzeloft/bronzeloft/statement"
@@ -102,8 +100,8 @@
 		}
 		return position.Position{}
 	}
-	var l succession.Lease
-	if json.Unmarshal(object.Value, &l) != nil {
+	l, err := s.decodeLease(object)
+	if err != nil {
 		return position.Position{} // the attempt that reads the lease logs that
 	}
 	return l.Floor
--- a/gateway/floors.go
+++ b/gateway/floors.go
@@ -42,13 +42,19 @@
 // keepFloor raises what is kept beside the lease, while the order that was given under it is
 // under way.
 func (a *replacement) keepFloor(last succession.KeptFloor) {
-	ctx, cancel := context.WithTimeout(a.s.g.ctx, controlTimeout)
+	if _, err := a.s.raiseFloor(last); err != nil {
+		a.log.Warn("Floor not kept.", "floor", last.Floor.String(), "error", err)
+	}
+}
+
+// raiseFloor raises what is kept beside the lease to the given values, and reports whether they were higher.
+func (s *service) raiseFloor(last succession.KeptFloor) (raised bool, err error) {
+	ctx, cancel := context.WithTimeout(s.g.ctx, controlTimeout)
 	defer cancel()
-	store := a.s.g.platform.Objects()
-	object, err := store.Get(ctx, kindFloors, a.s.name)
+	store := s.g.platform.Objects()
+	object, err := store.Get(ctx, kindFloors, s.name)
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
-		a.log.Warn("Floor not kept: reading it failed.", "floor", last.Floor.String(), "error", err)
-		return
+		return false, err
 	}
 	var kept succession.KeptFloor
 	if err == nil && json.Unmarshal(object.Value, &kept) != nil {
@@ -56,15 +62,13 @@
 	}
 	next := succession.KeptFloor{Term: max(kept.Term, last.Term), Floor: position.Max(kept.Floor, last.Floor)}
 	if next == kept {
-		return
+		return false, nil
 	}
 	value, err := json.Marshal(next)
 	if err == nil && object.Version == 0 {
-		_, err = store.Create(ctx, kindFloors, a.s.name, value)
+		_, err = store.Create(ctx, kindFloors, s.name, value)
 	} else if err == nil {
-		_, err = store.Update(ctx, kindFloors, a.s.name, object.Version, value)
-	}
-	if err != nil {
-		a.log.Warn("Floor not kept.", "floor", last.Floor.String(), "error", err)
+		_, err = store.Update(ctx, kindFloors, s.name, object.Version, value)
 	}
+	return err == nil, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
+	eraLearnedAt atomic.Pointer[time.Time] // of the store's present era; nil while none is known
 	listVersion  atomic.Uint64             // version of entries; changed with mu held
 	listedAt     atomic.Pointer[time.Time] // the list was the store's at this time or later; nil if it never was read
 	relisting    atomic.Bool               // a read of the list for a commit is running, or was until recently
@@ -154,6 +155,9 @@
 	g.requestLog = newRequestLog(g.log, g.now)
 	g.config.Store(&loadedConfiguration{Configuration: &routes.Configuration{}})
 	g.metrics = newMetrics(g)
+	if g.platform != nil {
+		g.platform.Eras().OnRise(g.storeReturned)
+	}
 	return g
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzeloft/bronzeloft/database/succession"
 	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
 )
 
 // kindLeases is the object kind with one succession.Lease for each service. Only the
@@ -28,6 +29,7 @@
 // errLeaseHeld if another host holds it.
 func (a *replacement) acquireLease(ctx context.Context) error {
 	old, err := a.s.g.platform.Objects().Get(ctx, kindLeases, a.s.name)
+	a.era = a.s.g.platform.Eras().Newest()
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
 	case err != nil:
@@ -39,12 +41,18 @@
 			return errLeaseHeld
 		}
 	}
+	if a.s.g.justReturned() {
+		a.s.g.metrics.awaitingReturn.Inc()
+		return errStoreReturned
+	}
 	a.leaseObject, a.trace.leaseBefore = old, leaseText(old)
 	ordered := a.pendingOrder(old)
 	if a.olderLease {
 		if err := a.readFloor(ctx); err != nil {
 			return err
 		}
+		kept := a.s.keptFloor()
+		a.leaseTerm, a.floor = max(a.leaseTerm, kept.Term), position.Max(a.floor, kept.Floor)
 	}
 	return a.writeLease(ctx, succession.Lease{Ordered: ordered})
 }
@@ -56,13 +64,13 @@
 // pendingOrder records and returns the database of the order that the previous
 // lease holder left unanswered; it is empty if there is none.
 func (a *replacement) pendingOrder(old objectapi.Object) string {
-	var held succession.Lease
-	if len(old.Value) > 0 && json.Unmarshal(old.Value, &held) != nil {
+	held, err := a.s.decodeLease(old)
+	if len(old.Value) > 0 && err != nil {
 		a.pending, a.ordered, a.olderLease = true, unknownOrder, true
 		return unknownOrder
 	}
 	a.pending, a.ordered, a.leaseTerm, a.floor = held.Ordered != "", held.Ordered, held.Term, held.Floor
-	a.olderLease = len(old.Value) > 0 && held.ByOlderRules()
+	a.olderLease = (len(old.Value) > 0 || a.era > 0) && held.ByOlderRules() // the copy may lack the lease
 	a.late, a.accepted, a.unseen, a.rounds = held.Ordered, held.Accepted, held.Unseen || a.olderLease, held.Rounds
 	if a.olderLease && held.Ordered == "" {
 		a.pending, a.ordered = true, unknownOrder
@@ -75,7 +83,7 @@
 // lease to lease.
 func (a *replacement) writeLease(ctx context.Context, l succession.Lease) error {
 	l.Holder, l.Claim, l.Rules = a.s.g.opt.Name, uuid.NewString(), succession.Rules
-	l.Term, l.Floor = max(a.leaseTerm, a.newestTerm()), a.floor
+	l.Era, l.Term, l.Floor = a.era, max(a.leaseTerm, a.newestTerm()), a.floor
 	if l.Ordered != "" {
 		l.Accepted = a.accepted && l.Ordered == a.ordered
 		l.Unseen, l.Rounds = l.Unseen || a.unseen, a.rounds
@@ -92,6 +100,7 @@
 	switch {
 	case err == nil:
 		a.leaseObject = held
+		a.s.rememberFloor(succession.KeptFloor{Term: l.Term, Floor: l.Floor})
 	case !isConflict(err):
 		a.unconfirmed = append(a.unconfirmed, l.Claim)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,11 +15,13 @@
 
 // gatewayMetrics are the metrics of one host. No label contains a customer's key.
 type gatewayMetrics struct {
-	set           *metrics.Set
-	dialled       *metrics.Counter
-	storeFailures *metrics.Counter
-	unsent        *metrics.Counter
-	missing       *metrics.Counter
+	set            *metrics.Set
+	dialled        *metrics.Counter
+	storeFailures  *metrics.Counter
+	unsent         *metrics.Counter
+	missing        *metrics.Counter
+	awaitingReturn *metrics.Counter
+	writtenAgain   *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -31,6 +33,14 @@
 		unsent:        set.NewCounter("bronzeloft_peer_messages_unsent_total"),
 		missing:       set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
 	}
+	m.awaitingReturn = set.NewCounter("bronzeloft_takeovers_awaiting_store_return_total")
+	m.writtenAgain = set.NewCounter("bronzeloft_store_records_written_again_total")
+	set.NewGauge("bronzeloft_store_era", func() float64 {
+		if g.platform == nil {
+			return 0
+		}
+		return float64(g.platform.Eras().Newest())
+	})
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	set.NewGauge("bronzeloft_services_waiting_for_logs", func() float64 { return float64(g.servicesAwaitingLogs()) })
--- a/gateway/outgoing.go
+++ b/gateway/outgoing.go
@@ -143,6 +143,7 @@
 		Access: p.g.access, Boot: p.boot, Leaving: p.g.leaving.Load(), Configuration: p.g.config.Load().Version,
 		StoreAnswers: p.g.storeAnswers(now), Databases: p.g.listVersion.Load(),
 		Capacity: p.g.opt.Capacity, Serving: slices.Contains(serving, p.g.opt.Name), Rules: succession.Rules,
+		StoreEra: p.g.platform.Eras().Newest(),
 	}
 	services := p.g.serviceCount()
 	for _, s := range p.g.allServices() {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -327,6 +327,7 @@
 	if sameCentre {
 		p.g.rates.recordDemands(msg.Host, admitting, demandsOf(msg.Demands), now)
 	}
+	p.g.platform.Eras().Learn(msg.StoreEra, "host "+msg.Host)
 	p.g.recordLeaving(msg.Groups, now)
 	for _, c := range msg.Centres {
 		p.applyCentre(c, now)
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -18,6 +18,8 @@
 type Platform interface {
 	// Objects returns the store, which holds all persistent state.
 	Objects() objectapi.Objects
+	// Eras returns what is known of the eras of the store. Answers of it make them known.
+	Eras() *objectapi.Eras
 	// ConfigurationKind and ConfigurationName identify the object with the
 	// operator's configuration.
 	ConfigurationKind() string
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -186,7 +186,8 @@
 	settled     bool              // the lease has been released without a pending order
 	waits       bool              // a log must be read first that could not be
 	ordered     string            // the database that this order promotes
-	olderLease  bool              // the lease was last written by a host of older rules
+	olderLease  bool              // the lease was last written by a host of older rules, or in an earlier era
+	era         uint64            // of the store in which the lease was acquired
 	pausing     pausing
 	accepted    bool // the same as in succession.Lease
 	unseen      bool
@@ -275,15 +276,16 @@
 
 // Reasons to abandon an attempt.
 var (
-	errLeaseHeld   = errors.New("gateway: another host holds the lease")
-	errNoSuccessor = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
-	errHasPrimary  = errors.New("gateway: a database reports that it is the primary")
-	errNewerTerm   = errors.New("gateway: the primary has been replaced in a newer term")
-	errRestarted   = errors.New("gateway: a database has restarted since the logs were read")
-	errNotCaughtUp = errors.New("gateway: the successor did not catch up in time")
-	errNotPaused   = errors.New("gateway: the log of a replica may have grown since it was read")
-	errNoList      = errors.New("gateway: the databases have not been listed yet")
-	errLeftPaused  = errors.New("gateway: replicas were left paused, so that the primary's commits stall")
+	errLeaseHeld     = errors.New("gateway: another host holds the lease")
+	errNoSuccessor   = errors.New("gateway: no database can be promoted without risking an acknowledged commit")
+	errHasPrimary    = errors.New("gateway: a database reports that it is the primary")
+	errNewerTerm     = errors.New("gateway: the primary has been replaced in a newer term")
+	errRestarted     = errors.New("gateway: a database has restarted since the logs were read")
+	errNotCaughtUp   = errors.New("gateway: the successor did not catch up in time")
+	errNotPaused     = errors.New("gateway: the log of a replica may have grown since it was read")
+	errNoList        = errors.New("gateway: the databases have not been listed yet")
+	errStoreReturned = errors.New("gateway: the store has returned from an older copy")
+	errLeftPaused    = errors.New("gateway: replicas were left paused, so that the primary's commits stall")
 )
 
 // order repeats the promotion call until its outcome is known or ctx ends. Before
@@ -305,6 +307,10 @@
 			a.log.Warn("Promotion not ordered: recording the order in the lease failed.", "database", database, "error", err)
 			return err
 		}
+		if a.s.g.platform.Eras().Newest() != a.era {
+			a.log.Warn("Promotion not ordered: the lease was acquired in an earlier era of the store.", "database", database, "era", a.era)
+			return errStoreReturned
+		}
 		if err := a.checkRestarts(ctx, database); err != nil {
 			a.log.Warn("Promotion not ordered.", "database", database, "error", err)
 			return err
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -92,6 +92,9 @@
 	state := s.roster
 	s.mu.Unlock()
 	if !state.known {
+		if err := s.restoreRoster(); err != nil {
+			return err
+		}
 		var err error
 		if state.object, state.roster, err = s.readRoster(ctx); err != nil {
 			return err
@@ -135,6 +138,7 @@
 
 // writeRoster replaces the given version of the roster, 0 if there is none.
 func (s *service) writeRoster(ctx context.Context, version uint64, next succession.Roster) (objectapi.Object, error) {
+	next.Era = s.g.platform.Eras().Newest()
 	value, err := json.Marshal(next)
 	if err != nil {
 		return objectapi.Object{}, err
@@ -149,6 +153,7 @@
 	if err != nil {
 		return objectapi.Object{}, err
 	}
+	s.rememberRoster(object.Version, next)
 	s.g.log.Info("Record of the databases stored.", "part", "promotion", "service", s.name, "version", object.Version, "databases", len(next.Databases),
 		"retiring", next.RetiringIDs(), "primary", next.Primary, "term", next.Term)
 	return object, nil
@@ -224,11 +229,11 @@
 	defer cancel()
 	object, err := s.g.platform.Objects().Get(ctx, kindLeases, s.name)
 	if errors.Is(err, objectapi.ErrNotFound) {
-		return true
+		return s.g.platform.Eras().Newest() == 0 // otherwise a copy may lack it
 	}
 	var l succession.Lease
 	if err == nil {
-		err = json.Unmarshal(object.Value, &l)
+		l, err = s.decodeLease(object)
 	}
 	if err != nil {
 		s.g.log.Info("Reading the lease for the record of the databases failed.", "part", "promotion", "service", s.name, "error", err)
@@ -240,6 +245,9 @@
 // rosterWith reads the roster. If none of the given databases counts on it, it adds those that
 // this host knows: until then no commit can be acknowledged.
 func (s *service) rosterWith(ctx context.Context, databases []routes.Database) (succession.Roster, error) {
+	if err := s.restoreRoster(); err != nil {
+		return succession.Roster{}, err
+	}
 	object, roster, err := s.readRoster(ctx)
 	if err != nil || slices.ContainsFunc(databases, func(db routes.Database) bool { return roster.Counts(db.ID, db.StartMillis) }) {
 		return roster, err
@@ -263,12 +271,12 @@
 	object, err := s.g.platform.Objects().Get(ctx, kindRosters, s.name)
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
-		return objectapi.Object{}, roster, nil
+		return objectapi.Object{}, s.recordRosterRead(0, roster), nil
 	case err != nil:
 		return objectapi.Object{}, roster, err
 	}
 	if err := json.Unmarshal(object.Value, &roster); err != nil {
 		return object, succession.Roster{}, fmt.Errorf("decoding the record of the databases of service %s, version %d: %w", s.name, object.Version, err)
 	}
-	return object, roster, nil
+	return object, s.recordRosterRead(object.Version, roster), nil
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -42,6 +42,7 @@
 	logWait           logWait
 	observed          observedPrimary
 	roster            rosterState
+	remembered        remembered
 	provenPrimary     string    // the last database that proved to be the primary
 	provenTerm        uint64    // in which it did
 	namedTerm         uint64    // the newest term that a primary's answer named
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -390,6 +390,7 @@
 	group *group
 	store *platformserver.Server
 	api   objectapi.Objects
+	eras  *objectapi.Eras
 }
 
 func newFakePlatform(g *group) *fakePlatform {
@@ -397,10 +398,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(store.Close)
 	api := objectapi.NewClient(objectapi.ClientConfig{BaseURL: store.URL(), CallsPerSecond: 1e4, Burst: 1e4, WatchWait: 200 * time.Millisecond})
-	return &fakePlatform{group: g, store: store, api: api}
+	return &fakePlatform{group: g, store: store, api: api, eras: api.Eras()}
 }
 
 func (p *fakePlatform) Objects() objectapi.Objects { return p.api }
+func (p *fakePlatform) Eras() *objectapi.Eras      { return p.eras }
 func (*fakePlatform) ConfigurationKind() string    { return "config" }
 func (*fakePlatform) ConfigurationName() string    { return "main" }
 func (*fakePlatform) DatabasesKind() string        { return "databases" }
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -90,3 +90,28 @@
 	defer s.mu.Unlock()
 	return !s.faults.down
 }
+
+// SetEra makes the server name an era in all its answers.
+func (s *Server) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy takes the copy of the store that Return restores.
+func (s *Server) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = s.store.clone()
+}
+
+// Return makes the server answer again with the state of the last Copy, in the next era.
+// Watches of before end without an answer. What others have written since is Put again by the test.
+func (s *Server) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.faults.goingDown)
+	s.faults.goingDown = make(chan struct{})
+	s.store, s.stale, s.faults.down = s.copied.clone(), nil, false
+	s.era++
+}
--- a/internal/standin/platformserver/handlers.go
+++ b/internal/standin/platformserver/handlers.go
@@ -34,10 +34,20 @@
 		if !s.waitAdmitted(r.Context()) {
 			abortConnection()
 		}
+		s.nameEra(w)
 		next(w, r)
 	}
 }
 
+// nameEra sets the header with the era in which an answer begins to be made.
+func (s *Server) nameEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era > 0 {
+		w.Header().Set(objectapi.HeaderEra, strconv.FormatUint(s.era, 10))
+	}
+}
+
 // abortConnection closes the connection without an answer.
 func abortConnection() { panic(http.ErrAbortHandler) }
 
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -62,6 +62,8 @@
 
 	mu       sync.Mutex // guards the fields below
 	store    *store
+	era      uint64        // named in all answers unless 0
+	copied   *store        // by Copy
 	stale    *store        // read by gets and lists while ServeStale is in effect, else nil
 	changed  chan struct{} // closed and replaced after every write
 	hosts    []hostList    // the list that clients see and those set after it, oldest first
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -71,6 +71,7 @@
 type Client struct {
 	cfg    ClientConfig
 	budget *budget
+	eras   Eras
 }
 
 var _ API = (*Client)(nil)
@@ -81,6 +82,9 @@
 	return &Client{cfg: cfg, budget: newBudget(cfg.CallsPerSecond, cfg.Burst, time.Now())}
 }
 
+// Eras returns what is known of the eras of the store.
+func (c *Client) Eras() *Eras { return &c.eras }
+
 // Get implements API.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	return read[Object](ctx, c, objectPath(kind, name), 0)
@@ -108,12 +112,20 @@
 }
 
 func (c *Client) watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]Event, uint64, error) {
+	if c.eras.Outdated(version) {
+		return nil, 0, WatchedBefore(kind, version)
+	}
+	ctx, cancel := c.eras.WithinEra(ctx, Era(version))
+	defer cancel()
 	query := url.Values{
-		ParamVersion: {strconv.FormatUint(version, 10)},
+		ParamVersion: {strconv.FormatUint(Revision(version), 10)},
 		ParamWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	path := PathWatch + "/" + url.PathEscape(kind) + "?" + query.Encode()
 	answer, err := read[WatchAnswer](ctx, c, path, wait)
+	if c.eras.Outdated(version) {
+		return nil, 0, WatchedBefore(kind, version)
+	}
 	return answer.Events, answer.Version, err
 }
 
@@ -124,8 +136,15 @@
 
 // Update implements API.
 func (c *Client) Update(ctx context.Context, kind, name string, version uint64, value []byte) (Object, error) {
-	path := fmt.Sprintf("%s?%s=%d", objectPath(kind, name), ParamVersion, version)
-	return write(ctx, c, http.MethodPut, path, value)
+	if c.eras.Outdated(version) {
+		return Object{}, fmt.Errorf("%w: %s/%s was read in era %d of the store", ErrConflict, kind, name, Era(version))
+	}
+	path := fmt.Sprintf("%s?%s=%d", objectPath(kind, name), ParamVersion, Revision(version))
+	stored, err := write(ctx, c, http.MethodPut, path, value)
+	if err == nil && Era(stored.Version) != Era(version) {
+		return Object{}, WrittenAcross(kind, name, version, Era(stored.Version))
+	}
+	return stored, err
 }
 
 func objectPath(kind, name string) string {
@@ -202,12 +221,19 @@
 	if len(data) > maxAnswerBytes {
 		return eris.Errorf("platform answer exceeds %d bytes", maxAnswerBytes)
 	}
+	era := EraOf(res.Header)
+	if res.StatusCode >= http.StatusInternalServerError {
+		c.eras.Learn(era, FromStore) // whoever refuses a call need not name the era
+	} else if err := c.eras.Admit(era); err != nil {
+		return err
+	}
 	if res.StatusCode >= http.StatusMultipleChoices {
 		return answerError(res.StatusCode, data)
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
 		return fmt.Errorf("%w: decode answer: %w", ErrUnavailable, err)
 	}
+	setEra(answer, era)
 	return nil
 }
 
