Test the return of the store from an older copy

The stand-in store of the gateway specs takes a copy, returns with it in the next era, and gives its revisions out again.

--- /dev/null
+++ b/gateway/storereturn_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzeloft/bronzeloft/contract/routes"
+	"github.com/bronzeloft/bronzeloft/database/succession"
+	"github.com/bronzeloft/bronzeloft/objectapi"
+	"github.com/bronzeloft/bronzeloft/position"
+)
+
+// Guards against what a store that returns from an older copy undoes: a fence used again (ONE), a
+// takeover or an acknowledgement that rests on a lease or a record set back (LOST), and a host that
+// hears of no change any more.
+var _ = Describe("a store that has returned from an older copy", func() {
+	var (
+		dbs *group
+		p   *fakePlatform
+		g   *Gateway
+		svc *service
+	)
+
+	// learnEra makes a host know the store's era, as of long ago.
+	learnEra := func(p *fakePlatform, g *Gateway) {
+		_, _, err := p.api.List(context.Background(), kindLeases)
+		Expect(err).NotTo(HaveOccurred())
+		long := time.Now().Add(-time.Minute)
+		g.eraLearnedAt.Store(&long)
+	}
+	// knowPrimary makes a host know that a is the primary.
+	knowPrimary := func(g *Gateway) {
+		for range 2 {
+			g.service(testService).recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		}
+	}
+	// otherHost returns a host that has just started beside the first one.
+	otherHost := func() (*fakePlatform, *Gateway) {
+		api := objectapi.NewClient(objectapi.ClientConfig{BaseURL: p.store.URL(), CallsPerSecond: 1e4, Burst: 1e4})
+		other := &fakePlatform{group: dbs, store: p.store, api: api, eras: api.Eras()}
+		g := newLoggingTestGateway(other, slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+		knowPrimary(g)
+		return other, g
+	}
+	orders := func() (out []succession.Order) {
+		dbs.withLock(func() { out = append(out, dbs.orders...) })
+		return out
+	}
+	putLease := func(l succession.Lease) {
+		l.Rules = succession.Rules
+		value, err := json.Marshal(l)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.store.Put(kindLeases, testService, value)
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	BeforeEach(func() {
+		dbs = newGroup("a", "b", "c")
+		p = newFakePlatform(dbs)
+		p.store.SetEra(1)
+		g = newLoggingTestGateway(p, slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+		svc = g.service(testService)
+		knowPrimary(g)
+		learnEra(p, g)
+		putLease(succession.Lease{Holder: "host-0", Released: true, Era: 1, Term: 1})
+	})
+
+	It("gives out no fence that has been used", func() {
+		p.store.Copy()
+		for range 20 {
+			putLease(succession.Lease{Holder: "host-0", Released: true, Era: 1, Term: 1})
+		}
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		runAttempt(svc, succession.Silent)
+		Expect(orders()).NotTo(BeEmpty())
+		p.store.Return()
+		former := orders()
+		other, second := otherHost()
+		learnEra(other, second)
+		runAttempt(second.service(testService), succession.Silent)
+		later := orders()[len(former):]
+		Expect(later).NotTo(BeEmpty())
+		for _, o := range later {
+			Expect(o.Fence).To(BeNumerically(">", former[len(former)-1].Fence))
+		}
+	})
+
+	It("is not ordered to promote by a host that learned of the return less than leaseTerm ago, nor by one whose lease is from before", func() {
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		other, second := otherHost()
+		runAttempt(second.service(testService), succession.Silent)
+		Expect(orders()).To(BeEmpty())
+		learnEra(other, second)
+		limited := &leaseCounter{Objects: other.api, onUpdate: func() { other.eras.Learn(2, "host host-2") }}
+		other.api = limited
+		runAttempt(second.service(testService), succession.Silent)
+		Expect(limited.writes.Load()).To(BeNumerically(">", 0))
+		Expect(orders()).To(BeEmpty())
+	})
+
+	It("protects no commit with a lease set back, or missing, which may lack an order", func() {
+		Expect(svc.leaseSettled(1)).To(BeTrue())
+		p.store.Copy()
+		putLease(succession.Lease{Holder: "host-0", Released: true, Ordered: "b", Era: 1, Term: 1})
+		p.store.Return()
+		Expect(svc.leaseSettled(1)).To(BeFalse())
+		Expect(svc.leaseSettledIn(1)).To(BeFalse())
+		svc.mu.Lock()
+		Expect(svc.replication.waitedTerm).To(BeZero())
+		svc.mu.Unlock()
+		Expect(p.store.Delete(kindLeases, testService)).To(Succeed())
+		Expect(svc.leaseSettled(1)).To(BeFalse())
+	})
+
+	It("gets back the record of the databases, the term and the floor from a host that knows them, before another one takes over", func() {
+		p.store.Copy()
+		away := routes.Database{ID: "d", Service: testService, Address: "d", DataCentre: "dc-a", Slots: 4}
+		roster, _ := succession.Roster{}.Add([]routes.Database{{ID: "a"}, {ID: "b"}, {ID: "c"}, away})
+		_, err := svc.writeRoster(context.Background(), 0, roster)
+		Expect(err).NotTo(HaveOccurred())
+		floor := succession.KeptFloor{Term: 3, Floor: position.Position{Term: 3, Index: 40}}
+		putLease(succession.Lease{Holder: "host-0", Released: true, Era: 1, Term: floor.Term, Floor: floor.Floor})
+		Expect(svc.leaseSettled(3)).To(BeTrue())
+		p.store.Return()
+		g.platform.Eras().Learn(2, "host host-2")
+
+		other, second := otherHost()
+		stored := func() (databases map[string]succession.Place) {
+			_, read, err := second.service(testService).readRoster(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return read.Databases
+		}
+		Eventually(stored).WithTimeout(leaseTerm).Should(HaveKey("d"))
+		learnEra(other, second)
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		a := runAttempt(second.service(testService), succession.Silent)
+		Expect(a.leaseTerm).To(BeNumerically(">=", floor.Term))
+		Expect(a.floor).To(Equal(floor.Floor))
+		Expect(orders()).To(BeEmpty(), "the log of d may be the only copy of a commit")
+	})
+
+	It("is followed again, though its versions are lower than before", func() {
+		listing := listingPlatform{p}
+		g := New(Options{Name: "host-1", DataCentre: "dc-a", Centres: []string{"dc-a"}, Peers: "127.0.0.1:0", Platform: listing, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+		var err error
+		g.peers, err = listenPeers(g)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(g.Close)
+		announce := func(id string) {
+			value, err := json.Marshal(routes.Database{ID: id, Service: testService})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = p.store.Put(p.DatabasesKind(), id, value)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		announce("a")
+		p.store.Copy()
+		for range 20 {
+			announce("b")
+		}
+		g.startWorker(g.watchDatabases)
+		known := func() map[string]json.RawMessage { return g.databaseList().Entries }
+		Eventually(known).WithTimeout(5 * time.Second).Should(HaveKey("b"))
+		p.store.Return()
+		announce("c")
+		Eventually(known).WithTimeout(5 * time.Second).Should(HaveKey("c"))
+	})
+})
