Take any revision of a store without eras as it is

A version above 2^40 was taken apart into an era and a revision also while the store names no era: conditional writes and watches then named another revision, and each lease counted as a copy. Versions are now taken apart only once an era is known.

--- a/gateway/storereturn.go
+++ b/gateway/storereturn.go
@@ -133,7 +133,7 @@
 		return succession.Lease{}, err // decoding may have set some of the fields
 	}
 	s.rememberFloor(succession.KeptFloor{Term: l.Term, Floor: l.Floor})
-	return l.CopiedTo(objectapi.Era(o.Version)), nil
+	return l.CopiedTo(s.g.platform.Eras().Of(o.Version)), nil
 }
 
 // rememberFloor raises the remembered term and floor.
@@ -164,9 +164,10 @@
 // earlier era that the store's lacks, it returns both merged, and goes on remembering that one
 // until they are written.
 func (s *service) recordRosterRead(version uint64, read succession.Roster) succession.Roster {
-	era := objectapi.Era(version)
+	eras := s.g.platform.Eras()
+	era := eras.Of(version)
 	if version == 0 {
-		era = s.g.platform.Eras().Newest()
+		era = eras.Newest()
 	}
 	if read.Era < era { // it comes from the copy
 		read.Base = objectapi.VersionIn(read.Era, objectapi.Revision(version))
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -115,10 +115,10 @@
 	if c.eras.Outdated(version) {
 		return nil, 0, WatchedBefore(kind, version)
 	}
-	ctx, cancel := c.eras.WithinEra(ctx, Era(version))
+	ctx, cancel := c.eras.WithinEra(ctx, c.eras.Of(version))
 	defer cancel()
 	query := url.Values{
-		ParamVersion: {strconv.FormatUint(Revision(version), 10)},
+		ParamVersion: {strconv.FormatUint(c.eras.Revision(version), 10)},
 		ParamWait:    {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	path := PathWatch + "/" + url.PathEscape(kind) + "?" + query.Encode()
@@ -139,9 +139,10 @@
 	if c.eras.Outdated(version) {
 		return Object{}, fmt.Errorf("%w: %s/%s was read in era %d of the store", ErrConflict, kind, name, Era(version))
 	}
-	path := fmt.Sprintf("%s?%s=%d", objectPath(kind, name), ParamVersion, Revision(version))
+	path := fmt.Sprintf("%s?%s=%d", objectPath(kind, name), ParamVersion, c.eras.Revision(version))
+	era := c.eras.Of(version)
 	stored, err := write(ctx, c, http.MethodPut, path, value)
-	if err == nil && Era(stored.Version) != Era(version) {
+	if err == nil && c.eras.Of(stored.Version) != era {
 		return Object{}, WrittenAcross(kind, name, version, Era(stored.Version))
 	}
 	return stored, err
--- a/objectapi/era.go
+++ b/objectapi/era.go
@@ -129,6 +129,22 @@
 	return nil
 }
 
+// Of returns the era of a version. While no era is known each version is a plain revision, however high.
+func (e *Eras) Of(version uint64) uint64 {
+	if e.Newest() == 0 {
+		return 0
+	}
+	return Era(version)
+}
+
+// Revision returns the revision of a version. See Of.
+func (e *Eras) Revision(version uint64) uint64 {
+	if e.Newest() == 0 {
+		return version
+	}
+	return Revision(version)
+}
+
 // Outdated reports whether a version is of an earlier era than the newest known.
 func (e *Eras) Outdated(version uint64) bool { return version != 0 && Era(version) < e.Newest() }
 
--- a/objectapi/era_test.go
+++ b/objectapi/era_test.go
@@ -26,6 +26,27 @@
 	}
 }
 
+// A store without eras may give out any revision.
+func TestHighRevisionWithoutEra(t *testing.T) {
+	const revision = uint64(1700000000000) // such as milliseconds
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v := r.URL.Query().Get(objectapi.ParamVersion); v != "" && v != fmt.Sprint(revision) {
+			t.Errorf("%s of version %s", r.Method, v)
+		}
+		fmt.Fprintf(w, `{"kind":"k","name":"x","version":%d,"value":"e30="}`, revision)
+	}))
+	defer server.Close()
+	client := objectapi.NewClient(objectapi.ClientConfig{BaseURL: server.URL})
+	ctx := context.Background()
+	o, err := client.Update(ctx, "k", "x", revision, []byte("{}"))
+	if err != nil || o.Version != revision || client.Eras().Of(o.Version) != 0 {
+		t.Errorf("written as version %d of era %d: %v", o.Version, client.Eras().Of(o.Version), err)
+	}
+	if _, _, err := client.Watch(ctx, "k", revision); err != nil {
+		t.Errorf("watch: %v", err)
+	}
+}
+
 // A store that has returned gives a revision out again, to another content of the same object.
 func TestWriteAfterReturn(t *testing.T) {
 	store, err := platformserver.Start(platformserver.Config{Listen: "127.0.0.1:0"})
