Take no lease between a rise of the store's era and the start of the wait

An era is known before storeReturned records the time: an attempt whose read of the lease was answered in between took the lease at once, also 3.5 s after the rise before. justReturned holds until the era has been told.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	listed          bool                       // a list of databases has been applied
 
 	eraLearnedAt atomic.Pointer[time.Time] // of the store's present era; nil while none is known
+	eraTold      atomic.Uint64             // the newest era of which storeReturned has been told
 	listVersion  atomic.Uint64             // version of entries; changed with mu held
 	listedAt     atomic.Pointer[time.Time] // the list was the store's at this time or later; nil if it never was read
 	relisting    atomic.Bool               // a read of the list for a commit is running, or was until recently
--- a/gateway/storereturn.go
+++ b/gateway/storereturn.go
@@ -37,6 +37,9 @@
 func (g *Gateway) storeReturned(era, former uint64, from string) {
 	now := g.now()
 	g.eraLearnedAt.Store(&now)
+	for told := g.eraTold.Load(); told < era && !g.eraTold.CompareAndSwap(told, era); {
+		told = g.eraTold.Load()
+	}
 	g.listedAt.Store(nil)
 	g.log.Warn("Store is in a newer era: it may have returned from an older copy.", "part", "store", "era", era, "former_era", former, "from", from)
 	for _, s := range g.allServices() {
@@ -56,8 +59,11 @@
 
 // justReturned reports whether this host learned of the store's era less than leaseTerm ago. Until
 // then, a holder of before may give an order, and other hosts may not have written again what
-// they know.
+// they know. Another goroutine may have learned of it and not have told of it so far.
 func (g *Gateway) justReturned() bool {
+	if g.eraTold.Load() < g.platform.Eras().Newest() {
+		return true
+	}
 	at := g.eraLearnedAt.Load()
 	return at != nil && g.now().Sub(*at) < leaseTerm
 }
--- a/gateway/storereturn_test.go
+++ b/gateway/storereturn_test.go
@@ -134,6 +134,43 @@
 		Expect(orders()).To(BeEmpty())
 	})
 
+	It("lets no host take a lease that has read an answer of a new era before it is told of the rise", func() {
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		eras := g.platform.Eras()
+		eras.OnRise(func(uint64, uint64, string) {}) // the goroutine that learned of it has not come so far
+		p.store.Copy()
+		p.store.Return()
+		runAttempt(svc, succession.Silent)
+		Expect(eras.Newest()).To(BeNumerically("==", 2))
+		Expect(orders()).To(BeEmpty())
+		eras.OnRise(g.storeReturned)
+		g.storeReturned(2, 1, objectapi.FromStore)
+		Expect(g.justReturned()).To(BeTrue())
+		long := time.Now().Add(-time.Minute)
+		g.eraLearnedAt.Store(&long)
+		Expect(g.justReturned()).To(BeFalse())
+	})
+
+	It("loses no record that a host read two eras before, though that of the era between is newer", func() {
+		databases := func(ids ...string) (out []routes.Database) {
+			for _, id := range ids {
+				out = append(out, routes.Database{ID: id})
+			}
+			return out
+		}
+		between, _ := succession.Roster{Era: 2}.Add(databases("a"))
+		known, _ := succession.Roster{Era: 1}.Add(databases("a", "d"))
+		svc.rememberRoster(objectapi.VersionIn(1, 30), known)
+		p.store.Copy()
+		p.store.Return()
+		p.store.Return()
+		learnEra(p, g)
+		read := svc.recordRosterRead(objectapi.VersionIn(3, 20), between)
+		Expect(read.Databases).To(HaveKey("d"))
+		between.Era, between.Base = 3, objectapi.VersionIn(2, 20)
+		Expect(svc.recordRosterRead(objectapi.VersionIn(3, 21), between).Databases).To(HaveKey("d"))
+	})
+
 	It("protects no commit with a lease set back, or missing, which may lack an order", func() {
 		Expect(svc.leaseSettled(1)).To(BeTrue())
 		p.store.Copy()
