Merge the records of two eras before, and leave floors alone without an era

Roster.Base is one version: that of a roster of era 2 covered all of era 1, also one that was never merged since the store returned twice in a row, and the databases that only it named were dropped. Base now counts only for rosters of the era just before. A takeover after a lease of older rules took the floor that this host remembers also from a store without eras, which changed takeovers there. Both specs fail without it (the key d is missing; lease term 9 in place of 0).

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -51,8 +51,10 @@
 		if err := a.readFloor(ctx); err != nil {
 			return err
 		}
-		kept := a.s.keptFloor()
-		a.leaseTerm, a.floor = max(a.leaseTerm, kept.Term), position.Max(a.floor, kept.Floor)
+		if a.era > 0 {
+			kept := a.s.keptFloor()
+			a.leaseTerm, a.floor = max(a.leaseTerm, kept.Term), position.Max(a.floor, kept.Floor)
+		}
 	}
 	return a.writeLease(ctx, succession.Lease{Ordered: ordered})
 }
--- a/gateway/storereturn.go
+++ b/gateway/storereturn.go
@@ -181,7 +181,9 @@
 	s.mu.Lock()
 	known := s.remembered
 	s.mu.Unlock()
-	if objectapi.Era(known.rosterVersion) < era && known.rosterVersion > read.Base {
+	// Base covers only the rosters of its own era: one of two eras before may never have been merged.
+	knownEra := eras.Of(known.rosterVersion)
+	if known.rosterVersion != 0 && knownEra < era && (known.rosterVersion > read.Base || knownEra+1 < era) {
 		return read.Restore(known.roster, known.rosterVersion)
 	}
 	s.rememberRoster(version, read)
--- a/gateway/storereturn_test.go
+++ b/gateway/storereturn_test.go
@@ -171,6 +171,20 @@
 		Expect(svc.recordRosterRead(objectapi.VersionIn(3, 21), between).Databases).To(HaveKey("d"))
 	})
 
+	It("changes no takeover while the store names no era", func() {
+		plain := newFakePlatform(dbs)
+		g := newLoggingTestGateway(plain, slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+		knowPrimary(g)
+		_, err := plain.store.Put(kindLeases, testService, []byte(`{"holder":"host-0","released":true}`))
+		Expect(err).NotTo(HaveOccurred())
+		g.service(testService).rememberFloor(succession.KeptFloor{Term: 9, Floor: position.Position{Term: 9, Index: 90}})
+		dbs.withLock(func() { dbs.databases["a"].unresponsive = true })
+		a := runAttempt(g.service(testService), succession.Silent)
+		Expect(a.olderLease).To(BeTrue())
+		Expect(a.leaseTerm).To(BeZero())
+		Expect(orders()).NotTo(BeEmpty())
+	})
+
 	It("protects no commit with a lease set back, or missing, which may lack an order", func() {
 		Expect(svc.leaseSettled(1)).To(BeTrue())
 		p.store.Copy()
