Follow a store that names its era and has no revision yet

Version 0 counted as of era 0, so that a watch from it was cancelled at once in any later era, again and again: a host that had listed an empty store heard of no change. The spec failed with 'context canceled'.

--- a/objectapi/era.go
+++ b/objectapi/era.go
@@ -130,9 +130,10 @@
 }
 
 // Of returns the era of a version. While no era is known each version is a plain revision, however high.
+// Version 0, that of a store without any writes, is of the newest era known.
 func (e *Eras) Of(version uint64) uint64 {
-	if e.Newest() == 0 {
-		return 0
+	if newest := e.Newest(); newest == 0 || version == 0 {
+		return newest
 	}
 	return Era(version)
 }
