--- a/datacentre/evacuation/evacuation.go
+++ b/datacentre/evacuation/evacuation.go
@@ -31,6 +31,7 @@
 	version   uint64               // of the store
 	confirmed time.Time            // the list was the store's at this time or later; zero if it never was read there
 	since     map[string]time.Time // by data centre, the earliest time of the acknowledgement; zero if unknown
+	former    map[string]time.Time // since, as it was when the store returned from an older copy
 	answers   []answer             // the last ones of the store, oldest first
 }
 
@@ -64,6 +65,11 @@
 	t.answers = append(t.answers[max(0, len(t.answers)-maxAnswers+1):], answer{version, at})
 }
 
+// StoreReturned records that the store has returned from an older copy, whose versions say
+// nothing of those before. A request that the copy lacks and that is written again keeps its
+// time.
+func (t *Table) StoreReturned() { t.former, t.answers = maps.Clone(t.since), nil }
+
 // notBefore returns the earliest time at which an object can have got a version that a watch of the
 // requests reports.
 func (t *Table) notBefore(version uint64) time.Time {
@@ -140,6 +146,10 @@
 		at, stands := t.since[name]
 		if !stands && len(next) < MaxCentres {
 			at = since[name]
+			if before, ok := t.former[name]; ok {
+				at = before
+				delete(t.former, name)
+			}
 			added = append(added, name)
 		} else if !stands {
 			continue
--- a/datacentre/evacuation/evacuation_test.go
+++ b/datacentre/evacuation/evacuation_test.go
@@ -25,6 +25,21 @@
 	var t *evacuation.Table
 	BeforeEach(func() { t = evacuation.New(limit) })
 
+	It("keep their time when the store returns from a copy that lacks them and they are written again", func() {
+		t.Replace(5, nil)
+		t.Confirm(at(0))
+		t.Apply(5, 6, put("b"))
+		t.StoreReturned()
+		t.Replace(100, nil)
+		t.Confirm(at(3))
+		t.Apply(100, 101, put("b"))
+		Expect(t.Closed("b", at(4))).To(BeTrue())
+		t.Apply(101, 102, []evacuation.Change{{DataCentre: "b", Removed: true}})
+		t.Confirm(at(6))
+		t.Apply(102, 103, put("b"))
+		Expect(t.Closed("b", at(7))).To(BeFalse(), "a later request is counted by itself")
+	})
+
 	It("count from the last moment at which the host knew that there was none", func() {
 		t.Replace(5, nil)
 		t.Confirm(at(0))
--- a/gateway/centres.go
+++ b/gateway/centres.go
@@ -198,7 +198,7 @@
 			demands[d.Customer] += d.PerSecond
 		}
 	}
-	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration, Evacuations: own.Evacuations}
+	c := &gossippb.Centre{Name: p.g.opt.DataCentre, Configuration: own.Configuration, Evacuations: own.Evacuations, StoreEra: own.StoreEra}
 	addCold := func(list []*gossippb.ColdLoad) {
 		for _, d := range list {
 			cold[d.Database] += d.PerSecond
@@ -274,7 +274,8 @@
 		if age >= reportTTL {
 			continue
 		}
-		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules, Cold: c.cold, Allotments: c.allotments}
+		summary := &gossippb.Centre{Name: name, Hosts: uint32(c.hosts), AgeMs: uint32(age.Milliseconds()), Groups: c.groups, Rules: c.rules, Cold: c.cold, Allotments: c.allotments,
+			StoreEra: p.g.platform.Eras().Newest()}
 		for customer, perSecond := range c.demands {
 			summary.Demands = append(summary.Demands, &gossippb.Demand{Customer: customer, PerSecond: float32(perSecond)})
 		}
@@ -303,6 +304,7 @@
 		p.recordAcked(g)
 	}
 	p.mu.Unlock()
+	p.g.platform.Eras().Learn(in.StoreEra, "data centre "+in.Name)
 	p.g.recordLeaving(in.Groups, at)
 	p.g.allotments.record(in.Allotments, now)
 	admitting := admittingIn(c.hosts, p.g.serviceCount())
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -33,6 +33,16 @@
 	return &evacuations{g: g, table: evacuation.New(g.opt.Evacuation), odd: map[string]bool{}}
 }
 
+// storeReturned records that the store has returned from an older copy.
+func (e *evacuations) storeReturned() {
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.StoreReturned()
+}
+
 // known reports whether the host knows which data centres are to be evacuated.
 func (e *evacuations) known() bool {
 	if e == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,8 @@
 	storeAnsweredAt map[string]time.Time       // time of the store's last answer, by kind; see recordStoreState
 	listed          bool                       // a list of databases has been applied
 
+	eraLearnedAt atomic.Pointer[time.Time] // of the store's present era; nil while none is known
+	eraTold      atomic.Uint64             // the newest era of which storeReturned has been told
 	listVersion  atomic.Uint64             // version of entries; changed with mu held
 	listedAt     atomic.Pointer[time.Time] // the list was the store's at this time or later; nil if it never was read
 	relisting    atomic.Bool               // a read of the list for a commit is running, or was until recently
@@ -169,6 +171,9 @@
 	g.evacuations = newEvacuations(g)
 	g.metrics = newMetrics(g)
 	g.platform = countedPlatform{opt.Platform, g.metrics}
+	if opt.Platform != nil {
+		opt.Platform.Eras().OnRise(g.storeReturned)
+	}
 	return g
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,8 @@
 	allotmentsUnsent *metrics.Counter
 	missing          *metrics.Counter
 	keptFromCold     *metrics.Counter
+	awaitingReturn   *metrics.Counter
+	writtenAgain     *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
@@ -35,6 +37,14 @@
 		missing:          set.NewCounter("bronzeloft_acknowledged_commits_missing_total"),
 		keptFromCold:     set.NewCounter("bronzeloft_cold_statements_kept_total"),
 	}
+	m.awaitingReturn = set.NewCounter("bronzeloft_takeovers_awaiting_store_return_total")
+	m.writtenAgain = set.NewCounter("bronzeloft_store_records_written_again_total")
+	set.NewGauge("bronzeloft_store_era", func() float64 {
+		if g.opt.Platform == nil {
+			return 0
+		}
+		return float64(g.opt.Platform.Eras().Newest())
+	})
 	set.NewGauge("bronzeloft_caller_connections", func() float64 { return float64(g.callers.count()) })
 	set.NewGauge("bronzeloft_config_version", func() float64 { return float64(g.config.Load().Version) })
 	set.NewGauge("bronzeloft_services_waiting_for_logs", func() float64 { return float64(g.servicesAwaitingLogs()) })
