--- a/customer/share/share.go
+++ b/customer/share/share.go
@@ -160,18 +160,26 @@
 	if a == nil || a.limit.Rate <= 0 {
 		return true, 0
 	}
-	a.decay(now)
-	a.demand += 1 / demandTimeConstant.Seconds()
-	hostShare := t.share(customer, a)
-	a.accrue(hostShare*a.limit.Rate, t.burst(a.limit, hostShare), now)
+	rate, _ := t.recordRequest(customer, a, now)
 	if a.tokens >= 1 {
 		a.tokens--
 		return true, 0
 	}
-	wait := (1 - a.tokens) / (hostShare * a.limit.Rate)
+	wait := (1 - a.tokens) / rate
 	return false, time.Duration(wait * float64(time.Second))
 }
 
+// recordRequest counts a requested operation and adds the tokens since the last update. It
+// returns this host's rate of the customer, operations per second, and its bucket size.
+func (t *Table) recordRequest(customer string, a *account, now time.Time) (rate, burst float64) {
+	a.decay(now)
+	a.demand += 1 / demandTimeConstant.Seconds()
+	hostShare := t.share(customer, a)
+	rate, burst = hostShare*a.limit.Rate, t.burst(a.limit, hostShare)
+	a.accrue(rate, burst, now)
+	return rate, burst
+}
+
 // Want counts operations that are requested and were refused without Admit.
 func (t *Table) Want(customer string, n int, now time.Time) {
 	if a := t.accounts[customer]; a != nil {
--- a/customer/share/urgency.go
+++ b/customer/share/urgency.go
@@ -43,11 +43,7 @@
 	if a == nil || a.limit.Rate <= 0 {
 		return true, 0
 	}
-	a.decay(now)
-	a.demand += 1 / demandTimeConstant.Seconds()
-	hostShare := t.share(customer, a)
-	rate, burst := hostShare*a.limit.Rate, t.burst(a.limit, hostShare)
-	a.accrue(rate, burst, now)
+	rate, burst := t.recordRequest(customer, a, now)
 	if a.byUrgency == nil {
 		a.byUrgency = &byUrgency{at: now, allowance: [Classes]float64{1: a.tokens, 2: a.tokens}}
 	}
