Take an entry for a database only if it has all fields of one

Cause: DecodeDatabase checked the fields that the gateway uses and let born and coldLeftMs be missing. The entry became a member of the service and of its record, and a takeover waits for the log of each of those.

--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"strings"
 	"time"
@@ -25,13 +27,13 @@
 var oddValues = map[string]string{
 	"nested deeper than encoding/json accepts": nested(10_001),
 	"nested a million deep":                    nested(1_000_000),
-	"nested inside a field":                    `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":4,"state":"ready","dbRole":"primary","born":` + nested(20_000) + `}`,
-	"a number beyond its type":                 `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":99999999999999999999,"state":"ready","dbRole":"primary"}`,
+	"nested inside a field":                    `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":4,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":` + nested(20_000) + `}`,
+	"a number beyond its type":                 `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":99999999999999999999,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":1}`,
 	"a number beyond any float":                `{"slots":1e999999}`,
-	"more slots than a database has":           `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":9223372036854775807,"state":"ready","dbRole":"primary"}`,
-	"a port out of range":                      `{"service":"orders","address":"127.0.0.1:70000","zone":"dc-a","slots":4,"state":"ready","dbRole":"primary"}`,
-	"port 0":                                   `{"service":"orders","address":"127.0.0.1:0","zone":"dc-a","slots":4,"state":"ready","dbRole":"primary"}`,
-	"a service name with a line break":         `{"service":"orders\r\nQUERY - PAUSE 9","address":"127.0.0.1:9","zone":"dc-a","slots":4,"state":"ready","dbRole":"primary"}`,
+	"more slots than a database has":           `{"service":"orders","address":"127.0.0.1:9","zone":"dc-a","slots":9223372036854775807,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":1}`,
+	"a port out of range":                      `{"service":"orders","address":"127.0.0.1:70000","zone":"dc-a","slots":4,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":1}`,
+	"port 0":                                   `{"service":"orders","address":"127.0.0.1:0","zone":"dc-a","slots":4,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":1}`,
+	"a service name with a line break":         `{"service":"orders\r\nQUERY - PAUSE 9","address":"127.0.0.1:9","zone":"dc-a","slots":4,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":1}`,
 	"bytes that are not JSON":                  "\xff\xfe",
 	"a string of nearly a megabyte":            `"` + strings.Repeat("x", 1<<20-200) + `"`,
 	"null":                                     "null",
@@ -146,6 +148,46 @@
 		expectFollowing(g)
 	})
 
+	// Guards against a takeover that waits for ever for the log of a database that does not exist
+	// (RECOVER): an entry without version, coldLeftMs, seq and born was taken for one.
+	DescribeTable("has no takeover wait for an entry that lacks a field or has one of another type",
+		func(running bool) {
+			putIncomplete := func() {
+				entry := map[string]any{"service": "orders", "address": "127.0.0.77:9", "zone": "dc-a", "version": "v1", "slots": 4, "state": "ready", "coldLeftMs": 0, "dbRole": "replica", "seq": 1, "born": 1}
+				put := func(name string, change func(map[string]any)) {
+					changed := maps.Clone(entry)
+					change(changed)
+					value, err := json.Marshal(changed)
+					Expect(err).NotTo(HaveOccurred())
+					store.Put("servers", name, string(value))
+				}
+				for field := range entry {
+					put("without-"+field, func(e map[string]any) { delete(e, field) })
+					put("other-"+field, func(e map[string]any) { e[field] = []int{} })
+				}
+				put("inventory", func(e map[string]any) {
+					for _, field := range []string{"version", "coldLeftMs", "seq", "born"} {
+						delete(e, field)
+					}
+				})
+			}
+			if !running {
+				putIncomplete()
+			}
+			g := startHost(store, dbs)
+			Eventually(g.Ready).WithTimeout(5 * time.Second).Should(BeTrue())
+			if running {
+				putIncomplete()
+			}
+			Eventually(func() string { return read(g, "first") }).WithTimeout(3 * time.Second).Should(HavePrefix("READY"))
+			dbs.Kill("a")
+			store.Delete("servers", "a")
+			Eventually(dbs.Primary).WithTimeout(10 * time.Second).ShouldNot(Equal("a"))
+		},
+		Entry("from a start on", false),
+		Entry("that comes while the host runs", true),
+	)
+
 	It("uses a database whose entry turns odd and back", func() {
 		g := startHost(store, dbs)
 		Eventually(g.Ready).WithTimeout(5 * time.Second).Should(BeTrue())
--- a/internal/standin/site/databases.go
+++ b/internal/standin/site/databases.go
@@ -74,7 +74,7 @@
 	}
 	g.mu.Unlock()
 	go db.serve()
-	g.store.Put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":4,"state":"ready","dbRole":%q,"seq":1,"born":1}`, g.service, l.Addr(), zone, role))
+	g.store.Put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":4,"version":"v1","state":"ready","coldLeftMs":0,"dbRole":%q,"seq":1,"born":1}`, g.service, l.Addr(), zone, role))
 	return nil
 }
 
