Say what an operator can do about a service that waits for logs

Cause: the line about the wait named the databases and how their addresses behave, but neither that one had announced its shutdown, so that it does not return, nor what can be done.

--- a/gateway/logwait.go
+++ b/gateway/logwait.go
@@ -20,6 +20,9 @@
 	logWaitLineEvery = 10 * time.Second
 )
 
+// logWaitRemedy is what an operator can do about a wait.
+const logWaitRemedy = "start the databases again with their logs, or the primary; for those that never return: bronzeloftctl log list, then log abandon"
+
 // logWait is the state in which a service has no primary and no successor may be chosen
 // before databases that do not answer have been read. Whether that ends within the time of
 // a statement cannot be expected, so those that need a primary are refused at once.
@@ -87,7 +90,7 @@
 	w.nextLine, w.logged = now.Add(logWaitLineEvery), true
 	s.g.logChange("promotion", slog.LevelWarn, "Service waits for the logs of databases.", "service", s.name, "databases", strings.Join(ids, " "),
 		"unread", unread, "for_ms", now.Sub(w.since).Milliseconds(), "since", wallTime(now, w.since), "primary", a.primary,
-		"acked", position.Max(a.acked, a.trace.acked).String(), "floor", a.floor.String(), "record", a.trace.rosterAt)
+		"acked", position.Max(a.acked, a.trace.acked).String(), "floor", a.floor.String(), "record", a.trace.rosterAt, "remedy", logWaitRemedy)
 }
 
 // wallTime returns the time of the wall clock at which the host's clock, now at now, was at t.
--- a/gateway/unread.go
+++ b/gateway/unread.go
@@ -87,7 +87,9 @@
 	add("awaited", c.MustBeRead())
 	add("passed_over", !c.Replaced && !c.MustBeRead())
 	add("abandoned", c.Abandoned)
-	add("retiring", a.roster.Databases[c.ID].Retiring && c.Recorded)
+	place := a.roster.Databases[c.ID]
+	add("retiring", place.Retiring && c.Recorded)
+	add("shutdown_announced", place.Leaving && c.Recorded)
 	add("recorded", c.Recorded)
 	add("not_recorded", !c.Recorded && a.listsRead)
 	add("unlisted"+a.unlistedFor(c.ID), !c.Listed && !earlier)
