Keep what attempts have paused as fences of leaving databases

Cause: an order that got no answer keeps the lease unsettled for some 6 s, and the keeper fences only under a settled one. The leaving database had gone by then. The attempts had paused it, and nobody resumes a leaving database.

Change: an attempt records which leaving databases it has seen paused beyond the newest term, with the store's list read under its lease; the keeper takes that for a fence.

The specs "only if an attempt has seen it paused" need it.

--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -159,6 +159,30 @@
 		Expect(held).To(Equal([]string{"b"}), "not the silent one")
 	})
 
+	DescribeTable("is removed after it has gone only if an attempt has seen it paused",
+		func(seen bool, want []string) {
+			svc.mu.Lock()
+			svc.table = lead.New()
+			svc.mu.Unlock()
+			start("d")
+			list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
+			svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+			Expect(svc.updateRoster(context.Background(), svc.roster, fencing{}, nil)).To(Succeed())
+			dbs.withLock(func() { dbs.databases["b"].paused, dbs.databases["c"].paused = 2, 2 })
+			if seen {
+				svc.mu.Lock()
+				a := svc.newReplacement(succession.Paused, svc.acked, time.Now())
+				svc.mu.Unlock()
+				a.settle()
+			}
+			stop("b")
+			_, held := svc.retiringHeldElsewhere(recorded())
+			Expect(held).To(Equal(want))
+		},
+		Entry("it has", true, []string{"b"}),
+		Entry("it has not", false, nil),
+	)
+
 	It("stays on the record if it has gone before it was fenced, and hosts may not know the others", func() {
 		start("d", "e")
 		list(entry("a"), leaving(entry("b")), leaving(entry("c")), entry("d"), entry("e"))
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -237,6 +237,7 @@
 	a.log.Info("Lease acquired.", "fence", a.leaseObject.Version, "pending", a.pending)
 	a.explainCommits()
 	defer a.closeConns()
+	defer a.recordFences()
 	var err error
 	a.recordEstablished()
 	if err = a.readStoreList(ctx); err != nil {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,13 @@
 	known       bool      // object and roster are those last read or written
 	object      objectapi.Object
 	roster      succession.Roster
+	fences      map[string]fence // left by this host's attempts, by database id
+}
+
+// fence is a leaving database that was seen paused beyond a term.
+type fence struct {
+	startMillis int64
+	term        uint64
 }
 
 // keepRoster updates the service's roster in the background if it differs from what
@@ -208,9 +216,16 @@
 	if !ok {
 		return fenced, nil
 	}
+	for id, place := range roster.Databases {
+		if place.Leaving && s.fencedInAttempt(id) == (fence{place.StartMillis, led.Term}) {
+			fenced.ids, fenced.term = append(fenced.ids, id), led.Term
+		}
+	}
 	// An attempt that took the lease before the databases were leaving may still resume them.
 	if len(leaving) > 0 && s.g.peers.followPresentRules() && roster.HasHolder(led, s.logReports(others), s.newestTerm()) && s.leaseSettledIn(led.Term) {
-		fenced = s.fence(leaving, led.Term)
+		fenced.ids, fenced.term = append(fenced.ids, s.fence(leaving, led.Term)...), led.Term
+	}
+	if len(fenced.ids) > 0 {
 		roster, _ = roster.Fence(fenced.ids, fenced.term)
 		if led, ok = s.logReport(primary); !ok {
 			return fenced, nil
@@ -237,7 +252,7 @@
 
 // fence pauses leaving databases beyond a term and returns those that are paused: they receive
 // nothing more from the primary of that term, since no attempt resumes a leaving database.
-func (s *service) fence(leaving []*pool, term uint64) fencing {
+func (s *service) fence(leaving []*pool, term uint64) (fenced []string) {
 	paused := make([]bool, len(leaving))
 	var all sync.WaitGroup
 	for i, p := range leaving {
@@ -247,14 +262,38 @@
 		})
 	}
 	all.Wait()
-	out := fencing{term: term}
 	for i, p := range leaving {
 		if paused[i] {
-			out.ids = append(out.ids, p.db.ID)
+			fenced = append(fenced, p.db.ID)
+		}
+	}
+	s.g.log.Info("Leaving databases are paused.", "part", "promotion", "service", s.name, "databases", fenced, "of", len(leaving), "term", term)
+	return fenced
+}
+
+// fencedInAttempt returns the fence that an attempt of this host has left at a database.
+func (s *service) fencedInAttempt(id string) fence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.fences[id]
+}
+
+// recordFences records the leaving databases that this attempt has seen paused beyond the newest
+// term. They stay so, also if they have gone meanwhile.
+func (a *replacement) recordFences() {
+	if !a.listsRead {
+		return
+	}
+	newest := a.newestTerm()
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	fences := a.s.roster.fences
+	maps.DeleteFunc(fences, func(_ string, f fence) bool { return f.term < newest })
+	for _, c := range a.conns {
+		if leftPaused(c.report, newest) && a.isLeaving(c.db) {
+			fences[c.db.ID] = fence{c.db.StartMillis, newest}
 		}
 	}
-	s.g.log.Info("Leaving databases are paused.", "part", "promotion", "service", s.name, "databases", out.ids, "of", len(leaving), "term", term)
-	return out
 }
 
 // keepsLog reports whether a database is listed, and not leaving. mu is held.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -77,6 +77,7 @@
 		commits: commitTracker{sent: map[uint64]time.Time{}},
 
 		replication: replication{copies: map[string]*replicaCopy{}},
+		roster:      rosterState{fences: map[string]fence{}},
 		homeRank:    g.peers.homeRank(name),
 	}
 }
--- a/gateway/settle.go
+++ b/gateway/settle.go
@@ -34,6 +34,7 @@
 	}
 	a.log.Info("Lease acquired to settle it.", "fence", a.leaseObject.Version, "pending", a.pending)
 	defer a.closeConns()
+	defer a.recordFences()
 	if a.pending {
 		if err := a.readDatabases(ctx); err != nil {
 			a.log.Info("Reading the lists of databases failed.", "error", err)
