Count no fence while a host of older rules is in the fleet

Cause (from reading the change once more): hosts of rules 2 resume leaving databases. While one was known the keeper paused none, but it went on counting fences that were recorded before or that an attempt had left.

Change: such fences do not count then.

--- a/database/succession/roster.go
+++ b/database/succession/roster.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		place.Retiring = true
-		place.Leaving = place.Leaving || isPresent && db.StartMillis == place.StartMillis // it would have returned above if it were not leaving
+		place.Leaving = place.Leaving || isPresent && db.Leaving && db.StartMillis == place.StartMillis
 		out.Databases[id] = place
 	}
 	out, _ = out.Add(present)
@@ -143,6 +143,17 @@
 	return out, changed
 }
 
+// Unfenced returns the roster without its fences, which hosts of older rules do not keep.
+func (r Roster) Unfenced() Roster {
+	out := r
+	out.Databases = maps.Clone(r.Databases)
+	for id, place := range out.Databases {
+		place.FencedIn = 0
+		out.Databases[id] = place
+	}
+	return out
+}
+
 // Departed reports whether a database that is leaving, as the platform's list or the roster shows,
 // is not on the roster: others hold what its log may hold. Neither a takeover nor an acknowledgement
 // needs its log.
--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -216,6 +216,22 @@
 		Expect(paused("b")).To(BeFalse())
 	})
 
+	It("does not count as fenced any more once a host of older rules is in the fleet", func() {
+		svc.mu.Lock()
+		svc.table = lead.New()
+		svc.mu.Unlock()
+		start("d")
+		list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(svc.updateRoster(context.Background(), svc.roster, fencing{}, nil)).To(Succeed())
+		Expect(svc.updateRoster(context.Background(), svc.roster, fencing{ids: []string{"b"}, term: 1}, nil)).To(Succeed())
+		g.peers.mu.Lock()
+		g.peers.rules.older = []string{"host-9"}
+		g.peers.mu.Unlock()
+		_, held := svc.retiringHeldElsewhere(recorded())
+		Expect(held).To(BeEmpty())
+	})
+
 	DescribeTable("stays paused when replicas are resumed",
 		func(shown func()) {
 			start("d")
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -216,13 +216,17 @@
 	if !ok {
 		return fenced, nil
 	}
+	mayFence := s.g.peers.followPresentRules() // others resume leaving databases
+	if !mayFence {
+		roster = roster.Unfenced()
+	}
 	for id, place := range roster.Databases {
-		if place.Leaving && s.fencedInAttempt(id) == (fence{place.StartMillis, led.Term}) {
+		if mayFence && place.Leaving && s.fencedInAttempt(id) == (fence{place.StartMillis, led.Term}) {
 			fenced.ids, fenced.term = append(fenced.ids, id), led.Term
 		}
 	}
 	// An attempt that took the lease before the databases were leaving may still resume them.
-	if len(leaving) > 0 && s.g.peers.followPresentRules() && roster.HasHolder(led, s.logReports(others), s.newestTerm()) && s.leaseSettledIn(led.Term) {
+	if len(leaving) > 0 && mayFence && roster.HasHolder(led, s.logReports(others), s.newestTerm()) && s.leaseSettledIn(led.Term) {
 		fenced.ids, fenced.term = append(fenced.ids, s.fence(leaving, led.Term)...), led.Term
 	}
 	if len(fenced.ids) > 0 {
