Complete the databases' entries in the specs of bronzeloftctl

Cause: three specs of internal/ctl use entries without coldLeftMs, which name no database since "Take an entry for a database only if it has all fields of one".

Change: their entries have all fields, as a database's do.

Result: internal/ctl passes.

--- a/internal/ctl/evacuation_test.go
+++ b/internal/ctl/evacuation_test.go
@@ -20,7 +20,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(store.Close)
 		put := func(id, service, zone, role string) {
-			store.Put(platform.KindDatabases, id, `{"service":"`+service+`","address":"10.2.0.3:5432","zone":"`+zone+`","version":"1","slots":4,"state":"ready","dbRole":"`+role+`","seq":1,"born":1}`)
+			store.Put(platform.KindDatabases, id, `{"service":"`+service+`","address":"10.2.0.3:5432","zone":"`+zone+`","version":"1","slots":4,"state":"ready","coldLeftMs":0,"dbRole":"`+role+`","seq":1,"born":1}`)
 		}
 		put("i-1", "stock-db", "cluj", "primary")
 		put("i-2", "stock-db", "iasi", "replica")
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -53,7 +53,7 @@
 		}})
 		put(succession.KindLeases, "stock-db", succession.Lease{Released: true, Term: 4, Floor: position.Position{Term: 3, Index: 120}})
 		list := func(id string, born int) {
-			put(platform.KindDatabases, id, map[string]any{"service": "stock-db", "address": "10.2.0.3:5432", "zone": "iasi", "version": "1", "slots": 4, "state": "ready", "dbRole": "replica", "seq": 1, "born": born})
+			put(platform.KindDatabases, id, map[string]any{"service": "stock-db", "address": "10.2.0.3:5432", "zone": "iasi", "version": "1", "slots": 4, "state": "ready", "coldLeftMs": 0, "dbRole": "replica", "seq": 1, "born": born})
 		}
 		list("i-2", 2500) // another process under its id
 		list("i-3", 3000)
