Name a spec of leaving databases by what it checks, and share a set-up

One spec's text said "also after it has gone", which it does not check; two specs had the same set-up.

Change: the text says what is checked; the set-up is one function. No assertion changed.

--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -89,6 +89,18 @@
 		return ordered
 	}
 
+	// leaveBesideNew has "b" leave and "d" start, as recorded by a host that has just started.
+	leaveBesideNew := func() {
+		GinkgoHelper()
+		svc.mu.Lock()
+		svc.table = lead.New()
+		svc.mu.Unlock()
+		start("d")
+		list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
+		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
+		Expect(svc.updateRoster(context.Background(), svc.roster, fencing{}, nil)).To(Succeed())
+	}
+
 	BeforeEach(func() {
 		dbs = newGroup("a", "b", "c")
 		p = newFakePlatform(dbs)
@@ -128,7 +140,7 @@
 		Expect(takeOver("c", 2)).To(HaveLen(2))
 	})
 
-	It("is paused and stays on the record until another one holds its log, also after it has gone", func() {
+	It("is neither paused nor taken off the record before another one holds the log of the primary", func() {
 		start("d")
 		list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
 		dbs.withLock(func() { dbs.databases["c"].notReplicating = true })
@@ -161,13 +173,7 @@
 
 	DescribeTable("is removed after it has gone only if an attempt has seen it paused",
 		func(seen bool, want []string) {
-			svc.mu.Lock()
-			svc.table = lead.New()
-			svc.mu.Unlock()
-			start("d")
-			list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
-			svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
-			Expect(svc.updateRoster(context.Background(), svc.roster, fencing{}, nil)).To(Succeed())
+			leaveBesideNew()
 			dbs.withLock(func() { dbs.databases["b"].paused, dbs.databases["c"].paused = 2, 2 })
 			if seen {
 				svc.mu.Lock()
@@ -217,13 +223,7 @@
 	})
 
 	It("does not count as fenced any more once a host of older rules is in the fleet", func() {
-		svc.mu.Lock()
-		svc.table = lead.New()
-		svc.mu.Unlock()
-		start("d")
-		list(entry("a"), leaving(entry("b")), entry("c"), entry("d"))
-		svc.recordPrimary("a", position.Position{Term: 1, Index: 10}, time.Now())
-		Expect(svc.updateRoster(context.Background(), svc.roster, fencing{}, nil)).To(Succeed())
+		leaveBesideNew()
 		Expect(svc.updateRoster(context.Background(), svc.roster, fencing{ids: []string{"b"}, term: 1}, nil)).To(Succeed())
 		g.peers.mu.Lock()
 		g.peers.rules.older = []string{"host-9"}
